Lay out the workspace, the shared vocabulary and the program commands

Conclusion: identifiers, units, epochs, credentials and the replicated commands of a program are fixed first; bodies follow per crate.

--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' and operators' interfaces: schema, generated code, typed errors.
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' configuration: generations, acceptance and spreading, without I/O.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Assembly of one daemon: sockets, timers, tasks, logs and metrics.
--- /dev/null
+++ b/crates/experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments in virtual time: workloads, policies compared, reports and plots.
--- /dev/null
+++ b/crates/program/src/outcome.rs
@@ -0,0 +1,85 @@
+//! What applying a command gives.
+
+use dahlia_types::{CallId, Message, ProgramId, Tokens, Usage};
+use serde::{Deserialize, Serialize};
+
+/// The final outcome of a call. Exactly one is ever recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallOutcome {
+    /// It ran; this is the whole answer.
+    Answered {
+        /// The answer.
+        answer: Message,
+        /// Tokens used by the attempt that answered.
+        usage: Usage,
+    },
+    /// It did not run and never will.
+    NotRun {
+        /// Why, for the caller.
+        reason: String,
+    },
+    /// It may have run; it will not run again.
+    Unknown,
+}
+
+/// Where a call stands after [`crate::BeginCall`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begun {
+    /// New, and first in its chain: may be dispatched.
+    Ready(CallId),
+    /// New, behind another call of its chain that is not finished.
+    Waiting(CallId),
+    /// The same call as an earlier one that is still open.
+    Joined(CallId),
+    /// The same call as an earlier one that has ended so.
+    Replayed(CallId, CallOutcome),
+}
+
+/// The terms of a recorded intent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IntentRecorded {
+    /// Tokens reserved: the prompt's bound and the cap.
+    pub reserved: Tokens,
+    /// Most tokens the attempt may generate: the caller's wish, capped by what is left.
+    pub generated_cap: Tokens,
+}
+
+/// What an accepted command changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// The program exists.
+    Created(ProgramId),
+    /// The call has its place.
+    Begun(Begun),
+    /// The attempt may be dispatched.
+    IntentRecorded(IntentRecorded),
+    /// The call ended; the next call of its chain that may run now, if any.
+    CallEnded {
+        /// The call that ended.
+        call: CallId,
+        /// Its final outcome.
+        outcome: CallOutcome,
+        /// The chain's next call, now ready.
+        next: Option<CallId>,
+    },
+    /// The attempt ended without an answer and the call may be tried again.
+    Retryable(CallId),
+    /// The budget's new total.
+    BudgetRaised(Tokens),
+    /// The program is closed. Ready calls without an intent ended as not run.
+    Closed {
+        /// The program.
+        program: ProgramId,
+        /// Calls that ended with it.
+        ended: Vec<CallId>,
+    },
+    /// One obligation less.
+    ReleaseConfirmed,
+    /// Programs closed and programs forgotten.
+    Expired {
+        /// Closed just now.
+        closed: Vec<ProgramId>,
+        /// Removed with all their records.
+        forgotten: Vec<ProgramId>,
+    },
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rehearsal tool: demo, load, recording, replay and scale runs.
--- /dev/null
+++ b/crates/types/src/credential.rs
@@ -0,0 +1,69 @@
+//! Tenants' credentials: a keyed hash over the tenant's name (HMAC-SHA256, RFC 2104).
+//!
+//! A credential is `<tenant>.<64 hex digits>`. No daemon keeps a table of 42,000 tenants; the
+//! signing key in the settings is enough to check any of them.
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use snafu::Snafu;
+
+use crate::TenantId;
+
+/// Why a credential does not open anything.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum CredentialError {
+    /// It does not have the form `<tenant>.<hash>`.
+    #[snafu(display("the credential is malformed: expected <tenant>.<64 hex digits>"))]
+    Malformed,
+    /// The hash was not made with this system's key.
+    #[snafu(display("the credential is not valid here"))]
+    Forged,
+}
+
+/// The key that signs and checks tenants' credentials.
+#[derive(Clone)]
+pub struct TenantKey {
+    secret: Vec<u8>,
+}
+
+impl TenantKey {
+    /// Takes the secret's bytes; any length.
+    pub fn new(secret: impl Into<Vec<u8>>) -> Self {
+        Self { secret: secret.into() }
+    }
+
+    /// Issues the credential of `tenant`.
+    pub fn issue(&self, tenant: &TenantId) -> String {
+        let tag = self.mac(tenant).finalize().into_bytes();
+        let hex: String = tag.iter().map(|byte| format!("{byte:02x}")).collect();
+        format!("{tenant}.{hex}")
+    }
+
+    /// Finds the tenant that `credential` belongs to. The comparison takes constant time.
+    ///
+    /// # Errors
+    /// [`CredentialError`] when the text is malformed or was not issued with this key.
+    pub fn check(&self, credential: &str) -> Result<TenantId, CredentialError> {
+        let (tenant, hex) = credential.rsplit_once('.').ok_or(CredentialError::Malformed)?;
+        let tag = decode_hex(hex).ok_or(CredentialError::Malformed)?;
+        let tenant = TenantId::new(tenant);
+        let verified = self.mac(&tenant).verify_slice(&tag);
+        verified.map_err(|_| CredentialError::Forged)?;
+        Ok(tenant)
+    }
+
+    fn mac(&self, tenant: &TenantId) -> Hmac<Sha256> {
+        // HMAC takes keys of any length, so this cannot fail.
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.secret).expect("HMAC takes any key");
+        mac.update(tenant.as_str().as_bytes());
+        mac
+    }
+}
+
+fn decode_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) || !text.is_ascii() {
+        return None;
+    }
+    let pairs = (0..text.len()).step_by(2);
+    pairs.map(|start| u8::from_str_radix(&text[start..start + 2], 16).ok()).collect()
+}
--- /dev/null
+++ b/crates/types/src/time.rs
@@ -0,0 +1,93 @@
+//! Time as an argument. State machines never read a clock; their driver passes [`Timestamp`]s.
+
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+/// A length of time in microseconds.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Duration(pub u64);
+
+impl Duration {
+    /// No time.
+    pub const ZERO: Self = Self(0);
+
+    /// A length of `micros` microseconds.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// A length of `millis` milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// A length of `seconds` seconds.
+    pub const fn from_secs(seconds: u64) -> Self {
+        Self(seconds * 1_000_000)
+    }
+
+    /// Microseconds.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Seconds with their fraction.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// A length from seconds with a fraction; negative or not-a-number gives zero.
+    pub fn from_secs_f64(seconds: f64) -> Self {
+        Self((seconds * 1e6) as u64)
+    }
+
+    /// This length `factor` times, saturating.
+    pub fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
+/// A moment in microseconds since the driver's origin.
+///
+/// In a daemon the origin is 1970 (so that replicas agree on recorded expiry times up to clock
+/// skew); in virtual time it is the start of the run.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+
+    /// Time passed since `earlier`; zero when `earlier` is later.
+    pub fn since(self, earlier: Timestamp) -> Duration {
+        Duration(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn add(self, length: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_add(length.0))
+    }
+}
+
+impl Sub<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn sub(self, length: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_sub(length.0))
+    }
+}
