--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -10,9 +10,8 @@
 mod refusal;
 
 pub use command::{
-    AttemptOutcome,
-    AbandonCall, BeginCall, CloseProgram, CloseReason, Command, ConfirmRelease, CreateProgram,
-    ExpirePrograms, ProgramSpecification, RaiseBudget, RecordIntent, RecordOutcome,
+    AbandonCall, AttemptOutcome, BeginCall, CloseProgram, CloseReason, Command, ConfirmRelease,
+    CreateProgram, ExpirePrograms, ProgramSpecification, RaiseBudget, RecordIntent, RecordOutcome,
 };
 pub use outcome::{Applied, Begun, CallOutcome, IntentRecorded};
 pub use refusal::Refusal;
