Draft the gateway and the peer connections

Cause: the thin path needs callers' HTTP and a way between daemons. Ruled out: one shared connection in both directions (a half-open one would block both ways); each daemon dials for what it sends. Measured: not built yet as a whole; the owner's logic is missing.

--- a/crates/api/src/error.rs
+++ b/crates/api/src/error.rs
@@ -33,6 +33,8 @@
     NotRun,
     /// It may have run; it will not run again.
     Unknown,
+    /// Text that was read came from an attempt that was lost; another one answered differently.
+    AnswerReplaced,
     /// An operator's change was made from a generation that is no longer the newest.
     ConfigurationConflict,
     /// No owner of the program can be reached at present. For a call: it may have begun; asking
@@ -58,6 +60,7 @@
             Self::Overloaded => "overloaded",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
+            Self::AnswerReplaced => "answer_replaced",
             Self::ConfigurationConflict => "configuration_conflict",
             Self::Unavailable => "unavailable",
             Self::Internal => "internal",
@@ -73,7 +76,7 @@
             Self::Unauthorized => 401,
             Self::BudgetExhausted => 402,
             Self::NotFound => 404,
-            Self::OutOfOrder | Self::ConfigurationConflict => 409,
+            Self::OutOfOrder | Self::AnswerReplaced | Self::ConfigurationConflict => 409,
             Self::ProgramClosed => 410,
             Self::TooLarge => 413,
             Self::KeyReused => 422,
@@ -94,7 +97,7 @@
                 tonic::Code::FailedPrecondition
             }
             Self::KeyReused => tonic::Code::AlreadyExists,
-            Self::ConfigurationConflict => tonic::Code::Aborted,
+            Self::ConfigurationConflict | Self::AnswerReplaced => tonic::Code::Aborted,
             Self::LimitReached | Self::Overloaded => tonic::Code::ResourceExhausted,
             Self::NotRun | Self::Unavailable => tonic::Code::Unavailable,
             Self::Unknown => tonic::Code::Unknown,
--- /dev/null
+++ b/crates/daemon/src/frames.rs
@@ -0,0 +1,131 @@
+//! Frames between daemons: a 4-byte length, then a `bincode` value.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use dahlia_node::wire::LARGEST_FRAME;
+use futures::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// A fault on a connection to a peer, with the step and the peer.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum FrameError {
+    /// The connection could not be made.
+    #[snafu(display("connecting to {peer}: {source}"))]
+    Connect {
+        /// The peer.
+        peer: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Reading or writing failed, or a frame is too large.
+    #[snafu(display("{step} {peer}: {source}"))]
+    Transfer {
+        /// `reading from` or `writing to`.
+        step: &'static str,
+        /// The peer.
+        peer: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A frame does not hold what was expected.
+    #[snafu(display("decoding a frame from {peer}: {source}"))]
+    Decode {
+        /// The peer.
+        peer: SocketAddr,
+        /// Cause.
+        source: bincode::error::DecodeError,
+    },
+    /// A value could not be written as a frame.
+    #[snafu(display("encoding a frame for {peer}: {source}"))]
+    Encode {
+        /// The peer.
+        peer: SocketAddr,
+        /// Cause.
+        source: bincode::error::EncodeError,
+    },
+    /// The peer ended the connection.
+    #[snafu(display("{peer} closed the connection"))]
+    Closed {
+        /// The peer.
+        peer: SocketAddr,
+    },
+    /// The peer did not show the peer key, or speaks another version.
+    #[snafu(display("{peer} was refused: {reason}"))]
+    Refused {
+        /// The peer.
+        peer: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// Nothing came in time.
+    #[snafu(display("{step} {peer}: timed out"))]
+    TimedOut {
+        /// The step.
+        step: &'static str,
+        /// The peer.
+        peer: SocketAddr,
+    },
+}
+
+/// A connection that carries frames.
+pub struct FrameStream {
+    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    peer: SocketAddr,
+}
+
+impl FrameStream {
+    /// Takes over a connection.
+    pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+        // Frames are small and wait for an answer; batching by the kernel would only delay them.
+        let _ = stream.set_nodelay(true);
+        let codec = LengthDelimitedCodec::builder().max_frame_length(LARGEST_FRAME).new_codec();
+        Self { framed: Framed::new(stream, codec), peer }
+    }
+
+    /// The other side's address.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Sends one value.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the value cannot be encoded or the connection is broken.
+    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<(), FrameError> {
+        let bytes = encode(value, self.peer)?;
+        let step = "writing to";
+        self.framed.send(bytes).await.context(TransferSnafu { step, peer: self.peer })
+    }
+
+    /// Receives one value.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the connection ended or the frame is malformed or too large.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, FrameError> {
+        let step = "reading from";
+        let frame = self.framed.next().await;
+        let frame = frame.ok_or(FrameError::Closed { peer: self.peer })?;
+        let frame = frame.context(TransferSnafu { step, peer: self.peer })?;
+        decode(&frame, self.peer)
+    }
+}
+
+fn encode<T: Serialize>(value: &T, peer: SocketAddr) -> Result<Bytes, FrameError> {
+    let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard());
+    Ok(bytes.context(EncodeSnafu { peer })?.into())
+}
+
+fn decode<T: DeserializeOwned>(frame: &BytesMut, peer: SocketAddr) -> Result<T, FrameError> {
+    // The limit bounds what a forged length inside the frame may make the decoder allocate.
+    let config = bincode::config::standard().with_limit::<LARGEST_FRAME>();
+    let decoded = bincode::serde::decode_from_slice(frame, config);
+    let (value, _) = decoded.context(DecodeSnafu { peer })?;
+    Ok(value)
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/health.rs
@@ -0,0 +1,51 @@
+//! Health and metrics for whoever watches the daemon.
+
+use std::sync::Arc;
+
+use salvo::http::StatusCode;
+use salvo::prelude::{Json, Response, handler};
+
+use super::Gateway;
+
+/// `/healthz`: the process answers.
+pub(super) struct Alive;
+
+#[handler]
+impl Alive {
+    async fn handle(&self, response: &mut Response) {
+        response.render("alive\n");
+    }
+}
+
+/// `/readyz`: 200 when the daemon can route calls; 503 with the reason otherwise.
+pub(super) struct Ready {
+    pub(super) gateway: Arc<Gateway>,
+}
+
+#[handler]
+impl Ready {
+    async fn handle(&self, response: &mut Response) {
+        let status = self.gateway.core.status().await;
+        let code = if status.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        response.status_code(code);
+        response.render(Json(status));
+    }
+}
+
+/// `/metrics`: Prometheus text format.
+pub(super) struct Export {
+    pub(super) gateway: Arc<Gateway>,
+}
+
+#[handler]
+impl Export {
+    async fn handle(&self, response: &mut Response) {
+        match self.gateway.metrics.text() {
+            Ok(text) => response.render(text),
+            Err(error) => {
+                log::warn!(target: crate::logging::part::GATEWAY, "Metrics failed: {error}.");
+                response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,130 @@
+//! Callers' HTTP: validation, routing to the owner, and the answer's way back.
+//!
+//! | module | job |
+//! |---|---|
+//! | `chat` | `POST /v1/chat/completions` |
+//! | `answers` | reading on from an offset, and closing a program |
+//! | `follow` | following an answer at its owner across fail-over |
+//! | `render` | an answer or an error as HTTP |
+//! | `health` | `/healthz`, `/readyz`, `/metrics` |
+
+mod answers;
+mod chat;
+mod follow;
+mod health;
+mod render;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dahlia_api::{ApiError, ErrorKind, RequestLimits};
+use dahlia_types::{TenantId, TenantKey};
+use hyper_util::rt::TokioTimer;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::prelude::{Request, Router, Server};
+use salvo::server::ServerHandle;
+use tokio::net::TcpListener;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::core::CoreHandle;
+use crate::handshake::Identity;
+use crate::metrics::Metrics;
+
+/// Bytes of all headers of a request.
+const HEADER_BYTES: usize = 64 * 1024;
+/// Headers of a request.
+const HEADER_COUNT: usize = 100;
+/// When a caller may come back after the daemon had no place for its request.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// What every handler needs.
+pub struct Gateway {
+    /// Routes requests to owners.
+    pub core: CoreHandle,
+    /// This daemon towards its peers.
+    pub identity: Identity,
+    /// Checks tenants' credentials.
+    pub tenants: TenantKey,
+    /// Limits on requests.
+    pub limits: RequestLimits,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    permits: Arc<Semaphore>,
+}
+
+impl Gateway {
+    /// Puts a gateway together.
+    pub fn new(
+        core: CoreHandle,
+        identity: Identity,
+        tenants: TenantKey,
+        limits: RequestLimits,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        let permits = Arc::new(Semaphore::new(limits.concurrent_requests as usize));
+        Arc::new(Self { core, identity, tenants, limits, metrics, permits })
+    }
+
+    /// Finds the tenant of a request.
+    fn authenticate(&self, request: &Request) -> Result<TenantId, ApiError> {
+        let header = request.headers().get("authorization");
+        let text = header.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let credential = text.strip_prefix("Bearer ").unwrap_or_default();
+        if credential.is_empty() {
+            let message = "the Authorization header must be: Bearer <credential>";
+            return Err(
+                ApiError::new(ErrorKind::Unauthorized, message).with_field("authorization")
+            );
+        }
+        self.tenants.check(credential).map_err(|error| {
+            let error = ApiError::new(ErrorKind::Unauthorized, error.to_string());
+            error.with_field("authorization")
+        })
+    }
+
+    /// Takes a place among the requests in progress, or refuses at once.
+    fn admit(&self) -> Result<OwnedSemaphorePermit, ApiError> {
+        self.permits.clone().try_acquire_owned().map_err(|_| {
+            let limit = self.limits.concurrent_requests;
+            let message =
+                format!("this daemon serves {limit} requests already (limits.concurrent_requests)");
+            ApiError::new(ErrorKind::Overloaded, message).with_retry_after(BUSY_RETRY)
+        })
+    }
+}
+
+/// Starts serving callers on `listener`.
+///
+/// # Errors
+/// An I/O error when the listener cannot be used.
+pub fn serve(listener: TcpListener, gateway: Arc<Gateway>) -> io::Result<ServerHandle> {
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    let mut server = Server::new(acceptor);
+    let receive = Duration::from_millis(gateway.limits.receive_ms);
+    server
+        .http1_mut()
+        .timer(TokioTimer::new())
+        .header_read_timeout(receive)
+        .max_headers(HEADER_COUNT)
+        .max_buf_size(HEADER_BYTES);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router(gateway)));
+    Ok(handle)
+}
+
+fn router(gateway: Arc<Gateway>) -> Router {
+    let chat = chat::ChatHandler { gateway: gateway.clone() };
+    let read = answers::ReadHandler { gateway: gateway.clone() };
+    let close = answers::CloseHandler { gateway: gateway.clone() };
+    Router::new()
+        .push(Router::with_path("v1/chat/completions").post(chat))
+        .push(
+            Router::with_path("v1/programs/{program}/chains/{chain}/calls/{number}/answer")
+                .get(read),
+        )
+        .push(Router::with_path("v1/programs/{program}").delete(close))
+        .push(Router::with_path("healthz").get(health::Alive))
+        .push(Router::with_path("readyz").get(health::Ready { gateway: gateway.clone() }))
+        .push(Router::with_path("metrics").get(health::Export { gateway }))
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,154 @@
+//! Connections to other daemons. Each daemon dials for what it sends; messages to a peer that
+//! cannot be reached are dropped, since every protocol above repeats what matters.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dahlia_node::wire::{Hello, PeerMessage, Purpose, ReadAnswer};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::frames::FrameStream;
+use crate::handshake::Identity;
+use crate::logging::part;
+
+/// Messages that may wait for one peer; later ones are dropped.
+const QUEUE_PER_PEER: usize = 4_096;
+const FIRST_RECONNECT: Duration = Duration::from_millis(50);
+const LONGEST_RECONNECT: Duration = Duration::from_secs(2);
+/// A connection without a message to send for so long is given up.
+const IDLE_CONNECTION: Duration = Duration::from_secs(120);
+
+/// What arrives from other daemons.
+pub enum Incoming {
+    /// A message.
+    Message {
+        /// The sender's first frame.
+        from: Hello,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A gateway reads an answer here.
+    Answer {
+        /// What it reads.
+        read: ReadAnswer,
+        /// Where the frames go.
+        frames: FrameStream,
+    },
+}
+
+/// Sends messages to other daemons. Cheap to clone.
+#[derive(Clone)]
+pub struct PeerSender {
+    identity: Identity,
+    queues: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>,
+}
+
+impl PeerSender {
+    /// A sender without connections.
+    pub fn new(identity: Identity) -> Self {
+        Self { identity, queues: Arc::default() }
+    }
+
+    /// Queues a message for the daemon at `peer`; drops it when the queue is full.
+    pub fn send(&self, peer: SocketAddr, message: PeerMessage) {
+        let mut queues = self.queues.lock().expect("no holder of this lock panics");
+        let open = queues.get(&peer).filter(|queue| !queue.is_closed());
+        let queue = match open {
+            Some(queue) => queue.clone(),
+            None => {
+                let (queue, waiting) = mpsc::channel(QUEUE_PER_PEER);
+                queues.insert(peer, queue.clone());
+                tokio::spawn(pump(self.identity.clone(), peer, waiting));
+                queue
+            }
+        };
+        if queue.try_send(message).is_err() {
+            log::debug!(target: part::PEERS, "Queue to {peer} is full. Dropped a message.");
+        }
+    }
+}
+
+/// Sends what is queued for one peer for as long as something comes.
+async fn pump(identity: Identity, peer: SocketAddr, mut waiting: mpsc::Receiver<PeerMessage>) {
+    let mut pause = FIRST_RECONNECT;
+    loop {
+        match identity.connect(peer, Purpose::Messages).await {
+            Ok(frames) => {
+                pause = FIRST_RECONNECT;
+                if pump_connected(frames, &mut waiting).await {
+                    return;
+                }
+            }
+            Err(error) => log::debug!(target: part::PEERS, "No connection. {error}."),
+        }
+        // What queued up meanwhile is stale: its senders repeat with newer contents.
+        while waiting.try_recv().is_ok() {}
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_RECONNECT);
+    }
+}
+
+/// Returns whether the connection ended because nothing is left to send.
+async fn pump_connected(
+    mut frames: FrameStream,
+    waiting: &mut mpsc::Receiver<PeerMessage>,
+) -> bool {
+    loop {
+        let next = tokio::time::timeout(IDLE_CONNECTION, waiting.recv()).await;
+        let Ok(Some(message)) = next else {
+            return true;
+        };
+        if let Err(error) = frames.send(&message).await {
+            log::debug!(target: part::PEERS, "Lost a connection. {error}.");
+            return false;
+        }
+    }
+}
+
+/// Accepts connections for as long as the daemon runs.
+pub async fn listen(listener: TcpListener, identity: Identity, inbox: mpsc::Sender<Incoming>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let frames = FrameStream::new(stream, peer);
+                tokio::spawn(serve(frames, identity.clone(), inbox.clone()));
+            }
+            Err(error) => {
+                log::warn!(target: part::PEERS, "Accepting a connection failed: {error}.");
+                sleep(FIRST_RECONNECT).await;
+            }
+        }
+    }
+}
+
+async fn serve(mut frames: FrameStream, identity: Identity, inbox: mpsc::Sender<Incoming>) {
+    let hello = match identity.accept(&mut frames).await {
+        Ok(hello) => hello,
+        Err(error) => {
+            log::warn!(target: part::PEERS, "Refused a connection. {error}.");
+            return;
+        }
+    };
+    if let Purpose::Answer(read) = hello.purpose {
+        let _ = inbox.send(Incoming::Answer { read, frames }).await;
+        return;
+    }
+    loop {
+        match frames.receive::<PeerMessage>().await {
+            Ok(message) => {
+                let from = hello.clone();
+                if inbox.send(Incoming::Message { from, message }).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::debug!(target: part::PEERS, "A connection ended. {error}.");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,245 @@
+//! The settings file of a daemon (TOML), checked as a whole before anything starts.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use dahlia_api::RequestLimits;
+use dahlia_types::{DaemonId, EngineId, InvalidSetting, ModelId, Region, Zone, check_range};
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::logging::LogSettings;
+
+/// All settings of one daemon.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Identity and addresses.
+    pub daemon: DaemonSettings,
+    /// Keys and tokens.
+    pub credentials: CredentialSettings,
+    /// Addresses of the platform's services.
+    #[serde(default)]
+    pub platform: PlatformSettings,
+    /// Limits on callers' requests.
+    #[serde(default)]
+    pub limits: RequestLimits,
+    /// Replica groups.
+    #[serde(default)]
+    pub groups: GroupsSettings,
+    /// Placement of calls.
+    #[serde(default)]
+    pub placement: dahlia_placement::PlacementSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Identity and addresses.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Number of this daemon, unique in the system; kept over restarts.
+    pub id: DaemonId,
+    /// Zone, e.g. `hall-a`.
+    pub zone: Zone,
+    /// Region, e.g. `gulf-south`.
+    pub region: Region,
+    /// Where other daemons connect. Must be reachable by IP number as written here.
+    pub peer_address: SocketAddr,
+    /// Where callers connect (HTTP).
+    pub gateway_address: SocketAddr,
+    /// Where operators connect (RPC).
+    pub operators_address: SocketAddr,
+    /// Peer addresses of daemons to start from; may include this one.
+    pub seeds: Vec<SocketAddr>,
+    /// Folder for bulk data; absent on machines that keep nothing.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// Milliseconds that a planned stop may take before it cuts what is left.
+    #[serde(default = "default_drain")]
+    pub drain_ms: u64,
+}
+
+fn default_drain() -> u64 {
+    60_000
+}
+
+/// Keys and tokens. The same on every daemon.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CredentialSettings {
+    /// Key that signs tenants' credentials; at least 16 characters.
+    pub tenant_key: String,
+    /// Bearer token of the operators' side; at least 16 characters.
+    pub operator_token: String,
+    /// Key that daemons prove to each other; at least 16 characters.
+    pub peer_key: String,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlatformSettings {
+    /// The key-value service, `host:port`.
+    pub key_value: Option<SocketAddr>,
+    /// The list of machines, `host:port`.
+    pub machines: Option<SocketAddr>,
+    /// The weight store, `host:port`.
+    pub weights: Option<SocketAddr>,
+    /// The model engines.
+    pub engines: Vec<EngineSettings>,
+    /// Tool and application services.
+    pub tools: Vec<ToolSettings>,
+}
+
+/// One model engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Its identifier.
+    pub id: EngineId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// Models, adapters and versions that it serves.
+    pub models: Vec<ModelId>,
+}
+
+/// One tool or application service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ToolSettings {
+    /// The name that callers use.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Replica groups.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GroupsSettings {
+    /// Number of groups in the system; read once, when the first daemons lay them out.
+    pub count: u32,
+    /// Voters of each group: 3 survive one death at once, 5 survive two.
+    pub replicas: u32,
+    /// Daemons that must be live before the groups are laid out.
+    pub bootstrap_daemons: u32,
+    /// Milliseconds between a leader's heartbeats.
+    pub heartbeat_ms: u64,
+    /// Least milliseconds without a heartbeat before an election; the most is twice this.
+    pub election_ms: u64,
+}
+
+impl Default for GroupsSettings {
+    fn default() -> Self {
+        Self { count: 8, replicas: 3, bootstrap_daemons: 3, heartbeat_ms: 150, election_ms: 900 }
+    }
+}
+
+/// Why settings were not taken.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[snafu(display("reading {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The text is not TOML, or a field is missing, unknown or of the wrong type.
+    #[snafu(display("{}: {message}", path.display()))]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// Names line, field and what is expected.
+        message: String,
+    },
+    /// A value is out of its bounds.
+    #[snafu(display("{}: {source}", path.display()))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// The field, its value and what is allowed.
+        source: InvalidSetting,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// [`SettingsError`] naming the file, the field, the value and what is allowed.
+pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    let settings: Settings = toml::from_str(&text)
+        .map_err(|error| SettingsError::Parse { path: path.into(), message: error.to_string() })?;
+    settings.check().context(InvalidSnafu { path })?;
+    Ok(settings)
+}
+
+const SHORTEST_SECRET: usize = 16;
+
+impl Settings {
+    /// Checks every field that has bounds.
+    ///
+    /// # Errors
+    /// [`InvalidSetting`] naming the first one out of its bounds.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        check_text("daemon.zone", self.daemon.zone.as_str())?;
+        check_text("daemon.region", self.daemon.region.as_str())?;
+        check_range("daemon.id", self.daemon.id.0, 1, u32::MAX)?;
+        check_range("daemon.drain_ms", self.daemon.drain_ms, 100, 3_600_000)?;
+        check_secret("credentials.tenant_key", &self.credentials.tenant_key)?;
+        check_secret("credentials.operator_token", &self.credentials.operator_token)?;
+        check_secret("credentials.peer_key", &self.credentials.peer_key)?;
+        self.limits.check()?;
+        self.groups.check()?;
+        self.placement.check()?;
+        self.log.check()
+    }
+}
+
+impl GroupsSettings {
+    fn check(&self) -> Result<(), InvalidSetting> {
+        check_range("groups.count", self.count, 1, 100_000)?;
+        check_range("groups.replicas", self.replicas, 1, 7)?;
+        if self.replicas.is_multiple_of(2) {
+            return Err(InvalidSetting {
+                field: "groups.replicas".to_owned(),
+                value: self.replicas.to_string(),
+                allowed: "1, 3, 5 or 7: an even number survives no more deaths".to_owned(),
+            });
+        }
+        check_range("groups.bootstrap_daemons", self.bootstrap_daemons, self.replicas, 10_000)?;
+        check_range("groups.heartbeat_ms", self.heartbeat_ms, 10, 10_000)?;
+        check_range("groups.election_ms", self.election_ms, self.heartbeat_ms * 3, 60_000)
+    }
+}
+
+fn check_text(field: &str, text: &str) -> Result<(), InvalidSetting> {
+    let plain = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
+    if !text.is_empty() && text.len() <= 64 && text.chars().all(plain) {
+        return Ok(());
+    }
+    Err(InvalidSetting {
+        field: field.to_owned(),
+        value: format!("{text:?}"),
+        allowed: "1 to 64 letters, digits, '-', '_' or '.'".to_owned(),
+    })
+}
+
+fn check_secret(field: &str, secret: &str) -> Result<(), InvalidSetting> {
+    if secret.len() >= SHORTEST_SECRET {
+        return Ok(());
+    }
+    Err(InvalidSetting {
+        field: field.to_owned(),
+        value: format!("{} characters long", secret.len()),
+        allowed: format!("at least {SHORTEST_SECRET} characters"),
+    })
+}
--- /dev/null
+++ b/crates/node/src/request.rs
@@ -0,0 +1,275 @@
+//! Requests that a gateway or an operators' server puts to the owner of a program, and the
+//! responses. They travel inside one daemon or between two; the meaning is the same.
+
+use std::time::Duration;
+
+use dahlia_api::{ApiError, CallRequest, ErrorKind};
+use dahlia_program::{CallOutcome, ProgramSpecification};
+use dahlia_types::{
+    AttemptId, Bytes, CallId, DaemonId, EngineId, GroupId, Incarnation, ProgramId, TenantId, Term,
+    Tokens, Usage,
+};
+use serde::{Deserialize, Serialize};
+
+/// Names a request on the daemon that issued it. Never reused in one life of the daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId(pub u64);
+
+/// What is asked of a program's owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Request {
+    /// Put a call into its chain's order and run it. Answered when it has its place.
+    Submit {
+        /// Whose credential the request carried.
+        tenant: TenantId,
+        /// The validated request.
+        call: CallRequest,
+        /// Whether it may run again after an attempt of unknown outcome.
+        repeatable: bool,
+    },
+    /// Answered when the call has its final outcome.
+    AwaitOutcome {
+        /// Whose credential the request carried.
+        tenant: TenantId,
+        /// The call.
+        call: CallId,
+    },
+    /// Create a program.
+    Create {
+        /// The new program's identifier, drawn by the asking daemon so that a repeat is harmless.
+        program: ProgramId,
+        /// What the operator stated.
+        specification: ProgramSpecification,
+    },
+    /// Show a program.
+    Show {
+        /// The program.
+        program: ProgramId,
+        /// With the calls of each chain.
+        with_calls: bool,
+    },
+    /// List the programs of a group.
+    List {
+        /// The group.
+        group: GroupId,
+        /// Only this tenant's.
+        tenant: Option<TenantId>,
+        /// Also those that have ended.
+        include_closed: bool,
+        /// At most so many.
+        limit: u32,
+    },
+    /// Raise a budget.
+    RaiseBudget {
+        /// The program.
+        program: ProgramId,
+        /// The new total.
+        total: Tokens,
+    },
+    /// End a program.
+    Close {
+        /// The program.
+        program: ProgramId,
+        /// Whose credential the request carried; none for an operator's.
+        tenant: Option<TenantId>,
+    },
+}
+
+impl Request {
+    /// The group whose owner answers.
+    pub fn group(&self) -> GroupId {
+        match self {
+            Self::Submit { call, .. } => call.program.group,
+            Self::AwaitOutcome { call, .. } => call.program.group,
+            Self::Create { program, .. }
+            | Self::Show { program, .. }
+            | Self::RaiseBudget { program, .. }
+            | Self::Close { program, .. } => program.group,
+            Self::List { group, .. } => *group,
+        }
+    }
+
+    /// Whether the owner answers only after an event that may take long.
+    pub fn waits(&self) -> bool {
+        matches!(self, Self::AwaitOutcome { .. })
+    }
+}
+
+/// An owner's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Response {
+    /// The call has its place and will run; its text can be read at the owner.
+    Begun {
+        /// The call.
+        call: CallId,
+    },
+    /// The call's final outcome.
+    Ended {
+        /// The call.
+        call: CallId,
+        /// The outcome.
+        outcome: CallOutcome,
+    },
+    /// One program.
+    Program(Box<ProgramView>),
+    /// Several programs.
+    Programs(Vec<ProgramView>),
+    /// This daemon does not own the group; nothing was done.
+    NotOwner {
+        /// Who may own it.
+        hint: Option<DaemonId>,
+    },
+    /// Refused or failed.
+    Failed(ApiError),
+}
+
+/// A program as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgramView {
+    /// The program.
+    pub program: ProgramId,
+    /// What the operator stated.
+    pub specification: ProgramSpecification,
+    /// `open`, `closed` or `expired`.
+    pub state: ProgramStateName,
+    /// The budget's total.
+    pub total: Tokens,
+    /// Charged so far.
+    pub spent: Tokens,
+    /// Held for open attempts and for attempts of unknown outcome.
+    pub reserved: Tokens,
+    /// Chains, with the main one.
+    pub chains: u32,
+    /// Calls that were answered.
+    pub turns: u32,
+    /// Engines that may hold its context.
+    pub held: Vec<HeldView>,
+    /// The owner.
+    pub owner: DaemonId,
+    /// The owner's epoch.
+    pub epoch: Term,
+    /// Calls, if asked for.
+    pub calls: Vec<CallView>,
+}
+
+/// Where a program stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProgramStateName {
+    /// Takes calls.
+    Open,
+    /// Ended by a caller or an operator.
+    Closed,
+    /// Ended by itself.
+    Expired,
+}
+
+/// An engine that may hold a program's context.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldView {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// A call as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallView {
+    /// The call.
+    pub call: CallId,
+    /// Where it stands.
+    pub state: CallStateName,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// The last attempt's engine.
+    pub engine: Option<EngineId>,
+    /// Tokens used by the attempt that answered.
+    pub usage: Usage,
+}
+
+/// Where a call stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallStateName {
+    /// Behind another call of its chain.
+    Waiting,
+    /// May be dispatched.
+    Ready,
+    /// An attempt is open.
+    Running,
+    /// Answered.
+    Answered,
+    /// Will not run.
+    NotRun,
+    /// May have run.
+    Unknown,
+}
+
+/// How an attempt ended, as seen by the part of the daemon that talks to engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AttemptEnd {
+    /// Whole answer.
+    Ran {
+        /// The text.
+        text: String,
+        /// Tokens used.
+        usage: Usage,
+    },
+    /// The engine confirmed that it did not start and never will.
+    NotRun {
+        /// Why.
+        reason: String,
+        /// The engine's hint when to come back.
+        retry_after: Option<Duration>,
+    },
+    /// The engine cut it and said what it used.
+    Cut {
+        /// Tokens used.
+        usage: Usage,
+    },
+    /// Nobody can say.
+    Unknown {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// What came of asking an engine to free a program's memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReleaseEnd {
+    /// Free; this life of the engine holds nothing of it.
+    Confirmed {
+        /// The engine's life.
+        incarnation: Incarnation,
+        /// What was freed.
+        freed: Bytes,
+    },
+    /// Not confirmed; ask again.
+    Failed,
+}
+
+/// Makes the error that a caller sees when a call ended as not run or unknown.
+pub fn outcome_error(outcome: &CallOutcome) -> Option<ApiError> {
+    match outcome {
+        CallOutcome::Answered { .. } => None,
+        CallOutcome::NotRun { reason } => {
+            let error = ApiError::new(ErrorKind::NotRun, reason.clone());
+            Some(error.with_retry_after(NOT_RUN_RETRY))
+        }
+        CallOutcome::Unknown => Some(ApiError::new(
+            ErrorKind::Unknown,
+            "the call may have run; it will not be run again under this key",
+        )),
+    }
+}
+
+/// When a caller whose call did not run may come back, unless a better estimate exists.
+const NOT_RUN_RETRY: Duration = Duration::from_secs(1);
+
+/// The answer of an attempt that is being generated, by attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AnswerPosition {
+    /// The attempt whose text is read.
+    pub attempt: AttemptId,
+    /// Bytes already received.
+    pub offset: u64,
+}
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,101 @@
+//! What daemons say to each other over one connection, in `bincode` frames.
+
+use dahlia_api::ApiError;
+use dahlia_program::CallOutcome;
+use dahlia_replication::group::GroupMessage;
+use dahlia_replication::membership::MembershipMessage;
+use dahlia_types::{CallId, DaemonId, Incarnation, TenantId};
+use serde::{Deserialize, Serialize};
+
+use crate::request::{Request, RequestId, Response};
+
+/// Version of this protocol. A daemon refuses a peer with another one by name.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Largest frame in bytes; a longer one ends the connection.
+pub const LARGEST_FRAME: usize = 16 * 1024 * 1024;
+
+/// The first frame of a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub version: u32,
+    /// The sender.
+    pub daemon: DaemonId,
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// Keyed hash over the fields above: shows that the sender has the peer key.
+    pub proof: [u8; 32],
+    /// What the connection is for.
+    pub purpose: Purpose,
+}
+
+/// What a connection is for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// [`PeerMessage`]s from the connecting side.
+    Messages,
+    /// [`AnswerFrame`]s from the accepting side.
+    Answer(ReadAnswer),
+}
+
+/// Asks the owner for a call's answer from an offset on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadAnswer {
+    /// Whose credential the request carried.
+    pub tenant: TenantId,
+    /// The call.
+    pub call: CallId,
+    /// The attempt whose text the reader has; 0 when it does not know.
+    pub attempt: u32,
+    /// Bytes of the text that the reader has.
+    pub offset: u64,
+}
+
+/// A piece of an answer on its way from owner to gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerFrame {
+    /// Text of an attempt. A later attempt starts at offset 0 again.
+    Piece {
+        /// The attempt's number.
+        attempt: u32,
+        /// Where the text starts, in bytes.
+        offset: u64,
+        /// The text.
+        text: String,
+    },
+    /// Nothing new; the owner is there.
+    KeepAlive,
+    /// The final outcome, durable. An answer's whole text is in it.
+    End(CallOutcome),
+    /// This daemon does not own the program, or no longer.
+    NotOwner {
+        /// Who may.
+        hint: Option<DaemonId>,
+    },
+    /// Refused.
+    Failed(ApiError),
+}
+
+/// One message between daemons.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Of replica groups. One frame carries all that is due to one peer.
+    Groups(Vec<GroupMessage>),
+    /// Of membership and spread facts.
+    Membership(MembershipMessage),
+    /// A request to the owner of a group.
+    Request {
+        /// The asker's name for it.
+        id: RequestId,
+        /// The request.
+        request: Request,
+    },
+    /// The answer.
+    Response {
+        /// The asker's name for the request.
+        id: RequestId,
+        /// The answer.
+        response: Response,
+    },
+}
--- a/crates/types/src/credential.rs
+++ b/crates/types/src/credential.rs
@@ -53,13 +53,44 @@
     }
 
     fn mac(&self, tenant: &TenantId) -> Hmac<Sha256> {
-        // HMAC takes keys of any length, so this cannot fail.
-        let mut mac = Hmac::<Sha256>::new_from_slice(&self.secret).expect("HMAC takes any key");
-        mac.update(tenant.as_str().as_bytes());
-        mac
+        keyed_hash(&self.secret, tenant.as_str().as_bytes())
     }
 }
 
+/// The key by which daemons know each other.
+#[derive(Clone)]
+pub struct PeerKey {
+    secret: Vec<u8>,
+}
+
+impl PeerKey {
+    /// Takes the secret's bytes; any length.
+    pub fn new(secret: impl Into<Vec<u8>>) -> Self {
+        Self { secret: secret.into() }
+    }
+
+    /// Keyed hash over `text`.
+    pub fn prove(&self, text: &[u8]) -> [u8; 32] {
+        self.mac(text).finalize().into_bytes().into()
+    }
+
+    /// Whether `proof` was made with this key over `text`. Takes constant time.
+    pub fn verify(&self, text: &[u8], proof: &[u8; 32]) -> bool {
+        self.mac(text).verify_slice(proof).is_ok()
+    }
+
+    fn mac(&self, text: &[u8]) -> Hmac<Sha256> {
+        keyed_hash(&self.secret, text)
+    }
+}
+
+fn keyed_hash(secret: &[u8], text: &[u8]) -> Hmac<Sha256> {
+    // HMAC takes keys of any length, so this cannot fail.
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("HMAC takes any key");
+    mac.update(text);
+    mac
+}
+
 fn decode_hex(text: &str) -> Option<Vec<u8>> {
     if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return None;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,7 +12,7 @@
 mod units;
 
 pub use call::{Attempt, CallKind, Message, Repeatability, Role, Usage};
-pub use credential::{CredentialError, TenantKey};
+pub use credential::{CredentialError, PeerKey, TenantKey};
 pub use epochs::{Generation, Incarnation, LogIndex, Term};
 pub use identifiers::{
     AttemptId, CallId, ChainId, DaemonId, EngineId, GroupId, IdempotencyKey, ModelId, ParseIdError,
