Add the replicated state of a group's programs

Cause: the owner of a group needs order, budget, intents, outcomes, history and release obligations as one deterministic state that every replica reaches.

ConfirmRelease now names the last intent that the engine's confirmation covers: without it a confirmation that crosses a later dispatch would end the duty for the cache of that dispatch. Commands to move a turn's text to store daemons and to change the limits of a running group are new.

--- /dev/null
+++ b/crates/program/src/begin.rs
@@ -0,0 +1,154 @@
+//! Putting calls into their chain's order; recognising retries.
+
+use dahlia_types::{CallId, ChainId, Tokens};
+
+use crate::history::content_bytes;
+use crate::refusal::{DigestMismatchSnafu, NoSuchChainSnafu, OutOfOrderSnafu, TooManySnafu};
+use crate::state::{check_limit, check_open};
+use crate::{
+    Applied, BeginCall, Begun, BranchPoint, Call, CallState, Chain, GroupState, Mechanism, Program,
+    ProgramLimits, RecordedOutcome, Refusal,
+};
+
+/// The chain that a program starts with.
+const MAIN_CHAIN: ChainId = ChainId(0);
+
+impl GroupState {
+    pub(crate) fn begin_call(&mut self, command: &BeginCall) -> Result<Applied, Refusal> {
+        let limits = self.limits;
+        let digest_check = self.switches.is_on(Mechanism::DigestCheck);
+        let program = self.existing(command.program)?;
+        // A retry is recognised before anything else: it is answered also after the close and
+        // beyond the limits, because nothing new runs for it.
+        if let Some(earlier) = earlier_call(program, command, digest_check)? {
+            bind_key(program, command, earlier);
+            return Ok(Applied::Begun(join_or_replay(program, earlier)));
+        }
+        check_open(program)?;
+        check_limits(program, &limits, command)?;
+        let branch = branch_point(program, &limits, command)?;
+        let begun = append(program, command, branch)?;
+        program.touch(command.at);
+        Ok(Applied::Begun(begun))
+    }
+}
+
+/// Finds the call that `command` repeats, by its key first and its number second.
+fn earlier_call(
+    program: &Program,
+    command: &BeginCall,
+    digest_check: bool,
+) -> Result<Option<CallId>, Refusal> {
+    let of_key = command.key.as_ref().and_then(|key| program.call_of_key(key));
+    let stated = command.number.map(|number| program.call_id(command.chain, number));
+    let of_number = stated.filter(|call| program.call(*call).is_some());
+    let Some(call) = of_key.or(of_number) else {
+        return Ok(None);
+    };
+    let found = program.call(call).expect("keys name calls of the program");
+    let same_place = call.chain == command.chain && stated.is_none_or(|stated| stated == call);
+    let same_key = match (&found.key, &command.key) {
+        (Some(held), Some(stated)) => held == stated,
+        _ => true,
+    };
+    let same_digest = found.digest == command.digest;
+    if digest_check && !(same_place && same_key && same_digest) {
+        return DigestMismatchSnafu { call }.fail();
+    }
+    Ok(Some(call))
+}
+
+/// Remembers the key of a retry whose first try came without one, so that a further retry by key
+/// alone finds the call.
+fn bind_key(program: &mut Program, command: &BeginCall, call: CallId) {
+    let Some(key) = &command.key else {
+        return;
+    };
+    let Some(found) = program.call_mut(call) else {
+        return;
+    };
+    if found.key.is_none() {
+        found.key = Some(key.clone());
+        program.keys.insert(key.clone(), call);
+    }
+}
+
+fn join_or_replay(program: &Program, call: CallId) -> Begun {
+    match program.outcome(call) {
+        None => Begun::Joined(call),
+        Some(RecordedOutcome::Held(outcome)) => Begun::Replayed(call, outcome),
+        Some(RecordedOutcome::Stored(answer)) => Begun::ReplayedFromStore(call, answer),
+    }
+}
+
+fn check_limits(
+    program: &Program,
+    limits: &ProgramLimits,
+    command: &BeginCall,
+) -> Result<(), Refusal> {
+    let id = program.id;
+    let calls = program.chains.values().map(|chain| chain.calls.len()).sum();
+    let turns: usize = program.chains.values().map(|chain| chain.turns.len()).sum();
+    let open_calls = program.open_calls().count();
+    check_limit(id, "calls", calls, limits.calls)?;
+    check_limit(id, "open calls", open_calls, limits.open_calls)?;
+    check_limit(id, "turns", turns + open_calls, limits.turns)?;
+    let bytes = program.history_bytes.saturating_add(content_bytes(&command.messages));
+    if bytes > limits.history_bytes {
+        let limit = limits.history_bytes.0;
+        return TooManySnafu { program: id, what: "history bytes", limit }.fail();
+    }
+    Ok(())
+}
+
+/// Where the chain that the call opens branches off. None for a chain that exists, for the main
+/// chain, and for a sub-agent that starts with an empty history.
+fn branch_point(
+    program: &Program,
+    limits: &ProgramLimits,
+    command: &BeginCall,
+) -> Result<Option<BranchPoint>, Refusal> {
+    if program.chains.contains_key(&command.chain) {
+        return Ok(None);
+    }
+    check_limit(program.id, "chains", program.chains.len(), limits.chains)?;
+    let Some(parent) = command.parent.filter(|_| command.chain != MAIN_CHAIN) else {
+        return Ok(None);
+    };
+    let missing = || NoSuchChainSnafu { program: program.id, chain: parent.0 }.build();
+    let found = program.chains.get(&parent).ok_or_else(missing)?;
+    Ok(Some(BranchPoint { chain: parent, turns: found.turns.len() as u32 }))
+}
+
+fn append(
+    program: &mut Program,
+    command: &BeginCall,
+    branch: Option<BranchPoint>,
+) -> Result<Begun, Refusal> {
+    let expected = program.chains.get(&command.chain).map_or(1, Chain::next_number);
+    let number = command.number.unwrap_or(expected);
+    let id = program.call_id(command.chain, number);
+    if number != expected {
+        return OutOfOrderSnafu { call: id, expected }.fail();
+    }
+    let inherited = branch.map_or(Tokens::ZERO, |branch| program.chains[&branch.chain].tokens);
+    let chain =
+        program.chains.entry(command.chain).or_insert_with(|| Chain::new(branch, inherited));
+    chain.calls.push(Call {
+        key: command.key.clone(),
+        digest: command.digest,
+        kind: command.kind.clone(),
+        repeatability: command.repeatability,
+        max_generated: command.max_generated,
+        attempts: 0,
+        was_cut: false,
+        state: CallState::Open { messages: command.messages.clone(), attempt: None },
+    });
+    let is_first = chain.first_open() == Some(number);
+    if let Some(key) = &command.key {
+        program.keys.insert(key.clone(), id);
+    }
+    let added = content_bytes(&command.messages);
+    program.history_bytes = program.history_bytes.saturating_add(added);
+    Ok(if is_first { Begun::Ready(id) } else { Begun::Waiting(id) })
+}
--- /dev/null
+++ b/crates/program/src/chain.rs
@@ -0,0 +1,89 @@
+//! A chain: calls in the order their program issued them, and the turns they left.
+
+use dahlia_types::{ChainId, Message, Tokens};
+use serde::{Deserialize, Serialize};
+
+use crate::{Call, Turn, TurnText};
+
+/// Where a chain's history branches off from another's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BranchPoint {
+    /// The parent.
+    pub chain: ChainId,
+    /// How many of the parent's own turns, from its first, precede this chain's history.
+    pub turns: u32,
+}
+
+/// One chain of a program.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Chain {
+    pub(crate) branch: Option<BranchPoint>,
+    pub(crate) calls: Vec<Call>,
+    /// Calls before this position have ended.
+    pub(crate) head: u32,
+    pub(crate) turns: Vec<Turn>,
+    pub(crate) tokens: Tokens,
+}
+
+impl Chain {
+    pub(crate) fn new(branch: Option<BranchPoint>, tokens: Tokens) -> Self {
+        Self { branch, tokens, ..Self::default() }
+    }
+
+    /// Where it branches off; none for the main chain and for chains that start afresh.
+    pub fn branch(&self) -> Option<BranchPoint> {
+        self.branch
+    }
+
+    /// Its own turns, without the parent's.
+    pub fn turns(&self) -> &[Turn] {
+        &self.turns
+    }
+
+    /// Tokens of its whole history by the engines' last report; 0 before the first.
+    pub fn tokens(&self) -> Tokens {
+        self.tokens
+    }
+
+    /// Its calls with their numbers, in order.
+    pub fn calls(&self) -> impl Iterator<Item = (u32, &Call)> {
+        (1..).zip(&self.calls)
+    }
+
+    /// The call of this number.
+    pub fn call(&self, number: u32) -> Option<&Call> {
+        self.calls.get(position(number)?)
+    }
+
+    /// The number that the next new call gets.
+    pub fn next_number(&self) -> u32 {
+        self.calls.len() as u32 + 1
+    }
+
+    /// The only call that may have an attempt: the first that has not ended.
+    pub fn first_open(&self) -> Option<u32> {
+        let is_open = self.calls.get(self.head as usize)?.is_open();
+        is_open.then_some(self.head + 1)
+    }
+
+    pub(crate) fn call_mut(&mut self, number: u32) -> Option<&mut Call> {
+        self.calls.get_mut(position(number)?)
+    }
+
+    /// Moves the head past calls that have ended.
+    pub(crate) fn advance(&mut self) {
+        while self.calls.get(self.head as usize).is_some_and(|call| !call.is_open()) {
+            self.head += 1;
+        }
+    }
+
+    /// Appends a turn and gives its position.
+    pub(crate) fn push_turn(&mut self, call: u32, answered: bool, messages: Vec<Message>) -> u32 {
+        self.turns.push(Turn { call, answered, text: TurnText::Inline(messages) });
+        self.turns.len() as u32 - 1
+    }
+}
+
+fn position(number: u32) -> Option<usize> {
+    number.checked_sub(1).map(|position| position as usize)
+}
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -5,11 +5,11 @@
 
 use dahlia_types::{
     AttemptId, Bytes, CallId, CallKind, ChainId, Duration, EngineId, IdempotencyKey, Incarnation,
-    Message, ModelId, ProgramId, Repeatability, TenantId, Timestamp, Tokens, Usage,
+    LogIndex, Message, ModelId, ProgramId, Repeatability, TenantId, Timestamp, Tokens, Usage,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::CallOutcome;
+use crate::{CallOutcome, ChunkReference, ProgramLimits};
 
 /// What an operator states when creating a program.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -160,6 +160,9 @@
     pub engine: EngineId,
     /// The life of the engine that is free of the program.
     pub incarnation: Incarnation,
+    /// The last intent that the confirmation covers, from [`crate::ReleaseRequest::covers`]. An
+    /// obligation that a later intent renewed stays.
+    pub covers: LogIndex,
     /// Bytes that the engine said it freed, for the measure of wasted cache.
     pub freed: Bytes,
 }
@@ -174,6 +177,28 @@
     pub keep_records: Duration,
 }
 
+/// Replaces a turn's text by a reference to a chunk that store daemons hold durably.
+///
+/// Propose it only after the store daemons confirmed the chunk: replicas drop their copy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveTurnToStore {
+    /// The program.
+    pub program: ProgramId,
+    /// The chain that the turn belongs to.
+    pub chain: ChainId,
+    /// Position of the turn in the chain's own turns, from 0.
+    pub turn: u32,
+    /// The chunk. Refused unless its digest is that of the turn's messages.
+    pub chunk: ChunkReference,
+}
+
+/// Sets the limits that later commands of the group are judged by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetLimits {
+    /// The new limits. What is already above them stays.
+    pub limits: ProgramLimits,
+}
+
 /// Any command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[allow(missing_docs)]
@@ -187,4 +212,6 @@
     CloseProgram(CloseProgram),
     ConfirmRelease(ConfirmRelease),
     ExpirePrograms(ExpirePrograms),
+    MoveTurnToStore(MoveTurnToStore),
+    SetLimits(SetLimits),
 }
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -5,14 +5,40 @@
 //! clock and draws no random number, so that every replica reaches the same state. It does no
 //! I/O; the owner reads the state and acts, and records what it did as further commands.
 
+mod attempt;
+mod begin;
+mod budget;
+mod call;
+mod chain;
+mod closing;
 mod command;
+mod history;
+mod limits;
 mod outcome;
+mod program;
+mod recovery;
 mod refusal;
+mod snapshot;
+mod state;
+mod switches;
 
+pub use budget::Budget;
+pub use call::{Call, CallState, EndedCall, OpenAttempt, UnknownAttempt};
+pub use chain::{BranchPoint, Chain};
 pub use command::{
-    AttemptOutcome,
-    AbandonCall, BeginCall, CloseProgram, CloseReason, Command, ConfirmRelease, CreateProgram,
-    ExpirePrograms, ProgramSpecification, RaiseBudget, RecordIntent, RecordOutcome,
+    AbandonCall, AttemptOutcome, BeginCall, CloseProgram, CloseReason, Command, ConfirmRelease,
+    CreateProgram, ExpirePrograms, MoveTurnToStore, ProgramSpecification, RaiseBudget,
+    RecordIntent, RecordOutcome, SetLimits,
 };
-pub use outcome::{Applied, Begun, CallOutcome, IntentRecorded};
+pub use history::{
+    ChunkError, ChunkReference, HistoryPart, MissingChunks, Turn, TurnText, decode_chunk,
+    encode_chunk,
+};
+pub use limits::ProgramLimits;
+pub use outcome::{Applied, Begun, CallOutcome, IntentRecorded, RecordedOutcome, StoredAnswer};
+pub use program::{EngineLife, Lifecycle, Obligation, Program, ReleaseRequest};
+pub use recovery::UnfinishedCall;
 pub use refusal::Refusal;
+pub use snapshot::{SNAPSHOT_VERSION, SnapshotError};
+pub use state::GroupState;
+pub use switches::Mechanism;
--- /dev/null
+++ b/crates/program/src/limits.rs
@@ -0,0 +1,60 @@
+//! Limits of one program. They are part of the replicated state: replicas that judged a command
+//! by different limits would diverge.
+
+use dahlia_types::{Bytes, Duration, InvalidSetting, Tokens, check_range};
+use serde::{Deserialize, Serialize};
+
+/// What one program may hold at most. Changed in a running group only by [`crate::SetLimits`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProgramLimits {
+    /// Programs of one group, ended ones included while their records are kept.
+    pub programs: u64,
+    /// Calls of one program that have not ended, over all its chains.
+    pub open_calls: u64,
+    /// Chains of one program, the main one included.
+    pub chains: u64,
+    /// Calls of one program, over all chains, whatever their outcome; each keeps its record.
+    pub calls: u64,
+    /// Turns of one program's history, over all chains.
+    pub turns: u64,
+    /// Bytes of one program's history, over all chains, open calls included.
+    pub history_bytes: Bytes,
+    /// Tokens of one prompt.
+    pub history_tokens: Tokens,
+    /// How long an ended program is kept for attempts whose outcome nobody ever told. After it,
+    /// the program is forgotten as if they had been resolved.
+    pub keep_unknown: Duration,
+}
+
+impl Default for ProgramLimits {
+    fn default() -> Self {
+        Self {
+            programs: 100_000,
+            open_calls: 64,
+            chains: 64,
+            calls: 4_096,
+            turns: 512,
+            history_bytes: Bytes(8 << 20),
+            history_tokens: Tokens(600_000),
+            keep_unknown: Duration::from_secs(7 * 24 * 3_600),
+        }
+    }
+}
+
+impl ProgramLimits {
+    /// Checks that every limit leaves room for at least one.
+    ///
+    /// # Errors
+    /// [`InvalidSetting`] naming the field.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        const MOST: u64 = u32::MAX as u64;
+        check_range("programs.limits.programs", self.programs, 1, MOST)?;
+        check_range("programs.limits.open_calls", self.open_calls, 1, MOST)?;
+        check_range("programs.limits.chains", self.chains, 1, MOST)?;
+        check_range("programs.limits.calls", self.calls, 1, MOST)?;
+        check_range("programs.limits.turns", self.turns, 1, MOST)?;
+        check_range("programs.limits.history_bytes", self.history_bytes.0, 1, u64::MAX)?;
+        check_range("programs.limits.history_tokens", self.history_tokens.0, 1, u64::MAX)
+    }
+}
--- a/crates/program/src/outcome.rs
+++ b/crates/program/src/outcome.rs
@@ -1,8 +1,10 @@
 //! What applying a command gives.
 
-use dahlia_types::{CallId, Message, ProgramId, Tokens, Usage};
+use dahlia_types::{AttemptId, CallId, Message, ProgramId, Tokens, Usage};
 use serde::{Deserialize, Serialize};
 
+use crate::ChunkReference;
+
 /// The final outcome of a call. Exactly one is ever recorded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallOutcome {
@@ -22,6 +24,24 @@
     Unknown,
 }
 
+/// An answer whose text was moved to store daemons: the last message of the chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredAnswer {
+    /// Tokens used by the attempt that answered.
+    pub usage: Usage,
+    /// The chunk that holds the turn.
+    pub chunk: ChunkReference,
+}
+
+/// A call's final outcome, as far as this replica holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordedOutcome {
+    /// The whole outcome.
+    Held(CallOutcome),
+    /// Answered; the text is to be fetched from a store daemon.
+    Stored(StoredAnswer),
+}
+
 /// Where a call stands after [`crate::BeginCall`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Begun {
@@ -33,6 +53,8 @@
     Joined(CallId),
     /// The same call as an earlier one that has ended so.
     Replayed(CallId, CallOutcome),
+    /// The same call as an earlier one whose answer was moved to store daemons.
+    ReplayedFromStore(CallId, StoredAnswer),
 }
 
 /// The terms of a recorded intent.
@@ -64,6 +86,9 @@
     },
     /// The attempt ended without an answer and the call may be tried again.
     Retryable(CallId),
+    /// An attempt that had been recorded as unknown has been accounted for; its call's outcome
+    /// is what it was.
+    Settled(AttemptId),
     /// The budget's new total.
     BudgetRaised(Tokens),
     /// The program is closed. Ready calls without an intent ended as not run.
@@ -82,4 +107,8 @@
         /// Removed with all their records.
         forgotten: Vec<ProgramId>,
     },
+    /// The turn's text is on the store daemons only.
+    TurnMoved,
+    /// The new limits hold.
+    LimitsSet,
 }
--- a/crates/program/src/refusal.rs
+++ b/crates/program/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Why a command changed nothing.
 
-use dahlia_types::{CallId, ProgramId, Tokens};
+use dahlia_types::{CallId, EngineId, GroupId, Incarnation, LogIndex, ProgramId, Tokens};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -88,4 +88,73 @@
         /// The total in force.
         total: Tokens,
     },
+    /// The program belongs to another group.
+    #[snafu(display("program {program} does not belong to group {group}"))]
+    WrongGroup {
+        /// The program.
+        program: ProgramId,
+        /// The group that was asked.
+        group: GroupId,
+    },
+    /// The entry was applied before.
+    #[snafu(display("log entry {index} was applied before"))]
+    AlreadyApplied {
+        /// The entry.
+        index: LogIndex,
+    },
+    /// An attempt may have run: the call may not be run again, or may not end as not run.
+    #[snafu(display("an attempt of call {call} may have run"))]
+    MayHaveRun {
+        /// The call.
+        call: CallId,
+    },
+    /// The call cannot be abandoned with this outcome: no attempt of it can have run, so that it
+    /// ends as not run, or the outcome is an answer.
+    #[snafu(display("call {call} can be abandoned as not run only"))]
+    NotAbandonedSo {
+        /// The call.
+        call: CallId,
+    },
+    /// The attempt of the call is open: its outcome has to be recorded first.
+    #[snafu(display("call {call} has an open attempt"))]
+    AttemptOpen {
+        /// The call.
+        call: CallId,
+    },
+    /// The intent names a life of the engine that is over.
+    #[snafu(display("engine {engine} has had incarnation {known} since"))]
+    StaleIncarnation {
+        /// The engine.
+        engine: EngineId,
+        /// The newest life that the program has an obligation at.
+        known: Incarnation,
+    },
+    /// The program owes nothing at this life of the engine.
+    #[snafu(display("program {program} holds nothing at engine {engine}"))]
+    NoObligation {
+        /// The program.
+        program: ProgramId,
+        /// The engine.
+        engine: EngineId,
+    },
+    /// The confirmation does not cover the engine's last intent or an attempt is open there.
+    #[snafu(display("program {program} was dispatched to engine {engine} again"))]
+    ObligationRenewed {
+        /// The program.
+        program: ProgramId,
+        /// The engine.
+        engine: EngineId,
+        /// The last intent there.
+        last_intent: LogIndex,
+    },
+    /// No such turn, or it has other content than the chunk.
+    #[snafu(display("chain {chain} of {program} has no turn {turn} of this content"))]
+    TurnMismatch {
+        /// The program.
+        program: ProgramId,
+        /// The chain.
+        chain: u32,
+        /// Position of the turn.
+        turn: u32,
+    },
 }
--- /dev/null
+++ b/crates/program/src/state.rs
@@ -0,0 +1,180 @@
+//! The state of a group's programs and the application of commands to it.
+
+use std::collections::BTreeMap;
+
+use dahlia_types::{CallId, GroupId, LogIndex, ProgramId, Term};
+use serde::{Deserialize, Serialize};
+
+use crate::refusal::{
+    AlreadyAppliedSnafu, BudgetLoweredSnafu, NoSuchProgramSnafu, ProgramClosedSnafu,
+    ProgramExistsSnafu, TooManySnafu, WrongGroupSnafu,
+};
+use crate::switches::Switches;
+use crate::{
+    Applied, Budget, Command, CreateProgram, Lifecycle, Program, ProgramLimits, RaiseBudget,
+    Refusal,
+};
+
+/// The replicated state of one group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupState {
+    pub(crate) group: GroupId,
+    pub(crate) limits: ProgramLimits,
+    pub(crate) applied: LogIndex,
+    pub(crate) term: Term,
+    pub(crate) programs: BTreeMap<ProgramId, Program>,
+    #[serde(skip)]
+    pub(crate) switches: Switches,
+}
+
+impl GroupState {
+    /// An empty group. Every replica has to start with the same limits; a change goes through
+    /// [`crate::SetLimits`].
+    pub fn new(group: GroupId, limits: ProgramLimits) -> Self {
+        Self {
+            group,
+            limits,
+            applied: LogIndex::default(),
+            term: Term::default(),
+            programs: BTreeMap::new(),
+            switches: Switches::default(),
+        }
+    }
+
+    /// The group.
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> &ProgramLimits {
+        &self.limits
+    }
+
+    /// The last entry applied.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// One program, ended ones included until they are forgotten.
+    pub fn program(&self, program: ProgramId) -> Option<&Program> {
+        self.programs.get(&program)
+    }
+
+    /// All programs in the order of their identifiers.
+    pub fn programs(&self) -> impl Iterator<Item = &Program> {
+        self.programs.values()
+    }
+
+    /// Switches a mechanism off, to show that a checker notices. The switch is part of no
+    /// snapshot.
+    #[cfg(feature = "test-switches")]
+    pub fn disable(&mut self, mechanism: crate::Mechanism) {
+        self.switches.disable(mechanism);
+    }
+
+    /// Applies the committed entry at `index`, which the leader of `term` proposed.
+    ///
+    /// A refused command changes nothing but the position in the log.
+    ///
+    /// # Errors
+    /// [`Refusal`], the same on every replica.
+    pub fn apply(
+        &mut self,
+        index: LogIndex,
+        term: Term,
+        command: &Command,
+    ) -> Result<Applied, Refusal> {
+        if index <= self.applied {
+            return AlreadyAppliedSnafu { index }.fail();
+        }
+        self.applied = index;
+        self.term = self.term.max(term);
+        match command {
+            Command::CreateProgram(command) => self.create(command),
+            Command::BeginCall(command) => self.begin_call(command),
+            Command::RecordIntent(command) => self.record_intent(index, term, command),
+            Command::RecordOutcome(command) => self.record_outcome(command),
+            Command::AbandonCall(command) => self.abandon_call(command),
+            Command::RaiseBudget(command) => self.raise_budget(command),
+            Command::CloseProgram(command) => self.close_program(command),
+            Command::ConfirmRelease(command) => self.confirm_release(command),
+            Command::ExpirePrograms(command) => Ok(self.expire_programs(command)),
+            Command::MoveTurnToStore(command) => self.move_turn(command),
+            Command::SetLimits(command) => {
+                self.limits = command.limits;
+                Ok(Applied::LimitsSet)
+            }
+        }
+    }
+
+    pub(crate) fn existing(&mut self, program: ProgramId) -> Result<&mut Program, Refusal> {
+        let missing = || NoSuchProgramSnafu { program }.build();
+        self.programs.get_mut(&program).ok_or_else(missing)
+    }
+
+    fn create(&mut self, command: &CreateProgram) -> Result<Applied, Refusal> {
+        let program = command.program;
+        if program.group != self.group {
+            return WrongGroupSnafu { program, group: self.group }.fail();
+        }
+        if let Some(found) = self.programs.get(&program) {
+            if found.specification != command.specification {
+                return ProgramExistsSnafu { program }.fail();
+            }
+            return Ok(Applied::Created(program));
+        }
+        check_limit(program, "programs", self.programs.len(), self.limits.programs)?;
+        let created = Program {
+            id: program,
+            specification: command.specification.clone(),
+            budget: Budget::new(command.specification.budget),
+            chains: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            obligations: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            lifecycle: Lifecycle::Open,
+            last_activity: command.at,
+            history_bytes: Default::default(),
+        };
+        self.programs.insert(program, created);
+        Ok(Applied::Created(program))
+    }
+
+    fn raise_budget(&mut self, command: &RaiseBudget) -> Result<Applied, Refusal> {
+        let program = self.existing(command.program)?;
+        check_open(program)?;
+        let total = program.budget.total;
+        if command.total < total {
+            return BudgetLoweredSnafu { program: command.program, total }.fail();
+        }
+        program.budget.total = command.total;
+        Ok(Applied::BudgetRaised(command.total))
+    }
+}
+
+/// Refuses when `program` has ended.
+pub(crate) fn check_open(program: &Program) -> Result<(), Refusal> {
+    if program.is_open() {
+        return Ok(());
+    }
+    ProgramClosedSnafu { program: program.id }.fail()
+}
+
+/// Refuses when `held` leaves no room for one more under `limit`.
+pub(crate) fn check_limit(
+    program: ProgramId,
+    what: &str,
+    held: usize,
+    limit: u64,
+) -> Result<(), Refusal> {
+    if (held as u64) < limit {
+        return Ok(());
+    }
+    TooManySnafu { program, what, limit }.fail()
+}
+
+/// The refusal of a command that names an attempt or call that is not open.
+pub(crate) fn stale(call: CallId) -> Refusal {
+    Refusal::StaleAttempt { call }
+}
--- /dev/null
+++ b/crates/program/tests/common/mod.rs
@@ -0,0 +1,223 @@
+//! Short ways to write commands, shared by the test files.
+#![allow(dead_code)]
+
+use dahlia_program::{
+    AbandonCall, Applied, AttemptOutcome, BeginCall, Begun, CallOutcome, CloseProgram, CloseReason,
+    Command, ConfirmRelease, CreateProgram, ExpirePrograms, GroupState, MoveTurnToStore,
+    ProgramLimits, ProgramSpecification, RaiseBudget, RecordIntent, RecordOutcome, Refusal,
+};
+use dahlia_types::{
+    AttemptId, Bytes, CallId, CallKind, ChainId, Duration, EngineId, GroupId, IdempotencyKey,
+    Incarnation, LogIndex, Message, ModelId, ProgramId, Repeatability, Role, TenantId, Term,
+    Timestamp, Tokens, Usage,
+};
+
+pub const GROUP: GroupId = GroupId(3);
+pub const MAIN: ChainId = ChainId(0);
+
+pub fn program_id(number: u64) -> ProgramId {
+    ProgramId { group: GROUP, number }
+}
+
+pub fn seconds(count: u64) -> Timestamp {
+    Timestamp::ZERO + Duration::from_secs(count)
+}
+
+pub fn message(role: Role, content: impl Into<String>) -> Message {
+    Message { role, content: content.into() }
+}
+
+pub fn specification(budget: u64) -> ProgramSpecification {
+    ProgramSpecification {
+        tenant: TenantId::new("bayou"),
+        model: ModelId::new("agent-8b/fault-codes@3"),
+        budget: Tokens(budget),
+        idle_expiry: Duration::from_secs(600),
+    }
+}
+
+pub fn usage(prompt: u64, generated: u64) -> Usage {
+    Usage { prompt: Tokens(prompt), cached: Tokens::ZERO, generated: Tokens(generated) }
+}
+
+pub fn attempt(call: CallId, attempt: u32) -> AttemptId {
+    AttemptId { call, attempt }
+}
+
+/// A group with a log position, and one method for each command.
+pub struct Group {
+    pub state: GroupState,
+    pub index: u64,
+    pub now: Timestamp,
+}
+
+impl Group {
+    pub fn new(limits: ProgramLimits) -> Self {
+        Self { state: GroupState::new(GROUP, limits), index: 0, now: seconds(1) }
+    }
+
+    /// A group of default limits with program 1 of this budget.
+    pub fn with_program(budget: u64) -> Self {
+        let mut group = Self::new(ProgramLimits::default());
+        group.create(1, budget).expect("the group is empty");
+        group
+    }
+
+    pub fn apply(&mut self, command: Command) -> Result<Applied, Refusal> {
+        self.index += 1;
+        self.state.apply(LogIndex(self.index), Term(1), &command)
+    }
+
+    pub fn create(&mut self, number: u64, budget: u64) -> Result<Applied, Refusal> {
+        let command = CreateProgram {
+            program: program_id(number),
+            specification: specification(budget),
+            at: self.now,
+        };
+        self.apply(Command::CreateProgram(command))
+    }
+
+    /// A call of program 1 without key or number.
+    pub fn call(&self, chain: ChainId, text: &str) -> BeginCall {
+        BeginCall {
+            program: program_id(1),
+            chain,
+            parent: None,
+            number: None,
+            key: None,
+            digest: text.bytes().map(u64::from).sum(),
+            kind: CallKind::Generate,
+            repeatability: Repeatability::Repeatable,
+            messages: vec![message(Role::User, text)],
+            max_generated: Tokens(10),
+            at: self.now,
+        }
+    }
+
+    pub fn begin(&mut self, call: BeginCall) -> Result<Begun, Refusal> {
+        match self.apply(Command::BeginCall(call))? {
+            Applied::Begun(begun) => Ok(begun),
+            other => panic!("a begun call gave {other:?}"),
+        }
+    }
+
+    /// Begins a call of the main chain that is ready at once.
+    pub fn ready(&mut self, call: BeginCall) -> CallId {
+        match self.begin(call).expect("the call is accepted") {
+            Begun::Ready(call) => call,
+            other => panic!("expected a ready call, found {other:?}"),
+        }
+    }
+
+    pub fn intent(
+        &mut self,
+        attempt: AttemptId,
+        engine: &str,
+        bound: u64,
+    ) -> Result<Applied, Refusal> {
+        self.intent_at(attempt, engine, 1, bound)
+    }
+
+    pub fn intent_at(
+        &mut self,
+        attempt: AttemptId,
+        engine: &str,
+        incarnation: u64,
+        bound: u64,
+    ) -> Result<Applied, Refusal> {
+        self.apply(Command::RecordIntent(RecordIntent {
+            attempt,
+            engine: EngineId::new(engine),
+            incarnation: Incarnation(incarnation),
+            prompt_bound: Tokens(bound),
+            at: self.now,
+        }))
+    }
+
+    pub fn outcome(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+    ) -> Result<Applied, Refusal> {
+        self.apply(Command::RecordOutcome(RecordOutcome { attempt, outcome, at: self.now }))
+    }
+
+    pub fn answer(&mut self, attempt: AttemptId, text: &str) -> Result<Applied, Refusal> {
+        let answer = message(Role::Assistant, text);
+        self.outcome(attempt, AttemptOutcome::Ran { answer, usage: usage(5, 5) })
+    }
+
+    /// Runs a call of the main chain to its answer.
+    pub fn turn(&mut self, text: &str, answer: &str) -> CallId {
+        let call = self.ready(self.call(MAIN, text));
+        self.intent(attempt(call, 1), "e1", 10).expect("the budget is large enough");
+        self.answer(attempt(call, 1), answer).expect("the attempt is open");
+        call
+    }
+
+    pub fn abandon(&mut self, call: CallId, outcome: CallOutcome) -> Result<Applied, Refusal> {
+        self.apply(Command::AbandonCall(AbandonCall { call, outcome, at: self.now }))
+    }
+
+    pub fn raise(&mut self, total: u64) -> Result<Applied, Refusal> {
+        let command = RaiseBudget { program: program_id(1), total: Tokens(total) };
+        self.apply(Command::RaiseBudget(command))
+    }
+
+    pub fn close(&mut self) -> Result<Applied, Refusal> {
+        self.apply(Command::CloseProgram(CloseProgram {
+            program: program_id(1),
+            reason: CloseReason::Closed,
+            at: self.now,
+        }))
+    }
+
+    pub fn release(
+        &mut self,
+        engine: &str,
+        incarnation: u64,
+        covers: LogIndex,
+    ) -> Result<Applied, Refusal> {
+        self.apply(Command::ConfirmRelease(ConfirmRelease {
+            program: program_id(1),
+            engine: EngineId::new(engine),
+            incarnation: Incarnation(incarnation),
+            covers,
+            freed: Bytes::ZERO,
+        }))
+    }
+
+    pub fn expire(&mut self, keep_records: Duration) -> Applied {
+        let command = ExpirePrograms { now: self.now, keep_records };
+        self.apply(Command::ExpirePrograms(command)).expect("expiry is never refused")
+    }
+
+    pub fn move_turn(
+        &mut self,
+        chain: ChainId,
+        turn: u32,
+        chunk: dahlia_program::ChunkReference,
+    ) -> Result<Applied, Refusal> {
+        let program = program_id(1);
+        let command = MoveTurnToStore { program, chain, turn, chunk };
+        self.apply(Command::MoveTurnToStore(command))
+    }
+
+    pub fn program(&self) -> &dahlia_program::Program {
+        self.state.program(program_id(1)).expect("program 1 exists")
+    }
+
+    /// The texts of a chain's history.
+    pub fn history(&self, chain: ChainId) -> Vec<String> {
+        let messages = self.program().history(chain).expect("the history is held here");
+        messages.into_iter().map(|message| message.content.clone()).collect()
+    }
+}
+
+pub fn key(text: &str) -> Option<IdempotencyKey> {
+    Some(IdempotencyKey::new(text))
+}
+
+pub fn not_run(reason: &str) -> CallOutcome {
+    CallOutcome::NotRun { reason: reason.to_owned() }
+}
