Add the engine and key-value adapters

Cause: the daemon needs one place for the wire forms of what the platform gives. Every error states whether the request certainly had no effect or may have had one.

--- /dev/null
+++ b/crates/platform/src/engine/client.rs
@@ -0,0 +1,188 @@
+//! The engine adapter: one method for each request.
+
+use dahlia_types::{AttemptId, EngineId, ProgramId, Term};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::error::RefusedSnafu;
+use super::{
+    AttemptEnquiry, AttemptState, CacheEvents, CacheEventsRequest, CacheImage, CacheImported,
+    CancelRequest, EngineError, EngineRefusal, EventStream, ExportRequest, FenceRequest, Fenced,
+    FencedOrder, GenerateRequest, HoldRequest, ImportRequest, Inventory, LoadReport, OrderAccepted,
+    ReleaseConfirmed, ReleaseRequest, ReportRequest, ResumeRequest, paths,
+};
+use crate::ClientSettings;
+use crate::http::HttpPeer;
+
+/// Where an engine listens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineEndpoint {
+    /// The engine.
+    pub engine: EngineId,
+    /// `address:port`.
+    pub address: String,
+}
+
+/// The adapter to one engine. Cheap to clone; clones share connections.
+#[derive(Debug, Clone)]
+pub struct EngineClient {
+    engine: EngineId,
+    peer: HttpPeer,
+}
+
+impl EngineClient {
+    /// Prepares an adapter. Nothing is sent yet.
+    pub fn new(endpoint: EngineEndpoint, settings: ClientSettings) -> Self {
+        let name = format!("engine {}", endpoint.engine);
+        let peer = HttpPeer::new(&name, &endpoint.address, settings);
+        Self { engine: endpoint.engine, peer }
+    }
+
+    /// The engine.
+    pub fn engine(&self) -> &EngineId {
+        &self.engine
+    }
+
+    /// Starts an attempt and follows it. Dropping the stream leaves the attempt running.
+    ///
+    /// # Errors
+    /// [`EngineError`]; its certainty says whether the attempt may have started.
+    pub async fn generate(&self, request: &GenerateRequest) -> Result<EventStream, EngineError> {
+        let attempt = request.attempt.id;
+        self.open_stream("generate", paths::GENERATE, request, attempt, 0).await
+    }
+
+    /// Follows a known attempt from byte `from_offset` of its answer, to its end.
+    ///
+    /// # Errors
+    /// [`EngineError`], e.g. when this life of the engine does not know the attempt.
+    pub async fn resume(
+        &self,
+        attempt: AttemptId,
+        from_offset: u64,
+    ) -> Result<EventStream, EngineError> {
+        let request = ResumeRequest { attempt, from_offset };
+        self.open_stream("resume", paths::RESUME, &request, attempt, from_offset).await
+    }
+
+    /// Ends an attempt. One that has not started answers [`AttemptState::NeverStarted`] and
+    /// never starts in this life; a running one is cut and answers with what it used.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn cancel(
+        &self,
+        attempt: AttemptId,
+        epoch: Term,
+    ) -> Result<AttemptState, EngineError> {
+        self.post("cancel", paths::CANCEL, &CancelRequest { attempt, epoch }).await
+    }
+
+    /// Asks where an attempt stands, without changing it.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn attempt(&self, attempt: AttemptId) -> Result<AttemptState, EngineError> {
+        self.post("enquire about attempt", paths::ATTEMPT, &AttemptEnquiry { attempt }).await
+    }
+
+    /// Makes the engine refuse older epochs of a program.
+    ///
+    /// # Errors
+    /// [`EngineError`], e.g. when a newer epoch is in force.
+    pub async fn fence(&self, program: ProgramId, epoch: Term) -> Result<Fenced, EngineError> {
+        self.post("fence", paths::FENCE, &FenceRequest { program, epoch }).await
+    }
+
+    /// Keeps a program's cache for a time.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn hold(&self, request: &HoldRequest) -> Result<Fenced, EngineError> {
+        self.post("hold", paths::HOLD, request).await
+    }
+
+    /// Frees what the engine holds for a program. Repeating it is harmless.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn release(&self, request: &ReleaseRequest) -> Result<ReleaseConfirmed, EngineError> {
+        self.post("release", paths::RELEASE, request).await
+    }
+
+    /// Lists every program for which the engine holds anything.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn inventory(&self) -> Result<Inventory, EngineError> {
+        self.post("read inventory", paths::INVENTORY, &ReportRequest {}).await
+    }
+
+    /// Reads the engine's latest load report.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn load(&self) -> Result<LoadReport, EngineError> {
+        self.post("read load", paths::LOAD, &ReportRequest {}).await
+    }
+
+    /// Reads the published cache events after a sequence number.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn cache_events(&self, after: u64) -> Result<CacheEvents, EngineError> {
+        let request = CacheEventsRequest { after };
+        self.post("read cache events", paths::CACHE_EVENTS, &request).await
+    }
+
+    /// Gives an order of the operators' configuration.
+    ///
+    /// # Errors
+    /// [`EngineError`], e.g. when a newer generation was seen.
+    pub async fn order(&self, order: &FencedOrder) -> Result<OrderAccepted, EngineError> {
+        self.post("give order", paths::ORDER, order).await
+    }
+
+    /// Makes a program's cached prefix ready for another engine.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn export(&self, request: &ExportRequest) -> Result<CacheImage, EngineError> {
+        self.post("export cache", paths::EXPORT, request).await
+    }
+
+    /// Takes an exported prefix in; answers when it is cached.
+    ///
+    /// # Errors
+    /// [`EngineError`]
+    pub async fn import(&self, request: &ImportRequest) -> Result<CacheImported, EngineError> {
+        self.post("import cache", paths::IMPORT, request).await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        step: &str,
+        path: &str,
+        request: &impl Serialize,
+    ) -> Result<T, EngineError> {
+        let answer = self.peer.post::<T, EngineRefusal>(step, path, request).await?;
+        answer.map_err(|refusal| self.refused(step, refusal))
+    }
+
+    async fn open_stream(
+        &self,
+        step: &str,
+        path: &str,
+        request: &impl Serialize,
+        attempt: AttemptId,
+        offset: u64,
+    ) -> Result<EventStream, EngineError> {
+        let answer = self.peer.post_stream::<_, EngineRefusal>(step, path, request).await?;
+        let lines = answer.map_err(|refusal| self.refused(step, refusal))?;
+        Ok(EventStream::new(lines, attempt, offset))
+    }
+
+    fn refused(&self, step: &str, refusal: EngineRefusal) -> EngineError {
+        RefusedSnafu { step, peer: self.peer.name(), refusal }.build()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/key_value/watch.rs
@@ -0,0 +1,41 @@
+//! The stream of a watch.
+
+use super::{KeyValueError, WatchEvent};
+use crate::error::TruncatedSnafu;
+use crate::lines::JsonLines;
+
+/// The changes that a watch sends. Never ends by itself; ends after the first error.
+///
+/// The service sends [`WatchEvent::Progress`] now and then; longer silence than the idle timeout
+/// is an error, so that a watch that broke without a word is noticed.
+pub struct WatchStream {
+    lines: JsonLines<WatchEvent>,
+    ended: bool,
+}
+
+impl WatchStream {
+    pub(super) fn new(lines: JsonLines<WatchEvent>) -> Self {
+        Self { lines, ended: false }
+    }
+
+    /// The next event; none after an error. Dropping the future loses no event.
+    pub async fn next(&mut self) -> Option<Result<WatchEvent, KeyValueError>> {
+        if self.ended {
+            return None;
+        }
+        let event = self.read().await;
+        self.ended = event.is_err();
+        Some(event)
+    }
+
+    async fn read(&mut self) -> Result<WatchEvent, KeyValueError> {
+        let line = self.lines.next().await;
+        let step = self.lines.step();
+        let peer = self.lines.peer();
+        let line = line.and_then(|line| match line {
+            Some(event) => Ok(event),
+            None => TruncatedSnafu { step, peer }.fail(),
+        });
+        line.map_err(|error| KeyValueError::from_transport(step, peer, error))
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,21 @@
-//! Thin adapters to what the platform gives: engines, key-value service, weight store, tools, machine list.
+//! Thin adapters to what the platform gives: engines, key-value service, weight store, tools,
+//! machine list.
+//!
+//! Every adapter speaks HTTP/1.1 with JSON bodies; streams are newline-delimited JSON. An adapter
+//! never retries, caches or decides: it sends one request, checks the answer, and says how sure
+//! it is of what happened ([`Certainty`]), so that its caller can decide.
+
+pub mod engine;
+mod error;
+mod http;
+pub mod key_value;
+mod lines;
+mod settings;
+mod wire_text;
+
+pub use engine::{EngineClient, EngineEndpoint, EngineError, EventStream};
+pub use error::{Certainty, TransportError};
+pub use http::ErrorBody;
+pub use key_value::{KeyValueClient, KeyValueError};
+pub use settings::ClientSettings;
+pub use wire_text::attempt_text;
