--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,40 @@
+//! A whole daemon as one state machine without I/O: `(event, now) -> actions`.
+//!
+//! The same code runs in the real daemon, in virtual-time runs with seeded faults, and as
+//! hundreds of hollow daemons in one process. The driver owns sockets, timers and tasks; it
+//! feeds [`Event`]s and carries out [`Action`]s in the order given.
+//!
+//! | module | job |
+//! |---|---|
+//! | `node` | assembly: hands each event to its part |
+//! | `group` | one replica group here: its replica, its programs, its proposals |
+//! | `owner` | what the leader of a group does for calls |
+//! | `attempts` | intents, dispatch and outcomes of attempts |
+//! | `release` | freeing engines' memory |
+//! | `recovery` | what a new owner takes up |
+//! | `requests` | requests of operators and gateways, at the owner |
+//! | `routing` | the way of a request to its owner |
+//! | `bootstrap` | the first layout of groups |
+//! | `engines` | what is known of engines |
+
+mod attempts;
+mod bootstrap;
+mod engines;
+mod event;
+mod group;
+mod node;
+mod owner;
+mod recovery;
+mod release;
+pub mod request;
+mod requests;
+mod routing;
+mod settings;
+mod view;
+pub mod wire;
+
+pub use bootstrap::{LAYOUT_KEY, LayoutStep};
+pub use engines::EngineReport;
+pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use node::{Node, NodeStatus};
+pub use settings::NodeSettings;
