Add replica groups: Raft as a state machine without I/O

Cause: programs need an owner, an epoch and a replicated log that do not depend on the platform's store.

--- /dev/null
+++ b/crates/replication/src/group/coalescer.rs
@@ -0,0 +1,122 @@
+//! Merges the heartbeats of many groups between two daemons into one message.
+//!
+//! Groups led by one daemon send their heartbeats at the same multiples of the interval, so all
+//! that go to one daemon fit into one run that states the shared fields once.
+
+use std::collections::BTreeMap;
+
+use dahlia_types::{DaemonId, GroupId, LogIndex, ReplicaId, Term, Timestamp};
+use serde::{Deserialize, Serialize};
+
+use super::{GroupBody, GroupMessage, Heartbeat, HeartbeatResponse};
+
+/// One group's part of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The group.
+    pub group: GroupId,
+    /// The sender's term in it.
+    pub term: Term,
+    /// The leader's session with the receiver.
+    pub session: u32,
+    /// The committed entry of a heartbeat; none in an answer.
+    pub committed: Option<LogIndex>,
+}
+
+/// Heartbeats, or answers to them, that share sender, receiver and time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatRun {
+    /// The sender.
+    pub from: ReplicaId,
+    /// The receiver.
+    pub to: ReplicaId,
+    /// The leader's time.
+    pub sent: Timestamp,
+    /// One part for each group.
+    pub beats: Vec<Beat>,
+}
+
+/// Everything that goes to one daemon at one time.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PeerBatch {
+    /// Merged heartbeats and answers.
+    pub runs: Vec<BeatRun>,
+    /// All other messages, in order.
+    pub messages: Vec<GroupMessage>,
+}
+
+impl PeerBatch {
+    /// The messages it was made of; heartbeats come first.
+    pub fn into_messages(self) -> Vec<GroupMessage> {
+        let mut messages = Vec::new();
+        for run in self.runs {
+            let BeatRun { from, to, sent, beats } = run;
+            messages.extend(beats.into_iter().map(|beat| beat.into_message(from, to, sent)));
+        }
+        messages.extend(self.messages);
+        messages
+    }
+}
+
+impl Beat {
+    fn into_message(self, from: ReplicaId, to: ReplicaId, sent: Timestamp) -> GroupMessage {
+        let Self { group, term, session, committed } = self;
+        let body = match committed {
+            Some(committed) => GroupBody::Heartbeat(Heartbeat { session, sent, committed }),
+            None => GroupBody::HeartbeatResponse(HeartbeatResponse { session, sent }),
+        };
+        GroupMessage { group, from, to, term, body }
+    }
+}
+
+type RunKey = (ReplicaId, ReplicaId, Timestamp);
+
+#[derive(Debug, Default)]
+struct Pending {
+    runs: BTreeMap<RunKey, Vec<Beat>>,
+    messages: Vec<GroupMessage>,
+}
+
+/// Collects messages and hands them out by destination.
+#[derive(Debug, Default)]
+pub struct Coalescer {
+    pending: BTreeMap<DaemonId, Pending>,
+}
+
+impl Coalescer {
+    /// An empty one.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a message.
+    pub fn push(&mut self, message: GroupMessage) {
+        let pending = self.pending.entry(message.to.daemon).or_default();
+        let GroupMessage { group, from, to, term, .. } = message;
+        let (sent, session, committed) = match &message.body {
+            GroupBody::Heartbeat(body) => (body.sent, body.session, Some(body.committed)),
+            GroupBody::HeartbeatResponse(body) => (body.sent, body.session, None),
+            _ => {
+                pending.messages.push(message);
+                return;
+            }
+        };
+        let beat = Beat { group, term, session, committed };
+        pending.runs.entry((from, to, sent)).or_default().push(beat);
+    }
+
+    /// Takes everything collected, one batch for each destination.
+    pub fn take(&mut self) -> Vec<(DaemonId, PeerBatch)> {
+        let pending = std::mem::take(&mut self.pending);
+        pending.into_iter().map(|(daemon, pending)| (daemon, pending.into_batch())).collect()
+    }
+}
+
+impl Pending {
+    fn into_batch(self) -> PeerBatch {
+        let runs = self.runs.into_iter();
+        let runs =
+            runs.map(|((from, to, sent), beats)| BeatRun { from, to, sent, beats }).collect();
+        PeerBatch { runs, messages: self.messages }
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/support/checker.rs
@@ -0,0 +1,110 @@
+//! The invariants of Raft (Ongaro and Ousterhout 2014, figure 3), judged from outside.
+
+use std::collections::BTreeMap;
+
+use dahlia_replication::group::{
+    Entry, EntryData, GroupBody, GroupMessage, Replica, Role, Snapshot,
+};
+use dahlia_types::{LogIndex, ReplicaId, Term};
+
+use super::cluster::Applied;
+
+/// Collects what all replicas said and did; the first violation stays.
+#[derive(Debug, Default)]
+pub struct Checker {
+    leaders: BTreeMap<Term, ReplicaId>,
+    votes: BTreeMap<(ReplicaId, Term), ReplicaId>,
+    /// Committed commands, as first delivered by any replica.
+    pub committed: BTreeMap<LogIndex, Applied>,
+    entries: BTreeMap<(LogIndex, Term), (EntryData, Option<Term>)>,
+    pub violation: Option<String>,
+}
+
+impl Checker {
+    pub fn report(&mut self, text: String) {
+        self.violation.get_or_insert(text);
+    }
+
+    /// A replica is only ever itself, and votes once in a term.
+    pub fn sent(&mut self, sender: ReplicaId, message: &GroupMessage) {
+        if message.from != sender {
+            self.report(format!("{sender} speaks as its former self {}", message.from));
+        }
+        if let GroupBody::VoteResponse { granted: true } = message.body {
+            let voter = (message.from, message.term);
+            let candidate = *self.votes.entry(voter).or_insert(message.to);
+            if candidate != message.to {
+                self.report(format!("{} votes twice in term {}", message.from, message.term));
+            }
+        }
+    }
+
+    /// Election safety and leader completeness.
+    pub fn became_leader(&mut self, replica: &Replica) {
+        let (id, term) = (replica.id(), replica.term());
+        let first = *self.leaders.entry(term).or_insert(id);
+        if first != id {
+            self.report(format!("{first} and {id} both lead term {term}"));
+        }
+        let terms: BTreeMap<LogIndex, Term> =
+            replica.log_entries().map(|entry| (entry.index, entry.term)).collect();
+        let first_kept = terms.keys().next().copied().unwrap_or(replica.last_index().next());
+        let mut missing = None;
+        for (index, applied) in &self.committed {
+            let is_older = applied.term < term && *index >= first_kept;
+            if is_older && terms.get(index) != Some(&applied.term) {
+                missing = Some(*index);
+            }
+        }
+        if let Some(index) = missing {
+            self.report(format!("leader {id} of term {term} lacks committed entry {index}"));
+        }
+    }
+
+    /// State machine safety.
+    pub fn delivered(&mut self, replica: ReplicaId, entry: &Entry) {
+        let applied = Applied { term: entry.term, payload: entry.payload.to_vec() };
+        let first = self.committed.entry(entry.index).or_insert_with(|| applied.clone());
+        if *first != applied {
+            let index = entry.index;
+            self.report(format!("{replica} applies another command at {index} than others did"));
+        }
+    }
+
+    /// A restored state machine equals the committed prefix.
+    pub fn restored(&mut self, snapshot: &Snapshot, machine: &BTreeMap<LogIndex, Applied>) {
+        let prefix = self.committed.range(..=snapshot.index);
+        let is_equal = prefix.eq(machine.iter());
+        if !is_equal {
+            self.report(format!("snapshot at {} differs from what was committed", snapshot.index));
+        }
+    }
+
+    /// Log matching: the same index and term mean the same entry after the same entry.
+    pub fn compare_log(&mut self, replica: &Replica) {
+        let mut previous = None;
+        for entry in replica.log_entries() {
+            let key = (entry.index, entry.term);
+            let seen = self.entries.entry(key).or_insert_with(|| (entry.data.clone(), previous));
+            let is_data_equal = seen.0 == entry.data;
+            let is_previous_equal = seen.1.is_none() || previous.is_none() || seen.1 == previous;
+            if seen.1.is_none() {
+                seen.1 = previous;
+            }
+            if !is_data_equal || !is_previous_equal {
+                let (index, term) = key;
+                let id = replica.id();
+                self.report(format!("logs differ at index {index} of term {term}, seen at {id}"));
+                return;
+            }
+            previous = Some(entry.term);
+        }
+    }
+
+    /// Two replicas must not both think that they lead the same term.
+    pub fn role_changed(&mut self, replica: &Replica, role: Role) {
+        if role == Role::Leader {
+            self.became_leader(replica);
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/support/network.rs
@@ -0,0 +1,57 @@
+//! Links between daemons: delay, loss, duplication, reordering and cuts in one direction.
+
+use std::collections::BTreeSet;
+
+use dahlia_types::{DaemonId, Duration};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// The state of all links.
+#[derive(Debug, Clone)]
+pub struct Network {
+    pub loss: f64,
+    pub duplication: f64,
+    pub least_delay: Duration,
+    pub most_delay: Duration,
+    pub cuts: BTreeSet<(DaemonId, DaemonId)>,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            duplication: 0.0,
+            least_delay: Duration::from_micros(500),
+            most_delay: Duration::from_micros(2_000),
+            cuts: BTreeSet::new(),
+        }
+    }
+}
+
+impl Network {
+    /// Delays of the copies that arrive; none when the message is lost.
+    pub fn deliveries(
+        &self,
+        random: &mut ChaCha8Rng,
+        from: DaemonId,
+        to: DaemonId,
+    ) -> Vec<Duration> {
+        if self.cuts.contains(&(from, to)) || random.random_bool(self.loss) {
+            return Vec::new();
+        }
+        let copies = if random.random_bool(self.duplication) { 2 } else { 1 };
+        let delay = self.least_delay.0..=self.most_delay.0;
+        (0..copies).map(|_| Duration(random.random_range(delay.clone()))).collect()
+    }
+
+    pub fn cut_one_way(&mut self, from: DaemonId, to: DaemonId) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss = 0.0;
+        self.duplication = 0.0;
+        self.most_delay = Duration::from_micros(2_000);
+    }
+}
