--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,269 @@
+//! Drives the node: one task feeds it events and carries out its actions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dahlia_api::{ApiError, ErrorKind};
+use dahlia_node::request::{Request, RequestId, Response};
+use dahlia_node::wire::PeerMessage;
+use dahlia_node::{Action, Announcement, Event, Node, NodeStatus};
+use dahlia_types::{GroupId, Incarnation, ReplicaId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::clock::Clock;
+use crate::engines::EngineTasks;
+use crate::logging::part;
+use crate::metrics::Metrics;
+use crate::peers::PeerSender;
+use crate::platform_state::PlatformState;
+
+/// Messages that may wait for the node.
+const INBOX: usize = 65_536;
+/// Messages taken before the node's timers get their turn.
+const BATCH: usize = 256;
+
+/// What is put to the task that drives the node.
+pub enum CoreMessage {
+    /// An event.
+    Event(Event),
+    /// A request, and who waits for its answer.
+    Request(Request, oneshot::Sender<Response>),
+    /// A question about the node's view.
+    Query(Query),
+}
+
+/// A question about the node's view.
+pub enum Query {
+    /// Where the owner of a group is thought to listen.
+    Owner(GroupId, oneshot::Sender<Option<SocketAddr>>),
+    /// Whether this daemon owns a group.
+    Owns(GroupId, oneshot::Sender<bool>),
+    /// What the node says of itself.
+    Status(oneshot::Sender<NodeStatus>),
+    /// A group for a new program.
+    GroupForProgram(u64, oneshot::Sender<Option<GroupId>>),
+    /// All groups.
+    Groups(oneshot::Sender<Vec<GroupId>>),
+    /// Live daemons.
+    Daemons(oneshot::Sender<Vec<Announcement>>),
+}
+
+/// Talks to the task that drives the node. Cheap to clone.
+#[derive(Clone)]
+pub struct CoreHandle {
+    inbox: mpsc::Sender<CoreMessage>,
+    own: ReplicaId,
+    keys: Arc<AtomicU64>,
+}
+
+impl CoreHandle {
+    /// Puts an event to the node.
+    pub async fn event(&self, event: Event) {
+        // The node's task ends only with the process.
+        let _ = self.inbox.send(CoreMessage::Event(event)).await;
+    }
+
+    /// Puts a request to the owner of its group, wherever that is, and waits for the answer.
+    pub async fn request(&self, request: Request) -> Response {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(CoreMessage::Request(request, reply)).await;
+        answer.await.unwrap_or_else(|_| {
+            Response::Failed(ApiError::new(ErrorKind::Unavailable, "the daemon is stopping"))
+        })
+    }
+
+    /// Where the owner of a group is thought to listen.
+    pub async fn owner(&self, group: GroupId) -> Option<SocketAddr> {
+        self.query(|reply| Query::Owner(group, reply)).await.flatten()
+    }
+
+    /// Whether this daemon owns a group.
+    pub async fn owns(&self, group: GroupId) -> bool {
+        self.query(|reply| Query::Owns(group, reply)).await.unwrap_or(false)
+    }
+
+    /// What the node says of itself.
+    pub async fn status(&self) -> NodeStatus {
+        self.query(Query::Status).await.unwrap_or_default()
+    }
+
+    /// A group for a new program.
+    pub async fn group_for_program(&self, draw: u64) -> Option<GroupId> {
+        self.query(|reply| Query::GroupForProgram(draw, reply)).await.flatten()
+    }
+
+    /// All groups.
+    pub async fn groups(&self) -> Vec<GroupId> {
+        self.query(Query::Groups).await.unwrap_or_default()
+    }
+
+    /// Live daemons, this one first.
+    pub async fn daemons(&self) -> Vec<Announcement> {
+        self.query(Query::Daemons).await.unwrap_or_default()
+    }
+
+    /// A key for a call whose caller gave none; no other call has it.
+    pub fn fresh_key(&self) -> String {
+        let number = self.keys.fetch_add(1, Ordering::Relaxed);
+        format!("gateway-{}-{number}", self.own)
+    }
+
+    async fn query<T>(&self, query: impl FnOnce(oneshot::Sender<T>) -> Query) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(CoreMessage::Query(query(reply))).await;
+        answer.await.ok()
+    }
+}
+
+/// The task that drives the node.
+pub struct Core {
+    node: Node,
+    clock: Clock,
+    inbox: mpsc::Receiver<CoreMessage>,
+    waiting: HashMap<RequestId, oneshot::Sender<Response>>,
+    next_request: u64,
+    peers: PeerSender,
+    engines: EngineTasks,
+    platform: PlatformState,
+    metrics: Arc<Metrics>,
+}
+
+/// Makes the handle and the inbox of a core that is still to be built.
+pub fn channel(own: ReplicaId) -> (CoreHandle, mpsc::Receiver<CoreMessage>) {
+    let (sender, inbox) = mpsc::channel(INBOX);
+    (CoreHandle { inbox: sender, own, keys: Arc::default() }, inbox)
+}
+
+impl Core {
+    /// Puts the task's parts together.
+    pub fn new(
+        node: Node,
+        clock: Clock,
+        inbox: mpsc::Receiver<CoreMessage>,
+        peers: PeerSender,
+        engines: EngineTasks,
+        platform: PlatformState,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let Incarnation(start) = clock.incarnation();
+        Self {
+            node,
+            clock,
+            inbox,
+            waiting: HashMap::new(),
+            // Names of requests must not repeat those of an earlier life of this daemon.
+            next_request: start << 20,
+            peers,
+            engines,
+            platform,
+            metrics,
+        }
+    }
+
+    /// Runs until every handle is gone.
+    pub async fn run(mut self) {
+        let mut ticks = interval(Duration::from_micros(Node::TICK.as_micros()));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => self.handle(Event::Tick),
+                message = self.inbox.recv() => {
+                    let Some(message) = message else { return };
+                    self.take(message);
+                    self.take_batch();
+                }
+            }
+        }
+    }
+
+    fn take_batch(&mut self) {
+        for _ in 0..BATCH {
+            match self.inbox.try_recv() {
+                Ok(message) => self.take(message),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, message: CoreMessage) {
+        match message {
+            CoreMessage::Event(event) => self.handle(event),
+            CoreMessage::Request(request, reply) => {
+                self.next_request += 1;
+                let id = RequestId(self.next_request);
+                self.waiting.insert(id, reply);
+                self.handle(Event::Request { id, request });
+            }
+            CoreMessage::Query(query) => self.answer(query),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        for action in self.node.handle(event, self.clock.now()) {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(to, message),
+            Action::Respond { id, response } => {
+                if let Some(reply) = self.waiting.remove(&id) {
+                    // The asker may have gone; its call runs on all the same.
+                    let _ = reply.send(response);
+                }
+            }
+            Action::StartAttempt(start) => {
+                self.metrics.attempts.inc();
+                self.engines.start(*start);
+            }
+            Action::ResumeAttempt(start) => {
+                self.metrics.resumed.inc();
+                self.engines.resume(*start);
+            }
+            Action::CancelAttempt { attempt, epoch } => self.engines.cancel(attempt, epoch),
+            Action::RecallAttempt { attempt, epoch } => self.engines.recall(attempt, epoch),
+            Action::LeaveAttempt { attempt } => self.engines.leave(attempt),
+            Action::ForgetAnswer { call } => self.engines.forget(call),
+            Action::Release(order) => self.engines.release(*order),
+            Action::Hold { program, engine, epoch, length } => {
+                self.engines.hold(program, engine, epoch, length);
+            }
+            Action::Layout(step) => self.platform.layout(step),
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: PeerMessage) {
+        self.peers.send(to, message);
+    }
+
+    fn answer(&self, query: Query) {
+        let now = self.clock.now();
+        // An asker that has gone needs no answer.
+        match query {
+            Query::Owner(group, reply) => drop(reply.send(self.node.owner_address(group))),
+            Query::Owns(group, reply) => drop(reply.send(self.node.owns(group))),
+            Query::Status(reply) => {
+                let status = self.node.status(now);
+                self.metrics.note_status(&status);
+                drop(reply.send(status));
+            }
+            Query::GroupForProgram(draw, reply) => {
+                drop(reply.send(self.node.group_for_new_program(draw)));
+            }
+            Query::Groups(reply) => drop(reply.send(self.node.group_ids())),
+            Query::Daemons(reply) => drop(reply.send(self.node.live_daemons(now))),
+        }
+    }
+}
+
+/// Passes a message of another daemon on to the node.
+pub async fn deliver(core: &CoreHandle, from: ReplicaId, message: PeerMessage) {
+    log::trace!(target: part::PEERS, "Message of {from}.");
+    core.event(Event::Message { from, message }).await;
+}
--- /dev/null
+++ b/crates/daemon/src/engines.rs
@@ -0,0 +1,232 @@
+//! Tasks that talk to engines for the node: one for each attempt, release and report.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dahlia_node::request::ReleaseEnd;
+use dahlia_node::{EngineReport, Event, ReleaseOrder, StartAttempt};
+use dahlia_platform::engine::{
+    AttemptState, EngineRole, HoldRequest, LoadReport, ModelState, ReleaseRequest,
+};
+use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError};
+use dahlia_types::{AttemptId, CallId, Duration as Length, EngineId, ProgramId, Term, Zone};
+use tokio::task::AbortHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::answers::AnswerBoard;
+use crate::attempt::AttemptTask;
+use crate::core::CoreHandle;
+use crate::logging::part;
+use crate::settings::EngineSettings;
+
+/// How often each engine's load is read.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// One engine as the settings name it.
+#[derive(Clone)]
+struct Engine {
+    client: EngineClient,
+    zone: Zone,
+}
+
+/// Starts and ends tasks that talk to engines.
+pub struct EngineTasks {
+    engines: Arc<BTreeMap<EngineId, Engine>>,
+    core: CoreHandle,
+    board: AnswerBoard,
+    attempts: HashMap<AttemptId, RunningAttempt>,
+}
+
+struct RunningAttempt {
+    engine: EngineId,
+    task: AbortHandle,
+}
+
+impl EngineTasks {
+    /// Prepares adapters to the engines of the settings.
+    pub fn new(settings: &[EngineSettings], core: CoreHandle, board: AnswerBoard) -> Self {
+        let engines = settings.iter().map(|engine| {
+            let endpoint = EngineEndpoint {
+                engine: engine.id.clone(),
+                address: engine.address.to_string(),
+            };
+            let client = EngineClient::new(endpoint, ClientSettings::default());
+            (engine.id.clone(), Engine { client, zone: engine.zone.clone() })
+        });
+        Self { engines: Arc::new(engines.collect()), core, board, attempts: HashMap::new() }
+    }
+
+    /// Reads each engine's load from now on.
+    pub fn start_reports(&self) {
+        for engine in self.engines.values() {
+            tokio::spawn(report(engine.clone(), self.core.clone()));
+        }
+    }
+
+    /// Sends an attempt to its engine.
+    pub fn start(&mut self, start: StartAttempt) {
+        self.spawn(start, false);
+    }
+
+    /// Takes over an attempt of an earlier owner.
+    pub fn resume(&mut self, start: StartAttempt) {
+        self.spawn(start, true);
+    }
+
+    fn spawn(&mut self, start: StartAttempt, resumed: bool) {
+        self.attempts.retain(|_, running| !running.task.is_finished());
+        let id = start.attempt.id;
+        let engine = start.engine.clone();
+        let client = self.engines.get(&engine).map(|engine| engine.client.clone());
+        let task = AttemptTask::new(start, client, self.core.clone(), self.board.clone());
+        let handle = tokio::spawn(async move {
+            if resumed { task.resume().await } else { task.start().await }
+        });
+        self.attempts.insert(id, RunningAttempt { engine, task: handle.abort_handle() });
+    }
+
+    /// Cuts an attempt at its engine. The attempt's own task sees the end.
+    pub fn cancel(&self, attempt: AttemptId, epoch: Term) {
+        let Some(client) = self.client_of(attempt) else {
+            return;
+        };
+        tokio::spawn(async move {
+            if let Err(error) = client.cancel(attempt, epoch).await {
+                log::debug!(target: part::ENGINES, "Cancelling {attempt}: {error}.");
+            }
+        });
+    }
+
+    /// Cuts an attempt if its engine has not started it.
+    pub fn recall(&self, attempt: AttemptId, epoch: Term) {
+        let Some(client) = self.client_of(attempt) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let queued = matches!(client.attempt(attempt).await, Ok(AttemptState::Queued));
+            if queued && let Err(error) = client.cancel(attempt, epoch).await {
+                log::debug!(target: part::ENGINES, "Recalling {attempt}: {error}.");
+            }
+        });
+    }
+
+    /// Stops reading an attempt; it runs on at its engine.
+    pub fn leave(&mut self, attempt: AttemptId) {
+        if let Some(running) = self.attempts.remove(&attempt) {
+            running.task.abort();
+        }
+    }
+
+    /// Forgets a call's text.
+    pub fn forget(&mut self, call: CallId) {
+        self.board.remove(call);
+    }
+
+    /// Asks an engine to free a program's memory.
+    pub fn release(&self, order: ReleaseOrder) {
+        let core = self.core.clone();
+        let client = self.client(&order.request.holder.engine);
+        tokio::spawn(async move {
+            let end = match &client {
+                Some(client) => release(client, &order).await,
+                None => ReleaseEnd::Failed,
+            };
+            let event = Event::ReleaseEnded {
+                program: order.request.program,
+                holder: order.request.holder,
+                covers: order.request.covers,
+                end,
+            };
+            core.event(event).await;
+        });
+    }
+
+    /// Asks an engine to keep a program's cache.
+    pub fn hold(&self, program: ProgramId, engine: EngineId, epoch: Term, length: Length) {
+        let Some(client) = self.client(&engine) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let request = HoldRequest { program, epoch, hold_for: length };
+            if let Err(error) = client.hold(&request).await {
+                log::debug!(target: part::ENGINES, "Holding {program}: {error}.");
+            }
+        });
+    }
+
+    fn client_of(&self, attempt: AttemptId) -> Option<EngineClient> {
+        self.client(&self.attempts.get(&attempt)?.engine)
+    }
+
+    fn client(&self, engine: &EngineId) -> Option<EngineClient> {
+        self.engines.get(engine).map(|engine| engine.client.clone())
+    }
+}
+
+async fn release(client: &EngineClient, order: &ReleaseOrder) -> ReleaseEnd {
+    // Attempts of unknown outcome must not start after the memory is freed.
+    for attempt in &order.request.fence {
+        if let Err(error) = client.cancel(*attempt, order.epoch).await {
+            log::debug!(target: part::ENGINES, "Fencing {attempt}: {error}.");
+            return ReleaseEnd::Failed;
+        }
+    }
+    let request = ReleaseRequest {
+        program: order.request.program,
+        epoch: order.epoch,
+        ended: order.ended,
+    };
+    match client.release(&request).await {
+        Ok(confirmed) => ReleaseEnd::Confirmed {
+            incarnation: confirmed.incarnation,
+            freed: confirmed.freed,
+        },
+        Err(error) => {
+            log::debug!(target: part::ENGINES, "Releasing {}: {error}.", request.program);
+            ReleaseEnd::Failed
+        }
+    }
+}
+
+async fn report(engine: Engine, core: CoreHandle) {
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut reachable = true;
+    loop {
+        ticks.tick().await;
+        match engine.client.load().await {
+            Ok(load) => {
+                reachable = true;
+                core.event(Event::EngineReported(translate(load, &engine.zone))).await;
+            }
+            Err(error) => {
+                log_once(&mut reachable, &error);
+            }
+        }
+    }
+}
+
+fn log_once(reachable: &mut bool, error: &EngineError) {
+    if std::mem::replace(reachable, false) {
+        log::warn!(target: part::ENGINES, "No report. {error}.");
+    }
+}
+
+fn translate(load: LoadReport, zone: &Zone) -> EngineReport {
+    let ready = load.models.into_iter().filter(|model| model.state == ModelState::Ready);
+    EngineReport {
+        engine: load.engine,
+        incarnation: load.incarnation,
+        zone: zone.clone(),
+        at: load.at,
+        models: ready.map(|model| model.model).collect(),
+        running: load.running,
+        queued: load.queued,
+        prefill_backlog: load.prefill_backlog,
+        cache_used: load.kv_used,
+        cache_pinned: load.kv_pinned,
+        cache_capacity: load.kv_capacity,
+        leaving: load.leaving || load.role != EngineRole::Serving,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Counters and gauges of one daemon, in the Prometheus text format.
+
+use std::sync::Arc;
+
+use dahlia_api::ErrorKind;
+use dahlia_node::NodeStatus;
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// All metrics of a daemon.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests of callers.
+    pub requests: IntCounter,
+    /// Attempts started at engines.
+    pub attempts: IntCounter,
+    /// Attempts taken over from an earlier owner.
+    pub resumed: IntCounter,
+    errors: IntCounterVec,
+    groups_led: IntGauge,
+    live_daemons: IntGauge,
+    live_engines: IntGauge,
+    programs: IntGauge,
+    running: IntGauge,
+    waiting: IntGauge,
+}
+
+impl Metrics {
+    /// Fresh metrics.
+    ///
+    /// # Errors
+    /// [`prometheus::Error`] when a name is malformed or stands twice.
+    pub fn new() -> Result<Arc<Self>, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let errors = IntCounterVec::new(
+            Opts::new("dahlialadder_errors_total", "Error answers to callers, by name."),
+            &["error"],
+        )?;
+        registry.register(Box::new(errors.clone()))?;
+        let metrics = Self {
+            requests: counter("dahlialadder_requests_total", "Requests of callers.")?,
+            attempts: counter("dahlialadder_attempts_total", "Attempts started at engines.")?,
+            resumed: counter(
+                "dahlialadder_attempts_resumed_total",
+                "Attempts taken over from an earlier owner.",
+            )?,
+            errors,
+            groups_led: gauge("dahlialadder_groups_led", "Groups whose programs are owned here.")?,
+            live_daemons: gauge("dahlialadder_live_daemons", "Daemons heard of lately.")?,
+            live_engines: gauge("dahlialadder_live_engines", "Engines heard of lately.")?,
+            programs: gauge("dahlialadder_programs", "Programs in groups owned here.")?,
+            running: gauge("dahlialadder_attempts_running", "Attempts that run for this owner.")?,
+            waiting: gauge("dahlialadder_requests_waiting", "Requests without an answer yet.")?,
+            registry,
+        };
+        Ok(Arc::new(metrics))
+    }
+
+    /// Counts an error answer.
+    pub fn count_error(&self, kind: ErrorKind) {
+        self.errors.with_label_values(&[kind.name()]).inc();
+    }
+
+    /// Takes over what the node says of itself.
+    pub fn note_status(&self, status: &NodeStatus) {
+        self.groups_led.set(status.groups_led as i64);
+        self.live_daemons.set(status.live_daemons as i64);
+        self.live_engines.set(status.live_engines as i64);
+        self.programs.set(status.programs as i64);
+        self.running.set(status.attempts as i64);
+        self.waiting.set(status.requests as i64);
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    /// [`prometheus::Error`] when a value cannot be written.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        let mut bytes = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut bytes)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/node/src/attempts.rs
@@ -0,0 +1,338 @@
+//! Attempts: from placement's decision over the durable intent to the recorded outcome.
+
+use dahlia_api::ErrorKind;
+use dahlia_placement::{
+    Action as Decision, AttemptFailed, AttemptFailure, Event as PlacementEvent, RefusalReason,
+};
+use dahlia_program::{
+    AbandonCall, AttemptOutcome, CallOutcome, Command, EngineLife, IntentRecorded, RecordIntent,
+    RecordOutcome, Refusal,
+};
+use dahlia_types::{
+    Attempt, AttemptId, CallId, Duration, EngineId, GroupId, Incarnation, Message, ProgramId, Role,
+    Term, Timestamp, Tokens,
+};
+
+use crate::group::{IntentPurpose, LiveAttempt, Purpose};
+use crate::node::Node;
+use crate::owner::token_bound;
+use crate::request::AttemptEnd;
+use crate::{Action, StartAttempt};
+
+impl Node {
+    /// Tells placement what happened and carries out what it decides.
+    pub(crate) fn schedule(&mut self, event: PlacementEvent, now: Timestamp) {
+        for decision in self.scheduler.handle(event, now) {
+            self.carry_out(decision, now);
+        }
+    }
+
+    fn carry_out(&mut self, decision: Decision, now: Timestamp) {
+        match decision {
+            Decision::Dispatch { attempt, engine, incarnation, priority, .. } => {
+                let priority = engine_priority(priority);
+                self.propose_intent(attempt, engine, incarnation, priority, now);
+            }
+            Decision::Refuse { call, retry_after, reason } => {
+                self.abandon(call, &refusal_text(reason, retry_after), now);
+            }
+            Decision::Requeue { attempt, .. } => self.recall(attempt),
+            Decision::Release { program, engine, .. } => self.release_engine(program, &engine, now),
+            Decision::Hold { program, engine, until } => self.hold(program, engine, until, now),
+            Decision::FetchInventory(_) => {}
+        }
+    }
+
+    fn propose_intent(
+        &mut self,
+        attempt: AttemptId,
+        engine: EngineId,
+        incarnation: Incarnation,
+        priority: u32,
+        now: Timestamp,
+    ) {
+        let id = attempt.call.program.group;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let prompt = group.state.program(attempt.call.program).and_then(|program| {
+            let messages = program.prompt(attempt.call)?.ok()?;
+            Some(messages.iter().fold(Tokens::ZERO, |sum, message| {
+                sum.saturating_add(token_bound(message))
+            }))
+        });
+        let Some(prompt_bound) = prompt else {
+            return;
+        };
+        let command = RecordIntent {
+            attempt,
+            engine: engine.clone(),
+            incarnation,
+            prompt_bound,
+            at: now,
+        };
+        let holder = EngineLife { engine, incarnation };
+        let purpose =
+            Purpose::Intent(IntentPurpose { attempt, holder, prompt_bound, priority });
+        // Not leading any more is fine: the next owner dispatches the call.
+        let _ = group.propose(Command::RecordIntent(command), purpose, now);
+        self.dirty.insert(id);
+    }
+
+    /// The intent reached a quorum: only now may bytes leave. A new owner that finds it must be
+    /// able to tell "not run" from "unknown".
+    pub(crate) fn intent_recorded(
+        &mut self,
+        id: GroupId,
+        terms: IntentRecorded,
+        purpose: Option<Purpose>,
+        now: Timestamp,
+    ) {
+        let Some(Purpose::Intent(intent)) = purpose else {
+            return;
+        };
+        let limit = self.settings.attempt_limit;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let epoch = group.replica.term();
+        let live = LiveAttempt {
+            engine: intent.holder.engine.clone(),
+            epoch,
+            deadline: now + limit,
+            cancelled: false,
+        };
+        group.live.insert(intent.attempt, live);
+        let start = self.describe_start(&intent, epoch, terms.generated_cap);
+        if let Some(start) = start {
+            self.actions.push(Action::StartAttempt(Box::new(start)));
+        }
+    }
+
+    /// What the engine must be told of an attempt.
+    pub(crate) fn describe_start(
+        &self,
+        intent: &IntentPurpose,
+        epoch: Term,
+        max_generated: Tokens,
+    ) -> Option<StartAttempt> {
+        let call = intent.attempt.call;
+        let program = self.groups.get(&call.program.group)?.state.program(call.program)?;
+        let messages = program.prompt(call)?.ok()?;
+        Some(StartAttempt {
+            attempt: Attempt {
+                id: intent.attempt,
+                epoch,
+                engine_incarnation: intent.holder.incarnation,
+            },
+            engine: intent.holder.engine.clone(),
+            tenant: program.specification().tenant.clone(),
+            model: program.specification().model.clone(),
+            messages: messages.into_iter().cloned().collect(),
+            prompt_bound: intent.prompt_bound,
+            max_generated,
+            priority: intent.priority,
+        })
+    }
+
+    pub(crate) fn intent_refused(
+        &mut self,
+        id: GroupId,
+        intent: &IntentPurpose,
+        refusal: &Refusal,
+        now: Timestamp,
+    ) {
+        let call = intent.attempt.call;
+        match refusal {
+            Refusal::BudgetExhausted { .. } | Refusal::TooMany { .. } => {
+                let kind = match refusal {
+                    Refusal::BudgetExhausted { .. } => ErrorKind::BudgetExhausted,
+                    _ => ErrorKind::LimitReached,
+                };
+                self.abandon(call, &format!("{}: {refusal}", kind.name()), now);
+            }
+            Refusal::StaleIncarnation { .. } => {
+                let failure = AttemptFailure::Refused;
+                let failed =
+                    AttemptFailed { attempt: intent.attempt, failure, retryable: true };
+                self.schedule(PlacementEvent::Failed(failed), now);
+            }
+            _ => {
+                log::debug!(target: "programs", "An intent of {id} was refused: {refusal}.");
+                self.schedule(PlacementEvent::CallWithdrawn(call), now);
+            }
+        }
+    }
+
+    /// Ends a call that has no attempt under way.
+    pub(crate) fn abandon(&mut self, call: CallId, reason: &str, now: Timestamp) {
+        let id = call.program.group;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let may_have_run =
+            group.state.program(call.program).is_some_and(|program| program.may_have_run(call));
+        let outcome = if may_have_run {
+            CallOutcome::Unknown
+        } else {
+            CallOutcome::NotRun { reason: reason.to_owned() }
+        };
+        let command = Command::AbandonCall(AbandonCall { call, outcome, at: now });
+        let _ = group.propose(command, Purpose::Housekeeping, now);
+        self.dirty.insert(id);
+    }
+
+    /// An attempt ended as its reader saw it.
+    pub(crate) fn attempt_ended(
+        &mut self,
+        attempt: AttemptId,
+        epoch: Term,
+        end: AttemptEnd,
+        now: Timestamp,
+    ) {
+        let id = attempt.call.program.group;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        // A reader of an earlier ownership reports late: the present owner finds out by itself.
+        let current = group.live.get(&attempt).is_some_and(|live| live.epoch == epoch);
+        if !current || !group.is_serving() {
+            return;
+        }
+        group.live.remove(&attempt);
+        let outcome = match end {
+            AttemptEnd::Ran { text, usage } => {
+                let answer = Message { role: Role::Assistant, content: text };
+                AttemptOutcome::Ran { answer, usage }
+            }
+            AttemptEnd::Cut { usage } => AttemptOutcome::Cut { usage },
+            AttemptEnd::NotRun { .. } => AttemptOutcome::NotRun,
+            AttemptEnd::Unknown { reason } => {
+                log::info!(target: "programs", "The outcome of {attempt} is unknown. {reason}.");
+                AttemptOutcome::Unknown
+            }
+        };
+        let command = Command::RecordOutcome(RecordOutcome { attempt, outcome, at: now });
+        let _ = group.propose(command, Purpose::Housekeeping, now);
+        self.dirty.insert(id);
+    }
+
+    /// Tells placement of an attempt whose call ended with it.
+    pub(crate) fn attempt_settled(&mut self, command: &Command, now: Timestamp) {
+        let Command::RecordOutcome(recorded) = command else {
+            return;
+        };
+        let attempt = recorded.attempt;
+        let event = match &recorded.outcome {
+            AttemptOutcome::Ran { usage, .. } => {
+                PlacementEvent::Finished { attempt, usage: *usage }
+            }
+            other => PlacementEvent::Failed(AttemptFailed {
+                attempt,
+                failure: failure_of(other),
+                retryable: false,
+            }),
+        };
+        self.schedule(event, now);
+    }
+
+    /// Tells placement of an attempt whose call may be tried again.
+    pub(crate) fn attempt_failed(&mut self, call: CallId, command: &Command, now: Timestamp) {
+        let Command::RecordOutcome(recorded) = command else {
+            return;
+        };
+        let attempt = recorded.attempt;
+        if !self.is_open_program(call.program) {
+            self.abandon(call, "program_closed: the program was closed", now);
+            return;
+        }
+        if attempt.attempt >= self.settings.attempts_per_call {
+            let failed = AttemptFailed {
+                attempt,
+                failure: failure_of(&recorded.outcome),
+                retryable: false,
+            };
+            self.schedule(PlacementEvent::Failed(failed), now);
+            self.abandon(call, "not_run: every attempt failed", now);
+            return;
+        }
+        let failure = failure_of(&recorded.outcome);
+        let failed = AttemptFailed { attempt, failure, retryable: true };
+        self.schedule(PlacementEvent::Failed(failed), now);
+    }
+
+    fn is_open_program(&self, program: ProgramId) -> bool {
+        let group = self.groups.get(&program.group);
+        group.and_then(|group| group.state.program(program)).is_some_and(|found| found.is_open())
+    }
+
+    /// Cancels attempts that have run for too long.
+    pub(crate) fn check_attempts(&mut self, now: Timestamp) {
+        for group in self.groups.values_mut() {
+            for (attempt, live) in &mut group.live {
+                if !live.cancelled && live.deadline <= now {
+                    live.cancelled = true;
+                    let epoch = live.epoch;
+                    self.actions.push(Action::CancelAttempt { attempt: *attempt, epoch });
+                }
+            }
+        }
+    }
+
+    /// Cancels what still runs for a program that ended.
+    pub(crate) fn cancel_attempts_of(&mut self, id: GroupId, program: ProgramId) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        for (attempt, live) in &mut group.live {
+            if attempt.call.program == program && !live.cancelled {
+                live.cancelled = true;
+                let epoch = live.epoch;
+                self.actions.push(Action::CancelAttempt { attempt: *attempt, epoch });
+            }
+        }
+    }
+
+    fn recall(&mut self, attempt: AttemptId) {
+        let group = self.groups.get(&attempt.call.program.group);
+        if let Some(live) = group.and_then(|group| group.live.get(&attempt)) {
+            let epoch = live.epoch;
+            self.actions.push(Action::RecallAttempt { attempt, epoch });
+        }
+    }
+
+    fn hold(&mut self, program: ProgramId, engine: EngineId, until: Timestamp, now: Timestamp) {
+        if let Some(group) = self.groups.get(&program.group) {
+            let epoch = group.replica.term();
+            let length = until.since(now);
+            self.actions.push(Action::Hold { program, engine, epoch, length });
+        }
+    }
+}
+
+fn failure_of(outcome: &AttemptOutcome) -> AttemptFailure {
+    match outcome {
+        AttemptOutcome::NotRun => AttemptFailure::Refused,
+        AttemptOutcome::Cut { .. } | AttemptOutcome::Ran { .. } | AttemptOutcome::Unknown => {
+            AttemptFailure::EngineLost
+        }
+    }
+}
+
+/// Placement orders by microseconds; engines take 32 bits. Milliseconds modulo 2^32 keep the
+/// order for 49 days, longer than any call waits.
+fn engine_priority(priority: u64) -> u32 {
+    (priority / 1_000) as u32
+}
+
+fn refusal_text(reason: RefusalReason, retry_after: Duration) -> String {
+    let wait = retry_after.as_millis();
+    let text = match reason {
+        RefusalReason::Overloaded => "overloaded: the expected wait is too long",
+        RefusalReason::TenantLimit => "limit_reached: the tenant has too many calls under way",
+        RefusalReason::NoEngine => "overloaded: no engine serves the model now",
+        RefusalReason::RetriesExhausted => "overloaded: attempts failed and retries are spent",
+        RefusalReason::NotRetryable => "not_run: the attempt failed",
+    };
+    format!("{text}; come back in {wait} ms")
+}
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -2,12 +2,26 @@
 
 use std::collections::BTreeMap;
 
+use dahlia_placement::{
+    EngineCapacity, EngineJoined, EngineReport as PlacementReport, Event as PlacementEvent,
+};
 use dahlia_types::{Duration, EngineId, Incarnation, ModelId, Timestamp, Tokens, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::node::Node;
+
 /// A report older than this does not count: the engine may be gone.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
 
+/// One way to an engine of the same zone.
+const SAME_ZONE_DISTANCE: Duration = Duration::from_micros(200);
+/// One way to an engine of another zone of the region (BRIEF, sizes of today).
+const OTHER_ZONE_DISTANCE: Duration = Duration::from_micros(1_500);
+const ASSUMED_PREFILL_PER_SECOND: f64 = 30_000.0;
+const ASSUMED_STEP: Duration = Duration::from_millis(20);
+const ASSUMED_STEP_PER_SEQUENCE: Duration = Duration::from_micros(150);
+const ASSUMED_BATCH: u32 = 64;
+
 /// An engine's word about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineReport {
@@ -25,10 +39,126 @@
     pub running: u32,
     /// Attempts that wait.
     pub queued: u32,
+    /// Prompt tokens still to be computed.
+    pub prefill_backlog: Tokens,
     /// Cache in use.
     pub cache_used: Tokens,
+    /// The part of it that running attempts use.
+    pub cache_pinned: Tokens,
     /// Cache in all.
     pub cache_capacity: Tokens,
     /// Whether it takes no new work.
     pub leaving: bool,
 }
+
+/// What is known of one engine.
+struct KnownEngine {
+    report: EngineReport,
+    heard: Timestamp,
+    usable: bool,
+}
+
+/// All engines that reported, as this node sees them.
+pub(crate) struct EngineTable {
+    zone: Zone,
+    engines: BTreeMap<EngineId, KnownEngine>,
+}
+
+impl EngineTable {
+    /// Knows no engine; `zone` is this node's own.
+    pub(crate) fn new(zone: Zone) -> Self {
+        Self { zone, engines: BTreeMap::new() }
+    }
+
+    /// Engines heard of lately.
+    pub(crate) fn live(&self, now: Timestamp) -> usize {
+        self.engines.values().filter(|known| now.since(known.heard) < REPORT_LIFE).count()
+    }
+
+    /// The present life of each engine.
+    pub(crate) fn lives(&self) -> Vec<(EngineId, Incarnation)> {
+        let life = |known: &KnownEngine| (known.report.engine.clone(), known.report.incarnation);
+        self.engines.values().map(life).collect()
+    }
+
+    fn distance(&self, zone: &Zone) -> Duration {
+        if *zone == self.zone { SAME_ZONE_DISTANCE } else { OTHER_ZONE_DISTANCE }
+    }
+
+    /// Engines that fell silent since the last look.
+    fn take_silent(&mut self, now: Timestamp) -> Vec<EngineId> {
+        let mut silent = Vec::new();
+        for (engine, known) in &mut self.engines {
+            if known.usable && now.since(known.heard) >= REPORT_LIFE {
+                known.usable = false;
+                silent.push(engine.clone());
+            }
+        }
+        silent
+    }
+}
+
+impl Node {
+    /// An engine reported to this node.
+    pub(crate) fn engine_reported(&mut self, report: EngineReport, now: Timestamp) {
+        let before = self.engines.engines.get(&report.engine);
+        let restarted = before.is_some_and(|known| known.report.incarnation < report.incarnation);
+        // Reports of an earlier life may still be under way; they describe nothing that exists.
+        if before.is_some_and(|known| known.report.incarnation > report.incarnation) {
+            return;
+        }
+        let unchanged = before.is_some_and(|known| {
+            known.usable && !restarted && known.report.models == report.models
+        });
+        let joined = PlacementEvent::EngineJoined(EngineJoined {
+            engine: report.engine.clone(),
+            incarnation: report.incarnation,
+            zone: report.zone.clone(),
+            distance: self.engines.distance(&report.zone),
+            models: report.models.clone(),
+            capacity: capacity_of(&report),
+        });
+        let load = PlacementEvent::EngineReport(PlacementReport {
+            engine: report.engine.clone(),
+            incarnation: report.incarnation,
+            reported_at: report.at,
+            running: report.running,
+            waiting: report.queued,
+            prefill_backlog: report.prefill_backlog,
+            resident: report.cache_used,
+            pinned: report.cache_pinned,
+            models: report.models.clone(),
+            draining: report.leaving,
+        });
+        let (engine, incarnation) = (report.engine.clone(), report.incarnation);
+        let known = KnownEngine { report, heard: now, usable: true };
+        self.engines.engines.insert(engine.clone(), known);
+        if restarted {
+            self.engine_restarted(&engine, incarnation, now);
+        }
+        if !unchanged {
+            self.schedule(joined, now);
+        }
+        self.schedule(load, now);
+    }
+
+    /// Takes engines out of use that fell silent.
+    pub(crate) fn check_engines(&mut self, now: Timestamp) {
+        for engine in self.engines.take_silent(now) {
+            log::warn!(target: "engines", "{engine} fell silent. No new work for it.");
+            self.schedule(PlacementEvent::EngineGone(engine), now);
+        }
+    }
+}
+
+/// Speeds are assumed alike until an engine tells its own; sizes are its own word.
+fn capacity_of(report: &EngineReport) -> EngineCapacity {
+    EngineCapacity {
+        kv_tokens: report.cache_capacity,
+        prefill_per_second: ASSUMED_PREFILL_PER_SECOND,
+        step_base: ASSUMED_STEP,
+        step_per_sequence: ASSUMED_STEP_PER_SEQUENCE,
+        max_batch: ASSUMED_BATCH,
+        transfer_per_second: 0.0,
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -4,8 +4,8 @@
 
 use dahlia_program::{EngineLife, ReleaseRequest};
 use dahlia_types::{
-    Attempt, AttemptId, CallId, LogIndex, Message, ModelId, ProgramId, ReplicaId, TenantId, Term,
-    Tokens,
+    Attempt, AttemptId, CallId, Duration, EngineId, LogIndex, Message, ModelId, ProgramId,
+    ReplicaId, TenantId, Term, Tokens,
 };
 
 use crate::bootstrap::LayoutStep;
@@ -41,6 +41,11 @@
         /// How.
         end: AttemptEnd,
     },
+    /// The first text of an attempt arrived.
+    FirstToken {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// An engine answered a release, or did not.
     ReleaseEnded {
         /// The program.
@@ -89,6 +94,24 @@
         /// The owner's epoch.
         epoch: Term,
     },
+    /// Cut an attempt only if the engine has not started it; its end follows as usual.
+    RecallAttempt {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The owner's epoch.
+        epoch: Term,
+    },
+    /// Ask an engine to keep a program's cache until a time.
+    Hold {
+        /// The program.
+        program: ProgramId,
+        /// The engine.
+        engine: EngineId,
+        /// The owner's epoch.
+        epoch: Term,
+        /// How long from now.
+        length: Duration,
+    },
     /// Stop reading an attempt without touching the engine: a new owner takes over.
     LeaveAttempt {
         /// The attempt.
@@ -111,7 +134,7 @@
     /// The attempt with its fences.
     pub attempt: Attempt,
     /// The engine.
-    pub engine: dahlia_types::EngineId,
+    pub engine: EngineId,
     /// Whose program it is; prefix caches are kept apart by it.
     pub tenant: TenantId,
     /// Model, adapter and version.
@@ -122,8 +145,8 @@
     pub prompt_bound: Tokens,
     /// Most tokens to generate.
     pub max_generated: Tokens,
-    /// Larger goes first.
-    pub priority: u8,
+    /// Smaller goes first.
+    pub priority: u32,
 }
 
 /// A release with the owner's epoch.
@@ -134,14 +157,3 @@
     /// The owner's epoch.
     pub epoch: Term,
 }
-
-/// Makes the sender of a message explicit in logs.
-impl Event {
-    /// The daemon that caused the event, when one did.
-    pub fn sender(&self) -> Option<ReplicaId> {
-        match self {
-            Self::Message { from, .. } => Some(*from),
-            _ => None,
-        }
-    }
-}
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_program::{Command, EngineLife, GroupState, ProgramLimits};
+use dahlia_program::{
+    Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits,
+};
 use dahlia_replication::group::{Proposal, ProposeError, Replica};
 use dahlia_types::{
-    AttemptId, CallId, EngineId, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
+    AttemptId, CallId, Duration, EngineId, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
 };
 
 use crate::routing::ReplyTo;
@@ -31,7 +33,7 @@
     /// Upper bound of the prompt.
     pub(crate) prompt_bound: Tokens,
     /// The engine's queue priority.
-    pub(crate) priority: u8,
+    pub(crate) priority: u32,
 }
 
 /// An attempt that this node runs as owner.
@@ -125,6 +127,22 @@
         }
     }
 
+    /// Proposes to end idle programs and forget ended ones, if there are any.
+    pub(crate) fn propose_expiry(&mut self, keep_records: Duration, now: Timestamp) {
+        let due = self.state.programs().any(|program| match program.lifecycle() {
+            Lifecycle::Open => {
+                let idle = now.since(program.last_activity());
+                idle >= program.specification().idle_expiry && program.open_calls().next().is_none()
+            }
+            Lifecycle::Closed { at, .. } => now.since(at) >= keep_records,
+        });
+        if due {
+            let command = Command::ExpirePrograms(ExpirePrograms { now, keep_records });
+            // Not leading any more is fine: the next owner looks for itself.
+            let _ = self.propose(command, Purpose::Housekeeping, now);
+        }
+    }
+
     /// Takes the purpose of the entry at `index`, and those of proposals that are now known to
     /// be lost because another entry stands at or after their place.
     pub(crate) fn settle(&mut self, index: LogIndex, term: Term) -> Settled {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
 //! | `bootstrap` | the first layout of groups |
+//! | `members` | which daemons are there |
 //! | `engines` | what is known of engines |
 
 mod attempts;
@@ -22,6 +23,7 @@
 mod engines;
 mod event;
 mod group;
+mod members;
 mod node;
 mod owner;
 mod recovery;
@@ -35,6 +37,7 @@
 
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use engines::EngineReport;
+pub use members::Announcement;
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
 pub use node::{Node, NodeStatus};
 pub use settings::NodeSettings;
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,201 @@
+//! What the owner of a group does when a command was applied.
+
+use dahlia_placement::{CallReady, Event as PlacementEvent, HistorySegment};
+use dahlia_program::{Applied, Begun, CallOutcome, Command, Program, RecordedOutcome, Refusal};
+use dahlia_types::{
+    CallId, ChainId, Duration, GroupId, Message, ProgramId, Timestamp, Tokens,
+};
+
+use crate::Action;
+use crate::group::Purpose;
+use crate::node::Node;
+use crate::request::{Response, refusal_error};
+
+/// Bytes of text that count as one token in the upper bound of a prompt. Real tokenisers make
+/// fewer tokens of the same text; the engine refuses a prompt above the bound unrun.
+const BYTES_PER_TOKEN_AT_LEAST: u64 = 3;
+/// Tokens that the form of a message may add.
+const MESSAGE_OVERHEAD: u64 = 8;
+/// Weight of an ordinary program in placement.
+const ORDINARY_WEIGHT: u32 = 100;
+
+impl Node {
+    /// Acts on the result of a command that this node's group committed while it serves.
+    pub(crate) fn applied(
+        &mut self,
+        id: GroupId,
+        command: &Command,
+        result: Result<Applied, Refusal>,
+        purpose: Option<Purpose>,
+        now: Timestamp,
+    ) {
+        match result {
+            Err(refusal) => self.refused(id, command, &refusal, purpose, now),
+            Ok(Applied::Begun(begun)) => self.begun(begun, purpose, now),
+            Ok(Applied::IntentRecorded(terms)) => self.intent_recorded(id, terms, purpose, now),
+            Ok(Applied::CallEnded { call, outcome, next }) => {
+                self.attempt_settled(command, now);
+                self.call_ended(call, &outcome, now);
+                if let Some(next) = next {
+                    self.call_ready(next, now);
+                }
+            }
+            Ok(Applied::Retryable(call)) => self.attempt_failed(call, command, now),
+            Ok(Applied::Created(program) | Applied::Closed { program, .. })
+                if !matches!(command, Command::CloseProgram(_)) =>
+            {
+                self.answer_with_program(id, program, purpose);
+            }
+            Ok(Applied::Closed { program, ended }) => {
+                self.answer_with_program(id, program, purpose);
+                self.program_ended(id, program, &ended, now);
+            }
+            Ok(Applied::Expired { closed, .. }) => {
+                for program in closed {
+                    self.program_ended(id, program, &[], now);
+                }
+            }
+            Ok(Applied::BudgetRaised(_)) => {
+                if let Command::RaiseBudget(raise) = command {
+                    self.answer_with_program(id, raise.program, purpose);
+                }
+            }
+            Ok(Applied::ReleaseConfirmed) => self.release_confirmed(command, now),
+            Ok(_) => {}
+        }
+    }
+
+    fn begun(&mut self, begun: Begun, purpose: Option<Purpose>, now: Timestamp) {
+        let response = match &begun {
+            Begun::Ready(call) | Begun::Waiting(call) | Begun::Joined(call) => {
+                Response::Begun { call: *call }
+            }
+            Begun::Replayed(call, outcome) => {
+                Response::Ended { call: *call, outcome: outcome.clone() }
+            }
+            Begun::ReplayedFromStore(call, _) => Response::Begun { call: *call },
+        };
+        if let Some(Purpose::Request(to)) = purpose {
+            self.reply(to, response);
+        }
+        if let Begun::Ready(call) = begun {
+            self.call_ready(call, now);
+        }
+    }
+
+    /// Hands a call that may run to placement.
+    pub(crate) fn call_ready(&mut self, call: CallId, now: Timestamp) {
+        let Some(ready) = self.describe(call) else {
+            return;
+        };
+        self.schedule(PlacementEvent::CallReady(ready), now);
+    }
+
+    fn describe(&self, id: CallId) -> Option<CallReady> {
+        let group = self.groups.get(&id.program.group)?;
+        let program = group.state.program(id.program)?;
+        let call = program.call(id)?;
+        let prompt = program.prompt(id)?.ok()?;
+        let segments = prompt.iter().map(|message| segment(message));
+        Some(CallReady {
+            call: id,
+            attempt: call.attempts() + 1,
+            model: program.specification().model.clone(),
+            tenant: program.specification().tenant.clone(),
+            history: segments.collect(),
+            max_generated: call.max_generated(),
+            attained: Duration::ZERO,
+            depth: depth(program, id.chain),
+            weight: ORDINARY_WEIGHT,
+        })
+    }
+
+    fn call_ended(&mut self, call: CallId, outcome: &CallOutcome, now: Timestamp) {
+        if !matches!(outcome, CallOutcome::Answered { .. }) {
+            self.schedule(PlacementEvent::CallWithdrawn(call), now);
+        }
+        self.answer_waiters(call, outcome);
+        self.actions.push(Action::ForgetAnswer { call });
+    }
+
+    fn answer_waiters(&mut self, call: CallId, outcome: &CallOutcome) {
+        let Some(group) = self.groups.get_mut(&call.program.group) else {
+            return;
+        };
+        for to in group.waiters.remove(&call).unwrap_or_default() {
+            self.reply(to, Response::Ended { call, outcome: outcome.clone() });
+        }
+    }
+
+    fn program_ended(&mut self, id: GroupId, program: ProgramId, ended: &[CallId], now: Timestamp) {
+        for call in ended {
+            let outcome = self.groups.get(&id).and_then(|group| {
+                match group.state.program(program)?.outcome(*call)? {
+                    RecordedOutcome::Held(outcome) => Some(outcome),
+                    RecordedOutcome::Stored(_) => None,
+                }
+            });
+            if let Some(outcome) = outcome {
+                self.call_ended(*call, &outcome, now);
+            }
+        }
+        self.cancel_attempts_of(id, program);
+        self.schedule(PlacementEvent::ProgramClosed(program), now);
+        self.release_program(id, program, now);
+    }
+
+    fn refused(
+        &mut self,
+        id: GroupId,
+        command: &Command,
+        refusal: &Refusal,
+        purpose: Option<Purpose>,
+        now: Timestamp,
+    ) {
+        match purpose {
+            Some(Purpose::Request(to)) => {
+                self.reply(to, Response::Failed(refusal_error(refusal)));
+            }
+            Some(Purpose::Intent(intent)) => self.intent_refused(id, &intent, refusal, now),
+            _ => {
+                log::debug!(target: "programs", "A command was refused: {refusal}.");
+                self.release_refused(command, now);
+            }
+        }
+    }
+
+    fn answer_with_program(&mut self, id: GroupId, program: ProgramId, purpose: Option<Purpose>) {
+        let Some(Purpose::Request(to)) = purpose else {
+            return;
+        };
+        if let Some(view) = self.program_view(id, program, false) {
+            self.reply(to, Response::Program(Box::new(view)));
+        }
+    }
+}
+
+/// How many branchings lie between a chain and its program's main chain.
+fn depth(program: &Program, chain: ChainId) -> u32 {
+    let mut depth = 0;
+    let mut current = chain;
+    while let Some(branch) = program.chain(current).and_then(|found| found.branch()) {
+        depth += 1;
+        current = branch.chain;
+    }
+    depth
+}
+
+/// An upper bound of a message's tokens.
+pub(crate) fn token_bound(message: &Message) -> Tokens {
+    let bytes = message.content.len() as u64;
+    Tokens(bytes.div_ceil(BYTES_PER_TOKEN_AT_LEAST) + MESSAGE_OVERHEAD)
+}
+
+fn segment(message: &Message) -> HistorySegment {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    // The hash never leaves this daemon, so the standard library's is enough.
+    let mut hasher = DefaultHasher::new();
+    message.role.hash(&mut hasher);
+    message.content.hash(&mut hasher);
+    HistorySegment { hash: hasher.finish(), tokens: token_bound(message) }
+}
--- /dev/null
+++ b/crates/node/src/recovery.rs
@@ -0,0 +1,125 @@
+//! What a node does when it becomes the owner of a group, and when it ceases to be.
+
+use dahlia_placement::Event as PlacementEvent;
+use dahlia_program::{OpenAttempt, UnfinishedCall};
+use dahlia_types::{AttemptId, CallId, GroupId, ProgramId, Timestamp};
+
+use crate::Action;
+use crate::group::{IntentPurpose, LiveAttempt, Purpose};
+use crate::node::Node;
+use crate::request::Response;
+
+/// Priority of a resumed attempt at its engine: it only reads, so any will do.
+const RESUMED_PRIORITY: u32 = 0;
+
+impl Node {
+    /// Takes up the duties of an owner. Everything that earlier owners committed is applied.
+    pub(crate) fn take_up(&mut self, id: GroupId, now: Timestamp) {
+        let Some(group) = self.groups.get(&id) else {
+            return;
+        };
+        log::info!(
+            target: "groups",
+            "Owner of {id} in epoch {} with {} programs.",
+            group.replica.term(),
+            group.state.programs().count()
+        );
+        let ended: Vec<ProgramId> = group
+            .state
+            .programs()
+            .filter(|program| !program.is_open())
+            .map(|program| program.id())
+            .collect();
+        for unfinished in group.state.unfinished_calls() {
+            match unfinished {
+                UnfinishedCall::Ready(attempt) => self.take_up_ready(attempt.call, now),
+                UnfinishedCall::Interrupted { attempt, open, .. } => {
+                    self.resume(id, attempt, &open, now);
+                }
+            }
+        }
+        for program in ended {
+            self.release_program(id, program, now);
+        }
+        let restarted = self.engines.lives();
+        for (engine, incarnation) in restarted {
+            self.engine_restarted(&engine, incarnation, now);
+        }
+    }
+
+    fn take_up_ready(&mut self, call: CallId, now: Timestamp) {
+        let group = self.groups.get(&call.program.group);
+        let open = group
+            .and_then(|group| group.state.program(call.program))
+            .is_some_and(|program| program.is_open());
+        if open {
+            self.call_ready(call, now);
+        } else {
+            self.abandon(call, "program_closed: the program was closed", now);
+        }
+    }
+
+    /// Finds out about an attempt of an earlier owner: whether it ran is for the engine to say.
+    fn resume(&mut self, id: GroupId, attempt: AttemptId, open: &OpenAttempt, now: Timestamp) {
+        let limit = self.settings.attempt_limit;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let epoch = group.replica.term();
+        let live = LiveAttempt {
+            engine: open.engine.clone(),
+            epoch,
+            deadline: now + limit,
+            cancelled: false,
+        };
+        group.live.insert(attempt, live);
+        let intent = IntentPurpose {
+            attempt,
+            holder: dahlia_program::EngineLife {
+                engine: open.engine.clone(),
+                incarnation: open.incarnation,
+            },
+            prompt_bound: open.reserved.saturating_sub(open.generated_cap),
+            priority: RESUMED_PRIORITY,
+        };
+        if let Some(start) = self.describe_start(&intent, epoch, open.generated_cap) {
+            self.actions.push(Action::ResumeAttempt(Box::new(start)));
+        }
+    }
+
+    /// Ceases to act as owner. Attempts run on at their engines; the new owner resumes them.
+    pub(crate) fn step_down(&mut self, id: GroupId, now: Timestamp) {
+        let hint = self.owner_hint(id);
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        log::info!(target: "groups", "No longer owner of {id}.");
+        group.serving = None;
+        let attempts = std::mem::take(&mut group.live);
+        let pending = std::mem::take(&mut group.pending);
+        let deferred = std::mem::take(&mut group.deferred);
+        let waiters = std::mem::take(&mut group.waiters);
+        group.releases.clear();
+        let programs: Vec<ProgramId> =
+            group.state.programs().map(|program| program.id()).collect();
+        for attempt in attempts.into_keys() {
+            self.actions.push(Action::LeaveAttempt { attempt });
+        }
+        let purposes = pending.into_values().map(|(_, purpose)| purpose);
+        for purpose in purposes.chain(deferred.into_iter().map(|(_, purpose)| purpose)) {
+            if let Purpose::Request(to) = purpose {
+                self.reply(to, Response::NotOwner { hint });
+            }
+        }
+        for (call, waiting) in waiters {
+            self.actions.push(Action::ForgetAnswer { call });
+            for to in waiting {
+                self.reply(to, Response::NotOwner { hint });
+            }
+        }
+        for program in programs {
+            // What placement decides on this is for the new owner to do.
+            let _ = self.scheduler.handle(PlacementEvent::ProgramClosed(program), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/release.rs
@@ -0,0 +1,202 @@
+//! Freeing engines' memory. An obligation ends only by the engine's own confirmation or by a new
+//! life of the engine.
+
+use dahlia_placement::Event as PlacementEvent;
+use dahlia_program::{Command, ConfirmRelease, EngineLife};
+use dahlia_types::{Bytes, Duration, EngineId, GroupId, Incarnation, LogIndex, ProgramId, Timestamp};
+
+use crate::group::{PendingRelease, Purpose};
+use crate::node::Node;
+use crate::request::ReleaseEnd;
+use crate::{Action, ReleaseOrder};
+
+/// First pause after a release that was not confirmed; doubles each time.
+const FIRST_RETRY: Duration = Duration::from_millis(250);
+/// Longest pause.
+const LONGEST_RETRY: Duration = Duration::from_secs(10);
+/// A release whose answer never came is asked again after this time.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
+impl Node {
+    /// Starts to free everything that engines hold for a program.
+    pub(crate) fn release_program(&mut self, id: GroupId, program: ProgramId, now: Timestamp) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let Some(found) = group.state.program(program) else {
+            return;
+        };
+        for (holder, _) in found.obligations() {
+            let due = PendingRelease { due: now, failures: 0, asked: false };
+            group.releases.entry((program, holder.clone())).or_insert(due);
+        }
+        self.ask_due_releases(id, now);
+    }
+
+    /// Starts to free what one engine holds for a program.
+    pub(crate) fn release_engine(&mut self, program: ProgramId, engine: &EngineId, now: Timestamp) {
+        let id = program.group;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let Some(found) = group.state.program(program) else {
+            return;
+        };
+        for (holder, _) in found.obligations().filter(|(holder, _)| holder.engine == *engine) {
+            let due = PendingRelease { due: now, failures: 0, asked: false };
+            group.releases.entry((program, holder.clone())).or_insert(due);
+        }
+        self.ask_due_releases(id, now);
+    }
+
+    /// Asks again for releases that are due.
+    pub(crate) fn retry_releases(&mut self, now: Timestamp) {
+        let ids: Vec<GroupId> = self.groups.keys().copied().collect();
+        for id in ids {
+            self.ask_due_releases(id, now);
+        }
+    }
+
+    fn ask_due_releases(&mut self, id: GroupId, now: Timestamp) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        if !group.is_serving() {
+            return;
+        }
+        let epoch = group.replica.term();
+        let mut finished = Vec::new();
+        for ((program, holder), pending) in &mut group.releases {
+            if pending.due > now {
+                continue;
+            }
+            let found = group.state.program(*program);
+            let owed = found.is_some_and(|found| {
+                found.obligations().any(|(owed, _)| owed == holder)
+            });
+            if !owed {
+                finished.push((*program, holder.clone()));
+                continue;
+            }
+            // None while an attempt is open there: its end has to be known first.
+            pending.due = now + FIRST_RETRY;
+            if let Some(request) = found.and_then(|found| found.release_request(holder)) {
+                pending.asked = true;
+                pending.due = now + ANSWER_LIMIT;
+                let order = ReleaseOrder { request, epoch };
+                self.actions.push(Action::Release(Box::new(order)));
+            }
+        }
+        for key in finished {
+            group.releases.remove(&key);
+        }
+    }
+
+    /// An engine confirmed, or did not.
+    pub(crate) fn release_ended(
+        &mut self,
+        program: ProgramId,
+        holder: &EngineLife,
+        covers: LogIndex,
+        end: ReleaseEnd,
+        now: Timestamp,
+    ) {
+        match end {
+            ReleaseEnd::Confirmed { incarnation, freed } => {
+                let life = EngineLife { engine: holder.engine.clone(), incarnation };
+                self.confirm_release(program, life, covers, freed, now);
+            }
+            ReleaseEnd::Failed => {
+                let group = self.groups.get_mut(&program.group);
+                let key = (program, holder.clone());
+                if let Some(pending) = group.and_then(|group| group.releases.get_mut(&key)) {
+                    pending.asked = false;
+                    pending.failures += 1;
+                    let pause = FIRST_RETRY.times(1 << pending.failures.min(6));
+                    pending.due = now + pause.min(LONGEST_RETRY);
+                }
+            }
+        }
+    }
+
+    fn confirm_release(
+        &mut self,
+        program: ProgramId,
+        life: EngineLife,
+        covers: LogIndex,
+        freed: Bytes,
+        now: Timestamp,
+    ) {
+        let id = program.group;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let command = ConfirmRelease {
+            program,
+            engine: life.engine,
+            incarnation: life.incarnation,
+            covers,
+            freed,
+        };
+        let _ = group.propose(Command::ConfirmRelease(command), Purpose::Housekeeping, now);
+        self.dirty.insert(id);
+    }
+
+    /// A confirmation is durable.
+    pub(crate) fn release_confirmed(&mut self, command: &Command, now: Timestamp) {
+        let Command::ConfirmRelease(confirmed) = command else {
+            return;
+        };
+        let program = confirmed.program;
+        if let Some(group) = self.groups.get_mut(&program.group) {
+            group.releases.retain(|(held, holder), _| {
+                *held != program
+                    || holder.engine != confirmed.engine
+                    || holder.incarnation > confirmed.incarnation
+            });
+        }
+        let engine = confirmed.engine.clone();
+        self.schedule(PlacementEvent::Released { program, engine }, now);
+    }
+
+    /// A confirmation came too late: a newer intent renewed the obligation.
+    pub(crate) fn release_refused(&mut self, command: &Command, _now: Timestamp) {
+        let Command::ConfirmRelease(confirmed) = command else {
+            return;
+        };
+        let holder = EngineLife {
+            engine: confirmed.engine.clone(),
+            incarnation: confirmed.incarnation,
+        };
+        if let Some(group) = self.groups.get_mut(&confirmed.program.group) {
+            let open = group.state.program(confirmed.program).is_some_and(|found| found.is_open());
+            if open {
+                group.releases.remove(&(confirmed.program, holder));
+            }
+        }
+    }
+
+    /// An engine has a new life: what its earlier lives held is gone.
+    pub(crate) fn engine_restarted(
+        &mut self,
+        engine: &EngineId,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) {
+        let mut gone = Vec::new();
+        for group in self.groups.values().filter(|group| group.is_serving()) {
+            for program in group.state.programs() {
+                let earlier = program.obligations().any(|(holder, _)| {
+                    holder.engine == *engine && holder.incarnation < incarnation
+                });
+                if earlier {
+                    gone.push(program.id());
+                }
+            }
+        }
+        for program in gone {
+            let life = EngineLife { engine: engine.clone(), incarnation };
+            self.confirm_release(program, life, LogIndex(0), Bytes::ZERO, now);
+        }
+    }
+}
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dahlia_api::{ApiError, CallRequest, ErrorKind};
-use dahlia_program::{CallOutcome, ProgramSpecification};
+use dahlia_program::{CallOutcome, ProgramSpecification, Refusal};
 use dahlia_types::{
     AttemptId, Bytes, CallId, DaemonId, EngineId, GroupId, Incarnation, ProgramId, TenantId, Term,
     Tokens, Usage,
@@ -262,6 +262,21 @@
     }
 }
 
+/// Makes the error that an asker sees when a command was refused.
+pub fn refusal_error(refusal: &Refusal) -> ApiError {
+    let kind = match refusal {
+        Refusal::NoSuchProgram { .. } | Refusal::WrongGroup { .. } => ErrorKind::NotFound,
+        Refusal::ProgramExists { .. } | Refusal::DigestMismatch { .. } => ErrorKind::KeyReused,
+        Refusal::ProgramClosed { .. } => ErrorKind::ProgramClosed,
+        Refusal::OutOfOrder { .. } | Refusal::NotReady { .. } => ErrorKind::OutOfOrder,
+        Refusal::BudgetExhausted { .. } => ErrorKind::BudgetExhausted,
+        Refusal::TooMany { .. } => ErrorKind::LimitReached,
+        Refusal::NoSuchChain { .. } | Refusal::BudgetLowered { .. } => ErrorKind::InvalidRequest,
+        _ => ErrorKind::Internal,
+    };
+    ApiError::new(kind, refusal.to_string())
+}
+
 /// When a caller whose call did not run may come back, unless a better estimate exists.
 const NOT_RUN_RETRY: Duration = Duration::from_secs(1);
 
--- /dev/null
+++ b/crates/node/src/requests.rs
@@ -0,0 +1,255 @@
+//! Requests: on their way to an owner, and at the owner.
+
+use dahlia_api::{ApiError, CallRequest, ErrorKind};
+use dahlia_program::{
+    BeginCall, CloseProgram, CloseReason, Command, CreateProgram, RaiseBudget, RecordedOutcome,
+};
+use dahlia_types::{
+    CallId, CallKind, ChainId, DaemonId, GroupId, Message, ProgramId, Repeatability, ReplicaId,
+    TenantId, Timestamp,
+};
+
+use crate::Action;
+use crate::group::{Group, Purpose};
+use crate::node::Node;
+use crate::request::{Request, RequestId, Response};
+use crate::routing::ReplyTo;
+use crate::wire::PeerMessage;
+
+/// When a caller may come back after no owner answered.
+const UNAVAILABLE_RETRY: std::time::Duration = std::time::Duration::from_secs(2);
+
+impl Node {
+    /// Sends every request that is due to whoever may own its group.
+    pub(crate) fn route_due(&mut self, now: Timestamp) {
+        for id in self.router.take_expired(now) {
+            let message = "no owner of the program answered in time; a call may have its place: \
+                           ask again with the same key or number";
+            let error = ApiError::new(ErrorKind::Unavailable, message);
+            let response = Response::Failed(error.with_retry_after(UNAVAILABLE_RETRY));
+            self.actions.push(Action::Respond { id, response });
+        }
+        for (id, request, tries) in self.router.take_due(now) {
+            let group = request.group();
+            if self.owns(group) {
+                self.serve(ReplyTo::Here(id), request, now);
+                continue;
+            }
+            // A hint that did not answer for a whole timeout may name a dead daemon.
+            if tries > 0 && !request.waits() {
+                self.router.drop_hint(group);
+            }
+            let Some(target) = self.target(group, tries) else {
+                continue;
+            };
+            if let Some(to) = self.members.address(target) {
+                let message = PeerMessage::Request { id, request };
+                self.actions.push(Action::Send { to, message });
+            }
+        }
+    }
+
+    fn target(&self, group: GroupId, tries: u32) -> Option<DaemonId> {
+        let own = self.settings.own.daemon;
+        if let Some(hint) = self.owner_hint(group).filter(|hint| *hint != own) {
+            return Some(hint);
+        }
+        let members = self.directory.get(&group)?;
+        let others: Vec<DaemonId> =
+            members.iter().map(|member| member.daemon).filter(|daemon| *daemon != own).collect();
+        if others.is_empty() {
+            return None;
+        }
+        Some(others[tries as usize % others.len()])
+    }
+
+    /// An owner, or somebody who is not, answered.
+    pub(crate) fn response(
+        &mut self,
+        from: ReplicaId,
+        id: RequestId,
+        response: Response,
+        now: Timestamp,
+    ) {
+        if let Response::NotOwner { hint } = response {
+            self.router.redirect(id, hint, now);
+            return;
+        }
+        if let Some(routed) = self.router.finish(id) {
+            self.router.set_hint(routed.request.group(), from.daemon);
+            self.actions.push(Action::Respond { id, response });
+        }
+    }
+
+    /// Answers whoever asked.
+    pub(crate) fn reply(&mut self, to: ReplyTo, response: Response) {
+        match to {
+            ReplyTo::Peer { address, id } => {
+                let message = PeerMessage::Response { id, response };
+                self.actions.push(Action::Send { to: address, message });
+            }
+            ReplyTo::Here(id) => {
+                // A request of this daemon stays on its way until an owner has answered.
+                if matches!(response, Response::NotOwner { .. }) {
+                    return;
+                }
+                if self.router.finish(id).is_some() {
+                    self.actions.push(Action::Respond { id, response });
+                }
+            }
+        }
+    }
+
+    /// Serves a request as owner, or says that this node is not.
+    pub(crate) fn serve(&mut self, to: ReplyTo, request: Request, now: Timestamp) {
+        let group = request.group();
+        if !self.owns(group) {
+            let own = self.settings.own.daemon;
+            let hint = self.owner_hint(group).filter(|hint| *hint != own);
+            self.reply(to, Response::NotOwner { hint });
+            return;
+        }
+        match request {
+            Request::Submit { tenant, call, repeatable } => {
+                self.submit(to, &tenant, call, repeatable, now);
+            }
+            Request::AwaitOutcome { tenant, call } => self.await_outcome(to, &tenant, call),
+            Request::Create { program, specification } => {
+                let create = CreateProgram { program, specification, at: now };
+                self.propose_request(to, group, Command::CreateProgram(create), now);
+            }
+            Request::Show { program, with_calls } => {
+                let response = match self.program_view(group, program, with_calls) {
+                    Some(view) => Response::Program(Box::new(view)),
+                    None => Response::Failed(no_such_program(program)),
+                };
+                self.reply(to, response);
+            }
+            Request::List { tenant, include_closed, limit, .. } => {
+                let views = self.list_programs(group, tenant.as_ref(), include_closed, limit);
+                self.reply(to, Response::Programs(views));
+            }
+            Request::RaiseBudget { program, total } => {
+                let raise = RaiseBudget { program, total };
+                self.propose_request(to, group, Command::RaiseBudget(raise), now);
+            }
+            Request::Close { program, tenant } => self.close(to, program, tenant.as_ref(), now),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        to: ReplyTo,
+        tenant: &TenantId,
+        request: CallRequest,
+        repeatable: bool,
+        now: Timestamp,
+    ) {
+        let program = request.program;
+        if !self.may_open(program, tenant) {
+            self.reply(to, Response::Failed(no_such_program(program)));
+            return;
+        }
+        let messages = self.new_messages(program, request.chain, request.messages);
+        let repeatability =
+            if repeatable { Repeatability::Repeatable } else { Repeatability::AtMostOnce };
+        let begin = BeginCall {
+            program,
+            chain: request.chain,
+            parent: (request.chain != request.parent).then_some(request.parent),
+            number: request.number,
+            key: request.key,
+            digest: request.digest,
+            kind: CallKind::Generate,
+            repeatability,
+            messages,
+            max_generated: request.max_generated,
+            at: now,
+        };
+        self.propose_request(to, program.group, Command::BeginCall(begin), now);
+    }
+
+    /// Clients of the chat protocol send the whole conversation each time. What is the chain's
+    /// history already is taken off; the rest is new.
+    fn new_messages(
+        &self,
+        program: ProgramId,
+        chain: ChainId,
+        messages: Vec<Message>,
+    ) -> Vec<Message> {
+        let held = self
+            .groups
+            .get(&program.group)
+            .and_then(|group| group.state.program(program))
+            .and_then(|program| program.history(chain).ok());
+        let Some(held) = held.filter(|held| !held.is_empty() && held.len() < messages.len()) else {
+            return messages;
+        };
+        let repeated = held.iter().zip(&messages).all(|(held, sent)| *held == sent);
+        if repeated { messages[held.len()..].to_vec() } else { messages }
+    }
+
+    fn await_outcome(&mut self, to: ReplyTo, tenant: &TenantId, call: CallId) {
+        if !self.may_open(call.program, tenant) {
+            self.reply(to, Response::Failed(no_such_program(call.program)));
+            return;
+        }
+        let Some(group) = self.groups.get_mut(&call.program.group) else {
+            return;
+        };
+        let program = group.state.program(call.program);
+        let known = program.is_some_and(|program| program.call(call).is_some());
+        if !known {
+            let message = format!("call {call} does not exist");
+            let error = ApiError::new(ErrorKind::NotFound, message);
+            self.reply(to, Response::Failed(error));
+            return;
+        }
+        match program.and_then(|program| program.outcome(call)) {
+            Some(RecordedOutcome::Held(outcome)) => {
+                self.reply(to, Response::Ended { call, outcome });
+            }
+            Some(RecordedOutcome::Stored(_)) | None => {
+                group.waiters.entry(call).or_default().insert(to);
+            }
+        }
+    }
+
+    fn close(
+        &mut self,
+        to: ReplyTo,
+        program: ProgramId,
+        tenant: Option<&TenantId>,
+        now: Timestamp,
+    ) {
+        if tenant.is_some_and(|tenant| !self.may_open(program, tenant)) {
+            self.reply(to, Response::Failed(no_such_program(program)));
+            return;
+        }
+        let close = CloseProgram { program, reason: CloseReason::Closed, at: now };
+        self.propose_request(to, program.group, Command::CloseProgram(close), now);
+    }
+
+    fn propose_request(&mut self, to: ReplyTo, id: GroupId, command: Command, now: Timestamp) {
+        let hint = self.owner_hint(id);
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        if group.propose(command, Purpose::Request(to), now).is_err() {
+            self.reply(to, Response::NotOwner { hint });
+        }
+        self.dirty.insert(id);
+    }
+
+    /// Another tenant's program looks exactly like one that does not exist.
+    fn may_open(&self, program: ProgramId, tenant: &TenantId) -> bool {
+        let group: Option<&Group> = self.groups.get(&program.group);
+        let found = group.and_then(|group| group.state.program(program));
+        found.is_some_and(|found| found.specification().tenant == *tenant)
+    }
+}
+
+fn no_such_program(program: ProgramId) -> ApiError {
+    let message = format!("program {program} does not exist for this credential");
+    ApiError::new(ErrorKind::NotFound, message)
+}
--- /dev/null
+++ b/crates/node/src/view.rs
@@ -0,0 +1,96 @@
+//! Programs as operators see them.
+
+use dahlia_program::{Call, CallState, CloseReason, EndedCall, Lifecycle, Program};
+use dahlia_types::{CallId, GroupId, ProgramId, TenantId, Usage};
+
+use crate::node::Node;
+use crate::request::{CallStateName, CallView, HeldView, ProgramStateName, ProgramView};
+
+impl Node {
+    /// One program of a group that this node owns.
+    pub(crate) fn program_view(
+        &self,
+        group: GroupId,
+        program: ProgramId,
+        with_calls: bool,
+    ) -> Option<ProgramView> {
+        let held = self.groups.get(&group)?;
+        let found = held.state.program(program)?;
+        let mut view = view_of(found);
+        view.owner = self.settings.own.daemon;
+        view.epoch = held.replica.term();
+        if with_calls {
+            view.calls = found.calls().map(|(id, call)| call_view(id, call, found)).collect();
+        }
+        Some(view)
+    }
+
+    /// Programs of a group that this node owns.
+    pub(crate) fn list_programs(
+        &self,
+        group: GroupId,
+        tenant: Option<&TenantId>,
+        include_closed: bool,
+        limit: u32,
+    ) -> Vec<ProgramView> {
+        let Some(held) = self.groups.get(&group) else {
+            return Vec::new();
+        };
+        let wanted = |program: &&Program| {
+            let of_tenant = tenant.is_none_or(|tenant| program.specification().tenant == *tenant);
+            of_tenant && (include_closed || program.is_open())
+        };
+        let found = held.state.programs().filter(wanted).take(limit as usize);
+        found.filter_map(|program| self.program_view(group, program.id(), false)).collect()
+    }
+}
+
+fn view_of(program: &Program) -> ProgramView {
+    let budget = program.budget();
+    let answered = |call: &Call| matches!(call.ended(), Some(EndedCall::Answered { .. }));
+    ProgramView {
+        program: program.id(),
+        specification: program.specification().clone(),
+        state: match program.lifecycle() {
+            Lifecycle::Open => ProgramStateName::Open,
+            Lifecycle::Closed { reason: CloseReason::Closed, .. } => ProgramStateName::Closed,
+            Lifecycle::Closed { reason: CloseReason::Expired, .. } => ProgramStateName::Expired,
+        },
+        total: budget.total(),
+        spent: budget.spent(),
+        reserved: budget.reserved(),
+        chains: program.chains().count() as u32,
+        turns: program.calls().filter(|(_, call)| answered(call)).count() as u32,
+        held: program
+            .obligations()
+            .map(|(life, _)| HeldView {
+                engine: life.engine.clone(),
+                incarnation: life.incarnation,
+            })
+            .collect(),
+        owner: Default::default(),
+        epoch: Default::default(),
+        calls: Vec::new(),
+    }
+}
+
+fn call_view(id: CallId, call: &Call, program: &Program) -> CallView {
+    let first = program.chain(id.chain).and_then(|chain| chain.first_open());
+    let (state, usage) = match call.state() {
+        CallState::Open { attempt: Some(_), .. } => (CallStateName::Running, Usage::default()),
+        CallState::Open { .. } if first == Some(id.number) => {
+            (CallStateName::Ready, Usage::default())
+        }
+        CallState::Open { .. } => (CallStateName::Waiting, Usage::default()),
+        CallState::Ended(EndedCall::Answered { usage, .. }) => (CallStateName::Answered, *usage),
+        CallState::Ended(EndedCall::NotRun { .. }) => (CallStateName::NotRun, Usage::default()),
+        CallState::Ended(EndedCall::Unknown) => (CallStateName::Unknown, Usage::default()),
+    };
+    CallView {
+        call: id,
+        state,
+        attempts: call.attempts(),
+        engine: call.open_attempt().map(|open| open.engine.clone()),
+        usage,
+    }
+}
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -2,11 +2,11 @@
 
 use dahlia_api::ApiError;
 use dahlia_program::CallOutcome;
-use dahlia_replication::group::GroupMessage;
-use dahlia_replication::membership::MembershipMessage;
+use dahlia_replication::group::PeerBatch;
 use dahlia_types::{CallId, DaemonId, Incarnation, TenantId};
 use serde::{Deserialize, Serialize};
 
+use crate::members::Announcement;
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
@@ -78,12 +78,12 @@
 }
 
 /// One message between daemons.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Of replica groups. One frame carries all that is due to one peer.
-    Groups(Vec<GroupMessage>),
-    /// Of membership and spread facts.
-    Membership(MembershipMessage),
+    Groups(PeerBatch),
+    /// Daemons' words about themselves.
+    Announcements(Vec<Announcement>),
     /// A request to the owner of a group.
     Request {
         /// The asker's name for it.
