Add the engine model and the placement interface

Cause: the stand-in engine and the experiments need one model of an engine, the daemon needs the scheduler's events and actions. Ruled out: one event per sequence and step (a decode clock makes a step cost logarithmic time in the batch); storing tokens or text (segments of hash and length do); priorities without time in them (a moment plus a set-back ages by itself at the engine).

--- /dev/null
+++ b/crates/engine-model/src/cache.rs
@@ -0,0 +1,449 @@
+//! The prefix cache: a tree of segments in limited memory, evicted leaf by leaf.
+//!
+//! Each node is one segment behind its parent's prefix, found by its [`ChainHash`] (radix-tree
+//! caching, SGLang 2024). Memory is charged in blocks; a leaf shrinks from its tail.
+
+mod sessions;
+mod spans;
+
+use std::collections::{BTreeSet, HashMap};
+
+use dahlia_types::{ProgramId, Timestamp, Tokens};
+
+pub(crate) use self::sessions::Sessions;
+pub(crate) use self::spans::Spans;
+use crate::{CacheChange, ChainHash, SpanKind};
+
+/// Place of a node in the table.
+pub(crate) type NodeId = usize;
+
+/// One link of a prompt: the prefix's hash and the segment's own length.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Link {
+    pub hash: ChainHash,
+    pub tokens: u64,
+}
+
+/// Order of eviction: what is not held first, then least recently used.
+type EvictionKey = (bool, Timestamp, NodeId);
+
+#[derive(Debug)]
+struct Node {
+    hash: ChainHash,
+    parent: Option<NodeId>,
+    depth: usize,
+    tokens: u64,
+    /// Tokens that have memory.
+    resident: u64,
+    /// Tokens whose KV is computed; equal to `resident` while nothing pins the node.
+    computed: u64,
+    children: u32,
+    pins: u32,
+    users: BTreeSet<ProgramId>,
+    held_by: u32,
+    /// Two programs have used it at some time: it outlives its users as ordinary cache.
+    shared: bool,
+    last_use: Timestamp,
+    active_since: Timestamp,
+    eviction_key: Option<EvictionKey>,
+}
+
+/// The tree, its memory, and which programs use what.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    block: u64,
+    capacity: u64,
+    /// Memory in use, cached and private.
+    used: u64,
+    /// Memory that running attempts use.
+    pinned: u64,
+    nodes: Vec<Option<Node>>,
+    free_slots: Vec<NodeId>,
+    index: HashMap<ChainHash, NodeId>,
+    evictable: BTreeSet<EvictionKey>,
+    pub(crate) sessions: Sessions,
+    pub(crate) spans: Spans,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: Tokens, block: Tokens) -> Self {
+        Self {
+            block: block.0,
+            capacity: capacity.0,
+            used: 0,
+            pinned: 0,
+            nodes: Vec::new(),
+            free_slots: Vec::new(),
+            index: HashMap::new(),
+            evictable: BTreeSet::new(),
+            sessions: Sessions::default(),
+            spans: Spans::default(),
+        }
+    }
+
+    pub(crate) fn capacity(&self) -> u64 {
+        self.capacity
+    }
+
+    pub(crate) fn used(&self) -> u64 {
+        self.used
+    }
+
+    pub(crate) fn pinned(&self) -> u64 {
+        self.pinned
+    }
+
+    /// Tokens at the start of `path` whose KV is computed.
+    pub(crate) fn computed_prefix(&self, links: &[Link]) -> u64 {
+        let mut total = 0;
+        for link in links {
+            let Some(node) = self.find(link.hash) else { break };
+            total += node.computed;
+            if node.computed < link.tokens {
+                break;
+            }
+        }
+        total
+    }
+
+    /// Pins the prompt's nodes for an attempt and gives memory to the missing ones.
+    /// None when running attempts leave less than is missing and `headroom` together; nothing
+    /// has changed then.
+    pub(crate) fn acquire(
+        &mut self,
+        program: ProgramId,
+        links: &[Link],
+        headroom: u64,
+        now: Timestamp,
+    ) -> Option<Vec<NodeId>> {
+        if self.missing_memory(links) + headroom > self.available_beside(links) {
+            return None;
+        }
+        let mut path = Vec::with_capacity(links.len());
+        for link in links {
+            let Some(id) = self.index.get(&link.hash).copied() else { break };
+            self.pin(id, now);
+            path.push(id);
+        }
+        for (depth, link) in links.iter().enumerate() {
+            let id = match path.get(depth) {
+                Some(id) => *id,
+                None => {
+                    let id = self.insert(*link, depth.checked_sub(1).map(|up| path[up]), now);
+                    self.pin(id, now);
+                    path.push(id);
+                    id
+                }
+            };
+            self.extend(id);
+            self.add_user(id, program);
+        }
+        Some(path)
+    }
+
+    /// Pins a path once more.
+    pub(crate) fn pin_again(&mut self, path: &[NodeId], now: Timestamp) {
+        for id in path {
+            self.pin(*id, now);
+        }
+    }
+
+    /// Ends an attempt's use of its path. Nodes that nobody uses any more are freed.
+    pub(crate) fn unpin(&mut self, path: &[NodeId], now: Timestamp) {
+        for id in path.iter().rev() {
+            self.unpin_node(*id, now);
+        }
+    }
+
+    /// Keeps a finished answer as a node behind `parent`, when memory allows.
+    pub(crate) fn store_answer(
+        &mut self,
+        program: ProgramId,
+        parent: Option<NodeId>,
+        link: Link,
+        now: Timestamp,
+    ) {
+        if self.index.contains_key(&link.hash) || self.footprint(link.tokens) > self.room() {
+            return;
+        }
+        let id = self.insert(link, parent, now);
+        self.pin(id, now);
+        self.extend(id);
+        self.add_user(id, program);
+        self.set_computed(id, link.tokens);
+        self.unpin_node(id, now);
+    }
+
+    /// Takes memory for `tokens` generated ones, evicting what is idle.
+    ///
+    /// It may pass the capacity by the few tokens of one step: the last attempt in the batch is
+    /// never preempted, since it could not be served better later.
+    pub(crate) fn grow_private(&mut self, tokens: u64, now: Timestamp) {
+        self.make_room(tokens, now);
+        self.used += tokens;
+        self.pinned += tokens;
+    }
+
+    /// Gives back memory that was taken for tokens which were not generated.
+    pub(crate) fn return_private(&mut self, tokens: u64) {
+        self.used -= tokens;
+        self.pinned -= tokens;
+    }
+
+    /// Gives back memory of generated tokens that were held since `since`.
+    pub(crate) fn shrink_private(&mut self, tokens: u64, since: Timestamp, now: Timestamp) {
+        self.used -= tokens;
+        self.pinned -= tokens;
+        // The memory grew evenly from nothing.
+        self.spans.record(tokens / 2, since, now, SpanKind::Active);
+    }
+
+    /// Notes that the node's first `tokens` are computed.
+    pub(crate) fn set_computed(&mut self, id: NodeId, tokens: u64) {
+        let node = self.node_mut(id);
+        let computed = tokens.min(node.resident);
+        let gained = computed.saturating_sub(node.computed);
+        node.computed = node.computed.max(computed);
+        let users = &self.nodes[id].as_ref().expect("node is live").users;
+        self.sessions.add_tokens(users, gained);
+    }
+
+    /// Tokens of the node whose KV is computed.
+    pub(crate) fn computed(&self, id: NodeId) -> u64 {
+        self.node(id).computed
+    }
+
+    /// Frees what only `program` uses. Pinned nodes are freed when their attempts end.
+    pub(crate) fn drop_program(&mut self, program: ProgramId, now: Timestamp) -> u64 {
+        let Some((nodes, held)) = self.sessions.remove(program) else { return 0 };
+        let before = self.used;
+        let mut by_depth: Vec<_> = nodes.iter().map(|id| (self.node(*id).depth, *id)).collect();
+        by_depth.sort_unstable();
+        for (_, id) in by_depth.into_iter().rev() {
+            let node = self.node_mut(id);
+            node.users.remove(&program);
+            node.held_by -= u32::from(held);
+            self.settle(id, now);
+        }
+        before - self.used
+    }
+
+    /// Marks the program's nodes as held or not.
+    pub(crate) fn set_held(&mut self, program: ProgramId, held: bool) {
+        let changed = self.sessions.set_held(program, held);
+        for id in changed {
+            let node = self.node_mut(id);
+            if held {
+                node.held_by += 1;
+            } else {
+                node.held_by -= 1;
+            }
+            self.refresh(id);
+        }
+    }
+
+    /// Closes the idle spans of what is still cached, as wasted: the run ends here.
+    pub(crate) fn close_spans(&mut self, now: Timestamp) {
+        for node in self.nodes.iter().flatten().filter(|node| node.pins == 0) {
+            self.spans.record(node.resident, node.last_use, now, SpanKind::Wasted);
+        }
+    }
+
+    fn find(&self, hash: ChainHash) -> Option<&Node> {
+        self.index.get(&hash).map(|id| self.node(*id))
+    }
+
+    fn node(&self, id: NodeId) -> &Node {
+        self.nodes[id].as_ref().expect("node is live")
+    }
+
+    fn node_mut(&mut self, id: NodeId) -> &mut Node {
+        self.nodes[id].as_mut().expect("node is live")
+    }
+
+    fn footprint(&self, tokens: u64) -> u64 {
+        tokens.div_ceil(self.block) * self.block
+    }
+
+    /// Memory that is free or can be evicted.
+    pub(crate) fn room(&self) -> u64 {
+        self.capacity.saturating_sub(self.pinned)
+    }
+
+    fn missing_memory(&self, links: &[Link]) -> u64 {
+        let missing = links.iter().map(|link| {
+            let resident = self.find(link.hash).map_or(0, |node| self.footprint(node.resident));
+            self.footprint(link.tokens) - resident
+        });
+        missing.sum()
+    }
+
+    /// Room that is left once the cached part of `links` is pinned.
+    fn available_beside(&self, links: &[Link]) -> u64 {
+        let matched = links.iter().map_while(|link| self.find(link.hash));
+        let idle = matched.filter(|node| node.pins == 0);
+        let reserved: u64 = idle.map(|node| self.footprint(node.resident)).sum();
+        self.room().saturating_sub(reserved)
+    }
+
+    fn insert(&mut self, link: Link, parent: Option<NodeId>, now: Timestamp) -> NodeId {
+        let depth = parent.map_or(0, |id| self.node(id).depth + 1);
+        let node = Node {
+            hash: link.hash,
+            parent,
+            depth,
+            tokens: link.tokens,
+            resident: 0,
+            computed: 0,
+            children: 0,
+            pins: 0,
+            users: BTreeSet::new(),
+            held_by: 0,
+            shared: false,
+            last_use: now,
+            active_since: now,
+            eviction_key: None,
+        };
+        let id = self.free_slots.pop().unwrap_or_else(|| {
+            self.nodes.push(None);
+            self.nodes.len() - 1
+        });
+        self.nodes[id] = Some(node);
+        self.index.insert(link.hash, id);
+        if let Some(parent) = parent {
+            self.node_mut(parent).children += 1;
+            self.refresh(parent);
+        }
+        id
+    }
+
+    /// Gives the node memory for all its tokens. The caller has checked that there is room.
+    fn extend(&mut self, id: NodeId) {
+        let (resident, tokens) = (self.node(id).resident, self.node(id).tokens);
+        let grown = self.footprint(tokens) - self.footprint(resident);
+        if grown > 0 {
+            let now = self.node(id).active_since;
+            self.make_room(grown, now);
+            self.used += grown;
+            self.pinned += grown;
+        }
+        self.node_mut(id).resident = tokens;
+    }
+
+    fn add_user(&mut self, id: NodeId, program: ProgramId) {
+        let node = self.nodes[id].as_mut().expect("node is live");
+        if !node.users.insert(program) {
+            return;
+        }
+        node.shared |= node.users.len() > 1;
+        let held = self.sessions.add_node(program, id, node.computed);
+        node.held_by += u32::from(held);
+    }
+
+    fn pin(&mut self, id: NodeId, now: Timestamp) {
+        let node = self.nodes[id].as_mut().expect("node is live");
+        node.pins += 1;
+        if node.pins > 1 {
+            return;
+        }
+        self.spans.record(node.resident, node.last_use, now, SpanKind::UsedAgain);
+        node.active_since = now;
+        let resident = node.resident;
+        self.pinned += self.footprint(resident);
+        self.refresh(id);
+    }
+
+    fn unpin_node(&mut self, id: NodeId, now: Timestamp) {
+        let node = self.node_mut(id);
+        node.pins -= 1;
+        if node.pins > 0 {
+            return;
+        }
+        let (resident, computed, since) = (node.resident, node.computed, node.active_since);
+        node.last_use = now;
+        node.resident = computed;
+        self.pinned -= self.footprint(resident);
+        self.used -= self.footprint(resident) - self.footprint(computed);
+        self.spans.record(resident, since, now, SpanKind::Active);
+        self.settle(id, now);
+    }
+
+    /// Removes an idle node that holds nothing or that nobody uses; else files it for eviction.
+    fn settle(&mut self, id: NodeId, now: Timestamp) {
+        let node = self.node(id);
+        let idle = node.pins == 0 && node.children == 0;
+        let useless = node.resident == 0 || (node.users.is_empty() && !node.shared);
+        if idle && useless {
+            self.shrink(id, node.resident, now);
+        } else {
+            self.refresh(id);
+        }
+    }
+
+    fn make_room(&mut self, needed: u64, now: Timestamp) {
+        loop {
+            let shortage = (self.used + needed).saturating_sub(self.capacity);
+            if shortage == 0 {
+                return;
+            }
+            let Some((_, _, id)) = self.evictable.first().copied() else { return };
+            self.shrink(id, shortage, now);
+        }
+    }
+
+    /// Frees at least `amount` tokens from the tail of an idle leaf, or all it has.
+    fn shrink(&mut self, id: NodeId, amount: u64, now: Timestamp) {
+        let node = self.node(id);
+        let (resident, last_use) = (node.resident, node.last_use);
+        let kept = resident.saturating_sub(amount) / self.block * self.block;
+        self.used -= self.footprint(resident) - kept;
+        self.spans.record(resident - kept, last_use, now, SpanKind::Wasted);
+        let node = self.node_mut(id);
+        let lost = node.computed.saturating_sub(kept);
+        node.resident = kept;
+        node.computed = node.computed.min(kept);
+        let users = &self.nodes[id].as_ref().expect("node is live").users;
+        self.sessions.remove_tokens(users, lost);
+        for program in users {
+            self.sessions.changed(*program, CacheChange::Removed);
+        }
+        if kept == 0 {
+            self.remove(id, now);
+        } else {
+            self.refresh(id);
+        }
+    }
+
+    fn remove(&mut self, id: NodeId, now: Timestamp) {
+        let node = self.nodes[id].take().expect("node is live");
+        self.free_slots.push(id);
+        self.index.remove(&node.hash);
+        if let Some(key) = node.eviction_key {
+            self.evictable.remove(&key);
+        }
+        for program in &node.users {
+            self.sessions.remove_node(*program, id);
+        }
+        if let Some(parent) = node.parent {
+            self.node_mut(parent).children -= 1;
+            self.settle(parent, now);
+        }
+    }
+
+    /// Files the node under its current eviction key, if it is an idle leaf.
+    fn refresh(&mut self, id: NodeId) {
+        let node = self.nodes[id].as_mut().expect("node is live");
+        let leaf = node.pins == 0 && node.children == 0 && node.resident > 0;
+        let key = leaf.then_some((node.held_by > 0, node.last_use, id));
+        if key == node.eviction_key {
+            return;
+        }
+        if let Some(old) = node.eviction_key.take() {
+            self.evictable.remove(&old);
+        }
+        if let Some(new) = key {
+            self.evictable.insert(new);
+            node.eviction_key = Some(new);
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine-model/src/fence.rs
@@ -0,0 +1,95 @@
+//! Epochs of programs: effects of an earlier owner, or for an ended program, are refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dahlia_types::{Duration, ProgramId, Term, Timestamp};
+
+use crate::EngineRefusal;
+
+#[derive(Debug, Clone, Copy)]
+struct ProgramFence {
+    epoch: Term,
+    ended: bool,
+    touched: Timestamp,
+}
+
+/// The newest epoch seen of each program.
+#[derive(Debug)]
+pub(crate) struct Fences {
+    retention: Duration,
+    programs: BTreeMap<ProgramId, ProgramFence>,
+    by_age: BTreeSet<(Timestamp, ProgramId)>,
+}
+
+impl Fences {
+    pub(crate) fn new(retention: Duration) -> Self {
+        Self { retention, programs: BTreeMap::new(), by_age: BTreeSet::new() }
+    }
+
+    /// Takes note of an owner's epoch; refuses an older one.
+    pub(crate) fn observe(
+        &mut self,
+        program: ProgramId,
+        epoch: Term,
+        now: Timestamp,
+    ) -> Result<(), EngineRefusal> {
+        let known = self.programs.get(&program).copied();
+        if let Some(fence) = known
+            && fence.epoch > epoch
+        {
+            return Err(EngineRefusal::StaleEpoch { program, epoch, seen: fence.epoch });
+        }
+        let ended = known.is_some_and(|fence| fence.ended);
+        self.store(program, ProgramFence { epoch, ended, touched: now });
+        Ok(())
+    }
+
+    /// As [`Self::observe`], for new work: an ended program gets none.
+    pub(crate) fn admit(
+        &mut self,
+        program: ProgramId,
+        epoch: Term,
+        now: Timestamp,
+    ) -> Result<(), EngineRefusal> {
+        self.observe(program, epoch, now)?;
+        if self.programs[&program].ended {
+            return Err(EngineRefusal::ProgramEnded { program });
+        }
+        Ok(())
+    }
+
+    /// Whether the program has ended here.
+    pub(crate) fn is_ended(&self, program: ProgramId) -> bool {
+        self.programs.get(&program).is_some_and(|fence| fence.ended)
+    }
+
+    /// Remembers that the program has ended.
+    pub(crate) fn end(&mut self, program: ProgramId, epoch: Term, now: Timestamp) {
+        self.store(program, ProgramFence { epoch, ended: true, touched: now });
+    }
+
+    /// Forgets programs that were not heard of for the retention time, except those for which
+    /// `in_use` holds.
+    pub(crate) fn expire(&mut self, now: Timestamp, in_use: impl Fn(ProgramId) -> bool) {
+        while let Some((touched, program)) = self.by_age.first().copied() {
+            if now.since(touched) <= self.retention {
+                return;
+            }
+            self.by_age.pop_first();
+            if in_use(program) {
+                let fence = self.programs[&program];
+                self.programs.insert(program, ProgramFence { touched: now, ..fence });
+                self.by_age.insert((now, program));
+            } else {
+                self.programs.remove(&program);
+            }
+        }
+    }
+
+    fn store(&mut self, program: ProgramId, fence: ProgramFence) {
+        if let Some(old) = self.programs.insert(program, fence) {
+            self.by_age.remove(&(old.touched, program));
+        }
+        self.by_age.insert((fence.touched, program));
+    }
+}
--- a/crates/engine-model/src/lib.rs
+++ b/crates/engine-model/src/lib.rs
@@ -1,1 +1,32 @@
-//! A model of an engine that batches continuously and caches prefixes in limited memory, without I/O.
+//! A model of one engine that batches continuously and caches prefixes in limited memory.
+//!
+//! The model does no I/O and reads no clock: a driver passes commands and moments in and takes
+//! events out. A stand-in process drives it by the wall clock, experiments by virtual time.
+//!
+//! Prompts are lists of [`Segment`]s (a hash and a number of tokens), so neither text nor the
+//! tokens of a long history are stored.
+
+mod attempts;
+mod batch;
+mod cache;
+mod command;
+mod event;
+mod fence;
+mod model;
+mod orders;
+mod parameters;
+mod prompt;
+mod step;
+mod transfer;
+
+pub use command::{
+    AfterHold, Cancel, EngineCommand, EngineOrder, EngineRefusal, EngineReply, EngineRole, Export,
+    Fence, Hold, Import, OrderKind, Release, Submit,
+};
+pub use event::{
+    AttemptStatus, CacheChange, CacheEvent, CacheSpan, EngineEvent, HeldProgram, Inventory,
+    LoadReport, SpanKind,
+};
+pub use model::EngineModel;
+pub use parameters::EngineParameters;
+pub use prompt::{ChainHash, KvImage, Priority, Segment, chain_hashes};
--- /dev/null
+++ b/crates/engine-model/src/model.rs
@@ -0,0 +1,214 @@
+//! The engine: commands in, events out.
+
+mod admission;
+mod commands;
+mod stepping;
+
+use dahlia_types::{AttemptId, EngineId, Incarnation, ModelId, Timestamp, Tokens};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::attempts::Attempts;
+use crate::batch::Batch;
+use crate::cache::PrefixCache;
+use crate::fence::Fences;
+use crate::orders::Orders;
+use crate::step::Step;
+use crate::transfer::{Direction, TransferLink};
+use crate::{
+    AfterHold, AttemptStatus, CacheEvent, CacheSpan, EngineEvent, EngineParameters, HeldProgram,
+    Inventory, LoadReport,
+};
+
+/// One life of one engine.
+///
+/// The driver calls [`Self::handle`] for each command and [`Self::advance`] when
+/// [`Self::next_wakeup`] has come; moments may not go backwards.
+#[derive(Debug)]
+pub struct EngineModel {
+    id: EngineId,
+    incarnation: Incarnation,
+    parameters: EngineParameters,
+    random: ChaCha8Rng,
+    attempts: Attempts,
+    batch: Batch,
+    cache: PrefixCache,
+    fences: Fences,
+    orders: Orders,
+    link: TransferLink,
+    step: Option<Step>,
+    events: Vec<EngineEvent>,
+    next_sequence: u64,
+    cache_sequence: u64,
+    prefill_backlog: u64,
+    finished: u64,
+    last_step_micros: u64,
+}
+
+impl EngineModel {
+    /// An empty engine. `seed` drives the jitter of its steps.
+    pub fn new(
+        id: EngineId,
+        incarnation: Incarnation,
+        parameters: EngineParameters,
+        seed: u64,
+    ) -> Self {
+        Self {
+            id,
+            incarnation,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            attempts: Attempts::new(parameters.record_retention),
+            batch: Batch::default(),
+            cache: PrefixCache::new(parameters.kv_capacity, parameters.block_tokens),
+            fences: Fences::new(parameters.record_retention),
+            orders: Orders::new(parameters.model_load_time),
+            link: TransferLink::new(&parameters),
+            step: None,
+            events: Vec::new(),
+            next_sequence: 0,
+            cache_sequence: 0,
+            prefill_backlog: 0,
+            finished: 0,
+            last_step_micros: 0,
+            parameters,
+        }
+    }
+
+    /// Starts with `model` loaded, without an order.
+    pub fn with_model(mut self, model: ModelId) -> Self {
+        self.orders.preload(model);
+        self
+    }
+
+    /// Records [`CacheSpan`]s from now on.
+    pub fn record_spans(&mut self) {
+        self.cache.spans.enable();
+    }
+
+    /// The engine's name.
+    pub fn id(&self) -> &EngineId {
+        &self.id
+    }
+
+    /// The engine's life.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Where an attempt stands; the answer to a stream that is resumed by offset.
+    pub fn status(&self, attempt: AttemptId) -> AttemptStatus {
+        self.attempts.status(attempt, self.batch.clock)
+    }
+
+    /// When [`Self::advance`] has something to do; none while the engine is idle.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let step = self.step.as_ref().map(Step::ends);
+        let lapse = self.cache.sessions.next_lapse();
+        let transfer = self.link.next_end();
+        [step, lapse, transfer, self.orders.next_ready()].into_iter().flatten().min()
+    }
+
+    /// Runs the engine up to `now`; gives what happened since the last call, in order.
+    pub fn advance(&mut self, now: Timestamp) -> Vec<EngineEvent> {
+        self.run_until(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// The load at `now`. Call [`Self::advance`] first.
+    pub fn load(&self, now: Timestamp) -> LoadReport {
+        LoadReport {
+            incarnation: self.incarnation,
+            at: now,
+            role: self.orders.role(),
+            running: self.batch.running() as u32,
+            waiting: self.batch.waiting.len() as u32,
+            prefill_backlog: Tokens(self.prefill_backlog),
+            resident: Tokens(self.cache.used()),
+            pinned: Tokens(self.cache.pinned()),
+            capacity: Tokens(self.cache.capacity()),
+            step_micros: self.last_step_micros,
+            finished: self.finished,
+            models: self.orders.loaded(),
+        }
+    }
+
+    /// Everything that is cached for programs at `now`.
+    pub fn inventory(&self, now: Timestamp) -> Inventory {
+        let programs = self.cache.sessions.iter().map(|(program, tokens, held_until)| {
+            HeldProgram { program, tokens: Tokens(tokens), held_until }
+        });
+        Inventory {
+            incarnation: self.incarnation,
+            at: now,
+            sequence: self.cache_sequence,
+            programs: programs.collect(),
+        }
+    }
+
+    /// Takes the spans of held cache that have ended; see [`Self::record_spans`].
+    pub fn take_spans(&mut self) -> Vec<CacheSpan> {
+        self.cache.spans.take()
+    }
+
+    /// Ends the spans that are still open, at the end of a run.
+    pub fn close_spans(&mut self, now: Timestamp) {
+        self.cache.close_spans(now);
+    }
+
+    fn run_until(&mut self, now: Timestamp) {
+        while let Some(at) = self.next_wakeup().filter(|at| *at <= now) {
+            self.process(at);
+            self.begin_step(at);
+            self.tell_cache_changes(at);
+        }
+        self.attempts.expire(now);
+        let attempts = &self.attempts;
+        let sessions = &self.cache.sessions;
+        self.fences.expire(now, |program| {
+            sessions.tokens(program) > 0 || !attempts.of_program(program).is_empty()
+        });
+    }
+
+    fn process(&mut self, at: Timestamp) {
+        if let Some((model, ready)) = self.orders.take_ready(at) {
+            self.events.push(EngineEvent::ModelLoaded { model, at: ready });
+        }
+        if let Some((program, after)) = self.cache.sessions.take_lapsed(at) {
+            self.lapse(program, after, at);
+        }
+        if let Some(transfer) = self.link.take_ended(at) {
+            self.end_transfer(transfer, at);
+        }
+        if self.step.as_ref().is_some_and(|step| step.ends() <= at) {
+            self.finish_step(at);
+        }
+    }
+
+    fn lapse(&mut self, program: dahlia_types::ProgramId, after: AfterHold, at: Timestamp) {
+        self.cache.set_held(program, false);
+        if after == AfterHold::Free {
+            let freed = Tokens(self.cache.drop_program(program, at));
+            self.events.push(EngineEvent::HoldLapsed { program, freed, at });
+        }
+    }
+
+    fn end_transfer(&mut self, transfer: crate::transfer::Transfer, at: Timestamp) {
+        match transfer.direction {
+            Direction::Export(path) => {
+                self.cache.unpin(&path, at);
+                self.events.push(EngineEvent::Exported { image: transfer.image, at });
+            }
+            Direction::Import => self.take_in(transfer.image, at),
+        }
+    }
+
+    fn tell_cache_changes(&mut self, at: Timestamp) {
+        for (program, change) in self.cache.sessions.take_changes() {
+            self.cache_sequence += 1;
+            let resident = Tokens(self.cache.sessions.tokens(program));
+            let sequence = self.cache_sequence;
+            let event = CacheEvent { sequence, program, change, resident, at };
+            self.events.push(EngineEvent::Cache(event));
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine-model/src/model/stepping.rs
@@ -0,0 +1,213 @@
+//! Planning a step and taking its results.
+
+use dahlia_types::{AttemptId, Duration, Timestamp, Tokens};
+use rand::Rng;
+
+use super::EngineModel;
+use super::commands::program_of;
+use crate::attempts::{Order, Phase};
+use crate::cache::Link;
+use crate::step::{PrefillPart, Step, step_time};
+use crate::{AttemptStatus, CacheChange, EngineEvent};
+
+impl EngineModel {
+    /// Plans the next step when none is under way and there is work.
+    pub(super) fn begin_step(&mut self, now: Timestamp) {
+        if self.step.is_some() {
+            return;
+        }
+        while self.cache.room() < self.batch.running() as u64 {
+            if !self.preempt_one(now) {
+                break;
+            }
+        }
+        let prefill = self.plan_prefill(now);
+        let decoding = self.batch.decoding_count();
+        if decoding == 0 && prefill.is_empty() {
+            return;
+        }
+        let count = self.leap(&prefill, decoding);
+        let reserved = decoding * count + prefill.len() as u64;
+        self.cache.grow_private(reserved, now);
+        let each = self.draw_step_time(&prefill, decoding);
+        self.last_step_micros = each.as_micros();
+        self.step = Some(Step { started: now, each, count, prefill, decoding, reserved });
+    }
+
+    /// Takes the results of the step that ends at `now`.
+    pub(super) fn finish_step(&mut self, now: Timestamp) {
+        let Some(step) = self.step.take() else { return };
+        self.cache.return_private(step.reserved);
+        self.report_progress(step.count, now);
+        self.cache.grow_private(self.batch.decoding_count() * step.count, now);
+        self.batch.advance(step.count);
+        for part in &step.prefill {
+            self.take_prefill(*part, now);
+        }
+        while let Some(id) = self.batch.next_finished() {
+            self.finish_attempt(id, now);
+        }
+    }
+
+    fn leap(&self, prefill: &[PrefillPart], decoding: u64) -> u64 {
+        if !prefill.is_empty() || decoding == 0 {
+            return 1;
+        }
+        let to_finish = self.batch.steps_to_next_finish().unwrap_or(1);
+        let memory = self.cache.room() / decoding;
+        to_finish.min(self.parameters.max_leap_steps).min(memory).max(1)
+    }
+
+    fn draw_step_time(&mut self, prefill: &[PrefillPart], decoding: u64) -> Duration {
+        let mean = step_time(&self.parameters, prefill, decoding, self.batch.context);
+        let jitter = self.parameters.step_jitter;
+        let factor =
+            if jitter > 0.0 { self.random.random_range(1.0 - jitter..1.0 + jitter) } else { 1.0 };
+        Duration::from_micros(((mean * factor) as u64).max(1))
+    }
+
+    /// Shares the step's prefill among prompts, in order; admits waiting ones on the way.
+    fn plan_prefill(&mut self, now: Timestamp) -> Vec<PrefillPart> {
+        let mut parts = Vec::new();
+        let mut budget = self.parameters.prefill_chunk.0;
+        let mut last = None;
+        let mut blocked = false;
+        while budget > 0 {
+            let running = self.batch.next_prefilling(last);
+            let waiting = self.batch.waiting.first().copied().filter(|_| !blocked);
+            let Some(order) = first_of(running, waiting) else { break };
+            if Some(order) == waiting && !self.admit(order, now) {
+                blocked = true;
+                continue;
+            }
+            last = Some(order);
+            let part = self.prefill_part(order.2, budget);
+            budget -= part.tokens;
+            parts.push(part);
+        }
+        parts
+    }
+
+    fn prefill_part(&mut self, id: AttemptId, budget: u64) -> PrefillPart {
+        let (context, left) = self.prefill_left(id);
+        // A wholly cached prompt still computes its last token, which gives the first new one.
+        PrefillPart { attempt: id, tokens: left.clamp(1, budget), context }
+    }
+
+    /// Skips what others have computed meanwhile; gives the tokens behind and before the cursor.
+    fn prefill_left(&mut self, id: AttemptId) -> (u64, u64) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return (0, 0) };
+        let Phase::Prefilling { cursor, replayed } = &mut attempt.phase else { return (0, 0) };
+        while cursor.node < attempt.path.len() {
+            let computed = self.cache.computed(attempt.path[cursor.node]);
+            cursor.offset = cursor.offset.max(computed);
+            if cursor.offset < attempt.links[cursor.node].tokens {
+                break;
+            }
+            cursor.node += 1;
+            cursor.offset = 0;
+        }
+        let before: u64 = attempt.links[..cursor.node].iter().map(|link| link.tokens).sum();
+        let done = before + cursor.offset;
+        let left = attempt.prompt_tokens - done + (attempt.generated_before - *replayed);
+        (done + *replayed, left)
+    }
+
+    fn take_prefill(&mut self, part: PrefillPart, now: Timestamp) {
+        self.advance_cursor(part);
+        // An attempt that was cut in the middle of the step is gone.
+        let Some(attempt) = self.attempts.get(part.attempt) else { return };
+        if !matches!(attempt.phase, Phase::Prefilling { .. }) {
+            return;
+        }
+        if self.prefill_left(part.attempt).1 == 0 {
+            self.start_decoding(part.attempt, now);
+        }
+    }
+
+    fn advance_cursor(&mut self, part: PrefillPart) {
+        let Some(attempt) = self.attempts.get_mut(part.attempt) else { return };
+        let Phase::Prefilling { cursor, replayed } = &mut attempt.phase else { return };
+        let mut tokens = part.tokens;
+        while tokens > 0 && cursor.node < attempt.path.len() {
+            let length = attempt.links[cursor.node].tokens;
+            let taken = tokens.min(length - cursor.offset);
+            cursor.offset += taken;
+            tokens -= taken;
+            self.cache.set_computed(attempt.path[cursor.node], cursor.offset);
+            if cursor.offset == length {
+                cursor.node += 1;
+                cursor.offset = 0;
+            }
+        }
+        *replayed += tokens.min(attempt.generated_before - *replayed);
+    }
+
+    fn start_decoding(&mut self, id: AttemptId, now: Timestamp) {
+        let joined = self.batch.clock;
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        let offset = attempt.generated_before;
+        let base = offset + 1;
+        let finish = joined + (attempt.target() - base.min(attempt.target()));
+        let order = attempt.order();
+        let context = attempt.prompt_tokens + base;
+        attempt.phase = Phase::Decoding { joined, base, finish };
+        self.prefill_backlog -= attempt.estimated_prefill;
+        self.batch.prefilling.remove(&order);
+        self.batch.join_decoding(order, finish, context);
+        self.cache.grow_private(1, now);
+        self.cache.sessions.changed(program_of(id), CacheChange::Stored);
+        self.tell_generated(id, offset, 1, now);
+    }
+
+    fn finish_attempt(&mut self, id: AttemptId, now: Timestamp) {
+        let clock = self.batch.clock;
+        let Some(usage) = self.attempts.get(id).map(|attempt| attempt.usage(clock)) else { return };
+        let Some(attempt) = self.attempts.end(id, AttemptStatus::Finished(usage), now) else {
+            return;
+        };
+        let parent = attempt.path.last().copied();
+        let link = answer_link(&attempt, usage.generated);
+        // The path must stay pinned until the answer hangs on it.
+        self.cache.pin_again(&attempt.path, now);
+        self.leave_batch(&attempt, now);
+        self.cache.store_answer(program_of(id), parent, link, now);
+        self.cache.unpin(&attempt.path, now);
+        self.finished += 1;
+        self.events.push(EngineEvent::Finished { attempt: id, usage, at: now });
+    }
+
+    fn report_progress(&mut self, steps: u64, now: Timestamp) {
+        if !self.parameters.report_progress {
+            return;
+        }
+        let clock = self.batch.clock;
+        let decoding: Vec<AttemptId> = self.batch.decoding().collect();
+        for id in decoding {
+            let offset = self.attempts.get(id).map_or(0, |attempt| attempt.generated(clock));
+            self.tell_generated(id, offset, steps, now);
+        }
+    }
+
+    fn tell_generated(&mut self, attempt: AttemptId, offset: u64, count: u64, at: Timestamp) {
+        let (offset, count) = (Tokens(offset), Tokens(count));
+        self.events.push(EngineEvent::Generated { attempt, offset, count, at });
+    }
+}
+
+fn first_of(one: Option<Order>, other: Option<Order>) -> Option<Order> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
+
+/// The cache link of a finished answer, as the next prompt will name it.
+fn answer_link(attempt: &crate::attempts::LiveAttempt, generated: Tokens) -> Link {
+    let submit = &attempt.submit;
+    let answer = crate::Segment { hash: submit.answer_hash, tokens: generated };
+    let prompt = crate::chain_hashes(&submit.tenant, &submit.model, &submit.prompt);
+    let root = crate::ChainHash::root(&submit.tenant, &submit.model);
+    let chain = prompt.last().copied().unwrap_or(root);
+    Link { hash: chain.extend(answer), tokens: generated.0 }
+}
--- /dev/null
+++ b/crates/engine-model/src/step.rs
@@ -0,0 +1,69 @@
+//! One step of the engine, or several equal decode steps taken as one.
+
+use dahlia_types::{AttemptId, Duration, Timestamp};
+
+use crate::EngineParameters;
+
+/// A part of a prompt that is computed in a step.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PrefillPart {
+    pub attempt: AttemptId,
+    /// Tokens computed.
+    pub tokens: u64,
+    /// Tokens of context before them.
+    pub context: u64,
+}
+
+/// Steps under way.
+#[derive(Debug)]
+pub(crate) struct Step {
+    pub started: Timestamp,
+    /// Duration of each step.
+    pub each: Duration,
+    /// How many equal steps are taken.
+    pub count: u64,
+    pub prefill: Vec<PrefillPart>,
+    /// Sequences that decode.
+    pub decoding: u64,
+    /// Memory taken in advance for the tokens that these steps generate.
+    pub reserved: u64,
+}
+
+impl Step {
+    pub(crate) fn ends(&self) -> Timestamp {
+        self.started + self.each.times(self.count)
+    }
+
+    /// Cuts the leap short after the step that is under way at `now`; gives the memory saved.
+    pub(crate) fn cut_short(&mut self, now: Timestamp) -> u64 {
+        let passed = now.since(self.started).as_micros();
+        let needed = passed.div_ceil(self.each.as_micros()).max(1);
+        let saved = self.count.saturating_sub(needed);
+        self.count -= saved;
+        let memory = saved * self.decoding;
+        self.reserved -= memory;
+        memory
+    }
+}
+
+/// Time of one step (base + prefill + attention of the prefill + decode + KV read).
+pub(crate) fn step_time(
+    parameters: &EngineParameters,
+    prefill: &[PrefillPart],
+    decoding: u64,
+    context: u64,
+) -> f64 {
+    let prefill_micros: f64 = prefill
+        .iter()
+        .map(|part| {
+            let tokens = part.tokens as f64;
+            let attention = tokens * (part.context as f64 + tokens / 2.0);
+            tokens * parameters.prefill_token_micros
+                + attention * parameters.attention_nanos / 1000.0
+        })
+        .sum();
+    parameters.step_base_micros
+        + prefill_micros
+        + decoding as f64 * parameters.decode_sequence_micros
+        + context as f64 * parameters.kv_read_nanos / 1000.0
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,18 @@
-//! Where a call runs, when it waits, and what stays in engines' caches, as state machines without I/O.
+//! Placement of calls on engines: routing, admission, priorities and cache retention.
+//!
+//! A scheduler is a deterministic state machine without I/O: events and moments go in, actions
+//! come out. The daemon and the experiments drive the same code.
+
+mod action;
+mod event;
+mod settings;
+
+pub use action::{Action, RefusalReason, ReleaseReason};
+pub use event::{
+    AttemptFailed, AttemptFailure, CacheNotice, CallReady, EngineCapacity, EngineInventory,
+    EngineJoined, EngineReport, Event, HistorySegment, PauseBegan,
+};
+pub use settings::{
+    AdmissionSettings, CostSettings, FailureSettings, PlacementSettings, PolicyKind,
+    PrioritySettings, RetentionSettings,
+};
