Add the scheduler: policies, admission, priorities, retention, retries

Cause: the daemon and the experiments need one scheduler. Ruled out: a global index of prefixes (a program's own last prompts and a small index of shared beginnings find the same engines at a bounded size). Conclusion: baselines place directly, program-aware manages queue and cache.

--- a/crates/engine-model/src/command.rs
+++ b/crates/engine-model/src/command.rs
@@ -41,6 +41,8 @@
     pub attempt: AttemptId,
     /// The owner's epoch.
     pub epoch: Term,
+    /// Leave it alone if it has started: a recall of work that another engine can do as well.
+    pub only_waiting: bool,
 }
 
 /// Raises a program's epoch: effects with an older one are refused from now on.
--- a/crates/engine-model/src/model/commands.rs
+++ b/crates/engine-model/src/model/commands.rs
@@ -92,6 +92,10 @@
 
     fn cancel(&mut self, cancel: Cancel, now: Timestamp) -> Answer {
         self.fences.observe(cancel.attempt.call.program, cancel.epoch, now)?;
+        let status = self.status(cancel.attempt);
+        if cancel.only_waiting && matches!(status, AttemptStatus::Running { .. }) {
+            return Ok(EngineReply::Known(status));
+        }
         Ok(self.cut(cancel.attempt, now))
     }
 
--- /dev/null
+++ b/crates/placement/src/call.rs
@@ -0,0 +1,78 @@
+//! A call as the scheduler keeps it, and hashes of its prefixes.
+
+use dahlia_types::{AttemptId, CallId, Duration, TenantId, Timestamp};
+
+use crate::view::EngineSlot;
+use crate::{CallReady, HistorySegment};
+
+/// A call between its readiness and its end.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub ready: CallReady,
+    /// Hashes of every prefix of the history, shortest first.
+    pub prefixes: Vec<u64>,
+    /// Length of each of these prefixes in tokens.
+    pub lengths: Vec<u64>,
+    /// Moment that orders it among others; see [`crate::priority`].
+    pub priority: u64,
+    /// When it became ready first.
+    pub since: Timestamp,
+    /// The longest it may wait here.
+    pub patience: Duration,
+}
+
+impl Call {
+    pub(crate) fn new(ready: CallReady, priority: u64, now: Timestamp, patience: Duration) -> Self {
+        let prefixes = prefix_hashes(&ready.tenant, &ready.history);
+        let lengths = prefix_lengths(&ready.history);
+        Self { ready, prefixes, lengths, priority, since: now, patience }
+    }
+
+    pub(crate) fn id(&self) -> CallId {
+        self.ready.call
+    }
+
+    /// The attempt to dispatch next.
+    pub(crate) fn attempt(&self) -> AttemptId {
+        AttemptId { call: self.ready.call, attempt: self.ready.attempt }
+    }
+
+    /// Length of the prompt in tokens.
+    pub(crate) fn prompt_tokens(&self) -> u64 {
+        self.lengths.last().copied().unwrap_or(0)
+    }
+}
+
+/// An attempt that was dispatched and has not ended.
+#[derive(Debug, Clone)]
+pub(crate) struct OpenAttempt {
+    pub call: Call,
+    pub slot: EngineSlot,
+    pub answering: bool,
+}
+
+fn prefix_lengths(history: &[HistorySegment]) -> Vec<u64> {
+    let lengths = history.iter().scan(0_u64, |length, segment| {
+        *length = length.saturating_add(segment.tokens.0);
+        Some(*length)
+    });
+    lengths.collect()
+}
+
+/// Hashes of all prefixes, salted by the tenant as the engines' caches are.
+fn prefix_hashes(tenant: &TenantId, history: &[HistorySegment]) -> Vec<u64> {
+    let salt = tenant.as_str().bytes().fold(0, |hash, byte| mix(hash, u64::from(byte)));
+    let hashes = history.iter().scan(salt, |hash, segment| {
+        *hash = mix(mix(*hash, segment.hash), segment.tokens.0);
+        Some(*hash)
+    });
+    hashes.collect()
+}
+
+/// Two rounds of the finaliser of SplitMix64 (Steele, Lea and Flood 2014).
+fn mix(hash: u64, value: u64) -> u64 {
+    let mut mixed = hash.rotate_left(23) ^ value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,15 +4,31 @@
 //! come out. The daemon and the experiments drive the same code.
 
 mod action;
+mod admission;
+mod call;
+mod circuit;
+mod cost;
 mod event;
+mod policy;
+mod priority;
+mod programs;
+mod queue;
+mod retention;
+mod retry;
+mod scheduler;
 mod settings;
+mod shared_prefix;
+mod stats;
+mod view;
 
 pub use action::{Action, RefusalReason, ReleaseReason};
 pub use event::{
     AttemptFailed, AttemptFailure, CacheNotice, CallReady, EngineCapacity, EngineInventory,
     EngineJoined, EngineReport, Event, HistorySegment, PauseBegan,
 };
+pub use scheduler::Scheduler;
 pub use settings::{
     AdmissionSettings, CostSettings, FailureSettings, PlacementSettings, PolicyKind,
     PrioritySettings, RetentionSettings,
 };
+pub use stats::SchedulerStats;
--- /dev/null
+++ b/crates/placement/src/policy/sticky.rs
@@ -0,0 +1,35 @@
+//! A program stays with its first engine; first come, first served.
+
+use dahlia_types::Timestamp;
+use rand_chacha::ChaCha8Rng;
+
+use super::least_loaded::least_loaded;
+use super::{Placement, Policy, Request};
+use crate::view::EngineTable;
+
+/// Session affinity: the engine that served the program last, while it may be used; else the
+/// least loaded one.
+#[derive(Debug, Default)]
+pub(super) struct StickyFcfs;
+
+impl Policy for StickyFcfs {
+    fn place(
+        &mut self,
+        request: &Request<'_>,
+        engines: &EngineTable,
+        random: &mut ChaCha8Rng,
+        now: Timestamp,
+        examined: &mut u64,
+    ) -> Placement {
+        if let Some(slot) = request.last_engine {
+            *examined += 1;
+            if engines.usable(slot, request.model, now) {
+                return Placement::Engine { slot, fetch_from: None };
+            }
+        }
+        match least_loaded(request, engines, random, now, examined) {
+            Some(slot) => Placement::Engine { slot, fetch_from: None },
+            None => Placement::NoEngine,
+        }
+    }
+}
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -100,6 +100,8 @@
     pub memory: f64,
     /// How long an unconfirmed release waits before it is sent again.
     pub release_retry: Duration,
+    /// Shortest time between two inventories asked of one engine.
+    pub inventory_interval: Duration,
 }
 
 impl Default for RetentionSettings {
@@ -110,6 +112,7 @@
             longest_hold: Duration::from_secs(1800),
             memory: 500.0,
             release_retry: Duration::from_secs(5),
+            inventory_interval: Duration::from_secs(10),
         }
     }
 }
