Make call records smaller; test recovery, budget, release and limits

Cause: what only an open call needs took room in every ended call, and an index of keys held each key twice. The open part is boxed; a key is found by a look through the program's calls.

A call that may have run now ends as unknown, never as not run, also when its program closes. Obligations that are due for ended programs are listed.

--- a/crates/program/src/attempt.rs
+++ b/crates/program/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Intents and outcomes of attempts: what may be dispatched, and what its end means.
 
-use dahlia_types::{AttemptId, CallId, CallKind, LogIndex, Repeatability, Term, Tokens, Usage};
+use dahlia_types::{AttemptId, CallId, CallKind, LogIndex, Repeatability, Term, Tokens};
 
 use crate::program::CallEnd;
 use crate::refusal::{
@@ -16,7 +16,7 @@
 };
 
 /// Told to the caller of a call that ended with its program.
-pub(crate) const PROGRAM_CLOSED: &str = "the program was closed";
+const PROGRAM_CLOSED: &str = "the program was closed";
 
 impl GroupState {
     pub(crate) fn record_intent(
@@ -58,21 +58,20 @@
     }
 
     pub(crate) fn record_outcome(&mut self, command: &RecordOutcome) -> Result<Applied, Refusal> {
-        let matching = self.switches.is_on(Mechanism::AttemptMatch);
-        let limited = self.switches.is_on(Mechanism::ChargeLimit);
+        let switches = self.switches.clone();
         let id = command.attempt;
         let program = self.existing(id.call.program)?;
         if program.unknown.contains_key(&id) {
-            return settle_unknown(program, command);
+            return settle_unknown(program, command, &switches);
         }
         let call = program.call_mut(id.call).ok_or_else(|| stale(id.call))?;
         let open = call.open_attempt().ok_or_else(|| stale(id.call))?;
-        if matching && open.number != id.attempt {
+        if switches.is_on(Mechanism::AttemptMatch) && open.number != id.attempt {
             return Err(stale(id.call));
         }
         let open = call.set_attempt(None).ok_or_else(|| stale(id.call))?;
         program.touch(command.at);
-        Ok(finish_attempt(program, command, open, limited))
+        Ok(finish_attempt(program, command, open, &switches))
     }
 
     pub(crate) fn abandon_call(&mut self, command: &AbandonCall) -> Result<Applied, Refusal> {
@@ -181,26 +180,26 @@
     program: &mut Program,
     command: &RecordOutcome,
     open: OpenAttempt,
-    limited: bool,
+    switches: &Switches,
 ) -> Applied {
     let call = command.attempt.call;
     match &command.outcome {
         AttemptOutcome::Ran { answer, usage } => {
-            settle(program, open.reserved, *usage, limited);
+            program.budget.settle(open.reserved, *usage, switches);
             program.note_tokens(call, usage.total().min(open.reserved));
             let end = CallEnd::Answered { answer: answer.clone(), usage: *usage };
             end_with(program, call, end)
         }
         AttemptOutcome::Cut { usage } => {
-            settle(program, open.reserved, *usage, limited);
+            program.budget.settle(open.reserved, *usage, switches);
             if let Some(found) = program.call_mut(call) {
-                found.was_cut = true;
+                found.ran_unanswered = true;
             }
-            end_or_retry(program, call)
+            end_or_retry(program, call, switches)
         }
         AttemptOutcome::NotRun => {
             program.budget.free(open.reserved);
-            end_or_retry(program, call)
+            end_or_retry(program, call, switches)
         }
         AttemptOutcome::Unknown => {
             // The engine may still be at work: what it can use stays set aside.
@@ -212,38 +211,40 @@
                 fenced: false,
             };
             program.unknown.insert(command.attempt, unknown);
-            end_or_retry(program, call)
+            end_or_retry(program, call, switches)
         }
     }
 }
 
-fn settle(program: &mut Program, reserved: Tokens, usage: Usage, limited: bool) {
-    let allowed = if limited { reserved } else { usage.total().max(reserved) };
-    if allowed == reserved {
-        program.budget.settle(reserved, usage);
-    } else {
-        program.budget.free(reserved);
-        program.budget.spent = program.budget.spent.saturating_add(usage.total());
-    }
-}
-
 /// Ends a call that was not answered if it may not be tried again.
-fn end_or_retry(program: &mut Program, call: CallId) -> Applied {
+fn end_or_retry(program: &mut Program, call: CallId, switches: &Switches) -> Applied {
+    if !program.is_open() {
+        let end = unanswered_end(program, call, switches);
+        return end_with(program, call, end);
+    }
     let repeatability = program.call(call).map(|call| call.repeatability);
-    let may_have_run = program.may_have_run(call);
-    if may_have_run && (repeatability == Some(Repeatability::AtMostOnce) || !program.is_open()) {
+    let once = repeatability == Some(Repeatability::AtMostOnce);
+    if once && switches.is_on(Mechanism::AtMostOnce) && program.may_have_run(call) {
         return end_with(program, call, CallEnd::Unknown);
     }
-    if !program.is_open() {
-        let reason = PROGRAM_CLOSED.to_owned();
-        return end_with(program, call, CallEnd::NotRun { reason });
-    }
     Applied::Retryable(call)
 }
 
+/// How a call without an answer ends with its program: not run only when no attempt can have run.
+pub(crate) fn unanswered_end(program: &Program, call: CallId, switches: &Switches) -> CallEnd {
+    if switches.is_on(Mechanism::NotRunRule) && program.may_have_run(call) {
+        return CallEnd::Unknown;
+    }
+    CallEnd::NotRun { reason: PROGRAM_CLOSED.to_owned() }
+}
+
 /// Accounts for an attempt that had been recorded as unknown. The call's outcome stays, and an
 /// answer is dropped: the call has ended as unknown or is being tried again.
-fn settle_unknown(program: &mut Program, command: &RecordOutcome) -> Result<Applied, Refusal> {
+fn settle_unknown(
+    program: &mut Program,
+    command: &RecordOutcome,
+    switches: &Switches,
+) -> Result<Applied, Refusal> {
     let id = command.attempt;
     if command.outcome == AttemptOutcome::Unknown {
         return Err(stale(id.call));
@@ -253,9 +254,9 @@
     };
     match &command.outcome {
         AttemptOutcome::Ran { usage, .. } | AttemptOutcome::Cut { usage } => {
-            program.budget.settle(held.reserved, *usage);
+            program.budget.settle(held.reserved, *usage, switches);
             if let Some(call) = program.call_mut(id.call) {
-                call.was_cut = true;
+                call.ran_unanswered = true;
             }
         }
         AttemptOutcome::NotRun | AttemptOutcome::Unknown => program.budget.free(held.reserved),
--- a/crates/program/src/begin.rs
+++ b/crates/program/src/begin.rs
@@ -6,8 +6,8 @@
 use crate::refusal::{DigestMismatchSnafu, NoSuchChainSnafu, OutOfOrderSnafu, TooManySnafu};
 use crate::state::{check_limit, check_open};
 use crate::{
-    Applied, BeginCall, Begun, BranchPoint, Call, CallState, Chain, GroupState, Mechanism, Program,
-    ProgramLimits, RecordedOutcome, Refusal,
+    Applied, BeginCall, Begun, BranchPoint, Call, CallState, Chain, GroupState, Mechanism,
+    OpenCall, Program, ProgramLimits, RecordedOutcome, Refusal,
 };
 
 /// The chain that a program starts with.
@@ -61,15 +61,11 @@
 /// Remembers the key of a retry whose first try came without one, so that a further retry by key
 /// alone finds the call.
 fn bind_key(program: &mut Program, command: &BeginCall, call: CallId) {
-    let Some(key) = &command.key else {
-        return;
-    };
     let Some(found) = program.call_mut(call) else {
         return;
     };
     if found.key.is_none() {
-        found.key = Some(key.clone());
-        program.keys.insert(key.clone(), call);
+        found.key = command.key.clone();
     }
 }
 
@@ -134,6 +130,7 @@
     let inherited = branch.map_or(Tokens::ZERO, |branch| program.chains[&branch.chain].tokens);
     let chain =
         program.chains.entry(command.chain).or_insert_with(|| Chain::new(branch, inherited));
+    let open = OpenCall { messages: command.messages.clone(), attempt: None };
     chain.calls.push(Call {
         key: command.key.clone(),
         digest: command.digest,
@@ -141,13 +138,10 @@
         repeatability: command.repeatability,
         max_generated: command.max_generated,
         attempts: 0,
-        was_cut: false,
-        state: CallState::Open { messages: command.messages.clone(), attempt: None },
+        ran_unanswered: false,
+        state: CallState::Open(Box::new(open)),
     });
     let is_first = chain.first_open() == Some(number);
-    if let Some(key) = &command.key {
-        program.keys.insert(key.clone(), id);
-    }
     let added = content_bytes(&command.messages);
     program.history_bytes = program.history_bytes.saturating_add(added);
     Ok(if is_first { Begun::Ready(id) } else { Begun::Waiting(id) })
--- a/crates/program/src/budget.rs
+++ b/crates/program/src/budget.rs
@@ -3,6 +3,9 @@
 use dahlia_types::{Tokens, Usage};
 use serde::{Deserialize, Serialize};
 
+use crate::Mechanism;
+use crate::switches::Switches;
+
 /// Tokens of one program, prompt and generated together, over all its chains.
 ///
 /// `spent + reserved <= total` holds after every command, whatever engines report.
@@ -45,10 +48,12 @@
     ///
     /// The charge is limited to the reservation: the engine was told both the prompt's bound and
     /// the cap, so a larger report is the engine's fault and must not break the total.
-    pub(crate) fn settle(&mut self, reservation: Tokens, usage: Usage) {
+    pub(crate) fn settle(&mut self, reservation: Tokens, usage: Usage, switches: &Switches) {
         self.free(reservation);
         let used = usage.total();
-        self.spent = self.spent.saturating_add(used.min(reservation));
+        let limited = switches.is_on(Mechanism::ChargeLimit);
+        let charge = if limited { used.min(reservation) } else { used };
+        self.spent = self.spent.saturating_add(charge);
         if used > reservation {
             self.overreports += 1;
             let excess = used.saturating_sub(reservation);
--- a/crates/program/src/call.rs
+++ b/crates/program/src/call.rs
@@ -61,16 +61,20 @@
     Unknown,
 }
 
+/// What is kept of a call only until it ends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenCall {
+    /// What it adds to the history when it ends.
+    pub messages: Vec<Message>,
+    /// Its attempt under way.
+    pub attempt: Option<OpenAttempt>,
+}
+
 /// Where a call stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallState {
-    /// It has no final outcome.
-    Open {
-        /// What it adds to the history when it ends.
-        messages: Vec<Message>,
-        /// Its attempt under way.
-        attempt: Option<OpenAttempt>,
-    },
+    /// It has no final outcome. Boxed, because most calls of a long program have ended.
+    Open(Box<OpenCall>),
     /// It has its one final outcome.
     Ended(EndedCall),
 }
@@ -84,7 +88,8 @@
     pub(crate) repeatability: Repeatability,
     pub(crate) max_generated: Tokens,
     pub(crate) attempts: u32,
-    pub(crate) was_cut: bool,
+    /// An attempt used tokens and gave no answer that counts.
+    pub(crate) ran_unanswered: bool,
     pub(crate) state: CallState,
 }
 
@@ -126,36 +131,37 @@
 
     /// Whether it has no final outcome.
     pub fn is_open(&self) -> bool {
-        matches!(self.state, CallState::Open { .. })
+        self.open().is_some()
     }
 
     /// What it adds to the history; none once it has ended.
     pub fn messages(&self) -> Option<&[Message]> {
-        match &self.state {
-            CallState::Open { messages, .. } => Some(messages),
-            CallState::Ended(_) => None,
-        }
+        Some(&self.open()?.messages)
     }
 
     /// Its attempt under way.
     pub fn open_attempt(&self) -> Option<&OpenAttempt> {
-        match &self.state {
-            CallState::Open { attempt, .. } => attempt.as_ref(),
-            CallState::Ended(_) => None,
-        }
+        self.open()?.attempt.as_ref()
     }
 
     /// How it ended, if it has.
     pub fn ended(&self) -> Option<&EndedCall> {
         match &self.state {
-            CallState::Open { .. } => None,
+            CallState::Open(_) => None,
             CallState::Ended(ended) => Some(ended),
         }
     }
 
+    fn open(&self) -> Option<&OpenCall> {
+        match &self.state {
+            CallState::Open(open) => Some(open),
+            CallState::Ended(_) => None,
+        }
+    }
+
     pub(crate) fn set_attempt(&mut self, new: Option<OpenAttempt>) -> Option<OpenAttempt> {
         match &mut self.state {
-            CallState::Open { attempt, .. } => std::mem::replace(attempt, new),
+            CallState::Open(open) => std::mem::replace(&mut open.attempt, new),
             CallState::Ended(_) => None,
         }
     }
@@ -163,7 +169,7 @@
     /// Ends the call and gives back its messages.
     pub(crate) fn end(&mut self, ended: EndedCall) -> Vec<Message> {
         match std::mem::replace(&mut self.state, CallState::Ended(ended)) {
-            CallState::Open { messages, .. } => messages,
+            CallState::Open(open) => open.messages,
             CallState::Ended(_) => Vec::new(),
         }
     }
--- a/crates/program/src/chain.rs
+++ b/crates/program/src/chain.rs
@@ -50,6 +50,12 @@
         (1..).zip(&self.calls)
     }
 
+    /// Its calls that have not ended, with their numbers, in order.
+    pub fn open_calls(&self) -> impl Iterator<Item = (u32, &Call)> {
+        let rest = (self.head + 1..).zip(&self.calls[self.head as usize..]);
+        rest.filter(|(_, call)| call.is_open())
+    }
+
     /// The call of this number.
     pub fn call(&self, number: u32) -> Option<&Call> {
         self.calls.get(position(number)?)
--- a/crates/program/src/closing.rs
+++ b/crates/program/src/closing.rs
@@ -2,9 +2,9 @@
 
 use dahlia_types::{CallId, ProgramId, Timestamp};
 
-use crate::attempt::PROGRAM_CLOSED;
-use crate::program::CallEnd;
+use crate::attempt::unanswered_end;
 use crate::refusal::{NoObligationSnafu, ObligationRenewedSnafu, TurnMismatchSnafu};
+use crate::switches::Switches;
 use crate::{
     Applied, ChunkReference, CloseProgram, CloseReason, ConfirmRelease, EngineLife, ExpirePrograms,
     GroupState, Lifecycle, Mechanism, MoveTurnToStore, Program, ProgramLimits, Refusal, TurnText,
@@ -12,9 +12,9 @@
 
 impl GroupState {
     pub(crate) fn close_program(&mut self, command: &CloseProgram) -> Result<Applied, Refusal> {
-        let rule = self.switches.is_on(Mechanism::NotRunRule);
+        let switches = self.switches.clone();
         let program = self.existing(command.program)?;
-        let ended = close(program, command.reason, command.at, rule);
+        let ended = close(program, command.reason, command.at, &switches);
         Ok(Applied::Closed { program: command.program, ended })
     }
 
@@ -50,10 +50,10 @@
     }
 
     pub(crate) fn expire_programs(&mut self, command: &ExpirePrograms) -> Applied {
-        let rule = self.switches.is_on(Mechanism::NotRunRule);
+        let switches = self.switches.clone();
         let mut closed = Vec::new();
         for program in self.programs.values_mut().filter(|program| is_idle(program, command.now)) {
-            close(program, CloseReason::Expired, command.now, rule);
+            close(program, CloseReason::Expired, command.now, &switches);
             closed.push(program.id);
         }
         let limits = self.limits;
@@ -91,7 +91,12 @@
 }
 
 /// Ends a program and every call of it without an attempt under way. Gives those calls.
-fn close(program: &mut Program, reason: CloseReason, at: Timestamp, rule: bool) -> Vec<CallId> {
+fn close(
+    program: &mut Program,
+    reason: CloseReason,
+    at: Timestamp,
+    switches: &Switches,
+) -> Vec<CallId> {
     if !program.is_open() {
         return Vec::new();
     }
@@ -100,11 +105,7 @@
     let idle = program.open_calls().filter(|(_, call)| call.open_attempt().is_none());
     let ended: Vec<CallId> = idle.map(|(call, _)| call).collect();
     for call in &ended {
-        let end = if rule && program.may_have_run(*call) {
-            CallEnd::Unknown
-        } else {
-            CallEnd::NotRun { reason: PROGRAM_CLOSED.to_owned() }
-        };
+        let end = unanswered_end(program, *call, switches);
         program.end_call(*call, end);
     }
     ended
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -23,7 +23,7 @@
 mod switches;
 
 pub use budget::Budget;
-pub use call::{Call, CallState, EndedCall, OpenAttempt, UnknownAttempt};
+pub use call::{Call, CallState, EndedCall, OpenAttempt, OpenCall, UnknownAttempt};
 pub use chain::{BranchPoint, Chain};
 pub use command::{
     AbandonCall, AttemptOutcome, BeginCall, CloseProgram, CloseReason, Command, ConfirmRelease,
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -65,7 +65,6 @@
     pub(crate) specification: ProgramSpecification,
     pub(crate) budget: Budget,
     pub(crate) chains: BTreeMap<ChainId, Chain>,
-    pub(crate) keys: BTreeMap<IdempotencyKey, CallId>,
     pub(crate) obligations: BTreeMap<EngineLife, Obligation>,
     pub(crate) unknown: BTreeMap<AttemptId, UnknownAttempt>,
     pub(crate) lifecycle: Lifecycle,
@@ -107,9 +106,10 @@
         self.chains.get(&call.chain)?.call(call.number)
     }
 
-    /// The call that the caller named by `key`.
+    /// The call that the caller named by `key`. Looks through all calls: an index would cost each
+    /// replica more memory than the few comparisons of a call cost time.
     pub fn call_of_key(&self, key: &IdempotencyKey) -> Option<CallId> {
-        self.keys.get(key).copied()
+        self.calls().find(|(_, call)| call.key() == Some(key)).map(|(id, _)| id)
     }
 
     /// All calls, chain by chain, in order.
@@ -121,12 +121,15 @@
 
     /// Calls that have not ended.
     pub fn open_calls(&self) -> impl Iterator<Item = (CallId, &Call)> {
-        self.calls().filter(|(_, call)| call.is_open())
+        self.chains.iter().flat_map(move |(chain, state)| {
+            let open = state.open_calls();
+            open.map(move |(number, call)| (self.call_id(*chain, number), call))
+        })
     }
 
     /// Attempts with an intent and no outcome.
     pub fn open_attempts(&self) -> impl Iterator<Item = (AttemptId, &OpenAttempt)> {
-        self.calls().filter_map(|(id, call)| {
+        self.open_calls().filter_map(|(id, call)| {
             let open = call.open_attempt()?;
             Some((AttemptId { call: id, attempt: open.number }, open))
         })
@@ -255,10 +258,10 @@
 
     /// Whether some attempt of `call` ran, or may have run, to something else than an answer.
     pub fn may_have_run(&self, call: CallId) -> bool {
-        let was_cut = self.call(call).is_some_and(|call| call.was_cut);
+        let ran_unanswered = self.call(call).is_some_and(|call| call.ran_unanswered);
         let first = AttemptId { call, attempt: 0 };
         let last = AttemptId { call, attempt: u32::MAX };
-        was_cut || self.unknown.range(first..=last).next().is_some()
+        ran_unanswered || self.unknown.range(first..=last).next().is_some()
     }
 
     pub(crate) fn call_id(&self, chain: ChainId, number: u32) -> CallId {
--- a/crates/program/src/recovery.rs
+++ b/crates/program/src/recovery.rs
@@ -2,7 +2,7 @@
 
 use dahlia_types::{AttemptId, CallId, Repeatability};
 
-use crate::{GroupState, OpenAttempt, Program};
+use crate::{GroupState, OpenAttempt, Program, ReleaseRequest};
 
 /// A call that has no outcome and is first in its chain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,9 +33,21 @@
     pub fn unfinished_calls(&self) -> Vec<UnfinishedCall> {
         self.programs().flat_map(Program::unfinished_calls).collect()
     }
+
+    /// What to ask of engines for programs that have ended, in the order of programs. Engines
+    /// where an attempt is open are left out until its end is recorded.
+    pub fn releases_due(&self) -> Vec<ReleaseRequest> {
+        let ended = self.programs().filter(|program| !program.is_open());
+        ended.flat_map(Program::release_requests).collect()
+    }
 }
 
 impl Program {
+    /// What to ask of each engine that holds, or may hold, something of the program.
+    pub fn release_requests(&self) -> Vec<ReleaseRequest> {
+        self.obligations().filter_map(|(life, _)| self.release_request(life)).collect()
+    }
+
     /// The part of [`GroupState::unfinished_calls`] that concerns this program.
     pub fn unfinished_calls(&self) -> Vec<UnfinishedCall> {
         let heads = self.chains().filter_map(|(chain, state)| {
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -130,7 +130,6 @@
             specification: command.specification.clone(),
             budget: Budget::new(command.specification.budget),
             chains: BTreeMap::new(),
-            keys: BTreeMap::new(),
             obligations: BTreeMap::new(),
             unknown: BTreeMap::new(),
             lifecycle: Lifecycle::Open,
--- /dev/null
+++ b/crates/program/tests/budget_and_release.rs
@@ -0,0 +1,265 @@
+//! Budget, release obligations, the end of programs, limits, stored turns and snapshots.
+
+mod common;
+
+use common::{GROUP, Group, MAIN, attempt, key, not_run, program_id, seconds, usage};
+use dahlia_program::{
+    Applied, AttemptOutcome, Begun, CallOutcome, ChunkReference, Command, GroupState, HistoryPart,
+    IntentRecorded, ProgramLimits, Refusal, SetLimits, SnapshotError, decode_chunk, encode_chunk,
+};
+use dahlia_types::{
+    Bytes, CallKind, ChainId, Duration, EngineId, GroupId, LogIndex, ProgramId, Role, Term, Tokens,
+};
+
+#[test]
+fn the_generation_is_capped_at_what_is_left_and_sub_agents_share_it() {
+    let mut group = Group::with_program(30);
+    let main = group.ready(group.call(MAIN, "one"));
+    let sub_agent = group.ready(group.call(ChainId(1), "two"));
+    group.intent(attempt(main, 1), "e1", 10).unwrap();
+    let capped = group.intent(attempt(sub_agent, 1), "e2", 7).unwrap();
+    let terms = IntentRecorded { reserved: Tokens(10), generated_cap: Tokens(3) };
+    assert_eq!(capped, Applied::IntentRecorded(terms));
+    assert_eq!(group.program().budget().left(), Tokens::ZERO);
+    let other = group.ready(group.call(ChainId(2), "three"));
+    let refused = group.intent(attempt(other, 1), "e3", 0);
+    assert!(matches!(refused, Err(Refusal::BudgetExhausted { .. })), "{refused:?}");
+    assert_eq!(
+        group.raise(29),
+        Err(Refusal::BudgetLowered { program: program_id(1), total: Tokens(30) })
+    );
+    group.raise(31).unwrap();
+    group.intent(attempt(other, 1), "e3", 0).expect("one token is left");
+}
+
+#[test]
+fn an_engine_that_reports_too_much_is_charged_for_its_reservation_and_counted() {
+    let mut group = Group::with_program(100);
+    let call = group.ready(group.call(MAIN, "one"));
+    group.intent(attempt(call, 1), "e1", 10).unwrap();
+    let answer = common::message(Role::Assistant, "long");
+    let usage = usage(u64::MAX, u64::MAX);
+    group.outcome(attempt(call, 1), AttemptOutcome::Ran { answer, usage }).unwrap();
+    let budget = *group.program().budget();
+    assert_eq!((budget.spent, budget.reserved), (Tokens(20), Tokens::ZERO));
+    assert_eq!((budget.overreports, budget.overreported), (1, Tokens(u64::MAX - 20)));
+}
+
+#[test]
+fn a_tool_call_needs_no_budget_and_holds_no_engine_memory() {
+    let mut group = Group::with_program(1);
+    let mut begun = group.call(MAIN, "look up warranty 4711");
+    begun.kind = CallKind::Tool("warranty".to_owned());
+    let call = group.ready(begun);
+    let recorded = group.intent_at(attempt(call, 1), "warranty", 0, 0).unwrap();
+    let terms = IntentRecorded { reserved: Tokens::ZERO, generated_cap: Tokens::ZERO };
+    assert_eq!(recorded, Applied::IntentRecorded(terms));
+    assert_eq!(group.program().obligations().count(), 0);
+}
+
+#[test]
+fn a_confirmation_ends_only_the_obligations_that_it_covers() {
+    let mut group = Group::with_program(1_000);
+    group.turn("one", "first answer");
+    let stale = group.program().release_requests().remove(0);
+    let call = group.ready(group.call(MAIN, "two"));
+    group.intent(attempt(call, 1), "e1", 10).unwrap();
+    let renewed = Refusal::ObligationRenewed {
+        program: program_id(1),
+        engine: EngineId::new("e1"),
+        last_intent: LogIndex(group.index),
+    };
+    assert_eq!(group.release("e1", 1, stale.covers), Err(renewed.clone()));
+    // Not even a confirmation of the latest intent, while its attempt may still be arriving.
+    assert_eq!(group.program().release_requests(), []);
+    assert_eq!(group.release("e1", 1, LogIndex(group.index)), { Err(renewed.clone()) });
+    group.answer(attempt(call, 1), "second answer").unwrap();
+    assert_eq!(group.release("e1", 1, stale.covers), Err(renewed));
+    let request = group.program().release_requests().remove(0);
+    assert_eq!(group.release("e1", 1, request.covers), Ok(Applied::ReleaseConfirmed));
+    let none = Refusal::NoObligation { program: program_id(1), engine: EngineId::new("e1") };
+    assert_eq!(group.release("e1", 1, request.covers), Err(none));
+}
+
+#[test]
+fn a_newer_life_of_the_engine_ends_the_obligation_and_an_older_one_takes_no_intent() {
+    let mut group = Group::with_program(1_000);
+    let call = group.ready(group.call(MAIN, "one"));
+    group.intent_at(attempt(call, 1), "e1", 5, 10).unwrap();
+    group.outcome(attempt(call, 1), AttemptOutcome::NotRun).unwrap();
+    let stale = group.intent_at(attempt(call, 2), "e1", 4, 10);
+    assert!(matches!(stale, Err(Refusal::StaleIncarnation { .. })), "{stale:?}");
+    let older = group.release("e1", 4, LogIndex(u64::MAX));
+    assert!(matches!(older, Err(Refusal::NoObligation { .. })), "{older:?}");
+    assert_eq!(group.release("e1", 6, LogIndex(0)), Ok(Applied::ReleaseConfirmed));
+}
+
+#[test]
+fn a_close_ends_what_is_not_under_way_and_keeps_the_obligations() {
+    let mut group = Group::with_program(1_000);
+    let running = group.ready(group.call(MAIN, "one"));
+    group.intent(attempt(running, 1), "e1", 10).unwrap();
+    let Begun::Waiting(waiting) = group.begin(group.call(MAIN, "two")).unwrap() else {
+        panic!("the first call is open");
+    };
+    let tried = group.ready(group.call(ChainId(1), "three"));
+    group.intent(attempt(tried, 1), "e2", 10).unwrap();
+    group.outcome(attempt(tried, 1), AttemptOutcome::Unknown).unwrap();
+    let closed = group.close().unwrap();
+    let ended = vec![waiting, tried];
+    assert_eq!(closed, Applied::Closed { program: program_id(1), ended });
+    let outcome = |call| group.program().outcome(call);
+    let held = dahlia_program::RecordedOutcome::Held;
+    assert_eq!(outcome(waiting), Some(held(not_run("the program was closed"))));
+    assert_eq!(outcome(tried), Some(held(CallOutcome::Unknown)), "it may have run");
+    let refusal = Refusal::ProgramClosed { program: program_id(1) };
+    assert_eq!(group.begin(group.call(MAIN, "four")), Err(refusal));
+    assert_eq!(group.state.releases_due().len(), 1, "an attempt is open on e1");
+    group.answer(attempt(running, 1), "whole").expect("a running attempt is not cut");
+    assert_eq!(group.state.releases_due().len(), 2);
+}
+
+#[test]
+fn an_idle_program_expires_and_is_forgotten_when_nothing_is_owed() {
+    let mut group = Group::with_program(1_000);
+    let keep = Duration::from_secs(3_600);
+    let call = group.turn("one", "first answer");
+    let open = group.ready(group.call(MAIN, "two"));
+    group.now = seconds(10_000);
+    let nothing = Applied::Expired { closed: vec![], forgotten: vec![] };
+    assert_eq!(group.expire(keep), nothing, "a call is in progress");
+    group.abandon(open, not_run("given up")).unwrap();
+    group.now = seconds(10_600);
+    let closed = vec![program_id(1)];
+    assert_eq!(group.expire(keep), Applied::Expired { closed, forgotten: vec![] });
+    assert!(group.program().outcome(call).is_some(), "records outlive the program");
+    group.now = seconds(50_000);
+    assert_eq!(group.expire(keep), nothing, "e1 still holds the program's cache");
+    let request = group.state.releases_due().remove(0);
+    group.release("e1", 1, request.covers).unwrap();
+    let forgotten = vec![program_id(1)];
+    assert_eq!(group.expire(keep), Applied::Expired { closed: vec![], forgotten });
+    let gone = Refusal::NoSuchProgram { program: program_id(1) };
+    assert_eq!(group.close(), Err(gone));
+}
+
+#[test]
+fn an_attempt_that_nobody_accounts_for_keeps_the_program_for_a_stated_time() {
+    let mut group = Group::with_program(1_000);
+    let mut begun = group.call(MAIN, "flash");
+    begun.kind = CallKind::Tool("flasher".to_owned());
+    let call = group.ready(begun);
+    group.intent_at(attempt(call, 1), "flasher", 0, 0).unwrap();
+    group.outcome(attempt(call, 1), AttemptOutcome::Unknown).unwrap();
+    group.close().unwrap();
+    let keep_unknown = group.state.limits().keep_unknown;
+    let nothing = Applied::Expired { closed: vec![], forgotten: vec![] };
+    group.now = seconds(7_200);
+    assert_eq!(group.expire(Duration::from_secs(3_600)), nothing);
+    group.now = seconds(1) + keep_unknown;
+    let forgotten = vec![program_id(1)];
+    let expired = group.expire(Duration::from_secs(3_600));
+    assert_eq!(expired, Applied::Expired { closed: vec![], forgotten });
+}
+
+#[test]
+fn each_limit_refuses_by_name() {
+    let limits = ProgramLimits {
+        programs: 1,
+        open_calls: 2,
+        chains: 2,
+        calls: 4,
+        turns: 2,
+        history_bytes: Bytes(40),
+        history_tokens: Tokens(50),
+        ..ProgramLimits::default()
+    };
+    let named = |refusal: Result<Begun, Refusal>| match refusal {
+        Err(Refusal::TooMany { what, .. }) => what,
+        other => panic!("expected a limit, found {other:?}"),
+    };
+    let mut group = Group::new(limits);
+    group.create(1, 1_000).unwrap();
+    let second = group.create(2, 1_000).map(|_| Begun::Ready(Default::default()));
+    assert_eq!(named(second), "programs");
+    assert_eq!(named(group.begin(group.call(MAIN, &"x".repeat(41)))), "history bytes");
+    let first = group.ready(group.call(MAIN, "one"));
+    let long = group.intent(attempt(first, 1), "e1", 51);
+    assert_eq!(named(long.map(|_| Begun::Ready(first))), "history tokens");
+    group.ready(group.call(ChainId(1), "two"));
+    assert_eq!(named(group.begin(group.call(MAIN, "three"))), "open calls");
+    group.abandon(first, not_run("dropped")).unwrap();
+    assert_eq!(named(group.begin(group.call(ChainId(2), "three"))), "chains");
+    group.turn("three", "answer");
+    assert_eq!(named(group.begin(group.call(MAIN, "four"))), "turns");
+    let raised = ProgramLimits { turns: 9, ..limits };
+    group.apply(Command::SetLimits(SetLimits { limits: raised })).unwrap();
+    group.begin(group.call(MAIN, "four")).expect("the limit was raised");
+    assert_eq!(named(group.begin(group.call(MAIN, "five"))), "calls");
+}
+
+#[test]
+fn a_turn_moved_to_store_is_replaced_by_its_reference_only() {
+    let mut group = Group::with_program(1_000);
+    let mut begun = group.call(MAIN, "one");
+    begun.key = key("first");
+    let call = group.ready(begun.clone());
+    group.intent(attempt(call, 1), "e1", 10).unwrap();
+    group.answer(attempt(call, 1), "first answer").unwrap();
+    group.turn("two", "second answer");
+    let messages: Vec<_> = group.program().history(MAIN).unwrap().into_iter().cloned().collect();
+    let chunk = ChunkReference::of(&messages[..2], Tokens(10));
+    let other = ChunkReference::of(&messages[2..], Tokens(10));
+    let mismatch = Refusal::TurnMismatch { program: program_id(1), chain: 0, turn: 0 };
+    assert_eq!(group.move_turn(MAIN, 0, other), Err(mismatch));
+    assert_eq!(group.move_turn(MAIN, 0, chunk), Ok(Applied::TurnMoved));
+    assert_eq!(group.move_turn(MAIN, 0, chunk), Ok(Applied::TurnMoved), "a repeat is accepted");
+
+    let missing = group.program().history(MAIN).expect_err("a turn is not held here");
+    assert_eq!(missing.chunks, [chunk]);
+    let parts = group.program().history_parts(MAIN);
+    assert_eq!(parts, [HistoryPart::Chunk(&chunk), HistoryPart::Messages(&messages[2..])]);
+    let bytes = encode_chunk(&messages[..2]);
+    assert_eq!(decode_chunk(&chunk, &bytes).as_deref(), Ok(&messages[..2]));
+    assert!(decode_chunk(&other, &bytes).is_err(), "another chunk must not enter the history");
+    let replay = group.begin(begun).unwrap();
+    let Begun::ReplayedFromStore(replayed, answer) = replay else {
+        panic!("expected a stored answer, found {replay:?}");
+    };
+    assert_eq!((replayed, answer.chunk), (call, chunk));
+}
+
+#[test]
+fn a_snapshot_restores_the_same_state_and_refuses_damage() {
+    let mut group = Group::with_program(1_000);
+    group.turn("one", "first answer");
+    group.begin(group.call(MAIN, "two")).unwrap();
+    let bytes = group.state.snapshot();
+    let restored = GroupState::restore(&bytes).expect("whole");
+    assert_eq!(restored, group.state);
+    for length in 0..bytes.len() {
+        assert!(GroupState::restore(&bytes[..length]).is_err(), "cut at {length}");
+    }
+    let mut newer = bytes.clone();
+    newer[0] += 1;
+    let refused = GroupState::restore(&newer);
+    assert!(matches!(refused, Err(SnapshotError::OtherVersion { found: 2 })), "{refused:?}");
+}
+
+#[test]
+fn entries_before_the_snapshot_and_programs_of_other_groups_are_refused() {
+    let mut group = Group::with_program(1_000);
+    let command = SetLimits { limits: ProgramLimits::default() };
+    let repeated = group.state.apply(LogIndex(1), Term(1), &Command::SetLimits(command));
+    assert_eq!(repeated, Err(Refusal::AlreadyApplied { index: LogIndex(1) }));
+    let foreign = ProgramId { group: GroupId(99), number: 1 };
+    let created = Command::CreateProgram(dahlia_program::CreateProgram {
+        program: foreign,
+        specification: common::specification(1),
+        at: seconds(1),
+    });
+    assert_eq!(group.apply(created), Err(Refusal::WrongGroup { program: foreign, group: GROUP }));
+    group.create(1, 1_000).expect("the same specification again");
+    let changed = group.create(1, 999);
+    assert_eq!(changed, Err(Refusal::ProgramExists { program: program_id(1) }));
+}
