Add membership, directory and the maintenance of groups

Cause: groups need a view of live daemons, a place to look their members up, and a rule for replacing them. Ruled out: removing a dead voter always before its replacement votes (a voter held for dead by mistake would be lost at three voters), and always after (at five voters with two dead the group would wait for a catch-up before it survives another death); the rule compares what each order survives. Membership, directory and maintenance have no tests yet; they follow. Conclusion: interfaces stand for the daemon to be built on.

--- /dev/null
+++ b/crates/replication/src/directory/layout.rs
@@ -0,0 +1,151 @@
+//! The first layout of groups over daemons.
+//!
+//! Groups share few replica sets (copysets, Cidon and others 2013): each daemon is in two sets
+//! and so exchanges heartbeats with few others, which merge; and two or three deaths at once
+//! rarely hit the quorum of a set.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dahlia_types::{DaemonId, GroupId, LogIndex, Region, ReplicaId, Term, Zone};
+
+use super::GroupDescription;
+use crate::membership::{MemberInfo, MemberState};
+
+/// Replica sets that each daemon is in.
+const SETS_PER_DAEMON: usize = 2;
+
+/// Lays out `group_count` groups of `replicas_per_group` voters over the live members.
+///
+/// Voters of a group are in different zones as far as there are zones, and a majority of them is
+/// in one region; leaders are balanced. The result depends on the arguments only. With fewer
+/// members than replicas each group has all members; without members there are no groups.
+pub fn initial_layout(
+    members: &[MemberInfo],
+    group_count: u32,
+    replicas_per_group: usize,
+) -> Vec<GroupDescription> {
+    let live: Vec<&MemberInfo> =
+        members.iter().filter(|member| member.state == MemberState::Live).collect();
+    let sets = replica_sets(&live, replicas_per_group);
+    if sets.is_empty() {
+        return Vec::new();
+    }
+    let mut leaders: BTreeMap<DaemonId, u32> = BTreeMap::new();
+    let groups = 0..group_count;
+    groups
+        .map(|group| describe(GroupId(group), set_of(group, group_count, &sets), &mut leaders))
+        .collect()
+}
+
+fn set_of(group: u32, group_count: u32, sets: &[Vec<ReplicaId>]) -> &[ReplicaId] {
+    let (group, group_count) = (group as usize, group_count as usize);
+    // Few groups use sets from all over the list, which is ordered by region.
+    let place = if group_count < sets.len() { group * sets.len() / group_count } else { group };
+    &sets[place % sets.len()]
+}
+
+fn describe(
+    group: GroupId,
+    set: &[ReplicaId],
+    leaders: &mut BTreeMap<DaemonId, u32>,
+) -> GroupDescription {
+    let led = |replica: &ReplicaId| leaders.get(&replica.daemon).copied().unwrap_or(0);
+    let leader = set.iter().copied().min_by_key(|replica| (led(replica), replica.daemon));
+    let mut members = set.to_vec();
+    members.sort_by_key(|member| (Some(*member) != leader, *member));
+    if let Some(leader) = leader {
+        *leaders.entry(leader.daemon).or_insert(0) += 1;
+    }
+    GroupDescription { group, members, leader, term: Term(0), index: LogIndex(0) }
+}
+
+fn replica_sets(live: &[&MemberInfo], replicas: usize) -> Vec<Vec<ReplicaId>> {
+    let mut regions: BTreeMap<&Region, Vec<&MemberInfo>> = BTreeMap::new();
+    for member in live {
+        regions.entry(&member.region).or_default().push(member);
+    }
+    let majority = replicas / 2 + 1;
+    let is_large = |members: &Vec<&MemberInfo>| members.len() >= majority;
+    let has_large = regions.values().any(is_large);
+    let mut sets = Vec::new();
+    for (region, near) in &regions {
+        // A region too small for a majority holds no groups where another one can.
+        if has_large && !is_large(near) {
+            continue;
+        }
+        let far: Vec<&MemberInfo> =
+            live.iter().copied().filter(|member| member.region != **region).collect();
+        for turn in 0..SETS_PER_DAEMON {
+            sets.extend(sets_of_region(near, &far, replicas, turn));
+        }
+    }
+    sets
+}
+
+/// Sets that together use every daemon of a region at least once.
+fn sets_of_region(
+    near: &[&MemberInfo],
+    far: &[&MemberInfo],
+    replicas: usize,
+    turn: usize,
+) -> Vec<Vec<ReplicaId>> {
+    let mut unused: BTreeMap<&Zone, Vec<&MemberInfo>> = BTreeMap::new();
+    for member in near {
+        unused.entry(&member.zone).or_default().push(member);
+    }
+    for (place, members) in unused.values_mut().enumerate() {
+        members.sort_by_key(|member| member.daemon);
+        // Each turn shifts every zone differently, so that its sets differ from the last ones.
+        let shift = turn * (place + 1) % members.len();
+        members.rotate_left(shift);
+    }
+    let mut sets = Vec::new();
+    while unused.values().any(|members| !members.is_empty()) {
+        sets.push(next_set(&mut unused, near, far, replicas));
+    }
+    sets
+}
+
+fn next_set(
+    unused: &mut BTreeMap<&Zone, Vec<&MemberInfo>>,
+    near: &[&MemberInfo],
+    far: &[&MemberInfo],
+    replicas: usize,
+) -> Vec<ReplicaId> {
+    let mut set: Vec<&MemberInfo> = Vec::new();
+    while set.len() < replicas {
+        let Some(member) = take_unused(unused, &set).or_else(|| reuse(near, far, &set)) else {
+            break;
+        };
+        set.push(member);
+    }
+    set.into_iter().map(MemberInfo::replica).collect()
+}
+
+/// An unused daemon, from the zone that the set uses least; of these the one with most left.
+fn take_unused<'a>(
+    unused: &mut BTreeMap<&Zone, Vec<&'a MemberInfo>>,
+    set: &[&MemberInfo],
+) -> Option<&'a MemberInfo> {
+    let zones = unused.iter_mut().filter(|(_, members)| !members.is_empty());
+    let best = zones.min_by_key(|(zone, members)| (in_zone(set, zone), usize::MAX - members.len()));
+    best.and_then(|(_, members)| members.pop())
+}
+
+/// A daemon that is in another set already: near before far, from the zone used least.
+fn reuse<'a>(
+    near: &[&'a MemberInfo],
+    far: &[&'a MemberInfo],
+    set: &[&MemberInfo],
+) -> Option<&'a MemberInfo> {
+    let used: BTreeSet<DaemonId> = set.iter().map(|member| member.daemon).collect();
+    let pick = |members: &[&'a MemberInfo]| {
+        let free = members.iter().copied().filter(|member| !used.contains(&member.daemon));
+        free.min_by_key(|member| (in_zone(set, &member.zone), member.daemon))
+    };
+    pick(near).or_else(|| pick(far))
+}
+
+fn in_zone(set: &[&MemberInfo], zone: &Zone) -> usize {
+    set.iter().filter(|member| member.zone == *zone).count()
+}
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -93,9 +93,14 @@
         now: Timestamp,
     ) -> Self {
         let mut replica = Self::join(id, group, settings, seed, now);
+        let is_first = voters.first() == Some(&id);
         replica.configurations = vec![(LogIndex(0), Members::of_voters(voters))];
         replica.role = replica.resting_role();
         replica.announced.0 = replica.role;
+        if is_first {
+            // The layout wants it to lead: it asks before the others' timeouts end.
+            replica.election_deadline = now + replica.settings.heartbeat_interval();
+        }
         replica
     }
 
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -1,9 +1,15 @@
 //! Membership, failure detection and replica groups as state machines without I/O.
 //!
 //! - [`group`]: one replica of one replica group, by Raft (Ongaro and Ousterhout 2014).
+//! - [`maintenance`]: which member of a group its leader should add, promote or remove next.
+//! - [`membership`]: who is there, by SWIM (Das, Gupta and Motivala 2002), and small facts.
+//! - [`directory`]: where groups are, and their first layout.
 //!
 //! Every state machine takes the time and its random seed as arguments and returns what its
 //! driver must do, so that daemons, virtual-time tests and hollow daemons run the same code.
 //! The time passed in must never go backwards: a daemon derives it from a monotonic clock.
 
+pub mod directory;
 pub mod group;
+pub mod maintenance;
+pub mod membership;
--- /dev/null
+++ b/crates/replication/src/maintenance.rs
@@ -0,0 +1,127 @@
+//! What the leader of a group should change about its members next.
+//!
+//! The order of steps keeps the number of further deaths that the group survives from ever
+//! falling by a step of its own. With `n` voters of which `a` answer, that number is
+//! `a - (n / 2 + 1)`. Promoting a learner that answers, and removing a voter that does not,
+//! both leave it equal or raise it by one, whichever comes first. Removing one that answers
+//! lowers it, so that waits until a replacement votes. Therefore:
+//!
+//! 1. A voter that is gone or lost is removed at once where that alone raises the number
+//!    (the group then survives the next death before any learner has caught up).
+//! 2. Otherwise a learner is added, caught up and promoted first, and the old voter removed
+//!    after; should the lost one come back meanwhile, it still counts.
+//! 3. A leaving or badly placed voter is removed only when its replacement votes.
+//!
+//! A new leader continues where the last one stopped: every decision is made from the present
+//! configuration and view, and nothing is remembered. The list of machines of the platform may
+//! make a daemon [`Liveness::Leaving`], which starts a replacement, but never counts as a death.
+
+mod candidates;
+mod plan;
+mod view;
+
+use dahlia_types::{Duration, InvalidSetting, ReplicaId, Timestamp, check_range};
+use serde::{Deserialize, Serialize};
+
+use crate::group::{GroupStatus, MemberChange};
+
+pub use view::{ClusterView, DaemonView, Liveness};
+
+/// Settings of the maintenance of groups.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MaintenanceSettings {
+    /// Voters that a group should have: 3 survive one death at a time, 5 two.
+    pub voters: usize,
+    /// Learners kept caught up beside them, so that a replacement takes two commits only.
+    pub standby_learners: usize,
+    /// Milliseconds of silence towards the leader after which a member that membership holds
+    /// for dead is lost.
+    pub dead_grace_ms: u64,
+    /// Milliseconds of silence towards the leader after which any member is lost.
+    pub silent_grace_ms: u64,
+    /// Least milliseconds between two hand-overs for balance in one group.
+    pub balance_interval_ms: u64,
+}
+
+impl Default for MaintenanceSettings {
+    fn default() -> Self {
+        Self {
+            voters: 3,
+            standby_learners: 0,
+            dead_grace_ms: 3_000,
+            silent_grace_ms: 60_000,
+            balance_interval_ms: 30_000,
+        }
+    }
+}
+
+impl MaintenanceSettings {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// The first field with a value that is not allowed.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        check_range("maintenance.voters", self.voters, 1, 9)?;
+        check_range("maintenance.standby_learners", self.standby_learners, 0, 4)?;
+        check_range("maintenance.dead_grace_ms", self.dead_grace_ms, 100, 3_600_000)?;
+        let shortest = self.dead_grace_ms;
+        check_range("maintenance.silent_grace_ms", self.silent_grace_ms, shortest, 86_400_000)?;
+        check_range("maintenance.balance_interval_ms", self.balance_interval_ms, 1_000, 86_400_000)
+    }
+
+    fn dead_grace(&self) -> Duration {
+        Duration::from_millis(self.dead_grace_ms)
+    }
+
+    fn silent_grace(&self) -> Duration {
+        Duration::from_millis(self.silent_grace_ms)
+    }
+}
+
+/// What the driver should ask of the replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MaintenanceStep {
+    /// [`Replica::change_members`](crate::group::Replica::change_members).
+    Change(MemberChange),
+    /// [`Replica::transfer_leadership`](crate::group::Replica::transfer_leadership).
+    Transfer(ReplicaId),
+}
+
+/// Decides for one group. Asked by the leader's driver, about once a second and after each
+/// committed change.
+#[derive(Debug, Clone)]
+pub struct Maintenance {
+    settings: MaintenanceSettings,
+    balanced_at: Timestamp,
+}
+
+impl Maintenance {
+    /// For one group; `now` starts the first interval without balancing.
+    pub fn new(settings: MaintenanceSettings, now: Timestamp) -> Self {
+        Self { settings, balanced_at: now }
+    }
+
+    /// The next step, if any. The replica may refuse it; it is then asked for again.
+    pub fn next(
+        &mut self,
+        status: &GroupStatus,
+        view: &ClusterView,
+        now: Timestamp,
+    ) -> Option<MaintenanceStep> {
+        if !status.ready || status.change_in_progress || status.transferring {
+            return None;
+        }
+        let plan = plan::Plan::new(&self.settings, status, view, now);
+        if let Some(step) = plan.next() {
+            return Some(step);
+        }
+        let interval = Duration::from_millis(self.settings.balance_interval_ms);
+        if now.since(self.balanced_at) < interval {
+            return None;
+        }
+        let step = plan.balance()?;
+        self.balanced_at = now;
+        Some(step)
+    }
+}
--- /dev/null
+++ b/crates/replication/src/maintenance/view.rs
@@ -0,0 +1,91 @@
+//! The daemons as a leader's daemon sees them.
+
+use std::collections::BTreeMap;
+
+use dahlia_types::{DaemonId, Incarnation, Region, ReplicaId, Zone};
+
+use crate::directory::Directory;
+use crate::membership::{Health, Member, MemberState};
+
+/// What is thought of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It answers and takes work.
+    Live,
+    /// It answers and takes no new work, or does not answer of late.
+    Doubtful,
+    /// It, or the platform's list of machines, says that it leaves.
+    Leaving,
+    /// Membership holds it for dead.
+    Dead,
+}
+
+/// A daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DaemonView {
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Its zone.
+    pub zone: Zone,
+    /// Its region.
+    pub region: Region,
+    /// What is thought of it.
+    pub liveness: Liveness,
+    /// Replicas it holds.
+    pub replicas: u32,
+    /// Groups it leads.
+    pub leaderships: u32,
+}
+
+/// All daemons known.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ClusterView {
+    /// By number.
+    pub daemons: BTreeMap<DaemonId, DaemonView>,
+}
+
+impl ClusterView {
+    /// From membership and the directory.
+    pub fn new(members: &[Member], directory: &Directory) -> Self {
+        let replicas = directory.replica_counts();
+        let leaderships = directory.leader_counts();
+        let mut daemons = BTreeMap::new();
+        for member in members {
+            let info = &member.record.info;
+            let view = DaemonView {
+                incarnation: info.incarnation,
+                zone: info.zone.clone(),
+                region: info.region.clone(),
+                liveness: liveness(member),
+                replicas: replicas.get(&info.daemon).copied().unwrap_or(0),
+                leaderships: leaderships.get(&info.daemon).copied().unwrap_or(0),
+            };
+            daemons.insert(info.daemon, view);
+        }
+        Self { daemons }
+    }
+
+    /// Notes that the platform's list calls a daemon leaving. It never makes one dead.
+    pub fn mark_leaving(&mut self, daemon: DaemonId) {
+        if let Some(view) = self.daemons.get_mut(&daemon)
+            && view.liveness != Liveness::Dead
+        {
+            view.liveness = Liveness::Leaving;
+        }
+    }
+
+    /// The daemon's present replica identifier.
+    pub fn replica(&self, daemon: DaemonId) -> Option<ReplicaId> {
+        let incarnation = self.daemons.get(&daemon)?.incarnation;
+        Some(ReplicaId { daemon, incarnation })
+    }
+}
+
+fn liveness(member: &Member) -> Liveness {
+    match (member.record.health, member.record.info.state) {
+        (Health::Dead, _) => Liveness::Dead,
+        (_, MemberState::Leaving) => Liveness::Leaving,
+        (Health::Alive, MemberState::Live) => Liveness::Live,
+        (Health::Suspect, _) | (Health::Alive, MemberState::Joining) => Liveness::Doubtful,
+    }
+}
--- /dev/null
+++ b/crates/replication/src/membership/facts.rs
@@ -0,0 +1,97 @@
+//! Small opaque facts that every daemon gets to know; the newest version of each wins.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use dahlia_types::{DaemonId, Duration, EngineId, GroupId, Timestamp};
+use serde::{Deserialize, Serialize};
+
+/// What a fact is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum FactKey {
+    /// The operators' configuration; the version is its generation.
+    Configuration,
+    /// A group's members and leader; see [`crate::directory::GroupDescription::version`].
+    Group(GroupId),
+    /// A load report of an engine. Dropped when it is not renewed, and not compared.
+    EngineLoad(EngineId),
+    /// A load report of a daemon. Dropped when it is not renewed, and not compared.
+    DaemonLoad(DaemonId),
+    /// Anything else, by a number that the driver assigns.
+    Other(u32),
+}
+
+impl FactKey {
+    /// Whether the fact is soon replaced: such facts spread by gossip only.
+    pub fn is_load(&self) -> bool {
+        matches!(self, Self::EngineLoad(_) | Self::DaemonLoad(_))
+    }
+}
+
+/// A fact as it spreads.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fact {
+    /// What it is about.
+    pub key: FactKey,
+    /// The newest wins.
+    pub version: u64,
+    /// The driver's encoding.
+    pub bytes: Bytes,
+}
+
+impl Fact {
+    /// An upper bound of its encoded bytes (bincode, standard configuration).
+    pub(super) fn wire_bytes(&self) -> usize {
+        const FIXED: usize = 24;
+        let name = match &self.key {
+            FactKey::EngineLoad(engine) => engine.as_str().len(),
+            _ => 0,
+        };
+        FIXED + name + self.bytes.len()
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    fact: Fact,
+    since: Timestamp,
+}
+
+/// All facts known.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Facts {
+    held: BTreeMap<FactKey, Held>,
+}
+
+impl Facts {
+    /// Takes a fact in when it is newer than the one held. Returns whether it is.
+    pub fn merge(&mut self, fact: Fact, max_facts: usize, now: Timestamp) -> bool {
+        let known = self.held.get(&fact.key);
+        if known.is_some_and(|held| held.fact.version >= fact.version) {
+            return false;
+        }
+        if known.is_none() && self.held.len() >= max_facts {
+            return false;
+        }
+        self.held.insert(fact.key.clone(), Held { fact, since: now });
+        true
+    }
+
+    pub fn get(&self, key: &FactKey) -> Option<&Fact> {
+        self.held.get(key).map(|held| &held.fact)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Fact> {
+        self.held.values().map(|held| &held.fact)
+    }
+
+    /// Facts that are compared with other members.
+    pub fn lasting(&self) -> impl Iterator<Item = &Fact> {
+        self.iter().filter(|fact| !fact.key.is_load())
+    }
+
+    /// Drops load facts that were not renewed.
+    pub fn expire(&mut self, lifetime: Duration, now: Timestamp) {
+        self.held.retain(|key, held| !key.is_load() || now.since(held.since) < lifetime);
+    }
+}
--- /dev/null
+++ b/crates/replication/src/membership/settings.rs
@@ -0,0 +1,129 @@
+//! Settings of membership.
+
+use dahlia_types::{Duration, InvalidSetting, check_range};
+use serde::{Deserialize, Serialize};
+
+/// Settings of membership. All daemons of a deployment use the same.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MembershipSettings {
+    /// Milliseconds between probes of one member each.
+    pub probe_interval_ms: u64,
+    /// Milliseconds to wait for an answer before others are asked to probe.
+    pub probe_timeout_ms: u64,
+    /// How many others are asked.
+    pub indirect_probes: usize,
+    /// A suspect has this many probe intervals, times the decimal logarithm of the number of
+    /// members (at least 1), to object.
+    pub suspicion_factor: u64,
+    /// Milliseconds between rounds of gossip; a round without news sends nothing.
+    pub gossip_interval_ms: u64,
+    /// Members that get each round.
+    pub gossip_fanout: usize,
+    /// Each update leaves this many times the binary logarithm of the number of members.
+    pub retransmit_factor: u32,
+    /// Each load fact leaves this many times: the next one comes soon.
+    pub load_transmissions: u32,
+    /// Bytes per second that gossip may use, payload only.
+    pub gossip_bytes_per_second: u64,
+    /// Most bytes of one message with gossip.
+    pub max_message_bytes: usize,
+    /// Milliseconds between comparisons with a random member.
+    pub sync_interval_ms: u64,
+    /// Most bytes of one message that answers a comparison.
+    pub sync_chunk_bytes: usize,
+    /// Share of gossip and of comparisons that goes to another region.
+    pub cross_region_share: f64,
+    /// Milliseconds that the dead are remembered.
+    pub forget_dead_after_ms: u64,
+    /// Milliseconds after which a load fact without a newer version is dropped.
+    pub load_fact_lifetime_ms: u64,
+    /// Most bytes of one fact.
+    pub max_fact_bytes: usize,
+    /// Most facts kept.
+    pub max_facts: usize,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            probe_interval_ms: 1_000,
+            probe_timeout_ms: 300,
+            indirect_probes: 3,
+            suspicion_factor: 4,
+            gossip_interval_ms: 200,
+            gossip_fanout: 3,
+            retransmit_factor: 2,
+            load_transmissions: 3,
+            gossip_bytes_per_second: 1_400,
+            max_message_bytes: 1_200,
+            sync_interval_ms: 30_000,
+            sync_chunk_bytes: 8 * 1024,
+            cross_region_share: 0.05,
+            forget_dead_after_ms: 3_600_000,
+            load_fact_lifetime_ms: 30_000,
+            max_fact_bytes: 512,
+            max_facts: 1 << 16,
+        }
+    }
+}
+
+impl MembershipSettings {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// The first field with a value that is not allowed.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        let probe = self.probe_interval_ms;
+        check_range("membership.probe_interval_ms", probe, 100, 60_000)?;
+        check_range("membership.probe_timeout_ms", self.probe_timeout_ms, 10, probe / 2)?;
+        check_range("membership.indirect_probes", self.indirect_probes, 0, 16)?;
+        check_range("membership.suspicion_factor", self.suspicion_factor, 1, 100)?;
+        check_range("membership.gossip_interval_ms", self.gossip_interval_ms, 20, 60_000)?;
+        check_range("membership.gossip_fanout", self.gossip_fanout, 1, 16)?;
+        check_range("membership.retransmit_factor", self.retransmit_factor, 1, 16)?;
+        check_range("membership.load_transmissions", self.load_transmissions, 1, 64)?;
+        let rate = self.gossip_bytes_per_second;
+        check_range("membership.gossip_bytes_per_second", rate, 100, 1 << 30)?;
+        let smallest = self.max_fact_bytes + 400;
+        check_range("membership.max_message_bytes", self.max_message_bytes, smallest, 60_000)?;
+        check_range("membership.sync_interval_ms", self.sync_interval_ms, 100, 3_600_000)?;
+        check_range("membership.sync_chunk_bytes", self.sync_chunk_bytes, smallest, 1 << 20)?;
+        check_range("membership.cross_region_share", self.cross_region_share, 0.0, 1.0)?;
+        let forget = self.forget_dead_after_ms;
+        check_range("membership.forget_dead_after_ms", forget, 1_000, 7 * 86_400_000)?;
+        let lifetime = self.load_fact_lifetime_ms;
+        check_range("membership.load_fact_lifetime_ms", lifetime, 100, 86_400_000)?;
+        check_range("membership.max_fact_bytes", self.max_fact_bytes, 16, 32 * 1024)?;
+        check_range("membership.max_facts", self.max_facts, 16, 1 << 24)
+    }
+
+    pub(super) fn probe_interval(&self) -> Duration {
+        Duration::from_millis(self.probe_interval_ms)
+    }
+
+    pub(super) fn probe_timeout(&self) -> Duration {
+        Duration::from_millis(self.probe_timeout_ms)
+    }
+
+    pub(super) fn gossip_interval(&self) -> Duration {
+        Duration::from_millis(self.gossip_interval_ms)
+    }
+
+    pub(super) fn sync_interval(&self) -> Duration {
+        Duration::from_millis(self.sync_interval_ms)
+    }
+
+    /// How long a suspect among `members` may take to object.
+    pub fn suspicion_timeout(&self, members: usize) -> Duration {
+        let scale = (members.max(1) as f64).log10().max(1.0);
+        let intervals = self.suspicion_factor as f64 * scale;
+        Duration::from_secs_f64(self.probe_interval().as_secs_f64() * intervals)
+    }
+
+    /// How often an update among `members` leaves each daemon.
+    pub(super) fn transmissions(&self, members: usize) -> u32 {
+        let rounds = usize::BITS - members.leading_zeros();
+        self.retransmit_factor * rounds.max(1)
+    }
+}
--- /dev/null
+++ b/crates/replication/src/membership/state.rs
@@ -0,0 +1,306 @@
+//! Membership of one daemon: its state and public interface.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use dahlia_types::{DaemonId, Duration, Incarnation, Timestamp};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::detector::Probe;
+use super::facts::Facts;
+use super::gossip::{Budget, Known, Limits, News, Queue, Subject};
+use super::members::Members;
+use super::{
+    Envelope, Fact, FactKey, Health, Member, MemberInfo, MemberMessage, MemberRecord, MemberState,
+    MembershipSettings,
+};
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Time passed. Wanted at [`Membership::next_deadline`], or every 50 to 100 milliseconds.
+    Tick,
+    /// A message came.
+    Received(Envelope),
+    /// A connection to a daemon broke: probe it at once.
+    ConnectionLost(DaemonId),
+}
+
+/// What the driver must do or may want to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message. May be lost, doubled and reordered.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: Envelope,
+    },
+    /// A member is new or changed.
+    MemberChanged(MemberRecord),
+    /// A fact is new or has a newer version, published elsewhere.
+    FactChanged(Fact),
+    /// Another life of this daemon with a later incarnation is known: this one must stop, or,
+    /// when its clock went back, start again with a later incarnation.
+    Superseded {
+        /// The later incarnation.
+        by: Incarnation,
+    },
+}
+
+/// Bytes of an envelope without news, at most.
+const ENVELOPE_BYTES: usize = 64;
+
+/// The membership state of one daemon.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    pub(super) own: MemberRecord,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) settings: MembershipSettings,
+    pub(super) random: ChaCha8Rng,
+    pub(super) now: Timestamp,
+    pub(super) members: Members,
+    pub(super) facts: Facts,
+    pub(super) queue: Queue,
+    pub(super) budget: Budget,
+    pub(super) probe: Option<Probe>,
+    pub(super) next_sequence: u32,
+    pub(super) next_probe: Timestamp,
+    pub(super) next_gossip: Timestamp,
+    pub(super) next_sync: Timestamp,
+    pub(super) actions: Vec<Action>,
+}
+
+impl Membership {
+    /// A daemon that knows only itself and some addresses to start from.
+    pub fn new(
+        own: MemberInfo,
+        seeds: Vec<SocketAddr>,
+        settings: MembershipSettings,
+        seed: u64,
+        now: Timestamp,
+    ) -> Self {
+        let budget = Budget::new(settings.gossip_bytes_per_second, now);
+        let seed = seed ^ (u64::from(own.daemon.0) << 32) ^ own.incarnation.0;
+        let mut membership = Self {
+            own: MemberRecord { info: own, version: 0, health: Health::Alive },
+            seeds,
+            settings,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            members: Members::default(),
+            facts: Facts::default(),
+            queue: Queue::default(),
+            budget,
+            probe: None,
+            next_sequence: 0,
+            next_probe: now,
+            next_gossip: now,
+            next_sync: now,
+            actions: Vec::new(),
+        };
+        membership.queue.push(Subject::Member(membership.own.info.daemon));
+        membership
+    }
+
+    /// Takes an event in and returns what to do, in order.
+    pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.tick(),
+            Event::Received(envelope) => self.receive(envelope),
+            Event::ConnectionLost(daemon) => self.connection_lost(daemon),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When the next tick has something to do, unless a message comes first.
+    pub fn next_deadline(&self) -> Timestamp {
+        let mut next = self.next_probe.min(self.next_sync);
+        if let Some(at) = self.probe.as_ref().and_then(|probe| probe.indirect_at) {
+            next = next.min(at);
+        }
+        if self.queue.is_empty() { next } else { next.min(self.next_gossip) }
+    }
+
+    /// The own description.
+    pub fn own(&self) -> &MemberInfo {
+        &self.own.info
+    }
+
+    /// All daemons known: the own one, the present and the dead of late.
+    pub fn members(&self) -> Vec<Member> {
+        let mut members: Vec<Member> = self.members.iter().cloned().collect();
+        members.push(Member { record: self.own.clone(), since: Timestamp::ZERO });
+        members.sort_by_key(|member| member.record.info.daemon);
+        members
+    }
+
+    /// One daemon.
+    pub fn member(&self, daemon: DaemonId) -> Option<&Member> {
+        self.members.get(daemon)
+    }
+
+    /// Changes what this daemon says of itself.
+    pub fn set_state(&mut self, state: MemberState) {
+        if self.own.info.state != state {
+            self.own.info.state = state;
+            self.own.version += 1;
+            self.queue.push(Subject::Member(self.own.info.daemon));
+        }
+    }
+
+    /// Makes a fact known to all. Returns whether it is newer than what is known, and small
+    /// enough; otherwise nothing happens.
+    pub fn publish(&mut self, key: FactKey, version: u64, bytes: Vec<u8>) -> bool {
+        let fact = Fact { key, version, bytes: Bytes::from(bytes) };
+        self.merge_fact(fact)
+    }
+
+    /// The newest known version of a fact.
+    pub fn fact(&self, key: &FactKey) -> Option<&Fact> {
+        self.facts.get(key)
+    }
+
+    /// All facts known.
+    pub fn facts(&self) -> impl Iterator<Item = &Fact> {
+        self.facts.iter()
+    }
+
+    fn tick(&mut self) {
+        if self.now >= self.next_probe {
+            self.end_probe_interval();
+        }
+        self.probe_indirectly();
+        if self.now >= self.next_gossip {
+            self.next_gossip = self.now + self.settings.gossip_interval();
+            self.gossip();
+        }
+        if self.now >= self.next_sync {
+            self.next_sync = self.now + self.settings.sync_interval();
+            self.start_sync();
+        }
+    }
+
+    fn gossip(&mut self) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let fanout = self.settings.gossip_fanout;
+        let share = self.settings.cross_region_share;
+        let region = self.own.info.region.clone();
+        for daemon in self.members.choose(fanout, &region, share, &mut self.random) {
+            let news = self.news();
+            if news.bytes > 0 {
+                self.send_news(daemon, MemberMessage::Gossip, news);
+            }
+        }
+    }
+
+    /// News for one message, within the budget.
+    fn news(&mut self) -> News {
+        let room = self.budget.room(self.now).saturating_sub(ENVELOPE_BYTES);
+        let room = room.min(self.settings.max_message_bytes - ENVELOPE_BYTES);
+        let others = self.settings.transmissions(self.members.present_count() + 1);
+        let limits = Limits { loads: self.settings.load_transmissions, others };
+        let known = Known { own: &self.own, members: &self.members, facts: &self.facts };
+        let news = self.queue.take(room, limits, &known);
+        if news.bytes > 0 {
+            self.budget.spend(news.bytes + ENVELOPE_BYTES);
+        }
+        news
+    }
+
+    /// Sends to a member, with news as far as they fit.
+    pub(super) fn send(&mut self, daemon: DaemonId, body: MemberMessage) {
+        let news = self.news();
+        self.send_news(daemon, body, news);
+    }
+
+    fn send_news(&mut self, daemon: DaemonId, body: MemberMessage, news: News) {
+        let Some(member) = self.members.get(daemon) else { return };
+        let to = member.record.info.address;
+        self.send_to_address(to, body, news.members, news.facts);
+    }
+
+    pub(super) fn send_to_address(
+        &mut self,
+        to: SocketAddr,
+        body: MemberMessage,
+        members: Vec<MemberRecord>,
+        facts: Vec<Fact>,
+    ) {
+        let message = Envelope { from: self.own.info.replica(), body, members, facts };
+        self.actions.push(Action::Send { to, message });
+    }
+
+    fn receive(&mut self, envelope: Envelope) {
+        let Envelope { from, body, members, facts } = envelope;
+        for record in members {
+            self.merge_record(record);
+        }
+        for fact in facts {
+            if self.merge_fact(fact.clone()) {
+                self.actions.push(Action::FactChanged(fact));
+            }
+        }
+        match body {
+            MemberMessage::Ping { sequence, to, on_behalf_of } => {
+                self.answer_ping(from.daemon, sequence, to, on_behalf_of);
+            }
+            MemberMessage::Ack { sequence, answering, on_behalf_of } => {
+                self.take_ack(sequence, answering, on_behalf_of);
+            }
+            MemberMessage::PingRequest { sequence, target } => {
+                self.ping_for(from.daemon, sequence, target);
+            }
+            MemberMessage::Gossip => {}
+            MemberMessage::SyncRequest(digest) => self.answer_sync(from.daemon, &digest),
+            MemberMessage::SyncChunk(chunk) => self.take_sync_chunk(from.daemon, chunk),
+        }
+    }
+
+    fn merge_fact(&mut self, fact: Fact) -> bool {
+        if fact.bytes.len() > self.settings.max_fact_bytes {
+            return false;
+        }
+        let key = fact.key.clone();
+        let is_news = self.facts.merge(fact, self.settings.max_facts, self.now);
+        if is_news {
+            self.queue.push(Subject::Fact(key));
+        }
+        is_news
+    }
+
+    /// Takes in a statement on a member and spreads it when it is news.
+    pub(super) fn merge_record(&mut self, record: MemberRecord) {
+        if record.info.daemon == self.own.info.daemon {
+            self.merge_own(&record);
+            return;
+        }
+        if self.members.merge(&record, self.now) {
+            self.queue.push(Subject::Member(record.info.daemon));
+            self.actions.push(Action::MemberChanged(record));
+        }
+    }
+
+    /// Objects to a suspicion, or learns of a later life.
+    fn merge_own(&mut self, record: &MemberRecord) {
+        let own = self.own.info.incarnation;
+        if record.info.incarnation > own {
+            self.actions.push(Action::Superseded { by: record.info.incarnation });
+            return;
+        }
+        let is_present_life = record.info.incarnation == own;
+        if is_present_life && record.health != Health::Alive && record.version >= self.own.version {
+            self.own.version = record.version + 1;
+            self.queue.push(Subject::Member(self.own.info.daemon));
+        }
+    }
+
+    /// The time a suspect has.
+    pub(super) fn suspicion_timeout(&self) -> Duration {
+        self.settings.suspicion_timeout(self.members.present_count() + 1)
+    }
+}
--- /dev/null
+++ b/crates/replication/src/membership/sync.rs
@@ -0,0 +1,182 @@
+//! Comparison with a random member: hashes by bucket, then what differs.
+//!
+//! In agreement a comparison costs two hashes lists; it repairs what gossip lost, brings a new
+//! daemon up to date, and finds the dead who were only cut off.
+
+use dahlia_types::DaemonId;
+use rand::Rng;
+
+use super::facts::Facts;
+use super::members::Members;
+use super::state::Membership;
+use super::{Fact, FactKey, Health, MemberMessage, MemberRecord, SyncChunk, SyncDigest};
+
+/// Buckets of members and of facts; one bit each in a [`SyncChunk`].
+const BUCKETS: usize = 64;
+
+/// How often a dead member is tried instead of a present one.
+const DEAD_SHARE: f64 = 0.25;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// FNV-1a over words, with a final mix so that all bits count.
+fn hash(words: &[u64]) -> u64 {
+    let mut state = FNV_OFFSET;
+    for word in words {
+        for byte in word.to_le_bytes() {
+            state = (state ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+    state ^ (state >> 32)
+}
+
+fn member_bucket(daemon: DaemonId) -> usize {
+    daemon.0 as usize % BUCKETS
+}
+
+fn fact_words(key: &FactKey) -> [u64; 2] {
+    match key {
+        FactKey::Configuration => [0, 0],
+        FactKey::Group(group) => [1, u64::from(group.0)],
+        FactKey::DaemonLoad(daemon) => [2, u64::from(daemon.0)],
+        FactKey::Other(number) => [3, u64::from(*number)],
+        FactKey::EngineLoad(engine) => {
+            let bytes = engine.as_str().bytes();
+            [4, hash(&bytes.map(u64::from).collect::<Vec<u64>>())]
+        }
+    }
+}
+
+fn fact_bucket(key: &FactKey) -> usize {
+    hash(&fact_words(key)) as usize % BUCKETS
+}
+
+fn digest(own: &MemberRecord, members: &Members, facts: &Facts) -> SyncDigest {
+    let mut member_hashes = vec![0_u32; BUCKETS];
+    let others = members.iter().map(|member| &member.record);
+    for record in others.chain([own]) {
+        // The dead are left out: some daemons have forgotten them and some have not.
+        if record.health == Health::Dead {
+            continue;
+        }
+        let info = &record.info;
+        let health = record.health as u64;
+        let words = [u64::from(info.daemon.0), info.incarnation.0, record.version.into(), health];
+        // Exclusive or does not depend on order.
+        member_hashes[member_bucket(info.daemon)] ^= hash(&words) as u32;
+    }
+    let mut fact_hashes = vec![0_u32; BUCKETS];
+    for fact in facts.lasting() {
+        let [kind, number] = fact_words(&fact.key);
+        fact_hashes[fact_bucket(&fact.key)] ^= hash(&[kind, number, fact.version]) as u32;
+    }
+    SyncDigest { members: member_hashes, facts: fact_hashes }
+}
+
+fn differing(own: &[u32], other: &[u32]) -> u64 {
+    let mut bits = 0;
+    for bucket in 0..BUCKETS {
+        if own.get(bucket) != other.get(bucket) {
+            bits |= 1 << bucket;
+        }
+    }
+    bits
+}
+
+fn has_bit(bits: u64, bucket: usize) -> bool {
+    bits & (1 << bucket) != 0
+}
+
+impl Membership {
+    /// Starts a comparison with a random member, a dead one, or a seed.
+    pub(super) fn start_sync(&mut self) {
+        let digest = digest(&self.own, &self.members, &self.facts);
+        let body = MemberMessage::SyncRequest(digest);
+        let own = vec![self.own.clone()];
+        let region = self.own.info.region.clone();
+        let share = self.settings.cross_region_share;
+        let dead = self.members.choose_dead(&mut self.random);
+        let dead = dead.filter(|_| self.random.random_bool(DEAD_SHARE));
+        let present = self.members.choose(1, &region, share, &mut self.random).first().copied();
+        if let Some(member) = dead.or(present).and_then(|daemon| self.members.get(daemon)) {
+            let to = member.record.info.address;
+            // Tells a member that it is held for dead, so that it objects.
+            let mut records = own;
+            if member.record.health != Health::Alive {
+                records.push(member.record.clone());
+            }
+            self.send_to_address(to, body, records, Vec::new());
+            return;
+        }
+        // Nobody is known yet: every seed is asked, and again soon.
+        for seed in self.seeds.clone() {
+            if seed != self.own.info.address {
+                self.send_to_address(seed, body.clone(), own.clone(), Vec::new());
+            }
+        }
+        self.next_sync = self.now + self.settings.probe_interval();
+    }
+
+    pub(super) fn answer_sync(&mut self, from: DaemonId, other: &SyncDigest) {
+        let own = digest(&self.own, &self.members, &self.facts);
+        let members = differing(&own.members, &other.members);
+        let facts = differing(&own.facts, &other.facts);
+        if members == 0 && facts == 0 {
+            return;
+        }
+        self.send_buckets(from, members, facts, true);
+    }
+
+    pub(super) fn take_sync_chunk(&mut self, from: DaemonId, chunk: SyncChunk) {
+        if chunk.wanted_members != 0 || chunk.wanted_facts != 0 {
+            self.send_buckets(from, chunk.wanted_members, chunk.wanted_facts, false);
+        }
+    }
+
+    /// Sends everything in some buckets, in messages of bounded size.
+    fn send_buckets(&mut self, to: DaemonId, members: u64, facts: u64, wants_return: bool) {
+        let Some(address) = self.members.get(to).map(|member| member.record.info.address) else {
+            return;
+        };
+        let mut chunks = self.chunks(members, facts);
+        if chunks.is_empty() {
+            chunks.push((Vec::new(), Vec::new()));
+        }
+        for (position, (records, facts_sent)) in chunks.into_iter().enumerate() {
+            let is_asking = wants_return && position == 0;
+            let chunk = SyncChunk {
+                wanted_members: if is_asking { members } else { 0 },
+                wanted_facts: if is_asking { facts } else { 0 },
+            };
+            self.send_to_address(address, MemberMessage::SyncChunk(chunk), records, facts_sent);
+        }
+    }
+
+    fn chunks(&self, members: u64, facts: u64) -> Vec<(Vec<MemberRecord>, Vec<Fact>)> {
+        let limit = self.settings.sync_chunk_bytes;
+        let mut chunks: Vec<(Vec<MemberRecord>, Vec<Fact>)> = Vec::new();
+        let mut used = limit;
+        let mut room_for = |chunks: &mut Vec<_>, bytes: usize| {
+            used += bytes;
+            if used > limit {
+                used = bytes;
+                chunks.push((Vec::new(), Vec::new()));
+            }
+        };
+        let others = self.members.iter().map(|member| &member.record);
+        for record in others.chain([&self.own]) {
+            if has_bit(members, member_bucket(record.info.daemon)) {
+                room_for(&mut chunks, record.wire_bytes());
+                chunks.last_mut().expect("just made").0.push(record.clone());
+            }
+        }
+        for fact in self.facts.lasting() {
+            if has_bit(facts, fact_bucket(&fact.key)) {
+                room_for(&mut chunks, fact.wire_bytes());
+                chunks.last_mut().expect("just made").1.push(fact.clone());
+            }
+        }
+        chunks
+    }
+}
