Assemble the daemon around the node

Cause: the thin path needs a process that serves callers, operators and peers. Ruled out: forwarding answers token by token through the node's task; gateways read text at the owner over a connection of their own, so tokens cost the state machines nothing. Measured: builds; not run yet.

--- a/crates/daemon/src/answers.rs
+++ b/crates/daemon/src/answers.rs
@@ -54,16 +54,6 @@
         self.lock().remove(&call);
     }
 
-    /// Number of answers kept.
-    pub fn len(&self) -> usize {
-        self.lock().len()
-    }
-
-    /// Whether none is kept.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     fn lock(&self) -> MutexGuard<'_, HashMap<CallId, Arc<Answer>>> {
         self.answers.lock().expect("no holder of this lock panics")
     }
--- /dev/null
+++ b/crates/daemon/src/assembly.rs
@@ -0,0 +1,229 @@
+//! Starts the parts of a daemon, and stops them in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dahlia_node::{Node, NodeSettings};
+use dahlia_program::ProgramLimits;
+use dahlia_replication::group::GroupSettings;
+use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
+use salvo::server::ServerHandle;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::answers::AnswerBoard;
+use crate::clock::Clock;
+use crate::core::{Core, CoreHandle, channel, deliver};
+use crate::engines::EngineTasks;
+use crate::gateway::{self, Gateway};
+use crate::handshake::Identity;
+use crate::logging::part;
+use crate::metrics::Metrics;
+use crate::operators::{self, Operators};
+use crate::peers::{self, Incoming, PeerSender};
+use crate::platform_state::PlatformState;
+use crate::serve_answers;
+use crate::settings::Settings;
+
+/// Messages of peers that may wait for the node.
+const PEER_INBOX: usize = 8_192;
+/// How often a planned stop looks whether everything has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address could not be listened on.
+    #[snafu(display("listening on {address} for {part}: {source}"))]
+    Listen {
+        /// Which part.
+        part: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The metrics could not be set up.
+    #[snafu(display("setting up metrics: {source}"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
+}
+
+/// A daemon that runs.
+pub struct RunningDaemon {
+    core: CoreHandle,
+    gateway: ServerHandle,
+    tasks: Vec<JoinHandle<()>>,
+    drain_limit: Duration,
+    /// Where callers connect.
+    pub gateway_address: SocketAddr,
+    /// Where operators connect.
+    pub operators_address: SocketAddr,
+    /// Where other daemons connect.
+    pub peer_address: SocketAddr,
+}
+
+/// Starts a daemon.
+///
+/// # Errors
+/// [`StartError`] when an address is taken.
+pub async fn start(settings: &Settings) -> Result<RunningDaemon, StartError> {
+    let clock = Clock::start();
+    let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
+    let peer_listener = listen("peers", settings.daemon.peer_address).await?;
+    let gateway_listener = listen("callers", settings.daemon.gateway_address).await?;
+    let operators_listener = listen("operators", settings.daemon.operators_address).await?;
+    let peer_address = local(&peer_listener, settings.daemon.peer_address);
+    let gateway_address = local(&gateway_listener, settings.daemon.gateway_address);
+    let operators_address = local(&operators_listener, settings.daemon.operators_address);
+
+    let key = PeerKey::new(settings.credentials.peer_key.as_bytes());
+    let identity = Identity { daemon: own.daemon, incarnation: own.incarnation, key };
+    let metrics = Metrics::new().context(MetricsSnafu)?;
+    let (core, inbox) = channel(own);
+    let board = AnswerBoard::default();
+    let engines = EngineTasks::new(&settings.platform.engines, core.clone(), board.clone());
+    engines.start_reports();
+    let driver = Core::new(
+        Node::new(node_settings(settings, own, peer_address)),
+        clock,
+        inbox,
+        PeerSender::new(identity.clone()),
+        engines,
+        PlatformState::new(settings.platform.key_value, core.clone()),
+        metrics.clone(),
+    );
+
+    let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
+    let gateway_parts = Gateway::new(
+        core.clone(),
+        identity.clone(),
+        TenantKey::new(settings.credentials.tenant_key.as_bytes()),
+        settings.limits.clone(),
+        metrics,
+    );
+    let gateway = gateway::serve(gateway_listener, gateway_parts)
+        .context(ListenSnafu { part: "callers", address: gateway_address })?;
+    let operators = Operators {
+        core: core.clone(),
+        token: settings.credentials.operator_token.as_str().into(),
+    };
+    let tasks = vec![
+        tokio::spawn(driver.run()),
+        tokio::spawn(peers::listen(peer_listener, identity, incoming)),
+        tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
+        tokio::spawn(serve_operators(operators_listener, operators)),
+    ];
+    log::info!(
+        target: part::DAEMON,
+        "{own} serves callers on {gateway_address}, operators on {operators_address}, peers on \
+         {peer_address}."
+    );
+    Ok(RunningDaemon {
+        core,
+        gateway,
+        tasks,
+        drain_limit: Duration::from_millis(settings.daemon.drain_ms),
+        gateway_address,
+        operators_address,
+        peer_address,
+    })
+}
+
+impl RunningDaemon {
+    /// A planned stop: hands groups over, lets requests end, then closes. Bounded by the
+    /// settings.
+    pub async fn drain(self) {
+        log::info!(target: part::DAEMON, "Planned stop.");
+        self.core.drain().await;
+        self.gateway.stop_graceful(self.drain_limit);
+        let started = Instant::now();
+        loop {
+            let status = self.core.status().await;
+            let idle = status.attempts == 0 && status.requests == 0 && status.groups_led == 0;
+            if idle {
+                break;
+            }
+            if started.elapsed() > self.drain_limit {
+                log::warn!(
+                    target: part::DAEMON,
+                    "Planned stop cut short: {} attempts and {} requests left.",
+                    status.attempts,
+                    status.requests
+                );
+                break;
+            }
+            sleep(DRAIN_POLL).await;
+        }
+        self.stop();
+    }
+
+    /// Stops at once.
+    pub fn stop(self) {
+        self.gateway.stop_forcible();
+        for task in &self.tasks {
+            task.abort();
+        }
+        log::info!(target: part::DAEMON, "Stopped.");
+    }
+}
+
+async fn listen(part: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(ListenSnafu { part, address })
+}
+
+fn local(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
+async fn serve_operators(listener: TcpListener, operators: Operators) {
+    if let Err(error) = operators::serve(listener, operators).await {
+        log::error!(target: part::OPERATORS, "Serving operators ended: {error}.");
+    }
+}
+
+async fn take_incoming(mut inbox: mpsc::Receiver<Incoming>, core: CoreHandle, board: AnswerBoard) {
+    while let Some(incoming) = inbox.recv().await {
+        match incoming {
+            Incoming::Message { from, message } => {
+                let from = ReplicaId { daemon: from.daemon, incarnation: from.incarnation };
+                deliver(&core, from, message).await;
+            }
+            Incoming::Answer { read, frames } => {
+                tokio::spawn(serve_answers::serve(core.clone(), board.clone(), read, frames));
+            }
+        }
+    }
+}
+
+fn node_settings(settings: &Settings, own: ReplicaId, address: SocketAddr) -> NodeSettings {
+    let group = GroupSettings {
+        heartbeat_interval_ms: settings.groups.heartbeat_ms,
+        election_timeout_ms: settings.groups.election_ms,
+        ..GroupSettings::default()
+    };
+    NodeSettings {
+        own,
+        zone: settings.daemon.zone.clone(),
+        region: settings.daemon.region.clone(),
+        address,
+        seeds: settings.daemon.seeds.clone(),
+        group_count: settings.groups.count,
+        replicas: settings.groups.replicas,
+        bootstrap_daemons: settings.groups.bootstrap_daemons,
+        group,
+        limits: ProgramLimits::default(),
+        placement: settings.placement.clone(),
+        policy: settings.policy,
+        attempts_per_call: settings.calls.attempts,
+        attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
+        keep_records: Length::from_millis(settings.calls.keep_records_ms),
+        seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
+    }
+}
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,7 +9,7 @@
 use dahlia_api::{ApiError, ErrorKind};
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, Announcement, Event, Node, NodeStatus};
+use dahlia_node::{Action, Announcement, EngineView, Event, Node, NodeStatus};
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
@@ -48,6 +48,8 @@
     GroupForProgram(u64, oneshot::Sender<Option<GroupId>>),
     /// All groups.
     Groups(oneshot::Sender<Vec<GroupId>>),
+    /// Engines.
+    Engines(oneshot::Sender<Vec<EngineView>>),
     /// Live daemons.
     Daemons(oneshot::Sender<Vec<Announcement>>),
 }
@@ -106,6 +108,16 @@
         self.query(Query::Daemons).await.unwrap_or_default()
     }
 
+    /// Engines as this daemon sees them.
+    pub async fn engines(&self) -> Vec<EngineView> {
+        self.query(Query::Engines).await.unwrap_or_default()
+    }
+
+    /// Begins a planned stop.
+    pub async fn drain(&self) {
+        self.event(Event::Drain).await;
+    }
+
     /// A key for a call whose caller gave none; no other call has it.
     pub fn fresh_key(&self) -> String {
         let number = self.keys.fetch_add(1, Ordering::Relaxed);
@@ -246,18 +258,31 @@
         let now = self.clock.now();
         // An asker that has gone needs no answer.
         match query {
-            Query::Owner(group, reply) => drop(reply.send(self.node.owner_address(group))),
-            Query::Owns(group, reply) => drop(reply.send(self.node.owns(group))),
+            Query::Owner(group, reply) => {
+                let _ = reply.send(self.node.owner_address(group));
+            }
+            Query::Owns(group, reply) => {
+                let _ = reply.send(self.node.owns(group));
+            }
             Query::Status(reply) => {
                 let status = self.node.status(now);
                 self.metrics.note_status(&status);
-                drop(reply.send(status));
+                {
+                    let _ = reply.send(status);
+                }
             }
             Query::GroupForProgram(draw, reply) => {
-                drop(reply.send(self.node.group_for_new_program(draw)));
+                let _ = reply.send(self.node.group_for_new_program(draw));
+            }
+            Query::Groups(reply) => {
+                let _ = reply.send(self.node.group_ids());
+            }
+            Query::Engines(reply) => {
+                let _ = reply.send(self.node.engine_views(now));
+            }
+            Query::Daemons(reply) => {
+                let _ = reply.send(self.node.live_daemons(now));
             }
-            Query::Groups(reply) => drop(reply.send(self.node.group_ids())),
-            Query::Daemons(reply) => drop(reply.send(self.node.live_daemons(now))),
         }
     }
 }
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -7,7 +7,8 @@
 use dahlia_node::request::ReleaseEnd;
 use dahlia_node::{EngineReport, Event, ReleaseOrder, StartAttempt};
 use dahlia_platform::engine::{
-    AttemptState, EngineRole, HoldRequest, LoadReport, ModelState, ReleaseRequest,
+    AfterHold, AttemptState, EngineRole, HoldRequest, LoadReport, ModelState, ReleaseRequest,
+    ReleaseScope,
 };
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError};
 use dahlia_types::{AttemptId, CallId, Duration as Length, EngineId, ProgramId, Term, Zone};
@@ -47,10 +48,8 @@
     /// Prepares adapters to the engines of the settings.
     pub fn new(settings: &[EngineSettings], core: CoreHandle, board: AnswerBoard) -> Self {
         let engines = settings.iter().map(|engine| {
-            let endpoint = EngineEndpoint {
-                engine: engine.id.clone(),
-                address: engine.address.to_string(),
-            };
+            let endpoint =
+                EngineEndpoint { engine: engine.id.clone(), address: engine.address.to_string() };
             let client = EngineClient::new(endpoint, ClientSettings::default());
             (engine.id.clone(), Engine { client, zone: engine.zone.clone() })
         });
@@ -80,9 +79,10 @@
         let engine = start.engine.clone();
         let client = self.engines.get(&engine).map(|engine| engine.client.clone());
         let task = AttemptTask::new(start, client, self.core.clone(), self.board.clone());
-        let handle = tokio::spawn(async move {
-            if resumed { task.resume().await } else { task.start().await }
-        });
+        let handle =
+            tokio::spawn(
+                async move { if resumed { task.resume().await } else { task.start().await } },
+            );
         self.attempts.insert(id, RunningAttempt { engine, task: handle.abort_handle() });
     }
 
@@ -148,7 +148,7 @@
             return;
         };
         tokio::spawn(async move {
-            let request = HoldRequest { program, epoch, hold_for: length };
+            let request = HoldRequest { program, epoch, length, after: AfterHold::Free };
             if let Err(error) = client.hold(&request).await {
                 log::debug!(target: part::ENGINES, "Holding {program}: {error}.");
             }
@@ -175,13 +175,12 @@
     let request = ReleaseRequest {
         program: order.request.program,
         epoch: order.epoch,
-        ended: order.ended,
+        scope: if order.ended { ReleaseScope::Ended } else { ReleaseScope::Cache },
     };
     match client.release(&request).await {
-        Ok(confirmed) => ReleaseEnd::Confirmed {
-            incarnation: confirmed.incarnation,
-            freed: confirmed.freed,
-        },
+        Ok(confirmed) => {
+            ReleaseEnd::Confirmed { incarnation: confirmed.incarnation, freed: confirmed.freed }
+        }
         Err(error) => {
             log::debug!(target: part::ENGINES, "Releasing {}: {error}.", request.program);
             ReleaseEnd::Failed
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -73,9 +73,7 @@
         let credential = text.strip_prefix("Bearer ").unwrap_or_default();
         if credential.is_empty() {
             let message = "the Authorization header must be: Bearer <credential>";
-            return Err(
-                ApiError::new(ErrorKind::Unauthorized, message).with_field("authorization")
-            );
+            return Err(ApiError::new(ErrorKind::Unauthorized, message).with_field("authorization"));
         }
         self.tenants.check(credential).map_err(|error| {
             let error = ApiError::new(ErrorKind::Unauthorized, error.to_string());
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -29,6 +29,12 @@
     /// Replica groups.
     #[serde(default)]
     pub groups: GroupsSettings,
+    /// Calls and their attempts.
+    #[serde(default)]
+    pub calls: CallsSettings,
+    /// Placement policy: `program-aware`, or a baseline for comparison.
+    #[serde(default)]
+    pub policy: dahlia_placement::PolicyKind,
     /// Placement of calls.
     #[serde(default)]
     pub placement: dahlia_placement::PlacementSettings,
@@ -141,6 +147,32 @@
     }
 }
 
+/// Calls and their attempts.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallsSettings {
+    /// Attempts of one call before it is given up.
+    pub attempts: u32,
+    /// Milliseconds that an attempt may run before it is cancelled.
+    pub attempt_limit_ms: u64,
+    /// Milliseconds that the records of an ended program are kept, for late repeats of its calls.
+    pub keep_records_ms: u64,
+}
+
+impl Default for CallsSettings {
+    fn default() -> Self {
+        Self { attempts: 5, attempt_limit_ms: 600_000, keep_records_ms: 3_600_000 }
+    }
+}
+
+impl CallsSettings {
+    fn check(&self) -> Result<(), InvalidSetting> {
+        check_range("calls.attempts", self.attempts, 1, 100)?;
+        check_range("calls.attempt_limit_ms", self.attempt_limit_ms, 100, 86_400_000)?;
+        check_range("calls.keep_records_ms", self.keep_records_ms, 0, 30 * 86_400_000)
+    }
+}
+
 /// Why settings were not taken.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -199,6 +231,7 @@
         check_secret("credentials.peer_key", &self.credentials.peer_key)?;
         self.limits.check()?;
         self.groups.check()?;
+        self.calls.check()?;
         self.placement.check()?;
         self.log.check()
     }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -57,23 +57,19 @@
         };
         let prompt = group.state.program(attempt.call.program).and_then(|program| {
             let messages = program.prompt(attempt.call)?.ok()?;
-            Some(messages.iter().fold(Tokens::ZERO, |sum, message| {
-                sum.saturating_add(token_bound(message))
-            }))
+            Some(
+                messages
+                    .iter()
+                    .fold(Tokens::ZERO, |sum, message| sum.saturating_add(token_bound(message))),
+            )
         });
         let Some(prompt_bound) = prompt else {
             return;
         };
-        let command = RecordIntent {
-            attempt,
-            engine: engine.clone(),
-            incarnation,
-            prompt_bound,
-            at: now,
-        };
+        let command =
+            RecordIntent { attempt, engine: engine.clone(), incarnation, prompt_bound, at: now };
         let holder = EngineLife { engine, incarnation };
-        let purpose =
-            Purpose::Intent(IntentPurpose { attempt, holder, prompt_bound, priority });
+        let purpose = Purpose::Intent(IntentPurpose { attempt, holder, prompt_bound, priority });
         // Not leading any more is fine: the next owner dispatches the call.
         let _ = group.propose(Command::RecordIntent(command), purpose, now);
         self.dirty.insert(id);
@@ -96,12 +92,7 @@
             return;
         };
         let epoch = group.replica.term();
-        let live = LiveAttempt {
-            engine: intent.holder.engine.clone(),
-            epoch,
-            deadline: now + limit,
-            cancelled: false,
-        };
+        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(intent.attempt, live);
         let start = self.describe_start(&intent, epoch, terms.generated_cap);
         if let Some(start) = start {
@@ -153,8 +144,7 @@
             }
             Refusal::StaleIncarnation { .. } => {
                 let failure = AttemptFailure::Refused;
-                let failed =
-                    AttemptFailed { attempt: intent.attempt, failure, retryable: true };
+                let failed = AttemptFailed { attempt: intent.attempt, failure, retryable: true };
                 self.schedule(PlacementEvent::Failed(failed), now);
             }
             _ => {
@@ -247,11 +237,8 @@
             return;
         }
         if attempt.attempt >= self.settings.attempts_per_call {
-            let failed = AttemptFailed {
-                attempt,
-                failure: failure_of(&recorded.outcome),
-                retryable: false,
-            };
+            let failed =
+                AttemptFailed { attempt, failure: failure_of(&recorded.outcome), retryable: false };
             self.schedule(PlacementEvent::Failed(failed), now);
             self.abandon(call, "not_run: every attempt failed", now);
             return;
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -51,6 +51,17 @@
     pub leaving: bool,
 }
 
+/// An engine as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineView {
+    /// Its last report.
+    pub report: EngineReport,
+    /// How long ago that arrived.
+    pub age: Duration,
+    /// Whether it reported lately.
+    pub reachable: bool,
+}
+
 /// What is known of one engine.
 struct KnownEngine {
     report: EngineReport,
@@ -142,6 +153,15 @@
         self.schedule(load, now);
     }
 
+    /// Engines as operators see them.
+    pub fn engine_views(&self, now: Timestamp) -> Vec<EngineView> {
+        let view = |known: &KnownEngine| {
+            let age = now.since(known.heard);
+            EngineView { report: known.report.clone(), age, reachable: age < REPORT_LIFE }
+        };
+        self.engines.engines.values().map(view).collect()
+    }
+
     /// Takes engines out of use that fell silent.
     pub(crate) fn check_engines(&mut self, now: Timestamp) {
         for engine in self.engines.take_silent(now) {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -156,4 +156,6 @@
     pub request: ReleaseRequest,
     /// The owner's epoch.
     pub epoch: Term,
+    /// Whether the program has ended, rather than pausing.
+    pub ended: bool,
 }
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -2,12 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_program::{
-    Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits,
-};
+use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits};
 use dahlia_replication::group::{Proposal, ProposeError, Replica};
 use dahlia_types::{
-    AttemptId, CallId, Duration, EngineId, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
+    AttemptId, CallId, Duration, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
 };
 
 use crate::routing::ReplyTo;
@@ -39,8 +37,6 @@
 /// An attempt that this node runs as owner.
 #[derive(Debug, Clone)]
 pub(crate) struct LiveAttempt {
-    /// The engine.
-    pub(crate) engine: EngineId,
     /// The epoch that it runs under.
     pub(crate) epoch: Term,
     /// When it is cancelled.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,8 +36,8 @@
 pub mod wire;
 
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
-pub use engines::EngineReport;
-pub use members::Announcement;
+pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use members::Announcement;
 pub use node::{Node, NodeStatus};
 pub use settings::NodeSettings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -75,8 +75,7 @@
             leaving: false,
         };
         let members = Members::new(own, settings.seeds.clone());
-        let scheduler =
-            Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
+        let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         Self {
             members,
             scheduler,
@@ -260,12 +259,10 @@
         match step {
             LayoutStep::Read => self.bootstrap.note_missing(),
             LayoutStep::Failed => {}
-            LayoutStep::Value(bytes) if !self.bootstrap.is_done() => {
-                match decode_layout(&bytes) {
-                    Some(layout) => self.adopt_layout(layout, now),
-                    None => log::error!(target: "groups", "The layout of groups is malformed."),
-                }
-            }
+            LayoutStep::Value(bytes) if !self.bootstrap.is_done() => match decode_layout(&bytes) {
+                Some(layout) => self.adopt_layout(layout, now),
+                None => log::error!(target: "groups", "The layout of groups is malformed."),
+            },
             LayoutStep::Value(_) => {}
         }
     }
@@ -281,8 +278,7 @@
             }
             let settings = self.settings.group.clone();
             let seed = self.settings.seed;
-            let replica =
-                Replica::bootstrap(self.settings.own, id, voters, settings, seed, now);
+            let replica = Replica::bootstrap(self.settings.own, id, voters, settings, seed, now);
             self.groups.insert(id, Group::new(replica, self.settings.limits));
             self.dirty.insert(id);
         }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -2,9 +2,7 @@
 
 use dahlia_placement::{CallReady, Event as PlacementEvent, HistorySegment};
 use dahlia_program::{Applied, Begun, CallOutcome, Command, Program, RecordedOutcome, Refusal};
-use dahlia_types::{
-    CallId, ChainId, Duration, GroupId, Message, ProgramId, Timestamp, Tokens,
-};
+use dahlia_types::{CallId, ChainId, Duration, GroupId, Message, ProgramId, Timestamp, Tokens};
 
 use crate::Action;
 use crate::group::Purpose;
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -66,12 +66,7 @@
             return;
         };
         let epoch = group.replica.term();
-        let live = LiveAttempt {
-            engine: open.engine.clone(),
-            epoch,
-            deadline: now + limit,
-            cancelled: false,
-        };
+        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(attempt, live);
         let intent = IntentPurpose {
             attempt,
@@ -100,8 +95,7 @@
         let deferred = std::mem::take(&mut group.deferred);
         let waiters = std::mem::take(&mut group.waiters);
         group.releases.clear();
-        let programs: Vec<ProgramId> =
-            group.state.programs().map(|program| program.id()).collect();
+        let programs: Vec<ProgramId> = group.state.programs().map(|program| program.id()).collect();
         for attempt in attempts.into_keys() {
             self.actions.push(Action::LeaveAttempt { attempt });
         }
--- a/crates/node/src/release.rs
+++ b/crates/node/src/release.rs
@@ -3,7 +3,9 @@
 
 use dahlia_placement::Event as PlacementEvent;
 use dahlia_program::{Command, ConfirmRelease, EngineLife};
-use dahlia_types::{Bytes, Duration, EngineId, GroupId, Incarnation, LogIndex, ProgramId, Timestamp};
+use dahlia_types::{
+    Bytes, Duration, EngineId, GroupId, Incarnation, LogIndex, ProgramId, Timestamp,
+};
 
 use crate::group::{PendingRelease, Purpose};
 use crate::node::Node;
@@ -71,9 +73,8 @@
                 continue;
             }
             let found = group.state.program(*program);
-            let owed = found.is_some_and(|found| {
-                found.obligations().any(|(owed, _)| owed == holder)
-            });
+            let owed =
+                found.is_some_and(|found| found.obligations().any(|(owed, _)| owed == holder));
             if !owed {
                 finished.push((*program, holder.clone()));
                 continue;
@@ -83,7 +84,8 @@
             if let Some(request) = found.and_then(|found| found.release_request(holder)) {
                 pending.asked = true;
                 pending.due = now + ANSWER_LIMIT;
-                let order = ReleaseOrder { request, epoch };
+                let ended = found.is_some_and(|found| !found.is_open());
+                let order = ReleaseOrder { request, epoch, ended };
                 self.actions.push(Action::Release(Box::new(order)));
             }
         }
@@ -164,10 +166,8 @@
         let Command::ConfirmRelease(confirmed) = command else {
             return;
         };
-        let holder = EngineLife {
-            engine: confirmed.engine.clone(),
-            incarnation: confirmed.incarnation,
-        };
+        let holder =
+            EngineLife { engine: confirmed.engine.clone(), incarnation: confirmed.incarnation };
         if let Some(group) = self.groups.get_mut(&confirmed.program.group) {
             let open = group.state.program(confirmed.program).is_some_and(|found| found.is_open());
             if open {
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -77,9 +77,8 @@
 
     /// Requests whose time is up.
     pub(crate) fn take_expired(&mut self, now: Timestamp) -> Vec<RequestId> {
-        let expired = |(id, routed): (&RequestId, &RoutedRequest)| {
-            (routed.deadline <= now).then_some(*id)
-        };
+        let expired =
+            |(id, routed): (&RequestId, &RoutedRequest)| (routed.deadline <= now).then_some(*id);
         let ids: Vec<RequestId> = self.requests.iter().filter_map(expired).collect();
         for id in &ids {
             self.requests.remove(id);
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -56,9 +56,9 @@
             Lifecycle::Closed { reason: CloseReason::Closed, .. } => ProgramStateName::Closed,
             Lifecycle::Closed { reason: CloseReason::Expired, .. } => ProgramStateName::Expired,
         },
-        total: budget.total(),
-        spent: budget.spent(),
-        reserved: budget.reserved(),
+        total: budget.total,
+        spent: budget.spent,
+        reserved: budget.reserved,
         chains: program.chains().count() as u32,
         turns: program.calls().filter(|(_, call)| answered(call)).count() as u32,
         held: program
@@ -77,11 +77,11 @@
 fn call_view(id: CallId, call: &Call, program: &Program) -> CallView {
     let first = program.chain(id.chain).and_then(|chain| chain.first_open());
     let (state, usage) = match call.state() {
-        CallState::Open { attempt: Some(_), .. } => (CallStateName::Running, Usage::default()),
-        CallState::Open { .. } if first == Some(id.number) => {
-            (CallStateName::Ready, Usage::default())
+        CallState::Open(_) if call.open_attempt().is_some() => {
+            (CallStateName::Running, Usage::default())
         }
-        CallState::Open { .. } => (CallStateName::Waiting, Usage::default()),
+        CallState::Open(_) if first == Some(id.number) => (CallStateName::Ready, Usage::default()),
+        CallState::Open(_) => (CallStateName::Waiting, Usage::default()),
         CallState::Ended(EndedCall::Answered { usage, .. }) => (CallStateName::Answered, *usage),
         CallState::Ended(EndedCall::NotRun { .. }) => (CallStateName::NotRun, Usage::default()),
         CallState::Ended(EndedCall::Unknown) => (CallStateName::Unknown, Usage::default()),
