Add the operators' command line and the demo, not run yet

Ruled out: starting sibling binaries, which cargo run does not build; the rehearsal tool starts itself as daemon or stand-in. Measured: not built yet as a whole.

--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,171 @@
+//! Answers as tables or JSON.
+
+use dahlia_api::operators::{
+    Budget, Call, Daemon, DrainResponse, Engine, ListDaemonsResponse, ListEnginesResponse,
+    ListProgramsResponse, Program,
+};
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::Failure;
+use crate::arguments::OutputForm;
+use crate::failure::ShowSnafu;
+
+/// One program.
+pub(crate) fn program(program: &Program, form: OutputForm) -> Result<String, Failure> {
+    show(program, form, || table(&PROGRAM_COLUMNS, &[program_row(program)]))
+}
+
+/// Several programs.
+pub(crate) fn programs(listed: &ListProgramsResponse, form: OutputForm) -> Result<String, Failure> {
+    show(listed, form, || {
+        let rows: Vec<Vec<String>> = listed.programs.iter().map(program_row).collect();
+        let mut text = table(&PROGRAM_COLUMNS, &rows);
+        if !listed.unreachable_groups.is_empty() {
+            text += &format!("groups without an answer: {:?}\n", listed.unreachable_groups);
+        }
+        text
+    })
+}
+
+/// A program's budget.
+pub(crate) fn budget(program: &Program, form: OutputForm) -> Result<String, Failure> {
+    let budget = program.budget.unwrap_or_default();
+    show(&budget, form, || {
+        let left = budget.total_tokens.saturating_sub(budget.spent_tokens + budget.reserved_tokens);
+        let row = vec![
+            program.program.clone(),
+            budget.total_tokens.to_string(),
+            budget.spent_tokens.to_string(),
+            budget.reserved_tokens.to_string(),
+            left.to_string(),
+        ];
+        table(&["PROGRAM", "TOTAL", "SPENT", "RESERVED", "LEFT"], &[row])
+    })
+}
+
+/// A program's calls and held cache.
+pub(crate) fn sessions(program: &Program, form: OutputForm) -> Result<String, Failure> {
+    show(program, form, || {
+        let rows: Vec<Vec<String>> = program.calls.iter().map(call_row).collect();
+        let columns =
+            ["CHAIN", "CALL", "STATE", "ATTEMPTS", "ENGINE", "PROMPT", "CACHED", "GENERATED"];
+        let mut text = table(&columns, &rows);
+        for held in &program.held {
+            text += &format!("cache may be held by {}\n", held.engine);
+        }
+        text
+    })
+}
+
+/// Daemons.
+pub(crate) fn daemons(listed: &ListDaemonsResponse, form: OutputForm) -> Result<String, Failure> {
+    show(listed, form, || {
+        let row = |daemon: &Daemon| {
+            vec![
+                daemon.daemon.clone(),
+                daemon.incarnation.to_string(),
+                daemon.zone.clone(),
+                daemon.region.clone(),
+                daemon.state.clone(),
+                daemon.address.clone(),
+            ]
+        };
+        let rows: Vec<Vec<String>> = listed.daemons.iter().map(row).collect();
+        table(&["DAEMON", "INCARNATION", "ZONE", "REGION", "STATE", "ADDRESS"], &rows)
+    })
+}
+
+/// Engines.
+pub(crate) fn engines(listed: &ListEnginesResponse, form: OutputForm) -> Result<String, Failure> {
+    show(listed, form, || {
+        let row = |engine: &Engine| {
+            vec![
+                engine.engine.clone(),
+                engine.zone.clone(),
+                engine.state.clone(),
+                engine.models.join(","),
+                engine.running.to_string(),
+                engine.queued.to_string(),
+                format!("{}/{}", engine.cache_used_tokens, engine.cache_capacity_tokens),
+                engine.report_age_ms.to_string(),
+            ]
+        };
+        let rows: Vec<Vec<String>> = listed.engines.iter().map(row).collect();
+        let columns =
+            ["ENGINE", "ZONE", "STATE", "MODELS", "RUNNING", "QUEUED", "CACHE TOKENS", "AGE MS"];
+        table(&columns, &rows)
+    })
+}
+
+/// The state after a drain was asked for.
+pub(crate) fn drained(response: &DrainResponse, form: OutputForm) -> Result<String, Failure> {
+    show(response, form, || format!("{}\n", response.state))
+}
+
+const PROGRAM_COLUMNS: [&str; 8] =
+    ["PROGRAM", "TENANT", "MODEL", "STATE", "TURNS", "SPENT/TOTAL", "OWNER", "HELD BY"];
+
+fn program_row(program: &Program) -> Vec<String> {
+    let budget: Budget = program.budget.unwrap_or_default();
+    let held: Vec<&str> = program.held.iter().map(|held| held.engine.as_str()).collect();
+    vec![
+        program.program.clone(),
+        program.tenant.clone(),
+        program.model.clone(),
+        program.state.clone(),
+        program.turns.to_string(),
+        format!("{}/{}", budget.spent_tokens, budget.total_tokens),
+        format!("{} epoch {}", program.owner, program.epoch),
+        if held.is_empty() { "-".to_owned() } else { held.join(",") },
+    ]
+}
+
+fn call_row(call: &Call) -> Vec<String> {
+    vec![
+        call.chain.to_string(),
+        call.number.to_string(),
+        call.state.clone(),
+        call.attempts.to_string(),
+        call.engine.clone(),
+        call.prompt_tokens.to_string(),
+        call.cached_tokens.to_string(),
+        call.generated_tokens.to_string(),
+    ]
+}
+
+fn show<T: Serialize>(
+    value: &T,
+    form: OutputForm,
+    as_table: impl FnOnce() -> String,
+) -> Result<String, Failure> {
+    match form {
+        OutputForm::Table => Ok(as_table()),
+        OutputForm::Json => {
+            let text = serde_json::to_string_pretty(value).context(ShowSnafu)?;
+            Ok(text + "\n")
+        }
+    }
+}
+
+/// Columns as wide as their widest cell, two blanks apart.
+fn table(columns: &[&str], rows: &[Vec<String>]) -> String {
+    let mut widths: Vec<usize> = columns.iter().map(|column| column.len()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.len());
+        }
+    }
+    let header: Vec<String> = columns.iter().map(|column| (*column).to_owned()).collect();
+    let mut text = line(&header, &widths);
+    for row in rows {
+        text += &line(row, &widths);
+    }
+    text
+}
+
+fn line(cells: &[String], widths: &[usize]) -> String {
+    let padded: Vec<String> =
+        cells.iter().zip(widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+    padded.join("  ").trim_end().to_owned() + "\n"
+}
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -27,7 +27,7 @@
 /// What an enquiry found.
 enum Found {
     /// The attempt can be read on.
-    Stream(EventStream),
+    Stream(Box<EventStream>),
     /// It has ended so.
     End(AttemptEnd),
     /// Ask again.
@@ -143,7 +143,7 @@
             match self.enquire(client).await {
                 Found::End(end) => return end,
                 Found::Stream(stream) => {
-                    match self.read_stream(stream).await {
+                    match self.read_stream(*stream).await {
                         Ok(end) => return end,
                         Err(error) => log::debug!(target: part::ENGINES, "Again: {error}."),
                     }
@@ -169,7 +169,7 @@
             return Found::End(unknown("the engine has restarted since"));
         }
         match client.resume(attempt.id, self.text.len() as u64).await {
-            Ok(stream) => Found::Stream(stream),
+            Ok(stream) => Found::Stream(Box::new(stream)),
             Err(error) if unseen(&error) => self.rule_out(client).await,
             Err(error) => Found::Later(error.to_string()),
         }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -48,14 +48,23 @@
     }
 
     /// Takes in announcements that a peer passed on.
-    pub(crate) fn learn(&mut self, announcements: Vec<Announcement>, now: Timestamp) {
+    pub(crate) fn learn(
+        &mut self,
+        from: ReplicaId,
+        announcements: Vec<Announcement>,
+        now: Timestamp,
+    ) {
         for announcement in announcements {
             let daemon = announcement.replica.daemon;
             if daemon == self.own.replica.daemon {
                 continue;
             }
+            // Only a daemon's own word shows that it lives; others just introduce it.
+            let direct = announcement.replica == from;
             let newer = self.known.get(&daemon).is_none_or(|known| {
-                known.announcement.replica.incarnation <= announcement.replica.incarnation
+                let held = known.announcement.replica.incarnation;
+                held < announcement.replica.incarnation
+                    || (direct && held == announcement.replica.incarnation)
             });
             if newer {
                 self.known.insert(daemon, KnownDaemon { announcement, heard: now });
@@ -79,7 +88,8 @@
                 addresses.push(*seed);
             }
         }
-        Some((addresses, vec![self.own.clone()]))
+        let live = self.live(now).into_iter().cloned().collect();
+        Some((addresses, live))
     }
 
     /// Marks this daemon as about to stop.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -201,7 +201,7 @@
 
     fn message(&mut self, from: ReplicaId, message: PeerMessage, now: Timestamp) {
         match message {
-            PeerMessage::Announcements(announcements) => self.members.learn(announcements, now),
+            PeerMessage::Announcements(announcements) => self.members.learn(from, announcements, now),
             PeerMessage::Groups(batch) => self.group_messages(batch, now),
             PeerMessage::Request { id, request } => {
                 // Without an address the answer has nowhere to go; the asker repeats.
--- /dev/null
+++ b/crates/rehearsal/src/cluster.rs
@@ -0,0 +1,305 @@
+//! Stand-ins and daemons of one rehearsal, as processes of this program.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
+use dahlia_types::{EngineId, ProgramId, TenantId, TenantKey};
+use reqwest::Client;
+use snafu::ResultExt;
+use tokio::time::{Instant, sleep};
+
+use crate::RehearsalError;
+use crate::error::FileSnafu;
+use crate::processes::ChildProcess;
+
+/// The key that signs tenants' credentials in rehearsals.
+const TENANT_KEY: &str = "rehearsal-tenant-key";
+/// The operators' token in rehearsals.
+pub const OPERATOR_TOKEN: &str = "rehearsal-operator-token";
+/// How long a cluster may take to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct ClusterPlan {
+    /// Region of all zones.
+    pub region: String,
+    /// Zone of each daemon, in the order of their numbers.
+    pub daemon_zones: Vec<String>,
+    /// Zone of each engine.
+    pub engine_zones: Vec<String>,
+    /// The model that all engines serve.
+    pub model: String,
+    /// How much faster than real the engines' clocks run.
+    pub speed: f64,
+    /// Number of replica groups.
+    pub groups: u32,
+    /// Voters of each group.
+    pub replicas: u32,
+    /// Placement policy.
+    pub policy: String,
+    /// Further settings of the daemons, as TOML tables.
+    pub extra_settings: String,
+}
+
+impl ClusterPlan {
+    /// Bayou Current's four zones with one daemon each, and eight engines (BRIEF, sizes of today).
+    pub fn bayou_current() -> Self {
+        let zones = ["hall-a", "hall-b", "hall-c", "hall-d"].map(str::to_owned);
+        Self {
+            region: "gulf-south".to_owned(),
+            daemon_zones: zones.to_vec(),
+            engine_zones: zones.iter().cycle().take(8).cloned().collect(),
+            model: "agent-llm".to_owned(),
+            speed: 4.0,
+            groups: 8,
+            replicas: 3,
+            policy: "program-aware".to_owned(),
+            extra_settings: String::new(),
+        }
+    }
+}
+
+/// A daemon's process and addresses.
+pub struct DaemonProcess {
+    /// The process; none after it was killed.
+    pub process: Option<ChildProcess>,
+    /// `d1`, `d2` …
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub gateway: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
+}
+
+/// An engine's process and address.
+pub struct EngineProcess {
+    /// The process.
+    pub process: ChildProcess,
+    /// The engine.
+    pub id: EngineId,
+    /// Its zone.
+    pub zone: String,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Everything that a rehearsal started.
+pub struct Cluster {
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// The engines.
+    pub engines: Vec<EngineProcess>,
+    /// The plan it was started from.
+    pub plan: ClusterPlan,
+    folder: PathBuf,
+    key_value_address: SocketAddr,
+    #[allow(dead_code)]
+    key_value: ChildProcess,
+}
+
+impl Cluster {
+    /// Starts the stand-ins, then the daemons. Files go to `folder`.
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when a process does not start.
+    pub async fn start(plan: ClusterPlan, folder: &Path) -> Result<Self, RehearsalError> {
+        let arguments = words("standin kv --control");
+        let (key_value, line) = ChildProcess::start("kv", &arguments, folder).await?;
+        let key_value_address = address_of("kv", &line, "listening ")?;
+        let mut engines = Vec::new();
+        for (index, zone) in plan.engine_zones.iter().enumerate() {
+            let id = format!("engine-{}", index + 1);
+            let text = format!(
+                "standin engine --control --id {id} --model {} --speed {}",
+                plan.model, plan.speed
+            );
+            let (process, line) = ChildProcess::start(&id, &words(&text), folder).await?;
+            let address = address_of(&id, &line, "listening ")?;
+            engines.push(EngineProcess {
+                process,
+                id: EngineId::new(id),
+                zone: zone.clone(),
+                address,
+            });
+        }
+        let mut cluster = Self {
+            daemons: Vec::new(),
+            engines,
+            plan,
+            folder: folder.to_owned(),
+            key_value_address,
+            key_value,
+        };
+        for index in 0..cluster.plan.daemon_zones.len() {
+            let daemon = cluster.start_daemon(index).await?;
+            cluster.daemons.push(daemon);
+        }
+        Ok(cluster)
+    }
+
+    /// Starts the daemon of this position, e.g. again after it was killed.
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when it does not start.
+    pub async fn start_daemon(&self, index: usize) -> Result<DaemonProcess, RehearsalError> {
+        let name = format!("d{}", index + 1);
+        let zone = self.plan.daemon_zones[index].clone();
+        let path = self.folder.join(format!("{name}.toml"));
+        let settings = self.daemon_settings(index, &zone);
+        std::fs::write(&path, settings).context(FileSnafu { path: &path })?;
+        let arguments =
+            vec!["daemon".to_owned(), "--settings".to_owned(), path.display().to_string()];
+        let (process, line) = ChildProcess::start(&name, &arguments, &self.folder).await?;
+        Ok(DaemonProcess {
+            process: Some(process),
+            zone,
+            gateway: address_of(&name, &line, "gateway=")?,
+            operators: address_of(&name, &line, "operators=")?,
+            peers: address_of(&name, &line, "peers=")?,
+            name,
+        })
+    }
+
+    fn daemon_settings(&self, index: usize, zone: &str) -> String {
+        let seeds: Vec<String> =
+            self.daemons.iter().map(|daemon| format!("\"{}\"", daemon.peers)).collect();
+        let mut text = format!(
+            "policy = \"{policy}\"\n\n[daemon]\nid = {id}\nzone = \"{zone}\"\nregion = \
+             \"{region}\"\npeer_address = \"127.0.0.1:0\"\ngateway_address = \"127.0.0.1:0\"\n\
+             operators_address = \"127.0.0.1:0\"\nseeds = [{seeds}]\n\n[credentials]\ntenant_key \
+             = \"{TENANT_KEY}\"\noperator_token = \"{OPERATOR_TOKEN}\"\npeer_key = \
+             \"rehearsal-peer-key\"\n\n[groups]\ncount = {groups}\nreplicas = {replicas}\n\
+             bootstrap_daemons = {daemons}\n{extra}\n\n[platform]\nkey_value = \"{kv}\"\n",
+            policy = self.plan.policy,
+            id = index + 1,
+            region = self.plan.region,
+            seeds = seeds.join(", "),
+            groups = self.plan.groups,
+            replicas = self.plan.replicas,
+            daemons = self.plan.daemon_zones.len(),
+            extra = self.plan.extra_settings,
+            kv = self.key_value_address,
+        );
+        for engine in &self.engines {
+            text += &format!(
+                "\n[[platform.engines]]\nid = \"{}\"\naddress = \"{}\"\nzone = \"{}\"\nmodels = \
+                 [\"{}\"]\n",
+                engine.id, engine.address, engine.zone, self.plan.model
+            );
+        }
+        text
+    }
+
+    /// Waits until every daemon that runs can route calls, and every group has an owner.
+    ///
+    /// # Errors
+    /// [`RehearsalError::NotReady`] after a limit.
+    pub async fn wait_until_ready(&self) -> Result<(), RehearsalError> {
+        let client = Client::new();
+        let started = Instant::now();
+        loop {
+            let mut led = 0;
+            let mut ready = 0;
+            for daemon in &self.daemons {
+                let status = read_status(&client, daemon.gateway).await;
+                led += status["groups_led"].as_u64().unwrap_or(0);
+                let engines = status["live_engines"].as_u64().unwrap_or(0);
+                let is_ready = status["ready"].as_bool().unwrap_or(false);
+                ready += usize::from(is_ready && engines == self.engines.len() as u64);
+            }
+            if ready == self.daemons.len() && led == u64::from(self.plan.groups) {
+                return Ok(());
+            }
+            if started.elapsed() > READY_LIMIT {
+                let reason = format!("{ready} daemons ready, {led} groups with an owner");
+                return Err(RehearsalError::NotReady { name: "the cluster".to_owned(), reason });
+            }
+            sleep(READY_POLL).await;
+        }
+    }
+
+    /// Kills a daemon by name.
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when there is no such daemon or it cannot be killed.
+    pub async fn kill_daemon(&mut self, name: &str) -> Result<(), RehearsalError> {
+        let found = self.daemons.iter_mut().find(|daemon| daemon.name == name);
+        let process = found.and_then(|daemon| daemon.process.take());
+        match process {
+            Some(mut process) => process.kill().await,
+            None => {
+                let what = format!("there is no running daemon {name}");
+                Err(RehearsalError::Broken { what })
+            }
+        }
+    }
+
+    /// Gateways of all daemons, killed ones included: a caller does not know better.
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.gateway).collect()
+    }
+
+    /// Operators' addresses of the daemons that run.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        let running = self.daemons.iter().filter(|daemon| daemon.process.is_some());
+        running.map(|daemon| daemon.operators).collect()
+    }
+
+    /// The credential of a tenant.
+    pub fn credential(&self, tenant: &str) -> String {
+        TenantKey::new(TENANT_KEY.as_bytes()).issue(&TenantId::new(tenant))
+    }
+
+    /// Tokens that engines hold for a program, by the engines' own inventories.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Broken`] when an engine does not answer.
+    pub async fn tokens_held(&self, program: ProgramId) -> Result<u64, RehearsalError> {
+        let mut tokens = 0;
+        for engine in &self.engines {
+            let endpoint = EngineEndpoint {
+                engine: engine.id.clone(),
+                address: engine.address.to_string(),
+            };
+            let client = EngineClient::new(endpoint, ClientSettings::default());
+            let inventory = client.inventory().await;
+            let inventory = inventory.map_err(|error| RehearsalError::Broken {
+                what: format!("reading the inventory of {}: {error}", engine.id),
+            })?;
+            let entries = inventory.entries.iter().filter(|entry| entry.program == program);
+            tokens += entries.map(|entry| entry.tokens.0).sum::<u64>();
+        }
+        Ok(tokens)
+    }
+}
+
+async fn read_status(client: &Client, gateway: SocketAddr) -> serde_json::Value {
+    let answer = client.get(format!("http://{gateway}/readyz")).send().await;
+    match answer {
+        Ok(answer) => answer.json().await.unwrap_or_default(),
+        Err(_) => serde_json::Value::Null,
+    }
+}
+
+fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
+/// The address behind `label` in a process's first line.
+fn address_of(name: &str, line: &str, label: &str) -> Result<SocketAddr, RehearsalError> {
+    let found = line.split_once(label).and_then(|(_, rest)| {
+        rest.split_whitespace().next()?.parse().ok()
+    });
+    found.ok_or_else(|| RehearsalError::NotReady {
+        name: name.to_owned(),
+        reason: format!("it printed {line:?}"),
+    })
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,19 @@
-//! The rehearsal tool: demo, load, recording, replay and scale runs.
+//! The rehearsal tool: starts stand-ins and real daemons as processes, plays callers and
+//! operators, breaks things, and judges what it saw from outside.
+//!
+//! | module | job |
+//! |---|---|
+//! | `processes` | child processes that never outlive the tool |
+//! | `cluster` | stand-ins and daemons of one rehearsal |
+//! | `caller` | a caller that survives the loss of its gateway |
+//! | `operator` | an operator's requests |
+//! | `demo` | `rehearse demo` |
+
+pub mod caller;
+pub mod cluster;
+pub mod demo;
+mod error;
+pub mod operator;
+pub mod processes;
+
+pub use error::RehearsalError;
--- /dev/null
+++ b/crates/rehearsal/src/main.rs
@@ -0,0 +1,61 @@
+//! The binary `rehearse`.
+
+use std::process::ExitCode;
+
+use dahlia_rehearsal::{RehearsalError, demo};
+use gumdrop::Options;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run several programs through real daemons and kill one on the way")]
+    Demo(Demo),
+    #[options(help = "run one daemon, as the binary dahlialadder does")]
+    Daemon(dahlia_daemon::cli::Arguments),
+    #[options(help = "run one stand-in, as the binary dahlia-standin does")]
+    Standin(dahlia_standins::cli::Arguments),
+}
+
+#[derive(Debug, Options)]
+struct Demo {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match arguments.command {
+        Some(Command::Demo(_)) => block_on(demo::run()),
+        Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
+        Some(Command::Standin(arguments)) => dahlia_standins::cli::run(arguments),
+        None => {
+            eprintln!("rehearse: a command is needed\n\n{}", Arguments::usage());
+            eprintln!("\n{}", Arguments::command_list().unwrap_or_default());
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn block_on(task: impl Future<Output = Result<(), RehearsalError>>) -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("rehearse: starting the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(task) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rehearse: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/processes.rs
@@ -0,0 +1,91 @@
+//! Child processes that never outlive the tool.
+
+use std::fs::File;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+use crate::RehearsalError;
+use crate::error::{FileSnafu, ProcessSnafu};
+
+/// How long a process may take to print its first line.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A process started by this tool, killed when it is dropped.
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts this very program with `arguments` and waits for the first line it prints.
+    /// Its log goes to `<folder>/<name>.log`.
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when it cannot be started or prints nothing in time.
+    pub async fn start(
+        name: &str,
+        arguments: &[String],
+        folder: &Path,
+    ) -> Result<(Self, String), RehearsalError> {
+        let path = folder.join(format!("{name}.log"));
+        let log = File::create(&path).context(FileSnafu { path: &path })?;
+        let program = std::env::current_exe().context(ProcessSnafu { step: "finding", name })?;
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::from(log))
+            .kill_on_drop(true)
+            .spawn()
+            .context(ProcessSnafu { step: "starting", name })?;
+        let output = child.stdout.take();
+        let mut process = Self { name: name.to_owned(), child };
+        let Some(output) = output else {
+            return Err(process.not_ready("its output is not readable"));
+        };
+        let mut lines = BufReader::new(output).lines();
+        match timeout(READY_TIMEOUT, lines.next_line()).await {
+            Ok(Ok(Some(line))) => {
+                // Whatever it prints later must not block it.
+                tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+                Ok((process, line))
+            }
+            Ok(Ok(None)) => {
+                let log = std::fs::read_to_string(&path).unwrap_or_default();
+                let _ = process.child.wait().await;
+                Err(process.not_ready(&format!("it ended: {}", log.trim())))
+            }
+            Ok(Err(source)) => Err(source).context(ProcessSnafu { step: "reading", name }),
+            Err(_) => Err(process.not_ready("it printed nothing in time")),
+        }
+    }
+
+    /// The process's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The process's identifier while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// Kills it at once (SIGKILL) and waits for its end.
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when it cannot be signalled.
+    pub async fn kill(&mut self) -> Result<(), RehearsalError> {
+        let name = self.name.clone();
+        self.child.kill().await.context(ProcessSnafu { step: "killing", name })
+    }
+
+    fn not_ready(&self, reason: &str) -> RehearsalError {
+        RehearsalError::NotReady { name: self.name.clone(), reason: reason.to_owned() }
+    }
+}
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -59,6 +59,8 @@
         .context(SchemaSnafu)?;
     tonic_prost_build::configure()
         .out_dir(scratch)
+        // The command line prints answers as JSON.
+        .type_attribute(".", "#[derive(serde::Serialize)]")
         .compile_fds(descriptors)
         .map_err(Into::into)
         .context(SchemaSnafu)?;
