--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,16 @@
-//! Stand-ins of the platform's services for tests and the demo, as separate processes.
+//! Stand-ins of the platform's services for tests and the demo, as libraries and as separate
+//! processes.
+//!
+//! Each service speaks the wire forms of `dahlia-platform`. With control switched on, faults are
+//! set by `POST /control/faults` (the whole set at once) and what the service saw is read by
+//! `POST /control/observations`: promises are judged by what engines, tools and the store saw.
+
+pub mod control;
+pub mod key_value;
+mod rate;
+mod reply;
+mod server;
+
+pub use key_value::{KeyValueServer, KeyValueSettings};
+pub(crate) use reply::InputLimits;
+pub use server::{RunningServer, ServerSettings, StartError};
