--- a/crates/platform/src/engine/messages.rs
+++ b/crates/platform/src/engine/messages.rs
@@ -24,7 +24,7 @@
     /// Most tokens that may be generated.
     pub max_generated: Tokens,
     /// Urgency; a smaller value is served first.
-    pub priority: u32,
+    pub priority: u64,
 }
 
 /// Why a generation ended.
@@ -41,12 +41,17 @@
 /// One event of a generation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GenerateEvent {
-    /// The attempt is accepted by this life of the engine. Always first.
-    Started {
+    /// This life of the engine knows the attempt. Always first.
+    Accepted {
         /// The engine's life.
         incarnation: Incarnation,
     },
-    /// The attempt still waits or the engine is between tokens; a sign of life.
+    /// The attempt has its place in the batch: from here on it has run.
+    Started {
+        /// Tokens of the prompt that were found in the prefix cache.
+        cached: Tokens,
+    },
+    /// A sign of life while nothing else is to tell.
     Alive,
     /// A piece of the answer.
     Token {
@@ -62,6 +67,15 @@
         /// Why it ended.
         stop: Stop,
     },
+    /// The attempt left the queue unrun and never starts. Always last.
+    NeverStarted,
+}
+
+impl GenerateEvent {
+    /// Whether nothing follows it.
+    pub fn is_last(&self) -> bool {
+        matches!(self, Self::Finished { .. } | Self::NeverStarted)
+    }
 }
 
 /// One line of a generation's stream: the event with the attempt that it belongs to.
--- a/crates/platform/src/engine/refusal.rs
+++ b/crates/platform/src/engine/refusal.rs
@@ -89,6 +89,12 @@
     /// The engine takes no new work: it is leaving or draining.
     #[snafu(display("the engine takes no new work"))]
     Leaving,
+    /// Attempts of the program are under way, so its memory cannot be freed.
+    #[snafu(display("attempts of {program} are under way"))]
+    InUse {
+        /// The program.
+        program: ProgramId,
+    },
     /// A newer order for the same subject was seen.
     #[snafu(display("generation {generation} is older than {seen}"))]
     StaleGeneration {
--- a/crates/platform/src/engine/stream.rs
+++ b/crates/platform/src/engine/stream.rs
@@ -8,7 +8,7 @@
 use crate::error::TruncatedSnafu;
 use crate::lines::JsonLines;
 
-/// The events of one attempt. Ends after [`GenerateEvent::Finished`] or the first error.
+/// The events of one attempt. Ends after the last event or the first error.
 pub struct EventStream {
     lines: JsonLines<GenerateLine>,
     attempt: AttemptId,
@@ -37,7 +37,7 @@
             return None;
         }
         let event = self.read().await;
-        self.ended = matches!(event, Err(_) | Ok(GenerateEvent::Finished { .. }));
+        self.ended = event.as_ref().map_or(true, GenerateEvent::is_last);
         Some(event)
     }
 
--- /dev/null
+++ b/crates/standins/src/engine/core.rs
@@ -0,0 +1,442 @@
+//! The engine's state: the model, the records of attempts and what was told of them. Time comes
+//! in as an argument; nothing here waits.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use dahlia_engine_model as model;
+use dahlia_engine_model::{AttemptStatus, EngineCommand, EngineEvent, EngineModel, EngineReply};
+use dahlia_platform::engine::{
+    AttemptState, CancelRequest, EngineRefusal, ExportRequest, FenceRequest, FencedOrder,
+    GenerateRequest, HoldRequest, ImportRequest, ReleaseConfirmed, ReleaseRequest, ReleaseScope,
+    Stop,
+};
+use dahlia_types::{
+    AttemptId, Bytes, Duration, Generation, Incarnation, ProgramId, Timestamp, Tokens, Usage,
+};
+use tokio::sync::{oneshot, watch};
+
+use super::answer::AnswerText;
+use super::observation::EngineObservation;
+use super::prompt::{answer_length, count_prompt, directives, hash_message, segment};
+use super::records::{Progress, Record, Records};
+use super::reports::Reports;
+use super::{EngineSettings, convert};
+use crate::control::Witness;
+
+/// Tokens that an attempt with the `[[hang]]` directive gives before it goes silent.
+const TOKENS_BEFORE_HANG: Tokens = Tokens(8);
+/// Shortest time after which a refused attempt may come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+/// Real time for which the model keeps records of ended attempts and fences.
+const RECORD_RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+/// An attempt to follow.
+pub(super) struct Subscription {
+    pub(super) attempt: AttemptId,
+    pub(super) incarnation: Incarnation,
+    pub(super) answer: Arc<AnswerText>,
+    pub(super) progress: watch::Receiver<Progress>,
+}
+
+/// Someone who waits for a transfer of a program's cache.
+struct Waiter<T> {
+    program: ProgramId,
+    done: oneshot::Sender<T>,
+}
+
+/// One life of the engine.
+pub(super) struct Core {
+    pub(super) model: EngineModel,
+    pub(super) records: Records,
+    pub(super) reports: Reports,
+    witness: Arc<Witness<EngineObservation>>,
+    exports: VecDeque<Waiter<model::KvImage>>,
+    imports: VecDeque<Waiter<Tokens>>,
+    default_answer: Tokens,
+    bytes_per_token: Bytes,
+    accepted: u64,
+    generation: Generation,
+}
+
+impl Core {
+    pub(super) fn new(
+        settings: &EngineSettings,
+        incarnation: Incarnation,
+        witness: Arc<Witness<EngineObservation>>,
+    ) -> Self {
+        let mut parameters = settings.parameters.clone();
+        // The model forgets ended attempts after a time of its own clock, which may run fast.
+        parameters.record_retention = RECORD_RETENTION.times(settings.speed.ceil() as u64);
+        parameters.report_progress = true;
+        let bytes_per_token = parameters.kv_bytes_per_token;
+        let engine = settings.engine.clone();
+        let mut model = EngineModel::new(engine, incarnation, parameters, settings.seed);
+        for name in &settings.models {
+            model = model.with_model(name.clone());
+        }
+        witness.note(EngineObservation::LifeBegan { incarnation });
+        Self {
+            model,
+            records: Records::default(),
+            reports: Reports::default(),
+            witness,
+            exports: VecDeque::new(),
+            imports: VecDeque::new(),
+            default_answer: settings.default_answer,
+            bytes_per_token,
+            accepted: 0,
+            generation: Generation::default(),
+        }
+    }
+
+    /// Attempts accepted in this life.
+    pub(super) fn accepted(&self) -> u64 {
+        self.accepted
+    }
+
+    /// The newest generation that an order carried.
+    pub(super) fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Size of so many tokens' KV.
+    pub(super) fn bytes(&self, tokens: Tokens) -> Bytes {
+        Bytes(tokens.0.saturating_mul(self.bytes_per_token.0))
+    }
+
+    /// Runs the model up to `now`; gives when it next has something to do.
+    pub(super) fn advance(&mut self, now: Timestamp) -> Option<Timestamp> {
+        for event in self.model.advance(now) {
+            self.take(event);
+        }
+        self.model.next_wakeup()
+    }
+
+    /// Takes an attempt into the queue.
+    pub(super) fn generate(
+        &mut self,
+        request: &GenerateRequest,
+        now: Timestamp,
+    ) -> Result<Subscription, EngineRefusal> {
+        let attempt = request.attempt.id;
+        let taken = self.take_in(request, now);
+        if let Err(refusal) = &taken {
+            let reason = refusal.to_string();
+            self.witness.note(EngineObservation::Refused { attempt, reason });
+        }
+        taken
+    }
+
+    /// Finds a known attempt to follow from byte `offset` of its answer.
+    pub(super) fn resume(
+        &self,
+        attempt: AttemptId,
+        offset: u64,
+    ) -> Result<Subscription, EngineRefusal> {
+        let record = self.records.get(attempt);
+        let record = record.ok_or(EngineRefusal::NoSuchAttempt { attempt })?;
+        let generated = match record.progress() {
+            Progress::Running { generated, .. } => generated,
+            Progress::Ended { usage, .. } => usage.generated,
+            Progress::Queued | Progress::NeverStarted => Tokens::ZERO,
+        };
+        let length = answer_length(generated);
+        if offset > length {
+            return Err(EngineRefusal::OffsetBeyondAnswer { offset, length });
+        }
+        Ok(self.subscription(attempt, record))
+    }
+
+    /// Ends an attempt and keeps it from starting if it has not.
+    pub(super) fn cancel(
+        &mut self,
+        request: CancelRequest,
+        now: Timestamp,
+    ) -> Result<AttemptState, EngineRefusal> {
+        let CancelRequest { attempt, epoch } = request;
+        self.fence(FenceRequest { program: attempt.call.program, epoch }, now)?;
+        let state = self.records.state(attempt);
+        if !matches!(
+            state,
+            AttemptState::Unseen | AttemptState::Queued | AttemptState::Running { .. }
+        ) {
+            return Ok(state);
+        }
+        self.command(EngineCommand::Cancel(model::Cancel { attempt, epoch }), now)?;
+        self.settle(attempt);
+        Ok(self.records.state(attempt))
+    }
+
+    /// Raises a program's epoch.
+    pub(super) fn fence(
+        &mut self,
+        request: FenceRequest,
+        now: Timestamp,
+    ) -> Result<(), EngineRefusal> {
+        let FenceRequest { program, epoch } = request;
+        self.command(EngineCommand::Fence(model::Fence { program, epoch }), now).map(drop)
+    }
+
+    /// Keeps a program's cache; `length` is in the model's time.
+    pub(super) fn hold(
+        &mut self,
+        request: HoldRequest,
+        length: Duration,
+        now: Timestamp,
+    ) -> Result<(), EngineRefusal> {
+        let HoldRequest { program, epoch, after, .. } = request;
+        let after = convert::after_hold(after);
+        let hold = model::Hold { program, epoch, until: now + length, after };
+        self.command(EngineCommand::Hold(hold), now).map(drop)
+    }
+
+    /// Frees what is held for a program.
+    pub(super) fn release(
+        &mut self,
+        request: ReleaseRequest,
+        now: Timestamp,
+    ) -> Result<ReleaseConfirmed, EngineRefusal> {
+        let ReleaseRequest { program, epoch, scope } = request;
+        let live = self.records.live_of(program);
+        // A running attempt holds memory: the confirmation would be untrue.
+        if scope == ReleaseScope::Cache && !live.is_empty() {
+            self.fence(FenceRequest { program, epoch }, now)?;
+            return Err(EngineRefusal::InUse { program });
+        }
+        let closing = scope == ReleaseScope::Ended;
+        let release = model::Release { program, epoch, closing };
+        let reply = self.command(EngineCommand::Release(release), now)?;
+        if closing {
+            live.into_iter().for_each(|attempt| self.settle(attempt));
+            self.records.program_ended(program);
+        }
+        let tokens = match reply {
+            EngineReply::Released { freed } => freed,
+            _ => Tokens::ZERO,
+        };
+        let freed = self.bytes(tokens);
+        self.witness.note(EngineObservation::Released { program, scope, freed });
+        Ok(ReleaseConfirmed { incarnation: self.model.incarnation(), freed })
+    }
+
+    /// Takes an order.
+    pub(super) fn order(
+        &mut self,
+        order: FencedOrder,
+        now: Timestamp,
+    ) -> Result<(), EngineRefusal> {
+        let result = self.command(EngineCommand::Order(convert::order(&order)), now);
+        let FencedOrder { generation, order } = order;
+        match result {
+            Ok(_) => {
+                self.generation = self.generation.max(generation);
+                self.witness.note(EngineObservation::Ordered { generation, order });
+                Ok(())
+            }
+            Err(refusal) => {
+                self.witness.note(EngineObservation::OrderRefused { generation, order });
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Begins an export; the receiver gets the image when it is complete.
+    pub(super) fn export(
+        &mut self,
+        request: ExportRequest,
+        now: Timestamp,
+    ) -> Result<oneshot::Receiver<model::KvImage>, EngineRefusal> {
+        let ExportRequest { program, epoch, tenant, model: name, messages } = request;
+        let segments = messages.iter().map(segment).collect();
+        let export = model::Export { program, epoch, tenant, model: name, segments };
+        self.command(EngineCommand::Export(export), now)?;
+        let (done, complete) = oneshot::channel();
+        self.exports.push_back(Waiter { program, done });
+        Ok(complete)
+    }
+
+    /// Begins an import; the receiver gets the tokens cached when it is complete.
+    pub(super) fn import(
+        &mut self,
+        request: ImportRequest,
+        now: Timestamp,
+    ) -> Result<oneshot::Receiver<Tokens>, EngineRefusal> {
+        let program = request.image.program;
+        let image = convert::image_in(request.image);
+        let import = model::Import { epoch: request.epoch, image };
+        self.command(EngineCommand::Import(import), now)?;
+        let (done, complete) = oneshot::channel();
+        self.imports.push_back(Waiter { program, done });
+        Ok(complete)
+    }
+
+    fn take_in(
+        &mut self,
+        request: &GenerateRequest,
+        now: Timestamp,
+    ) -> Result<Subscription, EngineRefusal> {
+        let attempt = request.attempt.id;
+        match self.records.state(attempt) {
+            AttemptState::Unseen | AttemptState::Forgotten => {}
+            AttemptState::NeverStarted => return Err(EngineRefusal::NeverStarts { attempt }),
+            state => return Err(EngineRefusal::AttemptExists { attempt, state }),
+        }
+        let answer = Arc::new(AnswerText::new(attempt.call, &request.messages));
+        let asked = directives(&request.messages);
+        let wanted = asked.tokens.unwrap_or(self.default_answer);
+        let endless = asked.hang || wanted > request.max_generated;
+        let generate = if endless { request.max_generated } else { wanted };
+        let submit = model::Submit {
+            attempt,
+            epoch: request.attempt.epoch,
+            incarnation: Some(request.attempt.engine_incarnation),
+            tenant: request.tenant.clone(),
+            model: request.model.clone(),
+            prompt: request.messages.iter().map(segment).collect(),
+            prompt_bound: request.prompt_bound,
+            generate,
+            answer_hash: answer_hash(&answer, generate),
+            priority: model::Priority(request.priority),
+        };
+        self.command(EngineCommand::Submit(submit), now)?;
+        self.accepted += 1;
+        let stop = if endless { Stop::Length } else { Stop::End };
+        let stalls = asked.hang.then_some(TOKENS_BEFORE_HANG);
+        let record = Record::new(Arc::clone(&answer), stop, stalls);
+        let subscription = self.subscription(attempt, &record);
+        self.records.insert(attempt, record);
+        self.witness.note(accepted(request, &answer));
+        Ok(subscription)
+    }
+
+    fn subscription(&self, attempt: AttemptId, record: &Record) -> Subscription {
+        Subscription {
+            attempt,
+            incarnation: self.model.incarnation(),
+            answer: Arc::clone(&record.answer),
+            progress: record.subscribe(),
+        }
+    }
+
+    fn command(
+        &mut self,
+        command: EngineCommand,
+        now: Timestamp,
+    ) -> Result<EngineReply, EngineRefusal> {
+        match self.model.handle(command, now) {
+            EngineReply::Refused(refusal) => Err(convert::refusal(refusal, self.retry_after(now))),
+            reply => Ok(reply),
+        }
+    }
+
+    /// A guess of when the queue is shorter: a step for each attempt that waits.
+    fn retry_after(&self, now: Timestamp) -> Duration {
+        let load = self.model.load(now);
+        Duration::from_micros(load.step_micros).times(u64::from(load.waiting)).max(SHORTEST_RETRY)
+    }
+
+    /// Takes over how the model ended an attempt by request.
+    fn settle(&mut self, attempt: AttemptId) {
+        let status = self.model.status(attempt);
+        let (usage, stop) = match status {
+            AttemptStatus::NeverStarted => {
+                self.records.never_starts(attempt);
+                self.witness.note(EngineObservation::NeverStarted { attempt });
+                return;
+            }
+            AttemptStatus::Cut(usage) => (usage, Stop::Cancelled),
+            // Only a stalled attempt has ended in the model without having ended here.
+            AttemptStatus::Finished(usage) => (usage, Stop::Cancelled),
+            AttemptStatus::Unknown | AttemptStatus::Waiting | AttemptStatus::Running { .. } => {
+                return;
+            }
+        };
+        self.end(attempt, usage, stop);
+    }
+
+    fn end(&self, attempt: AttemptId, mut usage: Usage, stop: Stop) {
+        let Some(record) = self.records.get(attempt) else { return };
+        if record.progress().is_final() {
+            return;
+        }
+        if let Some(limit) = record.stalls_after {
+            usage.generated = usage.generated.min(limit);
+        }
+        record.set(Progress::Ended { usage, stop });
+        self.witness.note(EngineObservation::Ended { attempt, usage, stop });
+    }
+
+    fn take(&mut self, event: EngineEvent) {
+        match event {
+            EngineEvent::Started { attempt, cached, .. } => self.started(attempt, cached),
+            EngineEvent::Generated { attempt, offset, count, .. } => {
+                self.generated(attempt, offset.saturating_add(count));
+            }
+            EngineEvent::Finished { attempt, usage, .. } => self.finished(attempt, usage),
+            EngineEvent::Preempted { .. } => {}
+            EngineEvent::Evicted { attempt, .. } => self.settle(attempt),
+            EngineEvent::Cache(event) => self.reports.add_cache_event(convert::cache_event(event)),
+            EngineEvent::Exported { image, .. } => {
+                complete(&mut self.exports, image.program, image)
+            }
+            EngineEvent::Imported { program, tokens, .. } => {
+                complete(&mut self.imports, program, tokens);
+            }
+            EngineEvent::ModelLoaded { model, .. } => {
+                self.witness.note(EngineObservation::ModelReady { model });
+            }
+            EngineEvent::HoldLapsed { program, freed, .. } => {
+                let freed = self.bytes(freed);
+                self.witness.note(EngineObservation::HoldLapsed { program, freed });
+            }
+        }
+    }
+
+    fn started(&self, attempt: AttemptId, cached: Tokens) {
+        let Some(record) = self.records.get(attempt) else { return };
+        record.set(Progress::Running { cached, generated: Tokens::ZERO });
+        self.witness.note(EngineObservation::Started { attempt, cached });
+    }
+
+    fn generated(&self, attempt: AttemptId, generated: Tokens) {
+        let Some(record) = self.records.get(attempt) else { return };
+        let Progress::Running { cached, generated: before } = record.progress() else { return };
+        let limit = record.stalls_after.unwrap_or(generated);
+        let generated = generated.min(limit).max(before);
+        record.set(Progress::Running { cached, generated });
+    }
+
+    fn finished(&self, attempt: AttemptId, usage: Usage) {
+        let Some(record) = self.records.get(attempt) else { return };
+        if record.stalls_after.is_none() {
+            self.end(attempt, usage, record.natural_stop);
+        }
+    }
+}
+
+/// Hash under which the next prompt will name the answer.
+fn answer_hash(answer: &AnswerText, generated: Tokens) -> u64 {
+    let text = answer.piece(0, answer_length(generated));
+    hash_message(dahlia_types::Role::Assistant, &text)
+}
+
+fn accepted(request: &GenerateRequest, answer: &AnswerText) -> EngineObservation {
+    EngineObservation::Accepted {
+        attempt: request.attempt.id,
+        epoch: request.attempt.epoch,
+        tenant: request.tenant.clone(),
+        model: request.model.clone(),
+        prompt: count_prompt(&request.messages),
+        messages: request.messages.len() as u32,
+        answer_begins: answer.header().to_owned(),
+    }
+}
+
+fn complete<T>(waiters: &mut VecDeque<Waiter<T>>, program: ProgramId, result: T) {
+    let place = waiters.iter().position(|waiter| waiter.program == program);
+    if let Some(waiter) = place.and_then(|place| waiters.remove(place)) {
+        // Whoever asked may have gone; the transfer is complete all the same.
+        let _ = waiter.done.send(result);
+    }
+}
--- a/crates/standins/src/key_value/handlers.rs
+++ b/crates/standins/src/key_value/handlers.rs
@@ -5,7 +5,7 @@
 use dahlia_platform::key_value::{
     AttachRequest, CompareAndSwapRequest, DeleteRequest, Done, GetAnswer, GetRequest,
     KeyValueRefusal, LeaseAnswer, LeaseGrantRequest, LeaseRequest, ListRequest, SwapAnswer,
-    WatchRequest, paths,
+    Version, WatchRequest, paths,
 };
 use salvo::Router;
 use salvo::http::StatusCode;
@@ -13,8 +13,9 @@
 
 use super::service::{Admission, Service, pause};
 use super::{KeyValueFaults, KeyValueObservation, watch};
-use crate::control::{ControlRefusal, Nothing, ObservationsRequest};
-use crate::reply::{InputLimits, Refusal, Reply, action};
+use crate::InputLimits;
+use crate::control::{Nothing, ObservationsRequest};
+use crate::reply::{Refusal, Reply, Routes};
 
 impl Refusal for KeyValueRefusal {
     fn invalid(field: &str, detail: String) -> Self {
@@ -35,27 +36,20 @@
 
 /// The routes; control only where it is switched on.
 pub(super) fn router(service: &Arc<Service>, limits: InputLimits, control: bool) -> Router {
-    let mut router = Router::new();
-    macro_rules! route {
-        ($path:expr, $query:ty, $refusal:ty, $function:expr) => {
-            let handler = action::<Service, $query, $refusal, _, _>(service, limits, $function);
-            router = router.push(Router::with_path($path.trim_start_matches('/')).post(handler));
-        };
-    }
-    route!(paths::GET, GetRequest, KeyValueRefusal, get);
-    route!(paths::LIST, ListRequest, KeyValueRefusal, list);
-    route!(paths::COMPARE_AND_SWAP, CompareAndSwapRequest, KeyValueRefusal, compare_and_swap);
-    route!(paths::DELETE, DeleteRequest, KeyValueRefusal, delete);
-    route!(paths::WATCH, WatchRequest, KeyValueRefusal, watch);
-    route!(paths::LEASE_GRANT, LeaseGrantRequest, KeyValueRefusal, grant);
-    route!(paths::LEASE_KEEP_ALIVE, LeaseRequest, KeyValueRefusal, keep_alive);
-    route!(paths::LEASE_REVOKE, LeaseRequest, KeyValueRefusal, revoke);
-    route!(paths::LEASE_ATTACH, AttachRequest, KeyValueRefusal, attach);
-    if control {
-        route!("/control/faults", KeyValueFaults, ControlRefusal, set_faults);
-        route!("/control/observations", ObservationsRequest, ControlRefusal, observations);
+    let routes = Routes::<Service, KeyValueRefusal>::new(service, limits)
+        .post(paths::GET, get)
+        .post(paths::LIST, list)
+        .post(paths::COMPARE_AND_SWAP, compare_and_swap)
+        .post(paths::DELETE, delete)
+        .post(paths::WATCH, watch)
+        .post(paths::LEASE_GRANT, grant)
+        .post(paths::LEASE_KEEP_ALIVE, keep_alive)
+        .post(paths::LEASE_REVOKE, revoke)
+        .post(paths::LEASE_ATTACH, attach);
+    if !control {
+        return routes.into_router();
     }
-    router
+    routes.control("faults", set_faults).control("observations", observations).into_router()
 }
 
 type Result<T> = std::result::Result<T, KeyValueRefusal>;
@@ -205,12 +199,7 @@
     Err(KeyValueRefusal::invalid(field, format!("{length} bytes, at most {limit} are allowed")))
 }
 
-fn note_conflict<T>(
-    service: &Service,
-    key: &str,
-    expected: Option<dahlia_platform::key_value::Version>,
-    result: &Result<T>,
-) {
+fn note_conflict<T>(service: &Service, key: &str, expected: Option<Version>, result: &Result<T>) {
     if let Err(KeyValueRefusal::Conflict { actual }) = result {
         let (key, actual) = (key.to_owned(), *actual);
         service.witness.note(KeyValueObservation::Conflict { key, expected, actual });
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,12 +5,15 @@
 //! set by `POST /control/faults` (the whole set at once) and what the service saw is read by
 //! `POST /control/observations`: promises are judged by what engines, tools and the store saw.
 
+mod clock;
 pub mod control;
+pub mod engine;
 pub mod key_value;
 mod rate;
 mod reply;
 mod server;
 
+pub use engine::{EngineServer, EngineSettings};
 pub use key_value::{KeyValueServer, KeyValueSettings};
 pub(crate) use reply::InputLimits;
 pub use server::{RunningServer, ServerSettings, StartError};
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,99 @@
+//! `dahlia-standin SERVICE`: runs one stand-in until it is told to stop.
+//!
+//! Prints `listening <address>` once it serves. Exit codes: 0 after SIGINT or SIGTERM, 1 when it
+//! cannot start, 2 for a wrong flag or setting.
+
+mod options;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+
+use dahlia_standins::{EngineServer, KeyValueServer, RunningServer, StartError};
+use gumdrop::Options;
+use log::{LevelFilter, error, info};
+use options::{Arguments, OptionsError, Service};
+use tokio::signal::unix::{SignalKind, signal};
+
+const WRONG_USE: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    log_to_stderr();
+    let Some(service) = &arguments.service else {
+        eprintln!("{}", Arguments::usage());
+        return ExitCode::from(WRONG_USE);
+    };
+    let started = match start(service).await {
+        Ok(started) => started,
+        Err(Failure::Options { source }) => {
+            error!("{source}");
+            return ExitCode::from(WRONG_USE);
+        }
+        Err(Failure::Start { source }) => {
+            error!("{source}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Err(cause) = announce(started.address(), service.port_file()) {
+        error!("cannot write the port file: {cause}");
+        return ExitCode::FAILURE;
+    }
+    wait_for_stop().await;
+    info!("{} stops", service.name());
+    started.shutdown().await;
+    ExitCode::SUCCESS
+}
+
+/// Why the service does not run.
+#[derive(Debug, snafu::Snafu)]
+enum Failure {
+    /// A wrong flag or setting.
+    #[snafu(display("{source}"), context(false))]
+    Options { source: OptionsError },
+    /// It cannot start.
+    #[snafu(display("{source}"), context(false))]
+    Start { source: StartError },
+}
+
+async fn start(service: &Service) -> Result<RunningServer, Failure> {
+    match service {
+        Service::Engine(options) => Ok(EngineServer::start(options.settings()?).await?),
+        Service::Kv(options) => Ok(KeyValueServer::start(options.settings()?).await?),
+    }
+}
+
+fn announce(address: SocketAddr, port_file: Option<&Path>) -> std::io::Result<()> {
+    if let Some(path) = port_file {
+        // Readers wait for the file to appear, so it appears complete.
+        let unfinished = path.with_extension("unfinished");
+        std::fs::write(&unfinished, format!("{}\n", address.port()))?;
+        std::fs::rename(&unfinished, path)?;
+    }
+    println!("listening {address}");
+    Ok(())
+}
+
+async fn wait_for_stop() {
+    let terminate = signal(SignalKind::terminate());
+    let Ok(mut terminate) = terminate else {
+        error!("cannot watch for SIGTERM");
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
+fn log_to_stderr() {
+    let dispatch = fern::Dispatch::new()
+        .format(|out, message, record| {
+            out.finish(format_args!("[standin] {} {message}", record.level()))
+        })
+        .level(LevelFilter::Info)
+        .chain(std::io::stderr());
+    // Nothing else in this process sets a logger.
+    let _ = dispatch.apply();
+}
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -9,23 +9,29 @@
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use salvo::http::{ReqBody, ResBody, StatusCode, header};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::ServerSettings;
+use crate::control::ControlRefusal;
 
 const JSON: &str = "application/json";
 const JSON_LINES: &str = "application/x-ndjson";
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// A service's refusals, as far as every service has them.
-pub(crate) trait Refusal: Serialize + Send {
+pub(crate) trait Refusal: Serialize + Send + Sized {
     /// The refusal of a request whose `field` is not acceptable.
     fn invalid(field: &str, detail: String) -> Self;
 
     /// The HTTP status that goes with it.
     fn status(&self) -> StatusCode;
+
+    /// The reply that tells it.
+    fn reply(self) -> Reply {
+        Reply::encoded(self.status(), &ErrorBody { refusal: self })
+    }
 }
 
 /// What goes back to the client.
@@ -46,8 +52,7 @@
 
     /// A typed refusal.
     pub(crate) fn refused<R: Refusal>(refusal: R) -> Self {
-        let status = refusal.status();
-        Self::encoded(status, &ErrorBody { refusal })
+        refusal.reply()
     }
 
     /// The answer or the refusal.
@@ -72,7 +77,8 @@
         Self::Stream { content_type: EVENT_STREAM, pieces: pieces.boxed() }
     }
 
-    fn encoded(status: StatusCode, value: &impl Serialize) -> Self {
+    /// A JSON body with any status.
+    pub(crate) fn encoded(status: StatusCode, value: &impl Serialize) -> Self {
         match serde_json::to_vec(value) {
             Ok(body) => Self::Body { status, content_type: JSON, body },
             Err(error) => Self::Body {
@@ -133,25 +139,73 @@
     }
 }
 
-/// Answers requests with a JSON body by an action of a service.
-pub(crate) struct Action<S, Q, R, F> {
+/// The routes of a service; `R` is its type of refusal.
+pub(crate) struct Routes<S, R> {
     service: Arc<S>,
     limits: InputLimits,
-    action: F,
-    types: PhantomData<fn(Q) -> R>,
+    router: Router,
+    refusal: PhantomData<fn() -> R>,
 }
 
-/// A handler that answers requests of type `Q` by `action`.
-pub(crate) fn action<S, Q, R, F, A>(
-    service: &Arc<S>,
-    limits: InputLimits,
-    action: F,
-) -> Action<S, Q, R, F>
+impl<S, R> Routes<S, R>
 where
-    F: Fn(Arc<S>, Q) -> A,
-    A: Future<Output = Reply>,
+    S: Send + Sync + 'static,
+    R: Refusal + 'static,
 {
-    Action { service: Arc::clone(service), limits, action, types: PhantomData }
+    /// No routes yet.
+    pub(crate) fn new(service: &Arc<S>, limits: InputLimits) -> Self {
+        let service = Arc::clone(service);
+        Self { service, limits, router: Router::new(), refusal: PhantomData }
+    }
+
+    /// Answers `POST path` by `answer`.
+    pub(crate) fn post<Q, F, A>(self, path: &str, answer: F) -> Self
+    where
+        Q: DeserializeOwned + Send + 'static,
+        F: Fn(Arc<S>, Q) -> A + Send + Sync + 'static,
+        A: Future<Output = Reply> + Send + 'static,
+    {
+        self.post_refusing::<R, Q, F, A>(path, answer)
+    }
+
+    /// The same with another type of refusal for what cannot be read.
+    pub(crate) fn post_refusing<E, Q, F, A>(mut self, path: &str, answer: F) -> Self
+    where
+        E: Refusal + 'static,
+        Q: DeserializeOwned + Send + 'static,
+        F: Fn(Arc<S>, Q) -> A + Send + Sync + 'static,
+        A: Future<Output = Reply> + Send + 'static,
+    {
+        let service = Arc::clone(&self.service);
+        let action =
+            Action::<S, Q, E, F> { service, limits: self.limits, answer, types: PhantomData };
+        let route = Router::with_path(path.trim_start_matches('/')).post(action);
+        self.router = self.router.push(route);
+        self
+    }
+
+    /// Answers `POST /control/<name>` by `answer`.
+    pub(crate) fn control<Q, F, A>(self, name: &str, answer: F) -> Self
+    where
+        Q: DeserializeOwned + Send + 'static,
+        F: Fn(Arc<S>, Q) -> A + Send + Sync + 'static,
+        A: Future<Output = Reply> + Send + 'static,
+    {
+        self.post_refusing::<ControlRefusal, Q, F, A>(&format!("control/{name}"), answer)
+    }
+
+    /// The routes as salvo takes them.
+    pub(crate) fn into_router(self) -> Router {
+        self.router
+    }
+}
+
+/// Answers requests with a JSON body by a function of a service.
+struct Action<S, Q, R, F> {
+    service: Arc<S>,
+    limits: InputLimits,
+    answer: F,
+    types: PhantomData<fn(Q) -> R>,
 }
 
 #[async_trait]
@@ -161,7 +215,7 @@
     Q: DeserializeOwned + Send + 'static,
     R: Refusal + 'static,
     F: Fn(Arc<S>, Q) -> A + Send + Sync + 'static,
-    A: Future<Output = Reply> + Send,
+    A: Future<Output = Reply> + Send + 'static,
 {
     async fn handle(
         &self,
@@ -171,7 +225,7 @@
         _control: &mut FlowCtrl,
     ) {
         let reply = match read_json::<Q, R>(request, self.limits).await {
-            Ok(query) => (self.action)(Arc::clone(&self.service), query).await,
+            Ok(query) => (self.answer)(Arc::clone(&self.service), query).await,
             Err(refusal) => Reply::refused(refusal),
         };
         reply.write_to(response);
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -4,8 +4,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahlia_platform::{ClientSettings, KeyValueClient};
-use dahlia_standins::{KeyValueServer, KeyValueSettings, RunningServer, ServerSettings};
+use dahlia_platform::engine::{EventStream, GenerateEvent, GenerateRequest, Stop};
+use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError, KeyValueClient};
+use dahlia_standins::control::{Observations, ObservationsRequest};
+use dahlia_standins::engine::{EngineFaults, EngineObservation, count_prompt};
+use dahlia_standins::{
+    EngineServer, EngineSettings, KeyValueServer, KeyValueSettings, RunningServer, ServerSettings,
+};
+use dahlia_types::{
+    Attempt, AttemptId, CallId, ChainId, EngineId, GroupId, Incarnation, Message, ModelId,
+    ProgramId, Role, TenantId, Term, Tokens, Usage,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -72,3 +81,113 @@
     let waited = tokio::time::timeout(PATIENCE, future).await;
     waited.unwrap_or_else(|_| panic!("{what} did not happen within {PATIENCE:?}"))
 }
+
+/// A fast engine with control switched on.
+pub async fn engine(change: impl FnOnce(&mut EngineSettings)) -> RunningServer {
+    let mut settings =
+        EngineSettings { server: controlled(), speed: 20.0, ..EngineSettings::default() };
+    change(&mut settings);
+    EngineServer::start(settings).await.expect("the engine starts")
+}
+
+/// A client of an engine.
+pub fn engine_client(server: &RunningServer, settings: ClientSettings) -> EngineClient {
+    let address = server.address().to_string();
+    EngineClient::new(EngineEndpoint { engine: EngineId::new("engine"), address }, settings)
+}
+
+/// Puts faults of an engine in force.
+pub async fn set_engine_faults(server: &RunningServer, faults: EngineFaults) {
+    let _: dahlia_standins::control::Nothing = control(server.address(), "faults", &faults).await;
+}
+
+/// What an engine saw.
+pub async fn engine_observations(server: &RunningServer) -> Vec<EngineObservation> {
+    let request = ObservationsRequest::default();
+    let seen: Observations<EngineObservation> =
+        control(server.address(), "observations", &request).await;
+    assert_eq!(seen.dropped, 0);
+    seen.observations.into_iter().map(|seen| seen.event).collect()
+}
+
+/// A program by its number.
+pub fn program(number: u64) -> ProgramId {
+    ProgramId { group: GroupId(1), number }
+}
+
+/// The first attempt of the first call of a program.
+pub fn attempt_of(program: ProgramId) -> AttemptId {
+    AttemptId { call: CallId { program, chain: ChainId(0), number: 1 }, attempt: 1 }
+}
+
+/// A message of a user.
+pub fn user(content: &str) -> Message {
+    Message { role: Role::User, content: content.to_owned() }
+}
+
+/// A request for the first attempt of a program in epoch 1, meant for this life of the engine.
+pub async fn request(client: &EngineClient, program: ProgramId, text: &str) -> GenerateRequest {
+    let load = client.load().await.expect("the engine tells its life");
+    request_for(load.incarnation, program, text)
+}
+
+/// The same for a known life.
+pub fn request_for(incarnation: Incarnation, program: ProgramId, text: &str) -> GenerateRequest {
+    let messages = vec![user(text)];
+    GenerateRequest {
+        attempt: Attempt {
+            id: attempt_of(program),
+            epoch: Term(1),
+            engine_incarnation: incarnation,
+        },
+        tenant: TenantId::new("bayou"),
+        model: ModelId::new("agent-8b/base@1"),
+        prompt_bound: count_prompt(&messages),
+        messages,
+        max_generated: Tokens(10_000),
+        priority: 0,
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The text from the offset at which the stream began.
+    pub text: String,
+    /// Tokens used.
+    pub usage: Usage,
+    /// Why it ended.
+    pub stop: Stop,
+}
+
+/// Reads a stream to its end.
+pub async fn read_all(mut stream: EventStream) -> Result<Answer, (String, EngineError)> {
+    let reading = async {
+        let mut text = String::new();
+        loop {
+            match stream.next().await.expect("a last event comes before the end") {
+                Ok(GenerateEvent::Token { text: piece, .. }) => text.push_str(&piece),
+                Ok(GenerateEvent::Finished { usage, stop }) => {
+                    return Ok(Answer { text, usage, stop });
+                }
+                Ok(GenerateEvent::NeverStarted) => panic!("{} never started", stream.attempt()),
+                Ok(_) => {}
+                Err(error) => return Err((text, error)),
+            }
+        }
+    };
+    within("the end of a stream", reading).await
+}
+
+/// Reads a stream until the attempt has given some text.
+pub async fn read_some(stream: &mut EventStream) -> String {
+    let reading = async {
+        loop {
+            match stream.next().await.expect("text comes before the end").expect("no error") {
+                GenerateEvent::Token { text, .. } => return text,
+                event => assert!(!event.is_last(), "text comes before the end"),
+            }
+        }
+    };
+    within("the first text", reading).await
+}
