--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -118,7 +118,7 @@
         for (index, zone) in plan.engine_zones.iter().enumerate() {
             let id = format!("engine-{}", index + 1);
             let text = format!(
-                "standin engine --control --id {id} --model {} --speed {}",
+                "standin engine --control --engine {id} --model {} --speed {}",
                 plan.model, plan.speed
             );
             let (process, line) = ChildProcess::start(&id, &words(&text), folder).await?;
@@ -265,10 +265,8 @@
     pub async fn tokens_held(&self, program: ProgramId) -> Result<u64, RehearsalError> {
         let mut tokens = 0;
         for engine in &self.engines {
-            let endpoint = EngineEndpoint {
-                engine: engine.id.clone(),
-                address: engine.address.to_string(),
-            };
+            let endpoint =
+                EngineEndpoint { engine: engine.id.clone(), address: engine.address.to_string() };
             let client = EngineClient::new(endpoint, ClientSettings::default());
             let inventory = client.inventory().await;
             let inventory = inventory.map_err(|error| RehearsalError::Broken {
@@ -295,9 +293,8 @@
 
 /// The address behind `label` in a process's first line.
 fn address_of(name: &str, line: &str, label: &str) -> Result<SocketAddr, RehearsalError> {
-    let found = line.split_once(label).and_then(|(_, rest)| {
-        rest.split_whitespace().next()?.parse().ok()
-    });
+    let found =
+        line.split_once(label).and_then(|(_, rest)| rest.split_whitespace().next()?.parse().ok());
     found.ok_or_else(|| RehearsalError::NotReady {
         name: name.to_owned(),
         reason: format!("it printed {line:?}"),
--- a/crates/rehearsal/src/demo.rs
+++ b/crates/rehearsal/src/demo.rs
@@ -60,10 +60,8 @@
 }
 
 async fn play() -> Result<(), RehearsalError> {
-    let folder = TempDir::new().map_err(|source| RehearsalError::File {
-        path: std::env::temp_dir(),
-        source,
-    })?;
+    let folder = TempDir::new()
+        .map_err(|source| RehearsalError::File { path: std::env::temp_dir(), source })?;
     let started = Instant::now();
     let plan = ClusterPlan::bayou_current();
     say(started, "starting the key-value service, 8 engines and 4 daemons in 4 zones");
@@ -215,8 +213,7 @@
     let mut summaries = Vec::new();
     for seen in seen {
         let before = operator.show(&seen.program).await?;
-        let mut engines: Vec<String> =
-            before.held.iter().map(|held| held.engine.clone()).collect();
+        let mut engines: Vec<String> = before.held.iter().map(|held| held.engine.clone()).collect();
         engines.sort();
         operator.close(&seen.program).await?;
         let held = wait_for_release(cluster, &mut operator, &seen.program).await?;
@@ -238,9 +235,8 @@
     operator: &mut Operator,
     program: &str,
 ) -> Result<u64, RehearsalError> {
-    let id = program.parse().map_err(|error| RehearsalError::Broken {
-        what: format!("{error}"),
-    })?;
+    let id =
+        program.parse().map_err(|error| RehearsalError::Broken { what: format!("{error}") })?;
     let started = Instant::now();
     loop {
         let held = cluster.tokens_held(id).await?;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -34,7 +34,7 @@
     match arguments.command {
         Some(Command::Demo(_)) => block_on(demo::run()),
         Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
-        Some(Command::Standin(arguments)) => dahlia_standins::cli::run(arguments),
+        Some(Command::Standin(arguments)) => dahlia_standins::cli::run(&arguments),
         None => {
             eprintln!("rehearse: a command is needed\n\n{}", Arguments::usage());
             eprintln!("\n{}", Arguments::command_list().unwrap_or_default());
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,21 @@
-//! Stand-ins of the platform's services for tests and the demo, as separate processes.
+//! Stand-ins of the platform's services for tests and the demo, as libraries and as separate
+//! processes.
+//!
+//! Each service speaks the wire forms of `dahlia-platform`. With control switched on, faults are
+//! set by `POST /control/faults` (the whole set at once) and what the service saw is read by
+//! `POST /control/observations`: promises are judged by what engines, tools and the store saw.
+
+pub mod cli;
+mod clock;
+pub mod control;
+pub mod engine;
+pub mod key_value;
+mod options;
+mod rate;
+mod reply;
+mod server;
+
+pub use engine::{EngineServer, EngineSettings};
+pub use key_value::{KeyValueServer, KeyValueSettings};
+pub(crate) use reply::InputLimits;
+pub use server::{RunningServer, ServerSettings, StartError};
