--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -110,7 +110,12 @@
     async fn read_stream(&mut self, mut stream: EventStream) -> Result<AttemptEnd, EngineError> {
         while let Some(event) = stream.next().await {
             match event? {
-                GenerateEvent::Started { .. } | GenerateEvent::Alive => {}
+                GenerateEvent::Accepted { .. }
+                | GenerateEvent::Started { .. }
+                | GenerateEvent::Alive => {}
+                GenerateEvent::NeverStarted => {
+                    return Ok(not_run("the engine took it off its queue unrun"));
+                }
                 GenerateEvent::Token { text, .. } => self.append(&text).await,
                 GenerateEvent::Finished { usage, stop } => return Ok(self.ended(usage, stop)),
             }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -30,7 +30,6 @@
     fn carry_out(&mut self, decision: Decision, now: Timestamp) {
         match decision {
             Decision::Dispatch { attempt, engine, incarnation, priority, .. } => {
-                let priority = engine_priority(priority);
                 self.propose_intent(attempt, engine, incarnation, priority, now);
             }
             Decision::Refuse { call, retry_after, reason } => {
@@ -48,7 +47,7 @@
         attempt: AttemptId,
         engine: EngineId,
         incarnation: Incarnation,
-        priority: u32,
+        priority: u64,
         now: Timestamp,
     ) {
         let id = attempt.call.program.group;
@@ -306,12 +305,6 @@
     }
 }
 
-/// Placement orders by microseconds; engines take 32 bits. Milliseconds modulo 2^32 keep the
-/// order for 49 days, longer than any call waits.
-fn engine_priority(priority: u64) -> u32 {
-    (priority / 1_000) as u32
-}
-
 fn refusal_text(reason: RefusalReason, retry_after: Duration) -> String {
     let wait = retry_after.as_millis();
     let text = match reason {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -146,7 +146,7 @@
     /// Most tokens to generate.
     pub max_generated: Tokens,
     /// Smaller goes first.
-    pub priority: u32,
+    pub priority: u64,
 }
 
 /// A release with the owner's epoch.
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -31,7 +31,7 @@
     /// Upper bound of the prompt.
     pub(crate) prompt_bound: Tokens,
     /// The engine's queue priority.
-    pub(crate) priority: u32,
+    pub(crate) priority: u64,
 }
 
 /// An attempt that this node runs as owner.
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -10,7 +10,7 @@
 use crate::request::Response;
 
 /// Priority of a resumed attempt at its engine: it only reads, so any will do.
-const RESUMED_PRIORITY: u32 = 0;
+const RESUMED_PRIORITY: u64 = 0;
 
 impl Node {
     /// Takes up the duties of an owner. Everything that earlier owners committed is applied.
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -163,7 +163,10 @@
         ) {
             return Ok(state);
         }
-        self.command(EngineCommand::Cancel(model::Cancel { attempt, epoch }), now)?;
+        self.command(
+            EngineCommand::Cancel(model::Cancel { attempt, epoch, only_waiting: false }),
+            now,
+        )?;
         self.settle(attempt);
         Ok(self.records.state(attempt))
     }
