--- a/crates/replication/src/group/coalescer.rs
+++ b/crates/replication/src/group/coalescer.rs
@@ -17,8 +17,8 @@
     pub group: GroupId,
     /// The sender's term in it.
     pub term: Term,
-    /// The leader's session with the receiver.
-    pub session: u32,
+    /// The leader's configuration when the receiver's present stay began.
+    pub session: LogIndex,
     /// The committed entry of a heartbeat; none in an answer.
     pub committed: Option<LogIndex>,
 }
--- a/crates/replication/src/group/election.rs
+++ b/crates/replication/src/group/election.rs
@@ -112,6 +112,7 @@
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election_deadline();
         if !self.is_voter() {
+            self.ask_whether_member();
             return;
         }
         self.role = Role::PreCandidate;
@@ -122,6 +123,10 @@
             self.start_election(false);
             return;
         }
+        self.send_pre_votes();
+    }
+
+    fn send_pre_votes(&mut self) {
         let request = self.vote_request(false);
         let term = self.term.next();
         for voter in self.other_voters() {
@@ -129,6 +134,14 @@
         }
     }
 
+    /// A learner without a leader sends pre-votes too, whose grants it ignores: the leader
+    /// answers one that it has removed.
+    fn ask_whether_member(&mut self) {
+        if !self.is_removed && self.members().contains(self.id) {
+            self.send_pre_votes();
+        }
+    }
+
     fn start_election(&mut self, transfer: bool) {
         self.term = self.term.next();
         self.voted_for = Some(self.id);
@@ -241,18 +254,23 @@
         if !self.is_leader_ready() || self.members().contains(replica) {
             return false;
         }
-        let Some((index, _)) = self.configurations.last() else { return false };
-        if *index > self.committed {
+        let index = self.configuration_index();
+        if index > self.committed {
             return false;
         }
-        self.send(replica, GroupBody::Removed { index: *index });
+        self.send(replica, GroupBody::Removed { index });
         true
     }
 
-    /// Takes in that a committed entry removed this replica, unless a later one added it.
-    fn take_removed(&mut self, index: LogIndex) {
-        let Some((known, members)) = self.configurations.last() else { return };
-        if index <= *known || !members.contains(self.id) || self.role == Role::Leader {
+    /// Takes in that a committed entry removed this replica, unless it was added again later.
+    ///
+    /// A leader that added it again has said so with a session above the removal, before
+    /// anything that this replica acknowledged could count. So a late notice of an earlier
+    /// removal never empties a member.
+    pub(super) fn take_removed(&mut self, index: LogIndex) {
+        let was_member = self.configurations.iter().any(|(_, members)| members.contains(self.id));
+        let is_late = index <= self.member_as_of;
+        if is_late || !was_member || self.is_removed || self.role == Role::Leader {
             return;
         }
         self.is_removed = true;
@@ -262,6 +280,6 @@
     }
 }
 
-fn stale_answer(session: u32, sent: Timestamp) -> GroupBody {
+fn stale_answer(session: LogIndex, sent: Timestamp) -> GroupBody {
     GroupBody::HeartbeatResponse(HeartbeatResponse { session, sent })
 }
--- a/crates/replication/src/group/follower.rs
+++ b/crates/replication/src/group/follower.rs
@@ -10,7 +10,8 @@
 
 impl Replica {
     /// Accepts the sender as the leader of the current term.
-    pub(super) fn follow(&mut self, leader: ReplicaId) {
+    pub(super) fn follow(&mut self, leader: ReplicaId, session: LogIndex) {
+        self.member_as_of = self.member_as_of.max(session);
         if self.leader != Some(leader) || !matches!(self.role, Role::Follower | Role::Learner) {
             self.become_follower(self.term, Some(leader));
         }
@@ -22,7 +23,7 @@
         if self.role == Role::Leader {
             return;
         }
-        self.follow(from);
+        self.follow(from, heartbeat.session);
         self.commit_to(heartbeat.committed);
         let Heartbeat { session, sent, .. } = heartbeat;
         self.send(from, GroupBody::HeartbeatResponse(HeartbeatResponse { session, sent }));
@@ -32,7 +33,7 @@
         if self.role == Role::Leader {
             return;
         }
-        self.follow(from);
+        self.follow(from, append.session);
         let Append { session, sent, previous_index, previous_term, committed, entries } = append;
         let last_sent = LogIndex(previous_index.0 + entries.len() as u64);
         let result = if self.has_entry(previous_index, previous_term) {
--- a/crates/replication/src/group/leader.rs
+++ b/crates/replication/src/group/leader.rs
@@ -1,6 +1,6 @@
 //! Leading: sending the log, counting copies, heartbeats, check-quorum.
 
-use dahlia_types::{LogIndex, ReplicaId, Timestamp};
+use dahlia_types::{Duration, LogIndex, ReplicaId, Timestamp};
 
 use super::progress::{Peer, Sending};
 use super::replica::Replica;
@@ -38,6 +38,7 @@
     fn adopt_peers(&mut self) {
         let members: Vec<ReplicaId> =
             self.members().all().filter(|member| *member != self.id).collect();
+        let session = self.configuration_index();
         self.leading.peers.retain(|peer, _| members.contains(peer));
         for member in members {
             if self.leading.peers.contains_key(&member) {
@@ -45,8 +46,7 @@
             }
             // A session per stay: an acknowledgement from before a removal must not count after
             // the same replica was emptied and added again.
-            self.leading.next_session += 1;
-            let peer = Peer::new(self.leading.next_session, self.log.last_index(), self.now);
+            let peer = Peer::new(session, self.log.last_index(), self.now);
             self.leading.peers.insert(member, peer);
         }
         self.advance_commit();
@@ -77,11 +77,16 @@
 
     /// Whether a member answered something sent within the last election timeout.
     pub(super) fn in_contact(&self, member: ReplicaId) -> bool {
+        self.was_heard_within(member, self.settings.election_timeout())
+    }
+
+    /// Whether a member answered something sent less than `age` ago.
+    pub(super) fn was_heard_within(&self, member: ReplicaId, age: Duration) -> bool {
         if member == self.id {
             return true;
         }
-        let Some(peer) = self.leading.peers.get(&member) else { return false };
-        self.now.since(peer.last_contact) < self.settings.election_timeout()
+        let peer = self.leading.peers.get(&member);
+        peer.is_some_and(|peer| self.now.since(peer.last_contact) < age)
     }
 
     /// Sends again what was not answered. Silent peers wait for a heartbeat's answer first.
@@ -194,7 +199,7 @@
     pub(super) fn answering_peer(
         &mut self,
         from: ReplicaId,
-        session: u32,
+        session: LogIndex,
         sent: Timestamp,
     ) -> Option<&mut Peer> {
         let any_session = self.settings.faults.any_session;
--- a/crates/replication/src/group/members.rs
+++ b/crates/replication/src/group/members.rs
@@ -9,6 +9,9 @@
 use super::replica::Replica;
 use super::{EntryData, Role};
 
+/// A voter counts for a change when it answered within this many heartbeat intervals.
+const FRESH_HEARTBEATS: u64 = 2;
+
 /// The members of a group.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Members {
@@ -185,7 +188,11 @@
             }
             MemberChange::Remove(_) => {}
         }
-        let in_contact = changed.voters.iter().filter(|voter| self.in_contact(**voter)).count();
+        // The contact must be fresh: a voter that died a moment ago would count, and the change
+        // could neither be committed nor taken back.
+        let fresh = self.settings.heartbeat_interval().times(FRESH_HEARTBEATS);
+        let is_fresh = |voter: &&ReplicaId| self.was_heard_within(**voter, fresh);
+        let in_contact = changed.voters.iter().filter(is_fresh).count();
         let needed = changed.quorum();
         if in_contact < needed {
             return QuorumAtRiskSnafu { in_contact, needed }.fail();
@@ -205,7 +212,12 @@
 
     /// The entry of a change that is appended and not committed.
     pub(super) fn uncommitted_change(&self) -> Option<LogIndex> {
-        let (index, _) = self.configurations.last()?;
-        (*index > self.committed).then_some(*index)
+        let index = self.configuration_index();
+        (index > self.committed).then_some(index)
+    }
+
+    /// The entry that set the members in force.
+    pub(super) fn configuration_index(&self) -> LogIndex {
+        self.configurations.last().map_or(LogIndex(0), |(index, _)| *index)
     }
 }
--- a/crates/replication/src/group/message.rs
+++ b/crates/replication/src/group/message.rs
@@ -73,8 +73,8 @@
 /// Entries that follow `previous_index`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Append {
-    /// The leader's session with the receiver; echoed.
-    pub session: u32,
+    /// The leader's configuration when the receiver's present stay began; echoed.
+    pub session: LogIndex,
     /// The leader's time; echoed.
     pub sent: Timestamp,
     /// The entry before the first of `entries`.
@@ -91,7 +91,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AppendResponse {
     /// Echo.
-    pub session: u32,
+    pub session: LogIndex,
     /// Echo.
     pub sent: Timestamp,
     /// What came of it.
@@ -118,8 +118,8 @@
 /// A sign of life of the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
-    /// The leader's session with the receiver; echoed.
-    pub session: u32,
+    /// The leader's configuration when the receiver's present stay began; echoed.
+    pub session: LogIndex,
     /// The leader's time; echoed.
     pub sent: Timestamp,
     /// The last committed entry that the receiver is known to have.
@@ -130,7 +130,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatResponse {
     /// Echo.
-    pub session: u32,
+    pub session: LogIndex,
     /// Echo.
     pub sent: Timestamp,
 }
@@ -138,8 +138,8 @@
 /// A part of a snapshot, in order; the next part is sent when this one is answered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotChunk {
-    /// The leader's session with the receiver; echoed.
-    pub session: u32,
+    /// The leader's configuration when the receiver's present stay began; echoed.
+    pub session: LogIndex,
     /// The leader's time; echoed.
     pub sent: Timestamp,
     /// The last entry that the snapshot includes.
@@ -160,7 +160,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotResponse {
     /// Echo.
-    pub session: u32,
+    pub session: LogIndex,
     /// Echo.
     pub sent: Timestamp,
     /// Which snapshot.
--- a/crates/replication/src/group/progress.rs
+++ b/crates/replication/src/group/progress.rs
@@ -35,8 +35,8 @@
 /// What a leader knows of one peer.
 #[derive(Debug, Clone)]
 pub(super) struct Peer {
-    /// Distinguishes this stay of the peer from earlier ones in the same term.
-    pub session: u32,
+    /// The configuration when this stay of the peer began, which tells it from earlier ones.
+    pub session: LogIndex,
     /// Last entry known to be equal.
     pub matched: LogIndex,
     /// Next entry to send.
@@ -50,7 +50,7 @@
 }
 
 impl Peer {
-    pub fn new(session: u32, next: LogIndex, now: Timestamp) -> Self {
+    pub fn new(session: LogIndex, next: LogIndex, now: Timestamp) -> Self {
         Self {
             session,
             matched: LogIndex(0),
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -34,7 +34,6 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Leading {
     pub peers: BTreeMap<ReplicaId, Peer>,
-    pub next_session: u32,
     pub next_heartbeat: Timestamp,
     /// The entry that opened the term.
     pub first_index: LogIndex,
@@ -69,6 +68,8 @@
     pub(super) applied: LogIndex,
     /// Members by the entry that set them; the first is the one in force at the log's base.
     pub(super) configurations: Vec<(LogIndex, Members)>,
+    /// Latest configuration by which a leader treated this replica as a member.
+    pub(super) member_as_of: LogIndex,
     /// Set when a member said that this replica was removed; cleared when it is added again.
     pub(super) is_removed: bool,
     pub(super) leading: Leading,
@@ -133,6 +134,7 @@
             delivered: LogIndex(0),
             applied: LogIndex(0),
             configurations: vec![(LogIndex(0), Members::default())],
+            member_as_of: LogIndex(0),
             is_removed: false,
             leading: Leading::default(),
             incoming: None,
@@ -153,6 +155,7 @@
         let mut empty = Self::join(self.id, self.group, self.settings.clone(), seed, now);
         empty.term = self.term;
         empty.voted_for = self.voted_for;
+        empty.member_as_of = self.member_as_of;
         empty.announced.1 = self.term;
         *self = empty;
     }
@@ -396,8 +399,8 @@
             for replica in removed {
                 self.send(replica, GroupBody::Removed { index });
             }
-        } else if !members.contains(self.id) && self.members_before(index).contains(self.id) {
-            self.outputs.push(Output::Removed { index });
+        } else if !members.contains(self.id) {
+            self.take_removed(index);
         }
     }
 
--- a/crates/replication/src/group/snapshot.rs
+++ b/crates/replication/src/group/snapshot.rs
@@ -109,7 +109,7 @@
         if self.role == Role::Leader {
             return;
         }
-        self.follow(from);
+        self.follow(from, chunk.session);
         let (session, sent, index) = (chunk.session, chunk.sent, chunk.index);
         if index > self.committed {
             let received = self.receive_chunk(chunk);
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -1,16 +1,18 @@
 //! What the leader of a group should change about its members next.
 //!
-//! The order of steps keeps the number of further deaths that the group survives from ever
-//! falling by a step of its own. With `n` voters of which `a` answer, that number is
-//! `a - (n / 2 + 1)`. Promoting a learner that answers, and removing a voter that does not,
-//! both leave it equal or raise it by one, whichever comes first. Removing one that answers
-//! lowers it, so that waits until a replacement votes. Therefore:
+//! With `n` voters of which `a` answer, a group survives `a - (n / 2 + 1)` further deaths. The
+//! order of steps never lets a step of its own lower that number:
 //!
-//! 1. A voter that is gone or lost is removed at once where that alone raises the number
-//!    (the group then survives the next death before any learner has caught up).
-//! 2. Otherwise a learner is added, caught up and promoted first, and the old voter removed
-//!    after; should the lost one come back meanwhile, it still counts.
-//! 3. A leaving or badly placed voter is removed only when its replacement votes.
+//! 1. Removing a voter that does not answer keeps the number (odd `n`) or raises it (even `n`).
+//!    A voter that is gone for certain, because its daemon runs in a later life, is therefore
+//!    removed at once. A lost one, which may be cut off and come back, stays until a learner is
+//!    caught up, unless its removal raises the number; then the next death is survived before
+//!    any learner has caught up.
+//! 2. Promoting a learner keeps the number (odd `n`) or raises it (even `n`), but its commit
+//!    depends on the learner when another voter is dead. So the dead voter goes first: then the
+//!    voters that were there already can commit the promotion without the learner.
+//! 3. Removing a voter that answers lowers the number. A leaving or badly placed voter goes
+//!    only when its replacement votes.
 //!
 //! A new leader continues where the last one stopped: every decision is made from the present
 //! configuration and view, and nothing is remembered. The list of machines of the platform may
--- a/crates/replication/src/maintenance/plan.rs
+++ b/crates/replication/src/maintenance/plan.rs
@@ -30,7 +30,8 @@
     view: &'a ClusterView,
     healthy: Vec<ReplicaId>,
     leaving: Vec<ReplicaId>,
-    dead: Vec<ReplicaId>,
+    gone: Vec<ReplicaId>,
+    lost: Vec<ReplicaId>,
     healthy_learners: Vec<ReplicaId>,
     bad_learners: Vec<ReplicaId>,
 }
@@ -48,18 +49,19 @@
             view,
             healthy: Vec::new(),
             leaving: Vec::new(),
-            dead: Vec::new(),
+            gone: Vec::new(),
+            lost: Vec::new(),
             healthy_learners: Vec::new(),
             bad_learners: Vec::new(),
         };
         for voter in &status.members.voters {
-            match plan.standing(*voter, now) {
-                Standing::Healthy => plan.healthy.push(*voter),
-                Standing::Leaving => plan.leaving.push(*voter),
-                Standing::Lost => plan.dead.push(*voter),
-                // First in line: unlike a lost one it can never come back.
-                Standing::Gone => plan.dead.insert(0, *voter),
-            }
+            let side = match plan.standing(*voter, now) {
+                Standing::Healthy => &mut plan.healthy,
+                Standing::Leaving => &mut plan.leaving,
+                Standing::Gone => &mut plan.gone,
+                Standing::Lost => &mut plan.lost,
+            };
+            side.push(*voter);
         }
         for learner in &status.members.learners {
             let is_healthy = plan.standing(*learner, now) == Standing::Healthy;
@@ -121,17 +123,26 @@
             || self.status.peers.get(&member).is_some_and(|peer| peer.in_contact)
     }
 
-    /// Removes a dead voter where the rest alone survives more deaths than now, or where
-    /// enough healthy voters are there anyway.
+    /// Removes a voter that is gone, or a lost one where keeping it is of no more use.
     fn remove_dead(&self) -> Option<MemberChange> {
-        let dead = *self.dead.first()?;
+        let dead = self.gone.first().or(self.lost.first()).copied()?;
+        let is_useless = !self.gone.is_empty()
+            || self.rest_survives_more()
+            || self.has_ready_learner()
+            || !self.lacks_voters();
+        is_useless.then_some(MemberChange::Remove(dead))
+    }
+
+    /// Whether the voters without the dead survive more deaths than they do with them.
+    fn rest_survives_more(&self) -> bool {
         let voters = &self.status.members.voters;
         let answering = voters.iter().filter(|voter| self.in_contact(**voter)).count();
-        let now_survives = survives(answering, voters.len());
-        let rest = voters.len() - self.dead.len();
-        let rest_survives = survives(answering.min(rest), rest);
-        let is_replaced = self.healthy.len() >= self.settings.voters;
-        (rest_survives > now_survives || is_replaced).then_some(MemberChange::Remove(dead))
+        let rest = voters.len() - self.gone.len() - self.lost.len();
+        survives(answering.min(rest), rest) > survives(answering, voters.len())
+    }
+
+    fn has_ready_learner(&self) -> bool {
+        self.healthy_learners.iter().any(|learner| self.is_caught_up(*learner))
     }
 
     /// Promotes a learner that is needed and caught up.
--- a/crates/replication/tests/support/mod.rs
+++ b/crates/replication/tests/support/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod checker;
 pub mod cluster;
+pub mod nemesis;
 pub mod network;
