Check the program state's promises over random schedules

Cause: examples show single cases; the promises have to hold for any order of deaths, late and repeated messages, and owners that try what they may not.

--- /dev/null
+++ b/crates/program/tests/schedules/checker.rs
@@ -0,0 +1,241 @@
+//! What callers and engines saw, and the checks of the promises against it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dahlia_program::{
+    Applied, AttemptOutcome, BeginCall, Begun, CallOutcome, EngineLife, GroupState, HistoryPart,
+    Program, RecordedOutcome, decode_chunk,
+};
+use dahlia_types::{AttemptId, CallId, ChainId, Message, ProgramId, Repeatability};
+
+/// A promise that a schedule can break.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Promise {
+    Order,
+    Budget,
+    AtMostOnce,
+    OneOutcome,
+    NotRun,
+    OwnAnswer,
+    History,
+    Release,
+}
+
+pub type Checked = Result<(), (Promise, String)>;
+
+/// One call as its caller knows it.
+struct Known {
+    request: BeginCall,
+    outcome: Option<CallOutcome>,
+}
+
+/// How many calls ended in each way.
+#[derive(Debug, Default)]
+pub struct OutcomeCounts {
+    pub answered: u64,
+    pub unknown: u64,
+    pub not_run: u64,
+}
+
+impl OutcomeCounts {
+    pub fn add(&mut self, checker: &Checker) {
+        for known in checker.calls.values() {
+            match known.outcome {
+                None => {}
+                Some(CallOutcome::Answered { .. }) => self.answered += 1,
+                Some(CallOutcome::Unknown) => self.unknown += 1,
+                Some(CallOutcome::NotRun { .. }) => self.not_run += 1,
+            }
+        }
+    }
+}
+
+/// Everything seen from outside the state.
+#[derive(Default)]
+pub struct Checker {
+    calls: BTreeMap<CallId, Known>,
+    /// What a chain had before its first call, by the parent's history at that moment.
+    inherited: BTreeMap<(ProgramId, ChainId), Vec<Message>>,
+    open: BTreeMap<CallId, AttemptId>,
+    /// How often engines started an attempt of the call.
+    pub starts: BTreeMap<CallId, u32>,
+    /// Tokens that engines really used.
+    pub used: BTreeMap<ProgramId, u64>,
+    /// What engines hold at this moment.
+    pub held: BTreeSet<(ProgramId, EngineLife)>,
+    /// Chunks on the store daemons.
+    pub chunks: BTreeMap<[u8; 32], Vec<u8>>,
+}
+
+impl Checker {
+    /// Judges the result of a call's beginning.
+    pub fn begun(&mut self, request: &BeginCall, begun: &Begun) -> Checked {
+        match begun {
+            Begun::Ready(call) | Begun::Waiting(call) => self.new_call(request, *call),
+            Begun::Joined(call) | Begun::ReplayedFromStore(call, _) => self.same(request, *call),
+            Begun::Replayed(call, outcome) => {
+                self.same(request, *call)?;
+                let known = self.calls[call].outcome.as_ref();
+                require(known == Some(outcome), Promise::OneOutcome, || {
+                    format!("{call} ended as {known:?} and was replayed as {outcome:?}")
+                })
+            }
+        }
+    }
+
+    fn new_call(&mut self, request: &BeginCall, call: CallId) -> Checked {
+        if call.number == 1 {
+            let parent = request.parent.filter(|_| call.chain != ChainId(0));
+            let before = parent.map(|parent| self.history(call.program, parent));
+            self.inherited.insert((call.program, call.chain), before.unwrap_or_default());
+        }
+        let known = Known { request: request.clone(), outcome: None };
+        let replaced = self.calls.insert(call, known).is_some();
+        require(!replaced, Promise::Order, || format!("{call} was given to two requests"))
+    }
+
+    fn same(&self, request: &BeginCall, call: CallId) -> Checked {
+        let known = &self.calls[&call].request;
+        let same = known.messages == request.messages && known.chain == request.chain;
+        require(same, Promise::OwnAnswer, || format!("{request:?} was taken for {call}"))
+    }
+
+    /// Judges an accepted intent.
+    pub fn intent(&mut self, attempt: AttemptId) -> Checked {
+        let call = attempt.call;
+        self.open.insert(call, attempt);
+        let chain = self.chain(call.program, call.chain);
+        let waiting = chain.filter(|(id, known)| **id < call && known.outcome.is_none()).count();
+        require(waiting == 0, Promise::Order, || format!("{call} overtook {waiting} calls"))
+    }
+
+    /// Judges an accepted outcome of an attempt.
+    pub fn outcome(
+        &mut self,
+        attempt: AttemptId,
+        outcome: &AttemptOutcome,
+        applied: &Applied,
+    ) -> Checked {
+        if matches!(applied, Applied::Settled(_)) {
+            return Ok(());
+        }
+        let open = self.open.remove(&attempt.call);
+        let ran = matches!(outcome, AttemptOutcome::Ran { .. });
+        require(!ran || open == Some(attempt), Promise::OwnAnswer, || {
+            format!("{attempt} answered while {open:?} was open")
+        })
+    }
+
+    /// Judges the whole state.
+    pub fn check(&mut self, state: &GroupState) -> Checked {
+        for program in state.programs() {
+            self.check_outcomes(program)?;
+            self.check_budget(program)?;
+            self.check_history(program)?;
+        }
+        self.check_starts()?;
+        for (program, life) in &self.held {
+            let owed = state
+                .program(*program)
+                .is_some_and(|program| program.obligations().any(|(owed, _)| owed == life));
+            require(owed, Promise::Release, || format!("{program} is held by {life:?}"))?;
+        }
+        Ok(())
+    }
+
+    fn check_outcomes(&mut self, program: &Program) -> Checked {
+        for (id, _) in program.calls() {
+            let found = program.outcome(id).map(|outcome| self.whole(outcome));
+            let known = &mut self.calls.get_mut(&id).expect("begun by a caller").outcome;
+            let first = known.is_none();
+            let same = first || *known == found;
+            require(same, Promise::OneOutcome, || {
+                format!("{id} ended as {known:?} and is now {found:?}")
+            })?;
+            if first {
+                *known = found;
+            }
+        }
+        Ok(())
+    }
+
+    /// An outcome with its text, fetched from the store daemons when it is there.
+    fn whole(&self, outcome: RecordedOutcome) -> CallOutcome {
+        match outcome {
+            RecordedOutcome::Held(outcome) => outcome,
+            RecordedOutcome::Stored(stored) => {
+                let chunk = &self.chunks[&stored.chunk.digest];
+                let messages = decode_chunk(&stored.chunk, chunk).expect("stored whole");
+                let answer = messages.last().expect("a turn has messages").clone();
+                CallOutcome::Answered { answer, usage: stored.usage }
+            }
+        }
+    }
+
+    fn check_budget(&self, program: &Program) -> Checked {
+        let budget = program.budget();
+        let bound = budget.spent.saturating_add(budget.reserved);
+        require(bound <= budget.total, Promise::Budget, || format!("{budget:?}"))?;
+        let used = self.used.get(&program.id()).copied().unwrap_or(0);
+        require(used <= bound.0, Promise::Budget, || format!("engines used {used}: {budget:?}"))
+    }
+
+    fn check_history(&self, program: &Program) -> Checked {
+        for (chain, _) in program.chains() {
+            let mut found = Vec::new();
+            for part in program.history_parts(chain) {
+                match part {
+                    HistoryPart::Messages(messages) => found.extend_from_slice(messages),
+                    HistoryPart::Chunk(chunk) => {
+                        let bytes = &self.chunks[&chunk.digest];
+                        found.extend(decode_chunk(chunk, bytes).expect("stored whole"));
+                    }
+                }
+            }
+            let expected = self.history(program.id(), chain);
+            require(found == expected, Promise::History, || {
+                format!("chain {chain:?}: {found:?} instead of {expected:?}")
+            })?;
+        }
+        Ok(())
+    }
+
+    fn check_starts(&self) -> Checked {
+        for (call, starts) in &self.starts {
+            let known = &self.calls[call];
+            let once = known.request.repeatability == Repeatability::AtMostOnce;
+            require(!once || *starts <= 1, Promise::AtMostOnce, || {
+                format!("{call} was started {starts} times")
+            })?;
+            let not_run = matches!(known.outcome, Some(CallOutcome::NotRun { .. }));
+            require(!not_run, Promise::NotRun, || format!("{call} was started {starts} times"))?;
+        }
+        Ok(())
+    }
+
+    fn chain(&self, program: ProgramId, chain: ChainId) -> impl Iterator<Item = (&CallId, &Known)> {
+        let first = CallId { program, chain, number: 0 };
+        let last = CallId { program, chain, number: u32::MAX };
+        self.calls.range(first..=last)
+    }
+
+    /// A chain's history by the outcomes that callers were told.
+    fn history(&self, program: ProgramId, chain: ChainId) -> Vec<Message> {
+        let mut history = self.inherited.get(&(program, chain)).cloned().unwrap_or_default();
+        for (_, known) in self.chain(program, chain) {
+            match &known.outcome {
+                None | Some(CallOutcome::NotRun { .. }) => {}
+                Some(CallOutcome::Unknown) => history.extend(known.request.messages.clone()),
+                Some(CallOutcome::Answered { answer, .. }) => {
+                    history.extend(known.request.messages.clone());
+                    history.push(answer.clone());
+                }
+            }
+        }
+        history
+    }
+}
+
+fn require(holds: bool, promise: Promise, describe: impl FnOnce() -> String) -> Checked {
+    if holds { Ok(()) } else { Err((promise, describe())) }
+}
