Keep less of each ended call on every replica

Cause: at 260,000 programs a daemon holds some 2,100 replicas of programs (three replicas each, 370 daemons). Vectors that double left up to half unused, and each call kept its key's text.

Ruled out: the history's text, which the measure leaves on store daemons.

A key is its 128-bit hash; Call::key is now Call::has_key.

--- a/crates/program/src/attempt.rs
+++ b/crates/program/src/attempt.rs
@@ -151,7 +151,7 @@
         let limit = limits.history_tokens.0;
         return TooManySnafu { program: program.id, what: "history tokens", limit }.fail();
     }
-    let wish = match call.kind {
+    let wish = match call.kind() {
         CallKind::Generate => call.max_generated.max(Tokens(1)),
         CallKind::Tool(_) => Tokens::ZERO,
     };
@@ -167,7 +167,7 @@
 
 /// A tool service holds no cache, so only a model engine owes a release.
 fn record_obligation(program: &mut Program, index: LogIndex, command: &RecordIntent) {
-    let kind = program.call(command.attempt.call).map(|call| call.kind.clone());
+    let kind = program.call(command.attempt.call).map(|call| call.kind().clone());
     if kind != Some(CallKind::Generate) {
         return;
     }
--- a/crates/program/src/begin.rs
+++ b/crates/program/src/begin.rs
@@ -1,8 +1,10 @@
 //! Putting calls into their chain's order; recognising retries.
 
-use dahlia_types::{CallId, ChainId, Tokens};
+use dahlia_types::{CallId, CallKind, ChainId, Tokens};
 
+use crate::chain::push_within;
 use crate::history::content_bytes;
+use crate::key::KeyHash;
 use crate::refusal::{DigestMismatchSnafu, NoSuchChainSnafu, OutOfOrderSnafu, TooManySnafu};
 use crate::state::{check_limit, check_open};
 use crate::{
@@ -47,8 +49,8 @@
     };
     let found = program.call(call).expect("keys name calls of the program");
     let same_place = call.chain == command.chain && stated.is_none_or(|stated| stated == call);
-    let same_key = match (&found.key, &command.key) {
-        (Some(held), Some(stated)) => held == stated,
+    let same_key = match (found.key, &command.key) {
+        (Some(held), Some(stated)) => held == KeyHash::of(stated),
         _ => true,
     };
     let same_digest = found.digest == command.digest;
@@ -65,7 +67,7 @@
         return;
     };
     if found.key.is_none() {
-        found.key = command.key.clone();
+        found.key = command.key.as_ref().map(KeyHash::of);
     }
 }
 
@@ -130,19 +132,24 @@
     let inherited = branch.map_or(Tokens::ZERO, |branch| program.chains[&branch.chain].tokens);
     let chain =
         program.chains.entry(command.chain).or_insert_with(|| Chain::new(branch, inherited));
+    push_within(&mut chain.calls, new_call(command));
+    let is_first = chain.first_open() == Some(number);
+    let added = content_bytes(&command.messages);
+    program.history_bytes = program.history_bytes.saturating_add(added);
+    Ok(if is_first { Begun::Ready(id) } else { Begun::Waiting(id) })
+}
+
+fn new_call(command: &BeginCall) -> Call {
+    let is_usual = command.kind == CallKind::Generate;
     let open = OpenCall { messages: command.messages.clone(), attempt: None };
-    chain.calls.push(Call {
-        key: command.key.clone(),
+    Call {
+        key: command.key.as_ref().map(KeyHash::of),
         digest: command.digest,
-        kind: command.kind.clone(),
+        other_kind: (!is_usual).then(|| Box::new(command.kind.clone())),
         repeatability: command.repeatability,
         max_generated: command.max_generated,
         attempts: 0,
         ran_unanswered: false,
         state: CallState::Open(Box::new(open)),
-    });
-    let is_first = chain.first_open() == Some(number);
-    let added = content_bytes(&command.messages);
-    program.history_bytes = program.history_bytes.saturating_add(added);
-    Ok(if is_first { Begun::Ready(id) } else { Begun::Waiting(id) })
+    }
 }
--- a/crates/program/src/call.rs
+++ b/crates/program/src/call.rs
@@ -6,6 +6,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::key::KeyHash;
+
 /// An attempt with a recorded intent and no outcome yet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenAttempt {
@@ -82,9 +84,10 @@
 /// One call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Call {
-    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) key: Option<KeyHash>,
     pub(crate) digest: u64,
-    pub(crate) kind: CallKind,
+    /// None for the usual kind, [`CallKind::Generate`]: a long program keeps many calls.
+    pub(crate) other_kind: Option<Box<CallKind>>,
     pub(crate) repeatability: Repeatability,
     pub(crate) max_generated: Tokens,
     pub(crate) attempts: u32,
@@ -94,9 +97,9 @@
 }
 
 impl Call {
-    /// The caller's key.
-    pub fn key(&self) -> Option<&IdempotencyKey> {
-        self.key.as_ref()
+    /// Whether the caller named it by `key`.
+    pub fn has_key(&self, key: &IdempotencyKey) -> bool {
+        self.key == Some(KeyHash::of(key))
     }
 
     /// Hash of the request.
@@ -106,7 +109,7 @@
 
     /// What serves it.
     pub fn kind(&self) -> &CallKind {
-        &self.kind
+        self.other_kind.as_deref().unwrap_or(&CallKind::Generate)
     }
 
     /// Whether it may run again.
--- a/crates/program/src/chain.rs
+++ b/crates/program/src/chain.rs
@@ -85,11 +85,22 @@
 
     /// Appends a turn and gives its position.
     pub(crate) fn push_turn(&mut self, call: u32, answered: bool, messages: Vec<Message>) -> u32 {
-        self.turns.push(Turn { call, answered, text: TurnText::Inline(messages) });
+        let text = TurnText::Inline(messages);
+        push_within(&mut self.turns, Turn { call, answered, text });
         self.turns.len() as u32 - 1
     }
 }
 
+/// Appends with room for few more: doubling would leave each replica with up to half of its
+/// memory unused over many programs.
+pub(crate) fn push_within<T>(items: &mut Vec<T>, item: T) {
+    const SPARE: usize = 4;
+    if items.len() == items.capacity() {
+        items.reserve_exact(SPARE);
+    }
+    items.push(item);
+}
+
 fn position(number: u32) -> Option<usize> {
     number.checked_sub(1).map(|position| position as usize)
 }
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -13,6 +13,7 @@
 mod closing;
 mod command;
 mod history;
+mod key;
 mod limits;
 mod outcome;
 mod program;
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::history::content_bytes;
+use crate::key::KeyHash;
 use crate::{
     Budget, Call, CallOutcome, Chain, CloseReason, EndedCall, HistoryPart, MissingChunks,
     OpenAttempt, ProgramSpecification, RecordedOutcome, StoredAnswer, TurnText, UnknownAttempt,
@@ -109,7 +110,8 @@
     /// The call that the caller named by `key`. Looks through all calls: an index would cost each
     /// replica more memory than the few comparisons of a call cost time.
     pub fn call_of_key(&self, key: &IdempotencyKey) -> Option<CallId> {
-        self.calls().find(|(_, call)| call.key() == Some(key)).map(|(id, _)| id)
+        let hash = Some(KeyHash::of(key));
+        self.calls().find(|(_, call)| call.key == hash).map(|(id, _)| id)
     }
 
     /// All calls, chain by chain, in order.
