Add the tool, weight-store and machine-list adapters and stand-ins

Cause: the daemon's remaining outside systems had neither adapter nor stand-in. An engine with a weight store loads through it, so that roll-outs meet its rate limit.

--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -102,9 +102,11 @@
     }
 
     fn decode(&self, line: &[u8]) -> Result<T, TransportError> {
-        serde_json::from_slice(line).map_err(|error| {
-            let detail = error.to_string();
-            MalformedSnafu { step: &self.step, peer: &self.peer, detail }.build()
-        })
+        serde_json::from_slice(line).map_err(|error| self.malformed(error.to_string()))
+    }
+
+    /// The error of a line that is not as documented.
+    pub(crate) fn malformed(&self, detail: String) -> TransportError {
+        MalformedSnafu { step: &self.step, peer: &self.peer, detail }.build()
     }
 }
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -7,16 +7,18 @@
 use dahlia_engine_model as model;
 use dahlia_engine_model::{AttemptStatus, EngineCommand, EngineEvent, EngineModel, EngineReply};
 use dahlia_platform::engine::{
-    AttemptState, CancelRequest, EngineRefusal, ExportRequest, FenceRequest, FencedOrder,
-    GenerateRequest, HoldRequest, ImportRequest, ReleaseConfirmed, ReleaseRequest, ReleaseScope,
-    Stop,
+    AttemptState, CancelRequest, EngineOrder, EngineRefusal, ExportRequest, FenceRequest,
+    FencedOrder, GenerateRequest, HoldRequest, ImportRequest, ReleaseConfirmed, ReleaseRequest,
+    ReleaseScope, Stop,
 };
 use dahlia_types::{
-    AttemptId, Bytes, Duration, Generation, Incarnation, ProgramId, Timestamp, Tokens, Usage,
+    AttemptId, Bytes, Duration, Generation, Incarnation, ModelId, ProgramId, Timestamp, Tokens,
+    Usage,
 };
 use tokio::sync::{oneshot, watch};
 
 use super::answer::AnswerText;
+use super::loading::Loading;
 use super::observation::EngineObservation;
 use super::prompt::{answer_length, count_prompt, directives, hash_message, segment};
 use super::records::{Progress, Record, Records};
@@ -50,6 +52,7 @@
     pub(super) model: EngineModel,
     pub(super) records: Records,
     pub(super) reports: Reports,
+    pub(super) loading: Loading,
     witness: Arc<Witness<EngineObservation>>,
     exports: VecDeque<Waiter<model::KvImage>>,
     imports: VecDeque<Waiter<Tokens>>,
@@ -80,6 +83,7 @@
             model,
             records: Records::default(),
             reports: Reports::default(),
+            loading: Loading::default(),
             witness,
             exports: VecDeque::new(),
             imports: VecDeque::new(),
@@ -220,24 +224,32 @@
         Ok(ReleaseConfirmed { incarnation: self.model.incarnation(), freed })
     }
 
-    /// Takes an order.
+    /// Takes an order. Gives the model whose weights must be fetched first, if `fetches` is set
+    /// and there is one.
     pub(super) fn order(
         &mut self,
         order: FencedOrder,
+        fetches: bool,
         now: Timestamp,
-    ) -> Result<(), EngineRefusal> {
-        let result = self.command(EngineCommand::Order(convert::order(&order)), now);
+    ) -> Result<Option<ModelId>, EngineRefusal> {
+        let result = self.carry_out(&order, fetches, now);
         let FencedOrder { generation, order } = order;
-        match result {
-            Ok(_) => {
-                self.generation = self.generation.max(generation);
-                self.witness.note(EngineObservation::Ordered { generation, order });
-                Ok(())
-            }
-            Err(refusal) => {
-                self.witness.note(EngineObservation::OrderRefused { generation, order });
-                Err(refusal)
-            }
+        if result.is_ok() {
+            self.generation = self.generation.max(generation);
+            self.witness.note(EngineObservation::Ordered { generation, order });
+        } else {
+            self.witness.note(EngineObservation::OrderRefused { generation, order });
+        }
+        result
+    }
+
+    /// Hands a load order on to the model now that its weights are here.
+    pub(super) fn weights_arrived(&mut self, model: &ModelId, now: Timestamp) {
+        let Some(generation) = self.loading.fetched(model) else { return };
+        let order = EngineOrder::LoadModel(model.clone());
+        let order = convert::order(&FencedOrder { generation, order });
+        if self.command(EngineCommand::Order(order), now).is_err() {
+            self.loading.end(model);
         }
     }
 
@@ -271,6 +283,31 @@
         Ok(complete)
     }
 
+    fn carry_out(
+        &mut self,
+        order: &FencedOrder,
+        fetches: bool,
+        now: Timestamp,
+    ) -> Result<Option<ModelId>, EngineRefusal> {
+        match &order.order {
+            EngineOrder::LoadModel(name) => {
+                self.loading.observe(name, order.generation)?;
+                if !self.model.load(now).models.contains(name) {
+                    if fetches {
+                        return Ok(self.loading.begin_fetch(name).then(|| name.clone()));
+                    }
+                    self.loading.begin_load(name);
+                }
+            }
+            EngineOrder::UnloadModel(name) => {
+                self.loading.observe(name, order.generation)?;
+                self.loading.end(name);
+            }
+            EngineOrder::SetRole(_) => {}
+        }
+        self.command(EngineCommand::Order(convert::order(order)), now).map(|_| None)
+    }
+
     fn take_in(
         &mut self,
         request: &GenerateRequest,
@@ -384,6 +421,7 @@
                 complete(&mut self.imports, program, tokens);
             }
             EngineEvent::ModelLoaded { model, .. } => {
+                self.loading.end(&model);
                 self.witness.note(EngineObservation::ModelReady { model });
             }
             EngineEvent::HoldLapsed { program, freed, .. } => {
--- a/crates/standins/src/engine/handlers.rs
+++ b/crates/standins/src/engine/handlers.rs
@@ -13,7 +13,7 @@
 
 use super::core::Core;
 use super::service::Service;
-use super::{EngineFaults, convert, openai, streaming};
+use super::{EngineFaults, convert, loading, openai, streaming};
 use crate::InputLimits;
 use crate::control::{Nothing, ObservationsRequest};
 use crate::reply::{Refusal, Reply, Routes};
@@ -165,11 +165,19 @@
 
 async fn order(service: Arc<Service>, request: FencedOrder) -> Reply {
     service.thawed().await;
+    let store = service.settings.weights.clone();
     let ordered = service.with(|core, now| {
-        let ordered = core.order(request, now);
-        ordered.map(|()| OrderAccepted { incarnation: core.model.incarnation() })
+        let fetch = core.order(request, store.is_some(), now)?;
+        Ok::<_, EngineRefusal>((fetch, core.model.incarnation()))
     });
-    answer(&service, ordered).await
+    let (fetch, incarnation) = match ordered {
+        Ok(ordered) => ordered,
+        Err(refusal) => return answer::<(), _>(&service, Err(refusal)).await,
+    };
+    if let (Some(model), Some(store)) = (fetch, store) {
+        tokio::spawn(loading::fetch(Arc::clone(&service), store, model));
+    }
+    answer::<_, EngineRefusal>(&service, Ok(OrderAccepted { incarnation })).await
 }
 
 async fn export(service: Arc<Service>, request: ExportRequest) -> Reply {
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod core;
 mod faults;
 mod handlers;
+mod loading;
 mod observation;
 mod openai;
 mod prompt;
@@ -49,6 +50,8 @@
     pub alive_interval_ms: u64,
     /// How often the load is taken, in milliseconds.
     pub load_report_interval_ms: u64,
+    /// `address:port` of the weight store that loads go through; none has weights at hand.
+    pub weights: Option<String>,
     /// Seed of what the model draws.
     pub seed: u64,
     /// Speeds and sizes.
@@ -65,6 +68,7 @@
             default_answer: Tokens(64),
             alive_interval_ms: 1_000,
             load_report_interval_ms: 100,
+            weights: None,
             seed: 1,
             parameters: EngineParameters::default(),
         }
--- a/crates/standins/src/engine/service.rs
+++ b/crates/standins/src/engine/service.rs
@@ -142,7 +142,9 @@
     fn take_load(&self, core: &Core, now: Timestamp) -> LoadReport {
         let load = core.model.load(now);
         let ready = load.models.into_iter();
-        let models = ready.map(|model| ModelStatus { model, state: ModelState::Ready });
+        let ready = ready.map(|model| ModelStatus { model, state: ModelState::Ready });
+        let under_way = core.loading.under_way().cloned();
+        let loading = under_way.map(|model| ModelStatus { model, state: ModelState::Loading });
         LoadReport {
             engine: self.settings.engine.clone(),
             incarnation: load.incarnation,
@@ -160,7 +162,7 @@
             kv_bytes_per_token: self.settings.parameters.kv_bytes_per_token,
             step: dahlia_types::Duration::from_micros(load.step_micros),
             accepted: core.accepted(),
-            models: models.collect(),
+            models: ready.chain(loading).collect(),
         }
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,11 +9,17 @@
 pub mod control;
 pub mod engine;
 pub mod key_value;
+pub mod machines;
 mod rate;
 mod reply;
 mod server;
+pub mod tool;
+pub mod weights;
 
 pub use engine::{EngineServer, EngineSettings};
 pub use key_value::{KeyValueServer, KeyValueSettings};
+pub use machines::{MachineListServer, MachineListSettings};
 pub(crate) use reply::InputLimits;
 pub use server::{RunningServer, ServerSettings, StartError};
+pub use tool::{ToolServer, ToolSettings};
+pub use weights::{WeightServer, WeightSettings};
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -9,7 +9,10 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use dahlia_standins::{EngineServer, KeyValueServer, RunningServer, StartError};
+use dahlia_standins::{
+    EngineServer, KeyValueServer, MachineListServer, RunningServer, StartError, ToolServer,
+    WeightServer,
+};
 use gumdrop::Options;
 use log::{LevelFilter, error, info};
 use options::{Arguments, OptionsError, Service};
@@ -61,6 +64,9 @@
     match service {
         Service::Engine(options) => Ok(EngineServer::start(options.settings()?).await?),
         Service::Kv(options) => Ok(KeyValueServer::start(options.settings()?).await?),
+        Service::Weights(options) => Ok(WeightServer::start(options.settings()?).await?),
+        Service::Tool(options) => Ok(ToolServer::start(options.settings()?).await?),
+        Service::Machines(options) => Ok(MachineListServer::start(options.settings()?).await?),
     }
 }
 
--- a/crates/standins/src/options.rs
+++ b/crates/standins/src/options.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use dahlia_standins::{EngineSettings, KeyValueSettings, ServerSettings};
+use dahlia_standins::{
+    EngineSettings, KeyValueSettings, MachineListSettings, ServerSettings, ToolSettings,
+    WeightSettings,
+};
 use dahlia_types::{EngineId, InvalidSetting, ModelId, Tokens};
 use gumdrop::Options;
 use serde::de::DeserializeOwned;
@@ -56,6 +59,15 @@
     /// The key-value service.
     #[options(help = "the key-value service")]
     Kv(KvOptions),
+    /// The weight store.
+    #[options(help = "the rate-limited weight store")]
+    Weights(WeightsOptions),
+    /// A tool service.
+    #[options(help = "a tool service")]
+    Tool(ToolOptions),
+    /// The list of machines.
+    #[options(help = "the lagging list of machines")]
+    Machines(MachinesOptions),
 }
 
 impl Service {
@@ -64,6 +76,9 @@
         match self {
             Self::Engine(_) => "engine",
             Self::Kv(_) => "kv",
+            Self::Weights(_) => "weights",
+            Self::Tool(_) => "tool",
+            Self::Machines(_) => "machines",
         }
     }
 
@@ -72,6 +87,9 @@
         match self {
             Self::Engine(options) => options.port_file.as_deref(),
             Self::Kv(options) => options.port_file.as_deref(),
+            Self::Weights(options) => options.port_file.as_deref(),
+            Self::Tool(options) => options.port_file.as_deref(),
+            Self::Machines(options) => options.port_file.as_deref(),
         }
     }
 }
@@ -115,6 +133,9 @@
     /// Default answer.
     #[options(help = "tokens generated unless the prompt says otherwise", meta = "TOKENS")]
     default_answer: Option<u64>,
+    /// Weight store.
+    #[options(help = "weight store that model loads go through", meta = "ADDRESS")]
+    weights: Option<String>,
 }
 
 impl EngineOptions {
@@ -131,6 +152,9 @@
         }
         set(&mut settings.speed, self.speed);
         set(&mut settings.default_answer, self.default_answer.map(Tokens));
+        if self.weights.is_some() {
+            settings.weights.clone_from(&self.weights);
+        }
         set(&mut settings.parameters.kv_capacity, self.kv_capacity.map(Tokens));
         set(&mut settings.parameters.max_batch, self.max_batch);
         set(&mut settings.parameters.max_waiting, self.max_waiting);
@@ -180,6 +204,127 @@
     }
 }
 
+/// Flags of the weight store.
+#[derive(Debug, Options)]
+pub struct WeightsOptions {
+    /// Print this help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Settings file.
+    #[options(help = "settings file (TOML)", meta = "FILE")]
+    settings: Option<PathBuf>,
+    /// Address.
+    #[options(help = "address and port; port 0 takes a free one", meta = "ADDRESS")]
+    listen: Option<SocketAddr>,
+    /// Port file.
+    #[options(help = "write the port to this file", meta = "FILE")]
+    port_file: Option<PathBuf>,
+    /// Control endpoint.
+    #[options(help = "serve /control: faults and observations")]
+    control: bool,
+    /// Rate.
+    #[options(help = "transfers that may begin in a minute", meta = "RATE")]
+    fetches_per_minute: Option<f64>,
+    /// Speed.
+    #[options(help = "speed of one transfer", meta = "BYTES")]
+    bytes_per_second: Option<f64>,
+}
+
+impl WeightsOptions {
+    /// The effective settings.
+    ///
+    /// # Errors
+    /// [`OptionsError`] naming the file or field.
+    pub fn settings(&self) -> Result<WeightSettings, OptionsError> {
+        let mut settings: WeightSettings = read(self.settings.as_deref())?;
+        listen(&mut settings.server, self.listen, self.control);
+        set(&mut settings.fetches_per_minute, self.fetches_per_minute);
+        set(&mut settings.bytes_per_second, self.bytes_per_second);
+        settings.check()?;
+        Ok(settings)
+    }
+}
+
+/// Flags of a tool service.
+#[derive(Debug, Options)]
+pub struct ToolOptions {
+    /// Print this help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Settings file.
+    #[options(help = "settings file (TOML)", meta = "FILE")]
+    settings: Option<PathBuf>,
+    /// Address.
+    #[options(help = "address and port; port 0 takes a free one", meta = "ADDRESS")]
+    listen: Option<SocketAddr>,
+    /// Port file.
+    #[options(help = "write the port to this file", meta = "FILE")]
+    port_file: Option<PathBuf>,
+    /// Control endpoint.
+    #[options(help = "serve /control: faults and observations")]
+    control: bool,
+    /// Services.
+    #[options(help = "a service that is offered; may be repeated; none offers any", meta = "NAME")]
+    service: Vec<String>,
+    /// Run time.
+    #[options(help = "how long an invocation runs unless its body says", meta = "MILLISECONDS")]
+    default_run_ms: Option<u64>,
+}
+
+impl ToolOptions {
+    /// The effective settings.
+    ///
+    /// # Errors
+    /// [`OptionsError`] naming the file or field.
+    pub fn settings(&self) -> Result<ToolSettings, OptionsError> {
+        let mut settings: ToolSettings = read(self.settings.as_deref())?;
+        listen(&mut settings.server, self.listen, self.control);
+        if !self.service.is_empty() {
+            settings.services.clone_from(&self.service);
+        }
+        set(&mut settings.default_run_ms, self.default_run_ms);
+        settings.check()?;
+        Ok(settings)
+    }
+}
+
+/// Flags of the list of machines.
+#[derive(Debug, Options)]
+pub struct MachinesOptions {
+    /// Print this help.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Settings file.
+    #[options(help = "settings file (TOML)", meta = "FILE")]
+    settings: Option<PathBuf>,
+    /// Address.
+    #[options(help = "address and port; port 0 takes a free one", meta = "ADDRESS")]
+    listen: Option<SocketAddr>,
+    /// Port file.
+    #[options(help = "write the port to this file", meta = "FILE")]
+    port_file: Option<PathBuf>,
+    /// Control endpoint.
+    #[options(help = "serve /control: faults and observations")]
+    control: bool,
+    /// Lag.
+    #[options(help = "a change shows this much later", meta = "MILLISECONDS")]
+    lag_ms: Option<u64>,
+}
+
+impl MachinesOptions {
+    /// The effective settings.
+    ///
+    /// # Errors
+    /// [`OptionsError`] naming the file or field.
+    pub fn settings(&self) -> Result<MachineListSettings, OptionsError> {
+        let mut settings: MachineListSettings = read(self.settings.as_deref())?;
+        listen(&mut settings.server, self.listen, self.control);
+        set(&mut settings.lag_ms, self.lag_ms);
+        settings.check()?;
+        Ok(settings)
+    }
+}
+
 fn read<T: DeserializeOwned + Default>(path: Option<&Path>) -> Result<T, OptionsError> {
     let Some(path) = path else { return Ok(T::default()) };
     let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
