--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -13,7 +13,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 pub use crate::options::{Arguments, OptionsError, Service};
-use crate::{EngineServer, KeyValueServer, RunningServer, StartError};
+use crate::{
+    EngineServer, KeyValueServer, MachineListServer, RunningServer, StartError, ToolServer,
+    WeightServer,
+};
 
 const WRONG_USE: u8 = 2;
 
@@ -70,6 +73,9 @@
     match service {
         Service::Engine(options) => Ok(EngineServer::start(options.settings()?).await?),
         Service::Kv(options) => Ok(KeyValueServer::start(options.settings()?).await?),
+        Service::Weights(options) => Ok(WeightServer::start(options.settings()?).await?),
+        Service::Tool(options) => Ok(ToolServer::start(options.settings()?).await?),
+        Service::Machines(options) => Ok(MachineListServer::start(options.settings()?).await?),
     }
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,11 +10,8 @@
 pub mod control;
 pub mod engine;
 pub mod key_value;
-<<<<<<< HEAD
-mod options;
-=======
 pub mod machines;
->>>>>>> standins
+mod options;
 mod rate;
 mod reply;
 mod server;
--- a/crates/standins/src/options.rs
+++ b/crates/standins/src/options.rs
@@ -3,19 +3,15 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-<<<<<<< HEAD
-=======
-use dahlia_standins::{
-    EngineSettings, KeyValueSettings, MachineListSettings, ServerSettings, ToolSettings,
-    WeightSettings,
-};
->>>>>>> standins
 use dahlia_types::{EngineId, InvalidSetting, ModelId, Tokens};
 use gumdrop::Options;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
-use crate::{EngineSettings, KeyValueSettings, ServerSettings};
+use crate::{
+    EngineSettings, KeyValueSettings, MachineListSettings, ServerSettings, ToolSettings,
+    WeightSettings,
+};
 
 /// A flag or settings file that is not acceptable.
 #[derive(Debug, Snafu)]
