--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -6,7 +6,7 @@
 
 use dahlia_node::{Node, NodeSettings};
 use dahlia_program::ProgramLimits;
-use dahlia_replication::group::GroupSettings;
+use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
@@ -87,20 +87,20 @@
     let identity = Identity { daemon: own.daemon, incarnation: own.incarnation, key };
     let metrics = Metrics::new().context(MetricsSnafu)?;
     let (core, inbox) = channel(own);
+    let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
     let engines = EngineTasks::new(&settings.platform.engines, core.clone(), board.clone());
     engines.start_reports();
     let driver = Core::new(
-        Node::new(node_settings(settings, own, peer_address)),
+        Node::new(node_settings(settings, own, peer_address), clock.now()),
         clock,
         inbox,
-        PeerSender::new(identity.clone()),
+        PeerSender::new(identity.clone(), incoming.clone()),
         engines,
         PlatformState::new(settings.platform.key_value, core.clone()),
         metrics.clone(),
     );
 
-    let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let gateway_parts = Gateway::new(
         core.clone(),
         identity.clone(),
@@ -195,6 +195,7 @@
                 let from = ReplicaId { daemon: from.daemon, incarnation: from.incarnation };
                 deliver(&core, from, message).await;
             }
+            Incoming::ConnectionLost(address) => core.connection_lost(address).await,
             Incoming::Answer { read, frames } => {
                 tokio::spawn(serve_answers::serve(core.clone(), board.clone(), read, frames));
             }
@@ -203,10 +204,9 @@
 }
 
 fn node_settings(settings: &Settings, own: ReplicaId, address: SocketAddr) -> NodeSettings {
-    let group = GroupSettings {
-        heartbeat_interval_ms: settings.groups.heartbeat_ms,
-        election_timeout_ms: settings.groups.election_ms,
-        ..GroupSettings::default()
+    let maintenance = MaintenanceSettings {
+        voters: settings.layout.replicas as usize,
+        ..settings.maintenance.clone()
     };
     NodeSettings {
         own,
@@ -214,10 +214,12 @@
         region: settings.daemon.region.clone(),
         address,
         seeds: settings.daemon.seeds.clone(),
-        group_count: settings.groups.count,
-        replicas: settings.groups.replicas,
-        bootstrap_daemons: settings.groups.bootstrap_daemons,
-        group,
+        group_count: settings.layout.groups,
+        replicas: settings.layout.replicas,
+        bootstrap_daemons: settings.layout.bootstrap_daemons,
+        group: settings.groups.clone(),
+        membership: settings.membership.clone(),
+        maintenance,
         limits: ProgramLimits::default(),
         placement: settings.placement.clone(),
         policy: settings.policy,
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,7 +9,8 @@
 use dahlia_api::{ApiError, ErrorKind};
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, Announcement, EngineView, Event, Node, NodeStatus};
+use dahlia_node::{Action, EngineView, Event, Node, NodeStatus};
+use dahlia_replication::membership::Member;
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
@@ -50,8 +51,8 @@
     Groups(oneshot::Sender<Vec<GroupId>>),
     /// Engines.
     Engines(oneshot::Sender<Vec<EngineView>>),
-    /// Live daemons.
-    Daemons(oneshot::Sender<Vec<Announcement>>),
+    /// Daemons.
+    Daemons(oneshot::Sender<Vec<Member>>),
 }
 
 /// Talks to the task that drives the node. Cheap to clone.
@@ -63,6 +64,11 @@
 }
 
 impl CoreHandle {
+    /// This daemon in its present life.
+    pub fn own(&self) -> ReplicaId {
+        self.own
+    }
+
     /// Puts an event to the node.
     pub async fn event(&self, event: Event) {
         // The node's task ends only with the process.
@@ -103,8 +109,8 @@
         self.query(Query::Groups).await.unwrap_or_default()
     }
 
-    /// Live daemons, this one first.
-    pub async fn daemons(&self) -> Vec<Announcement> {
+    /// All daemons known, the dead of late included.
+    pub async fn daemons(&self) -> Vec<Member> {
         self.query(Query::Daemons).await.unwrap_or_default()
     }
 
@@ -113,6 +119,14 @@
         self.query(Query::Engines).await.unwrap_or_default()
     }
 
+    /// Tells the node that a connection to the daemon at `address` broke.
+    pub async fn connection_lost(&self, address: SocketAddr) {
+        let lost = |member: &Member| member.record.info.address == address;
+        if let Some(member) = self.daemons().await.into_iter().find(lost) {
+            self.event(Event::ConnectionLost(member.record.info.replica())).await;
+        }
+    }
+
     /// Begins a planned stop.
     pub async fn drain(&self) {
         self.event(Event::Drain).await;
@@ -142,6 +156,7 @@
     engines: EngineTasks,
     platform: PlatformState,
     metrics: Arc<Metrics>,
+    stopped: bool,
 }
 
 /// Makes the handle and the inbox of a core that is still to be built.
@@ -173,14 +188,15 @@
             engines,
             platform,
             metrics,
+            stopped: false,
         }
     }
 
-    /// Runs until every handle is gone.
+    /// Runs until every handle is gone, or another life of this daemon has taken its place.
     pub async fn run(mut self) {
         let mut ticks = interval(Duration::from_micros(Node::TICK.as_micros()));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
+        while !self.stopped {
             tokio::select! {
                 biased;
                 _ = ticks.tick() => self.handle(Event::Tick),
@@ -247,6 +263,7 @@
                 self.engines.hold(program, engine, epoch, length);
             }
             Action::Layout(step) => self.platform.layout(step),
+            Action::Stop => self.stopped = true,
         }
     }
 
@@ -281,7 +298,7 @@
                 let _ = reply.send(self.node.engine_views(now));
             }
             Query::Daemons(reply) => {
-                let _ = reply.send(self.node.live_daemons(now));
+                let _ = reply.send(self.node.daemons());
             }
         }
     }
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -104,6 +104,11 @@
         self.framed.send(bytes).await.context(TransferSnafu { step, peer: self.peer })
     }
 
+    /// Waits until the other side closes the connection or it breaks.
+    pub async fn ended(&mut self) {
+        while let Some(Ok(_)) = self.framed.next().await {}
+    }
+
     /// Receives one value.
     ///
     /// # Errors
--- a/crates/daemon/src/gateway/chat.rs
+++ b/crates/daemon/src/gateway/chat.rs
@@ -49,7 +49,7 @@
         let mut call = validate(call_headers(request), &chat, &self.gateway.limits)?;
         let form = if chat.stream { AnswerForm::Stream } else { AnswerForm::Whole };
         let repeatable = call.key.is_none();
-        name_call(&mut call, &self.gateway, repeatable);
+        name_call(&mut call, &self.gateway);
         let submit = OwnerRequest::Submit { tenant: tenant.clone(), call, repeatable };
         let call = match self.gateway.core.request(submit).await {
             OwnerResponse::Begun { call } | OwnerResponse::Ended { call, .. } => call,
@@ -116,10 +116,12 @@
     }
 }
 
-/// Gives a call without a key one of the gateway's own, so that the gateway may put the request
-/// to a second owner after the first died: the call then has its place once.
-fn name_call(call: &mut CallRequest, gateway: &Gateway, repeatable: bool) {
-    if repeatable {
+/// Gives a call that its caller named neither by key nor by number a key of the gateway's own, so
+/// that the gateway may put the request to a second owner after the first died: the call then has
+/// its place once. A stated number names the call already; a key beside it would make the
+/// caller's own retry at another gateway look like another call.
+fn name_call(call: &mut CallRequest, gateway: &Gateway) {
+    if call.key.is_none() && call.number.is_none() {
         call.key = Some(IdempotencyKey::new(gateway.core.fresh_key()));
     }
 }
--- a/crates/daemon/src/operators/machines.rs
+++ b/crates/daemon/src/operators/machines.rs
@@ -3,7 +3,8 @@
 use dahlia_api::operators as rpc;
 use dahlia_api::operators::machines_server::Machines;
 use dahlia_api::{ApiError, ErrorKind};
-use dahlia_node::{Announcement, EngineView};
+use dahlia_node::EngineView;
+use dahlia_replication::membership::{Health, Member, MemberState};
 use tonic::{Request, Response, Status};
 
 use super::{Operators, status};
@@ -23,8 +24,7 @@
         request: Request<rpc::DrainRequest>,
     ) -> Result<Response<rpc::DrainResponse>, Status> {
         let wanted = request.into_inner().daemon;
-        let daemons = self.core.daemons().await;
-        let own = daemons.first().map(|own| own.replica.daemon.to_string()).unwrap_or_default();
+        let own = self.core.own().daemon.to_string();
         if wanted != own {
             let message = format!("ask {wanted} itself; this is {own}");
             return Err(status(&ApiError::new(ErrorKind::InvalidRequest, message)));
@@ -42,15 +42,22 @@
     }
 }
 
-fn daemon(announcement: Announcement) -> rpc::Daemon {
-    let state = if announcement.leaving { "leaving" } else { "live" };
+fn daemon(member: Member) -> rpc::Daemon {
+    let info = member.record.info;
+    let state = match (member.record.health, info.state) {
+        (Health::Dead, _) => "dead",
+        (Health::Suspect, _) => "suspect",
+        (Health::Alive, MemberState::Joining) => "joining",
+        (Health::Alive, MemberState::Live) => "live",
+        (Health::Alive, MemberState::Leaving) => "leaving",
+    };
     rpc::Daemon {
-        daemon: announcement.replica.daemon.to_string(),
-        incarnation: announcement.replica.incarnation.0,
-        zone: announcement.zone.to_string(),
-        region: announcement.region.to_string(),
+        daemon: info.daemon.to_string(),
+        incarnation: info.incarnation.0,
+        zone: info.zone.to_string(),
+        region: info.region.to_string(),
         state: state.to_owned(),
-        address: announcement.address.to_string(),
+        address: info.address.to_string(),
         groups_led: 0,
         configuration_generation: 0,
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -9,7 +9,7 @@
 use dahlia_node::wire::{Hello, PeerMessage, Purpose, ReadAnswer};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::frames::FrameStream;
 use crate::handshake::Identity;
@@ -31,6 +31,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// A connection that this daemon made broke: the daemon there may have died.
+    ConnectionLost(SocketAddr),
     /// A gateway reads an answer here.
     Answer {
         /// What it reads.
@@ -44,13 +46,15 @@
 #[derive(Clone)]
 pub struct PeerSender {
     identity: Identity,
+    lost: mpsc::Sender<Incoming>,
     queues: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>,
 }
 
 impl PeerSender {
     /// A sender without connections.
-    pub fn new(identity: Identity) -> Self {
-        Self { identity, queues: Arc::default() }
+    /// Connections that break are told to `lost`.
+    pub fn new(identity: Identity, lost: mpsc::Sender<Incoming>) -> Self {
+        Self { identity, lost, queues: Arc::default() }
     }
 
     /// Queues a message for the daemon at `peer`; drops it when the queue is full.
@@ -62,7 +66,8 @@
             None => {
                 let (queue, waiting) = mpsc::channel(QUEUE_PER_PEER);
                 queues.insert(peer, queue.clone());
-                tokio::spawn(pump(self.identity.clone(), peer, waiting));
+                let lost = self.lost.clone();
+                tokio::spawn(pump(self.identity.clone(), peer, waiting, lost));
                 queue
             }
         };
@@ -73,7 +78,12 @@
 }
 
 /// Sends what is queued for one peer for as long as something comes.
-async fn pump(identity: Identity, peer: SocketAddr, mut waiting: mpsc::Receiver<PeerMessage>) {
+async fn pump(
+    identity: Identity,
+    peer: SocketAddr,
+    mut waiting: mpsc::Receiver<PeerMessage>,
+    lost: mpsc::Sender<Incoming>,
+) {
     let mut pause = FIRST_RECONNECT;
     loop {
         match identity.connect(peer, Purpose::Messages).await {
@@ -82,6 +92,7 @@
                 if pump_connected(frames, &mut waiting).await {
                     return;
                 }
+                let _ = lost.send(Incoming::ConnectionLost(peer)).await;
             }
             Err(error) => log::debug!(target: part::PEERS, "No connection. {error}."),
         }
@@ -98,9 +109,13 @@
     waiting: &mut mpsc::Receiver<PeerMessage>,
 ) -> bool {
     loop {
-        let next = tokio::time::timeout(IDLE_CONNECTION, waiting.recv()).await;
-        let Ok(Some(message)) = next else {
-            return true;
+        let message = tokio::select! {
+            next = timeout(IDLE_CONNECTION, waiting.recv()) => match next {
+                Ok(Some(message)) => message,
+                _ => return true,
+            },
+            // The other side never writes here, so anything that can be read is its end.
+            () = frames.ended() => return false,
         };
         if let Err(error) = frames.send(&message).await {
             log::debug!(target: part::PEERS, "Lost a connection. {error}.");
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,6 +6,9 @@
 use std::path::{Path, PathBuf};
 
 use dahlia_api::RequestLimits;
+use dahlia_replication::group::GroupSettings;
+use dahlia_replication::maintenance::MaintenanceSettings;
+use dahlia_replication::membership::MembershipSettings;
 use dahlia_types::{DaemonId, EngineId, InvalidSetting, ModelId, Region, Zone, check_range};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -26,9 +29,18 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
-    /// Replica groups.
+    /// The first layout of replica groups.
     #[serde(default)]
-    pub groups: GroupsSettings,
+    pub layout: LayoutSettings,
+    /// Timing and bounds of replica groups.
+    #[serde(default)]
+    pub groups: GroupSettings,
+    /// Timing and bounds of membership.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// Upkeep of groups' members. `voters` is taken from `layout.replicas`.
+    #[serde(default)]
+    pub maintenance: MaintenanceSettings,
     /// Calls and their attempts.
     #[serde(default)]
     pub calls: CallsSettings,
@@ -125,25 +137,21 @@
     pub address: SocketAddr,
 }
 
-/// Replica groups.
+/// The first layout of replica groups; read once, when the first daemons lay them out.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct GroupsSettings {
-    /// Number of groups in the system; read once, when the first daemons lay them out.
-    pub count: u32,
+pub struct LayoutSettings {
+    /// Number of groups in the system.
+    pub groups: u32,
     /// Voters of each group: 3 survive one death at once, 5 survive two.
     pub replicas: u32,
     /// Daemons that must be live before the groups are laid out.
     pub bootstrap_daemons: u32,
-    /// Milliseconds between a leader's heartbeats.
-    pub heartbeat_ms: u64,
-    /// Least milliseconds without a heartbeat before an election; the most is twice this.
-    pub election_ms: u64,
 }
 
-impl Default for GroupsSettings {
+impl Default for LayoutSettings {
     fn default() -> Self {
-        Self { count: 8, replicas: 3, bootstrap_daemons: 3, heartbeat_ms: 150, election_ms: 900 }
+        Self { groups: 8, replicas: 3, bootstrap_daemons: 3 }
     }
 }
 
@@ -230,27 +238,28 @@
         check_secret("credentials.operator_token", &self.credentials.operator_token)?;
         check_secret("credentials.peer_key", &self.credentials.peer_key)?;
         self.limits.check()?;
+        self.layout.check()?;
         self.groups.check()?;
+        self.membership.check()?;
+        self.maintenance.check()?;
         self.calls.check()?;
         self.placement.check()?;
         self.log.check()
     }
 }
 
-impl GroupsSettings {
+impl LayoutSettings {
     fn check(&self) -> Result<(), InvalidSetting> {
-        check_range("groups.count", self.count, 1, 100_000)?;
-        check_range("groups.replicas", self.replicas, 1, 7)?;
+        check_range("layout.groups", self.groups, 1, 100_000)?;
+        check_range("layout.replicas", self.replicas, 1, 7)?;
         if self.replicas.is_multiple_of(2) {
             return Err(InvalidSetting {
-                field: "groups.replicas".to_owned(),
+                field: "layout.replicas".to_owned(),
                 value: self.replicas.to_string(),
                 allowed: "1, 3, 5 or 7: an even number survives no more deaths".to_owned(),
             });
         }
-        check_range("groups.bootstrap_daemons", self.bootstrap_daemons, self.replicas, 10_000)?;
-        check_range("groups.heartbeat_ms", self.heartbeat_ms, 10, 10_000)?;
-        check_range("groups.election_ms", self.election_ms, self.heartbeat_ms * 3, 60_000)
+        check_range("layout.bootstrap_daemons", self.bootstrap_daemons, self.replicas, 10_000)
     }
 }
 
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -212,6 +212,9 @@
             return;
         };
         let attempt = recorded.attempt;
+        if let Some(group) = self.groups.get_mut(&attempt.call.program.group) {
+            group.taken_over.remove(&attempt);
+        }
         let event = match &recorded.outcome {
             AttemptOutcome::Ran { usage, .. } => {
                 PlacementEvent::Finished { attempt, usage: *usage }
@@ -242,6 +245,11 @@
             self.abandon(call, "not_run: every attempt failed", now);
             return;
         }
+        let group = self.groups.get_mut(&call.program.group);
+        if group.is_some_and(|group| group.taken_over.remove(&attempt)) {
+            self.call_ready(call, now);
+            return;
+        }
         let failure = failure_of(&recorded.outcome);
         let failed = AttemptFailed { attempt, failure, retryable: true };
         self.schedule(PlacementEvent::Failed(failed), now);
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -4,10 +4,9 @@
 //! no layout writes one. Whoever loses the race reads the winner's. A daemon bootstraps a replica
 //! only if the layout names it in exactly its present incarnation.
 
-use dahlia_types::{Duration, GroupId, ReplicaId, Timestamp, Zone};
-use serde::{Deserialize, Serialize};
-
-use crate::members::Announcement;
+use dahlia_replication::directory::{GroupDescription, initial_layout};
+use dahlia_replication::membership::MemberInfo;
+use dahlia_types::{Duration, Timestamp};
 
 /// The key of the layout.
 pub const LAYOUT_KEY: &str = "groups/layout";
@@ -65,44 +64,15 @@
     }
 }
 
-/// The first voters of one group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct GroupLayout {
-    /// The group.
-    pub(crate) group: GroupId,
-    /// Its first voters.
-    pub(crate) voters: Vec<ReplicaId>,
-}
-
-/// Chooses the voters of each group, spread over zones, and encodes the layout.
-pub(crate) fn choose_layout(live: &[&Announcement], groups: u32, replicas: u32) -> Vec<u8> {
-    let mut order: Vec<&Announcement> = live.to_vec();
-    order.sort_by_key(|announcement| announcement.replica);
-    let mut layout = Vec::new();
-    for group in 0..groups {
-        let mut voters: Vec<ReplicaId> = Vec::new();
-        let mut zones: Vec<&Zone> = Vec::new();
-        // Two passes: first one daemon from each zone, then whatever is left.
-        for spread in [true, false] {
-            for step in 0..order.len() {
-                let candidate = order[(group as usize + step) % order.len()];
-                let taken = voters.contains(&candidate.replica);
-                let same_zone = zones.contains(&&candidate.zone);
-                if voters.len() == replicas as usize || taken || (spread && same_zone) {
-                    continue;
-                }
-                voters.push(candidate.replica);
-                zones.push(&candidate.zone);
-            }
-        }
-        layout.push(GroupLayout { group: GroupId(group), voters });
-    }
+/// Chooses the first voters of each group and encodes the layout.
+pub(crate) fn choose_layout(live: &[MemberInfo], groups: u32, replicas: u32) -> Vec<u8> {
+    let layout = initial_layout(live, groups, replicas as usize);
     let encoded = bincode::serde::encode_to_vec(&layout, bincode::config::standard());
     encoded.expect("a layout has only plain fields")
 }
 
 /// Decodes a layout.
-pub(crate) fn decode_layout(bytes: &[u8]) -> Option<Vec<GroupLayout>> {
+pub(crate) fn decode_layout(bytes: &[u8]) -> Option<Vec<GroupDescription>> {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
     decoded.ok().map(|(layout, _)| layout)
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -25,6 +25,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// A connection to a daemon broke.
+    ConnectionLost(ReplicaId),
     /// A request of this daemon's gateway or operators' server.
     Request {
         /// Its name; the response carries it.
@@ -126,6 +128,8 @@
     Release(Box<ReleaseOrder>),
     /// Read or write the layout of groups at the key-value service.
     Layout(LayoutStep),
+    /// End the process: another life of this daemon has taken its place.
+    Stop,
 }
 
 /// All that an engine must be told of an attempt.
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -4,6 +4,7 @@
 
 use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits};
 use dahlia_replication::group::{Proposal, ProposeError, Replica};
+use dahlia_replication::maintenance::Maintenance;
 use dahlia_types::{
     AttemptId, CallId, Duration, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
 };
@@ -66,6 +67,8 @@
     pub(crate) deferred: Vec<(Command, Purpose)>,
     /// Attempts that run here.
     pub(crate) live: BTreeMap<AttemptId, LiveAttempt>,
+    /// Attempts that were taken over: placement on this daemon does not know them.
+    pub(crate) taken_over: BTreeSet<AttemptId>,
     /// Requests that wait for a call's outcome.
     pub(crate) waiters: BTreeMap<CallId, BTreeSet<ReplyTo>>,
     /// Releases that are due or under way.
@@ -74,11 +77,15 @@
     pub(crate) serving: Option<Term>,
     /// When expired programs are next looked for.
     pub(crate) next_expiry: Timestamp,
+    /// Decides on changes of members while this node leads.
+    pub(crate) maintenance: Maintenance,
+    /// The entry that set the members.
+    pub(crate) members_index: LogIndex,
 }
 
 impl Group {
     /// A group with an empty state.
-    pub(crate) fn new(replica: Replica, limits: ProgramLimits) -> Self {
+    pub(crate) fn new(replica: Replica, limits: ProgramLimits, maintenance: Maintenance) -> Self {
         let state = GroupState::new(replica.group(), limits);
         Self {
             replica,
@@ -86,10 +93,13 @@
             pending: BTreeMap::new(),
             deferred: Vec::new(),
             live: BTreeMap::new(),
+            taken_over: BTreeSet::new(),
             waiters: BTreeMap::new(),
             releases: BTreeMap::new(),
             serving: None,
             next_expiry: Timestamp::ZERO,
+            maintenance,
+            members_index: LogIndex(0),
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,7 @@
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
 //! | `bootstrap` | the first layout of groups |
-//! | `members` | which daemons are there |
+//! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
 
 mod attempts;
@@ -38,6 +38,5 @@
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
-pub use members::Announcement;
 pub use node::{Node, NodeStatus};
 pub use settings::NodeSettings;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,113 +1,130 @@
-//! Which daemons this node knows, where they listen, and whether they live.
+//! Which daemons are there, where groups are, and the upkeep of groups' members.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use dahlia_types::{DaemonId, Duration, Region, ReplicaId, Timestamp, Zone};
-use serde::{Deserialize, Serialize};
+use dahlia_replication::directory::GroupDescription;
+use dahlia_replication::maintenance::{ClusterView, MaintenanceStep};
+use dahlia_replication::membership::{
+    Action as MembershipAction, Event as MembershipEvent, Fact, FactKey, Member, MemberInfo,
+    MemberState,
+};
+use dahlia_types::{DaemonId, Duration, GroupId, ReplicaId, Timestamp};
 
-/// How often a daemon announces itself to each daemon that it knows.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
-/// A daemon that was not heard of for so long does not count as live.
-const LIVENESS: Duration = Duration::from_secs(3);
+use crate::Action;
+use crate::node::Node;
+use crate::wire::PeerMessage;
 
-/// A daemon's word about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// The daemon in its present life.
-    pub replica: ReplicaId,
-    /// Where it listens for other daemons.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: Zone,
-    /// Its region.
-    pub region: Region,
-    /// Whether it is about to stop.
-    pub leaving: bool,
-}
-
-/// What is known of one daemon.
-#[derive(Debug, Clone)]
-pub(crate) struct KnownDaemon {
-    pub(crate) announcement: Announcement,
-    pub(crate) heard: Timestamp,
-}
+/// How often a leader looks after the members of its group.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The daemons that this node knows, itself included.
-pub(crate) struct Members {
-    own: Announcement,
-    seeds: Vec<SocketAddr>,
-    known: BTreeMap<DaemonId, KnownDaemon>,
-    next_announcement: Timestamp,
-}
-
-impl Members {
-    /// Knows only itself and addresses to start from.
-    pub(crate) fn new(own: Announcement, seeds: Vec<SocketAddr>) -> Self {
-        Self { own, seeds, known: BTreeMap::new(), next_announcement: Timestamp::ZERO }
+impl Node {
+    /// Feeds membership and carries out what it asks for.
+    pub(crate) fn membership_event(&mut self, event: MembershipEvent, now: Timestamp) {
+        for action in self.membership.handle(event, now) {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    let message = PeerMessage::Membership(Box::new(message));
+                    self.actions.push(Action::Send { to, message });
+                }
+                MembershipAction::MemberChanged(_) => {}
+                MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
+                MembershipAction::Superseded { by } => {
+                    log::error!(target: "members", "A later life of this daemon runs: {by}.");
+                    self.actions.push(Action::Stop);
+                }
+            }
+        }
     }
 
-    /// Takes in announcements that a peer passed on.
-    pub(crate) fn learn(
-        &mut self,
-        from: ReplicaId,
-        announcements: Vec<Announcement>,
-        now: Timestamp,
-    ) {
-        for announcement in announcements {
-            let daemon = announcement.replica.daemon;
-            if daemon == self.own.replica.daemon {
-                continue;
-            }
-            // Only a daemon's own word shows that it lives; others just introduce it.
-            let direct = announcement.replica == from;
-            let newer = self.known.get(&daemon).is_none_or(|known| {
-                let held = known.announcement.replica.incarnation;
-                held < announcement.replica.incarnation
-                    || (direct && held == announcement.replica.incarnation)
-            });
-            if newer {
-                self.known.insert(daemon, KnownDaemon { announcement, heard: now });
-            }
+    fn fact_changed(&mut self, fact: &Fact) {
+        if let FactKey::Group(_) = fact.key
+            && let Some(description) = decode(&fact.bytes)
+        {
+            self.directory.merge(description);
         }
     }
 
-    /// Where to announce and what, if it is time.
-    pub(crate) fn announcements(
-        &mut self,
-        now: Timestamp,
-    ) -> Option<(Vec<SocketAddr>, Vec<Announcement>)> {
-        if now < self.next_announcement {
-            return None;
+    /// Where a daemon listens.
+    pub(crate) fn address(&self, daemon: DaemonId) -> Option<SocketAddr> {
+        if daemon == self.settings.own.daemon {
+            return Some(self.settings.address);
         }
-        self.next_announcement = now + ANNOUNCE_INTERVAL;
-        let mut addresses: Vec<SocketAddr> =
-            self.known.values().map(|known| known.announcement.address).collect();
-        for seed in &self.seeds {
-            if *seed != self.own.address && !addresses.contains(seed) {
-                addresses.push(*seed);
-            }
+        self.membership.member(daemon).map(|member| member.record.info.address)
+    }
+
+    /// Daemons that answer and take work, this one included.
+    pub(crate) fn live_members(&self) -> Vec<MemberInfo> {
+        let members = self.membership.members();
+        members.into_iter().filter(Member::takes_work).map(|member| member.record.info).collect()
+    }
+
+    /// A connection to a daemon broke: it may have died.
+    pub(crate) fn connection_lost(&mut self, peer: ReplicaId, now: Timestamp) {
+        self.membership_event(MembershipEvent::ConnectionLost(peer.daemon), now);
+        for group in self.groups.values_mut() {
+            group.replica.peer_lost(peer, now);
+            self.dirty.insert(group.id());
         }
-        let live = self.live(now).into_iter().cloned().collect();
-        Some((addresses, live))
     }
 
-    /// Marks this daemon as about to stop.
-    pub(crate) fn leave(&mut self) {
-        self.own.leaving = true;
+    /// Tells all daemons where a group is that this node owns.
+    pub(crate) fn publish_group(&mut self, id: GroupId) {
+        let Some(group) = self.groups.get(&id).filter(|group| group.is_serving()) else {
+            return;
+        };
+        let description = GroupDescription::of_leader(
+            id,
+            group.replica.members(),
+            group.members_index,
+            self.settings.own,
+            group.replica.term(),
+        );
+        self.membership.publish(FactKey::Group(id), description.version(), encode(&description));
+        self.directory.merge(description);
     }
 
-    /// Where a daemon listens.
-    pub(crate) fn address(&self, daemon: DaemonId) -> Option<SocketAddr> {
-        if daemon == self.own.replica.daemon {
-            return Some(self.own.address);
+    /// Replaces members of groups that are gone, one step at a time.
+    pub(crate) fn upkeep(&mut self, now: Timestamp) {
+        if now < self.next_upkeep {
+            return;
+        }
+        self.next_upkeep = now + UPKEEP_INTERVAL;
+        if !self.groups.values().any(|group| group.is_serving()) {
+            return;
+        }
+        let view = ClusterView::new(&self.membership.members(), &self.directory);
+        for group in self.groups.values_mut().filter(|group| group.is_serving()) {
+            let step = group.maintenance.next(&group.replica.status(), &view, now);
+            let refused = match step {
+                None => continue,
+                Some(MaintenanceStep::Change(change)) => {
+                    log::info!(target: "groups", "{}: {change:?}.", group.replica.group());
+                    group.replica.change_members(change).err().map(|error| error.to_string())
+                }
+                Some(MaintenanceStep::Transfer(to)) => {
+                    group.replica.transfer_leadership(to).err().map(|error| error.to_string())
+                }
+            };
+            // A refused step is asked for again: nothing is remembered of it.
+            if let Some(error) = refused {
+                log::debug!(target: "groups", "{}: {error}.", group.replica.group());
+            }
+            self.dirty.insert(group.replica.group());
         }
-        self.known.get(&daemon).map(|known| known.announcement.address)
     }
 
-    /// Daemons heard of lately, this one first.
-    pub(crate) fn live(&self, now: Timestamp) -> Vec<&Announcement> {
-        let recent = self.known.values().filter(|known| now.since(known.heard) < LIVENESS);
-        std::iter::once(&self.own).chain(recent.map(|known| &known.announcement)).collect()
+    /// Says to all that this daemon is about to stop.
+    pub(crate) fn announce_leaving(&mut self) {
+        self.membership.set_state(MemberState::Leaving);
     }
 }
+
+fn encode(description: &GroupDescription) -> Vec<u8> {
+    let encoded = bincode::serde::encode_to_vec(description, bincode::config::standard());
+    encoded.expect("a description has only plain fields")
+}
+
+fn decode(bytes: &[u8]) -> Option<GroupDescription> {
+    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    decoded.ok().map(|(description, _)| description)
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,14 +5,18 @@
 
 use dahlia_placement::Scheduler;
 use dahlia_program::GroupState;
+use dahlia_replication::directory::{Directory, GroupDescription};
 use dahlia_replication::group::{Coalescer, Entry, Output, PeerBatch, Replica, Role, Snapshot};
-use dahlia_types::{DaemonId, Duration, GroupId, ReplicaId, Timestamp};
+use dahlia_replication::maintenance::Maintenance;
+use dahlia_replication::membership::{
+    Event as MembershipEvent, Member, MemberInfo, MemberState, Membership,
+};
+use dahlia_types::{DaemonId, Duration, GroupId, LogIndex, ReplicaId, Timestamp};
 use serde::Serialize;
 
-use crate::bootstrap::{Bootstrap, GroupLayout, LayoutStep, choose_layout, decode_layout};
+use crate::bootstrap::{Bootstrap, LayoutStep, choose_layout, decode_layout};
 use crate::engines::EngineTable;
 use crate::group::{Group, Purpose, decode};
-use crate::members::{Announcement, Members};
 use crate::request::Response;
 use crate::routing::{ReplyTo, Router};
 use crate::wire::PeerMessage;
@@ -24,15 +28,16 @@
 /// One daemon without its I/O.
 pub struct Node {
     pub(crate) settings: NodeSettings,
-    pub(crate) members: Members,
+    pub(crate) membership: Membership,
     pub(crate) groups: BTreeMap<GroupId, Group>,
     /// Which replicas hold each group, as far as known here.
-    pub(crate) directory: BTreeMap<GroupId, BTreeSet<ReplicaId>>,
+    pub(crate) directory: Directory,
     pub(crate) router: Router,
     pub(crate) scheduler: Scheduler,
     pub(crate) engines: EngineTable,
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
+    pub(crate) next_upkeep: Timestamp,
     bootstrap: Bootstrap,
     coalescer: Coalescer,
     draining: bool,
@@ -66,26 +71,34 @@
     pub const TICK: Duration = Duration::from_millis(20);
 
     /// A node that knows nothing but its settings.
-    pub fn new(settings: NodeSettings) -> Self {
-        let own = Announcement {
-            replica: settings.own,
+    pub fn new(settings: NodeSettings, now: Timestamp) -> Self {
+        let own = MemberInfo {
+            daemon: settings.own.daemon,
+            incarnation: settings.own.incarnation,
             address: settings.address,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
-            leaving: false,
+            state: MemberState::Live,
         };
-        let members = Members::new(own, settings.seeds.clone());
+        let membership = Membership::new(
+            own,
+            settings.seeds.clone(),
+            settings.membership.clone(),
+            settings.seed,
+            now,
+        );
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         Self {
-            members,
+            membership,
             scheduler,
             engines: EngineTable::new(settings.zone.clone()),
             settings,
             groups: BTreeMap::new(),
-            directory: BTreeMap::new(),
+            directory: Directory::new(),
             router: Router::default(),
             actions: Vec::new(),
             dirty: BTreeSet::new(),
+            next_upkeep: Timestamp::ZERO,
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
             draining: false,
@@ -97,6 +110,7 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Message { from, message } => self.message(from, message, now),
+            Event::ConnectionLost(peer) => self.connection_lost(peer, now),
             Event::Request { id, request } => {
                 self.router.add(id, request, now);
                 self.route_due(now);
@@ -124,7 +138,7 @@
         NodeStatus {
             ready: self.bootstrap.is_done() && !self.draining,
             draining: self.draining,
-            live_daemons: self.members.live(now).len(),
+            live_daemons: self.live_members().len(),
             groups_held: self.groups.len(),
             groups_led: led().count(),
             live_engines: self.engines.live(now),
@@ -137,7 +151,7 @@
     /// Where the owner of a group is thought to listen.
     pub fn owner_address(&self, group: GroupId) -> Option<SocketAddr> {
         let daemon = self.owner_hint(group)?;
-        self.members.address(daemon)
+        self.address(daemon)
     }
 
     /// Whether this node may answer for a group's programs now.
@@ -149,7 +163,7 @@
     pub fn group_for_new_program(&self, draw: u64) -> Option<GroupId> {
         let own: Vec<GroupId> =
             self.groups.values().filter(|group| group.is_serving()).map(Group::id).collect();
-        let all: Vec<GroupId> = self.directory.keys().copied().collect();
+        let all = self.group_ids();
         let candidates = if own.is_empty() || self.draining { all } else { own };
         if candidates.is_empty() {
             return None;
@@ -159,12 +173,12 @@
 
     /// All groups.
     pub fn group_ids(&self) -> Vec<GroupId> {
-        self.directory.keys().copied().collect()
+        self.directory.iter().map(|description| description.group).collect()
     }
 
-    /// Daemons heard of lately, this one first.
-    pub fn live_daemons(&self, now: Timestamp) -> Vec<Announcement> {
-        self.members.live(now).into_iter().cloned().collect()
+    /// All daemons known, the dead of late included.
+    pub fn daemons(&self) -> Vec<Member> {
+        self.membership.members()
     }
 
     /// The replicated state of a group's copy here, for checkers.
@@ -178,12 +192,14 @@
         }
         let leader = self.groups.get(&group).and_then(|held| held.replica.leader());
         let leader = leader.filter(|leader| *leader != self.settings.own);
-        leader.map(|leader| leader.daemon).or_else(|| self.router.hint(group))
+        let known = || self.router.hint(group).or(self.directory.leader(group).map(|it| it.daemon));
+        leader.map(|leader| leader.daemon).or_else(known)
     }
 
     fn tick(&mut self, now: Timestamp) {
-        self.announce(now);
+        self.membership_event(MembershipEvent::Tick, now);
         self.read_layout(now);
+        self.upkeep(now);
         for group in self.groups.values_mut() {
             if group.replica.next_deadline() <= now {
                 group.replica.tick(now);
@@ -201,13 +217,13 @@
 
     fn message(&mut self, from: ReplicaId, message: PeerMessage, now: Timestamp) {
         match message {
-            PeerMessage::Announcements(announcements) => {
-                self.members.learn(from, announcements, now)
+            PeerMessage::Membership(envelope) => {
+                self.membership_event(MembershipEvent::Received(*envelope), now);
             }
             PeerMessage::Groups(batch) => self.group_messages(batch, now),
             PeerMessage::Request { id, request } => {
                 // Without an address the answer has nowhere to go; the asker repeats.
-                if let Some(address) = self.members.address(from.daemon) {
+                if let Some(address) = self.address(from.daemon) {
                     self.serve(ReplyTo::Peer { address, id }, request, now);
                 }
             }
@@ -221,34 +237,25 @@
                 continue;
             }
             let id = message.group;
-            // A message of a group that is new here comes from its leader: it wants this daemon
-            // as a learner. An empty learner has no vote, so making one is always safe.
+            // A group that is new here wants this daemon as a learner, or the layout that names it
+            // has not been read here yet. An empty learner is safe to make in both cases.
             let group = self.groups.entry(id).or_insert_with(|| {
                 let settings = self.settings.group.clone();
                 let seed = self.settings.seed;
                 let replica = Replica::join(self.settings.own, id, settings, seed, now);
-                Group::new(replica, self.settings.limits)
+                let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
+                Group::new(replica, self.settings.limits, maintenance)
             });
             group.replica.step(message, now);
             self.dirty.insert(id);
         }
     }
 
-    fn announce(&mut self, now: Timestamp) {
-        let Some((addresses, announcements)) = self.members.announcements(now) else {
-            return;
-        };
-        for to in addresses {
-            let message = PeerMessage::Announcements(announcements.clone());
-            self.actions.push(Action::Send { to, message });
-        }
-    }
-
     fn read_layout(&mut self, now: Timestamp) {
         if !self.bootstrap.read_due(now) {
             return;
         }
-        let live = self.members.live(now);
+        let live = self.live_members();
         if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
             let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
             self.actions.push(Action::Layout(LayoutStep::Value(layout)));
@@ -269,26 +276,39 @@
         }
     }
 
-    fn adopt_layout(&mut self, layout: Vec<GroupLayout>, now: Timestamp) {
+    fn adopt_layout(&mut self, layout: Vec<GroupDescription>, now: Timestamp) {
         self.bootstrap.finish();
-        for GroupLayout { group: id, voters } in layout {
-            self.directory.entry(id).or_insert_with(|| voters.iter().copied().collect());
+        for description in layout {
+            let (id, voters) = (description.group, description.members.clone());
+            self.directory.merge(description);
             // Another life of this daemon is another replica: only the life that the layout
             // names starts as a voter, and it does so once, because the layout is read once.
-            if !voters.contains(&self.settings.own) || self.groups.contains_key(&id) {
+            if !voters.contains(&self.settings.own) {
+                continue;
+            }
+            if let Some(group) = self.groups.get_mut(&id) {
+                // A first voter that was elected already has sent a message before.
+                group.replica.adopt_layout(voters, now);
+                self.dirty.insert(id);
                 continue;
             }
             let settings = self.settings.group.clone();
             let seed = self.settings.seed;
-            let replica = Replica::bootstrap(self.settings.own, id, voters, settings, seed, now);
-            self.groups.insert(id, Group::new(replica, self.settings.limits));
+            let mut replica =
+                Replica::bootstrap(self.settings.own, id, voters.clone(), settings, seed, now);
+            if voters.first() == Some(&self.settings.own) {
+                // The layout balances leaders: its first voter need not wait for a timeout.
+                replica.campaign(now);
+            }
+            let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
+            self.groups.insert(id, Group::new(replica, self.settings.limits, maintenance));
             self.dirty.insert(id);
         }
     }
 
     fn drain(&mut self, _now: Timestamp) {
         self.draining = true;
-        self.members.leave();
+        self.announce_leaving();
         for group in self.groups.values_mut() {
             if group.replica.role() != Role::Leader {
                 continue;
@@ -310,7 +330,7 @@
             self.take_outputs(id, now);
         }
         for (daemon, batch) in self.coalescer.take() {
-            if let Some(to) = self.members.address(daemon) {
+            if let Some(to) = self.address(daemon) {
                 self.actions.push(Action::Send { to, message: PeerMessage::Groups(batch) });
             }
         }
@@ -325,10 +345,10 @@
                 Output::Send(message) => self.coalescer.push(message),
                 Output::Committed(entry) => self.apply(id, &entry, now),
                 Output::Restore(snapshot) => self.restore(id, &snapshot),
-                Output::RoleChanged { .. } => {}
-                Output::MembersChanged { members, .. } => {
-                    self.directory.insert(id, members.all().collect());
+                Output::RoleChanged { role, term, leader } => {
+                    log::debug!(target: "groups", "{id}: {role:?} in {term}, leader {leader:?}.");
                 }
+                Output::MembersChanged { index, .. } => self.members_changed(id, index),
                 Output::SnapshotWanted => self.compact(id),
                 Output::Removed { .. } => self.retire(id, now),
             }
@@ -382,6 +402,13 @@
         }
     }
 
+    fn members_changed(&mut self, id: GroupId, index: LogIndex) {
+        if let Some(group) = self.groups.get_mut(&id) {
+            group.members_index = index;
+        }
+        self.publish_group(id);
+    }
+
     fn compact(&mut self, id: GroupId) {
         if let Some(group) = self.groups.get_mut(&id) {
             let applied = group.replica.applied();
@@ -407,6 +434,7 @@
         match group.serving {
             None if leads => {
                 group.serving = Some(term);
+                self.publish_group(id);
                 self.take_up(id, now);
             }
             Some(served) if !leads || served != term => {
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -68,6 +68,7 @@
         let epoch = group.replica.term();
         let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(attempt, live);
+        group.taken_over.insert(attempt);
         let intent = IntentPurpose {
             attempt,
             holder: dahlia_program::EngineLife {
@@ -95,6 +96,7 @@
         let deferred = std::mem::take(&mut group.deferred);
         let waiters = std::mem::take(&mut group.waiters);
         group.releases.clear();
+        group.taken_over.clear();
         let programs: Vec<ProgramId> = group.state.programs().map(|program| program.id()).collect();
         for attempt in attempts.into_keys() {
             self.actions.push(Action::LeaveAttempt { attempt });
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -42,7 +42,7 @@
             let Some(target) = self.target(group, tries) else {
                 continue;
             };
-            if let Some(to) = self.members.address(target) {
+            if let Some(to) = self.address(target) {
                 let message = PeerMessage::Request { id, request };
                 self.actions.push(Action::Send { to, message });
             }
@@ -54,9 +54,9 @@
         if let Some(hint) = self.owner_hint(group).filter(|hint| *hint != own) {
             return Some(hint);
         }
-        let members = self.directory.get(&group)?;
+        let route = self.directory.route(group);
         let others: Vec<DaemonId> =
-            members.iter().map(|member| member.daemon).filter(|daemon| *daemon != own).collect();
+            route.iter().map(|member| member.daemon).filter(|daemon| *daemon != own).collect();
         if others.is_empty() {
             return None;
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,8 @@
 use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::group::GroupSettings;
+use dahlia_replication::maintenance::MaintenanceSettings;
+use dahlia_replication::membership::MembershipSettings;
 use dahlia_types::{Duration, Region, ReplicaId, Zone};
 
 /// What a node is told at its start.
@@ -28,6 +30,10 @@
     pub bootstrap_daemons: u32,
     /// Timing and bounds of replica groups.
     pub group: GroupSettings,
+    /// Timing and bounds of membership.
+    pub membership: MembershipSettings,
+    /// Upkeep of groups' members.
+    pub maintenance: MaintenanceSettings,
     /// Limits on programs.
     pub limits: ProgramLimits,
     /// Placement.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -3,10 +3,10 @@
 use dahlia_api::ApiError;
 use dahlia_program::CallOutcome;
 use dahlia_replication::group::PeerBatch;
+use dahlia_replication::membership::Envelope;
 use dahlia_types::{CallId, DaemonId, Incarnation, TenantId};
 use serde::{Deserialize, Serialize};
 
-use crate::members::Announcement;
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
@@ -82,8 +82,8 @@
 pub enum PeerMessage {
     /// Of replica groups. One frame carries all that is due to one peer.
     Groups(PeerBatch),
-    /// Daemons' words about themselves.
-    Announcements(Vec<Announcement>),
+    /// Of membership and spread facts.
+    Membership(Box<Envelope>),
     /// A request to the owner of a group.
     Request {
         /// The asker's name for it.
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -4,8 +4,18 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use dahlia_api::RequestLimits;
+use dahlia_daemon::logging::LogSettings;
+use dahlia_daemon::settings::{
+    CallsSettings, CredentialSettings, DaemonSettings, EngineSettings, LayoutSettings,
+    PlatformSettings, Settings,
+};
+use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
-use dahlia_types::{EngineId, ProgramId, TenantId, TenantKey};
+use dahlia_replication::group::GroupSettings;
+use dahlia_replication::maintenance::MaintenanceSettings;
+use dahlia_replication::membership::MembershipSettings;
+use dahlia_types::{DaemonId, EngineId, ModelId, ProgramId, Region, TenantId, TenantKey, Zone};
 use reqwest::Client;
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
@@ -18,6 +28,8 @@
 const TENANT_KEY: &str = "rehearsal-tenant-key";
 /// The operators' token in rehearsals.
 pub const OPERATOR_TOKEN: &str = "rehearsal-operator-token";
+const PEER_KEY: &str = "rehearsal-peer-key";
+const DRAIN_MS: u64 = 20_000;
 /// How long a cluster may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(50);
@@ -40,9 +52,9 @@
     /// Voters of each group.
     pub replicas: u32,
     /// Placement policy.
-    pub policy: String,
-    /// Further settings of the daemons, as TOML tables.
-    pub extra_settings: String,
+    pub policy: PolicyKind,
+    /// Level of the daemons' logs.
+    pub log_level: String,
 }
 
 impl ClusterPlan {
@@ -57,8 +69,8 @@
             speed: 4.0,
             groups: 8,
             replicas: 3,
-            policy: "program-aware".to_owned(),
-            extra_settings: String::new(),
+            policy: PolicyKind::ProgramAware,
+            log_level: "info".to_owned(),
         }
     }
 }
@@ -154,7 +166,10 @@
         let zone = self.plan.daemon_zones[index].clone();
         let path = self.folder.join(format!("{name}.toml"));
         let settings = self.daemon_settings(index, &zone);
-        std::fs::write(&path, settings).context(FileSnafu { path: &path })?;
+        let text = toml::to_string(&settings).map_err(|error| RehearsalError::Broken {
+            what: format!("writing settings as TOML: {error}"),
+        })?;
+        std::fs::write(&path, text).context(FileSnafu { path: &path })?;
         let arguments =
             vec!["daemon".to_owned(), "--settings".to_owned(), path.display().to_string()];
         let (process, line) = ChildProcess::start(&name, &arguments, &self.folder).await?;
@@ -168,34 +183,50 @@
         })
     }
 
-    fn daemon_settings(&self, index: usize, zone: &str) -> String {
-        let seeds: Vec<String> =
-            self.daemons.iter().map(|daemon| format!("\"{}\"", daemon.peers)).collect();
-        let mut text = format!(
-            "policy = \"{policy}\"\n\n[daemon]\nid = {id}\nzone = \"{zone}\"\nregion = \
-             \"{region}\"\npeer_address = \"127.0.0.1:0\"\ngateway_address = \"127.0.0.1:0\"\n\
-             operators_address = \"127.0.0.1:0\"\nseeds = [{seeds}]\n\n[credentials]\ntenant_key \
-             = \"{TENANT_KEY}\"\noperator_token = \"{OPERATOR_TOKEN}\"\npeer_key = \
-             \"rehearsal-peer-key\"\n\n[groups]\ncount = {groups}\nreplicas = {replicas}\n\
-             bootstrap_daemons = {daemons}\n{extra}\n\n[platform]\nkey_value = \"{kv}\"\n",
-            policy = self.plan.policy,
-            id = index + 1,
-            region = self.plan.region,
-            seeds = seeds.join(", "),
-            groups = self.plan.groups,
-            replicas = self.plan.replicas,
-            daemons = self.plan.daemon_zones.len(),
-            extra = self.plan.extra_settings,
-            kv = self.key_value_address,
-        );
-        for engine in &self.engines {
-            text += &format!(
-                "\n[[platform.engines]]\nid = \"{}\"\naddress = \"{}\"\nzone = \"{}\"\nmodels = \
-                 [\"{}\"]\n",
-                engine.id, engine.address, engine.zone, self.plan.model
-            );
+    fn daemon_settings(&self, index: usize, zone: &str) -> Settings {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let engines = self.engines.iter().map(|engine| EngineSettings {
+            id: engine.id.clone(),
+            address: engine.address,
+            zone: Zone::new(&engine.zone),
+            models: vec![ModelId::new(&self.plan.model)],
+        });
+        Settings {
+            daemon: DaemonSettings {
+                id: DaemonId(index as u32 + 1),
+                zone: Zone::new(zone),
+                region: Region::new(&self.plan.region),
+                peer_address: any_port,
+                gateway_address: any_port,
+                operators_address: any_port,
+                seeds: self.daemons.iter().map(|daemon| daemon.peers).collect(),
+                data_folder: None,
+                drain_ms: DRAIN_MS,
+            },
+            credentials: CredentialSettings {
+                tenant_key: TENANT_KEY.to_owned(),
+                operator_token: OPERATOR_TOKEN.to_owned(),
+                peer_key: PEER_KEY.to_owned(),
+            },
+            platform: PlatformSettings {
+                key_value: Some(self.key_value_address),
+                engines: engines.collect(),
+                ..PlatformSettings::default()
+            },
+            limits: RequestLimits::default(),
+            layout: LayoutSettings {
+                groups: self.plan.groups,
+                replicas: self.plan.replicas,
+                bootstrap_daemons: self.plan.daemon_zones.len() as u32,
+            },
+            groups: GroupSettings::default(),
+            membership: MembershipSettings::default(),
+            maintenance: MaintenanceSettings::default(),
+            calls: CallsSettings::default(),
+            policy: self.plan.policy,
+            placement: PlacementSettings::default(),
+            log: LogSettings { level: self.plan.log_level.clone(), ..LogSettings::default() },
         }
-        text
     }
 
     /// Waits until every daemon that runs can route calls, and every group has an owner.
--- a/crates/rehearsal/src/demo.rs
+++ b/crates/rehearsal/src/demo.rs
@@ -1,9 +1,11 @@
 //! `rehearse demo`: several diagnoses through real daemons, one of which is killed on the way.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
+use snafu::ResultExt;
 use tempfile::TempDir;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep};
@@ -11,6 +13,7 @@
 use crate::RehearsalError;
 use crate::caller::{Answer, Caller, Turn};
 use crate::cluster::{Cluster, ClusterPlan};
+use crate::error::FileSnafu;
 use crate::operator::Operator;
 
 const PROGRAMS: usize = 4;
@@ -52,20 +55,22 @@
 ///
 /// # Errors
 /// [`RehearsalError`] when a promise was seen broken, a process failed or the user interrupted.
-pub async fn run() -> Result<(), RehearsalError> {
+pub async fn run(folder: Option<&Path>) -> Result<(), RehearsalError> {
+    let scratch = TempDir::new()
+        .map_err(|source| RehearsalError::File { path: std::env::temp_dir(), source })?;
+    let folder = folder.unwrap_or(scratch.path());
+    std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
     tokio::select! {
-        result = play() => result,
+        result = play(folder) => result,
         _ = tokio::signal::ctrl_c() => Err(RehearsalError::Interrupted),
     }
 }
 
-async fn play() -> Result<(), RehearsalError> {
-    let folder = TempDir::new()
-        .map_err(|source| RehearsalError::File { path: std::env::temp_dir(), source })?;
+async fn play(folder: &Path) -> Result<(), RehearsalError> {
     let started = Instant::now();
     let plan = ClusterPlan::bayou_current();
     say(started, "starting the key-value service, 8 engines and 4 daemons in 4 zones");
-    let mut cluster = Cluster::start(plan, folder.path()).await?;
+    let mut cluster = Cluster::start(plan, folder).await?;
     cluster.wait_until_ready().await?;
     say(started, "every replica group has an owner");
 
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,8 +1,9 @@
 //! The binary `rehearse`.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use dahlia_rehearsal::{RehearsalError, demo};
+use dahlia_rehearsal::{RehearsalError, demo, processes};
 use gumdrop::Options;
 
 #[derive(Debug, Options)]
@@ -27,12 +28,15 @@
 struct Demo {
     #[options(help = "print this help")]
     help: bool,
+    #[options(help = "keep settings and logs in this folder", meta = "FOLDER")]
+    folder: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
+    processes::end_with_parent();
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
-        Some(Command::Demo(_)) => block_on(demo::run()),
+        Some(Command::Demo(demo)) => block_on(demo::run(demo.folder.as_deref())),
         Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
         Some(Command::Standin(arguments)) => dahlia_standins::cli::run(&arguments),
         None => {
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -7,7 +7,7 @@
 
 use snafu::ResultExt;
 use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::process::{Child, ChildStdin, Command};
 use tokio::time::timeout;
 
 use crate::RehearsalError;
@@ -16,10 +16,29 @@
 /// How long a process may take to print its first line.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Set for processes started by this tool: they end when their standard input closes.
+const GUARD: &str = "DAHLIA_END_WITH_STDIN";
+
+/// In a process started by this tool: ends it when the tool is gone, however that came about.
+pub fn end_with_parent() {
+    if std::env::var_os(GUARD).is_none() {
+        return;
+    }
+    std::thread::spawn(|| {
+        let mut input = std::io::stdin();
+        // Nothing is ever written; the read returns when the other end closes.
+        let _ = std::io::copy(&mut input, &mut std::io::sink());
+        std::process::exit(0);
+    });
+}
+
 /// A process started by this tool, killed when it is dropped.
 pub struct ChildProcess {
     name: String,
     child: Child,
+    /// Closes when this tool ends; see [`end_with_parent`].
+    #[allow(dead_code)]
+    guard: Option<ChildStdin>,
 }
 
 impl ChildProcess {
@@ -38,14 +57,16 @@
         let program = std::env::current_exe().context(ProcessSnafu { step: "finding", name })?;
         let mut child = Command::new(program)
             .args(arguments)
-            .stdin(Stdio::null())
+            .env(GUARD, "1")
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::from(log))
             .kill_on_drop(true)
             .spawn()
             .context(ProcessSnafu { step: "starting", name })?;
         let output = child.stdout.take();
-        let mut process = Self { name: name.to_owned(), child };
+        let guard = child.stdin.take();
+        let mut process = Self { name: name.to_owned(), child, guard };
         let Some(output) = output else {
             return Err(process.not_ready("its output is not readable"));
         };
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -147,6 +147,26 @@
         replica
     }
 
+    /// Tells a replica that a message brought into being before its daemon knew the group's
+    /// layout who the first voters are. Without effect once it knows a configuration.
+    ///
+    /// The first layout stands in no entry of the log: a first voter that never learns it would
+    /// follow and acknowledge, and never stand for election.
+    pub fn adopt_layout(&mut self, voters: Vec<ReplicaId>, now: Timestamp) {
+        self.advance(now);
+        let Some((LogIndex(0), members)) = self.configurations.first_mut() else {
+            return;
+        };
+        if *members != Members::default() {
+            return;
+        }
+        *members = Members::of_voters(voters);
+        if self.role == Role::Learner {
+            self.role = self.resting_role();
+            self.announce();
+        }
+    }
+
     /// Empties a removed replica and makes it a learner that may be added again.
     ///
     /// The term and vote stay: forgetting them would allow a second vote in one term.
@@ -212,6 +232,15 @@
         }
     }
 
+    /// Asks for votes now instead of waiting for a timeout. Costs no safety: a pre-vote still
+    /// shows first whether others would agree.
+    pub fn campaign(&mut self, now: Timestamp) {
+        self.advance(now);
+        if self.role != Role::Leader {
+            self.start_pre_vote();
+        }
+    }
+
     /// When the next tick has something to do, unless a message comes first.
     pub fn next_deadline(&self) -> Timestamp {
         if self.role == Role::Leader {
