--- a/crates/replication/src/group/mod.rs
+++ b/crates/replication/src/group/mod.rs
@@ -6,6 +6,7 @@
 //! learner. What a replica promised (term, vote, log) lives exactly as long as its identifier.
 
 mod coalescer;
+mod delivery;
 mod election;
 mod faults;
 mod follower;
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -17,9 +17,6 @@
     ProposeError, Role, Snapshot, TransferError,
 };
 
-/// A peer in contact that lags may keep this many times the usual entries in the log.
-const MOST_RETAINED_FACTOR: usize = 16;
-
 /// A leadership that is being handed over.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Transfer {
@@ -359,81 +356,6 @@
         let (role, term, leader) = current;
         self.outputs.push(Output::RoleChanged { role, term, leader });
     }
-
-    /// Puts newly committed entries into the outputs.
-    pub(super) fn commit_to(&mut self, index: LogIndex) {
-        let index = index.min(self.log.last_index());
-        if index <= self.committed {
-            return;
-        }
-        self.committed = index;
-        while self.delivered < self.committed {
-            self.delivered = self.delivered.next();
-            self.deliver(self.delivered);
-        }
-    }
-
-    fn deliver(&mut self, index: LogIndex) {
-        let Some(entry) = self.log.get(index) else { return };
-        let waiting = &mut self.leading.uncommitted_bytes;
-        *waiting = waiting.saturating_sub(entry.payload_bytes());
-        match &entry.data {
-            EntryData::NoOp => {}
-            EntryData::Command(payload) => {
-                let entry = super::Entry { index, term: entry.term, payload: payload.clone() };
-                self.outputs.push(Output::Committed(entry));
-            }
-            EntryData::Members(members) => {
-                let members = members.clone();
-                self.outputs.push(Output::MembersChanged { index, members: members.clone() });
-                self.members_committed(index, &members);
-            }
-        }
-    }
-
-    fn members_committed(&mut self, index: LogIndex, members: &Members) {
-        if self.role == Role::Leader {
-            let before = self.members_before(index);
-            let removed: Vec<ReplicaId> =
-                before.all().filter(|replica| !members.contains(*replica)).collect();
-            for replica in removed {
-                self.send(replica, GroupBody::Removed { index });
-            }
-        } else if !members.contains(self.id) {
-            self.take_removed(index);
-        }
-    }
-
-    fn members_before(&self, index: LogIndex) -> Members {
-        let earlier = self.configurations.iter().rev().find(|(at, _)| *at < index);
-        earlier.map(|(_, members)| members.clone()).unwrap_or_default()
-    }
-
-    /// Drops applied entries beyond what is kept for peers that lag.
-    fn drop_applied_entries(&mut self) {
-        let floor = self.needed_by_peers();
-        while self.log.base_index() < self.applied && self.has_surplus(floor) {
-            self.log.drop_first();
-        }
-        let base = self.log.base_index();
-        while self.configurations.get(1).is_some_and(|(index, _)| *index <= base) {
-            self.configurations.remove(0);
-        }
-    }
-
-    fn has_surplus(&self, floor: LogIndex) -> bool {
-        let applied_entries = (self.applied.0 - self.log.base_index().0) as usize;
-        let bytes = self.log.payload_bytes();
-        if bytes > self.settings.max_uncommitted_bytes {
-            return true;
-        }
-        let retained = self.settings.retained_entries;
-        if applied_entries > retained.saturating_mul(MOST_RETAINED_FACTOR) {
-            return true;
-        }
-        let is_over = applied_entries > retained || bytes > self.settings.retained_bytes;
-        is_over && self.log.base_index() < floor
-    }
 }
 
 /// A seed of its own for each replica, so that election timeouts differ.
--- a/crates/replication/src/maintenance/candidates.rs
+++ b/crates/replication/src/maintenance/candidates.rs
@@ -64,12 +64,9 @@
             if view.liveness != Liveness::Live || is_member(&replica) || !self.may_hold(view) {
                 continue;
             }
-            // A member's daemon that restarted comes first: the layout stays as it was.
-            let was_member = members.iter().any(|member| member.daemon == *daemon);
             let rank = (
                 !self.is_home(view),
                 self.in_zone(&view.zone),
-                !was_member,
                 view.replicas,
                 spread(group, *daemon),
             );
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -1,6 +1,6 @@
 //! Comparison with a random member: hashes by bucket, then what differs.
 //!
-//! In agreement a comparison costs two hashes lists; it repairs what gossip lost, brings a new
+//! In agreement a comparison costs two lists of hashes; it repairs what gossip lost, brings a new
 //! daemon up to date, and finds the dead who were only cut off.
 
 use dahlia_types::DaemonId;
@@ -139,10 +139,7 @@
         let Some(address) = self.members.get(to).map(|member| member.record.info.address) else {
             return;
         };
-        let mut chunks = self.chunks(members, facts);
-        if chunks.is_empty() {
-            chunks.push((Vec::new(), Vec::new()));
-        }
+        let chunks = self.chunks(members, facts);
         for (position, (records, facts_sent)) in chunks.into_iter().enumerate() {
             let is_asking = wants_return && position == 0;
             let chunk = SyncChunk {
@@ -153,30 +150,47 @@
         }
     }
 
-    fn chunks(&self, members: u64, facts: u64) -> Vec<(Vec<MemberRecord>, Vec<Fact>)> {
-        let limit = self.settings.sync_chunk_bytes;
-        let mut chunks: Vec<(Vec<MemberRecord>, Vec<Fact>)> = Vec::new();
-        let mut used = limit;
-        let mut room_for = |chunks: &mut Vec<_>, bytes: usize| {
-            used += bytes;
-            if used > limit {
-                used = bytes;
-                chunks.push((Vec::new(), Vec::new()));
-            }
-        };
+    fn chunks(&self, members: u64, facts: u64) -> Vec<Chunk> {
+        let mut chunks = Chunks::new(self.settings.sync_chunk_bytes);
         let others = self.members.iter().map(|member| &member.record);
         for record in others.chain([&self.own]) {
             if has_bit(members, member_bucket(record.info.daemon)) {
-                room_for(&mut chunks, record.wire_bytes());
-                chunks.last_mut().expect("just made").0.push(record.clone());
+                chunks.with_room(record.wire_bytes()).0.push(record.clone());
             }
         }
         for fact in self.facts.lasting() {
             if has_bit(facts, fact_bucket(&fact.key)) {
-                room_for(&mut chunks, fact.wire_bytes());
-                chunks.last_mut().expect("just made").1.push(fact.clone());
+                chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
             }
         }
-        chunks
+        chunks.full.push(chunks.last);
+        chunks.full
+    }
+}
+
+/// Records and facts of one message.
+type Chunk = (Vec<MemberRecord>, Vec<Fact>);
+
+/// Fills messages up to a limit of bytes.
+struct Chunks {
+    limit: usize,
+    used: usize,
+    full: Vec<Chunk>,
+    last: Chunk,
+}
+
+impl Chunks {
+    fn new(limit: usize) -> Self {
+        Self { limit, used: 0, full: Vec::new(), last: Chunk::default() }
+    }
+
+    /// The message that takes the next `bytes`.
+    fn with_room(&mut self, bytes: usize) -> &mut Chunk {
+        if self.used + bytes > self.limit && self.used > 0 {
+            self.full.push(std::mem::take(&mut self.last));
+            self.used = 0;
+        }
+        self.used += bytes;
+        &mut self.last
     }
 }
