Add the configuration: documents, acceptance, spreading and orders to engines

Cause: an accepted configuration has to be in force everywhere within seconds and never revert, also when the service is down, answers with older data or loses a reply, and when daemons restart with empty memory.

Ruled out on the way: announcing only, by the daemon that brought a change in. If it restarts at once its announcement names a record that nobody can give, so it now sends the record itself to a few others. Serving at once when the service answers during a start: the answer may be older, so a start in a running system waits for the time of the spread.

--- /dev/null
+++ b/crates/configuration/src/accept.rs
@@ -0,0 +1,381 @@
+//! Acceptance of an operator's change: validate, compare-and-swap, and read back by the change's
+//! identity when the reply was lost.
+
+use std::sync::Arc;
+
+use dahlia_types::{Duration, Generation, Timestamp};
+
+use crate::switches::Switches;
+use crate::{
+    ChangeId, ChangeSummary, Digest, Document, DocumentError, Mechanism, Record, Settings,
+};
+
+/// A change that an operator asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Proposal {
+    /// Its identity; a repeat with it finds the first.
+    pub change: ChangeId,
+    /// The generation that it was made from; 0 when there is none yet.
+    pub expected: Generation,
+    /// Who asks.
+    pub author: String,
+    /// The whole new document, TOML.
+    pub document: String,
+}
+
+/// The configuration's key as the service gave it, perhaps an older state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceRecord {
+    /// The service's version of the key's state.
+    pub version: u64,
+    /// The value.
+    pub bytes: Vec<u8>,
+}
+
+/// The service did not answer, or refused for now. Nothing changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceUnavailable;
+
+/// Why a swap gave no new version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwapFailure {
+    /// The key is in another state than expected. Nothing changed.
+    Conflict,
+    /// The service did not take the request. Nothing changed.
+    NotRun,
+    /// The reply was lost: the change may have taken effect, or may yet.
+    Unknown,
+}
+
+/// What an accepter reacts to.
+#[derive(Debug, Clone)]
+pub enum AcceptEvent {
+    /// An operator asks for a change.
+    Proposed(Proposal),
+    /// A generation came into force on this daemon.
+    InForce(Arc<Record>),
+    /// The result of [`AcceptAction::Read`].
+    Read(Result<Option<ServiceRecord>, ServiceUnavailable>),
+    /// The result of [`AcceptAction::Swap`].
+    Swapped(Result<(), SwapFailure>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the driver is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AcceptAction {
+    /// Read the configuration's key.
+    Read,
+    /// Swap the key's value if its version is still this one; none when it must not exist.
+    Swap {
+        /// The version that was read.
+        expected: Option<u64>,
+        /// The new value.
+        value: Vec<u8>,
+    },
+    /// Answer the operator.
+    Finished(ChangeId, Verdict),
+}
+
+/// What an operator is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// Accepted, by this request or an earlier one of the same identity; it is the newest.
+    Accepted(Arc<Record>),
+    /// Accepted earlier; a later change has followed.
+    AcceptedEarlier(ChangeSummary),
+    /// Not accepted: made from a generation that is not the newest.
+    Conflict {
+        /// The newest generation.
+        newest: Generation,
+        /// The change that came instead, when it is still listed.
+        lost_to: Option<ChangeSummary>,
+    },
+    /// Not accepted: the document is not valid.
+    Invalid(DocumentError),
+    /// Not accepted: the identity belongs to a change with another document.
+    IdentityReused(ChangeSummary),
+    /// Not accepted: another change is being decided on this daemon. Ask again.
+    Busy,
+    /// Not accepted: the service could not be reached in time.
+    Unavailable,
+    /// It may have been accepted, or may yet be. Repeat it with the same identity to find out.
+    Unknown,
+}
+
+/// Brings one change at a time into the service.
+#[derive(Debug)]
+pub struct Accepter {
+    settings: Settings,
+    known: Option<Arc<Record>>,
+    work: Option<Work>,
+    switches: Switches,
+}
+
+/// The change being decided.
+#[derive(Debug)]
+struct Work {
+    proposal: Proposal,
+    deadline: Timestamp,
+    step: Step,
+    candidate: Option<Arc<Record>>,
+    /// Some swap's reply was lost.
+    in_doubt: bool,
+    /// Some swap found another state than expected.
+    lost: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Reading,
+    Swapping,
+    Pausing { until: Timestamp },
+}
+
+impl Accepter {
+    /// An accepter without work.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, known: None, work: None, switches: Switches::default() }
+    }
+
+    /// Whether a change is being decided.
+    pub fn is_busy(&self) -> bool {
+        self.work.is_some()
+    }
+
+    /// Switches a mechanism off, to show that a checker notices.
+    #[cfg(feature = "test-switches")]
+    pub fn disable(&mut self, mechanism: Mechanism) {
+        self.switches.disable(mechanism);
+    }
+
+    /// Takes an event and gives what the driver is to do, in order.
+    pub fn handle(&mut self, event: AcceptEvent, now: Timestamp) -> Vec<AcceptAction> {
+        match event {
+            AcceptEvent::Proposed(proposal) => self.propose(proposal, now),
+            AcceptEvent::InForce(record) => {
+                self.observe(record);
+                Vec::new()
+            }
+            AcceptEvent::Read(result) => self.on_read(result, now),
+            AcceptEvent::Swapped(result) => self.on_swapped(result, now),
+            AcceptEvent::Tick => self.on_tick(now),
+        }
+    }
+
+    fn observe(&mut self, record: Arc<Record>) {
+        let newest = self.known.as_ref().map(|known| known.generation());
+        if newest < Some(record.generation()) {
+            self.known = Some(record);
+        }
+    }
+
+    fn propose(&mut self, proposal: Proposal, now: Timestamp) -> Vec<AcceptAction> {
+        if let Some(work) = &self.work {
+            if work.proposal == proposal {
+                return Vec::new();
+            }
+            return vec![AcceptAction::Finished(proposal.change, Verdict::Busy)];
+        }
+        if let Err(error) = Document::parse(&proposal.document) {
+            return vec![AcceptAction::Finished(proposal.change, Verdict::Invalid(error))];
+        }
+        self.work = Some(Work {
+            proposal,
+            deadline: now + self.settings.accept_within,
+            step: Step::Reading,
+            candidate: None,
+            in_doubt: false,
+            lost: false,
+        });
+        vec![AcceptAction::Read]
+    }
+
+    fn on_read(
+        &mut self,
+        result: Result<Option<ServiceRecord>, ServiceUnavailable>,
+        now: Timestamp,
+    ) -> Vec<AcceptAction> {
+        if self.work.as_ref().is_none_or(|work| work.step != Step::Reading) {
+            return Vec::new();
+        }
+        let Ok(found) = result else {
+            return self.pause(now);
+        };
+        let version = found.as_ref().map(|found| found.version);
+        match found.map(|found| Record::decode(&found.bytes)) {
+            None => self.decide(version, None, now),
+            Some(Ok(record)) => self.decide(version, Some(Arc::new(record)), now),
+            // A later build wrote it. What cannot be read must not be replaced.
+            Some(Err(_)) => self.finish(Verdict::Unavailable),
+        }
+    }
+
+    /// Decides from the newest record that is known, from the service or from other daemons.
+    fn decide(
+        &mut self,
+        version: Option<u64>,
+        read: Option<Arc<Record>>,
+        now: Timestamp,
+    ) -> Vec<AcceptAction> {
+        // The service may answer with older data. What daemons have in force was accepted, so the
+        // next generation has to come after it; the swap's version guards against a stale read.
+        let base = newer(read, self.known.clone());
+        let Some(work) = &self.work else {
+            return Vec::new();
+        };
+        let proposal = &work.proposal;
+        if let Some(base) = &base
+            && let Some(found) = base.changes().find(|change| change.change == proposal.change)
+        {
+            let same = found.document == Digest::of(proposal.document.as_bytes());
+            let verdict = match (same, found.generation == base.generation()) {
+                (false, _) => Verdict::IdentityReused(found.clone()),
+                (true, true) => Verdict::Accepted(base.clone()),
+                (true, false) => Verdict::AcceptedEarlier(found.clone()),
+            };
+            return self.finish(verdict);
+        }
+        let newest = base.as_ref().map_or(Generation(0), |base| base.generation());
+        if newest > proposal.expected {
+            return self.lose(base.as_deref(), newest);
+        }
+        if newest < proposal.expected {
+            // Either the operator is ahead of a service that answers with older data, or wrong.
+            return self.pause(now);
+        }
+        self.swap(version, base.as_deref(), now)
+    }
+
+    fn lose(&mut self, base: Option<&Record>, newest: Generation) -> Vec<AcceptAction> {
+        let Some(work) = &self.work else {
+            return Vec::new();
+        };
+        let next = work.proposal.expected.next();
+        let mut changes = base.into_iter().flat_map(Record::changes);
+        let lost_to = changes.find(|change| change.generation == next).cloned();
+        if work.in_doubt && lost_to.is_none() {
+            // The list no longer reaches back: the lost reply may have been an acceptance.
+            return self.finish(Verdict::Unknown);
+        }
+        self.finish(Verdict::Conflict { newest, lost_to })
+    }
+
+    fn swap(
+        &mut self,
+        version: Option<u64>,
+        base: Option<&Record>,
+        now: Timestamp,
+    ) -> Vec<AcceptAction> {
+        let Some(work) = &mut self.work else {
+            return Vec::new();
+        };
+        let follows = base.map_or(Generation(0), Record::generation).next();
+        let kept = work.candidate.take().filter(|kept| kept.generation() == follows);
+        let Proposal { change, author, document, .. } = work.proposal.clone();
+        let candidate = match kept {
+            Some(kept) => kept,
+            None => match Record::after(base, change, author, document, now) {
+                Ok(record) => Arc::new(record),
+                Err(_) => return self.finish(Verdict::Unavailable),
+            },
+        };
+        let value = candidate.bytes().to_vec();
+        work.candidate = Some(candidate);
+        work.step = Step::Swapping;
+        vec![AcceptAction::Swap { expected: version, value }]
+    }
+
+    fn on_swapped(&mut self, result: Result<(), SwapFailure>, now: Timestamp) -> Vec<AcceptAction> {
+        let read_back = self.switches.is_on(Mechanism::ReadBack);
+        let Some(work) = self.work.as_mut().filter(|work| work.step == Step::Swapping) else {
+            return Vec::new();
+        };
+        match result {
+            Ok(()) => {
+                let accepted = work.candidate.take().map(Verdict::Accepted);
+                self.finish(accepted.unwrap_or(Verdict::Unknown))
+            }
+            Err(SwapFailure::Conflict) => {
+                work.lost = true;
+                work.step = Step::Reading;
+                vec![AcceptAction::Read]
+            }
+            Err(SwapFailure::NotRun) => self.pause(now),
+            Err(SwapFailure::Unknown) if !read_back => self.finish(Verdict::Unavailable),
+            Err(SwapFailure::Unknown) => {
+                // The request may still be on its way. The same swap is tried again: both expect
+                // the same version, so that at most one of them takes effect.
+                work.in_doubt = true;
+                self.pause(now)
+            }
+        }
+    }
+
+    fn pause(&mut self, now: Timestamp) -> Vec<AcceptAction> {
+        let until = now + self.settings.retry_pause;
+        if let Some(work) = &mut self.work {
+            work.step = Step::Pausing { until };
+        }
+        self.on_tick(now)
+    }
+
+    fn on_tick(&mut self, now: Timestamp) -> Vec<AcceptAction> {
+        let Some(work) = &mut self.work else {
+            return Vec::new();
+        };
+        if now >= work.deadline {
+            let verdict = self.late_verdict();
+            return self.finish(verdict);
+        }
+        match work.step {
+            Step::Pausing { until } if now >= until => {
+                work.step = Step::Reading;
+                vec![AcceptAction::Read]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// What is known when the time is over.
+    fn late_verdict(&self) -> Verdict {
+        let Some(work) = &self.work else {
+            return Verdict::Unavailable;
+        };
+        let is_swapping = work.step == Step::Swapping;
+        if work.in_doubt || is_swapping {
+            return Verdict::Unknown;
+        }
+        let newest = self.known.as_ref().map_or(Generation(0), |known| known.generation());
+        if work.lost || newest > work.proposal.expected {
+            return Verdict::Conflict { newest, lost_to: None };
+        }
+        Verdict::Unavailable
+    }
+
+    fn finish(&mut self, verdict: Verdict) -> Vec<AcceptAction> {
+        if let Verdict::Accepted(record) = &verdict {
+            self.observe(record.clone());
+        }
+        let Some(work) = self.work.take() else {
+            return Vec::new();
+        };
+        vec![AcceptAction::Finished(work.proposal.change, verdict)]
+    }
+
+    /// When to pass the next [`AcceptEvent::Tick`]; none without work.
+    pub fn next_tick(&self, now: Timestamp) -> Option<Timestamp> {
+        let work = self.work.as_ref()?;
+        let due = match work.step {
+            Step::Pausing { until } => until.min(work.deadline),
+            Step::Reading | Step::Swapping => work.deadline,
+        };
+        Some(due.max(now + Duration::from_millis(1)))
+    }
+}
+
+fn newer(one: Option<Arc<Record>>, other: Option<Arc<Record>>) -> Option<Arc<Record>> {
+    let generation = |record: &Option<Arc<Record>>| record.as_ref().map(|it| it.generation());
+    if generation(&one) >= generation(&other) { one } else { other }
+}
--- /dev/null
+++ b/crates/configuration/src/document.rs
@@ -0,0 +1,245 @@
+//! The operators' document: what serves programs, and what tenants may use. TOML.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dahlia_types::{DaemonId, EngineId, ModelId, TenantId};
+use serde::{Deserialize, Serialize};
+
+use crate::DocumentError;
+
+/// Largest document in bytes. Each daemon holds a few and fetches each new one once.
+pub const MOST_DOCUMENT_BYTES: usize = 256 << 10;
+
+/// The whole document. Every part may be left out.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Document {
+    /// What a program gets that states nothing else.
+    pub defaults: ProgramDefaults,
+    /// Limits of tenants that `tenants` does not name.
+    pub tenant_defaults: TenantLimits,
+    /// Exceptions. Most of many thousand tenants are not listed.
+    pub tenants: BTreeMap<TenantId, TenantOverrides>,
+    /// Models, each with its adapter and version, by the identifier that programs state.
+    pub models: BTreeMap<ModelId, ModelEntry>,
+    /// Engines that are in the configuration's care.
+    pub engines: BTreeMap<EngineId, EngineEntry>,
+    /// Daemons that are to hand over and take no new groups.
+    pub draining_daemons: BTreeSet<DaemonId>,
+}
+
+/// What a program gets that states nothing else.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProgramDefaults {
+    /// Model; none makes it a required field of a new program.
+    pub model: Option<ModelId>,
+    /// Budget in tokens.
+    pub budget_tokens: u64,
+    /// Time without a call after which a program ends, in milliseconds.
+    pub idle_expiry_ms: u64,
+}
+
+impl Default for ProgramDefaults {
+    fn default() -> Self {
+        Self { model: None, budget_tokens: 1_000_000, idle_expiry_ms: 3_600_000 }
+    }
+}
+
+/// What one tenant may use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TenantLimits {
+    /// Calls begun in a second.
+    pub calls_per_second: u32,
+    /// Calls open at once.
+    pub open_calls: u32,
+    /// Programs open at once.
+    pub open_programs: u32,
+    /// Largest budget of one program in tokens.
+    pub most_budget_tokens: u64,
+}
+
+impl Default for TenantLimits {
+    fn default() -> Self {
+        Self {
+            calls_per_second: 50,
+            open_calls: 500,
+            open_programs: 2_000,
+            most_budget_tokens: 10_000_000,
+        }
+    }
+}
+
+/// A tenant's exceptions from [`Document::tenant_defaults`].
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TenantOverrides {
+    /// Calls begun in a second.
+    pub calls_per_second: Option<u32>,
+    /// Calls open at once.
+    pub open_calls: Option<u32>,
+    /// Programs open at once.
+    pub open_programs: Option<u32>,
+    /// Largest budget of one program in tokens.
+    pub most_budget_tokens: Option<u64>,
+}
+
+/// A model with its adapter and version, and what serves it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelEntry {
+    /// Name of the model, without adapter and version.
+    pub base: String,
+    /// Name of the adapter, if any.
+    #[serde(default)]
+    pub adapter: Option<String>,
+    /// Version of model and adapter together.
+    pub version: String,
+    /// Engines that are to serve it.
+    pub engines: BTreeSet<EngineId>,
+    /// A roll-out never leaves fewer engines serving it.
+    #[serde(default = "one")]
+    pub least_serving: u32,
+    /// Bytes that a load takes from the weight store.
+    #[serde(default)]
+    pub weight_bytes: u64,
+}
+
+impl ModelEntry {
+    /// The identifier: `<base>@<version>` or `<base>/<adapter>@<version>`.
+    pub fn id(&self) -> ModelId {
+        match &self.adapter {
+            Some(adapter) => ModelId(format!("{}/{adapter}@{}", self.base, self.version)),
+            None => ModelId(format!("{}@{}", self.base, self.version)),
+        }
+    }
+}
+
+/// What an engine is to do with new work.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// It takes new attempts.
+    #[default]
+    Serving,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// Settings of one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineEntry {
+    /// What it is to do with new work.
+    pub role: EngineRole,
+    /// Models that fit into it at once.
+    pub slots: u32,
+}
+
+impl Default for EngineEntry {
+    fn default() -> Self {
+        Self { role: EngineRole::Serving, slots: 2 }
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Document {
+    /// Reads and checks a document.
+    ///
+    /// # Errors
+    /// [`DocumentError`] naming the field, what was found and what is allowed.
+    pub fn parse(text: &str) -> Result<Self, DocumentError> {
+        if text.len() > MOST_DOCUMENT_BYTES {
+            return Err(DocumentError::TooLarge { bytes: text.len(), most: MOST_DOCUMENT_BYTES });
+        }
+        let document: Self = toml::from_str(text)
+            .map_err(|error| DocumentError::Malformed { reason: error.to_string() })?;
+        document.check()?;
+        Ok(document)
+    }
+
+    /// The document as TOML.
+    pub fn to_text(&self) -> String {
+        toml::to_string(self).expect("every part of a document has a TOML form")
+    }
+
+    /// What `tenant` may use.
+    pub fn limits_of(&self, tenant: &TenantId) -> TenantLimits {
+        let defaults = &self.tenant_defaults;
+        let Some(overrides) = self.tenants.get(tenant) else {
+            return defaults.clone();
+        };
+        TenantLimits {
+            calls_per_second: overrides.calls_per_second.unwrap_or(defaults.calls_per_second),
+            open_calls: overrides.open_calls.unwrap_or(defaults.open_calls),
+            open_programs: overrides.open_programs.unwrap_or(defaults.open_programs),
+            most_budget_tokens: overrides.most_budget_tokens.unwrap_or(defaults.most_budget_tokens),
+        }
+    }
+
+    /// What an engine is to do; engines that are not listed serve.
+    pub fn role_of(&self, engine: &EngineId) -> EngineRole {
+        self.engines.get(engine).map_or(EngineRole::Serving, |entry| entry.role)
+    }
+
+    /// Models that `engine` is to serve.
+    pub fn models_of<'document>(
+        &'document self,
+        engine: &EngineId,
+    ) -> impl Iterator<Item = &'document ModelId> {
+        let engine = engine.clone();
+        let serves = move |entry: &ModelEntry| entry.engines.contains(&engine);
+        self.models.iter().filter(move |(_, entry)| serves(entry)).map(|(model, _)| model)
+    }
+
+    fn check(&self) -> Result<(), DocumentError> {
+        if let Some(model) = &self.defaults.model
+            && !self.models.contains_key(model)
+        {
+            let known = self.models.keys().map(ModelId::as_str).collect::<Vec<_>>().join(", ");
+            return invalid("defaults.model", model, format!("one of: {known}"));
+        }
+        self.models.iter().try_for_each(|(model, entry)| self.check_model(model, entry))?;
+        self.engines.iter().try_for_each(|(engine, entry)| self.check_engine(engine, entry))
+    }
+
+    fn check_model(&self, model: &ModelId, entry: &ModelEntry) -> Result<(), DocumentError> {
+        let field = |name: &str| format!("models.{:?}.{name}", model.as_str());
+        if entry.id() != *model {
+            let field = format!("models.{:?}", model.as_str());
+            return invalid(&field, model, format!("{} by its parts", entry.id()));
+        }
+        if let Some(engine) = entry.engines.iter().find(|id| !self.engines.contains_key(id)) {
+            return invalid(&field("engines"), engine, "engines listed in `engines`".to_owned());
+        }
+        if entry.least_serving == 0 {
+            return invalid(&field("least_serving"), 0, "at least 1".to_owned());
+        }
+        let serving = |id: &&EngineId| self.role_of(id) == EngineRole::Serving;
+        let count = entry.engines.iter().filter(serving).count();
+        if count < entry.least_serving as usize {
+            let allowed = format!("at least {} engines that do not drain", entry.least_serving);
+            return invalid(&field("engines"), format!("{count} of them"), allowed);
+        }
+        Ok(())
+    }
+
+    fn check_engine(&self, engine: &EngineId, entry: &EngineEntry) -> Result<(), DocumentError> {
+        let needed = self.models_of(engine).count().max(1);
+        if (entry.slots as usize) < needed {
+            let field = format!("engines.{:?}.slots", engine.as_str());
+            return invalid(&field, entry.slots, format!("at least {needed}, its models"));
+        }
+        Ok(())
+    }
+}
+
+fn invalid(field: &str, value: impl ToString, allowed: String) -> Result<(), DocumentError> {
+    Err(DocumentError::Invalid { field: field.to_owned(), value: value.to_string(), allowed })
+}
--- /dev/null
+++ b/crates/configuration/src/follower/message.rs
@@ -0,0 +1,105 @@
+//! What a follower reacts to, what it tells other daemons, and what its driver is to do.
+
+use std::sync::Arc;
+
+use dahlia_types::{DaemonId, Generation, Zone};
+use serde::{Deserialize, Serialize};
+
+use crate::{Record, RecordError, ServiceUnavailable, Stamp};
+
+/// Another daemon that is believed to live.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Peer {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its zone.
+    pub zone: Zone,
+}
+
+/// A message between followers. Each may be lost, late or repeated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Asks for the other's newest generation and states one's own; none when it knows none.
+    Compare(Option<Stamp>),
+    /// Answers [`PeerMessage::Compare`].
+    Tell {
+        /// The sender's newest generation.
+        newest: Option<Stamp>,
+        /// Whether the sender serves by it; a daemon that starts does not.
+        serves: bool,
+    },
+    /// A generation that is new to the sender, who has its record.
+    Announce(Stamp),
+    /// Asks for the record of the newest generation.
+    Fetch,
+    /// A record's bytes.
+    Body(Vec<u8>),
+}
+
+/// What a follower reacts to.
+#[derive(Debug, Clone)]
+pub enum FollowerEvent {
+    /// The other daemons that are believed to live. The first comes from the settings' peers to
+    /// start from; a daemon that runs alone passes none.
+    Peers(Vec<Peer>),
+    /// The result of [`FollowerAction::ReadService`]: the key's value, perhaps an older one.
+    Service(Result<Option<Vec<u8>>, ServiceUnavailable>),
+    /// The watch delivered a value of the key.
+    Watched(Vec<u8>),
+    /// The watch could not be opened or broke.
+    WatchEnded,
+    /// A message of another daemon.
+    Message {
+        /// Who sent it.
+        from: DaemonId,
+        /// What it says.
+        message: PeerMessage,
+    },
+    /// This daemon's accepter brought in a generation.
+    Accepted(Arc<Record>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the driver is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FollowerAction {
+    /// Read the configuration's key.
+    ReadService,
+    /// Read the key, report its value as watched, and watch it from there.
+    OpenWatch,
+    /// End the watch.
+    CloseWatch,
+    /// Send to another daemon.
+    Send {
+        /// To whom.
+        to: DaemonId,
+        /// What.
+        message: PeerMessage,
+    },
+    /// The daemon may serve. Without a preceding [`FollowerAction::InForce`] no generation exists.
+    Ready,
+    /// This generation is in force from now on. Generations only rise.
+    InForce(Arc<Record>),
+    /// Something is wrong outside; to be logged and counted.
+    Report(Anomaly),
+}
+
+/// Something outside that is wrong and does no harm here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Anomaly {
+    /// The service answered with an older generation than is in force.
+    ServiceOlder {
+        /// What it answered.
+        found: Generation,
+        /// What is in force.
+        in_force: Generation,
+    },
+    /// Two records of one generation differ. The one in force stays.
+    Diverged {
+        /// The generation.
+        generation: Generation,
+    },
+    /// A record cannot be read. The generation in force stays.
+    Unreadable(RecordError),
+}
--- /dev/null
+++ b/crates/configuration/src/record.rs
@@ -0,0 +1,202 @@
+//! A generation of the configuration as it lies in the key-value service and travels between
+//! daemons.
+
+use std::fmt;
+
+use dahlia_types::{Generation, Timestamp};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use snafu::ResultExt;
+
+use crate::error::DocumentSnafu;
+use crate::{Document, RecordError};
+
+/// Layout of records that this build writes and reads.
+const LAYOUT: u16 = 1;
+
+/// Changes that a record lists besides its own. A lost reply can be resolved for as long as the
+/// change is among them.
+pub const RECENT_CHANGES: usize = 64;
+
+/// The key of the newest record in the key-value service.
+pub const CONFIGURATION_KEY: &str = "dahlialadder/configuration";
+
+/// An operator's own name for one change, so that it is found again after a lost reply.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ChangeId(pub String);
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+/// SHA-256 of some bytes; text form 64 hex digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// The digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        let malformed = || format!("{text:?} is not 64 hex digits");
+        let mut digest = [0; 32];
+        if text.len() != 2 * digest.len() || !text.is_ascii() {
+            return Err(malformed());
+        }
+        for (place, byte) in digest.iter_mut().enumerate() {
+            let digits = &text[2 * place..2 * place + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| malformed())?;
+        }
+        Ok(Self(digest))
+    }
+}
+
+/// Names a generation and its content; what daemons tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The generation.
+    pub generation: Generation,
+    /// The digest of its record's bytes.
+    pub digest: Digest,
+}
+
+/// One accepted change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeSummary {
+    /// The generation that it became.
+    pub generation: Generation,
+    /// Its identity.
+    pub change: ChangeId,
+    /// Who made it.
+    pub author: String,
+    /// When it was proposed, by the clock of the daemon that wrote it.
+    pub at: Timestamp,
+    /// Digest of its document's text.
+    pub document: Digest,
+}
+
+/// The stored form.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StoredRecord {
+    layout: u16,
+    change: ChangeSummary,
+    recent: Vec<ChangeSummary>,
+    document: String,
+}
+
+/// One generation of the configuration, checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    change: ChangeSummary,
+    recent: Vec<ChangeSummary>,
+    text: String,
+    document: Document,
+    bytes: Vec<u8>,
+    digest: Digest,
+}
+
+impl Record {
+    /// The first record or the one that follows `base`.
+    ///
+    /// # Errors
+    /// [`RecordError::Document`] when `text` is not a valid document.
+    pub(crate) fn after(
+        base: Option<&Record>,
+        change: ChangeId,
+        author: String,
+        text: String,
+        at: Timestamp,
+    ) -> Result<Self, RecordError> {
+        let generation = base.map_or(Generation(0), Record::generation).next();
+        let document = Digest::of(text.as_bytes());
+        let earlier = base.into_iter().flat_map(Record::changes);
+        let stored = StoredRecord {
+            layout: LAYOUT,
+            change: ChangeSummary { generation, change, author, at, document },
+            recent: earlier.take(RECENT_CHANGES).cloned().collect(),
+            document: text,
+        };
+        let bytes = serde_json::to_vec(&stored).expect("a record always has a JSON form");
+        Self::checked(stored, bytes)
+    }
+
+    /// Reads a record from the service or a peer.
+    ///
+    /// # Errors
+    /// [`RecordError`] when the bytes are not a record or its document is not valid here.
+    pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        let stored: StoredRecord = serde_json::from_slice(bytes)
+            .map_err(|error| RecordError::Undecodable { reason: error.to_string() })?;
+        if stored.layout != LAYOUT {
+            return Err(RecordError::OtherLayout { found: stored.layout, read: LAYOUT });
+        }
+        Self::checked(stored, bytes.to_vec())
+    }
+
+    fn checked(stored: StoredRecord, bytes: Vec<u8>) -> Result<Self, RecordError> {
+        let generation = stored.change.generation;
+        let document = Document::parse(&stored.document).context(DocumentSnafu { generation })?;
+        let digest = Digest::of(&bytes);
+        let StoredRecord { change, recent, document: text, .. } = stored;
+        Ok(Self { change, recent, text, document, bytes, digest })
+    }
+
+    /// The bytes for the service and for peers.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// The generation.
+    pub fn generation(&self) -> Generation {
+        self.change.generation
+    }
+
+    /// Generation and content, for announcements.
+    pub fn stamp(&self) -> Stamp {
+        Stamp { generation: self.generation(), digest: self.digest }
+    }
+
+    /// The change that made it.
+    pub fn change(&self) -> &ChangeSummary {
+        &self.change
+    }
+
+    /// Its own change and the recent ones before it, newest first.
+    pub fn changes(&self) -> impl Iterator<Item = &ChangeSummary> {
+        std::iter::once(&self.change).chain(&self.recent)
+    }
+
+    /// The operators' text, with their comments.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// What the text says.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+}
--- /dev/null
+++ b/crates/configuration/tests/spread/main.rs
@@ -0,0 +1,193 @@
+//! A generation reaches every daemon in time and is never replaced by an older one.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod network;
+
+use common::DOCUMENT;
+use dahlia_configuration::Mechanism;
+use dahlia_types::{DaemonId, Duration, Generation};
+use network::{Network, Revert};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+const DAEMONS: u32 = 370;
+const ZONES: u32 = 7;
+const BOUND: Duration = Duration::from_secs(7);
+const STEP: Duration = Duration::from_millis(50);
+
+/// Starts 370 daemons that serve generation 1.
+fn fleet(seed: u64, off: Option<Mechanism>) -> Network {
+    let mut network = Network::new(seed, DAEMONS, ZONES, off);
+    network.loss = 0.01;
+    network.service.accept("first", DOCUMENT);
+    network.start().expect("nothing was in force");
+    network.run(Duration::from_secs(30)).expect("one generation");
+    assert_eq!(network.serving(Generation(1)), DAEMONS as usize, "seed {seed}");
+    network
+}
+
+/// Time until every daemon serves a change that is accepted now; none after three bounds.
+fn time_to_all(network: &mut Network) -> Option<Duration> {
+    let start = network.now;
+    let generation = network.accept(DaemonId(200), DOCUMENT).expect("newer");
+    network.begin_outage();
+    while network.now.since(start) < BOUND.times(3) {
+        network.run(STEP).expect("generations rise");
+        if network.serving(generation) == DAEMONS as usize {
+            return Some(network.now.since(start));
+        }
+    }
+    None
+}
+
+#[test]
+fn a_change_reaches_370_daemons_in_time_though_the_service_fails_right_after_it() {
+    for seed in 0..5 {
+        let took = time_to_all(&mut fleet(seed, None));
+        assert!(took.is_some_and(|took| took < BOUND), "seed {seed}: {took:?}");
+    }
+}
+
+#[test]
+fn without_announcements_the_change_comes_too_late() {
+    let took = time_to_all(&mut fleet(0, Some(Mechanism::Announcements)));
+    assert!(took.is_none_or(|took| took >= BOUND), "{took:?}");
+}
+
+#[test]
+fn the_services_load_does_not_grow_with_the_daemons() {
+    let mut network = fleet(0, None);
+    let (reads, messages) = (network.service_reads, network.messages);
+    network.run(Duration::from_secs(60)).expect("nothing changes");
+    let (reads, messages) = (network.service_reads - reads, network.messages - messages);
+    assert!(reads <= 90, "{reads} reads in a minute");
+    let each = messages as f64 / f64::from(DAEMONS) / 60.0;
+    assert!(each < 2.0, "{each} messages a second from each daemon");
+}
+
+/// A zone is cut off during a change and healed; gives whether its daemons learn of it while the
+/// service is down.
+fn heals(off: Option<Mechanism>) -> bool {
+    let mut network = Network::new(1, 21, 3, off);
+    network.service.accept("first", DOCUMENT);
+    network.start().expect("nothing was in force");
+    network.run(Duration::from_secs(30)).expect("one generation");
+    network.cut = Some(network.zone_of(DaemonId(0)));
+    network.begin_outage();
+    let generation = network.accept(DaemonId(1), DOCUMENT).expect("newer");
+    network.run(Duration::from_secs(20)).expect("generations rise");
+    assert_eq!(network.serving(generation), 14, "the zones that see each other");
+    network.cut = None;
+    network.run(Duration::from_secs(10)).expect("generations rise");
+    network.serving(generation) == 21
+}
+
+#[test]
+fn a_zone_that_was_cut_off_catches_up() {
+    assert!(heals(None));
+}
+
+#[test]
+fn without_comparison_a_zone_that_was_cut_off_stays_behind() {
+    assert!(!heals(Some(Mechanism::Comparison)));
+}
+
+/// Five minutes of random faults over 12 daemons; every daemon serves the newest in the end.
+fn storm(seed: u64, off: Option<Mechanism>) -> Result<(), Revert> {
+    let mut network = Network::new(seed, 12, 3, off);
+    network.loss = 0.05;
+    network.service.accept("first", DOCUMENT);
+    network.start()?;
+    network.run(Duration::from_secs(20))?;
+    for _ in 0..100 {
+        match network.random.random_range(0..10) {
+            0..3 if !network.outage => {
+                let daemon = any_daemon(&mut network);
+                network.accept(daemon, DOCUMENT)?;
+            }
+            0..3 => network.outage = false,
+            3..6 => {
+                let daemon = any_daemon(&mut network);
+                network.restart(daemon)?;
+            }
+            6 => network.begin_outage(),
+            7 => network.behind = network.random.random_range(0..3),
+            8 => network.cut = None,
+            _ => network.cut = Some(any_zone(&mut network)),
+        }
+        let millis = network.random.random_range(0..6_000);
+        network.run(Duration::from_millis(millis))?;
+    }
+    (network.outage, network.behind, network.cut) = (false, 0, None);
+    network.run(Duration::from_secs(60))?;
+    let newest = network.service.values.len() as u64;
+    assert_eq!(network.serving(Generation(newest)), 12, "seed {seed}");
+    Ok(())
+}
+
+fn any_daemon(network: &mut Network) -> DaemonId {
+    let daemons = network.daemons();
+    *daemons.choose(&mut network.random).expect("there are daemons")
+}
+
+fn any_zone(network: &mut Network) -> dahlia_types::Zone {
+    let daemon = any_daemon(network);
+    network.zone_of(daemon)
+}
+
+const STORMS: u64 = 40;
+
+#[test]
+fn no_daemon_reverts_in_any_storm() {
+    for seed in 0..STORMS {
+        storm(seed, None).unwrap_or_else(|revert| panic!("seed {seed}: {revert:?}"));
+    }
+}
+
+/// Asserts that some storm shows a revert once `mechanism` is off.
+fn assert_needed(mechanism: Mechanism) {
+    let reverts = (0..STORMS).filter(|seed| storm(*seed, Some(mechanism)).is_err());
+    assert!(reverts.count() > 0, "no daemon reverted without {mechanism:?}");
+}
+
+#[test]
+fn without_the_generation_check_a_daemon_reverts() {
+    assert_needed(Mechanism::GenerationCheck);
+}
+
+#[test]
+fn without_asking_peers_a_daemon_reverts() {
+    assert_needed(Mechanism::AskPeers);
+}
+
+/// The daemon that brought in a change restarts at once, with the service down: few others have
+/// the change when it asks them.
+fn restart_after_change(seed: u64, off: Option<Mechanism>) -> Result<(), Revert> {
+    let mut network = Network::new(seed, 60, 3, off);
+    network.service.accept("first", DOCUMENT);
+    network.start()?;
+    network.run(Duration::from_secs(20))?;
+    let generation = network.accept(DaemonId(7), DOCUMENT)?;
+    network.begin_outage();
+    network.run(Duration::from_millis(1))?;
+    network.restart(DaemonId(7))?;
+    network.run(Duration::from_secs(10))?;
+    assert_eq!(network.serving(generation), 60, "seed {seed}");
+    Ok(())
+}
+
+#[test]
+fn a_daemon_that_restarts_at_once_after_its_change_does_not_revert() {
+    for seed in 0..20 {
+        assert_eq!(restart_after_change(seed, None), Ok(()), "seed {seed}");
+    }
+}
+
+#[test]
+fn without_the_wait_for_the_spread_a_daemon_reverts() {
+    let restarts = (0..20).map(|seed| restart_after_change(seed, Some(Mechanism::SpreadWait)));
+    let reverts = restarts.filter(|restarted| restarted.is_err()).count();
+    assert!(reverts > 0, "no daemon reverted without the wait");
+}
