Prove acceptance and orders under lost replies, stale reads and lagging reports

A repeat now says so and is told 'unknown' until a read decides it. - A roll-out into engines with one slot unloaded all but one engine at once. An engine now gives up a model only while fewer than the allowed loads are open. - A planner that had not heard of some engines yet began with later ones than another planner. An engine never heard of now counts as being changed. - After a roll-out was taken back, the order it took back could still arrive and take the last engine. Such an engine does not count as serving until the older order has arrived or been given up.

--- a/crates/configuration/src/accept.rs
+++ b/crates/configuration/src/accept.rs
@@ -21,6 +21,9 @@
     pub author: String,
     /// The whole new document, TOML.
     pub document: String,
+    /// An earlier request of this identity had no answer, or the answer that its outcome is
+    /// unknown. Its swap may still be on its way, so that an outage now proves nothing.
+    pub repeated: bool,
 }
 
 /// The configuration's key as the service gave it, perhaps an older state.
@@ -120,7 +123,7 @@
     deadline: Timestamp,
     step: Step,
     candidate: Option<Arc<Record>>,
-    /// Some swap's reply was lost.
+    /// Some swap's reply was lost, of this request or an earlier one.
     in_doubt: bool,
     /// Some swap found another state than expected.
     lost: bool,
@@ -173,7 +176,8 @@
 
     fn propose(&mut self, proposal: Proposal, now: Timestamp) -> Vec<AcceptAction> {
         if let Some(work) = &self.work {
-            if work.proposal == proposal {
+            let same_change = work.proposal.change == proposal.change;
+            if same_change && work.proposal.document == proposal.document {
                 return Vec::new();
             }
             return vec![AcceptAction::Finished(proposal.change, Verdict::Busy)];
@@ -181,12 +185,13 @@
         if let Err(error) = Document::parse(&proposal.document) {
             return vec![AcceptAction::Finished(proposal.change, Verdict::Invalid(error))];
         }
+        let in_doubt = proposal.repeated;
         self.work = Some(Work {
             proposal,
             deadline: now + self.settings.accept_within,
             step: Step::Reading,
             candidate: None,
-            in_doubt: false,
+            in_doubt,
             lost: false,
         });
         vec![AcceptAction::Read]
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -202,8 +202,7 @@
         if let Some(model) = &self.defaults.model
             && !self.models.contains_key(model)
         {
-            let known = self.models.keys().map(ModelId::as_str).collect::<Vec<_>>().join(", ");
-            return invalid("defaults.model", model, format!("one of: {known}"));
+            return invalid("defaults.model", model, "a model listed in `models`".to_owned());
         }
         self.models.iter().try_for_each(|(model, entry)| self.check_model(model, entry))?;
         self.engines.iter().try_for_each(|(engine, entry)| self.check_engine(engine, entry))
--- a/crates/configuration/src/follower/spread.rs
+++ b/crates/configuration/src/follower/spread.rs
@@ -171,11 +171,15 @@
         }
         // The interval grows with the number of daemons, so that the service's load does not.
         let daemons = self.peers.len() as u64 + 1;
-        let first = self.spread.next_read == Timestamp::ZERO;
-        self.spread.next_read = now + self.jittered(self.settings.read_interval.times(daemons));
-        if !first {
-            actions.push(FollowerAction::ReadService);
+        let interval = self.settings.read_interval.times(daemons);
+        if self.spread.next_read == Timestamp::ZERO {
+            // Daemons that start together must not read together.
+            let wait = self.random.random_range(0..=interval.as_micros());
+            self.spread.next_read = now + Duration(wait);
+            return;
         }
+        self.spread.next_read = now + self.jittered(interval);
+        actions.push(FollowerAction::ReadService);
     }
 
     /// Half to one and a half of `length`, so that daemons do not act in step.
--- a/crates/configuration/src/orders/fleet.rs
+++ b/crates/configuration/src/orders/fleet.rs
@@ -2,36 +2,59 @@
 //! may have changed since. Reports lag, so an order that takes service away counts at once and
 //! one that adds service counts only when it is reported.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_types::{EngineId, ModelId, Timestamp};
+use dahlia_types::{Duration, EngineId, Incarnation, ModelId, Timestamp};
 
 use super::{EngineState, ModelState, OrderKind};
 use crate::{Document, EngineRole};
 
+/// An order that was sent to one life of an engine.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    incarnation: Incarnation,
+    at: Timestamp,
+}
+
 /// The engines with the orders under way.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
     reported: BTreeMap<EngineId, EngineState>,
-    under_way: BTreeMap<(EngineId, OrderKind), Timestamp>,
+    lost: BTreeSet<EngineId>,
+    under_way: BTreeMap<(EngineId, OrderKind), Sent>,
+    /// Orders that a newer one took back, and until when they may still arrive before it.
+    taken_back: BTreeMap<(EngineId, OrderKind), Timestamp>,
+    now: Timestamp,
 }
 
 impl Fleet {
+    pub(super) fn set_time(&mut self, now: Timestamp) {
+        self.now = now;
+        self.taken_back.retain(|_, until| now < *until);
+    }
+
     pub(super) fn report(&mut self, engine: EngineId, state: EngineState) {
         let earlier = self.reported.get(&engine);
         if earlier.is_some_and(|earlier| earlier.incarnation > state.incarnation) {
             return;
         }
         // Orders do not outlive the engine's life.
-        let same_life = earlier.is_some_and(|it| it.incarnation == state.incarnation);
-        self.under_way
-            .retain(|(id, kind), _| *id != engine || (same_life && !is_visible(&state, kind)));
+        self.under_way.retain(|(id, kind), sent| {
+            let same_life = sent.incarnation == state.incarnation;
+            *id != engine || (same_life && !is_visible(&state, kind))
+        });
+        self.lost.remove(&engine);
         self.reported.insert(engine, state);
     }
 
     pub(super) fn lose(&mut self, engine: &EngineId) {
         self.reported.remove(engine);
-        self.under_way.retain(|(id, _), _| id != engine);
+        self.lost.insert(engine.clone());
+    }
+
+    /// Whether the driver said that the engine is gone.
+    pub(super) fn is_lost(&self, engine: &EngineId) -> bool {
+        self.lost.contains(engine)
     }
 
     pub(super) fn engines(&self) -> Vec<EngineId> {
@@ -44,19 +67,27 @@
 
     /// When the order was sent, if it is under way.
     pub(super) fn sent(&self, engine: &EngineId, kind: &OrderKind) -> Option<Timestamp> {
-        self.under_way.get(&(engine.clone(), kind.clone())).copied()
+        self.under_way.get(&(engine.clone(), kind.clone())).map(|sent| sent.at)
     }
 
-    /// Notes that an order was sent. It replaces the opposite one.
-    pub(super) fn note(&mut self, engine: &EngineId, kind: &OrderKind, now: Timestamp) {
+    /// Notes that an order was sent now. It takes the opposite one back, which may still arrive
+    /// before it until `arrival` has passed.
+    pub(super) fn note(&mut self, engine: &EngineId, kind: &OrderKind, arrival: Duration) {
+        let Some(state) = self.reported.get(engine) else {
+            return;
+        };
+        let sent = Sent { incarnation: state.incarnation, at: self.now };
         let opposite = match kind {
             OrderKind::Load(model) => OrderKind::Unload(model.clone()),
             OrderKind::Unload(model) => OrderKind::Load(model.clone()),
             OrderKind::SetRole(EngineRole::Serving) => OrderKind::SetRole(EngineRole::Draining),
             OrderKind::SetRole(EngineRole::Draining) => OrderKind::SetRole(EngineRole::Serving),
         };
-        self.under_way.remove(&(engine.clone(), opposite));
-        self.under_way.insert((engine.clone(), kind.clone()), now);
+        let opposite = (engine.clone(), opposite);
+        if self.under_way.remove(&opposite).is_some() {
+            self.taken_back.insert(opposite, self.now + arrival);
+        }
+        self.under_way.insert((engine.clone(), kind.clone()), sent);
     }
 
     /// Whether the engine has the model, or an order to load it is under way.
@@ -68,6 +99,22 @@
         reported && self.sent(engine, &OrderKind::Unload(model.clone())).is_none()
     }
 
+    /// Whether the engine reports that the model is ready.
+    pub(super) fn is_ready(&self, engine: &EngineId, model: &ModelId) -> bool {
+        let state = self.state(engine);
+        state.is_some_and(|state| state.models.get(model) == Some(&ModelState::Ready))
+    }
+
+    /// Whether a model of the engine is loading, or an order to load or unload one is under way.
+    pub(super) fn changes(&self, engine: &EngineId) -> bool {
+        let is_loading = |state: &ModelState| *state == ModelState::Loading;
+        let loads = self.state(engine).is_some_and(|it| it.models.values().any(is_loading));
+        let ordered = self.under_way.keys().any(|(id, kind)| {
+            id == engine && matches!(kind, OrderKind::Load(_) | OrderKind::Unload(_))
+        });
+        loads || ordered
+    }
+
     /// Models that take a slot of the engine. One whose unloading is not yet seen still does.
     pub(super) fn slots_taken(&self, engine: &EngineId) -> usize {
         let reported = self.state(engine).map_or(0, |state| state.models.len());
@@ -82,11 +129,15 @@
         let Some(state) = self.state(engine) else {
             return false;
         };
-        let drains = self.sent(engine, &OrderKind::SetRole(EngineRole::Draining)).is_some();
-        let unloads = self.sent(engine, &OrderKind::Unload(model.clone())).is_some();
-        let is_ready = state.models.get(model) == Some(&ModelState::Ready);
+        let drains = self.may_arrive(engine, OrderKind::SetRole(EngineRole::Draining));
+        let unloads = self.may_arrive(engine, OrderKind::Unload(model.clone()));
         let is_serving = state.role == EngineRole::Serving && !state.leaving;
-        is_ready && is_serving && !drains && !unloads
+        self.is_ready(engine, model) && is_serving && !drains && !unloads
+    }
+
+    fn may_arrive(&self, engine: &EngineId, kind: OrderKind) -> bool {
+        let order = (engine.clone(), kind);
+        self.under_way.contains_key(&order) || self.taken_back.contains_key(&order)
     }
 
     /// How many engines certainly serve the model.
--- a/crates/configuration/src/orders/planner.rs
+++ b/crates/configuration/src/orders/planner.rs
@@ -10,7 +10,7 @@
 use dahlia_types::{Duration, EngineId, ModelId, Timestamp};
 
 use super::fleet::Fleet;
-use super::{FencedOrder, Held, ModelState, OrderKind, PlannerAction, PlannerEvent};
+use super::{FencedOrder, Held, OrderKind, PlannerAction, PlannerEvent};
 use crate::switches::Switches;
 use crate::{Document, EngineRole, Mechanism, Record, Settings};
 
@@ -45,6 +45,7 @@
 
     /// Takes an event and gives the orders that may be sent now.
     pub fn handle(&mut self, event: PlannerEvent, now: Timestamp) -> Vec<PlannerAction> {
+        self.fleet.set_time(now);
         match event {
             PlannerEvent::InForce(record) => self.take(record),
             PlannerEvent::Reported(engine, state) => self.fleet.report(engine, state),
@@ -161,11 +162,12 @@
         let Some(state) = self.planner.fleet.state(engine) else {
             return;
         };
-        let is_ready = |model: &&ModelId| state.models.get(*model) == Some(&ModelState::Ready);
-        let all_ready = targets.iter().all(is_ready);
+        let fleet = &self.planner.fleet;
+        let all_ready = targets.iter().all(|model| fleet.is_ready(engine, model));
         let waits_for_slot = !self.has_slot(engine)
             && targets.iter().any(|model| !self.planner.fleet.has(engine, model));
-        if !all_ready && !waits_for_slot {
+        let makes_room = waits_for_slot && self.may_exchange(engine);
+        if !all_ready && !makes_room {
             return;
         }
         let held: Vec<ModelId> = state.models.keys().cloned().collect();
@@ -204,6 +206,26 @@
         !paced || (self.now >= self.planner.next_load && self.planner.fleet.loading() < most)
     }
 
+    /// Whether one more engine may give up a model before it has the one that replaces it. No more
+    /// than can load at once, so that the others keep serving.
+    fn may_exchange(&self, engine: &EngineId) -> bool {
+        if !self.planner.switches.is_on(Mechanism::LeastServing) {
+            return true;
+        }
+        let fleet = &self.planner.fleet;
+        let is_between = |other: &&EngineId| {
+            let mut targets = self.document().models_of(other);
+            let lacks = targets.any(|model| !fleet.is_ready(other, model));
+            lacks && (self.has_slot(other) || fleet.changes(other))
+        };
+        // An engine that was never heard of may be in exchange by another planner's order.
+        let counts = |other: &&EngineId| {
+            !fleet.is_lost(other) && (fleet.state(other).is_none() || is_between(other))
+        };
+        let others = self.document().engines.keys().filter(|other| *other != engine);
+        others.filter(counts).count() < self.planner.settings.loads_at_once as usize
+    }
+
     /// Keeps the next load back until the weight store can have delivered this one.
     fn pace(&mut self, model: &ModelId) {
         let bytes = self.document().models.get(model).map_or(0, |entry| entry.weight_bytes);
@@ -223,7 +245,8 @@
             return;
         };
         let incarnation = state.incarnation;
-        self.planner.fleet.note(engine, &kind, self.now);
+        // Within two such times the order was taken or given up, and a report shows which.
+        self.planner.fleet.note(engine, &kind, resend.times(2));
         let generation = self.record.generation();
         let order = FencedOrder { engine: engine.clone(), incarnation, generation, kind };
         self.actions.push(PlannerAction::Send(order));
--- a/crates/configuration/src/settings.rs
+++ b/crates/configuration/src/settings.rs
@@ -34,7 +34,8 @@
     pub weight_store_rate: u64,
     /// Loads under way at once over all engines.
     pub loads_at_once: u32,
-    /// An order without a visible effect is sent again after this.
+    /// An order without a visible effect is sent again after this. The driver gives an order up
+    /// that was not answered within it, and engines report more often.
     pub order_resend: Duration,
 }
 
--- a/crates/configuration/tests/common/mod.rs
+++ b/crates/configuration/tests/common/mod.rs
@@ -32,6 +32,7 @@
         expected: Generation(expected),
         author: "operator".to_owned(),
         document: document.to_owned(),
+        repeated: false,
     }
 }
 
--- a/crates/configuration/tests/spread/main.rs
+++ b/crates/configuration/tests/spread/main.rs
@@ -47,6 +47,7 @@
     for seed in 0..5 {
         let took = time_to_all(&mut fleet(seed, None));
         assert!(took.is_some_and(|took| took < BOUND), "seed {seed}: {took:?}");
+        println!("seed {seed}: in force on {DAEMONS} daemons after {took:?} microseconds");
     }
 }
 
@@ -62,8 +63,9 @@
     let (reads, messages) = (network.service_reads, network.messages);
     network.run(Duration::from_secs(60)).expect("nothing changes");
     let (reads, messages) = (network.service_reads - reads, network.messages - messages);
-    assert!(reads <= 90, "{reads} reads in a minute");
+    assert!((20..=90).contains(&reads), "{reads} reads in a minute");
     let each = messages as f64 / f64::from(DAEMONS) / 60.0;
+    println!("{reads} reads of the service a minute, {each:.2} messages a second from each daemon");
     assert!(each < 2.0, "{each} messages a second from each daemon");
 }
 
