--- a/crates/configuration/src/accept.rs
+++ b/crates/configuration/src/accept.rs
@@ -26,6 +26,28 @@
     pub repeated: bool,
 }
 
+/// Longest change identity and author, in bytes. Both stay in the list of changes.
+const MOST_NAME_BYTES: usize = 64;
+
+impl Proposal {
+    fn check(&self) -> Result<(), DocumentError> {
+        check_name("change", &self.change.0)?;
+        check_name("author", &self.author)?;
+        Document::parse(&self.document).map(|_| ())
+    }
+}
+
+fn check_name(field: &str, name: &str) -> Result<(), DocumentError> {
+    if (1..=MOST_NAME_BYTES).contains(&name.len()) {
+        return Ok(());
+    }
+    Err(DocumentError::Invalid {
+        field: field.to_owned(),
+        value: format!("{} bytes long", name.len()),
+        allowed: format!("1 to {MOST_NAME_BYTES} bytes"),
+    })
+}
+
 /// The configuration's key as the service gave it, perhaps an older state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceRecord {
@@ -182,7 +204,7 @@
             }
             return vec![AcceptAction::Finished(proposal.change, Verdict::Busy)];
         }
-        if let Err(error) = Document::parse(&proposal.document) {
+        if let Err(error) = proposal.check() {
             return vec![AcceptAction::Finished(proposal.change, Verdict::Invalid(error))];
         }
         let in_doubt = proposal.repeated;
--- a/crates/configuration/src/error.rs
+++ b/crates/configuration/src/error.rs
@@ -42,6 +42,14 @@
         /// What the decoder said.
         reason: String,
     },
+    /// They are more than a record may have.
+    #[snafu(display("the record has {bytes} bytes; at most {most} are allowed"))]
+    Oversized {
+        /// Bytes found.
+        bytes: usize,
+        /// Bytes allowed.
+        most: usize,
+    },
     /// A later build wrote the record.
     #[snafu(display("the record has layout {found}; this build reads {read}"))]
     OtherLayout {
--- a/crates/configuration/src/follower/message.rs
+++ b/crates/configuration/src/follower/message.rs
@@ -39,8 +39,9 @@
 /// What a follower reacts to.
 #[derive(Debug, Clone)]
 pub enum FollowerEvent {
-    /// The other daemons that are believed to live. The first comes from the settings' peers to
-    /// start from; a daemon that runs alone passes none.
+    /// The other daemons that membership believes to live. Pass the first list once a peer of
+    /// the settings has told its members, or all of them were tried in vain: then an empty one.
+    /// Until the first list the daemon does not serve.
     Peers(Vec<Peer>),
     /// The result of [`FollowerAction::ReadService`]: the key's value, perhaps an older one.
     Service(Result<Option<Vec<u8>>, ServiceUnavailable>),
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -35,7 +35,8 @@
     PlannerEvent,
 };
 pub use record::{
-    CONFIGURATION_KEY, ChangeId, ChangeSummary, Digest, RECENT_CHANGES, Record, Stamp,
+    CONFIGURATION_KEY, ChangeId, ChangeSummary, Digest, MOST_RECORD_BYTES, RECENT_CHANGES, Record,
+    Stamp,
 };
 pub use settings::Settings;
 pub use switches::Mechanism;
--- a/crates/configuration/src/record.rs
+++ b/crates/configuration/src/record.rs
@@ -9,7 +9,7 @@
 use snafu::ResultExt;
 
 use crate::error::DocumentSnafu;
-use crate::{Document, RecordError};
+use crate::{Document, MOST_DOCUMENT_BYTES, RecordError};
 
 /// Layout of records that this build writes and reads.
 const LAYOUT: u16 = 1;
@@ -18,6 +18,9 @@
 /// change is among them.
 pub const RECENT_CHANGES: usize = 64;
 
+/// Largest record that is read: a document, escaped as JSON, and the list of changes.
+pub const MOST_RECORD_BYTES: usize = 2 * MOST_DOCUMENT_BYTES + (128 << 10);
+
 /// The key of the newest record in the key-value service.
 pub const CONFIGURATION_KEY: &str = "dahlialadder/configuration";
 
@@ -149,6 +152,9 @@
     /// # Errors
     /// [`RecordError`] when the bytes are not a record or its document is not valid here.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
+        if bytes.len() > MOST_RECORD_BYTES {
+            return Err(RecordError::Oversized { bytes: bytes.len(), most: MOST_RECORD_BYTES });
+        }
         let stored: StoredRecord = serde_json::from_slice(bytes)
             .map_err(|error| RecordError::Undecodable { reason: error.to_string() })?;
         if stored.layout != LAYOUT {
--- a/crates/configuration/tests/accept.rs
+++ b/crates/configuration/tests/accept.rs
@@ -255,6 +255,16 @@
     assert!(matches!(unlisted, Verdict::Conflict { lost_to: Some(_), .. }), "{unlisted:?}");
 }
 
+#[test]
+fn names_and_documents_are_checked_before_anything_is_read() {
+    let service = Service::default();
+    let long = proposal(&"x".repeat(65), 0, DOCUMENT);
+    for wrong in [long, proposal("", 0, DOCUMENT), proposal("a", 0, "models = 3")] {
+        let verdict = verdict_of(&service, wrong);
+        assert!(matches!(verdict, Verdict::Invalid(_)), "{verdict:?}");
+    }
+}
+
 #[test]
 fn a_service_that_forgot_generations_cannot_bring_them_back() {
     let mut service = Service::default();
--- a/crates/configuration/tests/document.rs
+++ b/crates/configuration/tests/document.rs
@@ -69,6 +69,8 @@
     for length in 0..record.bytes().len() {
         assert!(Record::decode(&record.bytes()[..length]).is_err(), "cut at {length}");
     }
+    let large = vec![b' '; 1 << 20];
+    assert!(matches!(Record::decode(&large), Err(RecordError::Oversized { .. })));
     let text = String::from_utf8(record.bytes().to_vec()).expect("JSON");
     let newer = text.replacen("\"layout\":1", "\"layout\":2", 1);
     let refused = Record::decode(newer.as_bytes());
--- a/crates/program/src/closing.rs
+++ b/crates/program/src/closing.rs
@@ -49,6 +49,14 @@
         Ok(Applied::ReleaseConfirmed)
     }
 
+    /// Whether [`ExpirePrograms`] would change anything: an owner need not propose it otherwise.
+    pub fn has_expired(&self, command: &ExpirePrograms) -> bool {
+        let is_due = |program: &Program| {
+            is_idle(program, command.now) || is_forgettable(program, &self.limits, command)
+        };
+        self.programs.values().any(is_due)
+    }
+
     pub(crate) fn expire_programs(&mut self, command: &ExpirePrograms) -> Applied {
         let switches = self.switches.clone();
         let mut closed = Vec::new();
--- a/crates/program/src/history.rs
+++ b/crates/program/src/history.rs
@@ -5,6 +5,9 @@
 use sha2::{Digest, Sha256};
 use snafu::Snafu;
 
+/// Largest chunk that is read.
+const MOST_CHUNK_BYTES: usize = 64 << 20;
+
 /// A chunk on the store daemons: the encoded messages of one turn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ChunkReference {
@@ -69,10 +72,10 @@
     if !reference.matches(chunk) {
         return Err(ChunkError::WrongDigest);
     }
+    let config = bincode::config::standard().with_limit::<MOST_CHUNK_BYTES>();
     let malformed = |reason: String| ChunkError::Malformed { reason };
-    let (wire, _): (Vec<ChunkMessage>, usize) =
-        bincode::serde::decode_from_slice(chunk, bincode::config::standard())
-            .map_err(|error| malformed(error.to_string()))?;
+    let (wire, _): (Vec<ChunkMessage>, usize) = bincode::serde::decode_from_slice(chunk, config)
+        .map_err(|error| malformed(error.to_string()))?;
     wire.into_iter()
         .map(|(code, content)| match role_of(code) {
             Some(role) => Ok(Message { role, content }),
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -236,6 +236,16 @@
         }))
     }
 
+    /// Turns whose text is held here, with chain and position: what may be moved to store daemons.
+    pub fn inline_turns(&self) -> impl Iterator<Item = (ChainId, u32, &[Message])> {
+        self.chains.iter().flat_map(|(chain, state)| {
+            (0..).zip(&state.turns).filter_map(|(position, turn)| match &turn.text {
+                TurnText::Inline(messages) => Some((*chain, position, messages.as_slice())),
+                TurnText::Stored(_) => None,
+            })
+        })
+    }
+
     /// How `call` ended; none while it is open.
     pub fn outcome(&self, call: CallId) -> Option<RecordedOutcome> {
         let outcome = match self.call(call)?.ended()? {
--- a/crates/program/src/snapshot.rs
+++ b/crates/program/src/snapshot.rs
@@ -7,6 +7,9 @@
 /// The layout that this build writes and reads.
 pub const SNAPSHOT_VERSION: u16 = 1;
 
+/// Largest state that is read. A damaged length must not make the decoder take all memory.
+const MOST_BYTES: usize = 1 << 30;
+
 /// Length of the version in front of the state.
 const VERSION_LENGTH: usize = 2;
 
@@ -57,9 +60,9 @@
         let (version, state) = bytes.split_at(VERSION_LENGTH);
         let found = u16::from_le_bytes([version[0], version[1]]);
         ensure!(found == SNAPSHOT_VERSION, OtherVersionSnafu { found });
+        let config = bincode::config::standard().with_limit::<MOST_BYTES>();
         let (restored, read) =
-            bincode::serde::decode_from_slice(state, bincode::config::standard())
-                .context(MalformedSnafu)?;
+            bincode::serde::decode_from_slice(state, config).context(MalformedSnafu)?;
         ensure!(read == state.len(), TrailingBytesSnafu { length: state.len() - read });
         Ok(restored)
     }
--- a/crates/program/tests/budget_and_release.rs
+++ b/crates/program/tests/budget_and_release.rs
@@ -4,12 +4,15 @@
 
 use common::{GROUP, Group, MAIN, attempt, key, not_run, program_id, seconds, usage};
 use dahlia_program::{
-    Applied, AttemptOutcome, Begun, CallOutcome, ChunkReference, Command, GroupState, HistoryPart,
-    IntentRecorded, ProgramLimits, Refusal, SetLimits, SnapshotError, decode_chunk, encode_chunk,
+    Applied, AttemptOutcome, Begun, CallOutcome, ChunkReference, Command, ExpirePrograms,
+    GroupState, HistoryPart, IntentRecorded, ProgramLimits, Refusal, SetLimits, SnapshotError,
+    decode_chunk, encode_chunk,
 };
 use dahlia_types::{
     Bytes, CallKind, ChainId, Duration, EngineId, GroupId, LogIndex, ProgramId, Role, Term, Tokens,
 };
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 #[test]
 fn the_generation_is_capped_at_what_is_left_and_sub_agents_share_it() {
@@ -128,8 +131,12 @@
     group.now = seconds(10_000);
     let nothing = Applied::Expired { closed: vec![], forgotten: vec![] };
     assert_eq!(group.expire(keep), nothing, "a call is in progress");
+    let due = ExpirePrograms { now: group.now, keep_records: keep };
+    assert!(!group.state.has_expired(&due));
     group.abandon(open, not_run("given up")).unwrap();
     group.now = seconds(10_600);
+    let due = ExpirePrograms { now: group.now, keep_records: keep };
+    assert!(group.state.has_expired(&due));
     let closed = vec![program_id(1)];
     assert_eq!(group.expire(keep), Applied::Expired { closed, forgotten: vec![] });
     assert!(group.program().outcome(call).is_some(), "records outlive the program");
@@ -219,6 +226,8 @@
     assert_eq!(missing.chunks, [chunk]);
     let parts = group.program().history_parts(MAIN);
     assert_eq!(parts, [HistoryPart::Chunk(&chunk), HistoryPart::Messages(&messages[2..])]);
+    let inline: Vec<_> = group.program().inline_turns().collect();
+    assert_eq!(inline, [(MAIN, 1, &messages[2..])]);
     let bytes = encode_chunk(&messages[..2]);
     assert_eq!(decode_chunk(&chunk, &bytes).as_deref(), Ok(&messages[..2]));
     assert!(decode_chunk(&other, &bytes).is_err(), "another chunk must not enter the history");
@@ -240,6 +249,13 @@
     for length in 0..bytes.len() {
         assert!(GroupState::restore(&bytes[..length]).is_err(), "cut at {length}");
     }
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..2_000 {
+        let mut damaged = bytes.clone();
+        damaged[random.random_range(0..bytes.len())] = random.random();
+        // Neither a crash nor a hang; a damaged text may still be a text.
+        let _ = GroupState::restore(&damaged);
+    }
     let mut newer = bytes.clone();
     newer[0] += 1;
     let refused = GroupState::restore(&newer);
