--- /dev/null
+++ b/crates/experiment/src/driver/engines/reports.rs
@@ -0,0 +1,99 @@
+//! Load reports, cache events and inventories: late, and some of them lost.
+
+use dahlia_engine_model::{CacheEvent, EngineRole};
+use dahlia_placement::{
+    CacheNotice, EngineCapacity, EngineInventory, EngineJoined, EngineReport, Event,
+};
+use dahlia_types::{Duration, ModelId};
+use rand::Rng;
+
+use super::super::agenda::Happening;
+use super::super::{Driver, MODEL};
+
+impl Driver<'_> {
+    /// Makes the engine known to every scheduler.
+    pub(in super::super) fn announce(&mut self, engine: usize, lag: Duration) {
+        for scheduler in 0..self.schedulers.len() {
+            let joined = EngineJoined {
+                engine: self.engines[engine].id.clone(),
+                incarnation: self.engines[engine].incarnation,
+                zone: self.network.zone(engine),
+                distance: self.network.between(scheduler, engine),
+                models: vec![ModelId::new(MODEL)],
+                capacity: self.capacity(),
+            };
+            self.tell_later(scheduler, Event::EngineJoined(joined), lag);
+        }
+    }
+
+    pub(in super::super) fn report(&mut self, engine: usize) {
+        self.agenda.add(self.now + self.report_interval(), Happening::Report { engine });
+        let Some(model) = self.engines[engine].model.as_ref() else { return };
+        let load = model.load(self.now);
+        let report = EngineReport {
+            engine: self.engines[engine].id.clone(),
+            incarnation: load.incarnation,
+            reported_at: load.at,
+            running: load.running,
+            waiting: load.waiting,
+            prefill_backlog: load.prefill_backlog,
+            resident: load.resident,
+            pinned: load.pinned,
+            models: load.models,
+            draining: load.role == EngineRole::Draining,
+        };
+        self.publish(&Event::EngineReport(report));
+    }
+
+    pub(super) fn forward_cache_event(&mut self, engine: usize, event: CacheEvent) {
+        let host = &self.engines[engine];
+        let notice = CacheNotice {
+            engine: host.id.clone(),
+            incarnation: host.incarnation,
+            sequence: event.sequence,
+            program: event.program,
+            resident: event.resident,
+        };
+        self.publish(&Event::Cache(notice));
+    }
+
+    pub(in super::super) fn inventory(&mut self, engine: usize, scheduler: usize) {
+        let Some(model) = self.engines[engine].model.as_ref() else { return };
+        let inventory = model.inventory(self.now);
+        let programs = inventory.programs.iter().map(|held| (held.program, held.tokens));
+        let answer = EngineInventory {
+            engine: self.engines[engine].id.clone(),
+            incarnation: inventory.incarnation,
+            sequence: inventory.sequence,
+            programs: programs.collect(),
+        };
+        let link = self.network.between(engine, scheduler);
+        self.tell_later(scheduler, Event::Inventory(answer), link);
+    }
+
+    /// Sends to every scheduler, late; each copy may be lost on its own.
+    fn publish(&mut self, event: &Event) {
+        let loss = self.workload.deployment.report_loss;
+        for scheduler in 0..self.schedulers.len() {
+            if !self.random.random_bool(loss) {
+                let lag = self.network.report_lag;
+                self.tell_later(scheduler, event.clone(), lag);
+            }
+        }
+    }
+
+    fn capacity(&self) -> EngineCapacity {
+        let engine = &self.workload.engine;
+        let chunk = engine.prefill_chunk.0 as f64;
+        let step = engine.step_base_micros + chunk * engine.prefill_token_micros;
+        let transfer = engine.transfer_bytes_per_second / engine.kv_bytes_per_token.0.max(1) as f64;
+        EngineCapacity {
+            kv_tokens: engine.kv_capacity,
+            prefill_per_second: chunk / step * 1e6,
+            step_base: Duration::from_micros(engine.step_base_micros as u64),
+            step_per_sequence: Duration::from_micros(engine.decode_sequence_micros as u64),
+            max_batch: engine.max_batch,
+            transfer_per_second: if self.workload.deployment.transfers { transfer } else { 0.0 },
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/driver/schedulers.rs
@@ -0,0 +1,201 @@
+//! The schedulers' side: events in, decisions carried out over the links.
+
+use dahlia_engine_model::{
+    AfterHold, Cancel, EngineCommand, Export, Hold, Priority, Release, Segment, Submit,
+};
+use dahlia_placement::{Action, CallReady, Event, HistorySegment, ReleaseReason};
+use dahlia_types::{
+    AttemptId, CallId, Duration, EngineId, Incarnation, ModelId, ProgramId, Term, Timestamp, Tokens,
+};
+
+use super::agenda::Happening;
+use super::{Driver, MODEL, PendingFetch};
+
+/// Weight of every program.
+const WEIGHT: u32 = 100;
+/// The owners' epoch; owners do not change in these runs.
+pub(super) const EPOCH: Term = Term(1);
+
+impl Driver<'_> {
+    pub(super) fn ready(&mut self, program: usize, chain: usize) {
+        let run = &mut self.programs[program];
+        if run.ended {
+            return;
+        }
+        let call = run.call(chain);
+        let current = &mut run.chains[chain];
+        current.ready = self.now;
+        let ready = CallReady {
+            call,
+            attempt: current.attempt,
+            model: ModelId::new(MODEL),
+            tenant: run.script.tenant.clone(),
+            history: current.history.iter().map(history_segment).collect(),
+            max_generated: Tokens(self.workload.program.max_generated),
+            attained: Duration::ZERO,
+            depth: current.depth,
+            weight: WEIGHT,
+        };
+        let owner = run.owner;
+        self.tell(owner, Event::CallReady(ready));
+    }
+
+    /// Gives an event to a scheduler now and carries out what it decides.
+    pub(super) fn tell(&mut self, scheduler: usize, event: Event) {
+        let actions = self.schedulers[scheduler].handle(event, self.now);
+        for action in actions {
+            self.carry_out(scheduler, action);
+        }
+    }
+
+    fn carry_out(&mut self, scheduler: usize, action: Action) {
+        match action {
+            Action::Dispatch { attempt, engine, incarnation, priority, fetch_from } => {
+                self.dispatch(scheduler, attempt, &engine, incarnation, priority, fetch_from);
+            }
+            Action::Refuse { call, retry_after, .. } => self.refuse(call, retry_after),
+            Action::Requeue { attempt, engine } => {
+                let cancel = Cancel { attempt, epoch: EPOCH, only_waiting: true };
+                self.send(scheduler, &engine, EngineCommand::Cancel(cancel));
+            }
+            Action::Release { program, engine, reason } => {
+                let closing = reason == ReleaseReason::ProgramEnded;
+                let release = Release { program, epoch: EPOCH, closing };
+                self.send(scheduler, &engine, EngineCommand::Release(release));
+            }
+            Action::Hold { program, engine, until } => {
+                let after = AfterHold::Free;
+                let hold = Hold { program, epoch: EPOCH, until, after };
+                self.send(scheduler, &engine, EngineCommand::Hold(hold));
+            }
+            Action::FetchInventory(engine) => {
+                let engine = self.engine_number(&engine);
+                let at = self.now + self.network.between(scheduler, engine);
+                self.agenda.add(at, Happening::Inventory { engine, scheduler });
+            }
+        }
+    }
+
+    fn refuse(&mut self, call: CallId, retry_after: Duration) {
+        let attempt = AttemptId { call, attempt: 0 };
+        let Some((program, chain)) = self.current(attempt) else { return };
+        let waited = self.now.since(self.programs[program].chains[chain].ready);
+        self.result.refusals += 1;
+        self.result.longest_refusal = self.result.longest_refusal.max(waited);
+        let at = self.now + self.client_link(program);
+        self.agenda.add(at, Happening::Refused { program, chain, retry_after });
+    }
+
+    fn dispatch(
+        &mut self,
+        scheduler: usize,
+        attempt: AttemptId,
+        engine: &EngineId,
+        incarnation: Incarnation,
+        priority: u64,
+        fetch_from: Option<EngineId>,
+    ) {
+        let Some((program, chain)) = self.current(attempt) else { return };
+        let run = &mut self.programs[program];
+        let current = &mut run.chains[chain];
+        current.attempt = attempt.attempt + 1;
+        let Some(turn) = current.turns.front() else { return };
+        let submit = Submit {
+            attempt,
+            epoch: EPOCH,
+            incarnation: Some(incarnation),
+            tenant: run.script.tenant.clone(),
+            model: ModelId::new(MODEL),
+            prompt: current.history.clone(),
+            prompt_bound: Tokens(u64::MAX),
+            generate: turn.generated,
+            answer_hash: turn.answer_hash,
+            priority: Priority(priority),
+        };
+        let target = self.engine_number(engine);
+        self.sent.insert(attempt, target);
+        // The intent reaches a quorum before the bytes leave, as in the daemon.
+        let committed = self.now + self.network.commit();
+        match fetch_from {
+            Some(source) => self.begin_fetch(scheduler, &source, target, submit, committed),
+            None => self.send_submit(scheduler, target, submit, committed),
+        }
+    }
+
+    pub(super) fn send_submit(
+        &mut self,
+        scheduler: usize,
+        engine: usize,
+        submit: Submit,
+        from: Timestamp,
+    ) {
+        let incarnation = submit.incarnation.unwrap_or_default();
+        let command = Box::new(EngineCommand::Submit(submit));
+        let at = from + self.network.between(scheduler, engine);
+        self.agenda.add(at, Happening::Command { engine, incarnation, command, from: scheduler });
+    }
+
+    fn begin_fetch(
+        &mut self,
+        scheduler: usize,
+        source: &EngineId,
+        target: usize,
+        submit: Submit,
+        committed: Timestamp,
+    ) {
+        let program = submit.attempt.call.program;
+        let export = Export {
+            program,
+            epoch: EPOCH,
+            tenant: submit.tenant.clone(),
+            model: submit.model.clone(),
+            segments: submit.prompt.clone(),
+        };
+        let source = self.engine_number(source);
+        let pending = PendingFetch { source, target, scheduler, submit };
+        self.fetches.entry(program).or_default().push(pending);
+        let incarnation = self.engines[source].incarnation;
+        let command = Box::new(EngineCommand::Export(export));
+        let at = committed + self.network.between(scheduler, source);
+        let from = scheduler;
+        self.agenda.add(at, Happening::Command { engine: source, incarnation, command, from });
+    }
+
+    /// Submits what waited for a copy between these engines, with or without it.
+    pub(super) fn end_fetch(
+        &mut self,
+        program: ProgramId,
+        matches: impl Fn(&PendingFetch) -> bool,
+    ) {
+        let Some(pending) = self.fetches.get_mut(&program) else { return };
+        let place = pending.iter().position(matches);
+        let Some(one) = place.map(|place| pending.remove(place)) else { return };
+        if pending.is_empty() {
+            self.fetches.remove(&program);
+        }
+        self.send_submit(one.scheduler, one.target, one.submit, self.now);
+    }
+
+    fn send(&mut self, scheduler: usize, engine: &EngineId, command: EngineCommand) {
+        let engine = self.engine_number(engine);
+        let incarnation = self.engines[engine].incarnation;
+        let at = self.now + self.network.between(scheduler, engine);
+        let command = Box::new(command);
+        self.agenda.add(at, Happening::Command { engine, incarnation, command, from: scheduler });
+    }
+
+    pub(super) fn engine_number(&self, engine: &EngineId) -> usize {
+        let found = self.engines.iter().position(|host| host.id == *engine);
+        found.expect("schedulers know only engines that were announced")
+    }
+
+    /// Sends an event to a scheduler after a link's latency.
+    pub(super) fn tell_later(&mut self, scheduler: usize, event: Event, after: Duration) {
+        let event = Box::new(event);
+        self.agenda.add(self.now + after, Happening::Tell { scheduler, event });
+    }
+}
+
+fn history_segment(segment: &Segment) -> HistorySegment {
+    HistorySegment { hash: segment.hash, tokens: segment.tokens }
+}
--- /dev/null
+++ b/crates/experiment/src/metrics.rs
@@ -0,0 +1,204 @@
+//! What is measured in a run.
+
+use dahlia_engine_model::{CacheSpan, SpanKind};
+use dahlia_types::{Duration, Timestamp};
+
+use crate::workload::Workload;
+
+/// Bins of the course of wasted cache over time.
+pub(crate) const TIME_BINS: usize = 60;
+
+/// How a program ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// Every call answered.
+    Completed,
+    /// The caller or a tool never came back; the program expired.
+    Abandoned,
+    /// Its first call was refused and the caller gave up.
+    Refused,
+    /// A later call was refused or failed for good.
+    Failed,
+    /// It had not ended when the run did.
+    Unfinished,
+}
+
+/// A program that ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct ProgramRecord {
+    pub arrives: Timestamp,
+    /// First call issued to last answer received.
+    pub latency: Duration,
+    /// The part of it in tool pauses, along the chains that determined it.
+    pub paused: Duration,
+    pub ended: Timestamp,
+    pub outcome: Outcome,
+}
+
+/// A call that was answered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct CallRecord {
+    /// Call issued to first token received.
+    pub first_token: Duration,
+    pub prompt: u64,
+    pub cached: u64,
+}
+
+/// Token-seconds of held cache.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) struct HeldCache {
+    pub held: f64,
+    pub wasted: f64,
+}
+
+/// Everything measured in one run. Equal for equal workload, policy and seed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunResult {
+    warm_up: Timestamp,
+    arrivals_end: Timestamp,
+    pub(crate) programs: Vec<ProgramRecord>,
+    pub(crate) calls: Vec<CallRecord>,
+    pub(crate) cache: HeldCache,
+    pub(crate) cache_course: Vec<HeldCache>,
+    /// Calls issued by callers, over the whole run.
+    pub issued: u64,
+    /// Calls answered, over the whole run.
+    pub answered: u64,
+    /// Calls finally given up by their callers after refusals, over the whole run.
+    pub given_up: u64,
+    /// Answers "refused" sent, over the whole run.
+    pub refusals: u64,
+    /// The longest a caller waited for such an answer.
+    pub longest_refusal: Duration,
+    /// The longest a call waited for its first token.
+    pub longest_wait: Duration,
+    /// Attempts dispatched, over the whole run.
+    pub dispatched: u64,
+    /// Copies of KV between engines.
+    pub fetches: u64,
+    /// Attempts that engines preempted.
+    pub preemptions: u64,
+    /// Programs that had ended while an engine still held something for them, at the end.
+    pub still_held: u64,
+    /// Engines looked at, over all decisions.
+    pub engines_examined: u64,
+    /// Times an engine was looked for.
+    pub decisions: u64,
+}
+
+impl RunResult {
+    pub(crate) fn new(workload: &Workload) -> Self {
+        let moment = |seconds| Timestamp::ZERO + Duration::from_secs_f64(seconds);
+        Self {
+            warm_up: moment(workload.run.warm_up_seconds),
+            arrivals_end: moment(workload.run.seconds),
+            programs: Vec::new(),
+            calls: Vec::new(),
+            cache: HeldCache::default(),
+            cache_course: vec![HeldCache::default(); TIME_BINS],
+            issued: 0,
+            answered: 0,
+            given_up: 0,
+            refusals: 0,
+            longest_refusal: Duration::ZERO,
+            longest_wait: Duration::ZERO,
+            dispatched: 0,
+            fetches: 0,
+            preemptions: 0,
+            still_held: 0,
+            engines_examined: 0,
+            decisions: 0,
+        }
+    }
+
+    /// Programs of an outcome, among those measured.
+    pub fn count(&self, outcome: Outcome) -> u64 {
+        self.programs.iter().filter(|program| program.outcome == outcome).count() as u64
+    }
+
+    /// Programs completed a second while programs arrived, after the warm-up.
+    pub fn goodput(&self) -> f64 {
+        let within = self.programs.iter().filter(|program| {
+            program.outcome == Outcome::Completed && program.ended <= self.arrivals_end
+        });
+        within.count() as f64 / self.arrivals_end.since(self.warm_up).as_secs_f64()
+    }
+
+    /// Whether a program or call of this moment is measured.
+    pub(crate) fn is_measured(&self, at: Timestamp) -> bool {
+        at >= self.warm_up
+    }
+
+    pub(crate) fn add_program(&mut self, record: ProgramRecord) {
+        if self.is_measured(record.arrives) {
+            self.programs.push(record);
+        }
+    }
+
+    /// Adds held cache, as far as it lies in the measured part of the arrivals.
+    pub(crate) fn add_span(&mut self, span: CacheSpan) {
+        let (first, last) = (self.warm_up.0, self.arrivals_end.0);
+        let from = span.from.0.clamp(first, last);
+        let to = span.to.0.clamp(first, last);
+        let wasted = span.kind == SpanKind::Wasted;
+        self.cache.add(span.tokens.0, to - from, wasted);
+        let bin_length = (last - first).div_ceil(TIME_BINS as u64).max(1);
+        let mut start = from;
+        while start < to {
+            let bin = ((start - first) / bin_length).min(TIME_BINS as u64 - 1);
+            let end = to.min(first + (bin + 1) * bin_length);
+            self.cache_course[bin as usize].add(span.tokens.0, end - start, wasted);
+            start = end;
+        }
+    }
+
+    /// Share of held token-seconds that were wasted.
+    pub fn wasted_fraction(&self) -> f64 {
+        self.cache.wasted_fraction()
+    }
+
+    /// Share of prompt tokens that were found in a cache.
+    pub fn hit_fraction(&self) -> f64 {
+        let prompt: u64 = self.calls.iter().map(|call| call.prompt).sum();
+        let cached: u64 = self.calls.iter().map(|call| call.cached).sum();
+        if prompt == 0 { 0.0 } else { cached as f64 / prompt as f64 }
+    }
+
+    /// Latencies of completed programs in milliseconds, tool pauses included.
+    pub fn latencies_ms(&self) -> Vec<f64> {
+        self.completed().map(|program| millis(program.latency)).collect()
+    }
+
+    /// Latencies of completed programs in milliseconds, without tool pauses.
+    pub fn service_ms(&self) -> Vec<f64> {
+        let completed = self.completed();
+        completed.map(|program| millis(program.latency) - millis(program.paused)).collect()
+    }
+
+    /// Times to the first token, in milliseconds.
+    pub fn first_tokens_ms(&self) -> Vec<f64> {
+        self.calls.iter().map(|call| millis(call.first_token)).collect()
+    }
+
+    fn completed(&self) -> impl Iterator<Item = &ProgramRecord> {
+        self.programs.iter().filter(|program| program.outcome == Outcome::Completed)
+    }
+}
+
+impl HeldCache {
+    fn add(&mut self, tokens: u64, micros: u64, wasted: bool) {
+        let token_seconds = tokens as f64 * micros as f64 / 1e6;
+        self.held += token_seconds;
+        if wasted {
+            self.wasted += token_seconds;
+        }
+    }
+
+    pub(crate) fn wasted_fraction(&self) -> f64 {
+        if self.held <= 0.0 { 0.0 } else { self.wasted / self.held }
+    }
+}
+
+fn millis(length: Duration) -> f64 {
+    length.as_micros() as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/experiment/src/report/table.rs
@@ -0,0 +1,114 @@
+//! The report as a table for people.
+
+use std::fmt::Write;
+
+use super::{CompareReport, LoadPoint, PolicyReport};
+
+/// Renders both parts: policies at the main load, then the sweep.
+pub(super) fn render(report: &CompareReport) -> String {
+    let mut text = String::new();
+    let seeds = report.seeds.len();
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "workload {}, load {}, {seeds} seeds", report.workload, report.load);
+    let _ = writeln!(
+        text,
+        "{:<14} {:>8} {:>8} {:>8} {:>8} | {:>8} {:>8} {:>8} | {:>7} {:>7} {:>6} {:>6} | {:>6} \
+         {:>5} {:>5} {:>5} | {:>8} {:>7}",
+        "policy",
+        "p50 s",
+        "p95 s",
+        "p99 s",
+        "mean s",
+        "np-p50",
+        "np-p95",
+        "np-mean",
+        "ttft95",
+        "longest",
+        "waste",
+        "hit",
+        "done",
+        "refd",
+        "fail",
+        "aband",
+        "goodput",
+        "refuse",
+    );
+    for (name, policy) in &report.policies {
+        row(&mut text, name, policy);
+    }
+    if !report.sweep.is_empty() {
+        let _ = writeln!(
+            text,
+            "\n{:<14} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>6}",
+            "policy",
+            "load",
+            "p95 s",
+            "mean s",
+            "np-p95",
+            "np-mean",
+            "goodput",
+            "waste",
+            "hit",
+            "refd",
+            "fail",
+        );
+    }
+    for point in &report.sweep {
+        sweep_row(&mut text, point);
+    }
+    text.push_str(
+        "\np50 to mean: program latency with tool pauses; np: without; ttft95 and longest: wait \
+         for the\nfirst token in s; waste and hit: fractions; goodput: programs/s; refuse: \
+         longest time to a refusal in s\n",
+    );
+    text
+}
+
+fn row(text: &mut String, name: &str, policy: &PolicyReport) {
+    let latency = policy.program_latency_ms;
+    let service = policy.program_latency_without_pauses_ms;
+    let _ = writeln!(
+        text,
+        "{name:<14} {:>8.1} {:>8.1} {:>8.1} {:>8.1} | {:>8.2} {:>8.2} {:>8.2} | {:>7.2} {:>7.1} \
+         {:>6.3} {:>6.3} | {:>6} {:>5} {:>5} {:>5} | {:>8.3} {:>7.3}",
+        seconds(latency.p50),
+        seconds(latency.p95),
+        seconds(latency.p99),
+        seconds(latency.mean),
+        seconds(service.p50),
+        seconds(service.p95),
+        seconds(service.mean),
+        seconds(policy.time_to_first_token_ms.p95),
+        seconds(policy.longest_wait_ms),
+        policy.wasted_cache_fraction,
+        policy.prefix_hit_fraction,
+        policy.completed,
+        policy.refused,
+        policy.failed,
+        policy.abandoned,
+        policy.goodput_per_second,
+        seconds(policy.longest_refusal_ms),
+    );
+}
+
+fn sweep_row(text: &mut String, point: &LoadPoint) {
+    let _ = writeln!(
+        text,
+        "{:<14} {:>5.2} {:>8.1} {:>8.1} {:>8.2} {:>8.2} {:>8.3} {:>6.3} {:>6.3} {:>6} {:>6}",
+        point.policy,
+        point.load,
+        seconds(point.program_latency_p95_ms),
+        seconds(point.program_latency_mean_ms),
+        seconds(point.without_pauses_p95_ms),
+        seconds(point.without_pauses_mean_ms),
+        point.goodput_per_second,
+        point.wasted_cache_fraction,
+        point.prefix_hit_fraction,
+        point.refused,
+        point.failed,
+    );
+}
+
+fn seconds(millis: f64) -> f64 {
+    millis / 1000.0
+}
