--- a/crates/experiment/src/driver.rs
+++ b/crates/experiment/src/driver.rs
@@ -45,6 +45,20 @@
     target: usize,
     scheduler: usize,
     submit: Submit,
+    /// The copy has left the source.
+    exported: bool,
+}
+
+impl PendingFetch {
+    /// Whether its copy is still to leave this engine.
+    fn leaves(&self, engine: usize) -> bool {
+        self.source == engine && !self.exported
+    }
+
+    /// Whether its copy is on the way to this engine.
+    fn arrives(&self, engine: usize) -> bool {
+        self.target == engine && self.exported
+    }
 }
 
 /// One run.
--- a/crates/experiment/src/driver/engines.rs
+++ b/crates/experiment/src/driver/engines.rs
@@ -124,11 +124,11 @@
             EngineEvent::Preempted { .. } => self.result.preemptions += 1,
             EngineEvent::Cache(event) => self.forward_cache_event(engine, event),
             EngineEvent::Exported { image, .. } => {
-                let Some(pending) = self.fetches.get(&image.program) else { return };
-                let target = pending.iter().find(|one| one.source == engine);
-                let Some((target, from)) = target.map(|one| (one.target, one.scheduler)) else {
-                    return;
-                };
+                let pending = self.fetches.get_mut(&image.program);
+                let first = pending.into_iter().flatten().find(|one| one.leaves(engine));
+                let Some(one) = first else { return };
+                one.exported = true;
+                let (target, from) = (one.target, one.scheduler);
                 let incarnation = self.engines[target].incarnation;
                 let command = Box::new(EngineCommand::Import(Import { epoch: EPOCH, image }));
                 let at = self.now + self.network.between(engine, target);
@@ -136,7 +136,7 @@
                 self.agenda.add(at, happening);
             }
             EngineEvent::Imported { program, .. } => {
-                self.end_fetch(program, |one| one.target == engine)
+                self.end_fetch(program, |one| one.arrives(engine))
             }
             _ => {}
         }
@@ -184,10 +184,10 @@
                 self.confirm_release(engine, program, from);
             }
             (Subject::Export(program), EngineReply::Refused(_)) => {
-                self.end_fetch(program, |one| one.source == engine)
+                self.end_fetch(program, |one| one.leaves(engine))
             }
             (Subject::Import(program), EngineReply::Refused(_)) => {
-                self.end_fetch(program, |one| one.target == engine);
+                self.end_fetch(program, |one| one.arrives(engine));
             }
             _ => {}
         }
@@ -201,8 +201,8 @@
                 self.fail_attempt(engine, attempt, failure, true, Duration::ZERO);
             }
             Subject::Release(program, true) => self.confirm_release(engine, program, from),
-            Subject::Export(program) => self.end_fetch(program, |one| one.source == engine),
-            Subject::Import(program) => self.end_fetch(program, |one| one.target == engine),
+            Subject::Export(program) => self.end_fetch(program, |one| one.leaves(engine)),
+            Subject::Import(program) => self.end_fetch(program, |one| one.arrives(engine)),
             _ => {}
         }
     }
--- a/crates/experiment/src/driver/schedulers.rs
+++ b/crates/experiment/src/driver/schedulers.rs
@@ -152,7 +152,7 @@
             segments: submit.prompt.clone(),
         };
         let source = self.engine_number(source);
-        let pending = PendingFetch { source, target, scheduler, submit };
+        let pending = PendingFetch { source, target, scheduler, submit, exported: false };
         self.fetches.entry(program).or_default().push(pending);
         let incarnation = self.engines[source].incarnation;
         let command = Box::new(EngineCommand::Export(export));
--- a/crates/placement/src/policy/program_aware.rs
+++ b/crates/placement/src/policy/program_aware.rs
@@ -48,13 +48,17 @@
         let Some(source) = request.cached.iter().max_by_key(|cached| cached.tokens) else {
             return found;
         };
-        let gained = source.tokens.saturating_sub(own);
+        if source.tokens <= own {
+            return found;
+        }
+        found.cost.total += self.settings.move_penalty.as_secs_f64();
+        let gained = source.tokens - own;
         let Some(transfer) = transfer_time(entry, source.tokens) else { return found };
-        if source.slot == slot || transfer >= recompute_time(entry, gained) {
+        if gained < self.settings.least_copied || transfer >= recompute_time(entry, gained) {
             return found;
         }
         let fetched = cost(&self.settings, entry, request.demand, source.tokens, now);
-        let total = fetched.total + transfer;
+        let total = fetched.total + transfer + self.settings.move_penalty.as_secs_f64();
         if total < found.cost.total {
             found.cost = Cost { total, ..fetched };
             found.fetch_from = Some(source.slot);
@@ -66,7 +70,7 @@
     fn choose(&self, candidates: &[Candidate], random: &mut ChaCha8Rng) -> Option<Candidate> {
         let totals = candidates.iter().map(|candidate| candidate.cost.total);
         let least = totals.fold(f64::INFINITY, f64::min);
-        let limit = least * (1.0 + self.settings.tie_fraction);
+        let limit = least + self.settings.tie.as_secs_f64();
         let close: Vec<&Candidate> =
             candidates.iter().filter(|candidate| candidate.cost.total <= limit).collect();
         if close.is_empty() {
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -46,8 +46,12 @@
     pub eviction_weight: f64,
     /// Weight of the prefix's recomputation; above 1, as it also delays everyone behind it.
     pub recompute_weight: f64,
-    /// Costs this close to the best, as a fraction, count as equal; the choice is random.
-    pub tie_fraction: f64,
+    /// Costs this close to the best count as equal; the choice among them is random.
+    pub tie: Duration,
+    /// What must be gained for leaving the engine that has most of the prompt.
+    pub move_penalty: Duration,
+    /// A smaller part of the prompt is computed again rather than copied.
+    pub least_copied: u64,
     /// Tokens that a call generates when nothing is learnt yet.
     pub expected_generated: u64,
     /// A call waits here rather than at an engine whose queue is expected to be longer.
@@ -62,7 +66,9 @@
             sample_size: 4,
             eviction_weight: 0.5,
             recompute_weight: 1.5,
-            tie_fraction: 0.05,
+            tie: Duration::from_millis(20),
+            move_penalty: Duration::from_millis(500),
+            least_copied: 4000,
             expected_generated: 250,
             dispatch_horizon: Duration::from_millis(1500),
             full_fraction: 0.9,
@@ -211,7 +217,6 @@
         check_range("placement.cost.sample_size", cost.sample_size, 1, 64)?;
         check_range("placement.cost.eviction_weight", cost.eviction_weight, 0.0, 100.0)?;
         check_range("placement.cost.recompute_weight", cost.recompute_weight, 0.0, 100.0)?;
-        check_range("placement.cost.tie_fraction", cost.tie_fraction, 0.0, 1.0)?;
         check_range("placement.cost.full_fraction", cost.full_fraction, 0.05, 1.0)?;
         check_range("placement.priority.attained_factor", self.priority.attained_factor, 0.0, 1e3)
     }
