Put first calls behind programs under way and prefer short prefills

Cause: with one queue and an early horizon, new programs displaced the cache of programs under way (hit fraction 0.74 against 0.85 of sticky-fcfs). Ruled out: refusing overdue calls (they would be told late); they are promoted.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -12,44 +12,49 @@
 const RATE_WINDOW: f64 = 10.0;
 /// Drain rate assumed before anything was measured, in calls a second.
 const INITIAL_RATE: f64 = 1.0;
+/// The rate that is assumed at least, in calls a second.
+const LEAST_RATE: f64 = 0.02;
 
-/// Calls that leave the queue or the engines per second, as an exponential moving average.
+/// Calls that leave a queue per second while calls wait in it, as an exponential moving average.
 #[derive(Debug, Clone)]
 pub(crate) struct DrainRate {
     rate: f64,
-    counted: f64,
-    since: Option<Timestamp>,
+    left: f64,
+    since: Timestamp,
 }
 
 impl Default for DrainRate {
     fn default() -> Self {
-        Self { rate: INITIAL_RATE, counted: 0.0, since: None }
+        Self { rate: INITIAL_RATE, left: 0.0, since: Timestamp::ZERO }
     }
 }
 
 impl DrainRate {
-    /// Notes a call that ended.
-    pub(crate) fn ended(&mut self, now: Timestamp) {
-        self.since.get_or_insert(now);
-        self.counted += 1.0;
+    /// Notes a call that left the queue for an engine.
+    pub(crate) fn left(&mut self) {
+        self.left += 1.0;
     }
 
     /// Folds what was counted into the average. Called on each tick.
-    pub(crate) fn tick(&mut self, now: Timestamp) {
-        let Some(since) = self.since else { return };
-        let passed = now.since(since).as_secs_f64();
+    ///
+    /// While nothing waits the rate shows the demand and not the capacity: it may only rise then.
+    pub(crate) fn tick(&mut self, waiting: bool, now: Timestamp) {
+        let passed = now.since(self.since).as_secs_f64();
         if passed < 1.0 {
             return;
         }
-        let share = 1.0 - (-passed / RATE_WINDOW).exp();
-        self.rate += share * (self.counted / passed - self.rate);
-        self.counted = 0.0;
-        self.since = Some(now);
+        let observed = self.left / passed;
+        if waiting || observed > self.rate {
+            let share = 1.0 - (-passed / RATE_WINDOW).exp();
+            self.rate += share * (observed - self.rate);
+        }
+        self.left = 0.0;
+        self.since = now;
     }
 
     /// Expected time until `ahead` calls are through.
     pub(crate) fn time_for(&self, ahead: usize) -> Duration {
-        Duration::from_secs_f64(ahead as f64 / self.rate.max(0.01))
+        Duration::from_secs_f64(ahead as f64 / self.rate.max(LEAST_RATE))
     }
 }
 
--- a/crates/placement/src/call.rs
+++ b/crates/placement/src/call.rs
@@ -19,13 +19,15 @@
     pub since: Timestamp,
     /// The longest it may wait here.
     pub patience: Duration,
+    /// Whether it is its program's first one.
+    pub first: bool,
 }
 
 impl Call {
-    pub(crate) fn new(ready: CallReady, priority: u64, now: Timestamp, patience: Duration) -> Self {
+    pub(crate) fn new(ready: CallReady, first: bool, patience: Duration, now: Timestamp) -> Self {
         let prefixes = prefix_hashes(&ready.tenant, &ready.history);
         let lengths = prefix_lengths(&ready.history);
-        Self { ready, prefixes, lengths, priority, since: now, patience }
+        Self { ready, prefixes, lengths, priority: 0, since: now, patience, first }
     }
 
     pub(crate) fn id(&self) -> CallId {
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -26,6 +26,8 @@
     pub cached: &'a [CachedOn],
     /// The engine that served the program last.
     pub last_engine: Option<EngineSlot>,
+    /// Whether it is its program's first call.
+    pub first: bool,
 }
 
 /// What a policy chose.
--- a/crates/placement/src/policy/program_aware.rs
+++ b/crates/placement/src/policy/program_aware.rs
@@ -99,7 +99,12 @@
         let candidates: Vec<Candidate> =
             slots.iter().map(|slot| self.candidate(*slot, request, engines, now)).collect();
         let Some(chosen) = self.choose(&candidates, random) else { return Placement::NoEngine };
-        if chosen.cost.queue > self.settings.dispatch_horizon.as_secs_f64() {
+        let horizon = if request.first {
+            self.settings.first_call_horizon
+        } else {
+            self.settings.dispatch_horizon
+        };
+        if chosen.cost.queue > horizon.as_secs_f64() {
             return Placement::Wait;
         }
         Placement::Engine { slot: chosen.slot, fetch_from: chosen.fetch_from }
--- a/crates/placement/src/priority.rs
+++ b/crates/placement/src/priority.rs
@@ -12,15 +12,27 @@
 /// Weight of an ordinary program.
 pub(crate) const ORDINARY_WEIGHT: u32 = 100;
 
-/// The priority, in microseconds, of a call that became ready at `ready`.
-pub(crate) fn priority(
-    settings: &PrioritySettings,
-    ready: Timestamp,
-    attained: Duration,
-    weight: u32,
-) -> u64 {
-    let weighted = f64::from(ORDINARY_WEIGHT) / f64::from(weight.max(1));
-    let seconds = attained.as_secs_f64() * settings.attained_factor * weighted;
-    let setback = Duration::from_secs_f64(seconds).min(settings.most_setback);
-    (ready + setback).0
+/// What a call's priority depends on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Claim {
+    /// When it became ready.
+    pub ready: Timestamp,
+    /// Service that its program has had.
+    pub attained: Duration,
+    /// Prefill that it needs on the engine with most of its prompt, in seconds.
+    pub uncached: f64,
+    /// The program's weight.
+    pub weight: u32,
+}
+
+/// The priority of a call, in microseconds.
+///
+/// Short prefills go first (shortest job first): they are quick, and what they have cached would
+/// be lost while they wait.
+pub(crate) fn priority(settings: &PrioritySettings, claim: Claim) -> u64 {
+    let weighted = f64::from(ORDINARY_WEIGHT) / f64::from(claim.weight.max(1));
+    let attained = claim.attained.as_secs_f64() * settings.attained_factor * weighted;
+    let uncached = claim.uncached * settings.uncached_factor;
+    let setback = Duration::from_secs_f64(attained + uncached).min(settings.most_setback);
+    (claim.ready + setback).0
 }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_types::{CallId, TenantId};
+use dahlia_types::{CallId, TenantId, Timestamp};
 
+use crate::admission::DrainRate;
 use crate::call::Call;
 
 /// Place in the order: priority, then arrival.
@@ -76,3 +77,54 @@
         self.by_place.values().filter(|call| given_up(call)).map(Call::id).collect()
     }
 }
+
+/// The waiting calls of one model: those of programs under way, and first calls behind them.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    pub continuing: Lane,
+    pub first: Lane,
+}
+
+/// A queue and how fast it empties.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    pub queue: WaitingQueue,
+    pub drain: DrainRate,
+}
+
+impl Lanes {
+    /// The lane for a call.
+    pub(crate) fn of(&mut self, first: bool) -> &mut Lane {
+        if first { &mut self.first } else { &mut self.continuing }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.continuing.queue.len() + self.first.queue.len()
+    }
+
+    pub(crate) fn contains(&self, call: CallId) -> bool {
+        self.continuing.queue.contains(call) || self.first.queue.contains(call)
+    }
+
+    pub(crate) fn remove(&mut self, call: CallId) -> Option<Call> {
+        let found = self.continuing.queue.remove(call);
+        found.or_else(|| self.first.queue.remove(call))
+    }
+
+    pub(crate) fn unpark(&mut self, tenant: &TenantId) {
+        self.continuing.queue.unpark(tenant);
+        self.first.queue.unpark(tenant);
+    }
+
+    pub(crate) fn matching(&self, wanted: impl Fn(&Call) -> bool) -> Vec<CallId> {
+        let mut found = self.continuing.queue.matching(&wanted);
+        found.extend(self.first.queue.matching(&wanted));
+        found
+    }
+
+    pub(crate) fn tick(&mut self, now: Timestamp) {
+        for lane in [&mut self.continuing, &mut self.first] {
+            lane.drain.tick(lane.queue.len() > 0, now);
+        }
+    }
+}
--- a/crates/placement/src/scheduler/calls.rs
+++ b/crates/placement/src/scheduler/calls.rs
@@ -6,15 +6,13 @@
 use crate::call::{Call, OpenAttempt};
 use crate::cost::{Demand, recompute_time};
 use crate::policy::{Placement, Request};
-use crate::priority::priority;
+use crate::priority::{Claim, priority};
 use crate::programs::CachedOn;
 use crate::view::EngineSlot;
 use crate::{Action, AttemptFailed, AttemptFailure, CallReady, RefusalReason};
 
 /// Share of the newest observation in the average of generated tokens.
 const GENERATED_SHARE: f64 = 0.02;
-/// A call that waited this many times what it was expected to at most is given up.
-const PATIENCE_FACTOR: u64 = 2;
 
 impl Scheduler {
     pub(super) fn call_ready(
@@ -57,7 +55,6 @@
         self.retries.succeeded();
         self.stats.finished += 1;
         self.learn_generated(&call.ready.model, usage);
-        self.model(&call.ready.model).drain.ended(now);
         self.shared.computed(slot, &call, now);
         if let Some(program) = self.programs.get_mut(call.id().program) {
             program.add_service(call.id().chain, service);
@@ -92,7 +89,7 @@
     }
 
     pub(super) fn call_withdrawn(&mut self, call: CallId) {
-        let waiting = self.models.values_mut().find_map(|model| model.queue.remove(call));
+        let waiting = self.models.values_mut().find_map(|model| model.lanes.remove(call));
         if let Some(call) = waiting {
             self.admission.ended_waiting(&call.ready.tenant);
         }
@@ -106,38 +103,50 @@
         }
     }
 
-    /// Dispatches waiting calls of a model in order, until one has to wait.
+    /// Dispatches waiting calls of a model: programs under way first, then first calls.
     pub(super) fn drain(&mut self, model: &ModelId, now: Timestamp, actions: &mut Vec<Action>) {
+        for first in [false, true] {
+            self.drain_lane(model, first, now, actions);
+        }
+    }
+
+    /// Dispatches the calls of a lane in order, until one has to wait.
+    fn drain_lane(
+        &mut self,
+        model: &ModelId,
+        first: bool,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
         loop {
-            let Some(queue) = self.models.get_mut(model).map(|state| &mut state.queue) else {
-                return;
-            };
-            let Some(first) = queue.first() else { return };
-            if self.admission.at_limit(&first.ready.tenant) {
+            let Some(state) = self.models.get_mut(model) else { return };
+            let queue = &mut state.lanes.of(first).queue;
+            let Some(call) = queue.first() else { return };
+            if self.admission.at_limit(&call.ready.tenant) {
                 queue.park_first();
                 continue;
             }
-            let first = first.clone();
-            let Placement::Engine { slot, fetch_from } = self.place(&first, now) else { return };
-            self.model(model).queue.remove(first.id());
-            self.admission.ended_waiting(&first.ready.tenant);
-            self.dispatch(first, slot, fetch_from, now, actions);
+            let call = call.clone();
+            let Placement::Engine { slot, fetch_from } = self.place(&call, now) else { return };
+            let lane = self.model(model).lanes.of(first);
+            lane.queue.remove(call.id());
+            lane.drain.left();
+            self.admission.ended_waiting(&call.ready.tenant);
+            self.dispatch(call, slot, fetch_from, now, actions);
         }
     }
 
-    /// Refuses calls that have waited longer than they may.
-    pub(super) fn give_up_overdue(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let overdue: Vec<CallId> = self
-            .models
-            .values()
-            .flat_map(|model| {
-                model
-                    .queue
-                    .matching(|call| now.since(call.since) > call.patience.times(PATIENCE_FACTOR))
-            })
-            .collect();
-        for call in overdue {
-            self.refuse_waiting(call, RefusalReason::Overloaded, actions);
+    /// Promotes first calls that have waited longer than was expected: they go on as if their
+    /// program were under way. Whoever was let into the queue is never refused later on.
+    pub(super) fn promote_overdue(&mut self, now: Timestamp) {
+        for state in self.models.values_mut() {
+            let first = &mut state.lanes.first.queue;
+            let overdue = first.matching(|call| now.since(call.since) > call.patience);
+            for id in overdue {
+                let Some(mut call) = first.remove(id) else { continue };
+                call.first = false;
+                state.lanes.continuing.queue.push(call);
+            }
         }
     }
 
@@ -145,39 +154,57 @@
         let first = AttemptId { call, attempt: 0 };
         let last = AttemptId { call, attempt: u32::MAX };
         self.open.range(first..=last).next().is_some()
-            || self.models.values().any(|model| model.queue.contains(call))
+            || self.models.values().any(|model| model.lanes.contains(call))
     }
 
     fn new_call(&mut self, ready: CallReady, now: Timestamp) -> Call {
         let program = self.programs.of_call(ready.call, &ready.tenant);
         program.raise_service(ready.call.chain, ready.attained);
         let attained = program.attained();
-        let first_of_program = attained == Duration::ZERO;
-        let order = if self.is_managed() {
-            priority(&self.settings.priority, now, attained, ready.weight)
-        } else {
-            0
-        };
-        let patience = self.admission.patience(first_of_program);
-        Call::new(ready, order, now, patience)
+        let first = attained == Duration::ZERO;
+        let mut call = Call::new(ready, first, self.admission.patience(first), now);
+        if self.is_managed() {
+            let uncached = self.uncached_time(&call, now);
+            let weight = call.ready.weight;
+            let claim = Claim { ready: now, attained, uncached, weight };
+            call.priority = priority(&self.settings.priority, claim);
+        }
+        call
+    }
+
+    /// Seconds of prefill that the call needs on the engine with most of its prompt.
+    fn uncached_time(&self, call: &Call, now: Timestamp) -> f64 {
+        let cached = self.cached_for(call, now);
+        let best = cached.iter().max_by_key(|cached| cached.tokens);
+        let missing = call.prompt_tokens() - best.map_or(0, |best| best.tokens);
+        let serving = self.engines.serving(&call.ready.model).first().copied();
+        let slot = best.map(|best| best.slot).or(serving);
+        slot.map_or(0.0, |slot| recompute_time(self.engines.entry(slot), missing))
+    }
+
+    fn cached_for(&self, call: &Call, now: Timestamp) -> Vec<CachedOn> {
+        let program = self.programs.get(call.id().program);
+        let mut cached = program.map(|program| program.cached_for(call)).unwrap_or_default();
+        add_missing(&mut cached, self.shared.cached_for(call, now));
+        cached
     }
 
     /// Puts the call in its place among those waiting, dispatches what can be, and refuses the
     /// call at once when it would have to wait too long.
     fn enqueue(&mut self, call: Call, now: Timestamp, actions: &mut Vec<Action>) {
-        let (id, patience) = (call.id(), call.patience);
+        let (id, patience, first) = (call.id(), call.patience, call.first);
         let (model, tenant) = (call.ready.model.clone(), call.ready.tenant.clone());
         self.admission.began_waiting(&tenant);
-        self.model(&model).queue.push(call);
+        self.model(&model).lanes.of(first).queue.push(call);
         self.drain(&model, now, actions);
-        if !self.model(&model).queue.contains(id) {
+        if !self.model(&model).lanes.contains(id) {
             return;
         }
         if self.engines.serving(&model).is_empty() {
             self.refuse_waiting(id, RefusalReason::NoEngine, actions);
             return;
         }
-        let expected = self.expected_wait(&model);
+        let expected = self.expected_wait(&model, first);
         if let Err(reason) = self.admission.check(&tenant, expected, patience) {
             self.refuse_waiting(id, reason, actions);
         }
@@ -196,9 +223,7 @@
 
     fn place(&mut self, call: &Call, now: Timestamp) -> Placement {
         let program = self.programs.get(call.id().program);
-        let mut cached = program.map(|program| program.cached_for(call)).unwrap_or_default();
-        let shared = self.shared.cached_for(call, now);
-        add_missing(&mut cached, shared);
+        let cached = self.cached_for(call, now);
         let last_engine = program
             .and_then(|program| program.home(call.id().chain).or_else(|| program.last_engine()));
         let generated = self.models.get(&call.ready.model).and_then(|model| model.generated);
@@ -208,7 +233,13 @@
             prompt: call.prompt_tokens(),
             generated: generated.unwrap_or(expected).min(most),
         };
-        let request = Request { model: &call.ready.model, demand, cached: &cached, last_engine };
+        let request = Request {
+            model: &call.ready.model,
+            demand,
+            cached: &cached,
+            last_engine,
+            first: call.first,
+        };
         self.stats.decisions += 1;
         let examined = &mut self.stats.engines_examined;
         self.policy.place(&request, &self.engines, &mut self.random, now, examined)
@@ -249,7 +280,7 @@
         let tenant = &open.call.ready.tenant;
         self.admission.ended(tenant);
         for model in self.models.values_mut() {
-            model.queue.unpark(tenant);
+            model.lanes.unpark(tenant);
         }
         if let Some(program) = self.programs.get_mut(attempt.call.program) {
             program.ended(open.slot);
@@ -282,29 +313,30 @@
         call.ready.attempt = failed.attempt.attempt + 1;
         if self.is_managed() {
             self.admission.began_waiting(&call.ready.tenant);
-            self.model(&call.ready.model.clone()).queue.push(call);
+            let model = call.ready.model.clone();
+            self.model(&model).lanes.of(call.first).queue.push(call);
         } else {
             self.place_directly(call, now, actions);
         }
     }
 
     fn refuse_waiting(&mut self, id: CallId, reason: RefusalReason, actions: &mut Vec<Action>) {
-        let waiting = self.models.values_mut().find_map(|model| model.queue.remove(id));
+        let waiting = self.models.values_mut().find_map(|model| model.lanes.remove(id));
         let Some(call) = waiting else { return };
         self.admission.ended_waiting(&call.ready.tenant);
         self.refuse(&call, reason, actions);
     }
 
     fn refuse(&mut self, call: &Call, reason: RefusalReason, actions: &mut Vec<Action>) {
-        let expected = self.expected_wait(&call.ready.model);
+        let expected = self.expected_wait(&call.ready.model, call.first);
         let retry_after = self.admission.retry_after(expected, &mut self.random);
         self.stats.refused += 1;
         actions.push(Action::Refuse { call: call.id(), retry_after, reason });
     }
 
-    fn expected_wait(&self, model: &ModelId) -> Duration {
-        let state = self.models.get(model);
-        state.map_or(Duration::ZERO, |state| state.drain.time_for(state.queue.len()))
+    fn expected_wait(&mut self, model: &ModelId, first: bool) -> Duration {
+        let lane = self.model(model).lanes.of(first);
+        lane.drain.time_for(lane.queue.len())
     }
 
     fn learn_generated(&mut self, model: &ModelId, usage: Usage) {
--- a/crates/placement/src/scheduler/sessions.rs
+++ b/crates/placement/src/scheduler/sessions.rs
@@ -176,7 +176,7 @@
         let waiting: Vec<CallId> = self
             .models
             .values()
-            .flat_map(|model| model.queue.matching(|call| call.id().program == id))
+            .flat_map(|model| model.lanes.matching(|call| call.id().program == id))
             .collect();
         for call in waiting {
             self.call_withdrawn(call);
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -56,6 +56,9 @@
     pub expected_generated: u64,
     /// A call waits here rather than at an engine whose queue is expected to be longer.
     pub dispatch_horizon: Duration,
+    /// The same for a program's first call: programs under way come first, so that what they
+    /// have cached is used again before it is evicted.
+    pub first_call_horizon: Duration,
     /// Fraction of KV that running attempts may use before an engine counts as full.
     pub full_fraction: f64,
 }
@@ -63,14 +66,15 @@
 impl Default for CostSettings {
     fn default() -> Self {
         Self {
-            sample_size: 4,
+            sample_size: 8,
             eviction_weight: 0.5,
             recompute_weight: 1.5,
             tie: Duration::from_millis(20),
-            move_penalty: Duration::from_millis(500),
+            move_penalty: Duration::from_secs(3),
             least_copied: 4000,
             expected_generated: 250,
-            dispatch_horizon: Duration::from_millis(1500),
+            dispatch_horizon: Duration::from_secs(10),
+            first_call_horizon: Duration::from_millis(500),
             full_fraction: 0.9,
         }
     }
@@ -82,13 +86,15 @@
 pub struct PrioritySettings {
     /// How much later a call counts as ready for each second of service its program has had.
     pub attained_factor: f64,
-    /// The most that attained service can set a call back. Bounds every call's wait.
+    /// How much later a call counts as ready for each second of prefill that it needs.
+    pub uncached_factor: f64,
+    /// The most that a call can be set back. Bounds every call's wait.
     pub most_setback: Duration,
 }
 
 impl Default for PrioritySettings {
     fn default() -> Self {
-        Self { attained_factor: 1.0, most_setback: Duration::from_secs(60) }
+        Self { attained_factor: 0.1, uncached_factor: 2.0, most_setback: Duration::from_secs(60) }
     }
 }
 
@@ -218,7 +224,9 @@
         check_range("placement.cost.eviction_weight", cost.eviction_weight, 0.0, 100.0)?;
         check_range("placement.cost.recompute_weight", cost.recompute_weight, 0.0, 100.0)?;
         check_range("placement.cost.full_fraction", cost.full_fraction, 0.05, 1.0)?;
-        check_range("placement.priority.attained_factor", self.priority.attained_factor, 0.0, 1e3)
+        let priority = &self.priority;
+        check_range("placement.priority.attained_factor", priority.attained_factor, 0.0, 1e3)?;
+        check_range("placement.priority.uncached_factor", priority.uncached_factor, 0.0, 1e3)
     }
 
     fn check_waits(&self) -> Result<(), InvalidSetting> {
