--- a/crates/rehearsal/src/caller.rs
+++ b/crates/rehearsal/src/caller.rs
@@ -18,7 +18,7 @@
 const TURN_LIMIT: Duration = Duration::from_secs(40);
 
 /// One answer as the caller saw it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Answer {
     /// The text, put together from all pieces.
     pub text: String,
--- /dev/null
+++ b/crates/rehearsal/src/direct.rs
@@ -0,0 +1,79 @@
+//! A caller that talks to an engine directly, to measure what the path through a daemon adds.
+
+use std::net::SocketAddr;
+
+use futures::StreamExt;
+use reqwest::Client;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::RehearsalError;
+use crate::caller::Answer;
+
+/// Keeps its own conversation, as such callers do, and sends it whole each time.
+pub struct DirectCaller {
+    client: Client,
+    engine: SocketAddr,
+    model: String,
+    messages: Vec<Value>,
+}
+
+impl DirectCaller {
+    /// A caller of one engine.
+    pub fn new(engine: SocketAddr, model: &str) -> Self {
+        Self { client: Client::new(), engine, model: model.to_owned(), messages: Vec::new() }
+    }
+
+    /// Sends a turn and reads its whole answer.
+    ///
+    /// # Errors
+    /// [`RehearsalError::Caller`] when the engine refuses or the stream breaks.
+    pub async fn ask(&mut self, text: &str, max_tokens: u64) -> Result<Answer, RehearsalError> {
+        self.messages.push(json!({"role": "user", "content": text}));
+        let body = json!({
+            "model": self.model,
+            "stream": true,
+            "max_tokens": max_tokens,
+            "messages": self.messages,
+        });
+        let started = Instant::now();
+        let url = format!("http://{}/v1/chat/completions", self.engine);
+        let sent = self.client.post(url).json(&body).send().await;
+        let response = sent.map_err(|error| self.failed(&error.to_string()))?;
+        if !response.status().is_success() {
+            let text = response.text().await.unwrap_or_default();
+            return Err(self.failed(&text));
+        }
+        let mut answer = Answer::default();
+        let mut first = None;
+        let mut stream = response.bytes_stream();
+        let mut buffered = String::new();
+        while let Some(bytes) = stream.next().await {
+            let bytes = bytes.map_err(|error| self.failed(&error.to_string()))?;
+            buffered.push_str(&String::from_utf8_lossy(&bytes));
+            while let Some(end) = buffered.find("\n\n") {
+                let event: String = buffered.drain(..end + 2).collect();
+                let piece = text_of(&event);
+                if !piece.is_empty() {
+                    first.get_or_insert_with(|| started.elapsed());
+                }
+                answer.text.push_str(&piece);
+            }
+        }
+        answer.whole = started.elapsed();
+        answer.first_piece = first.unwrap_or(answer.whole);
+        self.messages.push(json!({"role": "assistant", "content": answer.text}));
+        Ok(answer)
+    }
+
+    fn failed(&self, message: &str) -> RehearsalError {
+        let step = format!("calling the engine at {} directly", self.engine);
+        RehearsalError::Caller { step, message: message.to_owned() }
+    }
+}
+
+fn text_of(event: &str) -> String {
+    let data = event.lines().find_map(|line| line.strip_prefix("data: ")).unwrap_or_default();
+    let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+    chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/rehearsal/src/latency.rs
@@ -0,0 +1,66 @@
+//! Latencies collected over a run.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Longest latency that is told apart: ten minutes.
+const LONGEST_MICROS: u64 = 600_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+const MICROS_PER_MILLI: f64 = 1_000.0;
+
+/// Latencies of one kind.
+pub struct Latencies {
+    histogram: Histogram<u64>,
+}
+
+/// Figures of one kind of latency, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct LatencySummary {
+    /// How many were taken.
+    pub count: u64,
+    /// Half are at most this long.
+    pub p50: f64,
+    /// 95 in 100 are at most this long.
+    pub p95: f64,
+    /// 99 in 100 are at most this long.
+    pub p99: f64,
+    /// Arithmetic mean.
+    pub mean: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+impl Default for Latencies {
+    fn default() -> Self {
+        let histogram = Histogram::new_with_bounds(1, LONGEST_MICROS, SIGNIFICANT_DIGITS);
+        Self { histogram: histogram.expect("the bounds are constants that fit") }
+    }
+}
+
+impl Latencies {
+    /// Adds one; longer ones count as the longest.
+    pub fn add(&mut self, latency: Duration) {
+        self.histogram.saturating_record(latency.as_micros() as u64);
+    }
+
+    /// Adds all of another collection.
+    pub fn merge(&mut self, other: &Self) {
+        self.histogram.add(&other.histogram).expect("both have the same bounds");
+    }
+
+    /// The figures.
+    pub fn summary(&self) -> LatencySummary {
+        let millis =
+            |quantile: f64| self.histogram.value_at_quantile(quantile) as f64 / MICROS_PER_MILLI;
+        LatencySummary {
+            count: self.histogram.len(),
+            p50: millis(0.5),
+            p95: millis(0.95),
+            p99: millis(0.99),
+            mean: self.histogram.mean() / MICROS_PER_MILLI,
+            max: self.histogram.max() as f64 / MICROS_PER_MILLI,
+        }
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -8,12 +8,18 @@
 //! | `caller` | a caller that survives the loss of its gateway |
 //! | `operator` | an operator's requests |
 //! | `demo` | `rehearse demo` |
+//! | `load`, `direct` | `rehearse load` |
+//! | `latency`, `process_usage` | what a run measured |
 
 pub mod caller;
 pub mod cluster;
 pub mod demo;
+mod direct;
 mod error;
+mod latency;
+pub mod load;
 pub mod operator;
+mod process_usage;
 pub mod processes;
 
 pub use error::RehearsalError;
--- /dev/null
+++ b/crates/rehearsal/src/load.rs
@@ -0,0 +1,267 @@
+//! `rehearse load`: callers in a closed loop through real daemons, beside the same calls put to
+//! the engines directly. Gives the latency that the path adds and calls per second and core.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use gumdrop::Options;
+use serde::Serialize;
+use snafu::ResultExt;
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+use crate::RehearsalError;
+use crate::caller::{Answer, Caller, Turn};
+use crate::cluster::{Cluster, ClusterPlan};
+use crate::direct::DirectCaller;
+use crate::error::FileSnafu;
+use crate::latency::{Latencies, LatencySummary};
+use crate::operator::Operator;
+use crate::process_usage::{ProcessUsage, read_usage};
+
+/// Budget of a program of the load: never the limit.
+const BUDGET: u64 = 1_000_000_000;
+const TENANT: &str = "load";
+
+/// Flags of `rehearse load`.
+#[derive(Debug, Options)]
+pub struct LoadOptions {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Programs at a time.
+    #[options(help = "programs at a time, each with one call in progress", default = "16")]
+    pub programs: usize,
+    /// Turns of each program.
+    #[options(help = "turns of each program", default = "20")]
+    pub turns: u32,
+    /// Tokens of each answer.
+    #[options(help = "tokens of each answer", default = "16")]
+    pub tokens: u64,
+    /// Speed of the engines' clocks.
+    #[options(help = "how much faster than real the engines run", default = "50")]
+    pub speed: f64,
+    /// Voters of each replica group.
+    #[options(help = "voters of each replica group", default = "3")]
+    pub replicas: u32,
+    /// Report.
+    #[options(help = "write the figures as JSON", meta = "FILE")]
+    pub report: Option<PathBuf>,
+}
+
+/// Figures of a run.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Programs at a time.
+    pub programs: usize,
+    /// Turns of each.
+    pub turns: u32,
+    /// Tokens of each answer.
+    pub tokens: u64,
+    /// Voters of each replica group.
+    pub replicas: u32,
+    /// From request to first text, through a daemon.
+    pub first_text_ms: LatencySummary,
+    /// From request to the end, through a daemon.
+    pub whole_ms: LatencySummary,
+    /// From request to first text, at an engine directly.
+    pub direct_first_text_ms: LatencySummary,
+    /// From request to the end, at an engine directly.
+    pub direct_whole_ms: LatencySummary,
+    /// Calls answered in a second through the daemons.
+    pub calls_per_second: f64,
+    /// Processor seconds that all daemons used.
+    pub daemon_processor_seconds: f64,
+    /// Calls answered for each processor second of the daemons.
+    pub calls_per_processor_second: f64,
+    /// Calls that ended with an error.
+    pub failed: u64,
+}
+
+/// Runs the load and prints its figures.
+///
+/// # Errors
+/// [`RehearsalError`] when the cluster does not start or the report cannot be written.
+pub async fn run(options: LoadOptions) -> Result<(), RehearsalError> {
+    let scratch = TempDir::new().context(FileSnafu { path: std::env::temp_dir() })?;
+    tokio::select! {
+        report = measure(&options, scratch.path()) => finish(&options, &report?),
+        _ = tokio::signal::ctrl_c() => Err(RehearsalError::Interrupted),
+    }
+}
+
+fn finish(options: &LoadOptions, report: &LoadReport) -> Result<(), RehearsalError> {
+    print(report);
+    let Some(path) = &options.report else {
+        return Ok(());
+    };
+    let text = serde_json::to_string_pretty(report).map_err(|error| RehearsalError::Broken {
+        what: format!("writing the report as JSON: {error}"),
+    })?;
+    std::fs::write(path, text).context(FileSnafu { path })
+}
+
+async fn measure(options: &LoadOptions, folder: &Path) -> Result<LoadReport, RehearsalError> {
+    let plan = ClusterPlan {
+        speed: options.speed,
+        replicas: options.replicas,
+        ..ClusterPlan::bayou_current()
+    };
+    let cluster = Cluster::start(plan, folder).await?;
+    cluster.wait_until_ready().await?;
+    let direct = measure_direct(&cluster, options).await?;
+    let before = daemons_usage(&cluster);
+    let started = Instant::now();
+    let through = measure_through(&cluster, options).await?;
+    let elapsed = started.elapsed();
+    let used = daemons_usage(&cluster).processor_seconds - before.processor_seconds;
+    let answered = through.whole.summary().count as f64;
+    Ok(LoadReport {
+        programs: options.programs,
+        turns: options.turns,
+        tokens: options.tokens,
+        replicas: options.replicas,
+        first_text_ms: through.first.summary(),
+        whole_ms: through.whole.summary(),
+        direct_first_text_ms: direct.first.summary(),
+        direct_whole_ms: direct.whole.summary(),
+        calls_per_second: answered / elapsed.as_secs_f64(),
+        daemon_processor_seconds: used,
+        calls_per_processor_second: answered / used.max(f64::MIN_POSITIVE),
+        failed: through.failed,
+    })
+}
+
+/// Latencies of one way of calling.
+#[derive(Default)]
+struct Taken {
+    first: Latencies,
+    whole: Latencies,
+    failed: u64,
+}
+
+impl Taken {
+    fn add(&mut self, answer: &Answer) {
+        self.first.add(answer.first_piece);
+        self.whole.add(answer.whole);
+    }
+
+    fn merge(&mut self, other: &Self) {
+        self.first.merge(&other.first);
+        self.whole.merge(&other.whole);
+        self.failed += other.failed;
+    }
+}
+
+async fn measure_through(
+    cluster: &Cluster,
+    options: &LoadOptions,
+) -> Result<Taken, RehearsalError> {
+    let mut programs = Vec::new();
+    let operators = cluster.operators();
+    for index in 0..options.programs {
+        let mut order = operators.clone();
+        order.rotate_left(index % operators.len());
+        let mut operator = Operator::connect(&order).await?;
+        programs.push(operator.create(TENANT, &cluster.plan.model, BUDGET).await?.program);
+    }
+    let mut tasks = Vec::new();
+    for (index, program) in programs.into_iter().enumerate() {
+        let caller = Caller::new(cluster.gateways(), index, cluster.credential(TENANT));
+        let (turns, tokens) = (options.turns, options.tokens);
+        tasks.push(tokio::spawn(call_program(caller, program, turns, tokens)));
+    }
+    let mut taken = Taken::default();
+    for task in tasks {
+        let one = task.await.map_err(|error| RehearsalError::Broken {
+            what: format!("a caller's task failed: {error}"),
+        })?;
+        taken.merge(&one);
+    }
+    Ok(taken)
+}
+
+async fn call_program(caller: Caller, program: String, turns: u32, tokens: u64) -> Taken {
+    let mut taken = Taken::default();
+    for number in 1..=turns {
+        let turn = Turn {
+            program: program.clone(),
+            chain: 0,
+            number,
+            text: question(number, tokens),
+            max_tokens: tokens,
+        };
+        match caller.ask(&turn).await {
+            Ok(answer) => taken.add(&answer),
+            Err(_) => taken.failed += 1,
+        }
+    }
+    taken
+}
+
+async fn measure_direct(cluster: &Cluster, options: &LoadOptions) -> Result<Taken, RehearsalError> {
+    let mut tasks = Vec::new();
+    let engines: Vec<SocketAddr> = cluster.engines.iter().map(|engine| engine.address).collect();
+    for index in 0..options.programs {
+        let caller = DirectCaller::new(engines[index % engines.len()], &cluster.plan.model);
+        let (turns, tokens) = (options.turns, options.tokens);
+        tasks.push(tokio::spawn(call_directly(caller, turns, tokens)));
+    }
+    let mut taken = Taken::default();
+    for task in tasks {
+        let one = task.await.map_err(|error| RehearsalError::Broken {
+            what: format!("a caller's task failed: {error}"),
+        })?;
+        taken.merge(&one?);
+    }
+    Ok(taken)
+}
+
+async fn call_directly(
+    mut caller: DirectCaller,
+    turns: u32,
+    tokens: u64,
+) -> Result<Taken, RehearsalError> {
+    let mut taken = Taken::default();
+    for number in 1..=turns {
+        taken.add(&caller.ask(&question(number, tokens), tokens).await?);
+    }
+    Ok(taken)
+}
+
+/// The stand-in engine reads from the prompt how long its answer is to be.
+fn question(number: u32, tokens: u64) -> String {
+    format!("Reading {number} of the string voltage is 612 V, as before. [[tokens={tokens}]]")
+}
+
+fn daemons_usage(cluster: &Cluster) -> ProcessUsage {
+    let processes = cluster.daemons.iter().filter_map(|daemon| daemon.process.as_ref());
+    let usages = processes.filter_map(|process| read_usage(process.id()?));
+    usages.fold(ProcessUsage::default(), |sum, one| ProcessUsage {
+        processor_seconds: sum.processor_seconds + one.processor_seconds,
+        resident_bytes: sum.resident_bytes + one.resident_bytes,
+    })
+}
+
+fn print(report: &LoadReport) {
+    println!(
+        "{:<24} {:>7} {:>9} {:>9} {:>9} {:>9}",
+        "latency ms", "calls", "p50", "p95", "p99", "max"
+    );
+    let rows = [
+        ("direct, first text", &report.direct_first_text_ms),
+        ("daemon, first text", &report.first_text_ms),
+        ("direct, whole", &report.direct_whole_ms),
+        ("daemon, whole", &report.whole_ms),
+    ];
+    for (name, summary) in rows {
+        println!(
+            "{name:<24} {:>7} {:>9.2} {:>9.2} {:>9.2} {:>9.2}",
+            summary.count, summary.p50, summary.p95, summary.p99, summary.max
+        );
+    }
+    println!(
+        "{:.0} calls/s, {:.0} calls per processor second of the daemons, {} failed",
+        report.calls_per_second, report.calls_per_processor_second, report.failed
+    );
+}
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use dahlia_rehearsal::load::{self, LoadOptions};
 use dahlia_rehearsal::{RehearsalError, demo, processes};
 use gumdrop::Options;
 
@@ -18,6 +19,8 @@
 enum Command {
     #[options(help = "run several programs through real daemons and kill one on the way")]
     Demo(Demo),
+    #[options(help = "measure callers in a closed loop, through daemons and directly")]
+    Load(LoadOptions),
     #[options(help = "run one daemon, as the binary dahlialadder does")]
     Daemon(dahlia_daemon::cli::Arguments),
     #[options(help = "run one stand-in, as the binary dahlia-standin does")]
@@ -37,6 +40,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
         Some(Command::Demo(demo)) => block_on(demo::run(demo.folder.as_deref())),
+        Some(Command::Load(options)) => block_on(load::run(options)),
         Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
         Some(Command::Standin(arguments)) => dahlia_standins::cli::run(&arguments),
         None => {
