--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,161 @@
+//! What drives a node, and what it asks of its driver.
+
+use std::net::SocketAddr;
+
+use dahlia_program::{EngineLife, ReleaseRequest};
+use dahlia_types::{
+    Attempt, AttemptId, CallId, Duration, EngineId, LogIndex, Message, ModelId, ProgramId,
+    ReplicaId, TenantId, Term, Tokens,
+};
+
+use crate::bootstrap::LayoutStep;
+use crate::engines::EngineReport;
+use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
+use crate::wire::PeerMessage;
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time passed. Due about every [`crate::Node::TICK`].
+    Tick,
+    /// A message of another daemon.
+    Message {
+        /// The sender, by its first frame.
+        from: ReplicaId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A request of this daemon's gateway or operators' server.
+    Request {
+        /// Its name; the response carries it.
+        id: RequestId,
+        /// The request.
+        request: Request,
+    },
+    /// An attempt that this node started or resumed has ended.
+    AttemptEnded {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The epoch that it was started or resumed under.
+        epoch: Term,
+        /// How.
+        end: AttemptEnd,
+    },
+    /// The first text of an attempt arrived.
+    FirstToken {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// An engine answered a release, or did not.
+    ReleaseEnded {
+        /// The program.
+        program: ProgramId,
+        /// The engine's life that was asked.
+        holder: EngineLife,
+        /// The last intent that the request covered.
+        covers: LogIndex,
+        /// How.
+        end: ReleaseEnd,
+    },
+    /// An engine reported.
+    EngineReported(EngineReport),
+    /// The key-value service answered about the layout of groups.
+    Layout(LayoutStep),
+    /// A planned stop begins.
+    Drain,
+}
+
+/// Something to do.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Send a message; it may be lost.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Answer a request of this daemon's gateway or operators' server.
+    Respond {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        response: Response,
+    },
+    /// Send an attempt to its engine and read the answer. Its intent is durable.
+    StartAttempt(Box<StartAttempt>),
+    /// Fence the program at the engine with this epoch, then find out about an attempt that an
+    /// earlier owner started, and read its answer from the start.
+    ResumeAttempt(Box<StartAttempt>),
+    /// Ask the engine to cut an attempt; its end follows as usual.
+    CancelAttempt {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The owner's epoch.
+        epoch: Term,
+    },
+    /// Cut an attempt only if the engine has not started it; its end follows as usual.
+    RecallAttempt {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The owner's epoch.
+        epoch: Term,
+    },
+    /// Ask an engine to keep a program's cache until a time.
+    Hold {
+        /// The program.
+        program: ProgramId,
+        /// The engine.
+        engine: EngineId,
+        /// The owner's epoch.
+        epoch: Term,
+        /// How long from now.
+        length: Duration,
+    },
+    /// Stop reading an attempt without touching the engine: a new owner takes over.
+    LeaveAttempt {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The call's text is no longer needed outside its outcome.
+    ForgetAnswer {
+        /// The call.
+        call: CallId,
+    },
+    /// Ask an engine to free a program's memory.
+    Release(Box<ReleaseOrder>),
+    /// Read or write the layout of groups at the key-value service.
+    Layout(LayoutStep),
+}
+
+/// All that an engine must be told of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartAttempt {
+    /// The attempt with its fences.
+    pub attempt: Attempt,
+    /// The engine.
+    pub engine: EngineId,
+    /// Whose program it is; prefix caches are kept apart by it.
+    pub tenant: TenantId,
+    /// Model, adapter and version.
+    pub model: ModelId,
+    /// The whole prompt. Empty when resuming.
+    pub messages: Vec<Message>,
+    /// The engine refuses a longer prompt unrun.
+    pub prompt_bound: Tokens,
+    /// Most tokens to generate.
+    pub max_generated: Tokens,
+    /// Smaller goes first.
+    pub priority: u64,
+}
+
+/// A release with the owner's epoch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleaseOrder {
+    /// What to free, and what to fence first.
+    pub request: ReleaseRequest,
+    /// The owner's epoch.
+    pub epoch: Term,
+    /// Whether the program has ended, rather than pausing.
+    pub ended: bool,
+}
--- /dev/null
+++ b/crates/node/src/group.rs
@@ -0,0 +1,182 @@
+//! One replica group on this daemon: its replica, its programs, and what waits for its log.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits};
+use dahlia_replication::group::{Proposal, ProposeError, Replica};
+use dahlia_types::{
+    AttemptId, CallId, Duration, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
+};
+
+use crate::routing::ReplyTo;
+
+/// What a proposal was for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// A request to be answered when the command is applied.
+    Request(ReplyTo),
+    /// An attempt's intent: dispatch when it is durable.
+    Intent(IntentPurpose),
+    /// Nothing waits for it.
+    Housekeeping,
+}
+
+/// What an intent's dispatch needs besides the command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct IntentPurpose {
+    /// The attempt.
+    pub(crate) attempt: AttemptId,
+    /// The engine's life.
+    pub(crate) holder: EngineLife,
+    /// Upper bound of the prompt.
+    pub(crate) prompt_bound: Tokens,
+    /// The engine's queue priority.
+    pub(crate) priority: u64,
+}
+
+/// An attempt that this node runs as owner.
+#[derive(Debug, Clone)]
+pub(crate) struct LiveAttempt {
+    /// The epoch that it runs under.
+    pub(crate) epoch: Term,
+    /// When it is cancelled.
+    pub(crate) deadline: Timestamp,
+    /// Whether a cancel was sent.
+    pub(crate) cancelled: bool,
+}
+
+/// A release that is under way or due.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingRelease {
+    /// When to ask again.
+    pub(crate) due: Timestamp,
+    /// Failures so far.
+    pub(crate) failures: u32,
+    /// Whether an answer is awaited.
+    pub(crate) asked: bool,
+}
+
+/// A group on this daemon.
+pub(crate) struct Group {
+    pub(crate) replica: Replica,
+    pub(crate) state: GroupState,
+    /// Proposals of this node by their place in the log.
+    pub(crate) pending: BTreeMap<LogIndex, (Term, Purpose)>,
+    /// Commands that the replica could not take at the moment.
+    pub(crate) deferred: Vec<(Command, Purpose)>,
+    /// Attempts that run here.
+    pub(crate) live: BTreeMap<AttemptId, LiveAttempt>,
+    /// Requests that wait for a call's outcome.
+    pub(crate) waiters: BTreeMap<CallId, BTreeSet<ReplyTo>>,
+    /// Releases that are due or under way.
+    pub(crate) releases: BTreeMap<(ProgramId, EngineLife), PendingRelease>,
+    /// The term in which this node took up its duties as owner, if it has.
+    pub(crate) serving: Option<Term>,
+    /// When expired programs are next looked for.
+    pub(crate) next_expiry: Timestamp,
+}
+
+impl Group {
+    /// A group with an empty state.
+    pub(crate) fn new(replica: Replica, limits: ProgramLimits) -> Self {
+        let state = GroupState::new(replica.group(), limits);
+        Self {
+            replica,
+            state,
+            pending: BTreeMap::new(),
+            deferred: Vec::new(),
+            live: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            serving: None,
+            next_expiry: Timestamp::ZERO,
+        }
+    }
+
+    /// The group's identifier.
+    pub(crate) fn id(&self) -> GroupId {
+        self.replica.group()
+    }
+
+    /// Whether this node may act as the owner of the group's programs.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.serving == Some(self.replica.term()) && self.replica.is_leader_ready()
+    }
+
+    /// Puts a command into the log. Gives the purpose back when this replica does not lead.
+    pub(crate) fn propose(
+        &mut self,
+        command: Command,
+        purpose: Purpose,
+        now: Timestamp,
+    ) -> Result<(), Purpose> {
+        match self.replica.propose(encode(&command), now) {
+            Ok(Proposal { index, term }) => {
+                self.pending.insert(index, (term, purpose));
+                Ok(())
+            }
+            Err(ProposeError::Overloaded { .. }) => {
+                self.deferred.push((command, purpose));
+                Ok(())
+            }
+            Err(ProposeError::NotLeader { .. } | ProposeError::TooLarge { .. }) => Err(purpose),
+        }
+    }
+
+    /// Proposes to end idle programs and forget ended ones, if there are any.
+    pub(crate) fn propose_expiry(&mut self, keep_records: Duration, now: Timestamp) {
+        let due = self.state.programs().any(|program| match program.lifecycle() {
+            Lifecycle::Open => {
+                let idle = now.since(program.last_activity());
+                idle >= program.specification().idle_expiry && program.open_calls().next().is_none()
+            }
+            Lifecycle::Closed { at, .. } => now.since(at) >= keep_records,
+        });
+        if due {
+            let command = Command::ExpirePrograms(ExpirePrograms { now, keep_records });
+            // Not leading any more is fine: the next owner looks for itself.
+            let _ = self.propose(command, Purpose::Housekeeping, now);
+        }
+    }
+
+    /// Takes the purpose of the entry at `index`, and those of proposals that are now known to
+    /// be lost because another entry stands at or after their place.
+    pub(crate) fn settle(&mut self, index: LogIndex, term: Term) -> Settled {
+        let mut settled = Settled::default();
+        while let Some((place, _)) = self.pending.first_key_value() {
+            if *place > index {
+                break;
+            }
+            let Some((place, (proposed, purpose))) = self.pending.pop_first() else {
+                break;
+            };
+            if place == index && proposed == term {
+                settled.own = Some(purpose);
+            } else {
+                settled.lost.push(purpose);
+            }
+        }
+        settled
+    }
+}
+
+/// What became of proposals when an entry was committed.
+#[derive(Debug, Default)]
+pub(crate) struct Settled {
+    /// The purpose of the entry itself, if this node proposed it.
+    pub(crate) own: Option<Purpose>,
+    /// Purposes of proposals that other entries replaced.
+    pub(crate) lost: Vec<Purpose>,
+}
+
+/// Encodes a command for the log.
+pub(crate) fn encode(command: &Command) -> Vec<u8> {
+    let encoded = bincode::serde::encode_to_vec(command, bincode::config::standard());
+    encoded.expect("commands have only plain fields")
+}
+
+/// Decodes a command from the log.
+pub(crate) fn decode(payload: &[u8]) -> Option<Command> {
+    let decoded = bincode::serde::decode_from_slice(payload, bincode::config::standard());
+    decoded.ok().map(|(command, _)| command)
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,45 @@
+//! Settings of a node.
+
+use std::net::SocketAddr;
+
+use dahlia_placement::{PlacementSettings, PolicyKind};
+use dahlia_program::ProgramLimits;
+use dahlia_replication::group::GroupSettings;
+use dahlia_types::{Duration, Region, ReplicaId, Zone};
+
+/// What a node is told at its start.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// This daemon, in this life.
+    pub own: ReplicaId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Its region.
+    pub region: Region,
+    /// Where other daemons reach it.
+    pub address: SocketAddr,
+    /// Addresses of daemons to start from.
+    pub seeds: Vec<SocketAddr>,
+    /// Number of groups in the system.
+    pub group_count: u32,
+    /// Voters of each group.
+    pub replicas: u32,
+    /// Daemons that must be live before the groups are laid out.
+    pub bootstrap_daemons: u32,
+    /// Timing and bounds of replica groups.
+    pub group: GroupSettings,
+    /// Limits on programs.
+    pub limits: ProgramLimits,
+    /// Placement.
+    pub placement: PlacementSettings,
+    /// Which placement policy.
+    pub policy: PolicyKind,
+    /// Attempts of one call before it is given up.
+    pub attempts_per_call: u32,
+    /// Longest an attempt may run before it is cancelled.
+    pub attempt_limit: Duration,
+    /// How long the records of an ended program are kept, for late repeats of its calls.
+    pub keep_records: Duration,
+    /// Seed of all random draws.
+    pub seed: u64,
+}
