Check that every schedule of programs comes to an end

Cause: the promises could hold while something is stuck for ever: a release that is never asked for, or a program that is never forgotten. Each schedule now ends with closed programs and a network at rest, and nothing may be left.

The modelled engine is a module of its own, as are the callers.

--- a/crates/program/tests/schedules/main.rs
+++ b/crates/program/tests/schedules/main.rs
@@ -4,7 +4,9 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod callers;
 mod checker;
+mod engine;
 mod world;
 
 use checker::{OutcomeCounts, Promise};
@@ -28,10 +30,12 @@
 }
 
 #[test]
-fn every_promise_holds_and_replicas_agree_in_every_schedule() {
+fn every_promise_holds_and_all_comes_to_an_end_in_every_schedule() {
     let mut seen = OutcomeCounts::default();
     for seed in 0..SEEDS {
-        let world = run(seed, None).unwrap_or_else(|broken| panic!("{broken:?}"));
+        let mut world = run(seed, None).unwrap_or_else(|broken| panic!("{broken:?}"));
+        let left = world.settle().unwrap_or_else(|broken| panic!("seed {seed}: {broken:?}"));
+        assert_eq!(left, [], "seed {seed}: kept though all has ended");
         // One replica was restored from snapshots on the way, the other applied the whole log.
         assert_eq!(world.state.snapshot(), world.replayed().snapshot(), "seed {seed}");
         seen.add(&world.checker);
--- a/crates/program/tests/schedules/world.rs
+++ b/crates/program/tests/schedules/world.rs
@@ -1,43 +1,30 @@
 //! A seeded world around a group's state: engines, a network that delays and repeats, callers who
 //! retry, and an owner who dies, forgets, and tries what it may not.
 
-use std::collections::{BTreeMap, BTreeSet};
-
 use dahlia_program::{
     AbandonCall, Applied, AttemptOutcome, BeginCall, CallOutcome, ChunkReference, CloseProgram,
     CloseReason, Command, ConfirmRelease, CreateProgram, EngineLife, ExpirePrograms, GroupState,
-    Mechanism, MoveTurnToStore, ProgramLimits, RaiseBudget, RecordIntent, RecordOutcome, TurnText,
-    UnfinishedCall, encode_chunk,
+    Mechanism, MoveTurnToStore, ProgramLimits, RaiseBudget, RecordIntent, RecordOutcome,
+    ReleaseRequest, TurnText, UnfinishedCall, encode_chunk,
 };
 use dahlia_types::{
-    AttemptId, Bytes, CallId, CallKind, ChainId, Duration, EngineId, IdempotencyKey, Incarnation,
-    LogIndex, ProgramId, Repeatability, Role, Term, Timestamp, Tokens,
+    AttemptId, Bytes, CallId, ChainId, Duration, EngineId, Incarnation, LogIndex, ProgramId, Term,
+    Timestamp, Tokens,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::checker::{Checked, Checker};
-use crate::common::{GROUP, message, program_id, seconds, specification, usage};
+use crate::checker::{Checked, Checker, Promise};
+use crate::common::{GROUP, program_id, seconds, specification};
+use crate::engine::Engine;
 
 const ENGINES: usize = 3;
 const PROGRAMS: u64 = 2;
-const CHAINS: u32 = 3;
+pub(crate) const CHAINS: u32 = 3;
 const BUDGET: u64 = 900;
-/// More than any reservation of the world: charges are what was reserved, which is what was used.
-const REPORTED: u64 = 59;
 const MOST_IN_FLIGHT: usize = 12;
 
-/// One model engine.
-#[derive(Default)]
-struct Engine {
-    life: u64,
-    running: BTreeSet<AttemptId>,
-    /// Ends that the engine remembers in this life.
-    ended: BTreeMap<AttemptId, AttemptOutcome>,
-    fenced: BTreeSet<AttemptId>,
-}
-
 #[derive(Clone, Copy)]
 struct Dispatch {
     attempt: AttemptId,
@@ -48,17 +35,17 @@
 }
 
 pub struct World {
-    random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     off: Option<Mechanism>,
     pub state: GroupState,
     pub checker: Checker,
     log: Vec<Command>,
-    now: Timestamp,
+    pub(crate) now: Timestamp,
     engines: Vec<Engine>,
     dispatches: Vec<Dispatch>,
     outcomes: Vec<(AttemptId, AttemptOutcome)>,
     confirmations: Vec<ConfirmRelease>,
-    requests: Vec<BeginCall>,
+    pub(crate) requests: Vec<BeginCall>,
 }
 
 impl World {
@@ -70,7 +57,7 @@
             checker: Checker::default(),
             log: Vec::new(),
             now: seconds(1),
-            engines: (0..ENGINES).map(|_| Engine { life: 1, ..Engine::default() }).collect(),
+            engines: (0..ENGINES).map(|index| Engine::new(index, 1)).collect(),
             dispatches: Vec::new(),
             outcomes: Vec::new(),
             confirmations: Vec::new(),
@@ -120,7 +107,7 @@
         }
     }
 
-    fn apply(&mut self, command: Command) -> Option<Applied> {
+    pub(crate) fn apply(&mut self, command: Command) -> Option<Applied> {
         self.log.push(command.clone());
         self.state.apply(LogIndex(self.log.len() as u64), Term(1), &command).ok()
     }
@@ -131,7 +118,7 @@
         }
     }
 
-    fn any_program(&mut self) -> ProgramId {
+    pub(crate) fn any_program(&mut self) -> ProgramId {
         program_id(self.random.random_range(0..PROGRAMS))
     }
 
@@ -141,55 +128,6 @@
         found.choose(&mut self.random).copied()
     }
 
-    fn begin(&mut self, request: BeginCall) -> Checked {
-        match self.apply(Command::BeginCall(request.clone())) {
-            Some(Applied::Begun(begun)) => self.checker.begun(&request, &begun),
-            _ => Ok(()),
-        }
-    }
-
-    fn begin_new(&mut self) -> Checked {
-        let serial = self.requests.len();
-        let chain = ChainId(self.random.random_range(0..CHAINS));
-        let keyed = self.random.random_bool(0.7);
-        let request = BeginCall {
-            program: self.any_program(),
-            chain,
-            parent: self.random.random_bool(0.7).then_some(ChainId(0)),
-            number: None,
-            key: keyed.then(|| IdempotencyKey::new(format!("key-{serial}"))),
-            digest: serial as u64,
-            kind: match self.random.random_bool(0.2) {
-                true => CallKind::Tool("registry".to_owned()),
-                false => CallKind::Generate,
-            },
-            repeatability: match self.random.random_bool(0.4) {
-                true => Repeatability::AtMostOnce,
-                false => Repeatability::Repeatable,
-            },
-            messages: vec![message(Role::User, format!("request {serial}"))],
-            max_generated: Tokens(self.random.random_range(0..30)),
-            at: self.now,
-        };
-        self.requests.push(request.clone());
-        self.begin(request)
-    }
-
-    /// A caller's retry, sometimes with other content under the same key.
-    fn begin_again(&mut self) -> Checked {
-        let Some(mut request) = self.requests.choose(&mut self.random).cloned() else {
-            return Ok(());
-        };
-        if request.key.is_none() {
-            return Ok(());
-        }
-        if self.random.random_bool(0.3) {
-            request.digest += 1_000_000;
-            request.messages[0].content.push_str(" (changed)");
-        }
-        self.begin(request)
-    }
-
     /// The owner tries any open call, at any engine, sometimes at a life that is over.
     fn intend(&mut self) -> Checked {
         let first_in_chain =
@@ -212,7 +150,7 @@
         let bound = self.random.random_range(1..30);
         let command = RecordIntent {
             attempt,
-            engine: engine_id(engine),
+            engine: self.engines[engine].id.clone(),
             incarnation: Incarnation(life),
             prompt_bound: Tokens(bound),
             at: self.now,
@@ -232,38 +170,23 @@
         let Some(dispatch) = take_any(&mut self.dispatches, &mut self.random) else {
             return Ok(());
         };
-        let attempt = dispatch.attempt;
+        let call = dispatch.attempt.call;
         let engine = &mut self.engines[dispatch.engine];
-        let seen = engine.running.contains(&attempt) || engine.ended.contains_key(&attempt);
-        if engine.life != dispatch.life || engine.fenced.contains(&attempt) || seen {
-            return Ok(());
-        }
-        engine.running.insert(attempt);
-        *self.checker.starts.entry(attempt.call).or_default() += 1;
-        let used = dispatch.bound + dispatch.cap;
-        *self.checker.used.entry(attempt.call.program).or_default() += used;
-        if dispatch.cap > 0 {
-            let life = engine_life(dispatch.engine, engine.life);
-            self.checker.held.insert((attempt.call.program, life));
+        if engine.start(dispatch.attempt, dispatch.life) {
+            *self.checker.starts.entry(call).or_default() += 1;
+            let used = dispatch.bound + dispatch.cap;
+            *self.checker.used.entry(call.program).or_default() += used;
+            // A tool's call generates nothing and holds no memory.
+            if dispatch.cap > 0 {
+                self.checker.held.insert((call.program, engine.life()));
+            }
         }
         Ok(())
     }
 
     fn engine_ends_attempt(&mut self) -> Checked {
         let index = self.random.random_range(0..ENGINES);
-        let Some(attempt) = self.engines[index].running.pop_first() else {
-            return Ok(());
-        };
-        // Most engines report what they were allowed; some report nonsense.
-        let reported = if self.random.random_bool(0.1) { 10_000 } else { REPORTED };
-        let usage = usage(reported, 0);
-        let answer = message(Role::Assistant, format!("answer of {attempt}"));
-        let outcome = match self.random.random_bool(0.8) {
-            true => AttemptOutcome::Ran { answer, usage },
-            false => AttemptOutcome::Cut { usage },
-        };
-        self.engines[index].ended.insert(attempt, outcome.clone());
-        self.outcomes.push((attempt, outcome));
+        self.outcomes.extend(self.engines[index].end_one(&mut self.random));
         Ok(())
     }
 
@@ -286,79 +209,82 @@
         }
     }
 
-    /// The owner asks an engine about an attempt and fences it when it has not started.
-    fn owner_asks_engine(&mut self) -> Checked {
-        let programs = self.state.programs();
-        let asked: Vec<(AttemptId, EngineLife, bool)> = programs
-            .flat_map(|program| {
-                let open = program
+    /// Attempts that are open or of unknown outcome.
+    fn unsettled(&self) -> Vec<(AttemptId, EngineLife)> {
+        let mut found = Vec::new();
+        for program in self.state.programs() {
+            found.extend(
+                program
                     .open_attempts()
-                    .map(|(id, attempt)| (id, life_of(&attempt.engine, attempt.incarnation), true));
-                let unknown = program.unknown_attempts().map(|(id, attempt)| {
-                    (id, life_of(&attempt.engine, attempt.incarnation), false)
-                });
-                open.chain(unknown).collect::<Vec<_>>()
-            })
-            .collect();
-        let Some((attempt, life, open)) = asked.choose(&mut self.random).cloned() else {
-            return Ok(());
-        };
-        let engine = &mut self.engines[engine_index(&life.engine)];
-        if engine.life != life.incarnation.0 {
-            return if open { self.record(attempt, AttemptOutcome::Unknown) } else { Ok(()) };
+                    .map(|(id, attempt)| (id, life_of(&attempt.engine, attempt.incarnation))),
+            );
+            found.extend(
+                program
+                    .unknown_attempts()
+                    .map(|(id, attempt)| (id, life_of(&attempt.engine, attempt.incarnation))),
+            );
         }
-        if let Some(outcome) = engine.ended.get(&attempt).cloned() {
-            return self.record(attempt, outcome);
+        found
+    }
+
+    /// The owner asks an engine about an attempt.
+    fn owner_asks_engine(&mut self) -> Checked {
+        match self.unsettled().choose(&mut self.random) {
+            Some((attempt, life)) => self.ask(*attempt, life),
+            None => Ok(()),
         }
-        if engine.running.contains(&attempt) {
-            return Ok(());
+    }
+
+    fn ask(&mut self, attempt: AttemptId, life: &EngineLife) -> Checked {
+        match self.engine(&life.engine).ask(attempt, life.incarnation) {
+            Some(outcome) => self.record(attempt, outcome),
+            None => Ok(()),
         }
-        engine.fenced.insert(attempt);
-        self.record(attempt, AttemptOutcome::NotRun)
+    }
+
+    fn engine(&mut self, id: &EngineId) -> &mut Engine {
+        self.engines.iter_mut().find(|engine| engine.id == *id).expect("an engine of this world")
     }
 
     fn owner_gives_up(&mut self) -> Checked {
-        let programs = self.state.programs();
-        let open: Vec<AttemptId> =
-            programs.flat_map(|program| program.open_attempts()).map(|(id, _)| id).collect();
-        match open.choose(&mut self.random) {
-            Some(attempt) => self.record(*attempt, AttemptOutcome::Unknown),
+        match self.unsettled().choose(&mut self.random) {
+            Some((attempt, _)) => self.record(*attempt, AttemptOutcome::Unknown),
             None => Ok(()),
         }
     }
 
     fn restart_engine(&mut self) -> Checked {
         let index = self.random.random_range(0..ENGINES);
-        let life = self.engines[index].life + 1;
-        self.engines[index] = Engine { life, ..Engine::default() };
-        self.checker.held.retain(|(_, held)| held.engine != engine_id(index));
+        let engine = Engine::new(index, self.engines[index].life + 1);
+        self.checker.held.retain(|(_, held)| held.engine != engine.id);
         let program = self.any_program();
-        self.confirmations.push(confirmation(program, engine_life(index, life), LogIndex(0)));
+        self.confirmations.push(confirmation(program, engine.life(), LogIndex(0)));
+        self.engines[index] = engine;
         Ok(())
     }
 
+    fn release_requests(&self) -> Vec<ReleaseRequest> {
+        self.state.programs().flat_map(|program| program.release_requests()).collect()
+    }
+
     /// An engine frees a program; its confirmation is under way for a while.
     fn ask_release(&mut self) -> Checked {
-        let programs = self.state.programs();
-        let requests: Vec<_> = programs.flat_map(|program| program.release_requests()).collect();
-        let Some(request) = requests.choose(&mut self.random) else {
-            return Ok(());
-        };
-        let holder = request.holder.clone();
-        let engine = &mut self.engines[engine_index(&holder.engine)];
-        if engine.life == holder.incarnation.0 {
-            // What is stopped has run: the engine says so when it is asked later.
-            for attempt in request.fence.iter().filter(|id| engine.running.remove(id)) {
-                engine.ended.insert(*attempt, AttemptOutcome::Cut { usage: usage(REPORTED, 0) });
-            }
-            engine.fenced.extend(request.fence.iter().copied());
-            self.checker.held.remove(&(request.program, holder.clone()));
+        if let Some(request) = self.release_requests().choose(&mut self.random) {
+            self.release(request);
         }
-        let now = engine_life(engine_index(&holder.engine), engine.life);
-        self.confirmations.push(confirmation(request.program, now, request.covers));
         Ok(())
     }
 
+    fn release(&mut self, request: &ReleaseRequest) {
+        let engine = self.engine(&request.holder.engine);
+        let life = engine.life();
+        if life == request.holder {
+            engine.fence(&request.fence);
+            self.checker.held.remove(&(request.program, life.clone()));
+        }
+        self.confirmations.push(confirmation(request.program, life, request.covers));
+    }
+
     fn hear_release(&mut self) -> Checked {
         if let Some(confirmed) = take_any(&mut self.confirmations, &mut self.random) {
             self.apply(Command::ConfirmRelease(confirmed));
@@ -404,6 +330,37 @@
         Ok(())
     }
 
+    /// Ends every program and lets the network and the engines come to rest. Gives what is left:
+    /// nothing, unless something is stuck or held for ever.
+    pub fn settle(&mut self) -> Result<Vec<ProgramId>, (Promise, String)> {
+        let (at, reason) = (self.now, CloseReason::Closed);
+        for number in 0..PROGRAMS {
+            let program = program_id(number);
+            self.apply(Command::CloseProgram(CloseProgram { program, reason, at }));
+        }
+        while !self.dispatches.is_empty() {
+            self.deliver_dispatch()?;
+        }
+        for engine in &mut self.engines {
+            while engine.end_one(&mut self.random).is_some() {}
+        }
+        for (attempt, life) in self.unsettled() {
+            self.ask(attempt, &life)?;
+        }
+        for request in self.release_requests() {
+            self.release(&request);
+        }
+        while !self.confirmations.is_empty() {
+            self.hear_release()?;
+        }
+        self.check()?;
+        let (keep_records, keep_unknown) =
+            (Duration::from_secs(30), self.state.limits().keep_unknown);
+        let now = self.now + keep_unknown + keep_records;
+        self.apply(Command::ExpirePrograms(ExpirePrograms { now, keep_records }));
+        Ok(self.state.programs().map(|program| program.id()).collect())
+    }
+
     fn rare(&mut self) -> Checked {
         let program = self.any_program();
         let (now, reason) = (self.now, CloseReason::Closed);
@@ -430,18 +387,6 @@
     ConfirmRelease { program, engine, incarnation, covers, freed: Bytes::ZERO }
 }
 
-fn engine_id(index: usize) -> EngineId {
-    EngineId::new(format!("e{index}"))
-}
-
-fn engine_index(engine: &EngineId) -> usize {
-    engine.as_str()[1..].parse().expect("made by engine_id")
-}
-
-fn engine_life(index: usize, life: u64) -> EngineLife {
-    life_of(&engine_id(index), Incarnation(life))
-}
-
 fn life_of(engine: &EngineId, incarnation: Incarnation) -> EngineLife {
     EngineLife { engine: engine.clone(), incarnation }
 }
