Spare the service and the processor while a daemon cannot know its generation

Cause: a daemon that starts in an outage read the service every 200 ms, and after the wait for the spread asked for a tick every millisecond.

Reads back off up to 12.8 s; the wait that is over no longer counts as due.

--- a/crates/configuration/src/follower/mod.rs
+++ b/crates/configuration/src/follower/mod.rs
@@ -191,9 +191,8 @@
 
     /// When to pass the next [`FollowerEvent::Tick`] at the latest.
     pub fn next_tick(&self, now: Timestamp) -> Timestamp {
-        let due = self.spread.next_due().min(
-            self.start.as_ref().map_or(Timestamp(u64::MAX), |start| start.next_due(&self.settings)),
-        );
+        let start = self.start.as_ref().map(|start| start.next_due(&self.settings, now));
+        let due = self.spread.next_due().min(start.unwrap_or(Timestamp(u64::MAX)));
         due.max(now + Duration::from_millis(1))
     }
 }
--- a/crates/configuration/src/follower/start.rs
+++ b/crates/configuration/src/follower/start.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// How often the pause between reads of a service that does not answer doubles.
+const MOST_DOUBLINGS: u32 = 6;
+
 /// A start under way.
 #[derive(Debug)]
 pub(super) struct Start {
@@ -39,6 +42,8 @@
     asked: Option<BTreeSet<DaemonId>>,
     answers: BTreeMap<DaemonId, Answer>,
     next_ask: Timestamp,
+    next_read: Timestamp,
+    reads: u32,
     pub(super) service_answered: bool,
 }
 
@@ -49,12 +54,15 @@
             asked: None,
             answers: BTreeMap::new(),
             next_ask: now,
+            next_read: now,
+            reads: 0,
             service_answered: false,
         }
     }
 
-    pub(super) fn next_due(&self, settings: &Settings) -> Timestamp {
-        self.next_ask.min(self.began + settings.spread_within)
+    pub(super) fn next_due(&self, settings: &Settings, now: Timestamp) -> Timestamp {
+        let waited = self.began + settings.spread_within;
+        if now < waited { self.next_ask.min(waited) } else { self.next_ask }
     }
 
     /// Whether a majority of the peers asked have answered.
@@ -102,7 +110,11 @@
             return;
         };
         start.next_ask = now + self.settings.retry_pause;
-        if !start.service_answered {
+        if !start.service_answered && now >= start.next_read {
+            // Many daemons may start in one outage: each reads more and more rarely.
+            let pause = self.settings.retry_pause.times(1 << start.reads.min(MOST_DOUBLINGS));
+            start.next_read = now + pause;
+            start.reads += 1;
             actions.push(FollowerAction::ReadService);
         }
         let held = stamp.map_or(Generation(0), |stamp| stamp.generation);
--- a/crates/configuration/tests/spread/main.rs
+++ b/crates/configuration/tests/spread/main.rs
@@ -69,6 +69,22 @@
     assert!(each < 2.0, "{each} messages a second from each daemon");
 }
 
+#[test]
+fn a_whole_start_in_an_outage_serves_nothing_until_the_service_is_back() {
+    let mut network = Network::new(1, 60, 3, None);
+    network.service.accept("first", DOCUMENT);
+    network.begin_outage();
+    network.start().expect("nothing was in force");
+    network.run(Duration::from_secs(60)).expect("nothing is in force");
+    let serving = network.serving(Generation(0)) + network.serving(Generation(1));
+    assert_eq!(serving, 0, "no daemon can know the generation");
+    let each = network.service_reads / 60;
+    assert!(each <= 12, "{each} reads of each daemon in a minute");
+    network.outage = false;
+    network.run(Duration::from_secs(20)).expect("one generation");
+    assert_eq!(network.serving(Generation(1)), 60);
+}
+
 /// A zone is cut off during a change and healed; gives whether its daemons learn of it while the
 /// service is down.
 fn heals(off: Option<Mechanism>) -> bool {
