Keep how far an emptied replica's log went, for votes

Cause: a removed replica that was emptied voted with an empty log for a voter that lagged and did not know of the removal; that one led without committed entries. Ruled out: refusing votes while emptied (a group of a stale configuration may rightly need it). Conclusion: term, vote and the place of the last entry live as long as the identifier.

--- a/crates/replication/src/group/election.rs
+++ b/crates/replication/src/group/election.rs
@@ -196,8 +196,13 @@
     }
 
     fn is_up_to_date(&self, request: &VoteRequest) -> bool {
-        let own = (self.log.last_term(), self.log.last_index());
-        (request.last_term, request.last_index) >= own || self.settings.faults.no_log_comparison
+        let candidate = (request.last_term, request.last_index);
+        candidate >= self.last_for_votes() || self.settings.faults.no_log_comparison
+    }
+
+    /// Term and index that a candidate's last entry must reach.
+    pub(super) fn last_for_votes(&self) -> (Term, LogIndex) {
+        (self.log.last_term(), self.log.last_index()).max(self.retired_last)
     }
 
     fn handle_pre_vote(&mut self, from: ReplicaId, term: Term, request: VoteRequest) {
--- a/crates/replication/src/group/faults.rs
+++ b/crates/replication/src/group/faults.rs
@@ -14,6 +14,8 @@
     pub no_check_quorum: bool,
     /// Votes are given without comparing logs.
     pub no_log_comparison: bool,
+    /// A replica that is emptied forgets how far its log went.
+    pub forget_retired_log: bool,
     /// Entries of earlier terms are committed by counting copies.
     pub commit_earlier_terms: bool,
     /// Acknowledgements of an earlier session with a peer are counted.
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -65,6 +65,8 @@
     pub(super) applied: LogIndex,
     /// Members by the entry that set them; the first is the one in force at the log's base.
     pub(super) configurations: Vec<(LogIndex, Members)>,
+    /// Term and index of the last entry before it was emptied; see [`Self::retire`].
+    pub(super) retired_last: (Term, LogIndex),
     /// Latest configuration by which a leader treated this replica as a member.
     pub(super) member_as_of: LogIndex,
     /// Set when a member said that this replica was removed; cleared when it is added again.
@@ -131,6 +133,7 @@
             delivered: LogIndex(0),
             applied: LogIndex(0),
             configurations: vec![(LogIndex(0), Members::default())],
+            retired_last: (Term(0), LogIndex(0)),
             member_as_of: LogIndex(0),
             is_removed: false,
             leading: Leading::default(),
@@ -146,13 +149,18 @@
 
     /// Empties a removed replica and makes it a learner that may be added again.
     ///
-    /// The term and vote stay: forgetting them would allow a second vote in one term.
+    /// The term and vote stay: forgetting them would allow a second vote in one term. So does the
+    /// last entry's place: a candidate that lags may still count this replica as a voter, and an
+    /// empty log would let it win without the entries that this replica helped to commit.
     pub fn retire(&mut self, now: Timestamp) {
         let seed = self.random.random();
         let mut empty = Self::join(self.id, self.group, self.settings.clone(), seed, now);
         empty.term = self.term;
         empty.voted_for = self.voted_for;
         empty.member_as_of = self.member_as_of;
+        if !self.settings.faults.forget_retired_log {
+            empty.retired_last = self.last_for_votes();
+        }
         empty.announced.1 = self.term;
         *self = empty;
     }
--- a/crates/replication/tests/group_by_hand.rs
+++ b/crates/replication/tests/group_by_hand.rs
@@ -18,6 +18,8 @@
     replicas: Vec<Replica>,
     now: Timestamp,
     waiting: Vec<GroupMessage>,
+    /// A replica that gets no entries, only heartbeats.
+    starved: Option<usize>,
     /// Everything that was ever sent.
     sent: Vec<GroupMessage>,
     delivered: Vec<Vec<Vec<u8>>>,
@@ -44,6 +46,7 @@
             replicas: (0..replicas).map(make).collect(),
             now,
             waiting: Vec::new(),
+            starved: None,
             sent: Vec::new(),
             delivered: vec![Vec::new(); replicas],
         }
@@ -69,7 +72,9 @@
         while !self.waiting.is_empty() && !is_done(self) {
             let message = self.waiting.remove(0);
             let (from, to) = (message.from.daemon.0 as usize, message.to.daemon.0 as usize);
-            if between.contains(&from) && between.contains(&to) {
+            let is_entry = matches!(message.body, GroupBody::Append(_));
+            let is_withheld = is_entry && self.starved == Some(to);
+            if between.contains(&from) && between.contains(&to) && !is_withheld {
                 self.replicas[to].step(message, self.now);
                 self.take(to);
             }
@@ -83,6 +88,10 @@
 
     /// Lets a replica's time run out until some others elect it; no entry leaves it.
     fn elect(&mut self, place: usize, between: &[usize]) {
+        assert!(self.try_to_elect(place, between), "replica {place} is not elected");
+    }
+
+    fn try_to_elect(&mut self, place: usize, between: &[usize]) -> bool {
         const TRIES: usize = 5;
         for _ in 0..TRIES {
             let timeout = GroupSettings::default().election_timeout();
@@ -91,10 +100,10 @@
             self.take(place);
             self.pump_until(between, |desk| desk.replicas[place].role() == Role::Leader);
             if self.replicas[place].role() == Role::Leader {
-                return;
+                return true;
             }
         }
-        panic!("replica {place} is not elected");
+        false
     }
 
     /// Lets the leader send again what it still has to.
@@ -213,3 +222,40 @@
     let promoted = promote_after_late_acknowledgement(faults);
     assert!(promoted.is_ok(), "{promoted:?}");
 }
+
+/// A replica that was removed and emptied is asked by a voter that lags and does not know of
+/// the removal. Returns whether that one is elected without the committed command.
+fn lagging_voter_wins_with_a_removed_one(faults: Faults) -> bool {
+    let all = [0, 1, 2, 3];
+    let mut desk = Desk::new(4, 3, faults);
+    desk.elect(2, &all);
+    desk.resend(2);
+    desk.pump(&all);
+    desk.starved = Some(0);
+    let changes = [
+        MemberChange::AddLearner(id(3)),
+        MemberChange::Promote(id(3)),
+        MemberChange::Remove(id(1)),
+    ];
+    desk.replicas[2].propose(b"committed".to_vec(), desk.now).expect("it leads");
+    for change in changes {
+        desk.change(2, change).expect("fits");
+        desk.pump(&all);
+        desk.resend(2);
+        desk.pump(&all);
+    }
+    assert_eq!(desk.delivered[2], [b"committed"]);
+    assert_eq!(desk.replicas[1].last_index(), LogIndex(0), "it was emptied");
+    desk.try_to_elect(0, &[0, 1])
+}
+
+#[test]
+fn a_removed_replica_does_not_vote_for_one_that_lacks_what_it_had() {
+    assert!(!lagging_voter_wins_with_a_removed_one(Faults::default()));
+}
+
+#[test]
+fn forgetting_the_log_of_a_removed_replica_would_lose_a_committed_command() {
+    let faults = Faults { forget_retired_log: true, ..Faults::default() };
+    assert!(lagging_voter_wins_with_a_removed_one(faults));
+}
