--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -127,7 +127,8 @@
         sent.map_err(|error| self.classify(step, &error))
     }
 
-    /// Only failures that the library places before the first byte count as not sent.
+    /// Only failures that the library places before the first byte count as not sent. On a kept
+    /// connection that closed, it tries a new one only with a request it had not begun to write.
     fn classify(&self, step: &str, error: &reqwest::Error) -> TransportError {
         let detail = with_sources(error);
         let peer = &self.name;
--- a/crates/platform/tests/bad_peers.rs
+++ b/crates/platform/tests/bad_peers.rs
@@ -12,6 +12,7 @@
 use dahlia_types::{
     Attempt, AttemptId, EngineId, Incarnation, ModelId, TenantId, Term, Tokens, Usage,
 };
+use futures::StreamExt;
 use support::{Then, response, scripted, stream};
 use tokio::net::TcpListener;
 
@@ -83,6 +84,20 @@
     assert_eq!(read(address, settings()).await, (3, None));
 }
 
+#[tokio::test]
+async fn an_event_stream_reads_as_a_stream() {
+    let body = token(0, "ab") + &finished();
+    let address = scripted(stream(&body), Then::Close).await;
+    let opened = engine(address, settings()).generate(&request()).await.expect("opens");
+    let events: Vec<_> = opened.into_stream().collect().await;
+    let usage = Usage::default();
+    let expected = [
+        Ok(GenerateEvent::Token { offset: 0, text: "ab".to_owned() }),
+        Ok(GenerateEvent::Finished { usage, stop: Stop::End }),
+    ];
+    assert_eq!(events, expected);
+}
+
 #[tokio::test]
 async fn what_follows_the_last_event_is_not_read() {
     let body = finished() + "garbage\n";
--- a/crates/standins/src/engine/handlers.rs
+++ b/crates/standins/src/engine/handlers.rs
@@ -7,6 +7,7 @@
     ExportRequest, FenceRequest, Fenced, FencedOrder, GenerateRequest, HoldRequest, ImportRequest,
     OrderAccepted, ReleaseRequest, ReportRequest, ResumeRequest, paths,
 };
+use dahlia_types::Tokens;
 use salvo::Router;
 use salvo::http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -79,8 +80,8 @@
 
 async fn generate(service: Arc<Service>, request: GenerateRequest) -> Reply {
     service.thawed().await;
-    if request.messages.is_empty() {
-        return Reply::refused(EngineRefusal::invalid("messages", "must not be empty".to_owned()));
+    if let Err(refusal) = check(&request) {
+        return Reply::refused(refusal);
     }
     match service.generate(&request) {
         Err(refusal) => answer::<(), _>(&service, Err(refusal)).await,
@@ -92,6 +93,18 @@
     }
 }
 
+/// Refuses what no model could run. One token is the least that is ever generated, so a cap of
+/// none cannot be kept.
+fn check(request: &GenerateRequest) -> Result<(), EngineRefusal> {
+    if request.messages.is_empty() {
+        return Err(EngineRefusal::invalid("messages", "must not be empty".to_owned()));
+    }
+    if request.max_generated == Tokens::ZERO {
+        return Err(EngineRefusal::invalid("max_generated", "must be at least 1".to_owned()));
+    }
+    Ok(())
+}
+
 async fn resume(service: Arc<Service>, request: ResumeRequest) -> Reply {
     service.thawed().await;
     let ResumeRequest { attempt, from_offset } = request;
--- a/crates/standins/src/engine/openai.rs
+++ b/crates/standins/src/engine/openai.rs
@@ -41,6 +41,12 @@
     stream: bool,
 }
 
+impl ChatRequest {
+    fn limit(&self) -> Tokens {
+        Tokens(self.max_completion_tokens.or(self.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS))
+    }
+}
+
 /// The error body that clients of this API expect.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct OpenAiError {
@@ -80,6 +86,9 @@
     if chat.messages.is_empty() {
         return OpenAiError::invalid("messages", "must not be empty".to_owned()).reply();
     }
+    if chat.limit() == Tokens::ZERO {
+        return OpenAiError::invalid("max_tokens", "must be at least 1".to_owned()).reply();
+    }
     let number = service.next_direct_call();
     let request = as_generate(&service, &chat, number);
     let subscription = match service.generate(&request) {
@@ -99,14 +108,13 @@
     let program = ProgramId { group: DIRECT_GROUP, number };
     let call = CallId { program, chain: ChainId(0), number: 1 };
     let id = AttemptId { call, attempt: 1 };
-    let limit = chat.max_completion_tokens.or(chat.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
     GenerateRequest {
         attempt: Attempt { id, epoch: Term(1), engine_incarnation: incarnation },
         tenant: TenantId::new(DIRECT_TENANT),
         model: chat.model.clone(),
         messages: chat.messages.clone(),
         prompt_bound: count_prompt(&chat.messages),
-        max_generated: Tokens(limit),
+        max_generated: chat.limit(),
         priority: DEFAULT_PRIORITY,
     }
 }
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -146,6 +146,20 @@
     insta::assert_snapshot!(not_loaded, @"model unknown@1 is not loaded");
 }
 
+#[tokio::test]
+async fn what_no_model_could_run_is_refused_by_field() {
+    let server = engine(|_| {}).await;
+    let client = engine_client(&server, patient());
+    let mut uncapped = request(&client, program(1), "hello").await;
+    uncapped.max_generated = Tokens(0);
+    let mut silent = request(&client, program(1), "hello").await;
+    silent.messages.clear();
+    let uncapped = refusal(client.generate(&uncapped).await);
+    let silent = refusal(client.generate(&silent).await);
+    insta::assert_snapshot!(uncapped, @"`max_generated` is not acceptable: must be at least 1");
+    insta::assert_snapshot!(silent, @"`messages` is not acceptable: must not be empty");
+}
+
 #[tokio::test]
 async fn cancel_before_arrival_keeps_the_attempt_from_ever_starting() {
     let server = engine(|_| {}).await;
