Watch for signals before the address is announced

Cause: the binary announced its address and only then watched for SIGTERM, so that a stop in between killed it with the signal in place of exit code 0 (1 of 40 runs of the process tests, two loops at once). Ruled out: the test's own order of steps. Now the signals are watched first.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -16,7 +16,7 @@
 use gumdrop::Options;
 use log::{LevelFilter, error, info};
 use options::{Arguments, OptionsError, Service};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 const WRONG_USE: u8 = 2;
 
@@ -28,6 +28,14 @@
         eprintln!("{}", Arguments::usage());
         return ExitCode::from(WRONG_USE);
     };
+    // Watched before anything is announced: whoever reads the address may stop us at once.
+    let mut stop = match StopSignals::watch() {
+        Ok(stop) => stop,
+        Err(cause) => {
+            error!("cannot watch for signals: {cause}");
+            return ExitCode::FAILURE;
+        }
+    };
     let started = match start(service).await {
         Ok(started) => started,
         Err(Failure::Options { source }) => {
@@ -43,7 +51,7 @@
         error!("cannot write the port file: {cause}");
         return ExitCode::FAILURE;
     }
-    wait_for_stop().await;
+    stop.wait().await;
     info!("{} stops", service.name());
     started.shutdown().await;
     ExitCode::SUCCESS
@@ -81,15 +89,24 @@
     Ok(())
 }
 
-async fn wait_for_stop() {
-    let terminate = signal(SignalKind::terminate());
-    let Ok(mut terminate) = terminate else {
-        error!("cannot watch for SIGTERM");
-        return;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
+/// The signals that ask the process to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn watch() -> std::io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
 
