--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod clock;
 pub mod control;
+mod control_client;
 pub mod engine;
 pub mod key_value;
 pub mod machines;
@@ -16,6 +17,7 @@
 pub mod tool;
 pub mod weights;
 
+pub use control_client::{ControlClient, ControlError};
 pub use engine::{EngineServer, EngineSettings};
 pub use key_value::{KeyValueServer, KeyValueSettings};
 pub use machines::{MachineListServer, MachineListSettings};
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 
 use dahlia_platform::KeyValueClient;
-use dahlia_standins::ServerSettings;
+use dahlia_standins::{ControlClient, ControlError, ServerSettings};
 use serde_json::{Value, json};
 use support::{engine, key_value, patient, within};
 
@@ -76,7 +76,8 @@
 }
 
 async fn post(address: &str, path: &str, body: &Value) -> (u16, String) {
-    let request = reqwest::Client::new().post(format!("http://{address}{path}")).json(body);
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let request = client.post(format!("http://{address}{path}")).json(body);
     let response = within("an answer", request.send()).await.expect("an answer");
     let status = response.status().as_u16();
     (status, response.text().await.expect("a whole body"))
@@ -157,4 +158,6 @@
     let address = server.address().to_string();
     let (status, _) = post(&address, "/control/faults", &json!({})).await;
     assert_eq!(status, 404);
+    let refused = ControlClient::new(server.address()).set_faults(&json!({})).await;
+    assert!(matches!(refused, Err(ControlError::Refused { status: 404, .. })), "{refused:?}");
 }
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -6,10 +6,11 @@
 
 use dahlia_platform::engine::{EventStream, GenerateEvent, GenerateRequest, Stop};
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError, KeyValueClient};
-use dahlia_standins::control::{Observations, ObservationsRequest};
+use dahlia_standins::control::Observations;
 use dahlia_standins::engine::{EngineFaults, EngineObservation, count_prompt};
 use dahlia_standins::{
-    EngineServer, EngineSettings, KeyValueServer, KeyValueSettings, RunningServer, ServerSettings,
+    ControlClient, EngineServer, EngineSettings, KeyValueServer, KeyValueSettings, RunningServer,
+    ServerSettings,
 };
 use dahlia_types::{
     Attempt, AttemptId, CallId, ChainId, EngineId, GroupId, Incarnation, Message, ModelId,
@@ -66,14 +67,11 @@
 /// Posts JSON to a control endpoint.
 pub async fn control<T: DeserializeOwned>(
     address: SocketAddr,
-    path: &str,
+    name: &str,
     request: &impl Serialize,
 ) -> T {
-    let url = format!("http://{address}/control/{path}");
-    let response = reqwest::Client::new().post(url).json(request).send().await;
-    let response = response.expect("the control endpoint answers");
-    assert!(response.status().is_success(), "control {path}: {}", response.status());
-    response.json().await.expect("the answer is JSON of the documented form")
+    let answer = ControlClient::new(address).post(name, request).await;
+    answer.expect("the control endpoint serves")
 }
 
 /// Waits for a future, with a bound.
@@ -98,14 +96,14 @@
 
 /// Puts faults of an engine in force.
 pub async fn set_engine_faults(server: &RunningServer, faults: EngineFaults) {
-    let _: dahlia_standins::control::Nothing = control(server.address(), "faults", &faults).await;
+    let set = ControlClient::new(server.address()).set_faults(&faults).await;
+    set.expect("the control endpoint serves");
 }
 
 /// What an engine saw.
 pub async fn engine_observations(server: &RunningServer) -> Vec<EngineObservation> {
-    let request = ObservationsRequest::default();
-    let seen: Observations<EngineObservation> =
-        control(server.address(), "observations", &request).await;
+    let seen = ControlClient::new(server.address()).observations(0).await;
+    let seen: Observations<EngineObservation> = seen.expect("the control endpoint serves");
     assert_eq!(seen.dropped, 0);
     seen.observations.into_iter().map(|seen| seen.event).collect()
 }
