--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -10,7 +10,7 @@
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -31,6 +31,8 @@
 
 /// Messages of peers that may wait for the node.
 const PEER_INBOX: usize = 8_192;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// How often a planned stop looks whether everything has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -76,9 +78,9 @@
 pub async fn start(settings: &Settings) -> Result<RunningDaemon, StartError> {
     let clock = Clock::start();
     let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
-    let peer_listener = listen("peers", settings.daemon.peer_address).await?;
-    let gateway_listener = listen("callers", settings.daemon.gateway_address).await?;
-    let operators_listener = listen("operators", settings.daemon.operators_address).await?;
+    let peer_listener = listen("peers", settings.daemon.peer_address)?;
+    let gateway_listener = listen("callers", settings.daemon.gateway_address)?;
+    let operators_listener = listen("operators", settings.daemon.operators_address)?;
     let peer_address = local(&peer_listener, settings.daemon.peer_address);
     let gateway_address = local(&gateway_listener, settings.daemon.gateway_address);
     let operators_address = local(&operators_listener, settings.daemon.operators_address);
@@ -174,8 +176,18 @@
     }
 }
 
-async fn listen(part: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.context(ListenSnafu { part, address })
+fn listen(part: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    bind(address).context(ListenSnafu { part, address })
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit this on Linux. Without it, Nagle's algorithm (RFC 896) holds each
+    // small piece of an answer back until the reader's delayed acknowledgement, some 40 ms.
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 fn local(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 mod clock;
 pub mod control;
+mod control_client;
 pub mod engine;
 pub mod key_value;
 pub mod machines;
@@ -18,6 +19,7 @@
 pub mod tool;
 pub mod weights;
 
+pub use control_client::{ControlClient, ControlError};
 pub use engine::{EngineServer, EngineSettings};
 pub use key_value::{KeyValueServer, KeyValueSettings};
 pub use machines::{MachineListServer, MachineListSettings};
