--- a/crates/experiment/src/driver.rs
+++ b/crates/experiment/src/driver.rs
@@ -2,6 +2,7 @@
 
 mod agenda;
 mod callers;
+mod copies;
 mod engines;
 mod network;
 mod programs;
@@ -9,13 +10,13 @@
 
 use std::collections::BTreeMap;
 
-use dahlia_engine_model::Submit;
 use dahlia_placement::{Event, PolicyKind, Scheduler};
-use dahlia_types::{AttemptId, Duration, ProgramId, Timestamp};
+use dahlia_types::{AttemptId, Duration, Timestamp};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
 use self::agenda::{Agenda, Happening};
+use self::copies::PendingCopy;
 use self::engines::EngineHost;
 use self::network::Network;
 use self::programs::ProgramRun;
@@ -38,29 +39,6 @@
     pub seed: u64,
 }
 
-/// A submission that waits for a copy of KV.
-#[derive(Debug)]
-struct PendingFetch {
-    source: usize,
-    target: usize,
-    scheduler: usize,
-    submit: Submit,
-    /// The copy has left the source.
-    exported: bool,
-}
-
-impl PendingFetch {
-    /// Whether its copy is still to leave this engine.
-    fn leaves(&self, engine: usize) -> bool {
-        self.source == engine && !self.exported
-    }
-
-    /// Whether its copy is on the way to this engine.
-    fn arrives(&self, engine: usize) -> bool {
-        self.target == engine && self.exported
-    }
-}
-
 /// One run.
 struct Driver<'a> {
     workload: &'a Workload,
@@ -75,7 +53,7 @@
     live: usize,
     /// Where each attempt was sent.
     sent: BTreeMap<AttemptId, usize>,
-    fetches: BTreeMap<ProgramId, Vec<PendingFetch>>,
+    copies: BTreeMap<AttemptId, PendingCopy>,
     result: RunResult,
 }
 
@@ -113,7 +91,7 @@
             live: programs.len(),
             programs,
             sent: BTreeMap::new(),
-            fetches: BTreeMap::new(),
+            copies: BTreeMap::new(),
             result: RunResult::new(workload),
         }
     }
@@ -159,8 +137,8 @@
             Happening::Arrive { program } => self.arrive(program),
             Happening::Issue { program, chain } => self.issue(program, chain),
             Happening::Ready { program, chain } => self.ready(program, chain),
-            Happening::Command { engine, incarnation, command, from } => {
-                self.command(engine, incarnation, *command, from);
+            Happening::Command { engine, incarnation, command, from, purpose } => {
+                self.command(engine, incarnation, *command, from, purpose);
             }
             Happening::Wake { engine } => self.wake(engine),
             Happening::Report { engine } => self.report(engine),
@@ -203,6 +181,7 @@
             let stats = scheduler.stats();
             self.result.dispatched += stats.dispatched;
             self.result.fetches += stats.fetches;
+            self.result.offloads += stats.pauses_offloaded;
             self.result.decisions += stats.decisions;
             self.result.engines_examined += stats.engines_examined;
         }
--- a/crates/experiment/src/driver/agenda.rs
+++ b/crates/experiment/src/driver/agenda.rs
@@ -7,6 +7,8 @@
 use dahlia_placement::Event;
 use dahlia_types::{AttemptId, Duration, Incarnation, Timestamp, Usage};
 
+use super::copies::Purpose;
+
 /// Something that will happen.
 #[derive(Debug, Clone)]
 pub(super) enum Happening {
@@ -17,7 +19,13 @@
     /// The call reaches the scheduler that owns the program.
     Ready { program: usize, chain: usize },
     /// A command reaches an engine.
-    Command { engine: usize, incarnation: Incarnation, command: Box<EngineCommand>, from: usize },
+    Command {
+        engine: usize,
+        incarnation: Incarnation,
+        command: Box<EngineCommand>,
+        from: usize,
+        purpose: Purpose,
+    },
     /// An engine has something to do.
     Wake { engine: usize },
     /// An engine reports its load.
--- a/crates/experiment/src/driver/callers.rs
+++ b/crates/experiment/src/driver/callers.rs
@@ -111,8 +111,12 @@
             outcome,
         };
         self.result.add_program(record);
-        let event = Box::new(Event::ProgramClosed(run.id));
-        let scheduler = run.owner;
+        let id = run.id;
+        for host in &mut self.engines {
+            host.host_memory.drop_program(id);
+        }
+        let event = Box::new(Event::ProgramClosed(id));
+        let scheduler = self.programs[program].owner;
         self.agenda.add(self.now + link, Happening::Tell { scheduler, event });
     }
 
--- a/crates/experiment/src/driver/engines.rs
+++ b/crates/experiment/src/driver/engines.rs
@@ -3,8 +3,10 @@
 mod faults;
 mod reports;
 
+use std::collections::VecDeque;
+
 use dahlia_engine_model::{
-    CacheSpan, EngineCommand, EngineEvent, EngineModel, EngineRefusal, EngineReply, Import,
+    CacheSpan, EngineCommand, EngineEvent, EngineModel, EngineRefusal, EngineReply,
 };
 use dahlia_placement::{AttemptFailed, AttemptFailure, Event};
 use dahlia_types::{
@@ -12,8 +14,8 @@
 };
 
 use super::agenda::Happening;
+use super::copies::{HostMemory, Purpose};
 use super::network::add;
-use super::schedulers::EPOCH;
 use super::{Driver, MODEL};
 use crate::workload::Workload;
 
@@ -27,6 +29,10 @@
     /// None while it is off.
     pub model: Option<EngineModel>,
     pub spans: Vec<CacheSpan>,
+    /// What the exports and imports under way are for, in their order.
+    pub exports: VecDeque<Purpose>,
+    pub imports: VecDeque<Purpose>,
+    pub host_memory: HostMemory,
     seed: u64,
     wake_at: Option<Timestamp>,
 }
@@ -38,6 +44,9 @@
             incarnation: Incarnation(0),
             model: None,
             spans: Vec::new(),
+            exports: VecDeque::new(),
+            imports: VecDeque::new(),
+            host_memory: HostMemory::new(workload.deployment.host_tokens),
             seed: seed.wrapping_mul(7919) + number as u64,
             wake_at: None,
         };
@@ -56,6 +65,9 @@
         model.record_spans();
         self.model = Some(model);
         self.wake_at = None;
+        self.exports.clear();
+        self.imports.clear();
+        self.host_memory = HostMemory::new(workload.deployment.host_tokens);
     }
 
     /// Ends the books; gives how many programs still have something here.
@@ -75,8 +87,9 @@
         incarnation: Incarnation,
         command: EngineCommand,
         from: usize,
+        purpose: Purpose,
     ) {
-        let subject = Subject::of(&command);
+        let subject = Subject::of(&command, purpose);
         let host = &mut self.engines[engine];
         let alive = host.model.as_mut().filter(|_| host.incarnation == incarnation);
         let Some(model) = alive else {
@@ -123,21 +136,8 @@
             }
             EngineEvent::Preempted { .. } => self.result.preemptions += 1,
             EngineEvent::Cache(event) => self.forward_cache_event(engine, event),
-            EngineEvent::Exported { image, .. } => {
-                let pending = self.fetches.get_mut(&image.program);
-                let first = pending.into_iter().flatten().find(|one| one.leaves(engine));
-                let Some(one) = first else { return };
-                one.exported = true;
-                let (target, from) = (one.target, one.scheduler);
-                let incarnation = self.engines[target].incarnation;
-                let command = Box::new(EngineCommand::Import(Import { epoch: EPOCH, image }));
-                let at = self.now + self.network.between(engine, target);
-                let happening = Happening::Command { engine: target, incarnation, command, from };
-                self.agenda.add(at, happening);
-            }
-            EngineEvent::Imported { program, .. } => {
-                self.end_fetch(program, |one| one.arrives(engine))
-            }
+            EngineEvent::Exported { image, .. } => self.exported(engine, image),
+            EngineEvent::Imported { .. } => self.imported(engine),
             _ => {}
         }
     }
@@ -183,12 +183,11 @@
             (Subject::Release(program, true), EngineReply::Released { .. }) => {
                 self.confirm_release(engine, program, from);
             }
-            (Subject::Export(program), EngineReply::Refused(_)) => {
-                self.end_fetch(program, |one| one.leaves(engine))
-            }
-            (Subject::Import(program), EngineReply::Refused(_)) => {
-                self.end_fetch(program, |one| one.arrives(engine));
+            (Subject::Export(purpose) | Subject::Import(purpose), EngineReply::Refused(_)) => {
+                self.transfer_failed(engine, purpose);
             }
+            (Subject::Export(purpose), _) => self.engines[engine].exports.push_back(purpose),
+            (Subject::Import(purpose), _) => self.engines[engine].imports.push_back(purpose),
             _ => {}
         }
     }
@@ -201,8 +200,9 @@
                 self.fail_attempt(engine, attempt, failure, true, Duration::ZERO);
             }
             Subject::Release(program, true) => self.confirm_release(engine, program, from),
-            Subject::Export(program) => self.end_fetch(program, |one| one.leaves(engine)),
-            Subject::Import(program) => self.end_fetch(program, |one| one.arrives(engine)),
+            Subject::Export(purpose) | Subject::Import(purpose) => {
+                self.transfer_failed(engine, purpose);
+            }
             _ => {}
         }
     }
@@ -237,19 +237,19 @@
     Submit(AttemptId),
     Cancel(AttemptId),
     Release(ProgramId, bool),
-    Export(ProgramId),
-    Import(ProgramId),
+    Export(Purpose),
+    Import(Purpose),
     Other,
 }
 
 impl Subject {
-    fn of(command: &EngineCommand) -> Self {
+    fn of(command: &EngineCommand, purpose: Purpose) -> Self {
         match command {
             EngineCommand::Submit(submit) => Self::Submit(submit.attempt),
             EngineCommand::Cancel(cancel) => Self::Cancel(cancel.attempt),
             EngineCommand::Release(release) => Self::Release(release.program, release.closing),
-            EngineCommand::Export(export) => Self::Export(export.program),
-            EngineCommand::Import(import) => Self::Import(import.image.program),
+            EngineCommand::Export(_) => Self::Export(purpose),
+            EngineCommand::Import(_) => Self::Import(purpose),
             _ => Self::Other,
         }
     }
--- a/crates/experiment/src/driver/engines/faults.rs
+++ b/crates/experiment/src/driver/engines/faults.rs
@@ -2,10 +2,11 @@
 
 use dahlia_engine_model::{EngineCommand, EngineOrder, EngineRole, OrderKind};
 use dahlia_placement::{AttemptFailure, Event};
-use dahlia_types::{AttemptId, Duration, Generation, Incarnation, ProgramId};
+use dahlia_types::{AttemptId, Duration, Generation, Incarnation};
 
+use super::super::Driver;
 use super::super::agenda::Happening;
-use super::super::{Driver, PendingFetch};
+use super::super::copies::Purpose;
 use crate::workload::FaultKind;
 
 /// How long an engine that leaves may take to finish what it has.
@@ -27,7 +28,7 @@
         let incarnation = self.engines[engine].incarnation;
         let kind = OrderKind::SetRole(EngineRole::Draining);
         let order = EngineCommand::Order(EngineOrder { generation: Generation(1), kind });
-        self.command(engine, incarnation, order, 0);
+        self.command(engine, incarnation, order, 0, Purpose::None);
         self.tell_list(Event::EngineLeaving(self.engines[engine].id.clone()));
         let at = self.now + LEAVING_TIME;
         self.agenda.add(at, Happening::SwitchOff { engine, incarnation });
@@ -52,7 +53,9 @@
             let failure = AttemptFailure::EngineLost;
             self.fail_attempt(engine, attempt, failure, true, DEATH_DETECTION);
         }
-        self.abandon_copies(engine);
+        for attempt in waiting_for_copies {
+            self.end_copy(attempt);
+        }
         self.tell_list(Event::EngineGone(self.engines[engine].id.clone()));
     }
 
@@ -64,25 +67,11 @@
         self.announce(engine, self.network.list_lag);
     }
 
-    /// Attempts to the engine that have not been submitted: their copy is under way.
+    /// Attempts that wait for copies from or to the engine.
     fn attempts_waiting_for(&self, engine: usize) -> Vec<AttemptId> {
-        let pending = self.fetches.values().flatten();
-        let to_engine = pending.filter(|one| one.target == engine);
-        to_engine.map(|one| one.submit.attempt).collect()
-    }
-
-    /// Goes on without copies from or to the engine.
-    fn abandon_copies(&mut self, engine: usize) {
-        let concerned = self.fetches.iter().filter(|(_, pending)| {
-            pending.iter().any(|one| one.source == engine || one.target == engine)
-        });
-        let programs: Vec<ProgramId> = concerned.map(|(program, _)| *program).collect();
-        for program in programs {
-            let concerned = |one: &PendingFetch| one.source == engine || one.target == engine;
-            while self.fetches.get(&program).is_some_and(|pending| pending.iter().any(concerned)) {
-                self.end_fetch(program, concerned);
-            }
-        }
+        let concerned =
+            self.copies.iter().filter(|(_, copy)| copy.source == engine || copy.target == engine);
+        concerned.map(|(attempt, _)| *attempt).collect()
     }
 
     fn tell_list(&mut self, event: Event) {
--- a/crates/experiment/src/driver/engines/reports.rs
+++ b/crates/experiment/src/driver/engines/reports.rs
@@ -4,7 +4,7 @@
 use dahlia_placement::{
     CacheNotice, EngineCapacity, EngineInventory, EngineJoined, EngineReport, Event,
 };
-use dahlia_types::{Duration, ModelId};
+use dahlia_types::{Duration, ModelId, Tokens};
 use rand::Rng;
 
 use super::super::agenda::Happening;
@@ -93,6 +93,7 @@
             step_base: Duration::from_micros(engine.step_base_micros as u64),
             step_per_sequence: Duration::from_micros(engine.decode_sequence_micros as u64),
             max_batch: engine.max_batch,
+            host_tokens: Tokens(self.workload.deployment.host_tokens),
             transfer_per_second: if self.workload.deployment.transfers { transfer } else { 0.0 },
         }
     }
--- a/crates/experiment/src/driver/schedulers.rs
+++ b/crates/experiment/src/driver/schedulers.rs
@@ -1,15 +1,16 @@
 //! The schedulers' side: events in, decisions carried out over the links.
 
 use dahlia_engine_model::{
-    AfterHold, Cancel, EngineCommand, Export, Hold, Priority, Release, Segment, Submit,
+    AfterHold, Cancel, EngineCommand, Hold, Priority, Release, Segment, Submit,
 };
-use dahlia_placement::{Action, CallReady, Event, HistorySegment, ReleaseReason};
+use dahlia_placement::{Action, CallReady, CopySource, Event, HistorySegment, ReleaseReason};
 use dahlia_types::{
-    AttemptId, CallId, Duration, EngineId, Incarnation, ModelId, ProgramId, Term, Timestamp, Tokens,
+    AttemptId, CallId, Duration, EngineId, Incarnation, ModelId, Term, Timestamp, Tokens,
 };
 
 use super::agenda::Happening;
-use super::{Driver, MODEL, PendingFetch};
+use super::copies::Purpose;
+use super::{Driver, MODEL};
 
 /// Weight of every program.
 const WEIGHT: u32 = 100;
@@ -50,8 +51,8 @@
 
     fn carry_out(&mut self, scheduler: usize, action: Action) {
         match action {
-            Action::Dispatch { attempt, engine, incarnation, priority, fetch_from } => {
-                self.dispatch(scheduler, attempt, &engine, incarnation, priority, fetch_from);
+            Action::Dispatch { attempt, engine, incarnation, priority, copy_from } => {
+                self.dispatch(scheduler, attempt, &engine, incarnation, priority, copy_from);
             }
             Action::Refuse { call, retry_after, .. } => self.refuse(call, retry_after),
             Action::Requeue { attempt, engine } => {
@@ -68,6 +69,10 @@
                 let hold = Hold { program, epoch: EPOCH, until, after };
                 self.send(scheduler, &engine, EngineCommand::Hold(hold));
             }
+            Action::Offload { program, chain, engine } => {
+                let engine = self.engine_number(&engine);
+                self.begin_offload(scheduler, program, chain, engine);
+            }
             Action::FetchInventory(engine) => {
                 let engine = self.engine_number(&engine);
                 let at = self.now + self.network.between(scheduler, engine);
@@ -93,7 +98,7 @@
         engine: &EngineId,
         incarnation: Incarnation,
         priority: u64,
-        fetch_from: Option<EngineId>,
+        copy_from: Option<CopySource>,
     ) {
         let Some((program, chain)) = self.current(attempt) else { return };
         let run = &mut self.programs[program];
@@ -116,8 +121,8 @@
         self.sent.insert(attempt, target);
         // The intent reaches a quorum before the bytes leave, as in the daemon.
         let committed = self.now + self.network.commit();
-        match fetch_from {
-            Some(source) => self.begin_fetch(scheduler, &source, target, submit, committed),
+        match copy_from {
+            Some(source) => self.begin_copy(scheduler, &source, target, submit, committed),
             None => self.send_submit(scheduler, target, submit, committed),
         }
     }
@@ -132,48 +137,16 @@
         let incarnation = submit.incarnation.unwrap_or_default();
         let command = Box::new(EngineCommand::Submit(submit));
         let at = from + self.network.between(scheduler, engine);
-        self.agenda.add(at, Happening::Command { engine, incarnation, command, from: scheduler });
-    }
-
-    fn begin_fetch(
-        &mut self,
-        scheduler: usize,
-        source: &EngineId,
-        target: usize,
-        submit: Submit,
-        committed: Timestamp,
-    ) {
-        let program = submit.attempt.call.program;
-        let export = Export {
-            program,
-            epoch: EPOCH,
-            tenant: submit.tenant.clone(),
-            model: submit.model.clone(),
-            segments: submit.prompt.clone(),
-        };
-        let source = self.engine_number(source);
-        let pending = PendingFetch { source, target, scheduler, submit, exported: false };
-        self.fetches.entry(program).or_default().push(pending);
-        let incarnation = self.engines[source].incarnation;
-        let command = Box::new(EngineCommand::Export(export));
-        let at = committed + self.network.between(scheduler, source);
-        let from = scheduler;
-        self.agenda.add(at, Happening::Command { engine: source, incarnation, command, from });
-    }
-
-    /// Submits what waited for a copy between these engines, with or without it.
-    pub(super) fn end_fetch(
-        &mut self,
-        program: ProgramId,
-        matches: impl Fn(&PendingFetch) -> bool,
-    ) {
-        let Some(pending) = self.fetches.get_mut(&program) else { return };
-        let place = pending.iter().position(matches);
-        let Some(one) = place.map(|place| pending.remove(place)) else { return };
-        if pending.is_empty() {
-            self.fetches.remove(&program);
-        }
-        self.send_submit(one.scheduler, one.target, one.submit, self.now);
+        self.agenda.add(
+            at,
+            Happening::Command {
+                engine,
+                incarnation,
+                command,
+                from: scheduler,
+                purpose: Purpose::None,
+            },
+        );
     }
 
     fn send(&mut self, scheduler: usize, engine: &EngineId, command: EngineCommand) {
@@ -181,7 +154,16 @@
         let incarnation = self.engines[engine].incarnation;
         let at = self.now + self.network.between(scheduler, engine);
         let command = Box::new(command);
-        self.agenda.add(at, Happening::Command { engine, incarnation, command, from: scheduler });
+        self.agenda.add(
+            at,
+            Happening::Command {
+                engine,
+                incarnation,
+                command,
+                from: scheduler,
+                purpose: Purpose::None,
+            },
+        );
     }
 
     pub(super) fn engine_number(&self, engine: &EngineId) -> usize {
--- a/crates/experiment/src/metrics.rs
+++ b/crates/experiment/src/metrics.rs
@@ -76,6 +76,10 @@
     pub dispatched: u64,
     /// Copies of KV between engines.
     pub fetches: u64,
+    /// Pauses during which KV went to a host's memory.
+    pub offloads: u64,
+    /// Most tokens in one host's memory at once.
+    pub host_peak_tokens: u64,
     /// Attempts that engines preempted.
     pub preemptions: u64,
     /// Programs that had ended while an engine still held something for them, at the end.
@@ -104,6 +108,8 @@
             longest_wait: Duration::ZERO,
             dispatched: 0,
             fetches: 0,
+            offloads: 0,
+            host_peak_tokens: 0,
             preemptions: 0,
             still_held: 0,
             engines_examined: 0,
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -114,6 +114,10 @@
     pub attempts_per_answer: f64,
     /// Copies of KV between engines.
     pub fetches: u64,
+    /// Pauses during which KV went to a host's memory.
+    pub offloads: u64,
+    /// Most tokens in one host's memory at once.
+    pub host_peak_tokens: u64,
     /// Attempts that engines preempted.
     pub preemptions: u64,
     /// Programs that had ended while an engine still held something for them at the end.
@@ -165,6 +169,8 @@
             goodput_per_second: mean(RunResult::goodput),
             attempts_per_answer: fraction(total(|run| run.dispatched), total(|run| run.answered)),
             fetches: total(|run| run.fetches),
+            offloads: total(|run| run.offloads),
+            host_peak_tokens: runs.iter().map(|run| run.host_peak_tokens).max().unwrap_or(0),
             preemptions: total(|run| run.preemptions),
             still_held: total(|run| run.still_held),
             engines_per_decision: fraction(
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -13,7 +13,7 @@
     let _ = writeln!(
         text,
         "{:<14} {:>8} {:>8} {:>8} {:>8} | {:>8} {:>8} {:>8} | {:>7} {:>7} {:>6} {:>6} | {:>6} \
-         {:>5} {:>5} {:>5} | {:>8} {:>7}",
+         {:>5} {:>5} {:>5} | {:>8} {:>7} | {:>7} {:>7} {:>6}",
         "policy",
         "p50 s",
         "p95 s",
@@ -32,6 +32,9 @@
         "aband",
         "goodput",
         "refuse",
+        "copies",
+        "offload",
+        "host",
     );
     for (name, policy) in &report.policies {
         row(&mut text, name, policy);
@@ -59,7 +62,8 @@
     text.push_str(
         "\np50 to mean: program latency with tool pauses; np: without; ttft95 and longest: wait \
          for the\nfirst token in s; waste and hit: fractions; goodput: programs/s; refuse: \
-         longest time to a refusal in s\n",
+         longest time to a refusal in s;\ncopies and offload: transfers of KV; host: most tokens \
+         in one host's memory, in millions\n",
     );
     text
 }
@@ -70,7 +74,7 @@
     let _ = writeln!(
         text,
         "{name:<14} {:>8.1} {:>8.1} {:>8.1} {:>8.1} | {:>8.2} {:>8.2} {:>8.2} | {:>7.2} {:>7.1} \
-         {:>6.3} {:>6.3} | {:>6} {:>5} {:>5} {:>5} | {:>8.3} {:>7.3}",
+         {:>6.3} {:>6.3} | {:>6} {:>5} {:>5} {:>5} | {:>8.3} {:>7.3} | {:>7} {:>7} {:>6.1}",
         seconds(latency.p50),
         seconds(latency.p95),
         seconds(latency.p99),
@@ -88,6 +92,9 @@
         policy.abandoned,
         policy.goodput_per_second,
         seconds(policy.longest_refusal_ms),
+        policy.fetches,
+        policy.offloads,
+        policy.host_peak_tokens as f64 / 1e6,
     );
 }
 
--- a/crates/experiment/src/workload.rs
+++ b/crates/experiment/src/workload.rs
@@ -95,6 +95,9 @@
     /// Whether engines copy KV to each other.
     #[serde(default)]
     pub transfers: bool,
+    /// Tokens of KV that fit into the memory of each engine's host; zero when there is none.
+    #[serde(default)]
+    pub host_tokens: u64,
 }
 
 /// Shapes of programs. Nothing here is told to a scheduler.
--- a/crates/placement/src/action.rs
+++ b/crates/placement/src/action.rs
@@ -1,6 +1,8 @@
 //! What a scheduler decides.
 
-use dahlia_types::{AttemptId, CallId, Duration, EngineId, Incarnation, ProgramId, Timestamp};
+use dahlia_types::{
+    AttemptId, CallId, ChainId, Duration, EngineId, Incarnation, ProgramId, Timestamp,
+};
 use serde::{Deserialize, Serialize};
 
 /// Why a call was refused.
@@ -29,6 +31,24 @@
     Moved,
 }
 
+/// Where KV lies that can be copied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Tier {
+    /// In the engine's own memory: it is exported there, then imported.
+    Engine,
+    /// In the memory of the engine's host, exported there earlier: it is imported only.
+    Host,
+}
+
+/// KV that can be copied to another engine, or back to the same one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopySource {
+    /// The engine.
+    pub engine: EngineId,
+    /// In which of its memories.
+    pub tier: Tier,
+}
+
 /// A decision for the driver to carry out.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Action {
@@ -42,8 +62,8 @@
         incarnation: Incarnation,
         /// Urgency at the engine; a smaller value is served first.
         priority: u64,
-        /// Copy the program's cache from this engine first; without success go on all the same.
-        fetch_from: Option<EngineId>,
+        /// Copy the chain's cache from here first; without success go on all the same.
+        copy_from: Option<CopySource>,
     },
     /// Answer the call as not run, now.
     Refuse {
@@ -80,6 +100,16 @@
         /// When the hold lapses.
         until: Timestamp,
     },
+    /// Export the chain's cache into the memory of the engine's host, and report
+    /// [`crate::Event::Offloaded`]. The copy goes when the program ends or the chain calls again.
+    Offload {
+        /// The program.
+        program: ProgramId,
+        /// The chain.
+        chain: ChainId,
+        /// The engine.
+        engine: EngineId,
+    },
     /// Ask the engine for its inventory: cache events were lost.
     FetchInventory(EngineId),
 }
--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -6,11 +6,11 @@
 
 use dahlia_types::Timestamp;
 
-use crate::CostSettings;
 use crate::view::EngineEntry;
+use crate::{CostSettings, Tier};
 
 /// Time to set a transfer of KV up, in seconds.
-const TRANSFER_SETUP: f64 = 0.05;
+const TRANSFER_SETUP: f64 = 0.02;
 
 /// A call as far as the cost depends on it.
 #[derive(Debug, Clone, Copy)]
@@ -53,9 +53,13 @@
 }
 
 /// Seconds to copy `tokens` of KV to the engine; none when it cannot.
-pub(crate) fn transfer_time(entry: &EngineEntry, tokens: u64) -> Option<f64> {
+pub(crate) fn transfer_time(entry: &EngineEntry, tokens: u64, tier: Tier) -> Option<f64> {
     let speed = entry.capacity.transfer_per_second;
-    (speed > 0.0).then(|| TRANSFER_SETUP + 2.0 * tokens as f64 / speed)
+    let transfers = match tier {
+        Tier::Engine => 2.0,
+        Tier::Host => 1.0,
+    };
+    (speed > 0.0).then(|| transfers * (TRANSFER_SETUP + tokens as f64 / speed))
 }
 
 fn queue_delay(
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -30,6 +30,8 @@
     pub max_batch: u32,
     /// Tokens of KV moved a second by export and import; zero when there is no such transfer.
     pub transfer_per_second: f64,
+    /// Tokens of KV that fit into the host's memory; zero when it keeps none.
+    pub host_tokens: Tokens,
 }
 
 /// An engine that may be used from now on. Sent again, it replaces what was known.
@@ -191,6 +193,17 @@
     CallWithdrawn(CallId),
     /// A chain waits for a tool, a sub-agent or a person.
     PauseBegan(PauseBegan),
+    /// A chain's cache was exported as [`crate::Action::Offload`] asked.
+    Offloaded {
+        /// The program.
+        program: ProgramId,
+        /// The chain.
+        chain: ChainId,
+        /// The engine on whose host the copy lies.
+        engine: EngineId,
+        /// Tokens in it; zero when nothing could be exported.
+        tokens: Tokens,
+    },
     /// A sub-agent's chain issues no more calls.
     ChainEnded {
         /// The program.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -21,7 +21,7 @@
 mod stats;
 mod view;
 
-pub use action::{Action, RefusalReason, ReleaseReason};
+pub use action::{Action, CopySource, RefusalReason, ReleaseReason, Tier};
 pub use event::{
     AttemptFailed, AttemptFailure, CacheNotice, CallReady, EngineCapacity, EngineInventory,
     EngineJoined, EngineReport, Event, HistorySegment, PauseBegan,
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -15,7 +15,15 @@
 use crate::cost::Demand;
 use crate::programs::CachedOn;
 use crate::view::{EngineSlot, EngineTable};
-use crate::{CostSettings, PolicyKind};
+use crate::{CostSettings, PolicyKind, Tier};
+
+/// KV that can be copied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Source {
+    pub slot: EngineSlot,
+    pub tier: Tier,
+    pub tokens: u64,
+}
 
 /// A call that wants an engine, as a policy sees it.
 #[derive(Debug, Clone, Copy)]
@@ -24,6 +32,8 @@
     pub demand: Demand,
     /// Engines that have part of the prompt.
     pub cached: &'a [CachedOn],
+    /// A copy of the prompt's start in a host's memory.
+    pub offloaded: Option<CachedOn>,
     /// The engine that served the program last.
     pub last_engine: Option<EngineSlot>,
     /// Whether it is its program's first call.
@@ -34,7 +44,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Placement {
     /// This engine, perhaps after copying the cache from another.
-    Engine { slot: EngineSlot, fetch_from: Option<EngineSlot> },
+    Engine { slot: EngineSlot, copy_from: Option<Source> },
     /// All engines are too busy: the call waits here.
     Wait,
     /// No engine may be used.
--- a/crates/placement/src/policy/least_loaded.rs
+++ b/crates/placement/src/policy/least_loaded.rs
@@ -21,7 +21,7 @@
         examined: &mut u64,
     ) -> Placement {
         match least_loaded(request, engines, random, now, examined) {
-            Some(slot) => Placement::Engine { slot, fetch_from: None },
+            Some(slot) => Placement::Engine { slot, copy_from: None },
             None => Placement::NoEngine,
         }
     }
--- a/crates/placement/src/policy/program_aware.rs
+++ b/crates/placement/src/policy/program_aware.rs
@@ -8,10 +8,10 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::{Placement, Policy, Request};
-use crate::CostSettings;
+use super::{Placement, Policy, Request, Source};
 use crate::cost::{Cost, cost, recompute_time, transfer_time};
 use crate::view::{EngineSlot, EngineTable};
+use crate::{CostSettings, Tier};
 
 /// The policy and its settings.
 #[derive(Debug)]
@@ -23,7 +23,7 @@
 struct Candidate {
     slot: EngineSlot,
     cost: Cost,
-    fetch_from: Option<EngineSlot>,
+    copy_from: Option<Source>,
 }
 
 impl ProgramAware {
@@ -43,29 +43,48 @@
         let mut found = Candidate {
             slot,
             cost: cost(&self.settings, entry, request.demand, own, now),
-            fetch_from: None,
+            copy_from: None,
         };
-        let Some(source) = request.cached.iter().max_by_key(|cached| cached.tokens) else {
-            return found;
-        };
-        if source.tokens <= own {
-            return found;
-        }
-        found.cost.total += self.settings.move_penalty.as_secs_f64();
-        let gained = source.tokens - own;
-        let Some(transfer) = transfer_time(entry, source.tokens) else { return found };
-        if gained < self.settings.least_copied || transfer >= recompute_time(entry, gained) {
-            return found;
+        let most_cached = request.cached.iter().map(|cached| cached.tokens).max().unwrap_or(0);
+        if own < most_cached {
+            found.cost.total += self.settings.move_penalty.as_secs_f64();
         }
-        let fetched = cost(&self.settings, entry, request.demand, source.tokens, now);
-        let total = fetched.total + transfer + self.settings.move_penalty.as_secs_f64();
-        if total < found.cost.total {
-            found.cost = Cost { total, ..fetched };
-            found.fetch_from = Some(source.slot);
+        for source in sources(request) {
+            let Some(copied) = self.copied(source, found, request, engines, now) else { continue };
+            if copied.cost.total < found.cost.total {
+                found = copied;
+            }
         }
         found
     }
 
+    /// The candidate when it copies from `source` first; none when that is not worth while.
+    fn copied(
+        &self,
+        source: Source,
+        found: Candidate,
+        request: &Request<'_>,
+        engines: &EngineTable,
+        now: Timestamp,
+    ) -> Option<Candidate> {
+        let entry = engines.entry(found.slot);
+        let gained = source.tokens.saturating_sub(cached_on(request, found.slot));
+        let useless = source.slot == found.slot && source.tier == Tier::Engine;
+        if useless || gained < self.settings.least_copied {
+            return None;
+        }
+        let transfer = transfer_time(entry, source.tokens, source.tier)?;
+        if transfer >= recompute_time(entry, gained) {
+            return None;
+        }
+        let copied = cost(&self.settings, entry, request.demand, source.tokens, now);
+        let moved = source.slot != found.slot;
+        let penalty = if moved { self.settings.move_penalty.as_secs_f64() } else { 0.0 };
+        let total = copied.total + transfer + penalty;
+        let cost = Cost { total, ..copied };
+        Some(Candidate { slot: found.slot, cost, copy_from: Some(source) })
+    }
+
     /// One of the candidates whose cost is close to the least, at random.
     fn choose(&self, candidates: &[Candidate], random: &mut ChaCha8Rng) -> Option<Candidate> {
         let totals = candidates.iter().map(|candidate| candidate.cost.total);
@@ -90,7 +109,7 @@
         examined: &mut u64,
     ) -> Placement {
         let mut slots = engines.sample(request.model, self.settings.sample_size, random, now);
-        for cached in request.cached {
+        for cached in request.cached.iter().chain(&request.offloaded) {
             if !slots.contains(&cached.slot) && engines.usable(cached.slot, request.model, now) {
                 slots.push(cached.slot);
             }
@@ -107,10 +126,19 @@
         if chosen.cost.queue > horizon.as_secs_f64() {
             return Placement::Wait;
         }
-        Placement::Engine { slot: chosen.slot, fetch_from: chosen.fetch_from }
+        Placement::Engine { slot: chosen.slot, copy_from: chosen.copy_from }
     }
 }
 
+/// The largest copies that could be fetched: from an engine, and from a host's memory.
+fn sources(request: &Request<'_>) -> impl Iterator<Item = Source> {
+    let largest = request.cached.iter().max_by_key(|cached| cached.tokens);
+    let on_engine = largest.map(|cached| (cached, Tier::Engine));
+    let on_host = request.offloaded.as_ref().map(|cached| (cached, Tier::Host));
+    let both = on_engine.into_iter().chain(on_host);
+    both.map(|(cached, tier)| Source { slot: cached.slot, tier, tokens: cached.tokens })
+}
+
 fn cached_on(request: &Request<'_>, slot: EngineSlot) -> u64 {
     let found = request.cached.iter().find(|cached| cached.slot == slot);
     found.map_or(0, |cached| cached.tokens)
--- a/crates/placement/src/policy/round_robin.rs
+++ b/crates/placement/src/policy/round_robin.rs
@@ -38,7 +38,7 @@
             *next = (*next + 1) % serving.len();
             *examined += 1;
             if engines.entry(slot).accepts(now) {
-                return Placement::Engine { slot, fetch_from: None };
+                return Placement::Engine { slot, copy_from: None };
             }
         }
         Placement::NoEngine
--- a/crates/placement/src/policy/sticky.rs
+++ b/crates/placement/src/policy/sticky.rs
@@ -24,11 +24,11 @@
         if let Some(slot) = request.last_engine {
             *examined += 1;
             if engines.usable(slot, request.model, now) {
-                return Placement::Engine { slot, fetch_from: None };
+                return Placement::Engine { slot, copy_from: None };
             }
         }
         match least_loaded(request, engines, random, now, examined) {
-            Some(slot) => Placement::Engine { slot, fetch_from: None },
+            Some(slot) => Placement::Engine { slot, copy_from: None },
             None => Placement::NoEngine,
         }
     }
--- a/crates/placement/src/programs.rs
+++ b/crates/placement/src/programs.rs
@@ -57,6 +57,8 @@
     engines: BTreeMap<EngineSlot, Presence>,
     service: BTreeMap<ChainId, Duration>,
     paused: BTreeMap<ChainId, Paused>,
+    /// Copies in hosts' memories.
+    offloaded: BTreeMap<ChainId, CachedOn>,
 }
 
 impl Program {
@@ -67,6 +69,7 @@
             engines: BTreeMap::new(),
             service: BTreeMap::new(),
             paused: BTreeMap::new(),
+            offloaded: BTreeMap::new(),
         }
     }
 
@@ -185,6 +188,31 @@
         old.map(|(slot, _)| *slot).collect()
     }
 
+    /// The chain's copy in a host's memory.
+    pub(crate) fn offloaded(&self, chain: ChainId) -> Option<CachedOn> {
+        self.offloaded.get(&chain).copied()
+    }
+
+    /// Notes a copy in a host's memory.
+    pub(crate) fn set_offloaded(&mut self, chain: ChainId, copy: CachedOn) {
+        self.offloaded.insert(chain, copy);
+    }
+
+    /// Forgets the chain's copy in a host's memory.
+    pub(crate) fn forget_offloaded(&mut self, chain: ChainId) {
+        self.offloaded.remove(&chain);
+    }
+
+    /// What a paused chain waits for, if it is the pause that began at `since`.
+    pub(crate) fn paused_since(&self, chain: ChainId, since: Timestamp) -> Option<&Paused> {
+        self.paused.get(&chain).filter(|paused| paused.since == since)
+    }
+
+    /// The paused chain's entry.
+    pub(crate) fn paused_mut(&mut self, chain: ChainId) -> Option<&mut Paused> {
+        self.paused.get_mut(&chain)
+    }
+
     /// Notes that a chain waits.
     pub(crate) fn pause(&mut self, chain: ChainId, paused: Paused) {
         self.paused.insert(chain, paused);
@@ -210,6 +238,7 @@
     pub(crate) fn end_chain(&mut self, chain: ChainId) {
         self.prefixes.retain(|prefix| prefix.chain != chain);
         self.paused.remove(&chain);
+        self.offloaded.remove(&chain);
     }
 }
 
@@ -281,6 +310,7 @@
     pub(crate) fn forget_engine(&mut self, slot: EngineSlot) {
         for program in self.live.values_mut() {
             program.forget_cache(slot);
+            program.offloaded.retain(|_, copy| copy.slot != slot);
         }
         self.releasing.retain(|_, engines| {
             engines.remove(&slot);
--- a/crates/placement/src/retention.rs
+++ b/crates/placement/src/retention.rs
@@ -35,6 +35,15 @@
     Never,
 }
 
+/// What to do with the cache over a pause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PausePlan {
+    /// Keep it in the engine for this long.
+    pub hold: Duration,
+    /// Then copy it to the host's memory rather than drop it.
+    pub offload: bool,
+}
+
 /// Learnt distributions of pauses.
 #[derive(Debug)]
 pub(crate) struct Retention {
@@ -68,16 +77,20 @@
         }
     }
 
-    /// The time-to-live with the least expected cost; zero means drop at once.
-    pub(crate) fn time_to_live(
+    /// The plan with the least expected cost for a pause that begins now.
+    ///
+    /// `copy_cost` is the time of one transfer to or from the host's memory over the time of
+    /// recomputation; none when there is no such memory.
+    pub(crate) fn plan(
         &self,
         tenant: &TenantId,
         tool: Option<&str>,
         occupancy: f64,
-    ) -> Duration {
+        copy_cost: Option<f64>,
+    ) -> PausePlan {
         let histogram = self.histogram(tenant, tool.unwrap_or(UNKNOWN_TOOL));
-        let chosen = histogram.cheapest_hold(self.break_even(occupancy));
-        chosen.min(self.settings.longest_hold)
+        let chosen = histogram.cheapest(self.break_even(occupancy), copy_cost);
+        PausePlan { hold: chosen.hold.min(self.settings.longest_hold), ..chosen }
     }
 
     fn histogram(&self, tenant: &TenantId, tool: &str) -> &PauseHistogram {
--- a/crates/placement/src/retention/histogram.rs
+++ b/crates/placement/src/retention/histogram.rs
@@ -2,7 +2,7 @@
 
 use dahlia_types::Duration;
 
-use super::PauseEnd;
+use super::{PauseEnd, PausePlan};
 
 /// Buckets; each is wider than the one before by the factor of [`GROWTH`].
 const BUCKETS: usize = 32;
@@ -58,29 +58,44 @@
         self.total += 1.0;
     }
 
-    /// The hold with the least expected cost, where holding for `break_even` seconds costs as
+    /// The plan with the least expected cost, where holding for `break_even` seconds costs as
     /// much as one recomputation.
     ///
-    /// Cost of a hold h: E[min(T, h)] / `break_even` + P(h < T < never).
-    pub(crate) fn cheapest_hold(&self, break_even: f64) -> Duration {
-        if self.total <= 0.0 {
-            return Duration::ZERO;
-        }
+    /// Cost of a hold h: E[min(T, h)] / `break_even`, and for pauses longer than h either a
+    /// recomputation at each return, P(h < T < never), or a copy out, P(T > h), and one back at
+    /// each return.
+    pub(crate) fn cheapest(&self, break_even: f64, copy_cost: Option<f64>) -> PausePlan {
         let returning: f64 = self.counts.iter().sum();
-        let mut best = (returning, 0.0);
         let mut returned = 0.0;
         let mut returned_time = 0.0;
+        let mut best = self.after_hold(0.0, 0.0, returning, copy_cost);
         for (bucket, count) in self.counts.iter().enumerate() {
             let edge = edge_of(bucket);
             returned += count;
             returned_time += count * edge / GROWTH.sqrt();
             let held = returned_time + (self.total - returned) * edge;
-            let cost = held / break_even + (returning - returned);
-            if cost < best.0 {
-                best = (cost, edge);
+            let plan = self.after_hold(edge, held / break_even, returning - returned, copy_cost);
+            if plan.0 < best.0 {
+                best = plan;
             }
         }
-        Duration::from_secs_f64(best.1)
+        best.1
+    }
+
+    /// Cost and plan for a hold that has cost `held`, when the weight of `late` returns later.
+    fn after_hold(
+        &self,
+        hold: f64,
+        held: f64,
+        late: f64,
+        copy_cost: Option<f64>,
+    ) -> (f64, PausePlan) {
+        let hold = Duration::from_secs_f64(hold);
+        let drop = (held + late, PausePlan { hold, offload: false });
+        let Some(copy_cost) = copy_cost else { return drop };
+        let outlasting = late + self.never;
+        let offload = held + copy_cost * (outlasting + late);
+        if offload < drop.0 { (offload, PausePlan { hold, offload: true }) } else { drop }
     }
 
     fn fade(&mut self, factor: f64) {
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use dahlia_types::{AttemptId, ModelId, Timestamp};
+use dahlia_types::{AttemptId, ChainId, ModelId, ProgramId, Timestamp};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
@@ -47,6 +47,8 @@
     admission: Admission,
     retries: RetryBudget,
     retention: Retention,
+    /// Offloads to begin, by the end of their hold, with the beginning of their pause.
+    offloads: BTreeMap<(Timestamp, ProgramId, ChainId), Timestamp>,
     stats: SchedulerStats,
 }
 
@@ -65,6 +67,7 @@
             admission: Admission::new(settings.admission.clone()),
             retries: RetryBudget::new(&settings.failure),
             retention: Retention::new(settings.retention.clone()),
+            offloads: BTreeMap::new(),
             stats: SchedulerStats::default(),
             settings,
         }
@@ -91,6 +94,9 @@
             Event::Failed(failed) => self.failed(failed, now, &mut actions),
             Event::CallWithdrawn(call) => self.call_withdrawn(call),
             Event::PauseBegan(pause) => self.pause_began(pause, now, &mut actions),
+            Event::Offloaded { program, chain, engine, tokens } => {
+                self.offloaded((program, chain), &engine, tokens, now, &mut actions);
+            }
             Event::ChainEnded { program, chain } => {
                 self.chain_ended(program, chain, now, &mut actions);
             }
@@ -136,6 +142,7 @@
         }
         self.promote_overdue(now);
         self.drain_all(now, actions);
+        self.begin_offloads(now, actions);
         self.repeat_releases(now, actions);
     }
 }
--- a/crates/placement/src/scheduler/calls.rs
+++ b/crates/placement/src/scheduler/calls.rs
@@ -5,11 +5,11 @@
 use super::Scheduler;
 use crate::call::{Call, OpenAttempt};
 use crate::cost::{Demand, recompute_time};
-use crate::policy::{Placement, Request};
+use crate::policy::{Placement, Request, Source};
 use crate::priority::{Claim, priority};
 use crate::programs::CachedOn;
 use crate::view::EngineSlot;
-use crate::{Action, AttemptFailed, AttemptFailure, CallReady, RefusalReason};
+use crate::{Action, AttemptFailed, AttemptFailure, CallReady, CopySource, RefusalReason};
 
 /// Share of the newest observation in the average of generated tokens.
 const GENERATED_SHARE: f64 = 0.02;
@@ -127,12 +127,12 @@
                 continue;
             }
             let call = call.clone();
-            let Placement::Engine { slot, fetch_from } = self.place(&call, now) else { return };
+            let Placement::Engine { slot, copy_from } = self.place(&call, now) else { return };
             let lane = self.model(model).lanes.of(first);
             lane.queue.remove(call.id());
             lane.drain.left();
             self.admission.ended_waiting(&call.ready.tenant);
-            self.dispatch(call, slot, fetch_from, now, actions);
+            self.dispatch(call, slot, copy_from, now, actions);
         }
     }
 
@@ -212,8 +212,8 @@
 
     fn place_directly(&mut self, call: Call, now: Timestamp, actions: &mut Vec<Action>) {
         match self.place(&call, now) {
-            Placement::Engine { slot, fetch_from } => {
-                self.dispatch(call, slot, fetch_from, now, actions);
+            Placement::Engine { slot, copy_from } => {
+                self.dispatch(call, slot, copy_from, now, actions);
             }
             Placement::Wait | Placement::NoEngine => {
                 self.refuse(&call, RefusalReason::NoEngine, actions);
@@ -238,6 +238,7 @@
             demand,
             cached: &cached,
             last_engine,
+            offloaded: program.and_then(|program| program.offloaded(call.id().chain)),
             first: call.first,
         };
         self.stats.decisions += 1;
@@ -249,7 +250,7 @@
         &mut self,
         call: Call,
         slot: EngineSlot,
-        fetch_from: Option<EngineSlot>,
+        copy_from: Option<Source>,
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) {
@@ -263,13 +264,18 @@
         let entry = self.engines.entry_mut(slot);
         entry.dispatched(prefill, now);
         let (engine, incarnation) = (entry.id.clone(), entry.incarnation);
-        let fetch_from = fetch_from.map(|source| self.engines.entry(source).id.clone());
+        let copy_from = copy_from.map(|source| CopySource {
+            engine: self.engines.entry(source.slot).id.clone(),
+            tier: source.tier,
+        });
         self.stats.dispatched += 1;
-        self.stats.fetches += u64::from(fetch_from.is_some());
+        self.stats.fetches += u64::from(copy_from.is_some());
         self.admission.dispatched(&call.ready.tenant);
-        self.programs.of_call(call.id(), &call.ready.tenant).dispatched(slot);
+        let program = self.programs.of_call(call.id(), &call.ready.tenant);
+        program.dispatched(slot);
+        program.forget_offloaded(call.id().chain);
         let (attempt, priority) = (call.attempt(), call.priority);
-        actions.push(Action::Dispatch { attempt, engine, incarnation, priority, fetch_from });
+        actions.push(Action::Dispatch { attempt, engine, incarnation, priority, copy_from });
         self.open.insert(attempt, OpenAttempt { call, slot, answering: false });
     }
 
--- a/crates/placement/src/scheduler/sessions.rs
+++ b/crates/placement/src/scheduler/sessions.rs
@@ -1,12 +1,16 @@
 //! Cache over pauses, moves and the end of programs.
 
-use dahlia_types::{CallId, ChainId, Duration, EngineId, ProgramId, Timestamp};
+use dahlia_types::{CallId, ChainId, Duration, EngineId, ProgramId, TenantId, Timestamp, Tokens};
 
 use super::Scheduler;
-use crate::programs::Paused;
-use crate::retention::PauseEnd;
+use crate::cost::{recompute_time, transfer_time};
+use crate::programs::{CachedOn, Paused};
+use crate::retention::{PauseEnd, PausePlan};
 use crate::view::EngineSlot;
-use crate::{Action, CallReady, PauseBegan, ReleaseReason};
+use crate::{Action, CallReady, PauseBegan, ReleaseReason, Tier};
+
+/// How much longer than planned cache is held so that an offload can be completed.
+const OFFLOAD_GRACE: Duration = Duration::from_secs(10);
 
 impl Scheduler {
     pub(super) fn pause_began(
@@ -15,27 +19,70 @@
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) {
-        let PauseBegan { program: id, chain, tool, .. } = pause;
+        let PauseBegan { program: id, chain, tool, context } = pause;
         let Some(program) = self.programs.get(id) else { return };
         let home = program.home(chain);
-        let keep = self.time_to_keep(&program.tenant.clone(), tool.as_deref(), home);
-        let paused = Paused { tool, since: now, home, keep_until: now + keep };
+        let tenant = program.tenant.clone();
+        let plan = self.plan_pause(&tenant, tool.as_deref(), context, home);
+        let grace = if plan.offload { OFFLOAD_GRACE } else { Duration::ZERO };
+        let keep_until = now + plan.hold + grace;
+        let paused = Paused { tool, since: now, home, keep_until };
         if let Some(program) = self.programs.get_mut(id) {
             program.pause(chain, paused);
         }
         if !self.is_managed() {
             return;
         }
-        if keep == Duration::ZERO {
-            self.stats.pauses_dropped += 1;
-        } else {
-            self.stats.pauses_held += 1;
+        self.count_plan(plan);
+        if plan.offload {
+            self.offloads.insert((now + plan.hold, id, chain), now);
         }
         if let Some(slot) = home {
             self.keep_or_drop(id, slot, now, actions);
         }
     }
 
+    /// Begins the offloads whose hold is over.
+    pub(super) fn begin_offloads(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        while let Some((key, since)) = self.offloads.first_key_value().map(|(k, v)| (*k, *v)) {
+            let (due, program, chain) = key;
+            if due > now {
+                return;
+            }
+            self.offloads.pop_first();
+            let state = self.programs.get(program);
+            let paused = state.and_then(|state| state.paused_since(chain, since));
+            if let Some(slot) = paused.and_then(|paused| paused.home) {
+                let engine = self.engines.entry(slot).id.clone();
+                actions.push(Action::Offload { program, chain, engine });
+            }
+        }
+    }
+
+    /// A copy lies in the host's memory: the engine's own may go, if the chain still waits.
+    pub(super) fn offloaded(
+        &mut self,
+        copy: (ProgramId, ChainId),
+        engine: &EngineId,
+        tokens: Tokens,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let (id, chain) = copy;
+        let Some(slot) = self.engines.slot(engine) else { return };
+        let Some(program) = self.programs.get_mut(id) else { return };
+        let Some(paused) = program.paused_mut(chain).filter(|paused| paused.home == Some(slot))
+        else {
+            return;
+        };
+        paused.keep_until = now;
+        if tokens > Tokens::ZERO {
+            self.stats.pauses_offloaded += 1;
+            program.set_offloaded(chain, CachedOn { slot, tokens: tokens.0 });
+        }
+        self.keep_or_drop(id, slot, now, actions);
+    }
+
     pub(super) fn chain_ended(
         &mut self,
         id: ProgramId,
@@ -162,14 +209,31 @@
         }
     }
 
-    fn time_to_keep(
+    fn plan_pause(
         &self,
-        tenant: &dahlia_types::TenantId,
+        tenant: &TenantId,
         tool: Option<&str>,
+        context: Tokens,
         home: Option<EngineSlot>,
-    ) -> Duration {
-        let occupancy = home.map_or(0.0, |slot| self.engines.entry(slot).occupancy());
-        self.retention.time_to_live(tenant, tool, occupancy)
+    ) -> PausePlan {
+        let Some(slot) = home else {
+            return PausePlan { hold: Duration::ZERO, offload: false };
+        };
+        let entry = self.engines.entry(slot);
+        let worth_copying = context.0 >= self.settings.cost.least_copied;
+        let has_host_memory = entry.capacity.host_tokens > Tokens::ZERO && worth_copying;
+        let recompute = recompute_time(entry, context.0).max(f64::EPSILON);
+        let copy = transfer_time(entry, context.0, Tier::Host).filter(|_| has_host_memory);
+        let copy_cost = copy.map(|copy| copy / recompute);
+        self.retention.plan(tenant, tool, entry.occupancy(), copy_cost)
+    }
+
+    fn count_plan(&mut self, plan: PausePlan) {
+        if plan.hold == Duration::ZERO && !plan.offload {
+            self.stats.pauses_dropped += 1;
+        } else {
+            self.stats.pauses_held += 1;
+        }
     }
 
     fn withdraw_waiting(&mut self, id: ProgramId) {
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -71,7 +71,7 @@
             recompute_weight: 1.5,
             tie: Duration::from_millis(20),
             move_penalty: Duration::from_secs(3),
-            least_copied: 4000,
+            least_copied: 1000,
             expected_generated: 250,
             dispatch_horizon: Duration::from_secs(10),
             first_call_horizon: Duration::from_millis(500),
@@ -119,8 +119,8 @@
 impl Default for RetentionSettings {
     fn default() -> Self {
         Self {
-            break_even_idle: Duration::from_secs(600),
-            break_even_full: Duration::from_secs(60),
+            break_even_idle: Duration::from_secs(30),
+            break_even_full: Duration::from_secs(15),
             longest_hold: Duration::from_secs(1800),
             memory: 500.0,
             release_retry: Duration::from_secs(5),
--- a/crates/placement/src/shared_prefix.rs
+++ b/crates/placement/src/shared_prefix.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_types::{Duration, Timestamp};
+use dahlia_types::{Duration, ProgramId, Timestamp};
 
 use crate::call::Call;
 use crate::programs::CachedOn;
@@ -17,8 +17,12 @@
 /// An engine that did not compute the prefix for this long has probably evicted it.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Seen {
+    /// The program that had it first, and whether another one had it since. What only one
+    /// program has goes when its cache goes.
+    program: ProgramId,
+    shared: bool,
     engines: Vec<(EngineSlot, Timestamp)>,
     last: Timestamp,
 }
@@ -34,7 +38,10 @@
     /// Notes that an engine computed the start of the call's prompt.
     pub(crate) fn computed(&mut self, slot: EngineSlot, call: &Call, now: Timestamp) {
         for hash in call.prefixes.iter().take(SHARED_SEGMENTS) {
-            let seen = self.seen.entry(*hash).or_default();
+            let program = call.id().program;
+            let new = Seen { program, shared: false, engines: Vec::new(), last: now };
+            let seen = self.seen.entry(*hash).or_insert(new);
+            seen.shared |= seen.program != program;
             self.by_age.remove(&(seen.last, *hash));
             seen.last = now;
             self.by_age.insert((now, *hash));
@@ -55,7 +62,7 @@
         let shared = call.prefixes.iter().zip(&call.lengths).take(SHARED_SEGMENTS);
         let mut found: Vec<CachedOn> = Vec::new();
         for (hash, tokens) in shared.rev() {
-            let Some(seen) = self.seen.get(hash) else { continue };
+            let Some(seen) = self.seen.get(hash).filter(|seen| seen.shared) else { continue };
             for (slot, at) in &seen.engines {
                 let known = found.iter().any(|cached| cached.slot == *slot);
                 if !known && now.since(*at) <= REMEMBERED {
--- a/crates/placement/src/stats.rs
+++ b/crates/placement/src/stats.rs
@@ -19,12 +19,14 @@
     pub retried: u64,
     /// Attempts recalled from engines that leave.
     pub recalled: u64,
-    /// Copies of KV asked for.
+    /// Copies of KV asked for with a dispatch.
     pub fetches: u64,
     /// Pauses over which cache is held.
     pub pauses_held: u64,
     /// Pauses at whose start cache was given up.
     pub pauses_dropped: u64,
+    /// Pauses during which cache was offloaded to a host's memory.
+    pub pauses_offloaded: u64,
     /// Gaps found in cache events.
     pub cache_event_gaps: u64,
     /// Calls that wait here now.
