--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -74,8 +74,8 @@
             least_copied: 1000,
             expected_generated: 250,
             dispatch_horizon: Duration::from_secs(10),
-            first_call_horizon: Duration::from_millis(500),
-            full_fraction: 0.9,
+            first_call_horizon: Duration::from_millis(50),
+            full_fraction: 0.5,
         }
     }
 }
@@ -94,7 +94,7 @@
 
 impl Default for PrioritySettings {
     fn default() -> Self {
-        Self { attained_factor: 0.1, uncached_factor: 2.0, most_setback: Duration::from_secs(60) }
+        Self { attained_factor: 0.2, uncached_factor: 20.0, most_setback: Duration::from_secs(30) }
     }
 }
 
@@ -151,7 +151,7 @@
     fn default() -> Self {
         Self {
             queue_limit: 2000,
-            new_program_wait: Duration::from_secs(10),
+            new_program_wait: Duration::from_secs(5),
             continuing_wait: Duration::from_secs(120),
             tenant_queue_limit: 500,
             tenant_in_flight_limit: 500,
