--- /dev/null
+++ b/crates/engine-model/tests/support/mod.rs
@@ -0,0 +1,117 @@
+//! A bench with one engine.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use dahlia_engine_model::{
+    EngineCommand, EngineEvent, EngineModel, EngineParameters, EngineReply, Priority, Segment,
+    Submit,
+};
+use dahlia_types::{
+    AttemptId, CallId, ChainId, EngineId, GroupId, Incarnation, ModelId, ProgramId, TenantId, Term,
+    Timestamp, Tokens, Usage,
+};
+
+/// An engine and the time.
+pub struct Bench {
+    pub engine: EngineModel,
+    pub now: Timestamp,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Self::with(|_| {})
+    }
+
+    pub fn with(change: impl FnOnce(&mut EngineParameters)) -> Self {
+        let mut parameters = EngineParameters::default();
+        change(&mut parameters);
+        parameters.check().expect("the parameters are in range");
+        let id = EngineId::new("engine");
+        let engine = EngineModel::new(id, Incarnation(1), parameters, 1).with_model(model());
+        Self { engine, now: Timestamp::ZERO }
+    }
+
+    pub fn handle(&mut self, command: EngineCommand) -> EngineReply {
+        self.engine.handle(command, self.now)
+    }
+
+    pub fn submit(&mut self, submit: Submit) -> EngineReply {
+        self.handle(EngineCommand::Submit(submit))
+    }
+
+    /// Runs to a moment.
+    pub fn until(&mut self, at: Timestamp) -> Vec<EngineEvent> {
+        self.now = at;
+        self.engine.advance(at)
+    }
+
+    /// Runs until nothing is left to do.
+    pub fn run(&mut self) -> Vec<EngineEvent> {
+        let mut events = self.engine.advance(self.now);
+        while let Some(at) = self.engine.next_wakeup() {
+            self.now = self.now.max(at);
+            events.extend(self.engine.advance(self.now));
+        }
+        events
+    }
+
+    /// Tokens held for a program.
+    pub fn held(&self, number: u64) -> u64 {
+        let inventory = self.engine.inventory(self.now);
+        let found = inventory.programs.iter().find(|held| held.program == program(number));
+        found.map_or(0, |held| held.tokens.0)
+    }
+}
+
+pub fn model() -> ModelId {
+    ModelId::new("model")
+}
+
+pub fn tenant(name: &str) -> TenantId {
+    TenantId::new(name)
+}
+
+pub fn program(number: u64) -> ProgramId {
+    ProgramId { group: GroupId(0), number }
+}
+
+pub fn attempt(number: u64, call: u32) -> AttemptId {
+    let call = CallId { program: program(number), chain: ChainId(0), number: call };
+    AttemptId { call, attempt: 1 }
+}
+
+pub fn segment(hash: u64, tokens: u64) -> Segment {
+    Segment { hash, tokens: Tokens(tokens) }
+}
+
+pub fn prompt(hash: u64, tokens: u64) -> Vec<Segment> {
+    vec![segment(hash, tokens)]
+}
+
+pub fn answer_hash(number: u64, call: u32) -> u64 {
+    1_000_000 + number * 1000 + u64::from(call)
+}
+
+pub fn submit(number: u64, call: u32, prompt: Vec<Segment>, generate: u64) -> Submit {
+    Submit {
+        attempt: attempt(number, call),
+        epoch: Term(1),
+        incarnation: None,
+        tenant: tenant("tenant"),
+        model: model(),
+        prompt,
+        prompt_bound: Tokens(u64::MAX),
+        generate: Tokens(generate),
+        answer_hash: answer_hash(number, call),
+        priority: Priority(0),
+    }
+}
+
+/// The usage with which an attempt ended.
+pub fn finished(events: &[EngineEvent], id: AttemptId) -> Usage {
+    let found = events.iter().find_map(|event| match event {
+        EngineEvent::Finished { attempt, usage, .. } if *attempt == id => Some(*usage),
+        _ => None,
+    });
+    found.expect("the attempt finished")
+}
