--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -10,9 +10,14 @@
 
 use gumdrop::Options;
 use log::{LevelFilter, error, info};
-use options::{Arguments, OptionsError, Service};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+pub use crate::options::{Arguments, OptionsError, Service};
+use crate::{
+    EngineServer, KeyValueServer, MachineListServer, RunningServer, StartError, ToolServer,
+    WeightServer,
+};
+
 const WRONG_USE: u8 = 2;
 
 /// Runs the stand-in that the arguments name.
