--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -36,7 +36,11 @@
                 self.abandon(call, &refusal_text(reason, retry_after), now);
             }
             Decision::Requeue { attempt, .. } => self.recall(attempt),
-            Decision::Release { program, engine, .. } => self.release_engine(program, &engine, now),
+            // Without host memory nothing is offloaded; freeing is what comes nearest.
+            Decision::Release { program, engine, .. }
+            | Decision::Offload { program, engine, .. } => {
+                self.release_engine(program, &engine, now);
+            }
             Decision::Hold { program, engine, until } => self.hold(program, engine, until, now),
             Decision::FetchInventory(_) => {}
         }
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -180,5 +180,7 @@
         step_per_sequence: ASSUMED_STEP_PER_SEQUENCE,
         max_batch: ASSUMED_BATCH,
         transfer_per_second: 0.0,
+        // Exports to the hosts' memory are not wired to the adapter yet, so none are planned.
+        host_tokens: Tokens::ZERO,
     }
 }
