Move the reading of answers out of the gateway; compare attempts before text is joined

Cause: a caller that reads on at another gateway from an offset holds text of one attempt; when another attempt answered meanwhile, the gateway sent that attempt's text from the same offset on, because the part before the offset cannot be compared there. The answer was glued from two. Ruled out: comparing a digest of the caller's part (needs a new header of every client). Now the outcome names the attempt that ended the call, and a reader that starts inside another attempt's text gets answer_replaced. The reader is a state machine in dahlia-node, so that virtual-time runs and the daemon share it. Adds switches for tests of single mechanisms.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahlia_node::{Node, NodeSettings};
+use dahlia_node::{Node, NodeFaults, NodeSettings};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
@@ -239,5 +239,6 @@
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
         seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
+        faults: NodeFaults::default(),
     }
 }
--- a/crates/daemon/src/serve_answers.rs
+++ b/crates/daemon/src/serve_answers.rs
@@ -59,7 +59,7 @@
 
 fn last_frame(response: Response) -> AnswerFrame {
     match response {
-        Response::Ended { outcome, .. } => AnswerFrame::End(outcome),
+        Response::Ended { attempt, outcome, .. } => AnswerFrame::End { attempt, outcome },
         Response::Failed(error) => AnswerFrame::Failed(error),
         Response::NotOwner { hint } => AnswerFrame::NotOwner { hint },
         _ => {
--- /dev/null
+++ b/crates/node/src/answer.rs
@@ -0,0 +1,222 @@
+//! Reading one call's answer at its owner, across fail-over, without I/O.
+//!
+//! The reader keeps the text it has passed on. When the owner changes, or another attempt takes
+//! over, it compares the new text with what was passed on: nothing is missing or doubled, and an
+//! answer that turns out different is ended with an error instead of being glued.
+
+use dahlia_api::{ApiError, ErrorKind};
+use dahlia_program::CallOutcome;
+use dahlia_types::{CallId, TenantId, Usage};
+
+use crate::request::outcome_error;
+use crate::wire::{AnswerFrame, ReadAnswer};
+
+/// What a reader yields.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Followed {
+    /// The next piece of the text.
+    Text {
+        /// The attempt that it belongs to.
+        attempt: u32,
+        /// Where it starts, in bytes.
+        offset: u64,
+        /// The text.
+        text: String,
+    },
+    /// The answer is whole and durable.
+    End {
+        /// Tokens used.
+        usage: Usage,
+    },
+    /// The call has no answer, or it cannot be had here now.
+    Failed(ApiError),
+}
+
+/// Where a reader starts.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StartPosition {
+    /// The attempt whose text the caller has; 0 when unknown.
+    pub attempt: u32,
+    /// Bytes that the caller has.
+    pub offset: u64,
+}
+
+/// What became of a frame.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Taken {
+    /// Nothing for the caller.
+    Nothing,
+    /// For the caller, in this order.
+    Yield(Vec<Followed>),
+    /// The sender does not own the program: find the owner and ask it with
+    /// [`AnswerReader::request`].
+    Relocate,
+}
+
+/// Puts one call's answer together from the frames of its owners.
+#[derive(Debug, Clone)]
+pub struct AnswerReader {
+    tenant: TenantId,
+    call: CallId,
+    start: StartPosition,
+    attempt: u32,
+    passed_on: String,
+    ended: bool,
+    #[cfg(feature = "test-switches")]
+    glues: bool,
+}
+
+impl AnswerReader {
+    /// A reader that will yield what comes after `start`.
+    pub fn new(tenant: TenantId, call: CallId, start: StartPosition) -> Self {
+        Self {
+            tenant,
+            call,
+            start,
+            attempt: start.attempt,
+            passed_on: String::new(),
+            ended: false,
+            #[cfg(feature = "test-switches")]
+            glues: false,
+        }
+    }
+
+    /// Switches the comparison of attempts off, to show that a checker notices.
+    #[cfg(feature = "test-switches")]
+    pub fn glue(&mut self) {
+        self.glues = true;
+    }
+
+    /// The call.
+    pub fn call(&self) -> CallId {
+        self.call
+    }
+
+    /// Whether nothing follows.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// What to ask the owner for.
+    pub fn request(&self) -> ReadAnswer {
+        ReadAnswer {
+            tenant: self.tenant.clone(),
+            call: self.call,
+            attempt: self.attempt,
+            offset: self.position(),
+        }
+    }
+
+    /// Takes in a frame of the owner that was asked last.
+    pub fn take(&mut self, frame: AnswerFrame) -> Taken {
+        match frame {
+            AnswerFrame::KeepAlive => Taken::Nothing,
+            AnswerFrame::NotOwner { .. } => Taken::Relocate,
+            AnswerFrame::Failed(error) => Taken::Yield(vec![self.fail(error)]),
+            AnswerFrame::Piece { attempt, offset, text } => {
+                match self.take_piece(attempt, offset, &text) {
+                    None => Taken::Nothing,
+                    Some(followed) => Taken::Yield(vec![followed]),
+                }
+            }
+            AnswerFrame::End { attempt, outcome } => Taken::Yield(self.take_end(attempt, outcome)),
+        }
+    }
+
+    /// Ends with an error.
+    pub fn fail(&mut self, error: ApiError) -> Followed {
+        self.ended = true;
+        Followed::Failed(error)
+    }
+
+    fn position(&self) -> u64 {
+        self.start.offset + self.passed_on.len() as u64
+    }
+
+    fn take_piece(&mut self, attempt: u32, offset: u64, text: &str) -> Option<Followed> {
+        match self.unseen_part(attempt, offset, text) {
+            Ok(unseen) => {
+                let unseen = unseen.to_owned();
+                self.attempt = attempt;
+                self.pass_on(unseen)
+            }
+            Err(error) => Some(self.fail(error)),
+        }
+    }
+
+    /// The end of `text` that was not passed on yet, after checking the part that was.
+    fn unseen_part<'a>(
+        &self,
+        attempt: u32,
+        offset: u64,
+        text: &'a str,
+    ) -> Result<&'a str, ApiError> {
+        let position = self.position();
+        if offset > position || self.is_other_attempt(attempt) {
+            return Err(replaced());
+        }
+        let start = self.start.offset;
+        let from = offset.max(start);
+        let seen = &self.passed_on[(from - start) as usize..];
+        let comparable = text.get((from - offset) as usize..).unwrap_or_default();
+        let length = seen.len().min(comparable.len());
+        if seen.as_bytes()[..length] != comparable.as_bytes()[..length] && !self.glues() {
+            return Err(replaced());
+        }
+        Ok(comparable.get(seen.len()..).unwrap_or_default())
+    }
+
+    /// Whether what the caller has is of another attempt than `attempt`. The part before the
+    /// start is held by the caller only, so it can be compared by the attempt's number alone.
+    fn is_other_attempt(&self, attempt: u32) -> bool {
+        let held = self.start.attempt;
+        self.start.offset > 0 && held != 0 && attempt != held && !self.glues()
+    }
+
+    fn pass_on(&mut self, text: String) -> Option<Followed> {
+        if text.is_empty() {
+            return None;
+        }
+        let offset = self.position();
+        self.passed_on.push_str(&text);
+        Some(Followed::Text { attempt: self.attempt, offset, text })
+    }
+
+    fn take_end(&mut self, attempt: u32, outcome: CallOutcome) -> Vec<Followed> {
+        if let Some(error) = outcome_error(&outcome) {
+            return vec![self.fail(error)];
+        }
+        let CallOutcome::Answered { answer, usage } = outcome else {
+            let error = ApiError::new(ErrorKind::Internal, "an outcome without an answer");
+            return vec![self.fail(error)];
+        };
+        if (answer.content.len() as u64) < self.position() {
+            return vec![self.fail(replaced())];
+        }
+        match self.unseen_part(attempt, 0, &answer.content).map(str::to_owned) {
+            Err(error) => vec![self.fail(error)],
+            Ok(rest) => {
+                self.attempt = attempt;
+                self.ended = true;
+                let text = self.pass_on(rest);
+                text.into_iter().chain([Followed::End { usage }]).collect()
+            }
+        }
+    }
+
+    #[cfg(feature = "test-switches")]
+    fn glues(&self) -> bool {
+        self.glues
+    }
+
+    #[cfg(not(feature = "test-switches"))]
+    fn glues(&self) -> bool {
+        false
+    }
+}
+
+fn replaced() -> ApiError {
+    let message = "the attempt that you read was lost and another one answered differently; read \
+                   the call's answer again from offset 0";
+    ApiError::new(ErrorKind::AnswerReplaced, message)
+}
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -55,7 +55,7 @@
         now: Timestamp,
     ) {
         let id = attempt.call.program.group;
-        let Some(group) = self.groups.get_mut(&id) else {
+        let Some(group) = self.groups.get(&id) else {
             return;
         };
         let prompt = group.state.program(attempt.call.program).and_then(|program| {
@@ -72,7 +72,14 @@
         let command =
             RecordIntent { attempt, engine: engine.clone(), incarnation, prompt_bound, at: now };
         let holder = EngineLife { engine, incarnation };
-        let purpose = Purpose::Intent(IntentPurpose { attempt, holder, prompt_bound, priority });
+        let intent = IntentPurpose { attempt, holder, prompt_bound, priority };
+        if self.settings.faults.send_before_intent {
+            self.send_early(&intent, now);
+        }
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let purpose = Purpose::Intent(intent);
         // Not leading any more is fine: the next owner dispatches the call.
         let _ = group.propose(Command::RecordIntent(command), purpose, now);
         self.dirty.insert(id);
@@ -94,6 +101,9 @@
         let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
+        if self.settings.faults.send_before_intent {
+            return;
+        }
         let epoch = group.replica.term();
         let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(intent.attempt, live);
@@ -103,6 +113,23 @@
         }
     }
 
+    /// A test's fault: the bytes leave although no quorum knows of the intent.
+    fn send_early(&mut self, intent: &IntentPurpose, now: Timestamp) {
+        let call = intent.attempt.call;
+        let limit = self.settings.attempt_limit;
+        let Some(group) = self.groups.get_mut(&call.program.group) else {
+            return;
+        };
+        let epoch = group.replica.term();
+        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
+        group.live.insert(intent.attempt, live);
+        let found = group.state.program(call.program).and_then(|program| program.call(call));
+        let wish = found.map_or(Tokens::ZERO, |call| call.max_generated());
+        if let Some(start) = self.describe_start(intent, epoch, wish) {
+            self.actions.push(Action::StartAttempt(Box::new(start)));
+        }
+    }
+
     /// What the engine must be told of an attempt.
     pub(crate) fn describe_start(
         &self,
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -139,7 +139,7 @@
             resident: report.cache_used,
             pinned: report.cache_pinned,
             models: report.models.clone(),
-            draining: report.leaving,
+            draining: report.leaving && !self.settings.faults.ignore_leaving,
         });
         let (engine, incarnation) = (report.engine.clone(), report.incarnation);
         let known = KnownEngine { report, heard: now, usable: true };
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits};
+use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle};
 use dahlia_replication::group::{Proposal, ProposeError, Replica};
 use dahlia_replication::maintenance::Maintenance;
 use dahlia_types::{
@@ -85,8 +85,7 @@
 
 impl Group {
     /// A group with an empty state.
-    pub(crate) fn new(replica: Replica, limits: ProgramLimits, maintenance: Maintenance) -> Self {
-        let state = GroupState::new(replica.group(), limits);
+    pub(crate) fn new(replica: Replica, state: GroupState, maintenance: Maintenance) -> Self {
         Self {
             replica,
             state,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `group` | one replica group here: its replica, its programs, its proposals |
 //! | `owner` | what the leader of a group does for calls |
 //! | `attempts` | intents, dispatch and outcomes of attempts |
+//! | `answer` | putting an answer together at a gateway, across fail-over |
 //! | `release` | freeing engines' memory |
 //! | `recovery` | what a new owner takes up |
 //! | `requests` | requests of operators and gateways, at the owner |
@@ -18,6 +19,7 @@
 //! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
 
+mod answer;
 mod attempts;
 mod bootstrap;
 mod engines;
@@ -35,8 +37,9 @@
 mod view;
 pub mod wire;
 
+pub use answer::{AnswerReader, Followed, StartPosition, Taken};
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
 pub use node::{Node, NodeStatus};
-pub use settings::NodeSettings;
+pub use settings::{NodeFaults, NodeSettings};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -244,7 +244,7 @@
                 let seed = self.settings.seed;
                 let replica = Replica::join(self.settings.own, id, settings, seed, now);
                 let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
-                Group::new(replica, self.settings.limits, maintenance)
+                Group::new(replica, self.settings.empty_state(id), maintenance)
             });
             group.replica.step(message, now);
             self.dirty.insert(id);
@@ -301,7 +301,8 @@
                 replica.campaign(now);
             }
             let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
-            self.groups.insert(id, Group::new(replica, self.settings.limits, maintenance));
+            let state = self.settings.empty_state(id);
+            self.groups.insert(id, Group::new(replica, state, maintenance));
             self.dirty.insert(id);
         }
     }
@@ -309,6 +310,9 @@
     fn drain(&mut self, _now: Timestamp) {
         self.draining = true;
         self.announce_leaving();
+        if self.settings.faults.no_hand_over {
+            return;
+        }
         for group in self.groups.values_mut() {
             if group.replica.role() != Role::Leader {
                 continue;
@@ -393,7 +397,7 @@
             return;
         };
         match GroupState::restore(&snapshot.data) {
-            Ok(state) => group.state = state,
+            Ok(state) => group.state = self.settings.with_faults(state),
             Err(error) => log::error!(target: "groups", "Snapshot of {id} refused: {error}."),
         }
         let settled = group.settle(snapshot.index, snapshot.term);
@@ -421,7 +425,7 @@
     fn retire(&mut self, id: GroupId, now: Timestamp) {
         if let Some(group) = self.groups.get_mut(&id) {
             group.replica.retire(now);
-            group.state = GroupState::new(id, self.settings.limits);
+            group.state = self.settings.empty_state(id);
         }
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -69,7 +69,8 @@
                 Response::Begun { call: *call }
             }
             Begun::Replayed(call, outcome) => {
-                Response::Ended { call: *call, outcome: outcome.clone() }
+                let attempt = self.last_attempt(*call);
+                Response::Ended { call: *call, attempt, outcome: outcome.clone() }
             }
             Begun::ReplayedFromStore(call, _) => Response::Begun { call: *call },
         };
@@ -117,11 +118,12 @@
     }
 
     fn answer_waiters(&mut self, call: CallId, outcome: &CallOutcome) {
+        let attempt = self.last_attempt(call);
         let Some(group) = self.groups.get_mut(&call.program.group) else {
             return;
         };
         for to in group.waiters.remove(&call).unwrap_or_default() {
-            self.reply(to, Response::Ended { call, outcome: outcome.clone() });
+            self.reply(to, Response::Ended { call, attempt, outcome: outcome.clone() });
         }
     }
 
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -7,7 +7,7 @@
 use crate::Action;
 use crate::group::{IntentPurpose, LiveAttempt, Purpose};
 use crate::node::Node;
-use crate::request::Response;
+use crate::request::{AttemptEnd, Response};
 
 /// Priority of a resumed attempt at its engine: it only reads, so any will do.
 const RESUMED_PRIORITY: u64 = 0;
@@ -69,6 +69,12 @@
         let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(attempt, live);
         group.taken_over.insert(attempt);
+        if self.settings.faults.no_enquiry {
+            let reason = "a test's fault: nobody asked the engine".to_owned();
+            let end = AttemptEnd::NotRun { reason, retry_after: None };
+            self.attempt_ended(attempt, epoch, end, now);
+            return;
+        }
         let intent = IntentPurpose {
             attempt,
             holder: dahlia_program::EngineLife {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -107,6 +107,8 @@
     Ended {
         /// The call.
         call: CallId,
+        /// The attempt that ended it; 0 when there was none.
+        attempt: u32,
         /// The outcome.
         outcome: CallOutcome,
     },
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -207,7 +207,8 @@
         }
         match program.and_then(|program| program.outcome(call)) {
             Some(RecordedOutcome::Held(outcome)) => {
-                self.reply(to, Response::Ended { call, outcome });
+                let attempt = self.last_attempt(call);
+                self.reply(to, Response::Ended { call, attempt, outcome });
             }
             Some(RecordedOutcome::Stored(_)) | None => {
                 group.waiters.entry(call).or_default().insert(to);
@@ -215,6 +216,13 @@
         }
     }
 
+    /// The number of a call's last attempt: for an answered call the one that answered.
+    pub(crate) fn last_attempt(&self, call: CallId) -> u32 {
+        let group = self.groups.get(&call.program.group);
+        let program = group.and_then(|group| group.state.program(call.program));
+        program.and_then(|program| program.call(call)).map_or(0, |call| call.attempts())
+    }
+
     fn close(
         &mut self,
         to: ReplyTo,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use dahlia_placement::{PlacementSettings, PolicyKind};
-use dahlia_program::ProgramLimits;
+use dahlia_program::{GroupState, ProgramLimits};
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
-use dahlia_types::{Duration, Region, ReplicaId, Zone};
+use dahlia_types::{Duration, GroupId, Region, ReplicaId, Zone};
 
 /// What a node is told at its start.
 #[derive(Debug, Clone)]
@@ -48,4 +48,45 @@
     pub keep_records: Duration,
     /// Seed of all random draws.
     pub seed: u64,
+    /// Mechanisms removed by tests.
+    #[doc(hidden)]
+    pub faults: NodeFaults,
+}
+
+impl NodeSettings {
+    /// The state of a group before its first command.
+    pub(crate) fn empty_state(&self, group: GroupId) -> GroupState {
+        self.with_faults(GroupState::new(group, self.limits))
+    }
+
+    /// Switches off in `state` what a test wants to be off. Switches are part of no snapshot.
+    #[cfg(feature = "test-switches")]
+    pub(crate) fn with_faults(&self, mut state: GroupState) -> GroupState {
+        self.faults.program.iter().for_each(|mechanism| state.disable(*mechanism));
+        state
+    }
+
+    /// Outside of test builds nothing can be switched off.
+    #[cfg(not(feature = "test-switches"))]
+    pub(crate) fn with_faults(&self, state: GroupState) -> GroupState {
+        state
+    }
+}
+
+/// Mechanisms removed from a node, so that tests can show that each is needed. All are present by
+/// default; settings files cannot name them.
+#[doc(hidden)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct NodeFaults {
+    /// Attempts leave for their engine before their intent is durable.
+    pub send_before_intent: bool,
+    /// A new owner takes interrupted attempts for not run instead of asking about them.
+    pub no_enquiry: bool,
+    /// Reports of engines that leave are taken as those of serving ones.
+    pub ignore_leaving: bool,
+    /// A planned stop hands no group over.
+    pub no_hand_over: bool,
+    /// Mechanisms of the program state that are switched off.
+    #[cfg(feature = "test-switches")]
+    pub program: Vec<dahlia_program::Mechanism>,
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -67,7 +67,12 @@
     /// Nothing new; the owner is there.
     KeepAlive,
     /// The final outcome, durable. An answer's whole text is in it.
-    End(CallOutcome),
+    End {
+        /// The attempt that ended the call; 0 when there was none.
+        attempt: u32,
+        /// The outcome.
+        outcome: CallOutcome,
+    },
     /// This daemon does not own the program, or no longer.
     NotOwner {
         /// Who may.
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
