--- /dev/null
+++ b/crates/replay/examples/schedules.rs
@@ -0,0 +1,63 @@
+//! Runs random schedules and prints what broke, with the shortest schedule, and the figures.
+//!
+//! `cargo run --release -p dahlia-replay --example schedules -- --from 0 --seeds 1000`
+
+use std::process::ExitCode;
+
+use dahlia_replay::checker::{Figures, percentile};
+use dahlia_replay::schedules::{FaultCount, draw};
+use dahlia_replay::{Switches, run, shrink, trace};
+use gumdrop::Options;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first seed", default = "0")]
+    from: u64,
+    #[options(help = "number of seeds", default = "200")]
+    seeds: u64,
+    #[options(no_short, help = "shrink and print failing schedules")]
+    shrink: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let switches = Switches::all_on();
+    let mut all = Figures::default();
+    let mut failed = 0;
+    for seed in arguments.from..arguments.from + arguments.seeds {
+        let schedule = draw(seed, FaultCount::of_seed(seed));
+        let judgement = run(&schedule, seed, &switches).judgement;
+        all.add(&judgement.figures);
+        let Some(first) = judgement.violations.first() else { continue };
+        failed += 1;
+        let faults = schedule.fault_names().join("+");
+        println!("seed {seed} [{faults}]: {}: {}", first.promise, first.what);
+        if arguments.shrink {
+            println!("{}", trace::write(&shrink(&schedule, seed, first.promise, &switches)));
+        }
+    }
+    println!("{failed} of {} schedules failed", arguments.seeds);
+    print_figures(&all);
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn print_figures(figures: &Figures) {
+    let spread = |values: &[u64]| {
+        let show = |share| percentile(values, share).map_or("-".to_owned(), |ms| format!("{ms}"));
+        format!("n={} p50={} p99={} max={} ms", values.len(), show(0.5), show(0.99), show(1.0))
+    };
+    let Figures { runs, calls, answered, not_run, unknown, kills, .. } = figures;
+    println!(
+        "runs {runs}, calls {calls}: answered {answered}, not run {not_run}, unknown {unknown}"
+    );
+    println!("daemons killed {kills}, planned stops {}", figures.stops);
+    println!("calls at most once that ran twice {}", figures.run_twice);
+    println!("calls told not run that had run {}", figures.not_run_but_ran);
+    println!("requests cut by planned stops {}", figures.cut_by_stops);
+    println!("starts of attempts given up before {}", figures.late_starts);
+    println!("owner's death to next outcome told: {}", spread(&figures.fail_over));
+    println!("engine leaving to last work: {}", spread(&figures.leaving));
+    println!("program closed to last held memory: {}", spread(&figures.release));
+}
--- a/crates/replay/src/trace/line.rs
+++ b/crates/replay/src/trace/line.rs
@@ -114,12 +114,7 @@
 }
 
 /// An error that names line, field and value.
-pub(super) fn error(
-    line: usize,
-    field: &str,
-    value: &str,
-    allowed: impl Display,
-) -> TraceError {
+pub(super) fn error(line: usize, field: &str, value: &str, allowed: impl Display) -> TraceError {
     FieldSnafu { line, field, value, allowed: allowed.to_string() }.build()
 }
 
@@ -139,5 +134,9 @@
     if micros % 1_000 != 0 {
         return format!("{micros}us");
     }
-    if micros % 1_000_000 != 0 { format!("{}ms", micros / 1_000) } else { format!("{}s", micros / 1_000_000) }
+    if micros % 1_000_000 != 0 {
+        format!("{}ms", micros / 1_000)
+    } else {
+        format!("{}s", micros / 1_000_000)
+    }
 }
--- a/crates/replay/src/trace/parse.rs
+++ b/crates/replay/src/trace/parse.rs
@@ -82,7 +82,8 @@
     let name = line.required("name", "a name")?;
     let promise: String = line.required("promise", "a promise")?;
     let number = line.number;
-    let parsed = promise.parse().map_err(|allowed: String| error(number, "promise", &promise, allowed))?;
+    let parsed =
+        promise.parse().map_err(|allowed: String| error(number, "promise", &promise, allowed))?;
     Ok((name, parsed, line.number("seed", 1)?, line.number("seeds", 1)?))
 }
 
--- /dev/null
+++ b/crates/replay/src/world/actions.rs
@@ -0,0 +1,116 @@
+//! Carrying out a node's actions, as `dahlia-daemon`'s core does.
+
+use std::net::SocketAddr;
+
+use dahlia_node::request::Response;
+use dahlia_node::wire::PeerMessage;
+use dahlia_node::{Action, Event as NodeEvent};
+use dahlia_types::{DaemonId, Duration, ReplicaId};
+
+use super::World;
+use super::agenda::{Delivery, Target};
+use super::calls::{EngineRequest, RpcPurpose};
+use super::network::Channel;
+use super::settings::{daemon_at, engine_number};
+use crate::trace::CrashPoint;
+
+impl World {
+    /// Carries actions out in their order, up to the daemon's death.
+    pub(crate) fn perform_all(&mut self, id: DaemonId, actions: Vec<Action>) {
+        let life = self.daemons.get(&id).map(|held| held.life);
+        for action in actions {
+            let alive = |world: &Self| {
+                world.daemons.get(&id).is_some_and(|held| held.is_up() && Some(held.life) == life)
+            };
+            if !alive(self) {
+                return;
+            }
+            if let Some(point) = point_before(&action)
+                && self.crash_here(id, point)
+            {
+                return;
+            }
+            let is_start = matches!(action, Action::StartAttempt(_));
+            self.perform(id, action);
+            if is_start && self.crash_here(id, CrashPoint::AfterSend) {
+                return;
+            }
+        }
+    }
+
+    fn perform(&mut self, id: DaemonId, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(id, to, message),
+            Action::Respond { id: request, response } => self.node_responded(id, request, response),
+            Action::StartAttempt(start) => self.start_attempt(id, *start),
+            Action::ResumeAttempt(start) => self.resume_attempt(id, *start),
+            Action::CancelAttempt { attempt, epoch } => {
+                if let Some(engine) = self.engine_of_attempt(id, attempt) {
+                    let request = EngineRequest::Cancel { attempt, epoch };
+                    self.call_engine(id, engine, request, RpcPurpose::Nothing);
+                }
+            }
+            Action::RecallAttempt { attempt, epoch } => {
+                if let Some(engine) = self.engine_of_attempt(id, attempt) {
+                    let request = EngineRequest::State { attempt };
+                    let purpose = RpcPurpose::Recall { attempt, epoch };
+                    self.call_engine(id, engine, request, purpose);
+                }
+            }
+            Action::LeaveAttempt { attempt } => self.leave_attempt(id, attempt),
+            Action::ForgetAnswer { call } => {
+                if let Some(daemon) = self.daemons.get_mut(&id) {
+                    daemon.board.remove(&call);
+                }
+            }
+            Action::Hold { program, engine, epoch, length } => {
+                if let Some(engine) = engine_number(&engine) {
+                    let request = EngineRequest::Hold { program, epoch, length };
+                    self.call_engine(id, engine, request, RpcPurpose::Nothing);
+                }
+            }
+            Action::Release(order) => self.begin_release(id, *order),
+            Action::Layout(step) => {
+                let life = self.daemons[&id].life;
+                self.layout_step(id, life, step);
+            }
+            Action::Stop => self.kill_daemon(id, Duration::ZERO),
+        }
+    }
+
+    fn send(&mut self, from: DaemonId, to: SocketAddr, message: PeerMessage) {
+        let Some(to) = daemon_at(to) else { return };
+        let (Some(sender), Some(receiver)) = (self.daemons.get(&from), self.daemons.get(&to))
+        else {
+            return;
+        };
+        if !receiver.is_up() {
+            return;
+        }
+        let (one, other) = (Some(sender.zone), Some(receiver.zone));
+        let target = Target::Daemon(to, receiver.life);
+        let from_replica = ReplicaId { daemon: from, incarnation: sender.incarnation };
+        let channel = Channel::Peers(from.0, to.0);
+        let arrivals = self.network.peer_arrivals(channel, one, other, self.now, &mut self.random);
+        for at in arrivals {
+            let event = NodeEvent::Message { from: from_replica, message: message.clone() };
+            self.agenda.push(at, target, Delivery::Node(Box::new(event)));
+        }
+    }
+}
+
+/// The durable step that an action stands behind, if any.
+fn point_before(action: &Action) -> Option<CrashPoint> {
+    match action {
+        Action::StartAttempt(_) => Some(CrashPoint::BeforeSend),
+        Action::ResumeAttempt(_) => Some(CrashPoint::BeforeEnquiry),
+        Action::Release(_) => Some(CrashPoint::BeforeRelease),
+        Action::Respond { response, .. }
+        | Action::Send { message: PeerMessage::Response { response, .. }, .. } => match response {
+            Response::Begun { .. } => Some(CrashPoint::BeforeBegun),
+            Response::Ended { .. } => Some(CrashPoint::BeforeAnswer),
+            _ => None,
+        },
+        _ => None,
+    }
+}
