Repeat cancels until the attempt has ended; forget an answer's text when stepping down

Cause: a cancel was sent once. Now the deadline moves on by two seconds with each cancel, and a new owner cancels what runs for ended programs at once. Cause of the second: a daemon that lost a group and won it back resumed the stream from the start and appended the text to what it had read before.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -19,6 +19,9 @@
 use crate::request::AttemptEnd;
 use crate::{Action, StartAttempt};
 
+/// A cancelled attempt that has not ended by then is cancelled again.
+const CANCEL_RETRY: Duration = Duration::from_secs(2);
+
 impl Node {
     /// Tells placement what happened and carries out what it decides.
     pub(crate) fn schedule(&mut self, event: PlacementEvent, now: Timestamp) {
@@ -105,7 +108,7 @@
             return;
         }
         let epoch = group.replica.term();
-        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
+        let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(intent.attempt, live);
         let start = self.describe_start(&intent, epoch, terms.generated_cap);
         if let Some(start) = start {
@@ -121,7 +124,7 @@
             return;
         };
         let epoch = group.replica.term();
-        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
+        let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(intent.attempt, live);
         let found = group.state.program(call.program).and_then(|program| program.call(call));
         let wish = found.map_or(Tokens::ZERO, |call| call.max_generated());
@@ -291,12 +294,14 @@
         group.and_then(|group| group.state.program(program)).is_some_and(|found| found.is_open())
     }
 
-    /// Cancels attempts that have run for too long.
+    /// Cancels attempts that have run for too long, and again those that did not end by it.
     pub(crate) fn check_attempts(&mut self, now: Timestamp) {
         for group in self.groups.values_mut() {
             for (attempt, live) in &mut group.live {
-                if !live.cancelled && live.deadline <= now {
-                    live.cancelled = true;
+                if live.cancel_at <= now {
+                    // A cancel may be lost on its way, and an engine that hangs ends nothing by
+                    // itself: only the attempt's end stops the repetition.
+                    live.cancel_at = now + CANCEL_RETRY;
                     let epoch = live.epoch;
                     self.actions.push(Action::CancelAttempt { attempt: *attempt, epoch });
                 }
@@ -305,17 +310,16 @@
     }
 
     /// Cancels what still runs for a program that ended.
-    pub(crate) fn cancel_attempts_of(&mut self, id: GroupId, program: ProgramId) {
+    pub(crate) fn cancel_attempts_of(&mut self, id: GroupId, program: ProgramId, now: Timestamp) {
         let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
         for (attempt, live) in &mut group.live {
-            if attempt.call.program == program && !live.cancelled {
-                live.cancelled = true;
-                let epoch = live.epoch;
-                self.actions.push(Action::CancelAttempt { attempt: *attempt, epoch });
+            if attempt.call.program == program {
+                live.cancel_at = live.cancel_at.min(now);
             }
         }
+        self.check_attempts(now);
     }
 
     fn recall(&mut self, attempt: AttemptId) {
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -40,10 +40,8 @@
 pub(crate) struct LiveAttempt {
     /// The epoch that it runs under.
     pub(crate) epoch: Term,
-    /// When it is cancelled.
-    pub(crate) deadline: Timestamp,
-    /// Whether a cancel was sent.
-    pub(crate) cancelled: bool,
+    /// When it is cancelled, or cancelled again.
+    pub(crate) cancel_at: Timestamp,
 }
 
 /// A release that is under way or due.
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -139,7 +139,7 @@
                 self.call_ended(*call, &outcome, now);
             }
         }
-        self.cancel_attempts_of(id, program);
+        self.cancel_attempts_of(id, program, now);
         self.schedule(PlacementEvent::ProgramClosed(program), now);
         self.release_program(id, program, now);
     }
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -39,6 +39,7 @@
             }
         }
         for program in ended {
+            self.cancel_attempts_of(id, program, now);
             self.release_program(id, program, now);
         }
         let restarted = self.engines.lives();
@@ -66,7 +67,7 @@
             return;
         };
         let epoch = group.replica.term();
-        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
+        let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(attempt, live);
         group.taken_over.insert(attempt);
         if self.settings.faults.no_enquiry {
@@ -106,6 +107,9 @@
         let programs: Vec<ProgramId> = group.state.programs().map(|program| program.id()).collect();
         for attempt in attempts.into_keys() {
             self.actions.push(Action::LeaveAttempt { attempt });
+            // Whoever resumes the attempt reads its text from the start. If that is this daemon
+            // again, the text must not stand behind what was read before.
+            self.actions.push(Action::ForgetAnswer { call: attempt.call });
         }
         let purposes = pending.into_values().map(|(_, purpose)| purpose);
         for purpose in purposes.chain(deferred.into_iter().map(|(_, purpose)| purpose)) {
--- a/crates/replay/examples/schedules.rs
+++ b/crates/replay/examples/schedules.rs
@@ -6,7 +6,7 @@
 
 use dahlia_replay::checker::{Figures, percentile};
 use dahlia_replay::schedules::{FaultCount, draw};
-use dahlia_replay::{Switches, run, shrink, trace};
+use dahlia_replay::{Switches, observe, run, shrink, trace};
 use gumdrop::Options;
 
 #[derive(Debug, Options)]
@@ -19,6 +19,23 @@
     seeds: u64,
     #[options(no_short, help = "shrink and print failing schedules")]
     shrink: bool,
+    #[options(no_short, help = "print everything that was seen in the first schedule")]
+    show: bool,
+}
+
+/// Prints what daemons log, for `--show`.
+struct Printer;
+
+impl log::Log for Printer {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        println!("          {} {}", record.target(), record.args());
+    }
+
+    fn flush(&self) {}
 }
 
 fn main() -> ExitCode {
@@ -26,6 +43,17 @@
     let switches = Switches::all_on();
     let mut all = Figures::default();
     let mut failed = 0;
+    if arguments.show {
+        if log::set_logger(&Printer).is_ok() {
+            log::set_max_level(log::LevelFilter::Debug);
+        }
+        let schedule = draw(arguments.from, FaultCount::of_seed(arguments.from));
+        print!("{}", trace::write(&schedule));
+        let seen = observe(&schedule, arguments.from, &switches);
+        for found in &seen.seen {
+            println!("{:>9} {:?}", found.at.since(seen.start).as_millis(), found.what);
+        }
+    }
     for seed in arguments.from..arguments.from + arguments.seeds {
         let schedule = draw(seed, FaultCount::of_seed(seed));
         let judgement = run(&schedule, seed, &switches).judgement;
--- a/crates/replay/src/checker/answers.rs
+++ b/crates/replay/src/checker/answers.rs
@@ -31,6 +31,13 @@
             }
         }
     }
+    for call in &view.replaced {
+        let attempts = view.calls.get(call).map_or(0, |seen| seen.started.len());
+        if attempts < 2 {
+            let what = format!("{call} had one attempt, and its caller was told of another answer");
+            found.broken(Promise::WholeAnswer, what);
+        }
+    }
     for (call, had, offset) in &view.out_of_place {
         let what = format!("the caller of {call} had {had} bytes and got a piece from {offset} on");
         found.broken(Promise::WholeAnswer, what);
--- a/crates/replay/src/checker/figures.rs
+++ b/crates/replay/src/checker/figures.rs
@@ -20,6 +20,8 @@
     pub not_run: u64,
     /// Calls whose callers were told "unknown".
     pub unknown: u64,
+    /// Answers that were replaced while they were read.
+    pub replaced: u64,
     /// Daemons killed.
     pub kills: u64,
     /// Calls at most once that were started twice.
@@ -51,6 +53,7 @@
         self.answered += other.answered;
         self.not_run += other.not_run;
         self.unknown += other.unknown;
+        self.replaced += other.replaced;
         self.kills += other.kills;
         self.run_twice += other.run_twice;
         self.not_run_but_ran += other.not_run_but_ran;
@@ -89,6 +92,7 @@
         let late = seen.started.iter().filter(|(at, attempt)| is_given_up(view, *attempt, *at));
         figures.late_starts += late.count() as u64;
     }
+    figures.replaced = view.replaced.len() as u64;
     for (_, cut, _) in &view.stops {
         figures.stops += 1;
         figures.cut_by_stops += u64::from(*cut);
--- a/crates/replay/src/checker/view.rs
+++ b/crates/replay/src/checker/view.rs
@@ -63,6 +63,7 @@
     pub(super) calls: BTreeMap<CallId, CallView<'seen>>,
     pub(super) programs: BTreeMap<ProgramId, ProgramView<'seen>>,
     pub(super) received_leaving: Vec<Received>,
+    pub(super) replaced: Vec<CallId>,
     pub(super) out_of_place: Vec<(CallId, u64, u64)>,
     pub(super) stops: Vec<(DaemonId, u32, Duration)>,
     pub(super) kills: Vec<(Timestamp, &'seen [u32])>,
@@ -76,6 +77,7 @@
             calls: BTreeMap::new(),
             programs: BTreeMap::new(),
             received_leaving: Vec::new(),
+            replaced: Vec::new(),
             out_of_place: Vec::new(),
             stops: Vec::new(),
             kills: Vec::new(),
@@ -126,6 +128,7 @@
                 self.call(*call).told.push((at, outcome, *gateway));
             }
             Observation::Refused { call, kind } => self.call(*call).refused.push(*kind),
+            Observation::Replaced { call } => self.replaced.push(*call),
             Observation::OutOfPlace { call, had, offset } => {
                 self.out_of_place.push((*call, *had, *offset));
             }
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -26,6 +26,6 @@
 pub use error::ReplayError;
 pub use folder::{ReplayOptions, ReplaySummary, TraceReport, run_folder};
 pub use promise::Promise;
-pub use run::{Verdict, run};
+pub use run::{Verdict, observe, run};
 pub use shrink::shrink;
 pub use switches::{Switch, Switches};
--- a/crates/replay/src/run.rs
+++ b/crates/replay/src/run.rs
@@ -3,7 +3,7 @@
 use crate::checker::{Judgement, judge};
 use crate::switches::Switches;
 use crate::trace::Trace;
-use crate::world::World;
+use crate::world::{Observations, World};
 
 /// What came of a run.
 #[derive(Debug, Clone)]
@@ -19,3 +19,8 @@
     let seen = World::new(trace, seed, switches.clone()).run();
     Verdict { seed, judgement: judge(trace, &seen) }
 }
+
+/// Runs a trace with one seed and gives everything that was seen, for a person to read.
+pub fn observe(trace: &Trace, seed: u64, switches: &Switches) -> Observations {
+    World::new(trace, seed, switches.clone()).run()
+}
--- a/crates/replay/src/world/caller_replies.rs
+++ b/crates/replay/src/world/caller_replies.rs
@@ -92,6 +92,7 @@
             }
             ErrorKind::Unknown => self.told(index, number, CallerOutcome::Unknown),
             ErrorKind::AnswerReplaced => {
+                self.seen.note(self.now, Observation::Replaced { call });
                 if let Some(run) = self.callers[index].runs.get_mut(&number) {
                     run.text.clear();
                     run.attempt = 0;
--- a/crates/replay/src/world/observe.rs
+++ b/crates/replay/src/world/observe.rs
@@ -69,6 +69,11 @@
         /// Why.
         kind: ErrorKind,
     },
+    /// A caller was told that the text it had was of an attempt that another one replaced.
+    Replaced {
+        /// The call.
+        call: CallName,
+    },
     /// A caller got text that does not follow what it had.
     OutOfPlace {
         /// The call.
