Test placement and experiments; measure the cost of a decision

Ruled out: a lost release in the scheduler (the engines were never asked). Conclusion: a run ends when every end is told and every release confirmed; an attempt that answers or ends no longer counts as unseen load. bayou-roof runs longer, since its programs live for several minutes.

--- a/crates/experiment/examples/compare.rs
+++ b/crates/experiment/examples/compare.rs
@@ -1,10 +1,21 @@
-//! Prints a comparison, for tuning: `compare WORKLOAD POLICIES FIRST_SEED COUNT LOAD [LOADS,...]`.
+//! Prints a comparison, for tuning and measuring:
+//!
+//! `compare WORKLOAD POLICIES FIRST_SEED COUNT LOAD LOADS [DIRECTORY] [no-host]`
+//!
+//! `LOADS` is a list for the sweep or `-`; report and plots go to `DIRECTORY`, if there is one.
 
 use std::path::PathBuf;
 
 use dahlia_experiment::{CompareOptions, ExperimentError, ExperimentPolicy, compare};
 
-fn main() -> Result<(), ExperimentError> {
+fn main() {
+    if let Err(error) = run() {
+        eprintln!("{error}");
+        std::process::exit(1);
+    }
+}
+
+fn run() -> Result<(), ExperimentError> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let argument = |place: usize, default: &str| {
         arguments.get(place).cloned().unwrap_or_else(|| default.to_owned())
@@ -16,8 +27,14 @@
     let count: u64 = argument(3, "3").parse().unwrap_or(3);
     options.seeds = (first..first + count).collect();
     options.load = argument(4, "1").parse().unwrap_or(1.0);
-    let loads = argument(5, "");
-    options.sweep = loads.split(',').filter_map(|load| load.parse().ok()).collect();
-    print!("{}", compare::run(options)?.table());
+    options.sweep = argument(5, "-").split(',').filter_map(|load| load.parse().ok()).collect();
+    options.without_host_memory = arguments.iter().any(|argument| argument == "no-host");
+    if let Some(directory) = arguments.get(6).filter(|argument| *argument != "no-host") {
+        let directory = PathBuf::from(directory);
+        options.report = Some(directory.join("report.json"));
+        options.plots = Some(directory);
+    }
+    let report = compare::run(options)?;
+    print!("{}", report.table());
     Ok(())
 }
--- a/crates/experiment/src/compare.rs
+++ b/crates/experiment/src/compare.rs
@@ -75,6 +75,8 @@
     pub sweep: Vec<f64>,
     /// How many of the seeds each point of the sweep is run with.
     pub sweep_seeds: usize,
+    /// Take the hosts' memory for offloaded KV away, to see what it is worth.
+    pub without_host_memory: bool,
     /// Runs at once, at most four.
     pub threads: usize,
     /// Where to write the JSON report.
@@ -93,6 +95,7 @@
             load: 1.0,
             sweep: Vec::new(),
             sweep_seeds: 3,
+            without_host_memory: false,
             threads: MOST_THREADS,
             report: None,
             plots: None,
@@ -113,7 +116,10 @@
 /// # Errors
 /// [`ExperimentError`] when the workload cannot be read or a file cannot be written.
 pub fn run(options: CompareOptions) -> Result<CompareReport, ExperimentError> {
-    let workload = Workload::load(&options.workload)?;
+    let mut workload = Workload::load(&options.workload)?;
+    if options.without_host_memory {
+        workload.deployment.host_tokens = 0;
+    }
     let report = compare(&workload, &options);
     if let Some(path) = &options.report {
         report.write_json(path)?;
--- a/crates/experiment/src/driver.rs
+++ b/crates/experiment/src/driver.rs
@@ -51,6 +51,8 @@
     programs: Vec<ProgramRun>,
     /// Programs that have not ended.
     live: usize,
+    /// Programs that have ended and whose schedulers do not know it yet.
+    untold: usize,
     /// Where each attempt was sent.
     sent: BTreeMap<AttemptId, usize>,
     copies: BTreeMap<AttemptId, PendingCopy>,
@@ -89,6 +91,7 @@
             schedulers: schedulers.collect(),
             engines: engines.collect(),
             live: programs.len(),
+            untold: 0,
             programs,
             sent: BTreeMap::new(),
             copies: BTreeMap::new(),
@@ -129,7 +132,7 @@
 
     fn is_over(&self) -> bool {
         let released = |scheduler: &Scheduler| scheduler.stats().releases_unconfirmed == 0;
-        self.live == 0 && self.schedulers.iter().all(released)
+        self.live == 0 && self.untold == 0 && self.schedulers.iter().all(released)
     }
 
     fn happen(&mut self, happening: Happening) {
@@ -143,7 +146,10 @@
             Happening::Wake { engine } => self.wake(engine),
             Happening::Report { engine } => self.report(engine),
             Happening::Inventory { engine, scheduler } => self.inventory(engine, scheduler),
-            Happening::Tell { scheduler, event } => self.tell(scheduler, *event),
+            Happening::Tell { scheduler, event } => {
+                self.untold -= usize::from(matches!(*event, Event::ProgramClosed(_)));
+                self.tell(scheduler, *event);
+            }
             Happening::FirstToken { attempt } => self.first_token(attempt),
             Happening::Answer { attempt, usage } => self.answer(attempt, usage),
             Happening::Refused { program, chain, retry_after } => {
--- a/crates/experiment/src/driver/callers.rs
+++ b/crates/experiment/src/driver/callers.rs
@@ -50,6 +50,7 @@
         self.record_call(program, chain, usage);
         self.programs[program].last_answer = self.now;
         let run = &mut self.programs[program].chains[chain];
+        run.under_way = false;
         let Some(turn) = run.turns.pop_front() else { return };
         run.history.push(Segment { hash: turn.answer_hash, tokens: turn.generated });
         match turn.after {
@@ -90,6 +91,7 @@
             return;
         }
         let first = chain == 0 && run.number == 1;
+        run.under_way = false;
         self.result.given_up += 1;
         self.end_program(program, if first { Outcome::Refused } else { Outcome::Failed });
     }
@@ -102,7 +104,9 @@
             return;
         }
         run.ended = true;
+        self.result.cut_short += run.calls_under_way();
         self.live -= 1;
+        self.untold += 1;
         let record = ProgramRecord {
             arrives: run.script.arrives,
             latency: run.last_answer.since(run.script.arrives),
@@ -152,6 +156,7 @@
         run.attempt = 1;
         run.caller_retries = 0;
         run.first_token = None;
+        run.under_way = true;
         run.issued = self.now + length;
         self.result.issued += 1;
     }
--- a/crates/experiment/src/driver/programs.rs
+++ b/crates/experiment/src/driver/programs.rs
@@ -24,6 +24,8 @@
     pub caller_retries: u32,
     /// How long the current call waited for its first token; none before it came.
     pub first_token: Option<Duration>,
+    /// The current call has not been answered.
+    pub under_way: bool,
     /// Sub-agents that have not ended.
     pub children: usize,
     /// Tool pauses along the chains that this one waited for, its own included.
@@ -47,6 +49,7 @@
             ready: Timestamp::ZERO,
             caller_retries: 0,
             first_token: None,
+            under_way: false,
             children: 0,
             paused: Duration::ZERO,
             depth,
@@ -91,6 +94,11 @@
         self.chains.len() - 1
     }
 
+    /// Calls issued, or prepared for the end of a pause, that have not been answered.
+    pub(super) fn calls_under_way(&self) -> u64 {
+        self.chains.iter().filter(|chain| chain.under_way).count() as u64
+    }
+
     pub(super) fn call(&self, chain: usize) -> CallId {
         let number = self.chains[chain].number;
         CallId { program: self.id, chain: ChainId(chain as u32), number }
--- a/crates/experiment/src/metrics.rs
+++ b/crates/experiment/src/metrics.rs
@@ -66,6 +66,8 @@
     pub answered: u64,
     /// Calls finally given up by their callers after refusals, over the whole run.
     pub given_up: u64,
+    /// Calls that their program's end left without an answer, over the whole run.
+    pub cut_short: u64,
     /// Answers "refused" sent, over the whole run.
     pub refusals: u64,
     /// The longest a caller waited for such an answer.
@@ -103,6 +105,7 @@
             issued: 0,
             answered: 0,
             given_up: 0,
+            cut_short: 0,
             refusals: 0,
             longest_refusal: Duration::ZERO,
             longest_wait: Duration::ZERO,
--- /dev/null
+++ b/crates/placement/examples/decision_cost.rs
@@ -0,0 +1,171 @@
+//! Prints what one decision costs: `cargo run --release -p dahlia-placement --example decision_cost`.
+//!
+//! 600 engines serve 5 models; 700 programs (a daemon's share of 260,000) issue calls with a
+//! history of 40 segments. A decision is a call from its readiness to its dispatch; the bookkeeping
+//! of its end, a load report and a cache event are timed apart.
+
+use std::time::{Duration as WallTime, Instant};
+
+use dahlia_placement::{
+    Action, CacheNotice, CallReady, EngineCapacity, EngineJoined, EngineReport, Event,
+    HistorySegment, PlacementSettings, PolicyKind, Scheduler,
+};
+use dahlia_types::{
+    AttemptId, CallId, ChainId, Duration, EngineId, GroupId, Incarnation, ModelId, ProgramId,
+    TenantId, Timestamp, Tokens, Usage, Zone,
+};
+
+const ENGINES: usize = 600;
+const MODELS: usize = 5;
+const PROGRAMS: u64 = 700;
+const ROUNDS: u32 = 60;
+const SEGMENTS: u64 = 40;
+
+/// Wall time per kind of event.
+#[derive(Default)]
+struct Cost {
+    total: WallTime,
+    count: u32,
+}
+
+impl Cost {
+    fn time<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        let start = Instant::now();
+        let result = work();
+        self.total += start.elapsed();
+        self.count += 1;
+        result
+    }
+
+    fn micros(&self) -> f64 {
+        self.total.as_secs_f64() * 1e6 / f64::from(self.count.max(1))
+    }
+}
+
+fn main() {
+    println!("{ENGINES} engines, {MODELS} models, {PROGRAMS} programs, {SEGMENTS} segments");
+    println!(
+        "{:<14} {:>12} {:>12} {:>12} {:>12} {:>10}",
+        "policy", "decision us", "finish us", "report us", "cache us", "examined"
+    );
+    for kind in PolicyKind::ALL {
+        measure(kind);
+    }
+}
+
+fn measure(kind: PolicyKind) {
+    let mut scheduler = Scheduler::new(PlacementSettings::default(), kind, 1);
+    let mut now = Timestamp(1_000_000);
+    for number in 0..ENGINES {
+        scheduler.handle(Event::EngineJoined(joined(number)), now);
+    }
+    let (mut decision, mut finish) = (Cost::default(), Cost::default());
+    let (mut report_cost, mut cache) = (Cost::default(), Cost::default());
+    let mut sequence = 0;
+    for round in 1..=ROUNDS {
+        for program in 0..PROGRAMS {
+            now = now + Duration::from_micros(700);
+            let event = Event::CallReady(call(program, round));
+            let actions = decision.time(|| scheduler.handle(event, now));
+            let Some((attempt, engine)) = dispatched(&actions) else { continue };
+            let usage =
+                Usage { prompt: Tokens(20_000), cached: Tokens(19_000), generated: Tokens(200) };
+            now = now + Duration::from_micros(700);
+            finish.time(|| scheduler.handle(Event::Finished { attempt, usage }, now));
+            sequence += 1;
+            let notice = notice(&engine, sequence, program);
+            cache.time(|| scheduler.handle(Event::Cache(notice), now));
+        }
+        for number in 0..ENGINES {
+            let event = Event::EngineReport(report(number, now));
+            report_cost.time(|| scheduler.handle(event, now));
+        }
+    }
+    let stats = scheduler.stats();
+    println!(
+        "{:<14} {:>12.2} {:>12.2} {:>12.2} {:>12.2} {:>10.1}",
+        kind.name(),
+        decision.micros(),
+        finish.micros(),
+        report_cost.micros(),
+        cache.micros(),
+        stats.engines_examined as f64 / stats.decisions as f64,
+    );
+}
+
+fn dispatched(actions: &[Action]) -> Option<(AttemptId, EngineId)> {
+    actions.iter().find_map(|action| match action {
+        Action::Dispatch { attempt, engine, .. } => Some((*attempt, engine.clone())),
+        _ => None,
+    })
+}
+
+fn model(number: usize) -> ModelId {
+    ModelId::new(format!("model-{}", number % MODELS))
+}
+
+fn engine(number: usize) -> EngineId {
+    EngineId::new(format!("engine-{number}"))
+}
+
+fn joined(number: usize) -> EngineJoined {
+    EngineJoined {
+        engine: engine(number),
+        incarnation: Incarnation(1),
+        zone: Zone::new("zone"),
+        distance: Duration::from_millis(1),
+        models: vec![model(number)],
+        capacity: EngineCapacity {
+            kv_tokens: Tokens(1_500_000),
+            prefill_per_second: 30_000.0,
+            step_base: Duration::from_millis(18),
+            step_per_sequence: Duration::from_micros(50),
+            max_batch: 256,
+            transfer_per_second: 150_000.0,
+            host_tokens: Tokens(5_000_000),
+        },
+    }
+}
+
+fn report(number: usize, at: Timestamp) -> EngineReport {
+    EngineReport {
+        engine: engine(number),
+        incarnation: Incarnation(1),
+        reported_at: at,
+        running: 60 + (number % 30) as u32,
+        waiting: 0,
+        prefill_backlog: Tokens(number as u64 % 900),
+        resident: Tokens(900_000),
+        pinned: Tokens(500_000),
+        models: vec![model(number)],
+        draining: false,
+    }
+}
+
+fn call(program: u64, number: u32) -> CallReady {
+    let program_id = ProgramId { group: GroupId(0), number: program };
+    let history = 0..SEGMENTS + 2 * u64::from(number);
+    CallReady {
+        call: CallId { program: program_id, chain: ChainId(0), number },
+        attempt: 1,
+        model: model(program as usize),
+        tenant: TenantId::new(format!("tenant-{}", program % 100)),
+        history: history
+            .map(|place| HistorySegment { hash: program * 1000 + place, tokens: Tokens(500) })
+            .collect(),
+        max_generated: Tokens(1000),
+        attained: Duration::ZERO,
+        depth: 0,
+        weight: 100,
+    }
+}
+
+fn notice(engine: &EngineId, sequence: u64, program: u64) -> CacheNotice {
+    CacheNotice {
+        engine: engine.clone(),
+        incarnation: Incarnation(1),
+        sequence,
+        program: ProgramId { group: GroupId(0), number: program },
+        resident: Tokens(20_000),
+    }
+}
--- a/crates/placement/src/scheduler/calls.rs
+++ b/crates/placement/src/scheduler/calls.rs
@@ -36,6 +36,7 @@
     pub(super) fn first_token(&mut self, attempt: AttemptId) {
         if let Some(open) = self.open.get_mut(&attempt) {
             open.answering = true;
+            self.engines.entry_mut(open.slot).answers(attempt);
         }
     }
 
@@ -262,7 +263,7 @@
         let known = cached.iter().find(|cached| cached.slot == slot);
         let prefill = call.prompt_tokens() - known.map_or(0, |cached| cached.tokens);
         let entry = self.engines.entry_mut(slot);
-        entry.dispatched(prefill, now);
+        entry.dispatched(call.attempt(), prefill, now);
         let (engine, incarnation) = (entry.id.clone(), entry.incarnation);
         let copy_from = copy_from.map(|source| CopySource {
             engine: self.engines.entry(source.slot).id.clone(),
@@ -282,7 +283,7 @@
     /// Takes an attempt out of the books.
     fn end_attempt(&mut self, attempt: AttemptId, now: Timestamp) -> Option<OpenAttempt> {
         let open = self.open.remove(&attempt)?;
-        self.engines.entry_mut(open.slot).ended(now);
+        self.engines.entry_mut(open.slot).ended(attempt, now);
         let tenant = &open.call.ready.tenant;
         self.admission.ended(tenant);
         for model in self.models.values_mut() {
--- a/crates/placement/src/view/entry.rs
+++ b/crates/placement/src/view/entry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use dahlia_types::{Duration, EngineId, Incarnation, ModelId, Timestamp};
+use dahlia_types::{AttemptId, Duration, EngineId, Incarnation, ModelId, Timestamp};
 
 use crate::circuit::Circuit;
 use crate::{EngineCapacity, EngineJoined, EngineReport};
@@ -24,6 +24,7 @@
 /// A dispatch that no report includes yet.
 #[derive(Debug, Clone, Copy)]
 struct UnseenDispatch {
+    attempt: AttemptId,
     sent_at: Timestamp,
     prefill: u64,
 }
@@ -124,17 +125,30 @@
     }
 
     /// Counts a dispatch until a report includes it.
-    pub(crate) fn dispatched(&mut self, prefill: u64, now: Timestamp) {
+    pub(crate) fn dispatched(&mut self, attempt: AttemptId, prefill: u64, now: Timestamp) {
         self.open += 1;
         self.circuit.sent();
-        self.unseen.push_back(UnseenDispatch { sent_at: now, prefill });
+        self.unseen.push_back(UnseenDispatch { attempt, sent_at: now, prefill });
         self.unseen_prefill += prefill;
     }
 
+    /// Notes that an attempt answers: its prefill is done.
+    pub(crate) fn answers(&mut self, attempt: AttemptId) {
+        if let Some(place) = self.unseen.iter().position(|one| one.attempt == attempt) {
+            self.unseen_prefill -= std::mem::take(&mut self.unseen[place].prefill);
+        }
+    }
+
     /// Counts an attempt's end until a report includes it.
-    pub(crate) fn ended(&mut self, now: Timestamp) {
+    pub(crate) fn ended(&mut self, attempt: AttemptId, now: Timestamp) {
         self.open = self.open.saturating_sub(1);
-        self.unseen_ends.push_back(now);
+        match self.unseen.iter().position(|one| one.attempt == attempt) {
+            Some(place) => {
+                let ended = self.unseen.remove(place);
+                self.unseen_prefill -= ended.map_or(0, |one| one.prefill);
+            }
+            None => self.unseen_ends.push_back(now),
+        }
     }
 
     /// Leaves the engine alone for a moment.
