Separate the control parts of a daemon; count bytes between daemons

Cause: scale runs need hundreds of daemons that have membership, groups and configuration but no callers, in one process. Ruled out: a second assembly for them, which would measure something else. Conclusion: assembly::start_control serves both.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dahlia_node::{Node, NodeSettings};
@@ -24,7 +25,7 @@
 use crate::logging::part;
 use crate::metrics::Metrics;
 use crate::operators::{self, Operators};
-use crate::peers::{self, Incoming, PeerSender};
+use crate::peers::{self, Incoming, PeerSender, Traffic};
 use crate::platform_state::PlatformState;
 use crate::serve_answers;
 use crate::settings::Settings;
@@ -61,7 +62,8 @@
 pub struct RunningDaemon {
     core: CoreHandle,
     gateway: ServerHandle,
-    tasks: Vec<JoinHandle<()>>,
+    control: ControlParts,
+    operators: JoinHandle<()>,
     drain_limit: Duration,
     /// Where callers connect.
     pub gateway_address: SocketAddr,
@@ -71,20 +73,42 @@
     pub peer_address: SocketAddr,
 }
 
-/// Starts a daemon.
+/// The parts of a daemon that control the system: membership, groups, configuration. A hollow
+/// daemon of a scale run has nothing else.
+pub struct ControlParts {
+    /// Talks to the node.
+    pub core: CoreHandle,
+    /// Where other daemons connect.
+    pub peer_address: SocketAddr,
+    traffic: Arc<Traffic>,
+    identity: Identity,
+    metrics: Arc<Metrics>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ControlParts {
+    /// Bytes and frames sent to other daemons.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    /// Stops at once, like a death: connections break, memory is lost.
+    pub fn stop(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts the control parts of a daemon.
 ///
 /// # Errors
-/// [`StartError`] when an address is taken.
-pub async fn start(settings: &Settings) -> Result<RunningDaemon, StartError> {
+/// [`StartError`] when the address is taken.
+pub fn start_control(settings: &Settings) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
     let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
     let peer_listener = listen("peers", settings.daemon.peer_address)?;
-    let gateway_listener = listen("callers", settings.daemon.gateway_address)?;
-    let operators_listener = listen("operators", settings.daemon.operators_address)?;
     let peer_address = local(&peer_listener, settings.daemon.peer_address);
-    let gateway_address = local(&gateway_listener, settings.daemon.gateway_address);
-    let operators_address = local(&operators_listener, settings.daemon.operators_address);
-
     let key = PeerKey::new(settings.credentials.peer_key.as_bytes());
     let identity = Identity { daemon: own.daemon, incarnation: own.incarnation, key };
     let metrics = Metrics::new().context(MetricsSnafu)?;
@@ -93,22 +117,42 @@
     let board = AnswerBoard::default();
     let engines = EngineTasks::new(&settings.platform.engines, core.clone(), board.clone());
     engines.start_reports();
+    let peers = PeerSender::new(identity.clone(), incoming.clone());
+    let traffic = peers.traffic();
     let driver = Core::new(
         Node::new(node_settings(settings, own, peer_address), clock.now()),
         clock,
         inbox,
-        PeerSender::new(identity.clone(), incoming.clone()),
+        peers,
         engines,
         PlatformState::new(settings.platform.key_value, core.clone()),
         metrics.clone(),
     );
+    let tasks = vec![
+        tokio::spawn(driver.run()),
+        tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming)),
+        tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
+    ];
+    Ok(ControlParts { core, peer_address, traffic, identity, metrics, tasks })
+}
 
+/// Starts a daemon.
+///
+/// # Errors
+/// [`StartError`] when an address is taken.
+pub async fn start(settings: &Settings) -> Result<RunningDaemon, StartError> {
+    let gateway_listener = listen("callers", settings.daemon.gateway_address)?;
+    let operators_listener = listen("operators", settings.daemon.operators_address)?;
+    let gateway_address = local(&gateway_listener, settings.daemon.gateway_address);
+    let operators_address = local(&operators_listener, settings.daemon.operators_address);
+    let control = start_control(settings)?;
+    let core = control.core.clone();
     let gateway_parts = Gateway::new(
         core.clone(),
-        identity.clone(),
+        control.identity.clone(),
         TenantKey::new(settings.credentials.tenant_key.as_bytes()),
         settings.limits.clone(),
-        metrics,
+        control.metrics.clone(),
     );
     let gateway = gateway::serve(gateway_listener, gateway_parts)
         .context(ListenSnafu { part: "callers", address: gateway_address })?;
@@ -116,21 +160,19 @@
         core: core.clone(),
         token: settings.credentials.operator_token.as_str().into(),
     };
-    let tasks = vec![
-        tokio::spawn(driver.run()),
-        tokio::spawn(peers::listen(peer_listener, identity, incoming)),
-        tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
-        tokio::spawn(serve_operators(operators_listener, operators)),
-    ];
+    let serving = tokio::spawn(serve_operators(operators_listener, operators));
+    let peer_address = control.peer_address;
     log::info!(
         target: part::DAEMON,
-        "{own} serves callers on {gateway_address}, operators on {operators_address}, peers on \
-         {peer_address}."
+        "{} serves callers on {gateway_address}, operators on {operators_address}, peers on \
+         {peer_address}.",
+        core.own()
     );
     Ok(RunningDaemon {
         core,
         gateway,
-        tasks,
+        control,
+        operators: serving,
         drain_limit: Duration::from_millis(settings.daemon.drain_ms),
         gateway_address,
         operators_address,
@@ -169,9 +211,8 @@
     /// Stops at once.
     pub fn stop(self) {
         self.gateway.stop_forcible();
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.operators.abort();
+        self.control.stop();
         log::info!(target: part::DAEMON, "Stopped.");
     }
 }
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -12,6 +12,9 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+/// Bytes of the length in front of each frame.
+const LENGTH_BYTES: usize = 4;
+
 /// A fault on a connection to a peer, with the step and the peer.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -94,14 +97,16 @@
         self.peer
     }
 
-    /// Sends one value.
+    /// Sends one value. Returns the bytes of its frame.
     ///
     /// # Errors
     /// [`FrameError`] when the value cannot be encoded or the connection is broken.
-    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<(), FrameError> {
+    pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<usize, FrameError> {
         let bytes = encode(value, self.peer)?;
+        let length = bytes.len() + LENGTH_BYTES;
         let step = "writing to";
-        self.framed.send(bytes).await.context(TransferSnafu { step, peer: self.peer })
+        self.framed.send(bytes).await.context(TransferSnafu { step, peer: self.peer })?;
+        Ok(length)
     }
 
     /// Waits until the other side closes the connection or it breaks.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,12 +3,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use dahlia_node::wire::{Hello, PeerMessage, Purpose, ReadAnswer};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::frames::FrameStream;
@@ -42,11 +44,36 @@
     },
 }
 
+/// What a daemon has sent to others, without headers of TCP and IP.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    bytes: AtomicU64,
+    frames: AtomicU64,
+}
+
+impl Traffic {
+    fn count(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.frames.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Bytes of all frames.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Number of frames.
+    pub fn frames(&self) -> u64 {
+        self.frames.load(Ordering::Relaxed)
+    }
+}
+
 /// Sends messages to other daemons. Cheap to clone.
 #[derive(Clone)]
 pub struct PeerSender {
     identity: Identity,
     lost: mpsc::Sender<Incoming>,
+    traffic: Arc<Traffic>,
     queues: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>,
 }
 
@@ -54,7 +81,12 @@
     /// A sender without connections.
     /// Connections that break are told to `lost`.
     pub fn new(identity: Identity, lost: mpsc::Sender<Incoming>) -> Self {
-        Self { identity, lost, queues: Arc::default() }
+        Self { identity, lost, traffic: Arc::default(), queues: Arc::default() }
+    }
+
+    /// What was sent so far.
+    pub fn traffic(&self) -> Arc<Traffic> {
+        self.traffic.clone()
     }
 
     /// Queues a message for the daemon at `peer`; drops it when the queue is full.
@@ -66,8 +98,8 @@
             None => {
                 let (queue, waiting) = mpsc::channel(QUEUE_PER_PEER);
                 queues.insert(peer, queue.clone());
-                let lost = self.lost.clone();
-                tokio::spawn(pump(self.identity.clone(), peer, waiting, lost));
+                let (lost, traffic) = (self.lost.clone(), self.traffic.clone());
+                tokio::spawn(pump(self.identity.clone(), peer, waiting, lost, traffic));
                 queue
             }
         };
@@ -83,13 +115,14 @@
     peer: SocketAddr,
     mut waiting: mpsc::Receiver<PeerMessage>,
     lost: mpsc::Sender<Incoming>,
+    traffic: Arc<Traffic>,
 ) {
     let mut pause = FIRST_RECONNECT;
     loop {
         match identity.connect(peer, Purpose::Messages).await {
             Ok(frames) => {
                 pause = FIRST_RECONNECT;
-                if pump_connected(frames, &mut waiting).await {
+                if pump_connected(frames, &mut waiting, &traffic).await {
                     return;
                 }
                 let _ = lost.send(Incoming::ConnectionLost(peer)).await;
@@ -98,6 +131,9 @@
         }
         // What queued up meanwhile is stale: its senders repeat with newer contents.
         while waiting.try_recv().is_ok() {}
+        if waiting.is_closed() {
+            return;
+        }
         sleep(pause).await;
         pause = (pause * 2).min(LONGEST_RECONNECT);
     }
@@ -107,6 +143,7 @@
 async fn pump_connected(
     mut frames: FrameStream,
     waiting: &mut mpsc::Receiver<PeerMessage>,
+    traffic: &Traffic,
 ) -> bool {
     loop {
         let message = tokio::select! {
@@ -117,20 +154,26 @@
             // The other side never writes here, so anything that can be read is its end.
             () = frames.ended() => return false,
         };
-        if let Err(error) = frames.send(&message).await {
-            log::debug!(target: part::PEERS, "Lost a connection. {error}.");
-            return false;
+        match frames.send(&message).await {
+            Ok(bytes) => traffic.count(bytes),
+            Err(error) => {
+                log::debug!(target: part::PEERS, "Lost a connection. {error}.");
+                return false;
+            }
         }
     }
 }
 
 /// Accepts connections for as long as the daemon runs.
 pub async fn listen(listener: TcpListener, identity: Identity, inbox: mpsc::Sender<Incoming>) {
+    // Connections end with this task, so that peers see at once that the daemon is gone.
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let frames = FrameStream::new(stream, peer);
-                tokio::spawn(serve(frames, identity.clone(), inbox.clone()));
+                connections.spawn(serve(frames, identity.clone(), inbox.clone()));
             }
             Err(error) => {
                 log::warn!(target: part::PEERS, "Accepting a connection failed: {error}.");
--- a/crates/daemon/src/serve_answers.rs
+++ b/crates/daemon/src/serve_answers.rs
@@ -35,7 +35,8 @@
     frames: &mut FrameStream,
 ) -> Result<(), FrameError> {
     if !core.owns(read.call.program.group).await {
-        return frames.send(&AnswerFrame::NotOwner { hint: None }).await;
+        frames.send(&AnswerFrame::NotOwner { hint: None }).await?;
+        return Ok(());
     }
     let request = Request::AwaitOutcome { tenant: read.tenant.clone(), call: read.call };
     let outcome = core.request(request);
@@ -45,11 +46,15 @@
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            response = &mut outcome => return frames.send(&last_frame(response)).await,
+            response = &mut outcome => {
+                frames.send(&last_frame(response)).await?;
+                return Ok(());
+            }
             () = reader.changed() => reader.send_new(frames).await?,
             _ = beats.tick() => {
                 if !core.owns(read.call.program.group).await {
-                    return frames.send(&AnswerFrame::NotOwner { hint: None }).await;
+                    frames.send(&AnswerFrame::NotOwner { hint: None }).await?;
+        return Ok(());
                 }
                 frames.send(&AnswerFrame::KeepAlive).await?;
             }
@@ -101,6 +106,7 @@
         self.offset = piece.offset + piece.text.len() as u64;
         let frame =
             AnswerFrame::Piece { attempt: piece.attempt, offset: piece.offset, text: piece.text };
-        frames.send(&frame).await
+        frames.send(&frame).await?;
+        Ok(())
     }
 }
