Add rehearse scale: hollow daemons over real connections

Ruled out: hollow daemons over channels in memory, which would leave out the connections; one process a daemon, which the machine cannot hold at 370. Reads of the missing layout are spread over the daemons, since 370 of them would read 1,200 times a second.

--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -13,6 +13,8 @@
 
 /// How often the key is read while it is missing.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// What each live daemon adds to the interval: together they read about 100 times a second.
+const READ_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
 
 /// One step with the key-value service, asked or answered.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,11 +47,12 @@
     }
 
     /// Whether the key should be read now.
-    pub(crate) fn read_due(&mut self, now: Timestamp) -> bool {
+    pub(crate) fn read_due(&mut self, live_daemons: usize, now: Timestamp) -> bool {
         if self.done || now < self.next_read {
             return false;
         }
-        self.next_read = now + READ_INTERVAL;
+        let shared = READ_INTERVAL_PER_DAEMON.times(live_daemons as u64);
+        self.next_read = now + READ_INTERVAL.max(shared);
         true
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -252,10 +252,13 @@
     }
 
     fn read_layout(&mut self, now: Timestamp) {
-        if !self.bootstrap.read_due(now) {
+        if self.bootstrap.is_done() {
             return;
         }
         let live = self.live_members();
+        if !self.bootstrap.read_due(live.len(), now) {
+            return;
+        }
         if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
             let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
             self.actions.push(Action::Layout(LayoutStep::Value(layout)));
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -51,6 +51,10 @@
     pub groups: u32,
     /// Voters of each group.
     pub replicas: u32,
+    /// Daemons that must be live before the groups are laid out.
+    pub bootstrap_daemons: u32,
+    /// Requests a second that the key-value service takes.
+    pub key_value_rate: u64,
     /// Placement policy.
     pub policy: PolicyKind,
     /// Level of the daemons' logs.
@@ -69,6 +73,8 @@
             speed: 4.0,
             groups: 8,
             replicas: 3,
+            bootstrap_daemons: 4,
+            key_value_rate: 200,
             policy: PolicyKind::ProgramAware,
             log_level: "info".to_owned(),
         }
@@ -123,7 +129,8 @@
     /// # Errors
     /// [`RehearsalError`] when a process does not start.
     pub async fn start(plan: ClusterPlan, folder: &Path) -> Result<Self, RehearsalError> {
-        let arguments = words("standin kv --control");
+        let text = format!("standin kv --control --requests-per-second {}", plan.key_value_rate);
+        let arguments = words(&text);
         let (key_value, line) = ChildProcess::start("kv", &arguments, folder).await?;
         let key_value_address = address_of("kv", &line, "listening ")?;
         let mut engines = Vec::new();
@@ -165,7 +172,7 @@
         let name = format!("d{}", index + 1);
         let zone = self.plan.daemon_zones[index].clone();
         let path = self.folder.join(format!("{name}.toml"));
-        let settings = self.daemon_settings(index, &zone);
+        let settings = self.settings_of(index, &zone);
         let text = toml::to_string(&settings).map_err(|error| RehearsalError::Broken {
             what: format!("writing settings as TOML: {error}"),
         })?;
@@ -183,50 +190,29 @@
         })
     }
 
-    fn daemon_settings(&self, index: usize, zone: &str) -> Settings {
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    fn settings_of(&self, index: usize, zone: &str) -> Settings {
         let engines = self.engines.iter().map(|engine| EngineSettings {
             id: engine.id.clone(),
             address: engine.address,
             zone: Zone::new(&engine.zone),
             models: vec![ModelId::new(&self.plan.model)],
         });
-        Settings {
-            daemon: DaemonSettings {
-                id: DaemonId(index as u32 + 1),
-                zone: Zone::new(zone),
-                region: Region::new(&self.plan.region),
-                peer_address: any_port,
-                gateway_address: any_port,
-                operators_address: any_port,
-                seeds: self.daemons.iter().map(|daemon| daemon.peers).collect(),
-                data_folder: None,
-                drain_ms: DRAIN_MS,
-            },
-            credentials: CredentialSettings {
-                tenant_key: TENANT_KEY.to_owned(),
-                operator_token: OPERATOR_TOKEN.to_owned(),
-                peer_key: PEER_KEY.to_owned(),
-            },
-            platform: PlatformSettings {
-                key_value: Some(self.key_value_address),
-                engines: engines.collect(),
-                ..PlatformSettings::default()
-            },
-            limits: RequestLimits::default(),
-            layout: LayoutSettings {
-                groups: self.plan.groups,
-                replicas: self.plan.replicas,
-                bootstrap_daemons: self.plan.daemon_zones.len() as u32,
-            },
-            groups: GroupSettings::default(),
-            membership: MembershipSettings::default(),
-            maintenance: MaintenanceSettings::default(),
-            calls: CallsSettings::default(),
+        let plan = SettingsPlan {
+            key_value: Some(self.key_value_address),
+            engines: engines.collect(),
+            groups: self.plan.groups,
+            replicas: self.plan.replicas,
+            bootstrap_daemons: self.plan.bootstrap_daemons,
             policy: self.plan.policy,
-            placement: PlacementSettings::default(),
-            log: LogSettings { level: self.plan.log_level.clone(), ..LogSettings::default() },
-        }
+            log_level: self.plan.log_level.clone(),
+        };
+        let seeds = self.daemons.iter().map(|daemon| daemon.peers).collect();
+        daemon_settings(&plan, index as u32 + 1, &self.plan.region, zone, seeds)
+    }
+
+    /// Where the key-value service listens.
+    pub fn key_value_address(&self) -> SocketAddr {
+        self.key_value_address
     }
 
     /// Waits until every daemon that runs can route calls, and every group has an owner.
@@ -310,7 +296,88 @@
     }
 }
 
-async fn read_status(client: &Client, gateway: SocketAddr) -> serde_json::Value {
+/// What the settings of all daemons of a rehearsal have in common.
+#[derive(Debug, Clone)]
+pub struct SettingsPlan {
+    /// The key-value service.
+    pub key_value: Option<SocketAddr>,
+    /// The engines.
+    pub engines: Vec<EngineSettings>,
+    /// Number of replica groups.
+    pub groups: u32,
+    /// Voters of each group.
+    pub replicas: u32,
+    /// Daemons that must be live before the groups are laid out.
+    pub bootstrap_daemons: u32,
+    /// Placement policy.
+    pub policy: PolicyKind,
+    /// Level of the logs.
+    pub log_level: String,
+}
+
+impl Default for SettingsPlan {
+    fn default() -> Self {
+        Self {
+            key_value: None,
+            engines: Vec::new(),
+            groups: 8,
+            replicas: 3,
+            bootstrap_daemons: 3,
+            policy: PolicyKind::ProgramAware,
+            log_level: "info".to_owned(),
+        }
+    }
+}
+
+/// The settings of one daemon of a rehearsal; its ports come from the operating system.
+pub fn daemon_settings(
+    plan: &SettingsPlan,
+    id: u32,
+    region: &str,
+    zone: &str,
+    seeds: Vec<SocketAddr>,
+) -> Settings {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        daemon: DaemonSettings {
+            id: DaemonId(id),
+            zone: Zone::new(zone),
+            region: Region::new(region),
+            peer_address: any_port,
+            gateway_address: any_port,
+            operators_address: any_port,
+            seeds,
+            data_folder: None,
+            drain_ms: DRAIN_MS,
+        },
+        credentials: CredentialSettings {
+            tenant_key: TENANT_KEY.to_owned(),
+            operator_token: OPERATOR_TOKEN.to_owned(),
+            peer_key: PEER_KEY.to_owned(),
+        },
+        platform: PlatformSettings {
+            key_value: plan.key_value,
+            engines: plan.engines.clone(),
+            ..PlatformSettings::default()
+        },
+        limits: RequestLimits::default(),
+        layout: LayoutSettings {
+            groups: plan.groups,
+            replicas: plan.replicas,
+            bootstrap_daemons: plan.bootstrap_daemons,
+        },
+        groups: GroupSettings::default(),
+        membership: MembershipSettings::default(),
+        maintenance: MaintenanceSettings::default(),
+        calls: CallsSettings::default(),
+        policy: plan.policy,
+        placement: PlacementSettings::default(),
+        log: LogSettings { level: plan.log_level.clone(), ..LogSettings::default() },
+    }
+}
+
+/// What a daemon says of itself; null when it does not answer.
+pub(crate) async fn read_status(client: &Client, gateway: SocketAddr) -> serde_json::Value {
     let answer = client.get(format!("http://{gateway}/readyz")).send().await;
     match answer {
         Ok(answer) => answer.json().await.unwrap_or_default(),
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `operator` | an operator's requests |
 //! | `demo` | `rehearse demo` |
 //! | `load`, `direct` | `rehearse load` |
+//! | `scale` | `rehearse scale` |
 //! | `latency`, `process_usage` | what a run measured |
 
 pub mod caller;
@@ -21,5 +22,6 @@
 pub mod operator;
 mod process_usage;
 pub mod processes;
+pub mod scale;
 
 pub use error::RehearsalError;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use dahlia_rehearsal::load::{self, LoadOptions};
+use dahlia_rehearsal::scale::{self, HollowOptions, ScaleOptions};
 use dahlia_rehearsal::{RehearsalError, demo, processes};
 use gumdrop::Options;
 
@@ -21,6 +22,10 @@
     Demo(Demo),
     #[options(help = "measure callers in a closed loop, through daemons and directly")]
     Load(LoadOptions),
+    #[options(help = "measure what control costs a daemon at several sizes")]
+    Scale(ScaleOptions),
+    #[options(help = "run many hollow daemons; started by scale")]
+    Hollow(HollowOptions),
     #[options(help = "run one daemon, as the binary dahlialadder does")]
     Daemon(dahlia_daemon::cli::Arguments),
     #[options(help = "run one stand-in, as the binary dahlia-standin does")]
@@ -41,6 +46,8 @@
     match arguments.command {
         Some(Command::Demo(demo)) => block_on(demo::run(demo.folder.as_deref())),
         Some(Command::Load(options)) => block_on(load::run(options)),
+        Some(Command::Scale(options)) => block_on(scale::run(options)),
+        Some(Command::Hollow(options)) => block_on(scale::run_hollow(options)),
         Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
         Some(Command::Standin(arguments)) => dahlia_standins::cli::run(&arguments),
         None => {
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -8,6 +8,7 @@
 use snafu::ResultExt;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, Command};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::RehearsalError;
@@ -39,6 +40,7 @@
     /// Closes when this tool ends; see [`end_with_parent`].
     #[allow(dead_code)]
     guard: Option<ChildStdin>,
+    lines: mpsc::UnboundedReceiver<String>,
 }
 
 impl ChildProcess {
@@ -66,15 +68,20 @@
             .context(ProcessSnafu { step: "starting", name })?;
         let output = child.stdout.take();
         let guard = child.stdin.take();
-        let mut process = Self { name: name.to_owned(), child, guard };
+        let (sender, printed) = mpsc::unbounded_channel();
+        let mut process = Self { name: name.to_owned(), child, guard, lines: printed };
         let Some(output) = output else {
             return Err(process.not_ready("its output is not readable"));
         };
         let mut lines = BufReader::new(output).lines();
         match timeout(READY_TIMEOUT, lines.next_line()).await {
             Ok(Ok(Some(line))) => {
-                // Whatever it prints later must not block it.
-                tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+                // Whatever it prints later must not block it, also when nobody wants it.
+                tokio::spawn(async move {
+                    while let Ok(Some(line)) = lines.next_line().await {
+                        let _ = sender.send(line);
+                    }
+                });
                 Ok((process, line))
             }
             Ok(Ok(None)) => {
@@ -87,6 +94,18 @@
         }
     }
 
+    /// The next line that it prints.
+    ///
+    /// # Errors
+    /// [`RehearsalError::NotReady`] when it prints none in time, or has ended.
+    pub async fn next_line(&mut self, limit: Duration) -> Result<String, RehearsalError> {
+        match timeout(limit, self.lines.recv()).await {
+            Ok(Some(line)) => Ok(line),
+            Ok(None) => Err(self.not_ready("it has ended")),
+            Err(_) => Err(self.not_ready("it printed nothing in time")),
+        }
+    }
+
     /// The process's name.
     pub fn name(&self) -> &str {
         &self.name
