--- a/crates/engine-model/src/cache.rs
+++ b/crates/engine-model/src/cache.rs
@@ -3,6 +3,7 @@
 //! Each node is one segment behind its parent's prefix, found by its [`ChainHash`] (radix-tree
 //! caching, SGLang 2024). Memory is charged in blocks; a leaf shrinks from its tail.
 
+mod eviction;
 mod sessions;
 mod spans;
 
@@ -12,7 +13,7 @@
 
 pub(crate) use self::sessions::Sessions;
 pub(crate) use self::spans::Spans;
-use crate::{CacheChange, ChainHash, SpanKind};
+use crate::{ChainHash, SpanKind};
 
 /// Place of a node in the table.
 pub(crate) type NodeId = usize;
@@ -367,83 +368,4 @@
         self.spans.record(resident, since, now, SpanKind::Active);
         self.settle(id, now);
     }
-
-    /// Removes an idle node that holds nothing or that nobody uses; else files it for eviction.
-    fn settle(&mut self, id: NodeId, now: Timestamp) {
-        let node = self.node(id);
-        let idle = node.pins == 0 && node.children == 0;
-        let useless = node.resident == 0 || (node.users.is_empty() && !node.shared);
-        if idle && useless {
-            self.shrink(id, node.resident, now);
-        } else {
-            self.refresh(id);
-        }
-    }
-
-    fn make_room(&mut self, needed: u64, now: Timestamp) {
-        loop {
-            let shortage = (self.used + needed).saturating_sub(self.capacity);
-            if shortage == 0 {
-                return;
-            }
-            let Some((_, _, id)) = self.evictable.first().copied() else { return };
-            self.shrink(id, shortage, now);
-        }
-    }
-
-    /// Frees at least `amount` tokens from the tail of an idle leaf, or all it has.
-    fn shrink(&mut self, id: NodeId, amount: u64, now: Timestamp) {
-        let node = self.node(id);
-        let (resident, last_use) = (node.resident, node.last_use);
-        let kept = resident.saturating_sub(amount) / self.block * self.block;
-        self.used -= self.footprint(resident) - kept;
-        self.spans.record(resident - kept, last_use, now, SpanKind::Wasted);
-        let node = self.node_mut(id);
-        let lost = node.computed.saturating_sub(kept);
-        node.resident = kept;
-        node.computed = node.computed.min(kept);
-        let users = &self.nodes[id].as_ref().expect("node is live").users;
-        self.sessions.remove_tokens(users, lost);
-        for program in users {
-            self.sessions.changed(*program, CacheChange::Removed);
-        }
-        if kept == 0 {
-            self.remove(id, now);
-        } else {
-            self.refresh(id);
-        }
-    }
-
-    fn remove(&mut self, id: NodeId, now: Timestamp) {
-        let node = self.nodes[id].take().expect("node is live");
-        self.free_slots.push(id);
-        self.index.remove(&node.hash);
-        if let Some(key) = node.eviction_key {
-            self.evictable.remove(&key);
-        }
-        for program in &node.users {
-            self.sessions.remove_node(*program, id);
-        }
-        if let Some(parent) = node.parent {
-            self.node_mut(parent).children -= 1;
-            self.settle(parent, now);
-        }
-    }
-
-    /// Files the node under its current eviction key, if it is an idle leaf.
-    fn refresh(&mut self, id: NodeId) {
-        let node = self.nodes[id].as_mut().expect("node is live");
-        let leaf = node.pins == 0 && node.children == 0 && node.resident > 0;
-        let key = leaf.then_some((node.held_by > 0, node.last_use, id));
-        if key == node.eviction_key {
-            return;
-        }
-        if let Some(old) = node.eviction_key.take() {
-            self.evictable.remove(&old);
-        }
-        if let Some(new) = key {
-            self.evictable.insert(new);
-            node.eviction_key = Some(new);
-        }
-    }
 }
