--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,11 +9,13 @@
 //! | `operator` | an operator's requests |
 //! | `demo` | `rehearse demo` |
 //! | `load`, `direct` | `rehearse load` |
+//! | `compare` | `rehearse compare` |
 //! | `scale` | `rehearse scale` |
 //! | `latency`, `process_usage` | what a run measured |
 
 pub mod caller;
 pub mod cluster;
+pub mod compare;
 pub mod demo;
 mod direct;
 mod error;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use dahlia_rehearsal::compare::{self, CompareFlags};
 use dahlia_rehearsal::load::{self, LoadOptions};
 use dahlia_rehearsal::scale::{self, HollowOptions, ScaleOptions};
 use dahlia_rehearsal::{RehearsalError, demo, processes};
@@ -26,6 +27,8 @@
     Scale(ScaleOptions),
     #[options(help = "run many hollow daemons; started by scale")]
     Hollow(HollowOptions),
+    #[options(help = "compare placement policies and baselines in virtual time")]
+    Compare(CompareFlags),
     #[options(help = "run one daemon, as the binary dahlialadder does")]
     Daemon(dahlia_daemon::cli::Arguments),
     #[options(help = "run one stand-in, as the binary dahlia-standin does")]
@@ -48,6 +51,13 @@
         Some(Command::Load(options)) => block_on(load::run(options)),
         Some(Command::Scale(options)) => block_on(scale::run(options)),
         Some(Command::Hollow(options)) => block_on(scale::run_hollow(options)),
+        Some(Command::Compare(flags)) => match compare::run(flags) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("rehearse: {error}");
+                ExitCode::FAILURE
+            }
+        },
         Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
         Some(Command::Standin(arguments)) => dahlia_standins::cli::run(&arguments),
         None => {
