Add the chunk store: checksummed segments under one data folder

Cause: 260,000 programs of up to 580,000 tokens do not fit into replicas' memory; bulk history needs a disk with torn writes and full disks handled. Ruled out: an embedded key-value store (redb, sled), whose files grow with history that is written once and dropped whole; plain files, one a chunk, which cost an inode and two syncs each.

--- /dev/null
+++ b/crates/store/src/record.rs
@@ -0,0 +1,112 @@
+//! The format of segments and records, version 1. All numbers are little-endian.
+//!
+//! A segment begins with 12 bytes: the magic `DAHLCHNK` and the version (u32). Records follow:
+//!
+//! | bytes | field |
+//! |---|---|
+//! | 4 | CRC-32C (RFC 3720, appendix B.4) over everything after it |
+//! | 1 | kind: 1 chunk, 2 removal |
+//! | 4 | length of the data; 0 for a removal |
+//! | 4 + 8 | program: group, number |
+//! | 32 | digest of the chunk |
+//! | n | data |
+
+use dahlia_types::{GroupId, ProgramId};
+
+/// The version that this build writes and reads.
+pub const FORMAT_VERSION: u32 = 1;
+
+const MAGIC: &[u8; 8] = b"DAHLCHNK";
+/// Bytes in front of a segment's records.
+pub(crate) const SEGMENT_HEADER: usize = 12;
+/// Bytes in front of a record's data.
+pub(crate) const RECORD_HEADER: usize = 53;
+const CHECKSUM_END: usize = 4;
+const KIND_AT: usize = 4;
+const LENGTH_AT: usize = 5;
+const GROUP_AT: usize = 9;
+const NUMBER_AT: usize = 13;
+const DIGEST_AT: usize = 21;
+const KIND_CHUNK: u8 = 1;
+const KIND_REMOVAL: u8 = 2;
+
+/// Names a chunk. The program is part of the name: two programs with the same text keep a chunk
+/// each, so that forgetting one cannot take the other's history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChunkKey {
+    /// The program.
+    pub program: ProgramId,
+    /// SHA-256 of the chunk's bytes.
+    pub digest: [u8; 32],
+}
+
+/// What a record says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RecordKind {
+    Chunk,
+    Removal,
+}
+
+/// The fixed part of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RecordHeader {
+    pub(crate) kind: RecordKind,
+    pub(crate) length: u32,
+    pub(crate) key: ChunkKey,
+    checksum: u32,
+}
+
+/// What a new segment begins with.
+pub(crate) fn segment_header() -> Vec<u8> {
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend(FORMAT_VERSION.to_le_bytes());
+    bytes
+}
+
+/// The version of a segment. None when it is no segment.
+pub(crate) fn segment_version(header: &[u8]) -> Option<u32> {
+    let version = header.strip_prefix(MAGIC.as_slice())?;
+    Some(u32::from_le_bytes(version.try_into().ok()?))
+}
+
+/// A whole record.
+pub(crate) fn encode(kind: RecordKind, key: &ChunkKey, data: &[u8]) -> Vec<u8> {
+    let mut body = Vec::with_capacity(RECORD_HEADER + data.len());
+    body.push(match kind {
+        RecordKind::Chunk => KIND_CHUNK,
+        RecordKind::Removal => KIND_REMOVAL,
+    });
+    body.extend((data.len() as u32).to_le_bytes());
+    body.extend(key.program.group.0.to_le_bytes());
+    body.extend(key.program.number.to_le_bytes());
+    body.extend(key.digest);
+    body.extend(data);
+    let mut record = crc32c::crc32c(&body).to_le_bytes().to_vec();
+    record.extend(body);
+    record
+}
+
+/// Reads the fixed part of a record. None when its kind is unknown or bytes are missing.
+pub(crate) fn decode_header(bytes: &[u8]) -> Option<RecordHeader> {
+    let field = |start: usize, end: usize| bytes.get(start..end);
+    let kind = match *bytes.get(KIND_AT)? {
+        KIND_CHUNK => RecordKind::Chunk,
+        KIND_REMOVAL => RecordKind::Removal,
+        _ => return None,
+    };
+    let group = u32::from_le_bytes(field(GROUP_AT, NUMBER_AT)?.try_into().ok()?);
+    let number = u64::from_le_bytes(field(NUMBER_AT, DIGEST_AT)?.try_into().ok()?);
+    let program = ProgramId { group: GroupId(group), number };
+    let digest = field(DIGEST_AT, RECORD_HEADER)?.try_into().ok()?;
+    Some(RecordHeader {
+        kind,
+        length: u32::from_le_bytes(field(LENGTH_AT, GROUP_AT)?.try_into().ok()?),
+        key: ChunkKey { program, digest },
+        checksum: u32::from_le_bytes(field(0, CHECKSUM_END)?.try_into().ok()?),
+    })
+}
+
+/// Whether a record's checksum is right. `record` is the whole record.
+pub(crate) fn is_intact(header: &RecordHeader, record: &[u8]) -> bool {
+    record.get(CHECKSUM_END..).is_some_and(|body| crc32c::crc32c(body) == header.checksum)
+}
