Move old turns to store daemons and read them back

Cause: replicas held whole histories in memory; composing a prompt gave up when a turn was elsewhere, so the chunk store could not be used. Ruled out: a table of holders in the replicated state (see docs/design/history-store.md); asking for chunks at dispatch only, since placement wants the prompt's segments.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -17,8 +17,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::answers::AnswerBoard;
+use crate::chunk_store::{OpenError, StoreTasks};
 use crate::clock::Clock;
-use crate::core::{Core, CoreHandle, channel, deliver};
+use crate::core::{Core, CoreHandle, Hands, channel, deliver};
 use crate::engines::EngineTasks;
 use crate::gateway::{self, Gateway};
 use crate::handshake::Identity;
@@ -50,6 +51,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// The data folder could not be used.
+    #[snafu(display("{source}"))]
+    Store {
+        /// Cause.
+        source: OpenError,
+    },
     /// The metrics could not be set up.
     #[snafu(display("setting up metrics: {source}"))]
     Metrics {
@@ -123,10 +130,13 @@
         Node::new(node_settings(settings, own, peer_address), clock.now()),
         clock,
         inbox,
-        peers,
-        engines,
-        PlatformState::new(settings.platform.key_value, core.clone()),
-        metrics.clone(),
+        Hands {
+            peers,
+            engines,
+            platform: PlatformState::new(settings.platform.key_value, core.clone()),
+            store: open_store(settings, &core)?,
+            metrics: metrics.clone(),
+        },
     );
     let tasks = vec![
         tokio::spawn(driver.run()),
@@ -235,6 +245,15 @@
     listener.local_addr().unwrap_or(wanted)
 }
 
+fn open_store(settings: &Settings, core: &CoreHandle) -> Result<StoreTasks, StartError> {
+    match &settings.daemon.data_folder {
+        None => Ok(StoreTasks::default()),
+        Some(folder) => {
+            StoreTasks::open(folder, settings.store.clone(), core.clone()).context(StoreSnafu)
+        }
+    }
+}
+
 async fn serve_operators(listener: TcpListener, operators: Operators) {
     if let Err(error) = operators::serve(listener, operators).await {
         log::error!(target: part::OPERATORS, "Serving operators ended: {error}.");
@@ -271,6 +290,8 @@
         replicas: settings.layout.replicas,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
         group: settings.groups.clone(),
+        has_store: settings.daemon.data_folder.is_some(),
+        history: settings.history.clone(),
         membership: settings.membership.clone(),
         maintenance,
         limits: ProgramLimits::default(),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::chunk_store::StoreTasks;
 use crate::clock::Clock;
 use crate::engines::EngineTasks;
 use crate::logging::part;
@@ -75,6 +76,11 @@
         let _ = self.inbox.send(CoreMessage::Event(event)).await;
     }
 
+    /// Puts an event to the node from a thread that may block.
+    pub fn event_blocking(&self, event: Event) {
+        let _ = self.inbox.blocking_send(CoreMessage::Event(event));
+    }
+
     /// Puts a request to the owner of its group, wherever that is, and waits for the answer.
     pub async fn request(&self, request: Request) -> Response {
         let (reply, answer) = oneshot::channel();
@@ -145,6 +151,20 @@
     }
 }
 
+/// What carries out a node's actions.
+pub struct Hands {
+    /// Connections to other daemons.
+    pub peers: PeerSender,
+    /// Tasks that talk to engines.
+    pub engines: EngineTasks,
+    /// The key-value service.
+    pub platform: PlatformState,
+    /// The store under the data folder.
+    pub store: StoreTasks,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
 /// The task that drives the node.
 pub struct Core {
     node: Node,
@@ -152,10 +172,7 @@
     inbox: mpsc::Receiver<CoreMessage>,
     waiting: HashMap<RequestId, oneshot::Sender<Response>>,
     next_request: u64,
-    peers: PeerSender,
-    engines: EngineTasks,
-    platform: PlatformState,
-    metrics: Arc<Metrics>,
+    hands: Hands,
     stopped: bool,
 }
 
@@ -167,15 +184,7 @@
 
 impl Core {
     /// Puts the task's parts together.
-    pub fn new(
-        node: Node,
-        clock: Clock,
-        inbox: mpsc::Receiver<CoreMessage>,
-        peers: PeerSender,
-        engines: EngineTasks,
-        platform: PlatformState,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub fn new(node: Node, clock: Clock, inbox: mpsc::Receiver<CoreMessage>, hands: Hands) -> Self {
         let Incarnation(start) = clock.incarnation();
         Self {
             node,
@@ -184,10 +193,7 @@
             waiting: HashMap::new(),
             // Names of requests must not repeat those of an earlier life of this daemon.
             next_request: start << 20,
-            peers,
-            engines,
-            platform,
-            metrics,
+            hands,
             stopped: false,
         }
     }
@@ -247,28 +253,29 @@
                 }
             }
             Action::StartAttempt(start) => {
-                self.metrics.attempts.inc();
-                self.engines.start(*start);
+                self.hands.metrics.attempts.inc();
+                self.hands.engines.start(*start);
             }
             Action::ResumeAttempt(start) => {
-                self.metrics.resumed.inc();
-                self.engines.resume(*start);
+                self.hands.metrics.resumed.inc();
+                self.hands.engines.resume(*start);
             }
-            Action::CancelAttempt { attempt, epoch } => self.engines.cancel(attempt, epoch),
-            Action::RecallAttempt { attempt, epoch } => self.engines.recall(attempt, epoch),
-            Action::LeaveAttempt { attempt } => self.engines.leave(attempt),
-            Action::ForgetAnswer { call } => self.engines.forget(call),
-            Action::Release(order) => self.engines.release(*order),
+            Action::CancelAttempt { attempt, epoch } => self.hands.engines.cancel(attempt, epoch),
+            Action::RecallAttempt { attempt, epoch } => self.hands.engines.recall(attempt, epoch),
+            Action::LeaveAttempt { attempt } => self.hands.engines.leave(attempt),
+            Action::ForgetAnswer { call } => self.hands.engines.forget(call),
+            Action::Release(order) => self.hands.engines.release(*order),
             Action::Hold { program, engine, epoch, length } => {
-                self.engines.hold(program, engine, epoch, length);
+                self.hands.engines.hold(program, engine, epoch, length);
             }
-            Action::Layout(step) => self.platform.layout(step),
+            Action::Layout(step) => self.hands.platform.layout(step),
+            Action::Store(order) => self.hands.store.order(*order),
             Action::Stop => self.stopped = true,
         }
     }
 
     fn send(&self, to: SocketAddr, message: PeerMessage) {
-        self.peers.send(to, message);
+        self.hands.peers.send(to, message);
     }
 
     fn answer(&self, query: Query) {
@@ -283,7 +290,7 @@
             }
             Query::Status(reply) => {
                 let status = self.node.status(now);
-                self.metrics.note_status(&status);
+                self.hands.metrics.note_status(&status);
                 {
                     let _ = reply.send(status);
                 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,11 +10,13 @@
 //! | `operators` | operators' RPC |
 //! | `peers`, `frames`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
+//! | `chunk_store` | the thread that owns the data folder |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
 pub mod assembly;
 mod attempt;
+mod chunk_store;
 pub mod cli;
 mod clock;
 pub mod core;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -23,6 +23,8 @@
     pub const PEERS: &str = "peers";
     /// Model engines.
     pub const ENGINES: &str = "engines";
+    /// The data folder.
+    pub const STORE: &str = "store";
     /// The key-value service and the configuration.
     pub const CONFIGURATION: &str = "configuration";
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,9 +6,11 @@
 use std::path::{Path, PathBuf};
 
 use dahlia_api::RequestLimits;
+use dahlia_node::HistorySettings;
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
+use dahlia_store::StoreSettings;
 use dahlia_types::{DaemonId, EngineId, InvalidSetting, ModelId, Region, Zone, check_range};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -35,6 +37,12 @@
     /// Timing and bounds of replica groups.
     #[serde(default)]
     pub groups: GroupSettings,
+    /// Bulk history, as owners keep it.
+    #[serde(default)]
+    pub history: HistorySettings,
+    /// The store under `daemon.data_folder`, if there is one.
+    #[serde(default)]
+    pub store: StoreSettings,
     /// Timing and bounds of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -240,6 +248,8 @@
         self.limits.check()?;
         self.layout.check()?;
         self.groups.check()?;
+        self.history.check()?;
+        self.store.check()?;
         self.membership.check()?;
         self.maintenance.check()?;
         self.calls.check()?;
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -54,18 +54,15 @@
         now: Timestamp,
     ) {
         let id = attempt.call.program.group;
-        let Some(group) = self.groups.get_mut(&id) else {
+        let Some(prompt) = self.compose_prompt(attempt.call, now) else {
+            // Its chunks were dropped while it waited for an engine.
+            self.schedule(PlacementEvent::CallWithdrawn(attempt.call), now);
+            self.wait_for_prompt(attempt.call);
             return;
         };
-        let prompt = group.state.program(attempt.call.program).and_then(|program| {
-            let messages = program.prompt(attempt.call)?.ok()?;
-            Some(
-                messages
-                    .iter()
-                    .fold(Tokens::ZERO, |sum, message| sum.saturating_add(token_bound(message))),
-            )
-        });
-        let Some(prompt_bound) = prompt else {
+        let bound = |sum: Tokens, message: &Message| sum.saturating_add(token_bound(message));
+        let prompt_bound = prompt.iter().fold(Tokens::ZERO, bound);
+        let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
         let command =
@@ -96,13 +93,23 @@
         let epoch = group.replica.term();
         let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(intent.attempt, live);
+        let prompt = self.compose_prompt(intent.attempt.call, now);
         let start = self.describe_start(&intent, epoch, terms.generated_cap);
-        if let Some(start) = start {
-            self.actions.push(Action::StartAttempt(Box::new(start)));
+        match (prompt, start) {
+            (Some(messages), Some(mut start)) => {
+                start.messages = messages;
+                self.actions.push(Action::StartAttempt(Box::new(start)));
+            }
+            _ => {
+                // Its chunks were dropped meanwhile. No byte has left, so it has not run.
+                let reason = "its history has to be read back first".to_owned();
+                let end = AttemptEnd::NotRun { reason, retry_after: None };
+                self.attempt_ended(intent.attempt, epoch, end, now);
+            }
         }
     }
 
-    /// What the engine must be told of an attempt.
+    /// What the engine must be told of an attempt, without the prompt.
     pub(crate) fn describe_start(
         &self,
         intent: &IntentPurpose,
@@ -111,7 +118,6 @@
     ) -> Option<StartAttempt> {
         let call = intent.attempt.call;
         let program = self.groups.get(&call.program.group)?.state.program(call.program)?;
-        let messages = program.prompt(call)?.ok()?;
         Some(StartAttempt {
             attempt: Attempt {
                 id: intent.attempt,
@@ -121,7 +127,7 @@
             engine: intent.holder.engine.clone(),
             tenant: program.specification().tenant.clone(),
             model: program.specification().model.clone(),
-            messages: messages.into_iter().cloned().collect(),
+            messages: Vec::new(),
             prompt_bound: intent.prompt_bound,
             max_generated,
             priority: intent.priority,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -10,6 +10,7 @@
 
 use crate::bootstrap::LayoutStep;
 use crate::engines::EngineReport;
+use crate::history::{StoreOrder, StoreResult};
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
 use crate::wire::PeerMessage;
 
@@ -63,6 +64,8 @@
     EngineReported(EngineReport),
     /// The key-value service answered about the layout of groups.
     Layout(LayoutStep),
+    /// An operation on this daemon's store has ended.
+    StoreEnded(Box<StoreResult>),
     /// A planned stop begins.
     Drain,
 }
@@ -128,6 +131,8 @@
     Release(Box<ReleaseOrder>),
     /// Read or write the layout of groups at the key-value service.
     Layout(LayoutStep),
+    /// Carry out an operation on this daemon's store.
+    Store(Box<StoreOrder>),
     /// End the process: another life of this daemon has taken its place.
     Stop,
 }
--- /dev/null
+++ b/crates/node/src/history/holders.rs
@@ -0,0 +1,78 @@
+//! Which store daemons hold a chunk: rendezvous hashing (Thaler and Ravishankar 1998) over the
+//! live ones, so that a change of one daemon moves only its own chunks and nobody keeps a table.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use dahlia_replication::membership::{FactKey, Member};
+use dahlia_types::{ChunkKey, DaemonId, Zone};
+
+use crate::node::Node;
+
+/// The body of the fact by which a daemon says that it has a store.
+const HAS_STORE: &[u8] = b"store";
+
+/// A live store daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct StoreDaemon {
+    pub(super) daemon: DaemonId,
+    zone: Zone,
+}
+
+impl Node {
+    /// Tells all daemons that this one has a store.
+    pub(crate) fn publish_store(&mut self) {
+        let own = self.settings.own;
+        let key = FactKey::Other(own.daemon.0);
+        self.membership.publish(key, own.incarnation.0, HAS_STORE.to_vec());
+    }
+
+    /// Store daemons that are live, in the order of their numbers.
+    pub(super) fn store_daemons(&self) -> Vec<StoreDaemon> {
+        let has_store = |member: &Member| {
+            let key = FactKey::Other(member.record.info.daemon.0);
+            let incarnation = member.record.info.incarnation.0;
+            let fact = self.membership.fact(&key);
+            fact.is_some_and(|fact| fact.version == incarnation && fact.bytes == HAS_STORE)
+        };
+        let members = self.membership.members().into_iter();
+        members
+            .filter(|member| member.takes_work() && has_store(member))
+            .map(|member| StoreDaemon {
+                daemon: member.record.info.daemon,
+                zone: member.record.info.zone,
+            })
+            .collect()
+    }
+}
+
+/// The daemons that should hold a chunk, best first, in different zones as far as there are
+/// zones.
+pub(super) fn holders(key: &ChunkKey, stores: &[StoreDaemon], copies: usize) -> Vec<DaemonId> {
+    let ranked = ranked(key, stores);
+    let mut chosen: Vec<&StoreDaemon> = Vec::new();
+    for is_spread in [true, false] {
+        for store in &ranked {
+            let same_zone = chosen.iter().any(|held| held.zone == store.zone);
+            let taken = chosen.iter().any(|held| held.daemon == store.daemon);
+            if chosen.len() < copies && !taken && !(is_spread && same_zone) {
+                chosen.push(store);
+            }
+        }
+    }
+    chosen.into_iter().map(|store| store.daemon).collect()
+}
+
+/// All store daemons, the most likely holders first.
+pub(super) fn ranked<'a>(key: &ChunkKey, stores: &'a [StoreDaemon]) -> Vec<&'a StoreDaemon> {
+    let mut ranked: Vec<&StoreDaemon> = stores.iter().collect();
+    ranked.sort_by_key(|store| std::cmp::Reverse((weight(key, store.daemon), store.daemon)));
+    ranked
+}
+
+/// `DefaultHasher::new` has fixed keys. Daemons of different builds may disagree while they are
+/// being replaced; repair then copies a few chunks more, and readers ask everybody.
+fn weight(key: &ChunkKey, daemon: DaemonId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (key, daemon).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/node/src/history/serving.rs
@@ -0,0 +1,59 @@
+//! Messages about chunks: a store daemon carries out what owners ask; an owner takes answers.
+
+use dahlia_types::{DaemonId, ProgramId, ReplicaId, Timestamp};
+
+use super::message::{ChunkMessage, StoreOperation, StoreOrder, StoreResult};
+use crate::Action;
+use crate::node::Node;
+use crate::wire::PeerMessage;
+
+impl Node {
+    /// Takes in a message about chunks.
+    pub(crate) fn chunk_message(&mut self, from: ReplicaId, message: ChunkMessage, now: Timestamp) {
+        match message {
+            ChunkMessage::Put { key, bytes } => {
+                self.order_store(from, StoreOperation::Put { key, bytes });
+            }
+            ChunkMessage::Get { key } => self.order_store(from, StoreOperation::Get { key }),
+            ChunkMessage::Check { keys } => self.order_store(from, StoreOperation::Check { keys }),
+            ChunkMessage::Forget { program } => {
+                self.order_store(from, StoreOperation::Forget { program });
+            }
+            ChunkMessage::Stored { key } => self.chunk_stored(from.daemon, key, now),
+            ChunkMessage::Found { key, bytes } => {
+                self.pass_on(key, &bytes);
+                self.chunk_found(key, &bytes, now);
+            }
+            ChunkMessage::Missing { key } => self.chunk_missing(key, now),
+            ChunkMessage::Lacking { keys } => self.chunks_lacking(from.daemon, keys, now),
+        }
+    }
+
+    fn order_store(&mut self, asker: ReplicaId, operation: StoreOperation) {
+        if self.settings.has_store {
+            self.actions.push(Action::Store(Box::new(StoreOrder { asker, operation })));
+        }
+    }
+
+    /// An operation on the store of this daemon has ended.
+    pub(crate) fn store_ended(&mut self, result: StoreResult) {
+        if let Some(answer) = result.answer {
+            self.send_chunk(result.asker.daemon, answer);
+        }
+    }
+
+    /// Tells every store daemon that a program is forgotten.
+    pub(crate) fn forget_chunks(&mut self, program: ProgramId) {
+        let stores = self.store_daemons();
+        for store in stores {
+            self.send_chunk(store.daemon, ChunkMessage::Forget { program });
+        }
+    }
+
+    pub(super) fn send_chunk(&mut self, to: DaemonId, message: ChunkMessage) {
+        if let Some(to) = self.address(to) {
+            let message = PeerMessage::Chunks(Box::new(message));
+            self.actions.push(Action::Send { to, message });
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
 //! | `bootstrap` | the first layout of groups |
+//! | `history` | old turns on store daemons' disks |
 //! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
 
@@ -23,6 +24,7 @@
 mod engines;
 mod event;
 mod group;
+pub mod history;
 mod members;
 mod node;
 mod owner;
@@ -38,5 +40,6 @@
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use history::HistorySettings;
 pub use node::{Node, NodeStatus};
 pub use settings::NodeSettings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::bootstrap::{Bootstrap, LayoutStep, choose_layout, decode_layout};
 use crate::engines::EngineTable;
 use crate::group::{Group, Purpose, decode};
+use crate::history::History;
 use crate::request::Response;
 use crate::routing::{ReplyTo, Router};
 use crate::wire::PeerMessage;
@@ -35,6 +36,7 @@
     pub(crate) router: Router,
     pub(crate) scheduler: Scheduler,
     pub(crate) engines: EngineTable,
+    pub(crate) history: History,
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
     pub(crate) next_upkeep: Timestamp,
@@ -88,10 +90,11 @@
             now,
         );
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
-        Self {
+        let mut node = Self {
             membership,
             scheduler,
             engines: EngineTable::new(settings.zone.clone()),
+            history: History::default(),
             settings,
             groups: BTreeMap::new(),
             directory: Directory::new(),
@@ -102,7 +105,11 @@
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
             draining: false,
+        };
+        if node.settings.has_store {
+            node.publish_store();
         }
+        node
     }
 
     /// Takes in an event. `now` must never go back.
@@ -126,6 +133,7 @@
             }
             Event::EngineReported(report) => self.engine_reported(report, now),
             Event::Layout(step) => self.layout(step, now),
+            Event::StoreEnded(result) => self.store_ended(*result),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -211,6 +219,9 @@
         self.check_attempts(now);
         self.retry_releases(now);
         self.expire_programs(now);
+        self.move_history(now);
+        self.ask_due_chunks(now);
+        self.check_copies(now);
         self.propose_deferred(now);
         self.route_due(now);
     }
@@ -221,6 +232,7 @@
                 self.membership_event(MembershipEvent::Received(*envelope), now);
             }
             PeerMessage::Groups(batch) => self.group_messages(batch, now),
+            PeerMessage::Chunks(message) => self.chunk_message(from, *message, now),
             PeerMessage::Request { id, request } => {
                 // Without an address the answer has nowhere to go; the asker repeats.
                 if let Some(address) = self.address(from.daemon) {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -48,7 +48,10 @@
                 self.answer_with_program(id, program, purpose);
                 self.program_ended(id, program, &ended, now);
             }
-            Ok(Applied::Expired { closed, .. }) => {
+            Ok(Applied::Expired { closed, forgotten }) => {
+                for program in forgotten {
+                    self.forget_chunks(program);
+                }
                 for program in closed {
                     self.program_ended(id, program, &[], now);
                 }
@@ -71,6 +74,7 @@
             Begun::Replayed(call, outcome) => {
                 Response::Ended { call: *call, outcome: outcome.clone() }
             }
+            // Its text is read back when the asker waits for the outcome.
             Begun::ReplayedFromStore(call, _) => Response::Begun { call: *call },
         };
         if let Some(Purpose::Request(to)) = purpose {
@@ -83,18 +87,28 @@
 
     /// Hands a call that may run to placement.
     pub(crate) fn call_ready(&mut self, call: CallId, now: Timestamp) {
-        let Some(ready) = self.describe(call) else {
+        let is_open = self
+            .groups
+            .get(&call.program.group)
+            .and_then(|group| group.state.program(call.program)?.call(call))
+            .is_some_and(|found| found.is_open() && found.open_attempt().is_none());
+        if !is_open {
+            return;
+        }
+        let Some(prompt) = self.compose_prompt(call, now) else {
+            self.wait_for_prompt(call);
             return;
         };
-        self.schedule(PlacementEvent::CallReady(ready), now);
+        if let Some(ready) = self.describe(call, &prompt) {
+            self.schedule(PlacementEvent::CallReady(ready), now);
+        }
     }
 
-    fn describe(&self, id: CallId) -> Option<CallReady> {
+    fn describe(&self, id: CallId, prompt: &[Message]) -> Option<CallReady> {
         let group = self.groups.get(&id.program.group)?;
         let program = group.state.program(id.program)?;
         let call = program.call(id)?;
-        let prompt = program.prompt(id)?.ok()?;
-        let segments = prompt.iter().map(|message| segment(message));
+        let segments = prompt.iter().map(segment);
         Some(CallReady {
             call: id,
             attempt: call.attempts() + 1,
@@ -116,7 +130,7 @@
         self.actions.push(Action::ForgetAnswer { call });
     }
 
-    fn answer_waiters(&mut self, call: CallId, outcome: &CallOutcome) {
+    pub(crate) fn answer_waiters(&mut self, call: CallId, outcome: &CallOutcome) {
         let Some(group) = self.groups.get_mut(&call.program.group) else {
             return;
         };
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -98,6 +98,7 @@
         group.releases.clear();
         group.taken_over.clear();
         let programs: Vec<ProgramId> = group.state.programs().map(|program| program.id()).collect();
+        self.drop_reads(&programs);
         for attempt in attempts.into_keys() {
             self.actions.push(Action::LeaveAttempt { attempt });
         }
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -5,8 +5,8 @@
     BeginCall, CloseProgram, CloseReason, Command, CreateProgram, RaiseBudget, RecordedOutcome,
 };
 use dahlia_types::{
-    CallId, CallKind, ChainId, DaemonId, GroupId, Message, ProgramId, Repeatability, ReplicaId,
-    TenantId, Timestamp,
+    CallId, CallKind, DaemonId, GroupId, Message, ProgramId, Repeatability, ReplicaId, TenantId,
+    Timestamp,
 };
 
 use crate::Action;
@@ -113,7 +113,7 @@
             Request::Submit { tenant, call, repeatable } => {
                 self.submit(to, &tenant, call, repeatable, now);
             }
-            Request::AwaitOutcome { tenant, call } => self.await_outcome(to, &tenant, call),
+            Request::AwaitOutcome { tenant, call } => self.await_outcome(to, &tenant, call, now),
             Request::Create { program, specification } => {
                 let create = CreateProgram { program, specification, at: now };
                 self.propose_request(to, group, Command::CreateProgram(create), now);
@@ -150,7 +150,11 @@
             self.reply(to, Response::Failed(no_such_program(program)));
             return;
         }
-        let messages = self.new_messages(program, request.chain, request.messages);
+        let Some(messages) = self.new_messages(&request, now) else {
+            let request = Request::Submit { tenant: tenant.clone(), call: request, repeatable };
+            self.wait_with_request(program, to, request);
+            return;
+        };
         let repeatability =
             if repeatable { Repeatability::Repeatable } else { Repeatability::AtMostOnce };
         let begin = BeginCall {
@@ -170,26 +174,21 @@
     }
 
     /// Clients of the chat protocol send the whole conversation each time. What is the chain's
-    /// history already is taken off; the rest is new.
-    fn new_messages(
-        &self,
-        program: ProgramId,
-        chain: ChainId,
-        messages: Vec<Message>,
-    ) -> Vec<Message> {
-        let held = self
-            .groups
-            .get(&program.group)
-            .and_then(|group| group.state.program(program))
-            .and_then(|program| program.history(chain).ok());
-        let Some(held) = held.filter(|held| !held.is_empty() && held.len() < messages.len()) else {
-            return messages;
-        };
-        let repeated = held.iter().zip(&messages).all(|(held, sent)| *held == sent);
-        if repeated { messages[held.len()..].to_vec() } else { messages }
+    /// history already is taken off; the rest is new. None when that history has to be read back
+    /// from store daemons first.
+    fn new_messages(&mut self, request: &CallRequest, now: Timestamp) -> Option<Vec<Message>> {
+        let sent = &request.messages;
+        // A single message cannot repeat a turn, which has two.
+        if sent.len() < 2 {
+            return Some(sent.clone());
+        }
+        let held = self.compose_history(request.program, request.chain, now)?;
+        let longer = !held.is_empty() && held.len() < sent.len();
+        let repeated = longer && held.iter().zip(sent).all(|(held, sent)| held == sent);
+        Some(if repeated { sent[held.len()..].to_vec() } else { sent.clone() })
     }
 
-    fn await_outcome(&mut self, to: ReplyTo, tenant: &TenantId, call: CallId) {
+    fn await_outcome(&mut self, to: ReplyTo, tenant: &TenantId, call: CallId, now: Timestamp) {
         if !self.may_open(call.program, tenant) {
             self.reply(to, Response::Failed(no_such_program(call.program)));
             return;
@@ -209,7 +208,11 @@
             Some(RecordedOutcome::Held(outcome)) => {
                 self.reply(to, Response::Ended { call, outcome });
             }
-            Some(RecordedOutcome::Stored(_)) | None => {
+            Some(RecordedOutcome::Stored(_)) => {
+                group.waiters.entry(call).or_default().insert(to);
+                self.read_stored_outcome(call, now);
+            }
+            None => {
                 group.waiters.entry(call).or_default().insert(to);
             }
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -9,6 +9,8 @@
 use dahlia_replication::membership::MembershipSettings;
 use dahlia_types::{Duration, Region, ReplicaId, Zone};
 
+use crate::history::HistorySettings;
+
 /// What a node is told at its start.
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -34,6 +36,10 @@
     pub membership: MembershipSettings,
     /// Upkeep of groups' members.
     pub maintenance: MaintenanceSettings,
+    /// Whether this daemon has a store for bulk history.
+    pub has_store: bool,
+    /// Bulk history.
+    pub history: HistorySettings,
     /// Limits on programs.
     pub limits: ProgramLimits,
     /// Placement.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -7,6 +7,7 @@
 use dahlia_types::{CallId, DaemonId, Incarnation, TenantId};
 use serde::{Deserialize, Serialize};
 
+use crate::history::ChunkMessage;
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
@@ -84,6 +85,8 @@
     Groups(PeerBatch),
     /// Of membership and spread facts.
     Membership(Box<Envelope>),
+    /// Of bulk history.
+    Chunks(Box<ChunkMessage>),
     /// A request to the owner of a group.
     Request {
         /// The asker's name for it.
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -10,11 +10,13 @@
     CallsSettings, CredentialSettings, DaemonSettings, EngineSettings, LayoutSettings,
     PlatformSettings, Settings,
 };
+use dahlia_node::HistorySettings;
 use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
+use dahlia_store::StoreSettings;
 use dahlia_types::{DaemonId, EngineId, ModelId, ProgramId, Region, TenantId, TenantKey, Zone};
 use reqwest::Client;
 use snafu::ResultExt;
@@ -59,6 +61,10 @@
     pub policy: PolicyKind,
     /// Level of the daemons' logs.
     pub log_level: String,
+    /// How many daemons, the first ones, have a data folder.
+    pub stores: usize,
+    /// Bulk history.
+    pub history: HistorySettings,
 }
 
 impl ClusterPlan {
@@ -77,6 +83,8 @@
             key_value_rate: 200,
             policy: PolicyKind::ProgramAware,
             log_level: "info".to_owned(),
+            stores: 3,
+            history: HistorySettings { inline_bytes: 256, ..HistorySettings::default() },
         }
     }
 }
@@ -205,6 +213,9 @@
             bootstrap_daemons: self.plan.bootstrap_daemons,
             policy: self.plan.policy,
             log_level: self.plan.log_level.clone(),
+            history: self.plan.history.clone(),
+            data_folder: (index < self.plan.stores)
+                .then(|| self.folder.join(format!("data-d{}", index + 1))),
         };
         let seeds = self.daemons.iter().map(|daemon| daemon.peers).collect();
         daemon_settings(&plan, index as u32 + 1, &self.plan.region, zone, seeds)
@@ -313,6 +324,10 @@
     pub policy: PolicyKind,
     /// Level of the logs.
     pub log_level: String,
+    /// Bulk history.
+    pub history: HistorySettings,
+    /// The data folder, on machines that have a disk.
+    pub data_folder: Option<PathBuf>,
 }
 
 impl Default for SettingsPlan {
@@ -325,6 +340,8 @@
             bootstrap_daemons: 3,
             policy: PolicyKind::ProgramAware,
             log_level: "info".to_owned(),
+            history: HistorySettings::default(),
+            data_folder: None,
         }
     }
 }
@@ -347,7 +364,7 @@
             gateway_address: any_port,
             operators_address: any_port,
             seeds,
-            data_folder: None,
+            data_folder: plan.data_folder.clone(),
             drain_ms: DRAIN_MS,
         },
         credentials: CredentialSettings {
@@ -367,6 +384,8 @@
             bootstrap_daemons: plan.bootstrap_daemons,
         },
         groups: GroupSettings::default(),
+        history: plan.history.clone(),
+        store: StoreSettings::default(),
         membership: MembershipSettings::default(),
         maintenance: MaintenanceSettings::default(),
         calls: CallsSettings::default(),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,6 +21,6 @@
 mod store;
 
 pub use disk::{Disk, FolderDisk};
-pub use record::{ChunkKey, FORMAT_VERSION};
+pub use record::FORMAT_VERSION;
 pub use settings::StoreSettings;
 pub use store::{ChunkStore, Recovery, StoreError, StoreUsage};
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -11,7 +11,7 @@
 //! | 32 | digest of the chunk |
 //! | n | data |
 
-use dahlia_types::{GroupId, ProgramId};
+use dahlia_types::{ChunkKey, GroupId, ProgramId};
 
 /// The version that this build writes and reads.
 pub const FORMAT_VERSION: u32 = 1;
@@ -30,16 +30,6 @@
 const KIND_CHUNK: u8 = 1;
 const KIND_REMOVAL: u8 = 2;
 
-/// Names a chunk. The program is part of the name: two programs with the same text keep a chunk
-/// each, so that forgetting one cannot take the other's history.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ChunkKey {
-    /// The program.
-    pub program: ProgramId,
-    /// SHA-256 of the chunk's bytes.
-    pub digest: [u8; 32],
-}
-
 /// What a record says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RecordKind {
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 
+use dahlia_types::ChunkKey;
+
 use crate::disk::Disk;
 use crate::record::{
-    ChunkKey, RECORD_HEADER, RecordHeader, RecordKind, SEGMENT_HEADER, decode_header, is_intact,
+    RECORD_HEADER, RecordHeader, RecordKind, SEGMENT_HEADER, decode_header, is_intact,
     segment_version,
 };
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 
+use dahlia_types::ChunkKey;
 use snafu::{ResultExt, Snafu};
 
 use crate::StoreSettings;
 use crate::disk::Disk;
 use crate::record::{
-    ChunkKey, RECORD_HEADER, RecordKind, SEGMENT_HEADER, decode_header, encode, is_intact,
-    segment_header,
+    RECORD_HEADER, RecordKind, SEGMENT_HEADER, decode_header, encode, is_intact, segment_header,
 };
 use crate::segment::{FoundRecord, SegmentNumber, file_name, number_of, scan};
 
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -4,8 +4,8 @@
 use std::io;
 use std::sync::{Arc, Mutex};
 
-use dahlia_store::{ChunkKey, Disk};
-use dahlia_types::{GroupId, ProgramId};
+use dahlia_store::Disk;
+use dahlia_types::{ChunkKey, GroupId, ProgramId};
 
 /// What the disk holds and how it fails. Shared, so that it outlives a store.
 #[derive(Debug, Default)]
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::{MemoryDisk, key};
-use dahlia_store::{ChunkKey, ChunkStore, FolderDisk, StoreError, StoreSettings};
+use dahlia_store::{ChunkStore, FolderDisk, StoreError, StoreSettings};
+use dahlia_types::ChunkKey;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/types/src/identifiers.rs
+++ b/crates/types/src/identifiers.rs
@@ -154,6 +154,16 @@
     }
 }
 
+/// Names a chunk of history on the store daemons. The program is part of the name: two programs
+/// with the same text keep a chunk each, so that forgetting one cannot take the other's history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ChunkKey {
+    /// The program.
+    pub program: ProgramId,
+    /// SHA-256 of the chunk's bytes.
+    pub digest: [u8; 32],
+}
+
 /// A chain of dependent calls inside a program. Chain 0 is the main one; each sub-agent has its own.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,8 +15,8 @@
 pub use credential::{CredentialError, PeerKey, TenantKey};
 pub use epochs::{Generation, Incarnation, LogIndex, Term};
 pub use identifiers::{
-    AttemptId, CallId, ChainId, DaemonId, EngineId, GroupId, IdempotencyKey, ModelId, ParseIdError,
-    ProgramId, Region, ReplicaId, TenantId, Zone,
+    AttemptId, CallId, ChainId, ChunkKey, DaemonId, EngineId, GroupId, IdempotencyKey, ModelId,
+    ParseIdError, ProgramId, Region, ReplicaId, TenantId, Zone,
 };
 pub use settings::{InvalidSetting, check_range};
 pub use time::{Duration, Timestamp};
