--- a/crates/experiment/src/driver/engines.rs
+++ b/crates/experiment/src/driver/engines.rs
@@ -33,6 +33,8 @@
     pub exports: VecDeque<Purpose>,
     pub imports: VecDeque<Purpose>,
     pub host_memory: HostMemory,
+    /// Cache events sent to each scheduler in this life.
+    pub sequences: Vec<u64>,
     seed: u64,
     wake_at: Option<Timestamp>,
 }
@@ -46,6 +48,7 @@
             spans: Vec::new(),
             exports: VecDeque::new(),
             imports: VecDeque::new(),
+            sequences: Vec::new(),
             host_memory: HostMemory::new(workload.deployment.host_tokens),
             seed: seed.wrapping_mul(7919) + number as u64,
             wake_at: None,
@@ -67,6 +70,7 @@
         self.wake_at = None;
         self.exports.clear();
         self.imports.clear();
+        self.sequences = vec![0; workload.deployment.schedulers];
         self.host_memory = HostMemory::new(workload.deployment.host_tokens);
     }
 
--- a/crates/experiment/src/driver/engines/reports.rs
+++ b/crates/experiment/src/driver/engines/reports.rs
@@ -45,16 +45,21 @@
         self.publish(&Event::EngineReport(report));
     }
 
+    /// Tells the scheduler that owns the program, under the sequence of its own subscription.
     pub(super) fn forward_cache_event(&mut self, engine: usize, event: CacheEvent) {
-        let host = &self.engines[engine];
+        let scheduler = event.program.group.0 as usize;
+        let host = &mut self.engines[engine];
+        host.sequences[scheduler] += 1;
         let notice = CacheNotice {
             engine: host.id.clone(),
             incarnation: host.incarnation,
-            sequence: event.sequence,
+            sequence: host.sequences[scheduler],
             program: event.program,
             resident: event.resident,
         };
-        self.publish(&Event::Cache(notice));
+        if !self.random.random_bool(self.workload.deployment.report_loss) {
+            self.tell_later(scheduler, Event::Cache(notice), self.network.report_lag);
+        }
     }
 
     pub(in super::super) fn inventory(&mut self, engine: usize, scheduler: usize) {
@@ -64,7 +69,7 @@
         let answer = EngineInventory {
             engine: self.engines[engine].id.clone(),
             incarnation: inventory.incarnation,
-            sequence: inventory.sequence,
+            sequence: self.engines[engine].sequences[scheduler],
             programs: programs.collect(),
         };
         let link = self.network.between(engine, scheduler);
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -144,7 +144,7 @@
     pub engine: EngineId,
     /// Its life.
     pub incarnation: Incarnation,
-    /// Counts up by one for each event of that life.
+    /// Counts up by one for each event of that life that this scheduler is sent.
     pub sequence: u64,
     /// The program.
     pub program: ProgramId,
