--- a/crates/api/src/error.rs
+++ b/crates/api/src/error.rs
@@ -125,10 +125,16 @@
     pub retry_after: Option<Duration>,
 }
 
+/// When a caller may come back after an error that can be retried, unless a better estimate
+/// exists.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
 impl ApiError {
-    /// An error without field or retry hint.
+    /// An error without field. One that can be retried always says when to come back: a client
+    /// that is told nothing asks again at once.
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
-        Self { kind, message: message.into(), field: None, retry_after: None }
+        let retry_after = kind.should_retry().then_some(DEFAULT_RETRY);
+        Self { kind, message: message.into(), field: None, retry_after }
     }
 
     /// The same error naming the wrong field.
--- a/crates/api/src/validation.rs
+++ b/crates/api/src/validation.rs
@@ -14,6 +14,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RequestLimits {
+    /// Bytes of a request's head: its target and the names and values of its headers.
+    pub head_bytes: u64,
+    /// Headers of a request.
+    pub headers: u64,
     /// Bytes of a request's body.
     pub body_bytes: u64,
     /// Messages in one request.
@@ -35,6 +39,8 @@
 impl Default for RequestLimits {
     fn default() -> Self {
         Self {
+            head_bytes: 32 * 1024,
+            headers: 100,
             body_bytes: 4 * 1024 * 1024,
             messages: 1_024,
             message_bytes: 2 * 1024 * 1024,
@@ -53,6 +59,8 @@
     /// # Errors
     /// [`InvalidSetting`] naming the first one out of its bounds.
     pub fn check(&self) -> Result<(), InvalidSetting> {
+        check_range("limits.head_bytes", self.head_bytes, 8_192, 1 << 20)?;
+        check_range("limits.headers", self.headers, 10, 1_000)?;
         check_range("limits.body_bytes", self.body_bytes, 1_024, 1 << 30)?;
         check_range("limits.messages", self.messages, 1, 100_000)?;
         check_range("limits.message_bytes", self.message_bytes, 1, 1 << 30)?;
--- a/crates/daemon/src/gateway/chat.rs
+++ b/crates/daemon/src/gateway/chat.rs
@@ -1,7 +1,6 @@
 //! `POST /v1/chat/completions`: the way of a call through its gateway, top to bottom.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use dahlia_api::chat::ChatRequest;
 use dahlia_api::validation::{CallHeaders, CallRequest, validate};
@@ -10,9 +9,9 @@
 use dahlia_types::{CallId, IdempotencyKey, TenantId};
 use salvo::prelude::{Request, Response, handler};
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::time::timeout;
 
 use super::Gateway;
+use super::body;
 use super::follow::{Follower, StartPosition};
 use super::render::{self, AnswerForm};
 
@@ -45,7 +44,7 @@
     async fn accept(&self, request: &mut Request) -> Result<Accepted, ApiError> {
         let tenant = self.gateway.authenticate(request)?;
         let permit = self.gateway.admit()?;
-        let chat = self.read_body(request).await?;
+        let chat = self.read_chat(request).await?;
         let mut call = validate(call_headers(request), &chat, &self.gateway.limits)?;
         let form = if chat.stream { AnswerForm::Stream } else { AnswerForm::Whole };
         let repeatable = call.key.is_none();
@@ -59,27 +58,9 @@
         Ok(Accepted { call, tenant, model: chat.model, form, permit })
     }
 
-    /// Reads the body within its size and time limits.
-    async fn read_body(&self, request: &mut Request) -> Result<ChatRequest, ApiError> {
-        let limits = &self.gateway.limits;
-        check_declared_length(request, limits.body_bytes)?;
-        let receive = Duration::from_millis(limits.receive_ms);
-        let reading = request.payload_with_max_size(limits.body_bytes as usize);
-        let body = timeout(receive, reading).await.map_err(|_| {
-            let message = format!(
-                "the body did not arrive within {} ms (limits.receive_ms)",
-                limits.receive_ms
-            );
-            ApiError::new(ErrorKind::InvalidRequest, message).with_field("body")
-        })?;
-        let body = body.map_err(|error| {
-            let message = format!(
-                "reading the body: {error}; the limit is {} bytes (limits.body_bytes)",
-                limits.body_bytes
-            );
-            ApiError::new(ErrorKind::InvalidRequest, message).with_field("body")
-        })?;
-        serde_json::from_slice(body).map_err(|error| {
+    async fn read_chat(&self, request: &mut Request) -> Result<ChatRequest, ApiError> {
+        let body = body::read(request, &self.gateway.limits).await?;
+        serde_json::from_slice(&body).map_err(|error| {
             let message = format!("the body is not a chat request: {error}");
             ApiError::new(ErrorKind::InvalidRequest, message).with_field("body")
         })
@@ -126,20 +107,6 @@
     }
 }
 
-/// Refuses a body that says itself that it is too large, before reading any of it.
-fn check_declared_length(request: &Request, limit: u64) -> Result<(), ApiError> {
-    let header = request.headers().get("content-length");
-    let declared = header.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-    match declared {
-        Some(length) if length > limit => {
-            let message =
-                format!("the body has {length} bytes; the limit is {limit} (limits.body_bytes)");
-            Err(ApiError::new(ErrorKind::TooLarge, message).with_field("body"))
-        }
-        _ => Ok(()),
-    }
-}
-
 /// An owner's response that does not answer the request put to it.
 pub(super) fn unexpected(response: &OwnerResponse) -> ApiError {
     let name = match response {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,14 +5,20 @@
 //! | `chat` | `POST /v1/chat/completions` |
 //! | `answers` | reading on from an offset, and closing a program |
 //! | `follow` | following an answer at its owner across fail-over |
+//! | `body` | a request's body, within its limits |
+//! | `head` | limits on a request's head |
 //! | `render` | an answer or an error as HTTP |
 //! | `health` | `/healthz`, `/readyz`, `/metrics` |
+//! | `unserved` | the typed answer to any other path or method |
 
 mod answers;
+mod body;
 mod chat;
 mod follow;
+mod head;
 mod health;
 mod render;
+mod unserved;
 
 use std::io;
 use std::sync::Arc;
@@ -31,10 +37,11 @@
 use crate::handshake::Identity;
 use crate::metrics::Metrics;
 
-/// Bytes of all headers of a request.
-const HEADER_BYTES: usize = 64 * 1024;
-/// Headers of a request.
-const HEADER_COUNT: usize = 100;
+/// Headers beyond the setting that the HTTP parser lets through, so that the typed refusal can be
+/// given. More end the connection with the parser's own answer.
+const HEADERS_BEYOND: usize = 20;
+/// The HTTP parser's buffer, in multiples of the limit on a request's head.
+const HEAD_BUFFER_FACTOR: usize = 2;
 /// When a caller may come back after the daemon had no place for its request.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 
@@ -104,8 +111,9 @@
         .http1_mut()
         .timer(TokioTimer::new())
         .header_read_timeout(receive)
-        .max_headers(HEADER_COUNT)
-        .max_buf_size(HEADER_BYTES);
+        .max_headers(gateway.limits.headers as usize + HEADERS_BEYOND)
+        // Bounds memory; `head` checks exactly, and gives a typed refusal up to here.
+        .max_buf_size(gateway.limits.head_bytes as usize * HEAD_BUFFER_FACTOR);
     let handle = server.handle();
     tokio::spawn(server.serve(router(gateway)));
     Ok(handle)
@@ -116,6 +124,7 @@
     let read = answers::ReadHandler { gateway: gateway.clone() };
     let close = answers::CloseHandler { gateway: gateway.clone() };
     Router::new()
+        .hoop(head::HeadLimits { gateway: gateway.clone() })
         .push(Router::with_path("v1/chat/completions").post(chat))
         .push(
             Router::with_path("v1/programs/{program}/chains/{chain}/calls/{number}/answer")
@@ -124,5 +133,6 @@
         .push(Router::with_path("v1/programs/{program}").delete(close))
         .push(Router::with_path("healthz").get(health::Alive))
         .push(Router::with_path("readyz").get(health::Ready { gateway: gateway.clone() }))
-        .push(Router::with_path("metrics").get(health::Export { gateway }))
+        .push(Router::with_path("metrics").get(health::Export { gateway: gateway.clone() }))
+        .push(Router::with_path("{**path}").goal(unserved::UnservedHandler { gateway }))
 }
