--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -1,8 +1,9 @@
 //! The operators' document: what serves programs, and what tenants may use. TOML.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
-use dahlia_types::{DaemonId, EngineId, ModelId, TenantId};
+use dahlia_types::{DaemonId, EngineId, ModelId, TenantId, Zone};
 use serde::{Deserialize, Serialize};
 
 use crate::DocumentError;
@@ -94,7 +95,8 @@
     /// Name of the adapter, if any.
     #[serde(default)]
     pub adapter: Option<String>,
-    /// Version of model and adapter together.
+    /// Version of model and adapter together; empty for a model that has only one.
+    #[serde(default)]
     pub version: String,
     /// Engines that are to serve it.
     pub engines: BTreeSet<EngineId>,
@@ -107,12 +109,17 @@
 }
 
 impl ModelEntry {
-    /// The identifier: `<base>@<version>` or `<base>/<adapter>@<version>`.
+    /// The identifier: `<base>@<version>` or `<base>/<adapter>@<version>`; `@<version>` is left
+    /// out when the version is empty.
     pub fn id(&self) -> ModelId {
-        match &self.adapter {
-            Some(adapter) => ModelId(format!("{}/{adapter}@{}", self.base, self.version)),
-            None => ModelId(format!("{}@{}", self.base, self.version)),
+        let mut text = self.base.clone();
+        if let Some(adapter) = &self.adapter {
+            text = format!("{text}/{adapter}");
+        }
+        if !self.version.is_empty() {
+            text = format!("{text}@{}", self.version);
         }
+        ModelId(text)
     }
 }
 
@@ -137,14 +144,21 @@
     pub role: EngineRole,
     /// Models that fit into it at once.
     pub slots: u32,
+    /// Where it listens; absent when the platform's list of machines names the engine.
+    pub address: Option<SocketAddr>,
+    /// Its zone; absent when the platform's list of machines names the engine.
+    pub zone: Option<Zone>,
 }
 
 impl Default for EngineEntry {
     fn default() -> Self {
-        Self { role: EngineRole::Serving, slots: 2 }
+        Self { role: EngineRole::Serving, slots: DEFAULT_SLOTS, address: None, zone: None }
     }
 }
 
+/// Models that fit into an engine whose entry does not say.
+pub const DEFAULT_SLOTS: u32 = 2;
+
 fn one() -> u32 {
     1
 }
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -23,8 +23,8 @@
 };
 pub use diff::{Difference, differences};
 pub use document::{
-    Document, EngineEntry, EngineRole, MOST_DOCUMENT_BYTES, ModelEntry, ProgramDefaults,
-    TenantLimits, TenantOverrides,
+    DEFAULT_SLOTS, Document, EngineEntry, EngineRole, MOST_DOCUMENT_BYTES, ModelEntry,
+    ProgramDefaults, TenantLimits, TenantOverrides,
 };
 pub use error::{DocumentError, RecordError};
 pub use follower::{
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -5,23 +5,27 @@
 use std::time::Duration;
 
 use dahlia_node::{Node, NodeSettings};
+use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 use crate::answers::AnswerBoard;
 use crate::clock::Clock;
-use crate::core::{Core, CoreHandle, channel, deliver};
+use crate::configuration_key::ConfigurationKey;
+use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
 use crate::engines::EngineTasks;
+use crate::first_document::first_document;
 use crate::gateway::{self, Gateway};
 use crate::handshake::Identity;
 use crate::logging::part;
+use crate::machine_list;
 use crate::metrics::Metrics;
 use crate::operators::{self, Operators};
 use crate::peers::{self, Incoming, PeerSender};
@@ -91,17 +95,21 @@
     let (core, inbox) = channel(own);
     let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
-    let engines = EngineTasks::new(&settings.platform.engines, core.clone(), board.clone());
-    engines.start_reports();
-    let driver = Core::new(
-        Node::new(node_settings(settings, own, peer_address), clock.now()),
-        clock,
-        inbox,
-        PeerSender::new(identity.clone(), incoming.clone()),
-        engines,
-        PlatformState::new(settings.platform.key_value, core.clone()),
-        metrics.clone(),
-    );
+    let key_value = settings
+        .platform
+        .key_value
+        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
+    let (publisher, in_force) = watch::channel(None);
+    let parts = CoreParts {
+        peers: PeerSender::new(identity.clone(), incoming.clone()),
+        engines: EngineTasks::new(core.clone(), board.clone()),
+        platform: PlatformState::new(key_value.clone(), core.clone()),
+        configuration_key: ConfigurationKey::new(key_value, core.clone()),
+        in_force: publisher,
+        metrics: metrics.clone(),
+    };
+    let node = Node::new(node_settings(settings, own, peer_address), clock.now());
+    let driver = Core::new(node, clock, inbox, parts);
 
     let gateway_parts = Gateway::new(
         core.clone(),
@@ -115,13 +123,17 @@
     let operators = Operators {
         core: core.clone(),
         token: settings.credentials.operator_token.as_str().into(),
+        in_force,
     };
-    let tasks = vec![
+    let mut tasks = vec![
         tokio::spawn(driver.run()),
         tokio::spawn(peers::listen(peer_listener, identity, incoming)),
         tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
         tokio::spawn(serve_operators(operators_listener, operators)),
     ];
+    if let Some(machines) = settings.platform.machines {
+        tasks.push(tokio::spawn(machine_list::follow(machines, core.clone())));
+    }
     log::info!(
         target: part::DAEMON,
         "{own} serves callers on {gateway_address}, operators on {operators_address}, peers on \
@@ -238,6 +250,8 @@
         attempts_per_call: settings.calls.attempts,
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
+        configuration: settings.configuration.clone(),
+        first_document: first_document(&settings.platform.engines),
         seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
     }
 }
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -58,7 +58,7 @@
     pub async fn start(mut self) {
         let end = match self.client.clone() {
             Some(client) => self.run(&client).await,
-            None => not_run("the engine is not in this daemon's settings"),
+            None => not_run("the configuration in force here does not name the engine"),
         };
         self.finish(end).await;
     }
@@ -67,7 +67,7 @@
     pub async fn resume(mut self) {
         let end = match self.client.clone() {
             Some(client) => self.find_out(&client, "a new owner took over").await,
-            None => unknown("the engine is not in this daemon's settings"),
+            None => unknown("the configuration in force here does not name the engine"),
         };
         self.finish(end).await;
     }
--- /dev/null
+++ b/crates/daemon/src/configuration_key.rs
@@ -0,0 +1,119 @@
+//! The node's steps with the configuration's key in the key-value service.
+
+use dahlia_configuration::{CONFIGURATION_KEY, ServiceRecord, ServiceUnavailable, SwapFailure};
+use dahlia_node::{Event, KeyValueEvent, KeyValueStep};
+use dahlia_platform::key_value::{Version, Versioned, WatchEvent};
+use dahlia_platform::{Certainty, KeyValueClient, KeyValueError};
+use tokio::task::AbortHandle;
+
+use crate::core::CoreHandle;
+use crate::logging::part;
+
+/// Carries out steps, each in a task of its own. One watch at most is open.
+pub struct ConfigurationKey {
+    client: Option<KeyValueClient>,
+    core: CoreHandle,
+    watch: Option<AbortHandle>,
+}
+
+impl ConfigurationKey {
+    /// Uses `client`; without one every step fails.
+    pub fn new(client: Option<KeyValueClient>, core: CoreHandle) -> Self {
+        Self { client, core, watch: None }
+    }
+
+    /// Carries out a step. Its answer is put to the node.
+    pub fn perform(&mut self, step: KeyValueStep) {
+        let client = self.client.clone();
+        match step {
+            KeyValueStep::Read => self.answer(async move {
+                let found = read(client).await;
+                KeyValueEvent::Read(found.map(|found| found.map(|found| found.value)))
+            }),
+            KeyValueStep::ReadForChange(step) => self.answer(async move {
+                let found = read(client).await;
+                let record = |found: Versioned| ServiceRecord {
+                    version: found.version.0,
+                    bytes: found.value,
+                };
+                let result = found.map(|found| found.map(record));
+                KeyValueEvent::ReadForChange { step, result }
+            }),
+            KeyValueStep::Swap { step, expected, value } => self.answer(async move {
+                let result = swap(client, expected, value).await;
+                KeyValueEvent::Swapped { step, result }
+            }),
+            KeyValueStep::OpenWatch => self.open_watch(),
+            KeyValueStep::CloseWatch => self.close_watch(),
+        }
+    }
+
+    fn answer(&self, answer: impl Future<Output = KeyValueEvent> + Send + 'static) {
+        let core = self.core.clone();
+        tokio::spawn(async move { core.event(Event::KeyValue(answer.await)).await });
+    }
+
+    fn open_watch(&mut self) {
+        self.close_watch();
+        let (client, core) = (self.client.clone(), self.core.clone());
+        let task = tokio::spawn(async move {
+            if let Some(client) = client
+                && let Err(error) = follow(&client, &core).await
+            {
+                log::debug!(target: part::CONFIGURATION, "Watching the configuration: {error}.");
+            }
+            core.event(Event::KeyValue(KeyValueEvent::WatchEnded)).await;
+        });
+        self.watch = Some(task.abort_handle());
+    }
+
+    fn close_watch(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+    }
+}
+
+async fn read(client: Option<KeyValueClient>) -> Result<Option<Versioned>, ServiceUnavailable> {
+    let client = client.ok_or(ServiceUnavailable)?;
+    client.get(CONFIGURATION_KEY).await.map_err(|error| {
+        log::debug!(target: part::CONFIGURATION, "Reading the configuration: {error}.");
+        ServiceUnavailable
+    })
+}
+
+async fn swap(
+    client: Option<KeyValueClient>,
+    expected: Option<u64>,
+    value: Vec<u8>,
+) -> Result<(), SwapFailure> {
+    let client = client.ok_or(SwapFailure::NotRun)?;
+    let swapped = client.compare_and_swap(CONFIGURATION_KEY, expected.map(Version), value).await;
+    swapped.map(drop).map_err(|error| {
+        log::debug!(target: part::CONFIGURATION, "Swapping the configuration: {error}.");
+        match (&error, error.certainty()) {
+            (KeyValueError::Conflict { .. }, _) => SwapFailure::Conflict,
+            (_, Certainty::Unknown) => SwapFailure::Unknown,
+            (_, Certainty::NotRun) => SwapFailure::NotRun,
+        }
+    })
+}
+
+/// Reports the key's value, then each later one, until the watch breaks.
+async fn follow(client: &KeyValueClient, core: &CoreHandle) -> Result<(), KeyValueError> {
+    let listed = client.list(CONFIGURATION_KEY).await?;
+    for entry in listed.entries.into_iter().filter(|entry| entry.key == CONFIGURATION_KEY) {
+        core.event(Event::KeyValue(KeyValueEvent::Watched(entry.versioned.value))).await;
+    }
+    // From the revision of the list on, so that no change between the two is missed.
+    let mut changes = client.watch(CONFIGURATION_KEY, listed.revision).await?;
+    while let Some(change) = changes.next().await {
+        if let WatchEvent::Put { entry } = change?
+            && entry.key == CONFIGURATION_KEY
+        {
+            let value = entry.versioned.value;
+            core.event(Event::KeyValue(KeyValueEvent::Watched(value))).await;
+        }
+    }
+    Ok(())
+}
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use dahlia_api::{ApiError, ErrorKind};
+use dahlia_configuration::{Proposal, Record, Verdict};
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, EngineView, Event, Node, NodeStatus};
+use dahlia_node::{Action, ConfigurationView, DaemonView, EngineView, Event, Node, NodeStatus};
 use dahlia_replication::membership::Member;
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::Clock;
+use crate::configuration_key::ConfigurationKey;
 use crate::engines::EngineTasks;
 use crate::logging::part;
 use crate::metrics::Metrics;
@@ -33,6 +35,8 @@
     Event(Event),
     /// A request, and who waits for its answer.
     Request(Request, oneshot::Sender<Response>),
+    /// An operator's change of the configuration, and who waits for the verdict.
+    Change(Proposal, oneshot::Sender<Verdict>),
     /// A question about the node's view.
     Query(Query),
 }
@@ -53,6 +57,10 @@
     Engines(oneshot::Sender<Vec<EngineView>>),
     /// Daemons.
     Daemons(oneshot::Sender<Vec<Member>>),
+    /// Daemons with the groups that they lead.
+    DaemonViews(oneshot::Sender<Vec<DaemonView>>),
+    /// The configuration.
+    Configuration(oneshot::Sender<ConfigurationView>),
 }
 
 /// Talks to the task that drives the node. Cheap to clone.
@@ -114,6 +122,24 @@
         self.query(Query::Daemons).await.unwrap_or_default()
     }
 
+    /// All daemons known with the groups that they lead.
+    pub async fn daemon_views(&self) -> Vec<DaemonView> {
+        self.query(Query::DaemonViews).await.unwrap_or_default()
+    }
+
+    /// The configuration as this daemon knows it; none when the daemon is stopping.
+    pub async fn configuration(&self) -> Option<ConfigurationView> {
+        self.query(Query::Configuration).await
+    }
+
+    /// Puts an operator's change to the node and waits for the verdict; none when the daemon is
+    /// stopping.
+    pub async fn change(&self, proposal: Proposal) -> Option<Verdict> {
+        let (reply, verdict) = oneshot::channel();
+        let _ = self.inbox.send(CoreMessage::Change(proposal, reply)).await;
+        verdict.await.ok()
+    }
+
     /// Engines as this daemon sees them.
     pub async fn engines(&self) -> Vec<EngineView> {
         self.query(Query::Engines).await.unwrap_or_default()
@@ -151,14 +177,33 @@
     clock: Clock,
     inbox: mpsc::Receiver<CoreMessage>,
     waiting: HashMap<RequestId, oneshot::Sender<Response>>,
+    changes: HashMap<RequestId, oneshot::Sender<Verdict>>,
+    in_force: watch::Sender<Option<Arc<Record>>>,
     next_request: u64,
     peers: PeerSender,
     engines: EngineTasks,
     platform: PlatformState,
+    configuration_key: ConfigurationKey,
     metrics: Arc<Metrics>,
     stopped: bool,
 }
 
+/// What a core talks to besides its node.
+pub struct CoreParts {
+    /// Connections to other daemons.
+    pub peers: PeerSender,
+    /// Tasks that talk to engines.
+    pub engines: EngineTasks,
+    /// The layout of groups at the key-value service.
+    pub platform: PlatformState,
+    /// The configuration at the key-value service.
+    pub configuration_key: ConfigurationKey,
+    /// Where generations are published that come into force.
+    pub in_force: watch::Sender<Option<Arc<Record>>>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
 /// Makes the handle and the inbox of a core that is still to be built.
 pub fn channel(own: ReplicaId) -> (CoreHandle, mpsc::Receiver<CoreMessage>) {
     let (sender, inbox) = mpsc::channel(INBOX);
@@ -171,22 +216,23 @@
         node: Node,
         clock: Clock,
         inbox: mpsc::Receiver<CoreMessage>,
-        peers: PeerSender,
-        engines: EngineTasks,
-        platform: PlatformState,
-        metrics: Arc<Metrics>,
+        parts: CoreParts,
     ) -> Self {
+        let CoreParts { peers, engines, platform, configuration_key, in_force, metrics } = parts;
         let Incarnation(start) = clock.incarnation();
         Self {
             node,
             clock,
             inbox,
             waiting: HashMap::new(),
+            changes: HashMap::new(),
+            in_force,
             // Names of requests must not repeat those of an earlier life of this daemon.
             next_request: start << 20,
             peers,
             engines,
             platform,
+            configuration_key,
             metrics,
             stopped: false,
         }
@@ -222,15 +268,24 @@
         match message {
             CoreMessage::Event(event) => self.handle(event),
             CoreMessage::Request(request, reply) => {
-                self.next_request += 1;
-                let id = RequestId(self.next_request);
+                let id = self.next_id();
                 self.waiting.insert(id, reply);
                 self.handle(Event::Request { id, request });
             }
+            CoreMessage::Change(proposal, reply) => {
+                let id = self.next_id();
+                self.changes.insert(id, reply);
+                self.handle(Event::ProposeChange { id, proposal });
+            }
             CoreMessage::Query(query) => self.answer(query),
         }
     }
 
+    fn next_id(&mut self) -> RequestId {
+        self.next_request += 1;
+        RequestId(self.next_request)
+    }
+
     fn handle(&mut self, event: Event) {
         for action in self.node.handle(event, self.clock.now()) {
             self.perform(action);
@@ -262,6 +317,18 @@
             Action::Hold { program, engine, epoch, length } => {
                 self.engines.hold(program, engine, epoch, length);
             }
+            Action::UseEngines(addresses) => self.engines.use_engines(addresses),
+            Action::Order(order) => self.engines.order(*order),
+            Action::KeyValue(step) => self.configuration_key.perform(step),
+            Action::Decided { id, verdict } => {
+                if let Some(reply) = self.changes.remove(&id) {
+                    // The asker may have gone; the change stands all the same.
+                    let _ = reply.send(verdict);
+                }
+            }
+            Action::ConfigurationInForce(record) => {
+                self.in_force.send_replace(Some(record));
+            }
             Action::Layout(step) => self.platform.layout(step),
             Action::Stop => self.stopped = true,
         }
@@ -300,6 +367,12 @@
             Query::Daemons(reply) => {
                 let _ = reply.send(self.node.daemons());
             }
+            Query::DaemonViews(reply) => {
+                let _ = reply.send(self.node.daemon_views());
+            }
+            Query::Configuration(reply) => {
+                let _ = reply.send(self.node.configuration_view());
+            }
         }
     }
 }
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -1,13 +1,13 @@
 //! Tasks that talk to engines for the node: one for each attempt, release and report.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::time::Duration;
 
+use dahlia_configuration::{self as configuration, EngineState, FencedOrder, OrderKind};
 use dahlia_node::request::ReleaseEnd;
-use dahlia_node::{EngineReport, Event, ReleaseOrder, StartAttempt};
+use dahlia_node::{EngineAddress, EngineReport, Event, ReleaseOrder, StartAttempt};
 use dahlia_platform::engine::{
-    AfterHold, AttemptState, EngineRole, HoldRequest, LoadReport, ModelState, ReleaseRequest,
+    AfterHold, EngineOrder, EngineRole, HoldRequest, LoadReport, ModelState, ReleaseRequest,
     ReleaseScope,
 };
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError};
@@ -19,21 +19,26 @@
 use crate::attempt::AttemptTask;
 use crate::core::CoreHandle;
 use crate::logging::part;
-use crate::settings::EngineSettings;
 
 /// How often each engine's load is read.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// One engine as the settings name it.
-#[derive(Clone)]
+/// One engine that this daemon talks to.
 struct Engine {
     client: EngineClient,
-    zone: Zone,
+    address: EngineAddress,
+    reports: AbortHandle,
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.reports.abort();
+    }
 }
 
 /// Starts and ends tasks that talk to engines.
 pub struct EngineTasks {
-    engines: Arc<BTreeMap<EngineId, Engine>>,
+    engines: BTreeMap<EngineId, Engine>,
     core: CoreHandle,
     board: AnswerBoard,
     attempts: HashMap<AttemptId, RunningAttempt>,
@@ -45,22 +50,47 @@
 }
 
 impl EngineTasks {
-    /// Prepares adapters to the engines of the settings.
-    pub fn new(settings: &[EngineSettings], core: CoreHandle, board: AnswerBoard) -> Self {
-        let engines = settings.iter().map(|engine| {
+    /// Knows no engine.
+    pub fn new(core: CoreHandle, board: AnswerBoard) -> Self {
+        Self { engines: BTreeMap::new(), core, board, attempts: HashMap::new() }
+    }
+
+    /// Talks to these engines and reads their load from now on. Engines that are not among them
+    /// stay known here: attempts and releases that they have not answered are still asked after.
+    pub fn use_engines(&mut self, addresses: Vec<EngineAddress>) {
+        for address in addresses {
+            let known = self.engines.get(&address.engine);
+            if known.is_some_and(|known| known.address == address) {
+                continue;
+            }
+            let id = address.engine.clone();
             let endpoint =
-                EngineEndpoint { engine: engine.id.clone(), address: engine.address.to_string() };
+                EngineEndpoint { engine: id.clone(), address: address.address.to_string() };
             let client = EngineClient::new(endpoint, ClientSettings::default());
-            (engine.id.clone(), Engine { client, zone: engine.zone.clone() })
-        });
-        Self { engines: Arc::new(engines.collect()), core, board, attempts: HashMap::new() }
+            let reports = report(client.clone(), address.zone.clone(), self.core.clone());
+            let reports = tokio::spawn(reports).abort_handle();
+            log::info!(target: part::ENGINES, "{id} is at {}.", address.address);
+            self.engines.insert(id, Engine { client, address, reports });
+        }
     }
 
-    /// Reads each engine's load from now on.
-    pub fn start_reports(&self) {
-        for engine in self.engines.values() {
-            tokio::spawn(report(engine.clone(), self.core.clone()));
-        }
+    /// Gives an engine an order. A lost or refused one is planned again from its reports.
+    pub fn order(&self, order: FencedOrder) {
+        let Some(client) = self.client(&order.engine) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let wire = platform_order(&order);
+            match client.order(&wire).await {
+                Ok(accepted) if accepted.incarnation != order.incarnation => log::info!(
+                    target: part::ENGINES,
+                    "{} took an order that was meant for an earlier life.",
+                    order.engine
+                ),
+                Ok(_) => {}
+                Err(error) => log::info!(target: part::ENGINES, "Order refused. {error}."),
+            }
+        });
     }
 
     /// Sends an attempt to its engine.
@@ -104,8 +134,7 @@
             return;
         };
         tokio::spawn(async move {
-            let queued = matches!(client.attempt(attempt).await, Ok(AttemptState::Queued));
-            if queued && let Err(error) = client.cancel(attempt, epoch).await {
+            if let Err(error) = client.recall(attempt, epoch).await {
                 log::debug!(target: part::ENGINES, "Recalling {attempt}: {error}.");
             }
         });
@@ -188,16 +217,18 @@
     }
 }
 
-async fn report(engine: Engine, core: CoreHandle) {
+async fn report(client: EngineClient, zone: Zone, core: CoreHandle) {
     let mut ticks = interval(REPORT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut reachable = true;
     loop {
         ticks.tick().await;
-        match engine.client.load().await {
+        match client.load().await {
             Ok(load) => {
                 reachable = true;
-                core.event(Event::EngineReported(translate(load, &engine.zone))).await;
+                let state = Event::EngineState(load.engine.clone(), state_of(&load));
+                core.event(state).await;
+                core.event(Event::EngineReported(translate(load, &zone))).await;
             }
             Err(error) => {
                 log_once(&mut reachable, &error);
@@ -212,6 +243,38 @@
     }
 }
 
+/// What orders to the engine follow from.
+fn state_of(load: &LoadReport) -> EngineState {
+    let model_state = |state: ModelState| match state {
+        ModelState::Loading => configuration::ModelState::Loading,
+        ModelState::Ready => configuration::ModelState::Ready,
+    };
+    let models = load.models.iter().map(|it| (it.model.clone(), model_state(it.state)));
+    EngineState {
+        incarnation: load.incarnation,
+        role: match load.role {
+            EngineRole::Serving => configuration::EngineRole::Serving,
+            EngineRole::Draining => configuration::EngineRole::Draining,
+        },
+        leaving: load.leaving,
+        models: models.collect(),
+    }
+}
+
+fn platform_order(order: &FencedOrder) -> dahlia_platform::engine::FencedOrder {
+    let kind = match &order.kind {
+        OrderKind::Load(model) => EngineOrder::LoadModel(model.clone()),
+        OrderKind::Unload(model) => EngineOrder::UnloadModel(model.clone()),
+        OrderKind::SetRole(configuration::EngineRole::Serving) => {
+            EngineOrder::SetRole(EngineRole::Serving)
+        }
+        OrderKind::SetRole(configuration::EngineRole::Draining) => {
+            EngineOrder::SetRole(EngineRole::Draining)
+        }
+    };
+    dahlia_platform::engine::FencedOrder { generation: order.generation, order: kind }
+}
+
 fn translate(load: LoadReport, zone: &Zone) -> EngineReport {
     let ready = load.models.into_iter().filter(|model| model.state == ModelState::Ready);
     EngineReport {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,9 @@
 //! | `operators` | operators' RPC |
 //! | `peers`, `frames`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
+//! | `configuration_key` | the configuration at the key-value service |
+//! | `first_document` | the configuration that a new system starts with |
+//! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
@@ -17,12 +20,15 @@
 mod attempt;
 pub mod cli;
 mod clock;
+mod configuration_key;
 mod core;
 mod engines;
+mod first_document;
 mod frames;
 mod gateway;
 mod handshake;
 pub mod logging;
+mod machine_list;
 mod metrics;
 mod operators;
 mod peers;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,6 +22,8 @@
     programs: IntGauge,
     running: IntGauge,
     waiting: IntGauge,
+    generation: IntGauge,
+    ready: IntGauge,
 }
 
 impl Metrics {
@@ -59,6 +61,11 @@
             live_engines: gauge("dahlialadder_live_engines", "Engines heard of lately.")?,
             programs: gauge("dahlialadder_programs", "Programs in groups owned here.")?,
             running: gauge("dahlialadder_attempts_running", "Attempts that run for this owner.")?,
+            generation: gauge(
+                "dahlialadder_configuration_generation",
+                "Generation of the configuration held.",
+            )?,
+            ready: gauge("dahlialadder_ready", "1 when the daemon takes calls.")?,
             waiting: gauge("dahlialadder_requests_waiting", "Requests without an answer yet.")?,
             registry,
         };
@@ -78,6 +85,8 @@
         self.programs.set(status.programs as i64);
         self.running.set(status.attempts as i64);
         self.waiting.set(status.requests as i64);
+        self.generation.set(status.configuration_generation as i64);
+        self.ready.set(i64::from(status.ready));
     }
 
     /// All metrics as text.
--- /dev/null
+++ b/crates/daemon/src/operators/configuration.rs
@@ -0,0 +1,202 @@
+//! The operators' configuration: what is in force, changes, history, and following it.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use dahlia_api::operators as rpc;
+use dahlia_api::operators::configuration_server::Configuration;
+use dahlia_api::{ApiError, ErrorKind};
+use dahlia_configuration::{
+    ChangeId, ChangeSummary, Document, Knowledge, Proposal, Record, Verdict,
+};
+use dahlia_node::ConfigurationView;
+use dahlia_types::Generation;
+use futures::{Stream, StreamExt};
+use tokio_stream::wrappers::WatchStream;
+use tonic::{Request, Response, Status};
+
+use super::{Operators, invalid, status};
+
+/// When an operator may come back after the daemon could not answer.
+const RETRY: Duration = Duration::from_secs(1);
+/// Changes listed when the request does not say.
+const DEFAULT_HISTORY: u32 = 20;
+/// Most changes listed: as many as a record carries.
+const LONGEST_HISTORY: u32 = dahlia_configuration::RECENT_CHANGES as u32 + 1;
+
+type Generations =
+    Pin<Box<dyn Stream<Item = Result<rpc::ConfigurationGeneration, Status>> + Send + 'static>>;
+
+#[tonic::async_trait]
+impl Configuration for Operators {
+    async fn show(
+        &self,
+        request: Request<rpc::ShowConfigurationRequest>,
+    ) -> Result<Response<rpc::ConfigurationGeneration>, Status> {
+        let wanted = Generation(request.into_inner().generation);
+        let view = self.configuration().await?;
+        let mut held = view.current.iter().chain(&view.earlier);
+        let found = match wanted {
+            Generation(0) => held.next(),
+            _ => held.find(|record| record.generation() == wanted),
+        };
+        let found = found.ok_or_else(|| not_held(wanted))?;
+        Ok(Response::new(generation(found)))
+    }
+
+    async fn apply(
+        &self,
+        request: Request<rpc::ApplyConfigurationRequest>,
+    ) -> Result<Response<rpc::ConfigurationGeneration>, Status> {
+        let request = request.into_inner();
+        let proposal = Proposal {
+            change: ChangeId(request.change_id.clone()),
+            expected: Generation(request.expected_generation),
+            author: request.author.clone(),
+            document: request.document.clone(),
+            repeated: request.repeated,
+        };
+        match self.core.change(proposal).await {
+            Some(verdict) => answer(verdict, request),
+            None => Err(status(&unknown("the daemon is stopping"))),
+        }
+    }
+
+    async fn history(
+        &self,
+        request: Request<rpc::HistoryRequest>,
+    ) -> Result<Response<rpc::HistoryResponse>, Status> {
+        let limit = match request.into_inner().limit {
+            0 => DEFAULT_HISTORY,
+            limit if limit <= LONGEST_HISTORY => limit,
+            limit => {
+                let problem = format!("is {limit}; allowed: 1 to {LONGEST_HISTORY}");
+                return Err(invalid("limit", &problem));
+            }
+        };
+        let view = self.configuration().await?;
+        let changes = view.current.iter().flat_map(|record| record.changes());
+        let shown = |change: &ChangeSummary| {
+            let mut held = view.current.iter().chain(&view.earlier);
+            let record = held.find(|record| record.change() == change);
+            summary(change, record.map_or("", |record| record.text()))
+        };
+        let generations = changes.take(limit as usize).map(shown).collect();
+        Ok(Response::new(rpc::HistoryResponse { generations }))
+    }
+
+    type WatchStream = Generations;
+
+    async fn watch(
+        &self,
+        _request: Request<rpc::WatchConfigurationRequest>,
+    ) -> Result<Response<Self::WatchStream>, Status> {
+        let records = WatchStream::new(self.in_force.clone());
+        let generations =
+            records.filter_map(async |record| record.map(|record| Ok(generation(&record))));
+        Ok(Response::new(Box::pin(generations)))
+    }
+}
+
+impl Operators {
+    async fn configuration(&self) -> Result<ConfigurationView, Status> {
+        let view = self.core.configuration().await;
+        let view = view.filter(|view| view.knowledge != Knowledge::Unknown);
+        view.ok_or_else(|| {
+            let message = "this daemon does not know yet which generation is in force";
+            let error = ApiError::new(ErrorKind::Unavailable, message);
+            status(&error.with_retry_after(RETRY))
+        })
+    }
+
+    /// The document in force on this daemon; the defaults before the first.
+    pub(super) async fn document(&self) -> Result<Document, Status> {
+        let view = self.configuration().await?;
+        Ok(view.current.map(|record| record.document().clone()).unwrap_or_default())
+    }
+}
+
+fn answer(
+    verdict: Verdict,
+    request: rpc::ApplyConfigurationRequest,
+) -> Result<Response<rpc::ConfigurationGeneration>, Status> {
+    let error = match verdict {
+        Verdict::Accepted(record) => return Ok(Response::new(generation(&record))),
+        Verdict::AcceptedEarlier(change) => {
+            return Ok(Response::new(summary(&change, &request.document)));
+        }
+        Verdict::Conflict { newest, lost_to } => conflict(&request, newest, lost_to),
+        Verdict::Invalid(error) => {
+            let error = ApiError::new(ErrorKind::InvalidRequest, error.to_string());
+            error.with_field("document")
+        }
+        Verdict::IdentityReused(change) => {
+            let message = format!(
+                "the change identity {} belongs to generation {} with another document",
+                change.change, change.generation
+            );
+            ApiError::new(ErrorKind::KeyReused, message)
+        }
+        Verdict::Busy => unavailable("another change is being decided on this daemon"),
+        Verdict::Unavailable => unavailable(
+            "not accepted: the key-value service does not answer, or this daemon has just started",
+        ),
+        Verdict::Unknown => unknown("the key-value service did not say"),
+    };
+    Err(status(&error))
+}
+
+fn conflict(
+    request: &rpc::ApplyConfigurationRequest,
+    newest: Generation,
+    lost_to: Option<ChangeSummary>,
+) -> ApiError {
+    let winner = lost_to.map(|change| {
+        format!(
+            "; it lost to generation {} by {:?}, change {}",
+            change.generation, change.author, change.change
+        )
+    });
+    let message = format!(
+        "the change was made from generation {}, and generation {newest} is the newest{}",
+        request.expected_generation,
+        winner.unwrap_or_default()
+    );
+    ApiError::new(ErrorKind::ConfigurationConflict, message)
+}
+
+fn unavailable(message: &str) -> ApiError {
+    ApiError::new(ErrorKind::Unavailable, message).with_retry_after(RETRY)
+}
+
+fn unknown(cause: &str) -> ApiError {
+    let message = format!(
+        "the change may have been accepted ({cause}); repeat it with the same change identity"
+    );
+    ApiError::new(ErrorKind::Unknown, message)
+}
+
+fn not_held(wanted: Generation) -> Status {
+    let message = match wanted {
+        Generation(0) => "no generation of the configuration exists yet".to_owned(),
+        wanted => format!(
+            "generation {wanted} is not held here; a daemon keeps the ones that it had in force \
+             lately"
+        ),
+    };
+    status(&ApiError::new(ErrorKind::NotFound, message))
+}
+
+fn generation(record: &Record) -> rpc::ConfigurationGeneration {
+    summary(record.change(), record.text())
+}
+
+fn summary(change: &ChangeSummary, document: &str) -> rpc::ConfigurationGeneration {
+    rpc::ConfigurationGeneration {
+        generation: change.generation.0,
+        document: document.to_owned(),
+        change_id: change.change.0.clone(),
+        author: change.author.clone(),
+        accepted_unix_ms: change.at.0 / 1_000,
+    }
+}
--- a/crates/daemon/src/operators/machines.rs
+++ b/crates/daemon/src/operators/machines.rs
@@ -3,8 +3,8 @@
 use dahlia_api::operators as rpc;
 use dahlia_api::operators::machines_server::Machines;
 use dahlia_api::{ApiError, ErrorKind};
-use dahlia_node::EngineView;
-use dahlia_replication::membership::{Health, Member, MemberState};
+use dahlia_node::{DaemonView, EngineView};
+use dahlia_replication::membership::{Health, MemberState};
 use tonic::{Request, Response, Status};
 
 use super::{Operators, status};
@@ -15,7 +15,7 @@
         &self,
         _request: Request<rpc::ListDaemonsRequest>,
     ) -> Result<Response<rpc::ListDaemonsResponse>, Status> {
-        let daemons = self.core.daemons().await.into_iter().map(daemon).collect();
+        let daemons = self.core.daemon_views().await.into_iter().map(daemon).collect();
         Ok(Response::new(rpc::ListDaemonsResponse { daemons }))
     }
 
@@ -42,9 +42,10 @@
     }
 }
 
-fn daemon(member: Member) -> rpc::Daemon {
-    let info = member.record.info;
-    let state = match (member.record.health, info.state) {
+fn daemon(view: DaemonView) -> rpc::Daemon {
+    let record = view.member.record;
+    let info = record.info;
+    let state = match (record.health, info.state) {
         (Health::Dead, _) => "dead",
         (Health::Suspect, _) => "suspect",
         (Health::Alive, MemberState::Joining) => "joining",
@@ -58,22 +59,22 @@
         region: info.region.to_string(),
         state: state.to_owned(),
         address: info.address.to_string(),
-        groups_led: 0,
-        configuration_generation: 0,
+        groups_led: view.groups_led,
+        configuration_generation: view.generation.map_or(0, |generation| generation.0),
     }
 }
 
 fn engine(view: EngineView) -> rpc::Engine {
-    let state = match (view.reachable, view.report.leaving) {
+    let state = match (view.reachable, view.leaving) {
         (false, _) => "unreachable",
-        (true, true) => "leaving",
-        (true, false) => "live",
+        (true, Some(_)) => "leaving",
+        (true, None) => "live",
     };
     rpc::Engine {
         engine: view.report.engine.to_string(),
         incarnation: view.report.incarnation.0,
         zone: view.report.zone.to_string(),
-        address: String::new(),
+        address: view.address.map(|address| address.to_string()).unwrap_or_default(),
         state: state.to_owned(),
         models: view.report.models.iter().map(ToString::to_string).collect(),
         running: view.report.running,
@@ -81,5 +82,6 @@
         cache_used_tokens: view.report.cache_used.0,
         cache_capacity_tokens: view.report.cache_capacity.0,
         report_age_ms: view.age.as_millis(),
+        leaving_by: view.leaving.map(|source| source.name().to_owned()).unwrap_or_default(),
     }
 }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,15 +1,19 @@
 //! Operators' RPC. Any daemon answers for all: requests go to the owner of their program.
 
+mod configuration;
 mod convert;
 mod machines;
 mod programs;
 
 use std::sync::Arc;
 
+use dahlia_api::operators::configuration_server::ConfigurationServer;
 use dahlia_api::operators::machines_server::MachinesServer;
 use dahlia_api::operators::programs_server::ProgramsServer;
 use dahlia_api::{ApiError, ErrorKind, headers};
+use dahlia_configuration::Record;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::metadata::MetadataValue;
 use tonic::service::InterceptorLayer;
@@ -25,6 +29,8 @@
     pub core: CoreHandle,
     /// The token that operators show.
     pub token: Arc<str>,
+    /// The generation in force here.
+    pub in_force: watch::Receiver<Option<Arc<Record>>>,
 }
 
 /// Serves operators on `listener` for as long as the daemon runs.
@@ -40,6 +46,7 @@
     Server::builder()
         .layer(InterceptorLayer::new(check))
         .add_service(ProgramsServer::new(operators.clone()))
+        .add_service(ConfigurationServer::new(operators.clone()))
         .add_service(MachinesServer::new(operators))
         .serve_with_incoming(TcpListenerStream::new(listener))
         .await
--- a/crates/daemon/src/operators/programs.rs
+++ b/crates/daemon/src/operators/programs.rs
@@ -5,6 +5,7 @@
 use dahlia_api::operators as rpc;
 use dahlia_api::operators::programs_server::Programs;
 use dahlia_api::{ApiError, ErrorKind};
+use dahlia_configuration::Document;
 use dahlia_node::request::{Request as OwnerRequest, Response as OwnerResponse};
 use dahlia_program::ProgramSpecification;
 use dahlia_types::{Duration, GroupId, ModelId, ProgramId, TenantId, Tokens};
@@ -15,8 +16,6 @@
 
 use super::{Operators, convert, invalid, status};
 
-/// Idle expiry of a program whose operator states none.
-const DEFAULT_IDLE_EXPIRY: Duration = Duration::from_secs(4 * 3_600);
 /// Longest idle expiry.
 const LONGEST_IDLE_EXPIRY_MS: u64 = 30 * 24 * 3_600 * 1_000;
 /// Longest name of a tenant, a model or a request key.
@@ -35,7 +34,7 @@
         request: Request<rpc::CreateProgramRequest>,
     ) -> Result<Response<rpc::Program>, Status> {
         let request = request.into_inner();
-        let specification = specification(&request)?;
+        let specification = specification(&request, &self.document().await?)?;
         let program = self.identify(&request).await?;
         self.ask_program(OwnerRequest::Create { program, specification }).await
     }
@@ -81,6 +80,9 @@
         let request = request.into_inner();
         let program = parse_program(&request.program)?;
         let total = Tokens(request.total_tokens);
+        let shown = self.ask_program(OwnerRequest::Show { program, with_calls: false }).await?;
+        let tenant = TenantId::new(&shown.get_ref().tenant);
+        check_budget(&tenant, total, &self.document().await?)?;
         self.ask_program(OwnerRequest::RaiseBudget { program, total }).await
     }
 }
@@ -141,13 +143,26 @@
 }
 
 #[allow(clippy::result_large_err)]
-fn specification(request: &rpc::CreateProgramRequest) -> Result<ProgramSpecification, Status> {
+fn specification(
+    request: &rpc::CreateProgramRequest,
+    document: &Document,
+) -> Result<ProgramSpecification, Status> {
     check_name("tenant", &request.tenant)?;
-    check_name("model", &request.model)?;
+    let model = match (&document.defaults.model, request.model.as_str()) {
+        (Some(default), "") => default.clone(),
+        (_, named) => ModelId::new(named),
+    };
+    check_name("model", model.as_str())?;
+    let tenant = TenantId::new(&request.tenant);
+    let budget = match request.budget_tokens {
+        0 => Tokens(document.defaults.budget_tokens),
+        stated => Tokens(stated),
+    };
+    check_budget(&tenant, budget, document)?;
     if request.request_key.len() > LONGEST_NAME {
         return Err(invalid("request_key", &format!("the limit is {LONGEST_NAME} bytes")));
     }
-    if request.budget_tokens == 0 {
+    if budget == Tokens::ZERO {
         return Err(invalid("budget_tokens", "is 0; at least 1 is needed"));
     }
     if request.idle_expiry_ms > LONGEST_IDLE_EXPIRY_MS {
@@ -155,15 +170,21 @@
         return Err(invalid("idle_expiry_ms", &problem));
     }
     let idle_expiry = match request.idle_expiry_ms {
-        0 => DEFAULT_IDLE_EXPIRY,
+        0 => Duration::from_millis(document.defaults.idle_expiry_ms),
         millis => Duration::from_millis(millis),
     };
-    Ok(ProgramSpecification {
-        tenant: TenantId::new(&request.tenant),
-        model: ModelId::new(&request.model),
-        budget: Tokens(request.budget_tokens),
-        idle_expiry,
-    })
+    Ok(ProgramSpecification { tenant, model, budget, idle_expiry })
+}
+
+#[allow(clippy::result_large_err)]
+fn check_budget(tenant: &TenantId, budget: Tokens, document: &Document) -> Result<(), Status> {
+    let most = document.limits_of(tenant).most_budget_tokens;
+    if budget.0 <= most {
+        return Ok(());
+    }
+    let message = format!("the budget is {budget}; the limit of tenant {tenant} is {most} tokens");
+    let error = ApiError::new(ErrorKind::LimitReached, message);
+    Err(status(&error.with_field("budget_tokens")))
 }
 
 #[allow(clippy::result_large_err)]
--- a/crates/daemon/src/platform_state.rs
+++ b/crates/daemon/src/platform_state.rs
@@ -1,9 +1,7 @@
 //! The node's steps with the key-value service.
 
-use std::net::SocketAddr;
-
 use dahlia_node::{Event, LAYOUT_KEY, LayoutStep};
-use dahlia_platform::{ClientSettings, KeyValueClient, KeyValueError};
+use dahlia_platform::{KeyValueClient, KeyValueError};
 
 use crate::core::CoreHandle;
 use crate::logging::part;
@@ -15,12 +13,9 @@
 }
 
 impl PlatformState {
-    /// Talks to the service at `address`; without one every step fails.
-    pub fn new(address: Option<SocketAddr>, core: CoreHandle) -> Self {
-        let connect = |address: SocketAddr| {
-            KeyValueClient::new(&address.to_string(), ClientSettings::default())
-        };
-        Self { client: address.map(connect), core }
+    /// Uses `client`; without one every step fails.
+    pub fn new(client: Option<KeyValueClient>, core: CoreHandle) -> Self {
+        Self { client, core }
     }
 
     /// Reads or writes the layout of groups.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::first_document::first_document;
 use crate::logging::LogSettings;
 
 /// All settings of one daemon.
@@ -26,6 +27,9 @@
     /// Addresses of the platform's services.
     #[serde(default)]
     pub platform: PlatformSettings,
+    /// How the operators' configuration spreads and is accepted.
+    #[serde(default)]
+    pub configuration: dahlia_configuration::Settings,
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
@@ -107,7 +111,8 @@
     pub machines: Option<SocketAddr>,
     /// The weight store, `host:port`.
     pub weights: Option<SocketAddr>,
-    /// The model engines.
+    /// The model engines that the system's first configuration names. Not read once a
+    /// configuration exists.
     pub engines: Vec<EngineSettings>,
     /// Tool and application services.
     pub tools: Vec<ToolSettings>,
@@ -237,6 +242,8 @@
         check_secret("credentials.tenant_key", &self.credentials.tenant_key)?;
         check_secret("credentials.operator_token", &self.credentials.operator_token)?;
         check_secret("credentials.peer_key", &self.credentials.peer_key)?;
+        self.check_engines()?;
+        self.configuration.check()?;
         self.limits.check()?;
         self.layout.check()?;
         self.groups.check()?;
@@ -248,6 +255,20 @@
     }
 }
 
+impl Settings {
+    /// The engines must make a document that could be applied.
+    fn check_engines(&self) -> Result<(), InvalidSetting> {
+        let engines = &self.platform.engines;
+        let document = first_document(engines)
+            .map_or(Ok(()), |text| dahlia_configuration::Document::parse(&text).map(drop));
+        document.map_err(|error| InvalidSetting {
+            field: "platform.engines".to_owned(),
+            value: format!("{} engines", engines.len()),
+            allowed: format!("engines that make a valid first document: {error}"),
+        })
+    }
+}
+
 impl LayoutSettings {
     fn check(&self) -> Result<(), InvalidSetting> {
         check_range("layout.groups", self.groups, 1, 100_000)?;
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -97,6 +97,15 @@
         let epoch = group.replica.term();
         let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
         group.live.insert(intent.attempt, live);
+        if !self.may_use(&intent.holder.engine) {
+            // The engine was taken out of service while the intent was on its way to a quorum. No
+            // byte has left, and only this owner could have sent one in this epoch.
+            self.recalled.insert(intent.attempt);
+            let reason = "the engine was taken out of service before the attempt was sent";
+            let end = AttemptEnd::NotRun { reason: reason.to_owned(), retry_after: None };
+            self.attempt_ended(intent.attempt, epoch, end, now);
+            return;
+        }
         let start = self.describe_start(&intent, epoch, terms.generated_cap);
         if let Some(start) = start {
             self.actions.push(Action::StartAttempt(Box::new(start)));
@@ -216,6 +225,7 @@
             return;
         };
         let attempt = recorded.attempt;
+        self.recalled.remove(&attempt);
         if let Some(group) = self.groups.get_mut(&attempt.call.program.group) {
             group.taken_over.remove(&attempt);
         }
@@ -238,6 +248,7 @@
             return;
         };
         let attempt = recorded.attempt;
+        let was_recalled = self.recalled.remove(&attempt);
         if !self.is_open_program(call.program) {
             self.abandon(call, "program_closed: the program was closed", now);
             return;
@@ -254,7 +265,10 @@
             self.call_ready(call, now);
             return;
         }
-        let failure = failure_of(&recorded.outcome);
+        let failure = match failure_of(&recorded.outcome) {
+            AttemptFailure::Refused if was_recalled => AttemptFailure::Recalled,
+            failure => failure,
+        };
         let failed = AttemptFailed { attempt, failure, retryable: true };
         self.schedule(PlacementEvent::Failed(failed), now);
     }
@@ -295,6 +309,7 @@
         let group = self.groups.get(&attempt.call.program.group);
         if let Some(live) = group.and_then(|group| group.live.get(&attempt)) {
             let epoch = live.epoch;
+            self.recalled.insert(attempt);
             self.actions.push(Action::RecallAttempt { attempt, epoch });
         }
     }
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -8,6 +8,7 @@
 use dahlia_types::{Duration, EngineId, Incarnation, ModelId, Timestamp, Tokens, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::engine_sources::LeavingSource;
 use crate::node::Node;
 
 /// A report older than this does not count: the engine may be gone.
@@ -60,6 +61,10 @@
     pub age: Duration,
     /// Whether it reported lately.
     pub reachable: bool,
+    /// Who takes it out of service, if anybody does.
+    pub leaving: Option<LeavingSource>,
+    /// Where it listens, if that is known.
+    pub address: Option<std::net::SocketAddr>,
 }
 
 /// What is known of one engine.
@@ -67,6 +72,7 @@
     report: EngineReport,
     heard: Timestamp,
     usable: bool,
+    leaving: Option<LeavingSource>,
 }
 
 /// All engines that reported, as this node sees them.
@@ -86,6 +92,27 @@
         self.engines.values().filter(|known| now.since(known.heard) < REPORT_LIFE).count()
     }
 
+    /// The last report of an engine.
+    pub(crate) fn report(&self, engine: &EngineId) -> Option<&EngineReport> {
+        self.engines.get(engine).map(|known| &known.report)
+    }
+
+    /// The last report of each engine.
+    pub(crate) fn reports(&self) -> Vec<EngineReport> {
+        self.engines.values().map(|known| known.report.clone()).collect()
+    }
+
+    /// Notes who takes an engine out of service. Gives who did before; none for an engine that is
+    /// silent or was never heard of.
+    pub(crate) fn set_leaving(
+        &mut self,
+        engine: &EngineId,
+        leaving: Option<LeavingSource>,
+    ) -> Option<Option<LeavingSource>> {
+        let known = self.engines.get_mut(engine).filter(|known| known.usable)?;
+        Some(std::mem::replace(&mut known.leaving, leaving))
+    }
+
     /// The present life of each engine.
     pub(crate) fn lives(&self) -> Vec<(EngineId, Incarnation)> {
         let life = |known: &KnownEngine| (known.report.engine.clone(), known.report.incarnation);
@@ -118,17 +145,10 @@
         if before.is_some_and(|known| known.report.incarnation > report.incarnation) {
             return;
         }
-        let unchanged = before.is_some_and(|known| {
-            known.usable && !restarted && known.report.models == report.models
-        });
-        let joined = PlacementEvent::EngineJoined(EngineJoined {
-            engine: report.engine.clone(),
-            incarnation: report.incarnation,
-            zone: report.zone.clone(),
-            distance: self.engines.distance(&report.zone),
-            models: report.models.clone(),
-            capacity: capacity_of(&report),
-        });
+        let leaving = self.sources.leaving(&report);
+        let was_used = before.is_some_and(|known| known.usable && known.leaving.is_none());
+        let unchanged =
+            was_used && !restarted && before.is_some_and(|it| it.report.models == report.models);
         let load = PlacementEvent::EngineReport(PlacementReport {
             engine: report.engine.clone(),
             incarnation: report.incarnation,
@@ -139,25 +159,46 @@
             resident: report.cache_used,
             pinned: report.cache_pinned,
             models: report.models.clone(),
-            draining: report.leaving,
+            draining: leaving.is_some(),
         });
         let (engine, incarnation) = (report.engine.clone(), report.incarnation);
-        let known = KnownEngine { report, heard: now, usable: true };
+        let known = KnownEngine { report: report.clone(), heard: now, usable: true, leaving };
         self.engines.engines.insert(engine.clone(), known);
         if restarted {
             self.engine_restarted(&engine, incarnation, now);
         }
-        if !unchanged {
-            self.schedule(joined, now);
+        match leaving {
+            None if !unchanged => self.engine_joins(&report, now),
+            Some(source) if was_used => self.engine_leaves(&engine, source, now),
+            _ => {}
         }
         self.schedule(load, now);
     }
 
+    /// An engine may be given work from now on.
+    pub(crate) fn engine_joins(&mut self, report: &EngineReport, now: Timestamp) {
+        let joined = EngineJoined {
+            engine: report.engine.clone(),
+            incarnation: report.incarnation,
+            zone: report.zone.clone(),
+            distance: self.engines.distance(&report.zone),
+            models: report.models.clone(),
+            capacity: capacity_of(report),
+        };
+        self.schedule(PlacementEvent::EngineJoined(joined), now);
+    }
+
     /// Engines as operators see them.
     pub fn engine_views(&self, now: Timestamp) -> Vec<EngineView> {
         let view = |known: &KnownEngine| {
             let age = now.since(known.heard);
-            EngineView { report: known.report.clone(), age, reachable: age < REPORT_LIFE }
+            EngineView {
+                report: known.report.clone(),
+                age,
+                reachable: age < REPORT_LIFE,
+                leaving: known.leaving,
+                address: self.sources.address(&known.report.engine),
+            }
         };
         self.engines.engines.values().map(view).collect()
     }
@@ -166,6 +207,7 @@
     pub(crate) fn check_engines(&mut self, now: Timestamp) {
         for engine in self.engines.take_silent(now) {
             log::warn!(target: "engines", "{engine} fell silent. No new work for it.");
+            self.engine_state_lost(&engine, now);
             self.schedule(PlacementEvent::EngineGone(engine), now);
         }
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,7 +1,9 @@
 //! What drives a node, and what it asks of its driver.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use dahlia_configuration::{EngineState, FencedOrder, Proposal, Record, Verdict};
 use dahlia_program::{EngineLife, ReleaseRequest};
 use dahlia_types::{
     Attempt, AttemptId, CallId, Duration, EngineId, LogIndex, Message, ModelId, ProgramId,
@@ -9,7 +11,9 @@
 };
 
 use crate::bootstrap::LayoutStep;
+use crate::engine_sources::{EngineAddress, MachineListing};
 use crate::engines::EngineReport;
+use crate::key_value::{KeyValueEvent, KeyValueStep};
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
 use crate::wire::PeerMessage;
 
@@ -61,6 +65,19 @@
     },
     /// An engine reported.
     EngineReported(EngineReport),
+    /// An engine reported its models and its role.
+    EngineState(EngineId, EngineState),
+    /// The platform's list of machines was read.
+    Machines(MachineListing),
+    /// The key-value service answered about the configuration.
+    KeyValue(KeyValueEvent),
+    /// An operator asks for a change of the configuration. Answered by [`Action::Decided`].
+    ProposeChange {
+        /// Its name; the verdict carries it.
+        id: RequestId,
+        /// The change.
+        proposal: Proposal,
+    },
     /// The key-value service answered about the layout of groups.
     Layout(LayoutStep),
     /// A planned stop begins.
@@ -126,6 +143,21 @@
     },
     /// Ask an engine to free a program's memory.
     Release(Box<ReleaseOrder>),
+    /// Talk to these engines from now on. Readings of others go on for as long as they answer.
+    UseEngines(Vec<EngineAddress>),
+    /// Give an engine an order. It may be lost.
+    Order(Box<FencedOrder>),
+    /// Read, swap or watch the configuration's key.
+    KeyValue(KeyValueStep),
+    /// Answer an operator's change.
+    Decided {
+        /// The request.
+        id: RequestId,
+        /// What became of the change.
+        verdict: Verdict,
+    },
+    /// A generation is in force on this daemon. Generations only rise.
+    ConfigurationInForce(Arc<Record>),
     /// Read or write the layout of groups at the key-value service.
     Layout(LayoutStep),
     /// End the process: another life of this daemon has taken its place.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,14 +17,22 @@
 //! | `bootstrap` | the first layout of groups |
 //! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
+//! | `engine_sources` | which engines there are, and which leave |
+//! | `configuration` | the operators' configuration in force, and changes of it |
+//! | `key_value` | steps with the configuration's key |
+//! | `orders` | orders to engines that follow from the configuration |
 
 mod attempts;
 mod bootstrap;
+mod configuration;
+mod engine_sources;
 mod engines;
 mod event;
 mod group;
+mod key_value;
 mod members;
 mod node;
+mod orders;
 mod owner;
 mod recovery;
 mod release;
@@ -36,7 +44,11 @@
 pub mod wire;
 
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
+pub use configuration::ConfigurationView;
+pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
+pub use members::DaemonView;
 pub use node::{Node, NodeStatus};
 pub use settings::NodeSettings;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,5 +1,6 @@
 //! Which daemons are there, where groups are, and the upkeep of groups' members.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use dahlia_replication::directory::GroupDescription;
@@ -8,7 +9,7 @@
     Action as MembershipAction, Event as MembershipEvent, Fact, FactKey, Member, MemberInfo,
     MemberState,
 };
-use dahlia_types::{DaemonId, Duration, GroupId, ReplicaId, Timestamp};
+use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
 
 use crate::Action;
 use crate::node::Node;
@@ -17,6 +18,17 @@
 /// How often a leader looks after the members of its group.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A daemon as operators see it.
+#[derive(Debug, Clone)]
+pub struct DaemonView {
+    /// What membership holds of it.
+    pub member: Member,
+    /// Groups that it is thought to own.
+    pub groups_led: u32,
+    /// The generation of the configuration that it last told of; none when it has not lately.
+    pub generation: Option<Generation>,
+}
+
 impl Node {
     /// Feeds membership and carries out what it asks for.
     pub(crate) fn membership_event(&mut self, event: MembershipEvent, now: Timestamp) {
@@ -58,6 +70,25 @@
         members.into_iter().filter(Member::takes_work).map(|member| member.record.info).collect()
     }
 
+    /// All daemons known with the groups that each leads, as far as known here.
+    pub fn daemon_views(&self) -> Vec<DaemonView> {
+        let mut led: BTreeMap<DaemonId, u32> = BTreeMap::new();
+        for group in self.group_ids() {
+            if let Some(owner) = self.owner_hint(group) {
+                *led.entry(owner).or_default() += 1;
+            }
+        }
+        let view = |member: Member| {
+            let daemon = member.record.info.daemon;
+            DaemonView {
+                groups_led: led.get(&daemon).copied().unwrap_or(0),
+                generation: self.generation_of(daemon),
+                member,
+            }
+        };
+        self.membership.members().into_iter().map(view).collect()
+    }
+
     /// A connection to a daemon broke: it may have died.
     pub(crate) fn connection_lost(&mut self, peer: ReplicaId, now: Timestamp) {
         self.membership_event(MembershipEvent::ConnectionLost(peer.daemon), now);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,12 +11,15 @@
 use dahlia_replication::membership::{
     Event as MembershipEvent, Member, MemberInfo, MemberState, Membership,
 };
-use dahlia_types::{DaemonId, Duration, GroupId, LogIndex, ReplicaId, Timestamp};
+use dahlia_types::{AttemptId, DaemonId, Duration, GroupId, LogIndex, ReplicaId, Timestamp};
 use serde::Serialize;
 
 use crate::bootstrap::{Bootstrap, LayoutStep, choose_layout, decode_layout};
+use crate::configuration::Configuration;
+use crate::engine_sources::EngineSources;
 use crate::engines::EngineTable;
 use crate::group::{Group, Purpose, decode};
+use crate::orders::Orders;
 use crate::request::Response;
 use crate::routing::{ReplyTo, Router};
 use crate::wire::PeerMessage;
@@ -35,6 +38,11 @@
     pub(crate) router: Router,
     pub(crate) scheduler: Scheduler,
     pub(crate) engines: EngineTable,
+    pub(crate) sources: EngineSources,
+    pub(crate) configuration: Configuration,
+    pub(crate) orders: Orders,
+    /// Attempts that were taken back before they began to answer.
+    pub(crate) recalled: BTreeSet<AttemptId>,
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
     pub(crate) next_upkeep: Timestamp,
@@ -48,6 +56,10 @@
 pub struct NodeStatus {
     /// Whether it can route calls to owners.
     pub ready: bool,
+    /// What it waits for while it is not ready.
+    pub waits_for: Option<String>,
+    /// The generation of the configuration that it holds.
+    pub configuration_generation: u64,
     /// Whether a planned stop is under way.
     pub draining: bool,
     /// Daemons heard of lately, this one included.
@@ -78,7 +90,8 @@
             address: settings.address,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
-            state: MemberState::Live,
+            // It takes no work before it knows which configuration is in force.
+            state: MemberState::Joining,
         };
         let membership = Membership::new(
             own,
@@ -92,6 +105,10 @@
             membership,
             scheduler,
             engines: EngineTable::new(settings.zone.clone()),
+            sources: EngineSources::default(),
+            configuration: Configuration::new(&settings, now),
+            orders: Orders::default(),
+            recalled: BTreeSet::new(),
             settings,
             groups: BTreeMap::new(),
             directory: Directory::new(),
@@ -111,10 +128,7 @@
             Event::Tick => self.tick(now),
             Event::Message { from, message } => self.message(from, message, now),
             Event::ConnectionLost(peer) => self.connection_lost(peer, now),
-            Event::Request { id, request } => {
-                self.router.add(id, request, now);
-                self.route_due(now);
-            }
+            Event::Request { id, request } => self.take_request(id, request, now),
             Event::AttemptEnded { attempt, epoch, end } => {
                 self.attempt_ended(attempt, epoch, end, now);
             }
@@ -125,6 +139,10 @@
                 self.release_ended(program, &holder, covers, end, now);
             }
             Event::EngineReported(report) => self.engine_reported(report, now),
+            Event::EngineState(engine, state) => self.engine_state(engine, state, now),
+            Event::Machines(listing) => self.machine_listing(listing, now),
+            Event::KeyValue(event) => self.key_value(event, now),
+            Event::ProposeChange { id, proposal } => self.propose_change(id, proposal, now),
             Event::Layout(step) => self.layout(step, now),
             Event::Drain => self.drain(now),
         }
@@ -136,7 +154,9 @@
     pub fn status(&self, now: Timestamp) -> NodeStatus {
         let led = || self.groups.values().filter(|group| group.is_serving());
         NodeStatus {
-            ready: self.bootstrap.is_done() && !self.draining,
+            ready: self.waits_for().is_none(),
+            waits_for: self.waits_for().map(str::to_owned),
+            configuration_generation: self.configuration.generation().0,
             draining: self.draining,
             live_daemons: self.live_members().len(),
             groups_held: self.groups.len(),
@@ -148,6 +168,20 @@
         }
     }
 
+    /// Why this node does not take calls, if it does not.
+    fn waits_for(&self) -> Option<&'static str> {
+        if self.draining {
+            return Some("a planned stop is under way");
+        }
+        let unlaid = "the replica groups are not laid out yet";
+        self.configuration.problem().or((!self.is_laid_out()).then_some(unlaid))
+    }
+
+    /// Whether the groups are known to be laid out.
+    pub(crate) fn is_laid_out(&self) -> bool {
+        self.bootstrap.is_done()
+    }
+
     /// Where the owner of a group is thought to listen.
     pub fn owner_address(&self, group: GroupId) -> Option<SocketAddr> {
         let daemon = self.owner_hint(group)?;
@@ -198,6 +232,7 @@
 
     fn tick(&mut self, now: Timestamp) {
         self.membership_event(MembershipEvent::Tick, now);
+        self.configuration_tick(now);
         self.read_layout(now);
         self.upkeep(now);
         for group in self.groups.values_mut() {
@@ -208,6 +243,7 @@
         }
         self.schedule(dahlia_placement::Event::Tick, now);
         self.check_engines(now);
+        self.plan_due(now);
         self.check_attempts(now);
         self.retry_releases(now);
         self.expire_programs(now);
@@ -220,6 +256,9 @@
             PeerMessage::Membership(envelope) => {
                 self.membership_event(MembershipEvent::Received(*envelope), now);
             }
+            PeerMessage::Configuration(message) => {
+                self.configuration_message(from.daemon, message, now);
+            }
             PeerMessage::Groups(batch) => self.group_messages(batch, now),
             PeerMessage::Request { id, request } => {
                 // Without an address the answer has nowhere to go; the asker repeats.
@@ -306,7 +345,13 @@
         }
     }
 
-    fn drain(&mut self, _now: Timestamp) {
+    /// Takes work again after a drain that the configuration asked for.
+    pub(crate) fn end_drain(&mut self) {
+        self.draining = false;
+        self.membership.set_state(MemberState::Live);
+    }
+
+    pub(crate) fn drain(&mut self, _now: Timestamp) {
         self.draining = true;
         self.announce_leaving();
         for group in self.groups.values_mut() {
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -91,6 +91,7 @@
         };
         log::info!(target: "groups", "No longer owner of {id}.");
         group.serving = None;
+        self.recalled.retain(|attempt| attempt.call.program.group != id);
         let attempts = std::mem::take(&mut group.live);
         let pending = std::mem::take(&mut group.pending);
         let deferred = std::mem::take(&mut group.deferred);
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -20,6 +20,18 @@
 const UNAVAILABLE_RETRY: std::time::Duration = std::time::Duration::from_secs(2);
 
 impl Node {
+    /// A request of this daemon's gateway or operators' server.
+    pub(crate) fn take_request(&mut self, id: RequestId, request: Request, now: Timestamp) {
+        if let Some(problem) = self.configuration.problem() {
+            let error = ApiError::new(ErrorKind::Unavailable, problem);
+            let response = Response::Failed(error.with_retry_after(UNAVAILABLE_RETRY));
+            self.actions.push(Action::Respond { id, response });
+            return;
+        }
+        self.router.add(id, request, now);
+        self.route_due(now);
+    }
+
     /// Sends every request that is due to whoever may own its group.
     pub(crate) fn route_due(&mut self, now: Timestamp) {
         for id in self.router.take_expired(now) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -46,6 +46,10 @@
     pub attempt_limit: Duration,
     /// How long the records of an ended program are kept, for late repeats of its calls.
     pub keep_records: Duration,
+    /// How the operators' configuration spreads and is accepted.
+    pub configuration: dahlia_configuration::Settings,
+    /// The document that is offered when the system has none; none leaves that to operators.
+    pub first_document: Option<String>,
     /// Seed of all random draws.
     pub seed: u64,
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -82,6 +82,8 @@
 pub enum PeerMessage {
     /// Of replica groups. One frame carries all that is due to one peer.
     Groups(PeerBatch),
+    /// Of the operators' configuration.
+    Configuration(dahlia_configuration::PeerMessage),
     /// Of membership and spread facts.
     Membership(Box<Envelope>),
     /// A request to the owner of a group.
--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -65,17 +65,39 @@
     in_flight: usize,
 }
 
+/// Most calls that tenants may have open here, waiting and dispatched together.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct OpenCallLimits {
+    /// Of a tenant that `exceptions` does not name; none when there is no such limit.
+    pub default: Option<usize>,
+    /// Of named tenants.
+    pub exceptions: BTreeMap<TenantId, usize>,
+}
+
+impl OpenCallLimits {
+    fn of(&self, tenant: &TenantId) -> Option<usize> {
+        self.exceptions.get(tenant).copied().or(self.default)
+    }
+}
+
 /// Counts per tenant and the bounds on them.
 #[derive(Debug)]
 pub(crate) struct Admission {
     settings: AdmissionSettings,
+    open_calls: OpenCallLimits,
     tenants: BTreeMap<TenantId, TenantCalls>,
     waiting: usize,
 }
 
 impl Admission {
     pub(crate) fn new(settings: AdmissionSettings) -> Self {
-        Self { settings, tenants: BTreeMap::new(), waiting: 0 }
+        let open_calls = OpenCallLimits::default();
+        Self { settings, open_calls, tenants: BTreeMap::new(), waiting: 0 }
+    }
+
+    /// Puts other limits in force. Calls that are open stay.
+    pub(crate) fn set_open_calls(&mut self, limits: OpenCallLimits) {
+        self.open_calls = limits;
     }
 
     /// The longest that a call may be expected to wait.
@@ -95,7 +117,9 @@
         patience: Duration,
     ) -> Result<(), RefusalReason> {
         let calls = self.tenants.get(tenant).copied().unwrap_or_default();
-        if calls.waiting > self.settings.tenant_queue_limit {
+        let open = calls.waiting + calls.in_flight;
+        let is_over = self.open_calls.of(tenant).is_some_and(|limit| open > limit);
+        if is_over || calls.waiting > self.settings.tenant_queue_limit {
             return Err(RefusalReason::TenantLimit);
         }
         if self.waiting > self.settings.queue_limit || expected > patience {
@@ -107,7 +131,8 @@
     /// Whether the tenant has as many calls in flight as it may have.
     pub(crate) fn at_limit(&self, tenant: &TenantId) -> bool {
         let calls = self.tenants.get(tenant).copied().unwrap_or_default();
-        calls.in_flight >= self.settings.tenant_in_flight_limit
+        let open = self.open_calls.of(tenant).unwrap_or(usize::MAX);
+        calls.in_flight >= self.settings.tenant_in_flight_limit.min(open)
     }
 
     pub(crate) fn began_waiting(&mut self, tenant: &TenantId) {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -22,6 +22,7 @@
 mod view;
 
 pub use action::{Action, CopySource, RefusalReason, ReleaseReason, Tier};
+pub use admission::OpenCallLimits;
 pub use event::{
     AttemptFailed, AttemptFailure, CacheNotice, CallReady, EngineCapacity, EngineInventory,
     EngineJoined, EngineReport, Event, HistorySegment, PauseBegan,
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
-use crate::admission::Admission;
+use crate::admission::{Admission, OpenCallLimits};
 use crate::call::OpenAttempt;
 use crate::policy::{self, Policy};
 use crate::programs::Programs;
@@ -109,6 +109,11 @@
         actions
     }
 
+    /// Puts other limits on tenants' open calls in force. Calls that are open stay.
+    pub fn set_open_call_limits(&mut self, limits: OpenCallLimits) {
+        self.admission.set_open_calls(limits);
+    }
+
     /// Counters and sizes.
     pub fn stats(&self) -> SchedulerStats {
         let waiting: usize = self.models.values().map(|model| model.lanes.len()).sum();
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -30,6 +30,8 @@
 pub const OPERATOR_TOKEN: &str = "rehearsal-operator-token";
 const PEER_KEY: &str = "rehearsal-peer-key";
 const DRAIN_MS: u64 = 20_000;
+/// The few daemons of a rehearsal tell each other of a generation in less than this.
+const SPREAD_WITHIN: dahlia_types::Duration = dahlia_types::Duration::from_secs(1);
 /// How long a cluster may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(50);
@@ -213,6 +215,10 @@
                 engines: engines.collect(),
                 ..PlatformSettings::default()
             },
+            configuration: dahlia_configuration::Settings {
+                spread_within: SPREAD_WITHIN,
+                ..dahlia_configuration::Settings::default()
+            },
             limits: RequestLimits::default(),
             layout: LayoutSettings {
                 groups: self.plan.groups,
