--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,11 +5,13 @@
 //! | `arguments` | commands and flags |
 //! | `connection` | the way to a daemon |
 //! | `commands` | what each command asks |
+//! | `configuration` | the commands on the configuration |
 //! | `output` | tables and JSON |
 //! | `failure` | errors and exit codes |
 
 pub mod arguments;
 mod commands;
+mod configuration;
 mod connection;
 mod failure;
 mod output;
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -1,9 +1,10 @@
 //! Answers as tables or JSON.
 
 use dahlia_api::operators::{
-    Budget, Call, Daemon, DrainResponse, Engine, ListDaemonsResponse, ListEnginesResponse,
-    ListProgramsResponse, Program,
+    Budget, Call, ConfigurationGeneration, Daemon, DrainResponse, Engine, HistoryResponse,
+    ListDaemonsResponse, ListEnginesResponse, ListProgramsResponse, Program,
 };
+use dahlia_configuration::Difference;
 use serde::Serialize;
 use snafu::ResultExt;
 
@@ -68,11 +69,23 @@
                 daemon.zone.clone(),
                 daemon.region.clone(),
                 daemon.state.clone(),
+                daemon.groups_led.to_string(),
+                daemon.configuration_generation.to_string(),
                 daemon.address.clone(),
             ]
         };
         let rows: Vec<Vec<String>> = listed.daemons.iter().map(row).collect();
-        table(&["DAEMON", "INCARNATION", "ZONE", "REGION", "STATE", "ADDRESS"], &rows)
+        let columns = [
+            "DAEMON",
+            "INCARNATION",
+            "ZONE",
+            "REGION",
+            "STATE",
+            "GROUPS LED",
+            "GENERATION",
+            "ADDRESS",
+        ];
+        table(&columns, &rows)
     })
 }
 
@@ -83,7 +96,7 @@
             vec![
                 engine.engine.clone(),
                 engine.zone.clone(),
-                engine.state.clone(),
+                engine_state(engine),
                 engine.models.join(","),
                 engine.running.to_string(),
                 engine.queued.to_string(),
@@ -98,6 +111,92 @@
     })
 }
 
+fn engine_state(engine: &Engine) -> String {
+    if engine.leaving_by.is_empty() {
+        return engine.state.clone();
+    }
+    format!("{} (by {})", engine.state, engine.leaving_by)
+}
+
+/// A generation with its document. The first line is the base that `apply` takes by default.
+pub(crate) fn generation(
+    shown: &ConfigurationGeneration,
+    form: OutputForm,
+) -> Result<String, Failure> {
+    show(shown, form, || {
+        let newline = if shown.document.ends_with('\n') { "" } else { "\n" };
+        format!("{BASE_LINE}{}\n{}{newline}", shown.generation, shown.document)
+    })
+}
+
+/// A change without its document.
+pub(crate) fn change(shown: &ConfigurationGeneration, form: OutputForm) -> Result<String, Failure> {
+    show(shown, form, || table(&CHANGE_COLUMNS, &[change_row(shown)]))
+}
+
+/// Changes, newest first.
+pub(crate) fn history(listed: &HistoryResponse, form: OutputForm) -> Result<String, Failure> {
+    show(listed, form, || {
+        let rows: Vec<Vec<String>> = listed.generations.iter().map(change_row).collect();
+        table(&CHANGE_COLUMNS, &rows)
+    })
+}
+
+/// Fields that differ.
+pub(crate) fn differences(
+    generation: u64,
+    found: &[Difference],
+    form: OutputForm,
+) -> Result<String, Failure> {
+    let rows: Vec<DifferenceRow<'_>> = found.iter().map(DifferenceRow::of).collect();
+    let shown = DifferencesShown { generation, differences: rows };
+    show(&shown, form, || {
+        if found.is_empty() {
+            return format!("no difference to generation {generation}\n");
+        }
+        found.iter().map(|difference| format!("{difference}\n")).collect()
+    })
+}
+
+/// Differences as JSON.
+#[derive(Serialize)]
+struct DifferencesShown<'a> {
+    generation: u64,
+    differences: Vec<DifferenceRow<'a>>,
+}
+
+/// One difference as JSON.
+#[derive(Serialize)]
+struct DifferenceRow<'a> {
+    field: &'a str,
+    before: Option<&'a str>,
+    after: Option<&'a str>,
+}
+
+impl<'a> DifferenceRow<'a> {
+    fn of(difference: &'a Difference) -> Self {
+        Self {
+            field: &difference.field,
+            before: difference.before.as_deref(),
+            after: difference.after.as_deref(),
+        }
+    }
+}
+
+/// What the first line of a shown document begins with; the generation follows.
+pub(crate) const BASE_LINE: &str = "# generation ";
+
+const CHANGE_COLUMNS: [&str; 4] = ["GENERATION", "AUTHOR", "CHANGE", "PROPOSED UNIX MS"];
+
+fn change_row(shown: &ConfigurationGeneration) -> Vec<String> {
+    vec![
+        shown.generation.to_string(),
+        shown.author.clone(),
+        shown.change_id.clone(),
+        shown.accepted_unix_ms.to_string(),
+    ]
+}
+
 /// The state after a drain was asked for.
 pub(crate) fn drained(response: &DrainResponse, form: OutputForm) -> Result<String, Failure> {
     show(response, form, || format!("{}\n", response.state))
