--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -5,25 +5,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dahlia_configuration::Record;
 use dahlia_node::{Node, NodeSettings};
+use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 use crate::answers::AnswerBoard;
 use crate::chunk_store::{OpenError, StoreTasks};
 use crate::clock::Clock;
-use crate::core::{Core, CoreHandle, Hands, channel, deliver};
+use crate::configuration_key::ConfigurationKey;
+use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
 use crate::engines::EngineTasks;
+use crate::first_document::first_document;
 use crate::gateway::{self, Gateway};
 use crate::handshake::Identity;
 use crate::logging::part;
+use crate::machine_list;
 use crate::metrics::Metrics;
 use crate::operators::{self, Operators};
 use crate::peers::{self, Incoming, PeerSender, Traffic};
@@ -90,6 +95,7 @@
     traffic: Arc<Traffic>,
     identity: Identity,
     metrics: Arc<Metrics>,
+    in_force: watch::Receiver<Option<Arc<Record>>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -122,28 +128,32 @@
     let (core, inbox) = channel(own);
     let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
-    let engines = EngineTasks::new(&settings.platform.engines, core.clone(), board.clone());
-    engines.start_reports();
+    let key_value = settings
+        .platform
+        .key_value
+        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
+    let (publisher, in_force) = watch::channel(None);
     let peers = PeerSender::new(identity.clone(), incoming.clone());
     let traffic = peers.traffic();
-    let driver = Core::new(
-        Node::new(node_settings(settings, own, peer_address), clock.now()),
-        clock,
-        inbox,
-        Hands {
-            peers,
-            engines,
-            platform: PlatformState::new(settings.platform.key_value, core.clone()),
-            store: open_store(settings, &core)?,
-            metrics: metrics.clone(),
-        },
-    );
-    let tasks = vec![
-        tokio::spawn(driver.run()),
+    let parts = CoreParts {
+        peers,
+        engines: EngineTasks::new(core.clone(), board.clone()),
+        platform: PlatformState::new(key_value.clone(), core.clone()),
+        configuration_key: ConfigurationKey::new(key_value, core.clone()),
+        store: open_store(settings, &core)?,
+        in_force: publisher,
+        metrics: metrics.clone(),
+    };
+    let node = Node::new(node_settings(settings, own, peer_address), clock.now());
+    let mut tasks = vec![
+        tokio::spawn(Core::new(node, clock, inbox, parts).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming)),
         tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
     ];
-    Ok(ControlParts { core, peer_address, traffic, identity, metrics, tasks })
+    if let Some(machines) = settings.platform.machines {
+        tasks.push(tokio::spawn(machine_list::follow(machines, core.clone())));
+    }
+    Ok(ControlParts { core, peer_address, traffic, identity, metrics, in_force, tasks })
 }
 
 /// Starts a daemon.
@@ -169,6 +179,7 @@
     let operators = Operators {
         core: core.clone(),
         token: settings.credentials.operator_token.as_str().into(),
+        in_force: control.in_force.clone(),
     };
     let serving = tokio::spawn(serve_operators(operators_listener, operators));
     let peer_address = control.peer_address;
@@ -300,6 +311,8 @@
         attempts_per_call: settings.calls.attempts,
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
+        configuration: settings.configuration.clone(),
+        first_document: first_document(&settings.platform.engines),
         seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,15 +18,23 @@
 //! | `history` | old turns on store daemons' disks |
 //! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
+//! | `engine_sources` | which engines there are, and which leave |
+//! | `configuration` | the operators' configuration in force, and changes of it |
+//! | `key_value` | steps with the configuration's key |
+//! | `orders` | orders to engines that follow from the configuration |
 
 mod attempts;
 mod bootstrap;
+mod configuration;
+mod engine_sources;
 mod engines;
 mod event;
 mod group;
 pub mod history;
+mod key_value;
 mod members;
 mod node;
+mod orders;
 mod owner;
 mod recovery;
 mod release;
@@ -38,8 +46,12 @@
 pub mod wire;
 
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
+pub use configuration::ConfigurationView;
+pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
 pub use history::HistorySettings;
+pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
+pub use members::DaemonView;
 pub use node::{Node, NodeStatus};
 pub use settings::NodeSettings;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -83,6 +83,8 @@
 pub enum PeerMessage {
     /// Of replica groups. One frame carries all that is due to one peer.
     Groups(PeerBatch),
+    /// Of the operators' configuration.
+    Configuration(dahlia_configuration::PeerMessage),
     /// Of membership and spread facts.
     Membership(Box<Envelope>),
     /// Of bulk history.
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -32,6 +32,9 @@
 pub const OPERATOR_TOKEN: &str = "rehearsal-operator-token";
 const PEER_KEY: &str = "rehearsal-peer-key";
 const DRAIN_MS: u64 = 20_000;
+/// Up to so many daemons tell each other of a generation within [`SPREAD_AMONG_FEW`].
+const FEW_DAEMONS: u32 = 16;
+const SPREAD_AMONG_FEW: dahlia_types::Duration = dahlia_types::Duration::from_secs(1);
 /// How long a cluster may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(50);
@@ -377,6 +380,7 @@
             engines: plan.engines.clone(),
             ..PlatformSettings::default()
         },
+        configuration: configuration_settings(plan.bootstrap_daemons),
         limits: RequestLimits::default(),
         layout: LayoutSettings {
             groups: plan.groups,
@@ -395,6 +399,15 @@
     }
 }
 
+/// A few daemons tell each other of a generation in one round; many need the default time.
+fn configuration_settings(daemons: u32) -> dahlia_configuration::Settings {
+    let mut settings = dahlia_configuration::Settings::default();
+    if daemons <= FEW_DAEMONS {
+        settings.spread_within = SPREAD_AMONG_FEW;
+    }
+    settings
+}
+
 /// What a daemon says of itself; null when it does not answer.
 pub(crate) async fn read_status(client: &Client, gateway: SocketAddr) -> serde_json::Value {
     let answer = client.get(format!("http://{gateway}/readyz")).send().await;
