--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -22,6 +22,35 @@
         /// Cause.
         message: String,
     },
+    /// A file could not be read.
+    #[snafu(display("reading {path}: {source}"))]
+    Read {
+        /// The file.
+        path: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A file is not a valid document.
+    #[snafu(display("{path}: {source}"))]
+    Document {
+        /// The file.
+        path: String,
+        /// What is wrong.
+        source: dahlia_configuration::DocumentError,
+    },
+    /// Nobody can say whether a change was accepted.
+    #[snafu(display(
+        "the change may have been accepted: {message}; find out by the same command with --change \
+         {change} --expected {expected}"
+    ))]
+    Undecided {
+        /// The change's identity.
+        change: String,
+        /// The generation that it was made from.
+        expected: u64,
+        /// What was heard last.
+        message: String,
+    },
     /// The daemon refused.
     #[snafu(display("{step}: {name}: {message}{}", come_back(*retry_after_ms)))]
     Refused {
@@ -58,10 +87,12 @@
 }
 
 /// The exit code of a failure: 2 wrong use, 3 not reached or to be tried again, 4 not found,
-/// 5 conflict, 6 not allowed, 7 refused by a limit or a budget, 1 anything else.
+/// 5 conflict, 6 not allowed, 7 refused by a limit or a budget, 8 a change's outcome is unknown,
+/// 1 anything else.
 pub fn exit_code(failure: &Failure) -> u8 {
     match failure {
-        Failure::Usage { .. } => 2,
+        Failure::Usage { .. } | Failure::Read { .. } | Failure::Document { .. } => 2,
+        Failure::Undecided { .. } => 8,
         Failure::Connect { .. } => 3,
         Failure::Show { .. } => 1,
         Failure::Refused { name, .. } => match name.as_str() {
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -2,29 +2,36 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use dahlia_configuration::Record;
 use dahlia_node::{Node, NodeFaults, NodeSettings};
+use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 use crate::answers::AnswerBoard;
+use crate::chunk_store::{OpenError, StoreTasks};
 use crate::clock::Clock;
-use crate::core::{Core, CoreHandle, channel, deliver};
+use crate::configuration_key::ConfigurationKey;
+use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
 use crate::engines::EngineTasks;
+use crate::first_document::first_document;
 use crate::gateway::{self, Gateway};
 use crate::handshake::Identity;
 use crate::logging::part;
+use crate::machine_list;
 use crate::metrics::Metrics;
 use crate::operators::{self, Operators};
-use crate::peers::{self, Incoming, PeerSender};
+use crate::peers::{self, Incoming, PeerSender, Traffic};
 use crate::platform_state::PlatformState;
 use crate::serve_answers;
 use crate::settings::Settings;
@@ -49,6 +56,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// The data folder could not be used.
+    #[snafu(display("{source}"))]
+    Store {
+        /// Cause.
+        source: OpenError,
+    },
     /// The metrics could not be set up.
     #[snafu(display("setting up metrics: {source}"))]
     Metrics {
@@ -61,7 +74,8 @@
 pub struct RunningDaemon {
     core: CoreHandle,
     gateway: ServerHandle,
-    tasks: Vec<JoinHandle<()>>,
+    control: ControlParts,
+    operators: JoinHandle<()>,
     drain_limit: Duration,
     /// Where callers connect.
     pub gateway_address: SocketAddr,
@@ -71,66 +85,115 @@
     pub peer_address: SocketAddr,
 }
 
-/// Starts a daemon.
+/// The parts of a daemon that control the system: membership, groups, configuration. A hollow
+/// daemon of a scale run has nothing else.
+pub struct ControlParts {
+    /// Talks to the node.
+    pub core: CoreHandle,
+    /// Where other daemons connect.
+    pub peer_address: SocketAddr,
+    traffic: Arc<Traffic>,
+    identity: Identity,
+    metrics: Arc<Metrics>,
+    in_force: watch::Receiver<Option<Arc<Record>>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ControlParts {
+    /// Bytes and frames sent to other daemons.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    /// Stops at once, like a death: connections break, memory is lost.
+    pub fn stop(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts the control parts of a daemon.
 ///
 /// # Errors
-/// [`StartError`] when an address is taken.
-pub async fn start(settings: &Settings) -> Result<RunningDaemon, StartError> {
+/// [`StartError`] when the address is taken.
+pub fn start_control(settings: &Settings) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
     let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
     let peer_listener = listen("peers", settings.daemon.peer_address)?;
-    let gateway_listener = listen("callers", settings.daemon.gateway_address)?;
-    let operators_listener = listen("operators", settings.daemon.operators_address)?;
     let peer_address = local(&peer_listener, settings.daemon.peer_address);
-    let gateway_address = local(&gateway_listener, settings.daemon.gateway_address);
-    let operators_address = local(&operators_listener, settings.daemon.operators_address);
-
     let key = PeerKey::new(settings.credentials.peer_key.as_bytes());
     let identity = Identity { daemon: own.daemon, incarnation: own.incarnation, key };
     let metrics = Metrics::new().context(MetricsSnafu)?;
     let (core, inbox) = channel(own);
     let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
-    let engines = EngineTasks::new(&settings.platform.engines, core.clone(), board.clone());
-    engines.start_reports();
-    let driver = Core::new(
-        Node::new(node_settings(settings, own, peer_address), clock.now()),
-        clock,
-        inbox,
-        PeerSender::new(identity.clone(), incoming.clone()),
-        engines,
-        PlatformState::new(settings.platform.key_value, core.clone()),
-        metrics.clone(),
-    );
+    let key_value = settings
+        .platform
+        .key_value
+        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
+    let (publisher, in_force) = watch::channel(None);
+    let peers = PeerSender::new(identity.clone(), incoming.clone());
+    let traffic = peers.traffic();
+    let parts = CoreParts {
+        peers,
+        engines: EngineTasks::new(core.clone(), board.clone()),
+        platform: PlatformState::new(key_value.clone(), core.clone()),
+        configuration_key: ConfigurationKey::new(key_value, core.clone()),
+        store: open_store(settings, &core)?,
+        in_force: publisher,
+        metrics: metrics.clone(),
+    };
+    let node = Node::new(node_settings(settings, own, peer_address), clock.now());
+    let mut tasks = vec![
+        tokio::spawn(Core::new(node, clock, inbox, parts).run()),
+        tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming)),
+        tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
+    ];
+    if let Some(machines) = settings.platform.machines {
+        tasks.push(tokio::spawn(machine_list::follow(machines, core.clone())));
+    }
+    Ok(ControlParts { core, peer_address, traffic, identity, metrics, in_force, tasks })
+}
 
+/// Starts a daemon.
+///
+/// # Errors
+/// [`StartError`] when an address is taken.
+pub async fn start(settings: &Settings) -> Result<RunningDaemon, StartError> {
+    let gateway_listener = listen("callers", settings.daemon.gateway_address)?;
+    let operators_listener = listen("operators", settings.daemon.operators_address)?;
+    let gateway_address = local(&gateway_listener, settings.daemon.gateway_address);
+    let operators_address = local(&operators_listener, settings.daemon.operators_address);
+    let control = start_control(settings)?;
+    let core = control.core.clone();
     let gateway_parts = Gateway::new(
         core.clone(),
-        identity.clone(),
+        control.identity.clone(),
         TenantKey::new(settings.credentials.tenant_key.as_bytes()),
         settings.limits.clone(),
-        metrics,
+        control.metrics.clone(),
     );
     let gateway = gateway::serve(gateway_listener, gateway_parts)
         .context(ListenSnafu { part: "callers", address: gateway_address })?;
     let operators = Operators {
         core: core.clone(),
         token: settings.credentials.operator_token.as_str().into(),
+        in_force: control.in_force.clone(),
     };
-    let tasks = vec![
-        tokio::spawn(driver.run()),
-        tokio::spawn(peers::listen(peer_listener, identity, incoming)),
-        tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
-        tokio::spawn(serve_operators(operators_listener, operators)),
-    ];
+    let serving = tokio::spawn(serve_operators(operators_listener, operators));
+    let peer_address = control.peer_address;
     log::info!(
         target: part::DAEMON,
-        "{own} serves callers on {gateway_address}, operators on {operators_address}, peers on \
-         {peer_address}."
+        "{} serves callers on {gateway_address}, operators on {operators_address}, peers on \
+         {peer_address}.",
+        core.own()
     );
     Ok(RunningDaemon {
         core,
         gateway,
-        tasks,
+        control,
+        operators: serving,
         drain_limit: Duration::from_millis(settings.daemon.drain_ms),
         gateway_address,
         operators_address,
@@ -169,9 +232,8 @@
     /// Stops at once.
     pub fn stop(self) {
         self.gateway.stop_forcible();
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.operators.abort();
+        self.control.stop();
         log::info!(target: part::DAEMON, "Stopped.");
     }
 }
@@ -194,6 +256,15 @@
     listener.local_addr().unwrap_or(wanted)
 }
 
+fn open_store(settings: &Settings, core: &CoreHandle) -> Result<StoreTasks, StartError> {
+    match &settings.daemon.data_folder {
+        None => Ok(StoreTasks::default()),
+        Some(folder) => {
+            StoreTasks::open(folder, settings.store.clone(), core.clone()).context(StoreSnafu)
+        }
+    }
+}
+
 async fn serve_operators(listener: TcpListener, operators: Operators) {
     if let Err(error) = operators::serve(listener, operators).await {
         log::error!(target: part::OPERATORS, "Serving operators ended: {error}.");
@@ -230,6 +301,8 @@
         replicas: settings.layout.replicas,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
         group: settings.groups.clone(),
+        has_store: settings.daemon.data_folder.is_some(),
+        history: settings.history.clone(),
         membership: settings.membership.clone(),
         maintenance,
         limits: ProgramLimits::default(),
@@ -238,6 +311,8 @@
         attempts_per_call: settings.calls.attempts,
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
+        configuration: settings.configuration.clone(),
+        first_document: first_document(&settings.platform.engines),
         seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
         faults: NodeFaults::default(),
     }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -1,12 +1,11 @@
 //! Attempts: from placement's decision over the durable intent to the recorded outcome.
 
-use dahlia_api::ErrorKind;
 use dahlia_placement::{
     Action as Decision, AttemptFailed, AttemptFailure, Event as PlacementEvent, RefusalReason,
 };
 use dahlia_program::{
-    AbandonCall, AttemptOutcome, CallOutcome, Command, EngineLife, IntentRecorded, RecordIntent,
-    RecordOutcome, Refusal,
+    AbandonCall, AttemptOutcome, CallOutcome, Command, EngineLife, IntentRecorded, NotRunReason,
+    RecordIntent, RecordOutcome, Refusal,
 };
 use dahlia_types::{
     Attempt, AttemptId, CallId, Duration, EngineId, GroupId, Incarnation, Message, ProgramId, Role,
@@ -36,7 +35,7 @@
                 self.propose_intent(attempt, engine, incarnation, priority, now);
             }
             Decision::Refuse { call, retry_after, reason } => {
-                self.abandon(call, &refusal_text(reason, retry_after), now);
+                self.abandon(call, not_run_reason(reason), Some(retry_after), now);
             }
             Decision::Requeue { attempt, .. } => self.recall(attempt),
             // Without host memory nothing is offloaded; freeing is what comes nearest.
@@ -58,20 +57,14 @@
         now: Timestamp,
     ) {
         let id = attempt.call.program.group;
-        let Some(group) = self.groups.get(&id) else {
-            return;
-        };
-        let prompt = group.state.program(attempt.call.program).and_then(|program| {
-            let messages = program.prompt(attempt.call)?.ok()?;
-            Some(
-                messages
-                    .iter()
-                    .fold(Tokens::ZERO, |sum, message| sum.saturating_add(token_bound(message))),
-            )
-        });
-        let Some(prompt_bound) = prompt else {
+        let Some(prompt) = self.compose_prompt(attempt.call, now) else {
+            // Its chunks were dropped while it waited for an engine.
+            self.schedule(PlacementEvent::CallWithdrawn(attempt.call), now);
+            self.wait_for_prompt(attempt.call);
             return;
         };
+        let bound = |sum: Tokens, message: &Message| sum.saturating_add(token_bound(message));
+        let prompt_bound = prompt.iter().fold(Tokens::ZERO, bound);
         let command =
             RecordIntent { attempt, engine: engine.clone(), incarnation, prompt_bound, at: now };
         let holder = EngineLife { engine, incarnation };
@@ -110,9 +103,28 @@
         let epoch = group.replica.term();
         let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(intent.attempt, live);
+        if !self.may_use(&intent.holder.engine) {
+            // The engine was taken out of service while the intent was on its way to a quorum. No
+            // byte has left, and only this owner could have sent one in this epoch.
+            self.recalled.insert(intent.attempt);
+            let reason = "the engine was taken out of service before the attempt was sent";
+            let end = AttemptEnd::NotRun { reason: reason.to_owned(), retry_after: None };
+            self.attempt_ended(intent.attempt, epoch, end, now);
+            return;
+        }
+        let prompt = self.compose_prompt(intent.attempt.call, now);
         let start = self.describe_start(&intent, epoch, terms.generated_cap);
-        if let Some(start) = start {
-            self.actions.push(Action::StartAttempt(Box::new(start)));
+        match (prompt, start) {
+            (Some(messages), Some(mut start)) => {
+                start.messages = messages;
+                self.actions.push(Action::StartAttempt(Box::new(start)));
+            }
+            _ => {
+                // Its chunks were dropped meanwhile. No byte has left, so it has not run.
+                let reason = "its history has to be read back first".to_owned();
+                let end = AttemptEnd::NotRun { reason, retry_after: None };
+                self.attempt_ended(intent.attempt, epoch, end, now);
+            }
         }
     }
 
@@ -133,7 +145,7 @@
         }
     }
 
-    /// What the engine must be told of an attempt.
+    /// What the engine must be told of an attempt, without the prompt.
     pub(crate) fn describe_start(
         &self,
         intent: &IntentPurpose,
@@ -142,7 +154,6 @@
     ) -> Option<StartAttempt> {
         let call = intent.attempt.call;
         let program = self.groups.get(&call.program.group)?.state.program(call.program)?;
-        let messages = program.prompt(call)?.ok()?;
         Some(StartAttempt {
             attempt: Attempt {
                 id: intent.attempt,
@@ -152,7 +163,7 @@
             engine: intent.holder.engine.clone(),
             tenant: program.specification().tenant.clone(),
             model: program.specification().model.clone(),
-            messages: messages.into_iter().cloned().collect(),
+            messages: Vec::new(),
             prompt_bound: intent.prompt_bound,
             max_generated,
             priority: intent.priority,
@@ -169,11 +180,12 @@
         let call = intent.attempt.call;
         match refusal {
             Refusal::BudgetExhausted { .. } | Refusal::TooMany { .. } => {
-                let kind = match refusal {
-                    Refusal::BudgetExhausted { .. } => ErrorKind::BudgetExhausted,
-                    _ => ErrorKind::LimitReached,
+                let reason = match refusal {
+                    Refusal::BudgetExhausted { .. } => NotRunReason::BudgetExhausted,
+                    _ => NotRunReason::LimitReached,
                 };
-                self.abandon(call, &format!("{}: {refusal}", kind.name()), now);
+                self.abandon(call, reason, None, now);
+                self.schedule(PlacementEvent::CallWithdrawn(call), now);
             }
             Refusal::StaleIncarnation { .. } => {
                 let failure = AttemptFailure::Refused;
@@ -188,7 +200,13 @@
     }
 
     /// Ends a call that has no attempt under way.
-    pub(crate) fn abandon(&mut self, call: CallId, reason: &str, now: Timestamp) {
+    pub(crate) fn abandon(
+        &mut self,
+        call: CallId,
+        reason: NotRunReason,
+        retry_after: Option<Duration>,
+        now: Timestamp,
+    ) {
         let id = call.program.group;
         let Some(group) = self.groups.get_mut(&id) else {
             return;
@@ -198,7 +216,7 @@
         let outcome = if may_have_run {
             CallOutcome::Unknown
         } else {
-            CallOutcome::NotRun { reason: reason.to_owned() }
+            CallOutcome::NotRun { reason, retry_after }
         };
         let command = Command::AbandonCall(AbandonCall { call, outcome, at: now });
         let _ = group.propose(command, Purpose::Housekeeping, now);
@@ -246,6 +264,7 @@
             return;
         };
         let attempt = recorded.attempt;
+        self.recalled.remove(&attempt);
         if let Some(group) = self.groups.get_mut(&attempt.call.program.group) {
             group.taken_over.remove(&attempt);
         }
@@ -268,15 +287,16 @@
             return;
         };
         let attempt = recorded.attempt;
+        let was_recalled = self.recalled.remove(&attempt);
         if !self.is_open_program(call.program) {
-            self.abandon(call, "program_closed: the program was closed", now);
+            self.abandon(call, NotRunReason::ProgramClosed, None, now);
             return;
         }
         if attempt.attempt >= self.settings.attempts_per_call {
             let failed =
                 AttemptFailed { attempt, failure: failure_of(&recorded.outcome), retryable: false };
             self.schedule(PlacementEvent::Failed(failed), now);
-            self.abandon(call, "not_run: every attempt failed", now);
+            self.abandon(call, NotRunReason::AttemptsFailed, None, now);
             return;
         }
         let group = self.groups.get_mut(&call.program.group);
@@ -284,7 +304,10 @@
             self.call_ready(call, now);
             return;
         }
-        let failure = failure_of(&recorded.outcome);
+        let failure = match failure_of(&recorded.outcome) {
+            AttemptFailure::Refused if was_recalled => AttemptFailure::Recalled,
+            failure => failure,
+        };
         let failed = AttemptFailed { attempt, failure, retryable: true };
         self.schedule(PlacementEvent::Failed(failed), now);
     }
@@ -326,6 +349,7 @@
         let group = self.groups.get(&attempt.call.program.group);
         if let Some(live) = group.and_then(|group| group.live.get(&attempt)) {
             let epoch = live.epoch;
+            self.recalled.insert(attempt);
             self.actions.push(Action::RecallAttempt { attempt, epoch });
         }
     }
@@ -348,14 +372,12 @@
     }
 }
 
-fn refusal_text(reason: RefusalReason, retry_after: Duration) -> String {
-    let wait = retry_after.as_millis();
-    let text = match reason {
-        RefusalReason::Overloaded => "overloaded: the expected wait is too long",
-        RefusalReason::TenantLimit => "limit_reached: the tenant has too many calls under way",
-        RefusalReason::NoEngine => "overloaded: no engine serves the model now",
-        RefusalReason::RetriesExhausted => "overloaded: attempts failed and retries are spent",
-        RefusalReason::NotRetryable => "not_run: the attempt failed",
-    };
-    format!("{text}; come back in {wait} ms")
+fn not_run_reason(reason: RefusalReason) -> NotRunReason {
+    match reason {
+        RefusalReason::Overloaded | RefusalReason::NoEngine => NotRunReason::Overloaded,
+        RefusalReason::TenantLimit => NotRunReason::LimitReached,
+        RefusalReason::RetriesExhausted | RefusalReason::NotRetryable => {
+            NotRunReason::AttemptsFailed
+        }
+    }
 }
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -1,7 +1,7 @@
 //! What a node does when it becomes the owner of a group, and when it ceases to be.
 
 use dahlia_placement::Event as PlacementEvent;
-use dahlia_program::{OpenAttempt, UnfinishedCall};
+use dahlia_program::{NotRunReason, OpenAttempt, UnfinishedCall};
 use dahlia_types::{AttemptId, CallId, GroupId, ProgramId, Timestamp};
 
 use crate::Action;
@@ -56,7 +56,7 @@
         if open {
             self.call_ready(call, now);
         } else {
-            self.abandon(call, "program_closed: the program was closed", now);
+            self.abandon(call, NotRunReason::ProgramClosed, None, now);
         }
     }
 
@@ -98,6 +98,7 @@
         };
         log::info!(target: "groups", "No longer owner of {id}.");
         group.serving = None;
+        self.recalled.retain(|attempt| attempt.call.program.group != id);
         let attempts = std::mem::take(&mut group.live);
         let pending = std::mem::take(&mut group.pending);
         let deferred = std::mem::take(&mut group.deferred);
@@ -105,6 +106,7 @@
         group.releases.clear();
         group.taken_over.clear();
         let programs: Vec<ProgramId> = group.state.programs().map(|program| program.id()).collect();
+        self.drop_reads(&programs);
         for attempt in attempts.into_keys() {
             self.actions.push(Action::LeaveAttempt { attempt });
             // Whoever resumes the attempt reads its text from the start. If that is this daemon
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -9,6 +9,8 @@
 use dahlia_replication::membership::MembershipSettings;
 use dahlia_types::{Duration, GroupId, Region, ReplicaId, Zone};
 
+use crate::history::HistorySettings;
+
 /// What a node is told at its start.
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -34,6 +36,10 @@
     pub membership: MembershipSettings,
     /// Upkeep of groups' members.
     pub maintenance: MaintenanceSettings,
+    /// Whether this daemon has a store for bulk history.
+    pub has_store: bool,
+    /// Bulk history.
+    pub history: HistorySettings,
     /// Limits on programs.
     pub limits: ProgramLimits,
     /// Placement.
@@ -46,6 +52,10 @@
     pub attempt_limit: Duration,
     /// How long the records of an ended program are kept, for late repeats of its calls.
     pub keep_records: Duration,
+    /// How the operators' configuration spreads and is accepted.
+    pub configuration: dahlia_configuration::Settings,
+    /// The document that is offered when the system has none; none leaves that to operators.
+    pub first_document: Option<String>,
     /// Seed of all random draws.
     pub seed: u64,
     /// Mechanisms removed by tests.
