Tell placement of attempts that end without an outcome; keep ends of attempts over a hand-over

(3) A leader that hands over refuses proposals and may go on leading; an attempt's end or an intent that came in between was dropped and its call hung. They now wait and are proposed again. The configuration is proved in the same world now: operators race, the service fails, daemons restart.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -77,8 +77,11 @@
         };
         let purpose = Purpose::Intent(intent);
         // Not leading any more is fine: the next owner dispatches the call.
-        let _ = group.propose(Command::RecordIntent(command), purpose, now);
+        let proposed = group.propose(Command::RecordIntent(command), purpose, now);
         self.dirty.insert(id);
+        if proposed.is_err() {
+            self.schedule(PlacementEvent::AttemptWithdrawn(attempt), now);
+        }
     }
 
     /// The intent reached a quorum: only now may bytes leave. A new owner that finds it must be
@@ -185,7 +188,7 @@
                     _ => NotRunReason::LimitReached,
                 };
                 self.abandon(call, reason, None, now);
-                self.schedule(PlacementEvent::CallWithdrawn(call), now);
+                self.schedule(PlacementEvent::AttemptWithdrawn(intent.attempt), now);
             }
             Refusal::StaleIncarnation { .. } => {
                 let failure = AttemptFailure::Refused;
@@ -194,7 +197,7 @@
             }
             _ => {
                 log::debug!(target: "programs", "An intent of {id} was refused: {refusal}.");
-                self.schedule(PlacementEvent::CallWithdrawn(call), now);
+                self.schedule(PlacementEvent::AttemptWithdrawn(intent.attempt), now);
             }
         }
     }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -82,10 +82,17 @@
             settings.seed,
             now,
         );
+        #[cfg(feature = "test-switches")]
+        let follower = {
+            let mut follower = follower;
+            let off = &settings.faults.configuration;
+            off.iter().for_each(|mechanism| follower.disable(*mechanism));
+            follower
+        };
         let is_other = |seed: &SocketAddr| *seed != settings.address;
         Self {
             follower,
-            accepter: Accepter::new(settings.configuration.clone()),
+            accepter: new_accepter(settings),
             started: now,
             has_seeds: settings.seeds.iter().any(is_other),
             peers: None,
@@ -138,6 +145,19 @@
     }
 }
 
+#[cfg(feature = "test-switches")]
+fn new_accepter(settings: &NodeSettings) -> Accepter {
+    let mut accepter = Accepter::new(settings.configuration.clone());
+    let off = &settings.faults.configuration;
+    off.iter().for_each(|mechanism| accepter.disable(*mechanism));
+    accepter
+}
+
+#[cfg(not(feature = "test-switches"))]
+fn new_accepter(settings: &NodeSettings) -> Accepter {
+    Accepter::new(settings.configuration.clone())
+}
+
 impl Node {
     /// Hands over again and again while the configuration says that this daemon drains, and takes
     /// work again when it no longer does.
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle};
-use dahlia_replication::group::{Proposal, ProposeError, Replica};
+use dahlia_replication::group::{Proposal, ProposeError, Replica, Role};
 use dahlia_replication::maintenance::Maintenance;
 use dahlia_types::{
     AttemptId, CallId, Duration, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
@@ -63,6 +63,8 @@
     pub(crate) pending: BTreeMap<LogIndex, (Term, Purpose)>,
     /// Commands that the replica could not take at the moment.
     pub(crate) deferred: Vec<(Command, Purpose)>,
+    /// Intents that got lost with a proposal, for placement to forget.
+    pub(crate) lost_intents: Vec<AttemptId>,
     /// Attempts that run here.
     pub(crate) live: BTreeMap<AttemptId, LiveAttempt>,
     /// Attempts that were taken over: placement on this daemon does not know them.
@@ -89,6 +91,7 @@
             state,
             pending: BTreeMap::new(),
             deferred: Vec::new(),
+            lost_intents: Vec::new(),
             live: BTreeMap::new(),
             taken_over: BTreeSet::new(),
             waiters: BTreeMap::new(),
@@ -126,6 +129,15 @@
                 self.deferred.push((command, purpose));
                 Ok(())
             }
+            // A leader that hands over refuses proposals and may yet go on leading. What it knows
+            // must not be lost then: an attempt's end comes only once.
+            Err(ProposeError::NotLeader { .. })
+                if self.replica.role() == Role::Leader
+                    && !matches!(purpose, Purpose::Request(_)) =>
+            {
+                self.deferred.push((command, purpose));
+                Ok(())
+            }
             Err(ProposeError::NotLeader { .. } | ProposeError::TooLarge { .. }) => Err(purpose),
         }
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -99,4 +99,7 @@
     /// Mechanisms of the program state that are switched off.
     #[cfg(feature = "test-switches")]
     pub program: Vec<dahlia_program::Mechanism>,
+    /// Mechanisms of the configuration that are switched off.
+    #[cfg(feature = "test-switches")]
+    pub configuration: Vec<dahlia_configuration::Mechanism>,
 }
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -189,6 +189,9 @@
     },
     /// An attempt ended without one.
     Failed(AttemptFailed),
+    /// An attempt ends here without an outcome: its intent was refused, so that it never left, or
+    /// another scheduler owns its program now.
+    AttemptWithdrawn(AttemptId),
     /// A call that waits for an engine is no longer wanted.
     CallWithdrawn(CallId),
     /// A chain waits for a tool, a sub-agent or a person.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -92,6 +92,7 @@
                 self.finished(attempt, usage, now, &mut actions);
             }
             Event::Failed(failed) => self.failed(failed, now, &mut actions),
+            Event::AttemptWithdrawn(attempt) => self.attempt_withdrawn(attempt, now, &mut actions),
             Event::CallWithdrawn(call) => self.call_withdrawn(call),
             Event::PauseBegan(pause) => self.pause_began(pause, now, &mut actions),
             Event::Offloaded { program, chain, engine, tokens } => {
--- a/crates/placement/src/scheduler/calls.rs
+++ b/crates/placement/src/scheduler/calls.rs
@@ -89,6 +89,17 @@
         self.drain(&model, now, actions);
     }
 
+    pub(super) fn attempt_withdrawn(
+        &mut self,
+        attempt: AttemptId,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.end_attempt(attempt, now) else { return };
+        self.engines.entry_mut(open.slot).circuit.undecided(now);
+        self.drain(&open.call.ready.model, now, actions);
+    }
+
     pub(super) fn call_withdrawn(&mut self, call: CallId) {
         let waiting = self.models.values_mut().find_map(|model| model.lanes.remove(call));
         if let Some(call) = waiting {
--- a/crates/replay/src/checker/figures.rs
+++ b/crates/replay/src/checker/figures.rs
@@ -38,6 +38,11 @@
     /// From the death of a group's owner, with a call of it open, to the next outcome that a
     /// caller of that group was told, in microseconds.
     pub fail_over: Vec<u64>,
+    /// Changes of the configuration that were accepted.
+    pub changes: u64,
+    /// From the moment when an operator was told that its change is accepted to the moment when
+    /// it was in force on the last daemon that ran, in microseconds.
+    pub spread: Vec<u64>,
     /// From an engine's first word that it leaves to the last work it got, in microseconds.
     pub leaving: Vec<u64>,
     /// From the moment when a caller or operator knew that a program is closed to the last moment
@@ -61,6 +66,8 @@
         self.stops += other.stops;
         self.late_starts += other.late_starts;
         self.fail_over.extend(&other.fail_over);
+        self.changes += other.changes;
+        self.spread.extend(&other.spread);
         self.leaving.extend(&other.leaving);
         self.release.extend(&other.release);
     }
@@ -98,6 +105,8 @@
         figures.cut_by_stops += u64::from(*cut);
     }
     measure_kills(view, &mut figures);
+    figures.changes = view.accepted.len() as u64;
+    figures.spread = spread(view);
     figures.leaving = last_work(view);
     for (program, seen) in &view.programs {
         let held = view.seen.last_held.get(program);
@@ -138,3 +147,18 @@
     }
     last.into_values().map(Duration::as_micros).collect()
 }
+
+/// How long each accepted generation took to the last daemon that had it, or a later one.
+fn spread(view: &View<'_>) -> Vec<u64> {
+    let mut lengths = Vec::new();
+    for (accepted, generation) in &view.accepted {
+        let mut first: std::collections::BTreeMap<_, Timestamp> = Default::default();
+        for (at, daemon, in_force) in &view.in_force {
+            if in_force >= generation {
+                first.entry(*daemon).or_insert(*at);
+            }
+        }
+        lengths.extend(first.values().max().map(|at| at.since(*accepted).as_micros()));
+    }
+    lengths
+}
--- a/crates/replay/src/checker/limits.rs
+++ b/crates/replay/src/checker/limits.rs
@@ -1,9 +1,10 @@
 //! Budgets, calls at most once, and calls that were said not to have run.
 
+use dahlia_types::Timestamp;
+
 use super::Found;
-use super::view::View;
+use super::view::{CallView, View};
 use crate::Promise;
-use crate::world::CallerOutcome;
 
 /// Engines never use more than a program's budget, at any moment.
 pub(super) fn check_budget(view: &View<'_>, found: &mut Found) {
@@ -34,19 +35,30 @@
     }
 }
 
-/// No attempt of a call starts whose caller is told, before or after, that it did not run.
+/// When a caller is told that its call did not run, no attempt of it has started, and none starts
+/// afterwards unless somebody asks for the call again or still waits for it.
 pub(super) fn check_not_run(view: &View<'_>, found: &mut Found) {
-    for (call, seen) in &view.calls {
-        let said = seen.told.iter().find_map(|(_, outcome, _)| match outcome {
-            CallerOutcome::NotRun(reason) => Some(reason.clone()),
-            _ => None,
-        });
-        let refused = seen.refused.first().map(|kind| kind.name().to_owned());
-        if let Some(reason) = said.or(refused)
-            && !seen.started.is_empty()
-        {
-            let what = format!("{call} was started, and its caller was told {reason:?}");
-            found.broken(Promise::NotRun, what);
+    for seen in view.calls.values() {
+        for (told, caller, reason) in &seen.not_run {
+            let broken = seen.started.iter().find(|(started, _)| {
+                *started <= *told || !is_wanted(seen, *told, *caller, *started)
+            });
+            if let Some((started, attempt)) = broken {
+                let when = if started <= told { "had been" } else { "was later" };
+                let what = format!("{attempt} {when} started, and its caller was told {reason:?}");
+                found.broken(Promise::NotRun, what);
+            }
         }
     }
 }
+
+/// Whether somebody wants the call to run at `started`, after `caller` was told at `told` that it
+/// did not.
+fn is_wanted(seen: &CallView<'_>, told: Timestamp, caller: usize, started: Timestamp) -> bool {
+    let asked_again = seen.asked.iter().any(|(at, _)| *at > told && *at <= started);
+    let others_wait = seen.asked.iter().any(|(at, other)| {
+        let answered = seen.answered.iter().any(|(at, who)| who == other && *at < started);
+        *other != caller && *at <= started && !answered
+    });
+    asked_again || others_wait
+}
--- a/crates/replay/src/checker/mod.rs
+++ b/crates/replay/src/checker/mod.rs
@@ -3,11 +3,12 @@
 //! | module | job |
 //! |---|---|
 //! | `view` | observations by call and program |
-//! | `order`, `history`, `answers`, `limits`, `ends` | the rules |
+//! | `order`, `history`, `answers`, `limits`, `ends`, `configuration` | the rules |
 //! | `figures` | what a run measured |
 //! | `expectations` | outcomes that a trace states |
 
 mod answers;
+mod configuration;
 mod ends;
 mod expectations;
 mod figures;
@@ -66,6 +67,7 @@
     limits::check_at_most_once(&view, &mut found);
     limits::check_not_run(&view, &mut found);
     answers::check(&view, &mut found);
+    configuration::check(trace, &view, &mut found);
     ends::check_release(&view, &mut found);
     ends::check_leaving(trace, &view, &mut found);
     ends::check_stops(&view, &mut found);
--- a/crates/replay/src/checker/view.rs
+++ b/crates/replay/src/checker/view.rs
@@ -24,6 +24,12 @@
     pub(super) sent: Option<(Timestamp, &'seen [Message], bool)>,
     pub(super) told: Vec<(Timestamp, &'seen CallerOutcome, DaemonId)>,
     pub(super) refused: Vec<ErrorKind>,
+    /// Who asked when.
+    pub(super) asked: Vec<(Timestamp, usize)>,
+    /// Who was told how it ended, or refused, and when.
+    pub(super) answered: Vec<(Timestamp, usize)>,
+    /// Who was told when that it did not run, and why.
+    pub(super) not_run: Vec<(Timestamp, usize, String)>,
     pub(super) accepted: Vec<AcceptedAttempt<'seen>>,
     /// Times and attempts.
     pub(super) started: Vec<(Timestamp, AttemptId)>,
@@ -63,6 +69,14 @@
     pub(super) calls: BTreeMap<CallId, CallView<'seen>>,
     pub(super) programs: BTreeMap<ProgramId, ProgramView<'seen>>,
     pub(super) received_leaving: Vec<Received>,
+    /// Generations accepted, with the time at which an operator was told.
+    pub(super) accepted: Vec<(Timestamp, u64)>,
+    /// Generations that came into force.
+    pub(super) in_force: Vec<(Timestamp, DaemonId, u64)>,
+    /// Starts of daemons.
+    pub(super) started: Vec<(Timestamp, DaemonId)>,
+    /// Ends of daemons' processes.
+    pub(super) ended: Vec<(Timestamp, DaemonId)>,
     pub(super) replaced: Vec<CallId>,
     pub(super) out_of_place: Vec<(CallId, u64, u64)>,
     pub(super) stops: Vec<(DaemonId, u32, Duration)>,
@@ -77,6 +91,10 @@
             calls: BTreeMap::new(),
             programs: BTreeMap::new(),
             received_leaving: Vec::new(),
+            accepted: Vec::new(),
+            in_force: Vec::new(),
+            started: Vec::new(),
+            ended: Vec::new(),
             replaced: Vec::new(),
             out_of_place: Vec::new(),
             stops: Vec::new(),
@@ -124,10 +142,30 @@
             Observation::Sent { call, messages, once } => {
                 self.call(*call).sent = Some((at, messages, *once));
             }
-            Observation::Told { call, outcome, gateway } => {
-                self.call(*call).told.push((at, outcome, *gateway));
+            Observation::Asked { call, caller } => self.call(*call).asked.push((at, *caller)),
+            Observation::Told { call, caller, outcome, gateway } => {
+                let view = self.call(*call);
+                view.told.push((at, outcome, *gateway));
+                view.answered.push((at, *caller));
+                if let CallerOutcome::NotRun(reason) = outcome {
+                    view.not_run.push((at, *caller, reason.clone()));
+                }
+            }
+            Observation::Refused { call, caller, kind } => {
+                let view = self.call(*call);
+                view.refused.push(*kind);
+                view.answered.push((at, *caller));
+                if says_not_run(*kind) {
+                    view.not_run.push((at, *caller, kind.name().to_owned()));
+                }
+            }
+            Observation::ChangeAccepted { generation, .. } => {
+                self.accepted.push((at, *generation));
+            }
+            Observation::InForce { daemon, generation } => {
+                self.in_force.push((at, *daemon, *generation));
             }
-            Observation::Refused { call, kind } => self.call(*call).refused.push(*kind),
+            Observation::DaemonStarted { daemon } => self.started.push((at, *daemon)),
             Observation::Replaced { call } => self.replaced.push(*call),
             Observation::OutOfPlace { call, had, offset } => {
                 self.out_of_place.push((*call, *had, *offset));
@@ -151,9 +189,27 @@
                     self.call(attempt.call).texts.push((at, text));
                 }
             }
-            Observation::Killed { owned, .. } => self.kills.push((at, owned)),
-            Observation::Stopped { daemon, cut, took } => self.stops.push((*daemon, *cut, *took)),
+            Observation::Killed { daemon, owned } => {
+                self.kills.push((at, owned));
+                self.ended.push((at, *daemon));
+            }
+            Observation::Stopped { daemon, cut, took } => {
+                self.stops.push((*daemon, *cut, *took));
+                self.ended.push((at, *daemon));
+            }
             Observation::Unfinished { what } => self.unfinished.push(what),
         }
     }
 }
+
+/// Whether a refusal says that the call did not run.
+fn says_not_run(kind: ErrorKind) -> bool {
+    !matches!(
+        kind,
+        ErrorKind::Unknown
+            | ErrorKind::Unavailable
+            | ErrorKind::AnswerReplaced
+            | ErrorKind::Internal
+            | ErrorKind::NotFound
+    )
+}
--- a/crates/replay/src/schedules.rs
+++ b/crates/replay/src/schedules.rs
@@ -106,6 +106,18 @@
             _ => {}
         }
     }
+    for number in 0..random.random_range(0..=3) {
+        let at = WORK_BEGINS + random.random_range(0..FAULT_SPREAD);
+        let gateway = random.random_range(1..=deployment.daemons);
+        let work = Work::Change { name: format!("c{number}"), gateway };
+        push(&mut events, at, Event::Work(work.clone()));
+        if random.random_bool(0.3) {
+            // Another operator at the same moment.
+            let gateway = gateway % deployment.daemons + 1;
+            let work = Work::Change { name: format!("r{number}"), gateway };
+            push(&mut events, at, Event::Work(work));
+        }
+    }
     events
 }
 
@@ -207,6 +219,7 @@
             Fault::Cut { from: zone, to: other.unwrap_or_default(), length }
         }
         12 => Fault::Slow { zone, by: Duration::from_millis(random.random_range(5..400)), length },
+        13 if random.random_bool(0.3) => Fault::LostReply { count: random.random_range(1..4) },
         13 => Fault::Outage { length: length.times(3) },
         14 => Fault::Stale { length },
         15 => Fault::Leave { engine, length: length.times(2) },
--- a/crates/replay/src/trace/event.rs
+++ b/crates/replay/src/trace/event.rs
@@ -153,6 +153,13 @@
         /// The program.
         program: String,
     },
+    /// An operator brings in a change of the configuration.
+    Change {
+        /// Its name; two of one time race.
+        name: String,
+        /// The daemon that it is put to first.
+        gateway: u32,
+    },
     /// A late duplicate of a call that was sent before, at another gateway.
     Repeat {
         /// The program.
--- a/crates/replay/src/trace/parse.rs
+++ b/crates/replay/src/trace/parse.rs
@@ -164,6 +164,10 @@
             budget: line.required("budget", "a number of tokens")?,
         },
         "close" => Work::Close { program: line.required("program", NAME)? },
+        "change" => Work::Change {
+            name: line.required("name", "a name")?,
+            gateway: line.number("gateway", 1)?,
+        },
         "repeat" => Work::Repeat {
             program: line.required("program", NAME)?,
             chain: line.number("chain", 0)?,
--- a/crates/replay/src/trace/write.rs
+++ b/crates/replay/src/trace/write.rs
@@ -69,6 +69,7 @@
         Work::Program(script) => write_program(script),
         Work::Raise { program, budget } => format!("raise program={program} budget={budget}"),
         Work::Close { program } => format!("close program={program}"),
+        Work::Change { name, gateway } => format!("change name={name} gateway={gateway}"),
         Work::Repeat { program, chain, number, gateway } => {
             format!("repeat program={program} chain={chain} number={number} gateway={gateway}")
         }
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -10,7 +10,9 @@
 use super::World;
 use super::agenda::{Delivery, Target};
 use super::calls::{EngineRequest, RpcPurpose};
+use super::daemon::Waiter;
 use super::network::Channel;
+use super::observe::Observation;
 use super::settings::{daemon_at, engine_number};
 use crate::trace::CrashPoint;
 
@@ -46,15 +48,14 @@
             Action::ResumeAttempt(start) => self.resume_attempt(id, *start),
             Action::CancelAttempt { attempt, epoch } => {
                 if let Some(engine) = self.engine_of_attempt(id, attempt) {
-                    let request = EngineRequest::Cancel { attempt, epoch };
+                    let request = EngineRequest::Cancel { attempt, epoch, only_waiting: false };
                     self.call_engine(id, engine, request, RpcPurpose::Nothing);
                 }
             }
             Action::RecallAttempt { attempt, epoch } => {
                 if let Some(engine) = self.engine_of_attempt(id, attempt) {
-                    let request = EngineRequest::State { attempt };
-                    let purpose = RpcPurpose::Recall { attempt, epoch };
-                    self.call_engine(id, engine, request, purpose);
+                    let request = EngineRequest::Cancel { attempt, epoch, only_waiting: true };
+                    self.call_engine(id, engine, request, RpcPurpose::Nothing);
                 }
             }
             Action::LeaveAttempt { attempt } => self.leave_attempt(id, attempt),
@@ -74,6 +75,27 @@
                 let life = self.daemons[&id].life;
                 self.layout_step(id, life, step);
             }
+            Action::UseEngines(addresses) => {
+                if let Some(daemon) = self.daemons.get_mut(&id) {
+                    let named = addresses.iter().filter_map(|it| engine_number(&it.engine));
+                    daemon.uses.extend(named);
+                }
+            }
+            Action::KeyValue(step) => self.key_value_step(id, step),
+            Action::Decided { id: request, verdict } => {
+                let daemon = self.daemons.get_mut(&id);
+                let waiter = daemon.and_then(|daemon| daemon.waiting.remove(&request));
+                if let Some(Waiter::Connection(connection)) = waiter {
+                    self.change_answered(id, connection, verdict);
+                }
+            }
+            Action::ConfigurationInForce(record) => {
+                let generation = record.generation().0;
+                let seen = Observation::InForce { daemon: id, generation };
+                self.seen.note(self.now, seen);
+            }
+            // Engines here serve one model throughout, and no virtual daemon has a disk.
+            Action::Order(_) | Action::Store(_) => {}
             Action::Stop => self.kill_daemon(id, Duration::ZERO),
         }
     }
--- a/crates/replay/src/world/attempt.rs
+++ b/crates/replay/src/world/attempt.rs
@@ -208,7 +208,8 @@
             Err(RpcError::Unseen) => {
                 let Some(task) = self.task(id, name) else { return };
                 let attempt = task.start.attempt;
-                let request = EngineRequest::Cancel { attempt: attempt.id, epoch: attempt.epoch };
+                let (attempt, epoch) = (attempt.id, attempt.epoch);
+                let request = EngineRequest::Cancel { attempt, epoch, only_waiting: false };
                 self.ask(id, name, Step::Cancelling, request);
             }
             Err(_) => self.later(id, name),
--- a/crates/replay/src/world/caller.rs
+++ b/crates/replay/src/world/caller.rs
@@ -4,6 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use dahlia_api::{ApiError, CallRequest};
+use dahlia_configuration::Verdict;
 use dahlia_node::StartPosition;
 use dahlia_node::request::Request;
 use dahlia_program::ProgramSpecification;
@@ -50,6 +51,11 @@
     Done {
         connection: u64,
     },
+    /// What became of a change of the configuration.
+    Decided {
+        connection: u64,
+        verdict: Verdict,
+    },
     /// The gateway takes no connections.
     Refused {
         connection: u64,
@@ -96,10 +102,26 @@
     Chain { chain: u32, turns: u32, next: u32, failures: u32, spawned: bool },
     /// Repeats one call.
     Repeat { call: CallId },
+    /// Brings in a change of the configuration.
+    Configure(Change),
     /// Creates a program, raises a budget or closes.
     Operate { request: Request, then: Then },
 }
 
+/// A change of the configuration that an operator wants.
+#[derive(Debug, Clone)]
+pub(crate) struct Change {
+    pub(crate) name: String,
+    /// Tells the document of this change from all others.
+    pub(crate) open_calls: u32,
+    /// The generation that it is made from.
+    pub(crate) expected: u64,
+    /// An earlier request of it had no answer.
+    pub(crate) repeated: bool,
+    /// How often it was made anew from a later generation.
+    pub(crate) remade: u32,
+}
+
 /// What follows an operator's request.
 #[derive(Debug, Clone)]
 pub(crate) enum Then {
@@ -240,7 +262,7 @@
     fn turns_of(&self, index: usize) -> u32 {
         match self.callers[index].doing {
             Doing::Chain { turns, .. } => turns,
-            Doing::Repeat { .. } | Doing::Operate { .. } => 0,
+            Doing::Repeat { .. } | Doing::Operate { .. } | Doing::Configure(_) => 0,
         }
     }
 
@@ -249,7 +271,7 @@
         let chain = match caller.doing {
             Doing::Chain { chain, .. } => chain,
             Doing::Repeat { call } => call.chain.0,
-            Doing::Operate { .. } => 0,
+            Doing::Operate { .. } | Doing::Configure(_) => 0,
         };
         CallId { program: caller.program, chain: ChainId(chain), number }
     }
@@ -313,6 +335,9 @@
         if let Doing::Operate { request, .. } = &caller.doing {
             return GatewayRequest::Operate(request.clone());
         }
+        if let Doing::Configure(change) = &caller.doing {
+            return GatewayRequest::Configure(self.proposal_of(change));
+        }
         let tenant = TenantId::new(caller.script.tenant.clone());
         let call = self.call_of(index, number);
         let run = &caller.runs[&number];
@@ -339,7 +364,7 @@
         GatewayRequest::Chat { tenant, call: request, repeatable: !once }
     }
 
-    fn open_run(&mut self, index: usize, number: u32, gateway: u32) {
+    pub(crate) fn open_run(&mut self, index: usize, number: u32, gateway: u32) {
         let run = CallRun {
             step: Step::Open,
             connection: None,
@@ -359,6 +384,10 @@
         let daemons = self.trace.deployment.daemons.max(1);
         let name = self.fresh_name();
         let request = Box::new(self.request_of(index, number));
+        if !matches!(self.callers[index].doing, Doing::Operate { .. } | Doing::Configure(_)) {
+            let call = self.call_of(index, number);
+            self.seen.note(self.now, Observation::Asked { call, caller: index });
+        }
         let now = self.now;
         let Some(run) = self.callers[index].runs.get_mut(&number) else { return };
         let gateway = DaemonId((run.gateway.max(1) - 1) % daemons + 1);
@@ -401,6 +430,10 @@
     pub(crate) fn try_elsewhere(&mut self, index: usize, number: u32) {
         self.leave_connection(index, number);
         let pause = Duration(self.random.random_range(50_000..600_000));
+        if let Doing::Configure(change) = &mut self.callers[index].doing {
+            // Whether the request left, and what came of it, is not known.
+            change.repeated = true;
+        }
         if let Some(run) = self.callers[index].runs.get_mut(&number) {
             run.gateway += 1;
         }
@@ -490,6 +523,7 @@
                 Doing::Chain { chain, .. } => format!("{name}: chain {chain}, calls {open:?}"),
                 Doing::Repeat { call } => format!("{name}: the repeat of {call}"),
                 Doing::Operate { request, .. } => format!("{name}: {request:?}"),
+                Doing::Configure(change) => format!("the change {}", change.name),
             };
             unfinished.push(what);
         }
--- a/crates/replay/src/world/caller_replies.rs
+++ b/crates/replay/src/world/caller_replies.rs
@@ -21,6 +21,7 @@
             | CallerMessage::End { connection }
             | CallerMessage::Failed { connection, .. }
             | CallerMessage::Done { connection }
+            | CallerMessage::Decided { connection, .. }
             | CallerMessage::Refused { connection }
             | CallerMessage::Broken { connection } => *connection,
         };
@@ -42,6 +43,7 @@
             }
             CallerMessage::Failed { error, .. } => self.caller_failed(index, number, &error),
             CallerMessage::Done { .. } => self.operation_done(index, number),
+            CallerMessage::Decided { verdict, .. } => self.change_decided(index, number, verdict),
             CallerMessage::Refused { .. } | CallerMessage::Broken { .. } => {
                 self.try_elsewhere(index, number);
             }
@@ -74,7 +76,8 @@
 
     fn caller_failed(&mut self, index: usize, number: u32, error: &ApiError) {
         let call = self.call_of(index, number);
-        let is_operation = matches!(self.callers[index].doing, Doing::Operate { .. });
+        let doing = &self.callers[index].doing;
+        let is_operation = matches!(doing, Doing::Operate { .. } | Doing::Configure(_));
         if is_operation {
             match error.kind {
                 // Closed, or expired, all the same; or never there.
@@ -99,11 +102,18 @@
                 }
                 self.try_elsewhere(index, number);
             }
-            ErrorKind::Unavailable | ErrorKind::Overloaded | ErrorKind::LimitReached => {
+            ErrorKind::Unavailable => self.try_elsewhere(index, number),
+            kind @ (ErrorKind::Overloaded | ErrorKind::LimitReached) => {
+                self.seen.note(self.now, Observation::Refused { call, caller: index, kind });
+                if let Some(run) = self.callers[index].runs.get_mut(&number) {
+                    run.begun = false;
+                    run.text.clear();
+                }
                 self.try_elsewhere(index, number);
             }
             ErrorKind::NotFound if self.callers[index].runs[&number].begun => {
-                self.seen.note(self.now, Observation::Refused { call, kind: error.kind });
+                let kind = error.kind;
+                self.seen.note(self.now, Observation::Refused { call, caller: index, kind });
                 if let Some(run) = self.callers[index].runs.get_mut(&number) {
                     run.begun = false;
                     run.text.clear();
@@ -114,7 +124,7 @@
                 self.try_elsewhere(index, number);
             }
             kind => {
-                self.seen.note(self.now, Observation::Refused { call, kind });
+                self.seen.note(self.now, Observation::Refused { call, caller: index, kind });
                 self.end_run(index, number);
                 self.give_up_or_done(index);
             }
@@ -126,9 +136,8 @@
         let call = self.call_of(index, number);
         let Some((_, gateway)) = self.callers[index].runs[&number].connection else { return };
         let answered = matches!(outcome, CallerOutcome::Answered(_));
-        let hopeless = matches!(&outcome, CallerOutcome::NotRun(reason)
-            if reason.contains("budget_exhausted") || reason.contains("closed"));
-        self.seen.note(self.now, Observation::Told { call, outcome, gateway });
+        let caller = index;
+        self.seen.note(self.now, Observation::Told { call, caller, outcome, gateway });
         self.end_run(index, number);
         let script = self.callers[index].script.clone();
         let Doing::Chain { chain, failures, spawned, .. } = &mut self.callers[index].doing else {
@@ -136,7 +145,7 @@
             return;
         };
         *failures = if answered { 0 } else { *failures + 1 };
-        let stop = hopeless || *failures >= MOST_FAILURES;
+        let stop = *failures >= MOST_FAILURES;
         let spawns = *chain == 0 && !*spawned && script.agents > 0 && answered;
         if spawns {
             *spawned = true;
@@ -174,7 +183,7 @@
         }
     }
 
-    fn end_run(&mut self, index: usize, number: u32) {
+    pub(crate) fn end_run(&mut self, index: usize, number: u32) {
         if let Some(run) = self.callers[index].runs.get_mut(&number) {
             run.step = Step::Ended;
             run.connection = None;
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -23,8 +23,7 @@
 pub(crate) enum EngineRequest {
     Generate(Box<StartAttempt>),
     Resume { attempt: AttemptId, offset: u64 },
-    Cancel { attempt: AttemptId, epoch: Term },
-    State { attempt: AttemptId },
+    Cancel { attempt: AttemptId, epoch: Term, only_waiting: bool },
     Fence { program: ProgramId, epoch: Term },
     Hold { program: ProgramId, epoch: Term, length: Duration },
     Release { program: ProgramId, epoch: Term, ended: bool },
@@ -79,7 +78,6 @@
 #[derive(Debug, Clone)]
 pub(crate) enum RpcPurpose {
     Attempt { task: u64, step: u64 },
-    Recall { attempt: AttemptId, epoch: Term },
     FenceForRelease { order: Box<ReleaseOrder>, left: Vec<AttemptId> },
     Release { order: Box<ReleaseOrder> },
     Load,
@@ -107,11 +105,12 @@
         let Some(daemon) = self.daemons.get_mut(&id) else { return rpc };
         daemon.open_rpcs.insert(rpc, OpenRpc { engine, purpose });
         let (life, zone) = (daemon.life, Some(daemon.zone));
+        let is_named = daemon.uses.contains(&engine);
         let own = Target::Daemon(id, life);
         let fail = |error: RpcError| Delivery::Rpc { rpc, result: Box::new(Err(error)) };
         let timeout = RpcError::Unknown("no answer in time".to_owned());
         self.agenda.push(now + RESPONSE_TIMEOUT, own, fail(timeout));
-        let Some(target) = self.engines.get(&engine) else {
+        let Some(target) = self.engines.get(&engine).filter(|_| is_named) else {
             self.agenda.push(now, own, fail(RpcError::NotRun("no such engine".to_owned())));
             return rpc;
         };
@@ -147,12 +146,6 @@
         let Some(open) = daemon.open_rpcs.remove(&rpc) else { return };
         match open.purpose {
             RpcPurpose::Attempt { task, step } => self.attempt_reply(id, task, step, rpc, result),
-            RpcPurpose::Recall { attempt, epoch } => {
-                if matches!(result, Ok(EngineAnswer::State(AttemptState::Queued))) {
-                    let request = EngineRequest::Cancel { attempt, epoch };
-                    self.call_engine(id, open.engine, request, RpcPurpose::Nothing);
-                }
-            }
             RpcPurpose::FenceForRelease { order, left } => match result {
                 Ok(_) => self.continue_release(id, order, left),
                 Err(_) => self.release_done(id, &order, ReleaseEnd::Failed),
@@ -177,7 +170,7 @@
 
     /// Reads the load of each engine, and again after the interval.
     pub(crate) fn read_loads(&mut self, id: DaemonId) {
-        let engines: Vec<u32> = self.engines.keys().copied().collect();
+        let engines: Vec<u32> = self.daemons[&id].uses.iter().copied().collect();
         for engine in engines {
             self.call_engine(id, engine, EngineRequest::Load, RpcPurpose::Load);
         }
@@ -210,7 +203,8 @@
         }
         let attempt = left.remove(0);
         let purpose = RpcPurpose::FenceForRelease { order, left };
-        self.call_engine(id, engine, EngineRequest::Cancel { attempt, epoch }, purpose);
+        let request = EngineRequest::Cancel { attempt, epoch, only_waiting: false };
+        self.call_engine(id, engine, request, purpose);
     }
 
     fn release_done(&mut self, id: DaemonId, order: &ReleaseOrder, end: ReleaseEnd) {
--- a/crates/replay/src/world/daemon.rs
+++ b/crates/replay/src/world/daemon.rs
@@ -1,7 +1,8 @@
 //! A daemon's life: its node, what its tasks hold, its start and its end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use dahlia_configuration::Proposal;
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::{Event as NodeEvent, Node};
 use dahlia_types::{AttemptId, CallId, DaemonId, Duration, Incarnation, ReplicaId, Timestamp};
@@ -51,6 +52,10 @@
     pub(crate) sources: BTreeMap<u64, Source>,
     pub(crate) connections: BTreeMap<u64, Connection>,
     pub(crate) waiting: BTreeMap<RequestId, Waiter>,
+    /// Engines that the configuration in force names.
+    pub(crate) uses: BTreeSet<u32>,
+    /// Whether it watches the configuration's key.
+    pub(crate) watches: bool,
     next_request: u64,
     pub(crate) draining_since: Option<Timestamp>,
     /// How long it is away after a planned stop; zero for good.
@@ -73,6 +78,8 @@
             sources: BTreeMap::new(),
             connections: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            uses: BTreeSet::new(),
+            watches: false,
             next_request: 0,
             draining_since: None,
             away: Duration::ZERO,
@@ -121,6 +128,7 @@
         held.incarnation = incarnation;
         // Names of requests must not repeat those of an earlier life.
         held.next_request = incarnation.0 << 20;
+        self.seen.note(now, Observation::DaemonStarted { daemon });
         held.node = Some(Box::new(Node::new(settings, now)));
         let spread = if now == ORIGIN { START_SPREAD_MICROS } else { 1 };
         let first = now + Duration(self.random.random_range(0..spread));
@@ -190,6 +198,15 @@
         self.node_event(id, NodeEvent::Request { id: name, request });
     }
 
+    /// Puts an operator's change to a daemon's node.
+    pub(crate) fn propose_change(&mut self, id: DaemonId, connection: u64, proposal: Proposal) {
+        let Some(daemon) = self.daemons.get_mut(&id) else { return };
+        daemon.next_request += 1;
+        let name = RequestId(daemon.next_request);
+        daemon.waiting.insert(name, Waiter::Connection(connection));
+        self.node_event(id, NodeEvent::ProposeChange { id: name, proposal });
+    }
+
     /// The node answered a request.
     pub(crate) fn node_responded(&mut self, id: DaemonId, request: RequestId, response: Response) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
--- a/crates/replay/src/world/engine.rs
+++ b/crates/replay/src/world/engine.rs
@@ -232,11 +232,8 @@
             EngineRequest::Resume { attempt, offset } => {
                 self.resume_stream(number, attempt, offset, path)
             }
-            EngineRequest::Cancel { attempt, epoch } => self.cancel(number, attempt, epoch),
-            EngineRequest::State { attempt } => {
-                let engine = &self.engines[&number];
-                let state = engine.records.get(&attempt).map(Record::state);
-                Ok(EngineAnswer::State(state.unwrap_or(AttemptState::Unseen)))
+            EngineRequest::Cancel { attempt, epoch, only_waiting } => {
+                self.cancel(number, attempt, epoch, only_waiting)
             }
             EngineRequest::Fence { program, epoch } => {
                 let epoch = self.epoch(epoch);
@@ -365,7 +362,13 @@
         Ok(EngineAnswer::Opened)
     }
 
-    fn cancel(&mut self, number: u32, attempt: AttemptId, epoch: Term) -> RpcResult {
+    fn cancel(
+        &mut self,
+        number: u32,
+        attempt: AttemptId,
+        epoch: Term,
+        only_waiting: bool,
+    ) -> RpcResult {
         let epoch = self.epoch(epoch);
         let fence = Fence { program: attempt.call.program, epoch };
         self.command(number, EngineCommand::Fence(fence))?;
@@ -373,7 +376,7 @@
         if let Some(state) = ended {
             return Ok(EngineAnswer::State(state));
         }
-        let cancel = Cancel { attempt, epoch, only_waiting: false };
+        let cancel = Cancel { attempt, epoch, only_waiting };
         self.command(number, EngineCommand::Cancel(cancel))?;
         self.settle(number, attempt);
         let state = self.engines[&number].records.get(&attempt).map(Record::state);
--- a/crates/replay/src/world/faults.rs
+++ b/crates/replay/src/world/faults.rs
@@ -54,7 +54,7 @@
                     self.network.slow(zone, *by, end);
                 }
             }
-            Fault::Outage { .. } => self.key_value.down_until = end,
+            Fault::Outage { .. } => self.begin_outage(end),
             Fault::LostReply { count } => self.key_value.lose_replies += count,
             Fault::Stale { .. } => self.key_value.stale_until = end,
             Fault::Stop { daemon, length } => self.drain_daemon(DaemonId(*daemon), *length),
--- a/crates/replay/src/world/gateway.rs
+++ b/crates/replay/src/world/gateway.rs
@@ -4,6 +4,7 @@
 //! own [`AnswerReader`].
 
 use dahlia_api::{ApiError, CallRequest, ErrorKind};
+use dahlia_configuration::{Proposal, Verdict};
 use dahlia_node::request::{Request, Response};
 use dahlia_node::wire::AnswerFrame;
 use dahlia_node::{AnswerReader, Followed, StartPosition, Taken};
@@ -34,6 +35,8 @@
     Read { tenant: TenantId, call: CallId, start: StartPosition },
     /// Anything that is answered at once.
     Operate(Request),
+    /// A change of the configuration.
+    Configure(Proposal),
 }
 
 /// A connection of a caller or an operator.
@@ -80,6 +83,10 @@
                 daemon.connections.insert(name, connection);
                 self.follow(id, name, call, start);
             }
+            GatewayRequest::Configure(proposal) => {
+                daemon.connections.insert(name, connection);
+                self.propose_change(id, name, proposal);
+            }
             GatewayRequest::Operate(request) => {
                 daemon.connections.insert(name, connection);
                 self.node_request(id, request, Waiter::Connection(name));
@@ -106,6 +113,11 @@
         }
     }
 
+    /// The node decided on an operator's change.
+    pub(crate) fn change_answered(&mut self, id: DaemonId, name: u64, verdict: Verdict) {
+        self.last_to_caller(id, name, CallerMessage::Decided { connection: name, verdict });
+    }
+
     fn follow(&mut self, id: DaemonId, name: u64, call: CallId, start: StartPosition) {
         let now = self.now;
         #[cfg(feature = "test-switches")]
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -13,6 +13,7 @@
 //! | `actions` | carrying out a node's actions |
 //! | `attempt` | one attempt at its engine, as `dahlia-daemon` runs it |
 //! | `calls` | requests to engines and their replies |
+//! | `changes` | operators who change the configuration |
 //! | `gateway` | callers' connections at a daemon |
 //! | `answers` | text of answers at their owner |
 //! | `engine` | an engine's life |
@@ -30,6 +31,7 @@
 mod caller;
 mod caller_replies;
 mod calls;
+mod changes;
 mod daemon;
 mod engine;
 mod faults;
@@ -166,6 +168,7 @@
         match work {
             Work::Program(script) => self.begin_program(script),
             Work::Raise { program, budget } => self.begin_raise(&program, budget),
+            Work::Change { name, gateway } => self.begin_change(name, gateway),
             Work::Close { program } => self.begin_close(&program),
             Work::Repeat { program, chain, number, gateway } => {
                 self.begin_repeat(&program, chain, number, gateway);
--- a/crates/replay/src/world/observe.rs
+++ b/crates/replay/src/world/observe.rs
@@ -53,10 +53,19 @@
         /// Whether it may run at most once.
         once: bool,
     },
+    /// A caller asked for a call, for the first time or again.
+    Asked {
+        /// The call.
+        call: CallName,
+        /// Who.
+        caller: usize,
+    },
     /// A caller was told how a call ended.
     Told {
         /// The call.
         call: CallName,
+        /// Who.
+        caller: usize,
         /// The outcome.
         outcome: CallerOutcome,
         /// The gateway that told.
@@ -66,6 +75,8 @@
     Refused {
         /// The call.
         call: CallName,
+        /// Who.
+        caller: usize,
         /// Why.
         kind: ErrorKind,
     },
@@ -125,6 +136,25 @@
         /// Its whole text, when it ended by itself.
         text: Option<String>,
     },
+    /// An operator was told that its change of the configuration is accepted.
+    ChangeAccepted {
+        /// The change.
+        change: String,
+        /// The generation that it made.
+        generation: u64,
+    },
+    /// A generation came into force on a daemon.
+    InForce {
+        /// The daemon.
+        daemon: DaemonId,
+        /// The generation.
+        generation: u64,
+    },
+    /// A daemon's process started.
+    DaemonStarted {
+        /// The daemon.
+        daemon: DaemonId,
+    },
     /// A daemon was killed.
     Killed {
         /// The daemon.
--- a/crates/replay/src/world/settings.rs
+++ b/crates/replay/src/world/settings.rs
@@ -2,8 +2,9 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use dahlia_configuration::{Document, EngineEntry, EngineRole, ModelEntry};
 use dahlia_engine_model::EngineParameters;
-use dahlia_node::{NodeFaults, NodeSettings};
+use dahlia_node::{HistorySettings, NodeFaults, NodeSettings};
 use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::group::GroupSettings;
@@ -87,12 +88,16 @@
             voters: deployment.replicas as usize,
             ..MaintenanceSettings::default()
         },
+        has_store: false,
+        history: HistorySettings::default(),
         limits: ProgramLimits::default(),
         placement: PlacementSettings::default(),
         policy: PolicyKind::default(),
         attempts_per_call: ATTEMPTS_PER_CALL,
         attempt_limit: deployment.attempt_limit,
         keep_records: KEEP_RECORDS,
+        configuration: dahlia_configuration::Settings::default(),
+        first_document: Some(document(deployment, FIRST_OPEN_CALLS)),
         seed,
         faults: node_faults(switches),
     }
@@ -114,6 +119,8 @@
         no_hand_over: !switches.is_on(Switch::HandOver),
         #[cfg(feature = "test-switches")]
         program: program_mechanisms(switches),
+        #[cfg(feature = "test-switches")]
+        configuration: configuration_mechanisms(switches),
     }
 }
 
@@ -133,6 +140,51 @@
     off.map(|(_, mechanism)| mechanism).collect()
 }
 
+#[cfg(feature = "test-switches")]
+fn configuration_mechanisms(switches: &Switches) -> Vec<dahlia_configuration::Mechanism> {
+    use dahlia_configuration::Mechanism;
+    let pairs = [
+        (Switch::GenerationCheck, Mechanism::GenerationCheck),
+        (Switch::AskPeers, Mechanism::AskPeers),
+        (Switch::SpreadWait, Mechanism::SpreadWait),
+        (Switch::Announcements, Mechanism::Announcements),
+        (Switch::ReadBack, Mechanism::ReadBack),
+    ];
+    let off = pairs.into_iter().filter(|(switch, _)| !switches.is_on(*switch));
+    off.map(|(_, mechanism)| mechanism).collect()
+}
+
+/// Open calls that each tenant may have by the first document; changes set other numbers.
+const FIRST_OPEN_CALLS: u32 = 1_000;
+
+/// A configuration that names every engine; documents differ by one limit.
+pub(crate) fn document(deployment: &Deployment, open_calls: u32) -> String {
+    let mut document = Document::default();
+    document.tenant_defaults.open_calls = open_calls;
+    let engines = (1..=deployment.engines).map(engine_name);
+    for number in 1..=deployment.engines {
+        let zone = &deployment.zones[zone_index(deployment, number)];
+        let entry = EngineEntry {
+            role: EngineRole::Serving,
+            slots: 1,
+            // Virtual engines have no address; it tells daemons only that the engine is there.
+            address: Some(address_of(DaemonId(number))),
+            zone: Some(Zone::new(zone.clone())),
+        };
+        document.engines.insert(engine_name(number), entry);
+    }
+    let entry = ModelEntry {
+        base: MODEL.split('@').next().unwrap_or_default().to_owned(),
+        adapter: None,
+        version: "1".to_owned(),
+        engines: engines.collect(),
+        least_serving: 1,
+        weight_bytes: 0,
+    };
+    document.models.insert(model(), entry);
+    document.to_text()
+}
+
 /// A small engine: its memory fills in a run of seconds.
 pub(crate) fn engine_parameters(deployment: &Deployment) -> EngineParameters {
     EngineParameters {
