--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -106,7 +106,7 @@
         let epoch = group.replica.term();
         let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(intent.attempt, live);
-        if !self.may_use(&intent.holder.engine) {
+        if !self.may_use(&intent.holder.engine, now) {
             // The engine was taken out of service while the intent was on its way to a quorum. No
             // byte has left, and only this owner could have sent one in this epoch.
             self.recalled.insert(intent.attempt);
--- a/crates/node/src/engine_sources.rs
+++ b/crates/node/src/engine_sources.rs
@@ -189,8 +189,13 @@
     }
 
     /// Whether an engine may be given new work.
-    pub(crate) fn may_use(&self, engine: &EngineId) -> bool {
-        self.engines.report(engine).is_some_and(|report| self.sources.leaving(report).is_none())
+    pub(crate) fn may_use(&self, engine: &EngineId, now: Timestamp) -> bool {
+        if self.settings.faults.ignore_leaving {
+            return true;
+        }
+        let report = self.engines.report(engine);
+        self.engines.is_trusted(engine, now)
+            && report.is_some_and(|report| self.sources.leaving(report).is_none())
     }
 }
 
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -67,12 +67,18 @@
     pub address: Option<std::net::SocketAddr>,
 }
 
+/// An engine that was not heard of for so long gets no new work: it may have begun to leave. What
+/// is known of its cache is kept.
+const REPORT_TRUST: Duration = Duration::from_secs(3);
+
 /// What is known of one engine.
 struct KnownEngine {
     report: EngineReport,
     heard: Timestamp,
     usable: bool,
     leaving: Option<LeavingSource>,
+    /// Whether its last report is too old for new work.
+    doubted: bool,
 }
 
 /// All engines that reported, as this node sees them.
@@ -123,6 +129,23 @@
         if *zone == self.zone { SAME_ZONE_DISTANCE } else { OTHER_ZONE_DISTANCE }
     }
 
+    /// Whether an engine was heard of so lately that it may be given work.
+    pub(crate) fn is_trusted(&self, engine: &EngineId, now: Timestamp) -> bool {
+        self.engines.get(engine).is_some_and(|known| now.since(known.heard) < REPORT_TRUST)
+    }
+
+    /// Engines whose last report became too old for new work since the last look.
+    fn take_doubted(&mut self, now: Timestamp) -> Vec<EngineId> {
+        let mut doubted = Vec::new();
+        for (engine, known) in &mut self.engines {
+            if known.usable && !known.doubted && now.since(known.heard) >= REPORT_TRUST {
+                known.doubted = true;
+                doubted.push(engine.clone());
+            }
+        }
+        doubted
+    }
+
     /// Engines that fell silent since the last look.
     fn take_silent(&mut self, now: Timestamp) -> Vec<EngineId> {
         let mut silent = Vec::new();
@@ -145,8 +168,10 @@
         if before.is_some_and(|known| known.report.incarnation > report.incarnation) {
             return;
         }
-        let leaving = self.sources.leaving(&report);
-        let was_used = before.is_some_and(|known| known.usable && known.leaving.is_none());
+        let ignored = self.settings.faults.ignore_leaving;
+        let leaving = self.sources.leaving(&report).filter(|_| !ignored);
+        let was_used =
+            before.is_some_and(|known| known.usable && !known.doubted && known.leaving.is_none());
         let unchanged =
             was_used && !restarted && before.is_some_and(|it| it.report.models == report.models);
         let load = PlacementEvent::EngineReport(PlacementReport {
@@ -159,10 +184,16 @@
             resident: report.cache_used,
             pinned: report.cache_pinned,
             models: report.models.clone(),
-            draining: leaving.is_some() && !self.settings.faults.ignore_leaving,
+            draining: leaving.is_some(),
         });
         let (engine, incarnation) = (report.engine.clone(), report.incarnation);
-        let known = KnownEngine { report: report.clone(), heard: now, usable: true, leaving };
+        let known = KnownEngine {
+            report: report.clone(),
+            heard: now,
+            usable: true,
+            leaving,
+            doubted: false,
+        };
         self.engines.engines.insert(engine.clone(), known);
         if restarted {
             self.engine_restarted(&engine, incarnation, now);
@@ -205,6 +236,10 @@
 
     /// Takes engines out of use that fell silent.
     pub(crate) fn check_engines(&mut self, now: Timestamp) {
+        for engine in self.engines.take_doubted(now) {
+            log::info!(target: "engines", "{engine} does not report. No new work for it.");
+            self.schedule(PlacementEvent::EngineLeaving(engine), now);
+        }
         for engine in self.engines.take_silent(now) {
             log::warn!(target: "engines", "{engine} fell silent. No new work for it.");
             self.engine_state_lost(&engine, now);
--- a/crates/replay/examples/schedules.rs
+++ b/crates/replay/examples/schedules.rs
@@ -2,11 +2,12 @@
 //!
 //! `cargo run --release -p dahlia-replay --example schedules -- --from 0 --seeds 1000`
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 use dahlia_replay::checker::{Figures, percentile};
 use dahlia_replay::schedules::{FaultCount, draw};
-use dahlia_replay::{Switches, observe, run, shrink, trace};
+use dahlia_replay::{Switch, Switches, observe, run, shrink, trace};
 use gumdrop::Options;
 
 #[derive(Debug, Options)]
@@ -19,6 +20,8 @@
     seeds: u64,
     #[options(no_short, help = "shrink and print failing schedules")]
     shrink: bool,
+    #[options(no_short, help = "take out each mechanism in turn; print what then breaks")]
+    teeth: bool,
     #[options(no_short, help = "print everything that was seen in the first schedule")]
     show: bool,
 }
@@ -54,6 +57,10 @@
             println!("{:>9} {:?}", found.at.since(seen.start).as_millis(), found.what);
         }
     }
+    if arguments.teeth {
+        print_teeth(arguments.from, arguments.seeds);
+        return ExitCode::SUCCESS;
+    }
     for seed in arguments.from..arguments.from + arguments.seeds {
         let schedule = draw(seed, FaultCount::of_seed(seed));
         let judgement = run(&schedule, seed, &switches).judgement;
@@ -71,6 +78,25 @@
     if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+fn print_teeth(from: u64, seeds: u64) {
+    for switch in Switch::ALL {
+        let switches = Switches::without(&[switch]);
+        let mut broken: BTreeMap<String, (u64, u64, String)> = BTreeMap::new();
+        for seed in from..from + seeds {
+            let schedule = draw(seed, FaultCount::of_seed(seed));
+            for violation in run(&schedule, seed, &switches).judgement.violations {
+                let name = violation.promise.to_string();
+                let entry = broken.entry(name).or_insert((seed, 0, violation.what));
+                entry.1 += 1;
+            }
+        }
+        println!("{switch:?}:");
+        for (promise, (seed, count, what)) in broken {
+            println!("    {promise}: {count} times, first with seed {seed}: {what}");
+        }
+    }
+}
+
 fn print_figures(figures: &Figures) {
     let spread = |values: &[u64]| {
         let show = |share| percentile(values, share).map_or("-".to_owned(), |ms| format!("{ms}"));
--- a/crates/replay/src/schedules.rs
+++ b/crates/replay/src/schedules.rs
@@ -10,6 +10,7 @@
     CrashPoint, Deployment, EndOfProgram, Event, Fault, ProgramScript, PromptForm, Subject, Timed,
     Trace, Work,
 };
+use crate::world::CRASH_WINDOW;
 
 /// Workload begins once groups are laid out.
 const WORK_BEGINS: u64 = 4_000;
@@ -196,7 +197,11 @@
     let mut free_from = Duration::ZERO;
     for timed in events.iter_mut().filter(|timed| is_death(&timed.event)) {
         timed.at = timed.at.max(free_from);
-        free_from = Duration(timed.at.0 + REPLACED.0);
+        let waits = match timed.event {
+            Event::Fault(Fault::Crash { .. }) => CRASH_WINDOW,
+            _ => Duration::ZERO,
+        };
+        free_from = Duration(timed.at.0 + waits.0 + REPLACED.0);
     }
 }
 
--- a/crates/replay/src/switches.rs
+++ b/crates/replay/src/switches.rs
@@ -48,8 +48,6 @@
     DrainWait,
     /// A planned stop hands its groups over.
     HandOver,
-    /// A cancel that was not answered is sent again.
-    CancelRetry,
     /// Only a newer generation replaces the configuration in force.
     GenerationCheck,
     /// A starting daemon asks its peers for the generation.
@@ -62,6 +60,38 @@
     ReadBack,
 }
 
+impl Switch {
+    /// All of them.
+    pub const ALL: [Self; 26] = [
+        Self::OrderGate,
+        Self::DigestCheck,
+        Self::QuorumAcknowledgement,
+        Self::LogComparison,
+        Self::ReplicaIncarnation,
+        Self::Reservation,
+        Self::Obligation,
+        Self::ReleaseCover,
+        Self::StreamMatch,
+        Self::AttemptComparison,
+        Self::NotRunRule,
+        Self::IntentBeforeSend,
+        Self::Enquiry,
+        Self::FenceBeforeEnquiry,
+        Self::CancelBeforeNotRun,
+        Self::EpochCheck,
+        Self::EngineIncarnation,
+        Self::AtMostOnce,
+        Self::LeavingReports,
+        Self::DrainWait,
+        Self::HandOver,
+        Self::GenerationCheck,
+        Self::AskPeers,
+        Self::SpreadWait,
+        Self::Announcements,
+        Self::ReadBack,
+    ];
+}
+
 /// The mechanisms that a run does without.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Switches {
--- a/crates/replay/src/world/caller.rs
+++ b/crates/replay/src/world/caller.rs
@@ -92,6 +92,8 @@
     /// Whether the call is known to have its place.
     pub(crate) begun: bool,
     pub(crate) timer: u64,
+    /// How often it was refused for now.
+    pub(crate) refusals: u32,
     pub(crate) heard: Timestamp,
 }
 
@@ -196,6 +198,25 @@
         self.open_run(index, call.number, gateway);
     }
 
+    /// Asks once more, at any gateway, for every call that ended: the answer has to be the same.
+    pub(crate) fn audit(&mut self) {
+        let mut ended = BTreeMap::new();
+        for seen in &self.seen.seen {
+            let Observation::Told { call, outcome, .. } = &seen.what else { continue };
+            // One that did not run would be begun again.
+            if !matches!(outcome, CallerOutcome::NotRun(_)) {
+                ended.insert(*call, ());
+            }
+        }
+        for call in ended.into_keys() {
+            let script = self.callers.iter().find(|caller| caller.program == call.program);
+            if let Some(script) = script.map(|caller| caller.script.clone()) {
+                let gateway = self.random.random_range(1..=self.trace.deployment.daemons);
+                self.repeat(script, call, gateway);
+            }
+        }
+    }
+
     fn operate(&mut self, script: ProgramScript, program: ProgramId, request: Request, then: Then) {
         let gateway = script.gateway;
         let index = self.add_caller(script, program, Doing::Operate { request, then });
@@ -373,6 +394,7 @@
             attempt: 0,
             begun: false,
             timer: 0,
+            refusals: 0,
             heard: self.now,
         };
         self.callers[index].runs.insert(number, run);
--- a/crates/replay/src/world/caller_replies.rs
+++ b/crates/replay/src/world/caller_replies.rs
@@ -10,6 +10,9 @@
 /// A caller stops after so many calls in a row that did not run.
 const MOST_FAILURES: u32 = 3;
 
+/// A call that was refused for now so often is left.
+const MOST_REFUSALS: u32 = 10;
+
 impl World {
     pub(crate) fn caller_message(&mut self, index: usize, message: CallerMessage) {
         let connection = match &message {
@@ -105,11 +108,15 @@
             ErrorKind::Unavailable => self.try_elsewhere(index, number),
             kind @ (ErrorKind::Overloaded | ErrorKind::LimitReached) => {
                 self.seen.note(self.now, Observation::Refused { call, caller: index, kind });
-                if let Some(run) = self.callers[index].runs.get_mut(&number) {
-                    run.begun = false;
-                    run.text.clear();
+                let Some(run) = self.callers[index].runs.get_mut(&number) else { return };
+                run.begun = false;
+                run.text.clear();
+                run.refusals += 1;
+                if run.refusals < MOST_REFUSALS {
+                    self.try_elsewhere(index, number);
+                } else {
+                    self.told(index, number, CallerOutcome::NotRun(error.message.clone()));
                 }
-                self.try_elsewhere(index, number);
             }
             ErrorKind::NotFound if self.callers[index].runs[&number].begun => {
                 let kind = error.kind;
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -3,7 +3,7 @@
 use dahlia_node::request::ReleaseEnd;
 use dahlia_node::{EngineReport, Event as NodeEvent, ReleaseOrder, StartAttempt};
 use dahlia_platform::engine::AttemptState;
-use dahlia_types::{AttemptId, Bytes, DaemonId, Duration, Incarnation, ProgramId, Term};
+use dahlia_types::{AttemptId, Bytes, DaemonId, Duration, Incarnation, ProgramId, Term, Timestamp};
 use rand::Rng;
 
 use super::World;
@@ -37,6 +37,8 @@
     pub(crate) life: u32,
     /// Name of the request; of the stream too, when it opens one.
     pub(crate) rpc: u64,
+    /// When the daemon sent it.
+    pub(crate) sent: Timestamp,
 }
 
 /// What an engine answers.
@@ -133,7 +135,7 @@
         let channel = Channel::Named(rpc, false);
         let at = self.network.arrival(channel, zone, engine_zone, now, &mut self.random);
         if let Some(at) = at {
-            let path = ReplyPath { daemon: id, life, rpc };
+            let path = ReplyPath { daemon: id, life, rpc, sent: now };
             let call = Delivery::EngineCall { request: Box::new(request), path };
             self.agenda.push(at, Target::Engine(engine, engine_life), call);
         }
--- a/crates/replay/src/world/engine.rs
+++ b/crates/replay/src/world/engine.rs
@@ -281,7 +281,8 @@
             let known = engine.records.get(&attempt).map(|record| record.progress);
             (engine.life, known, engine.leaving_since)
         };
-        let leaving_for = leaving.map(|since| now.since(since));
+        // A request that a cut link held up was sent before its engine was known to leave.
+        let leaving_for = leaving.map(|since| path.sent.since(since));
         self.seen.note(now, Observation::Received { engine: number, attempt, leaving_for });
         match known {
             Some(Progress::NeverStarted) => {
--- a/crates/replay/src/world/faults.rs
+++ b/crates/replay/src/world/faults.rs
@@ -1,6 +1,6 @@
 //! Faults begin and end.
 
-use dahlia_types::{DaemonId, Duration, GroupId};
+use dahlia_types::{DaemonId, Duration, GroupId, Timestamp};
 
 use super::World;
 use super::agenda::{Delivery, Target};
@@ -22,8 +22,12 @@
     point: CrashPoint,
     skip: u32,
     length: Duration,
+    until: Timestamp,
 }
 
+/// A crash whose point is not passed within this time does not come.
+pub const CRASH_WINDOW: Duration = Duration::from_secs(20);
+
 impl World {
     pub(crate) fn begin_fault(&mut self, fault: &Fault) {
         let now = self.now;
@@ -33,7 +37,8 @@
             Fault::Freeze { subject, length } => self.begin_freeze(subject, *length),
             Fault::Crash { point, skip, length } => {
                 let (point, skip, length) = (*point, *skip, *length);
-                self.armed_crashes.push(ArmedCrash { point, skip, length });
+                let until = now + CRASH_WINDOW;
+                self.armed_crashes.push(ArmedCrash { point, skip, length, until });
             }
             Fault::Cut { from, to, .. } => {
                 if let (Some(from), Some(to)) = (self.zone(from), self.zone(to)) {
@@ -167,6 +172,8 @@
     /// Kills a daemon that comes to a durable step if a crash waits for that. Gives whether it
     /// did.
     pub(crate) fn crash_here(&mut self, id: DaemonId, point: CrashPoint) -> bool {
+        let now = self.now;
+        self.armed_crashes.retain(|armed| armed.until > now);
         let Some(place) = self.armed_crashes.iter().position(|armed| armed.point == point) else {
             return false;
         };
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -51,6 +51,7 @@
 use crate::switches::Switches;
 use crate::trace::{Event, Trace, Work};
 
+pub use faults::CRASH_WINDOW;
 pub use observe::{CallName, CallerOutcome, Observation, Observations, Seen};
 
 use agenda::{Agenda, Delivery, Target};
@@ -85,6 +86,8 @@
     pub(crate) armed_crashes: Vec<faults::ArmedCrash>,
     pub(crate) seen: Observations,
     pub(crate) next_name: u64,
+    /// Whether every call was asked for once more.
+    is_audited: bool,
     /// When all was first found to have come to its end.
     quiet_since: Option<Timestamp>,
 }
@@ -107,6 +110,7 @@
             armed_crashes: Vec::new(),
             seen: Observations::new(ORIGIN),
             next_name: 0,
+            is_audited: false,
             quiet_since: None,
         };
         world.start_engines();
@@ -181,8 +185,12 @@
         self.sample_engines();
         let work_left = self.trace.events.iter().any(|timed| ORIGIN + timed.at > self.now);
         let faults_left = ORIGIN + self.trace.faults_end() > self.now;
-        let idle =
-            !work_left && !faults_left && self.all_callers_done() && self.seen.nothing_held();
+        let over = !work_left && !faults_left && self.all_callers_done();
+        if over && !self.is_audited {
+            self.is_audited = true;
+            self.audit();
+        }
+        let idle = over && self.all_callers_done() && self.seen.nothing_held();
         if !idle {
             self.quiet_since = None;
         } else if self.quiet_since.is_none() {
