--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -143,7 +143,11 @@
         group.live.insert(intent.attempt, live);
         let found = group.state.program(call.program).and_then(|program| program.call(call));
         let wish = found.map_or(Tokens::ZERO, |call| call.max_generated());
-        if let Some(start) = self.describe_start(intent, epoch, wish) {
+        let prompt = self.compose_prompt(call, now);
+        if let (Some(messages), Some(mut start)) =
+            (prompt, self.describe_start(intent, epoch, wish))
+        {
+            start.messages = messages;
             self.actions.push(Action::StartAttempt(Box::new(start)));
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -370,9 +370,6 @@
     pub(crate) fn drain(&mut self, _now: Timestamp) {
         self.draining = true;
         self.announce_leaving();
-        if self.settings.faults.no_hand_over {
-            return;
-        }
         for group in self.groups.values_mut() {
             if group.replica.role() != Role::Leader {
                 continue;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -81,8 +81,11 @@
         if let Some(Purpose::Request(to)) = purpose {
             self.reply(to, response);
         }
-        if let Begun::Ready(call) = begun {
-            self.call_ready(call, now);
+        let jumps = self.settings.faults.dispatch_waiting;
+        match begun {
+            Begun::Ready(call) => self.call_ready(call, now),
+            Begun::Waiting(call) if jumps => self.call_ready(call, now),
+            _ => {}
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -94,8 +94,8 @@
     pub no_enquiry: bool,
     /// Reports of engines that leave are taken as those of serving ones.
     pub ignore_leaving: bool,
-    /// A planned stop hands no group over.
-    pub no_hand_over: bool,
+    /// Calls are handed to placement before the earlier ones of their chain have ended.
+    pub dispatch_waiting: bool,
     /// Mechanisms of the program state that are switched off.
     #[cfg(feature = "test-switches")]
     pub program: Vec<dahlia_program::Mechanism>,
--- a/crates/replay/src/schedules.rs
+++ b/crates/replay/src/schedules.rs
@@ -216,7 +216,12 @@
         5 => Fault::Freeze { subject: Subject::Engine(engine), length: length.times(2) },
         6..=9 => {
             let (point, _) = CrashPoint::ALL[random.random_range(0..CrashPoint::ALL.len())];
-            Fault::Crash { point, skip: random.random_range(0..12), length }
+            let skip = random.random_range(0..12);
+            if random.random_bool(0.3) {
+                Fault::Pause { point, skip, length }
+            } else {
+                Fault::Crash { point, skip, length }
+            }
         }
         10 => Fault::Isolate { zone, length },
         11 => {
--- a/crates/replay/src/switches.rs
+++ b/crates/replay/src/switches.rs
@@ -6,22 +6,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Switch {
-    /// Only the first open call of a chain is attempted.
+    /// Only the first open call of a chain is handed to placement and attempted.
     OrderGate,
-    /// A key or number used again must come with the same content.
-    DigestCheck,
     /// A commit takes a majority of the group.
     QuorumAcknowledgement,
     /// Votes are given only to candidates with the whole log.
     LogComparison,
-    /// A daemon without memory is another replica.
-    ReplicaIncarnation,
     /// Budget is set aside at the intent.
     Reservation,
     /// The duty to release is recorded with the intent.
     Obligation,
-    /// A confirmed release ends only what it covers.
-    ReleaseCover,
     /// Streams are matched by attempt.
     StreamMatch,
     /// Text of different attempts is not joined.
@@ -46,31 +40,22 @@
     LeavingReports,
     /// A planned stop waits for what is in progress.
     DrainWait,
-    /// A planned stop hands its groups over.
-    HandOver,
     /// Only a newer generation replaces the configuration in force.
     GenerationCheck,
     /// A starting daemon asks its peers for the generation.
     AskPeers,
     /// A starting daemon waits until a generation can have spread.
     SpreadWait,
-    /// Daemons tell each other of new generations.
-    Announcements,
-    /// A change whose reply was lost is looked for by its identity.
-    ReadBack,
 }
 
 impl Switch {
     /// All of them.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 20] = [
         Self::OrderGate,
-        Self::DigestCheck,
         Self::QuorumAcknowledgement,
         Self::LogComparison,
-        Self::ReplicaIncarnation,
         Self::Reservation,
         Self::Obligation,
-        Self::ReleaseCover,
         Self::StreamMatch,
         Self::AttemptComparison,
         Self::NotRunRule,
@@ -83,12 +68,9 @@
         Self::AtMostOnce,
         Self::LeavingReports,
         Self::DrainWait,
-        Self::HandOver,
         Self::GenerationCheck,
         Self::AskPeers,
         Self::SpreadWait,
-        Self::Announcements,
-        Self::ReadBack,
     ];
 }
 
--- a/crates/replay/src/trace/event.rs
+++ b/crates/replay/src/trace/event.rs
@@ -251,6 +251,15 @@
         /// How long the daemon is down.
         length: Duration,
     },
+    /// SIGSTOP of the daemon that next comes to a durable step, and waking after the time.
+    Pause {
+        /// The step.
+        point: CrashPoint,
+        /// How often it is passed before.
+        skip: u32,
+        /// How long the daemon stands still.
+        length: Duration,
+    },
     /// Nothing gets from one zone to another, in this direction.
     Cut {
         /// From this zone.
@@ -346,6 +355,7 @@
             Self::Kill { .. } => "kill",
             Self::Freeze { .. } => "freeze",
             Self::Crash { .. } => "crash",
+            Self::Pause { .. } => "pause",
             Self::Cut { .. } => "cut",
             Self::Isolate { .. } => "isolate",
             Self::Slow { .. } => "slow",
@@ -367,6 +377,7 @@
             Self::Kill { length, .. }
             | Self::Freeze { length, .. }
             | Self::Crash { length, .. }
+            | Self::Pause { length, .. }
             | Self::Cut { length, .. }
             | Self::Isolate { length, .. }
             | Self::Slow { length, .. }
--- a/crates/replay/src/trace/parse.rs
+++ b/crates/replay/src/trace/parse.rs
@@ -213,6 +213,11 @@
             skip: line.number("skip", 0)?,
             length,
         },
+        "pause" => Fault::Pause {
+            point: line.choice("point", &CrashPoint::ALL, None)?,
+            skip: line.number("skip", 0)?,
+            length,
+        },
         "cut" => Fault::Cut {
             from: line.required("from", ZONE)?,
             to: line.required("to", ZONE)?,
--- a/crates/replay/src/trace/write.rs
+++ b/crates/replay/src/trace/write.rs
@@ -115,7 +115,9 @@
             Subject::Engine(engine) => format!(" engine={engine}"),
             Subject::OwnerOf(group) => format!(" owner={group}"),
         },
-        Fault::Crash { point, skip, .. } => format!(" point={} skip={skip}", point.name()),
+        Fault::Crash { point, skip, .. } | Fault::Pause { point, skip, .. } => {
+            format!(" point={} skip={skip}", point.name())
+        }
         Fault::Cut { from, to, .. } => format!(" from={from} to={to}"),
         Fault::Isolate { zone, .. } => format!(" zone={zone}"),
         Fault::Slow { zone, by, .. } => format!(" zone={zone} by={}", write_duration(*by)),
--- a/crates/replay/src/world/agenda.rs
+++ b/crates/replay/src/world/agenda.rs
@@ -3,8 +3,8 @@
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 
-use dahlia_node::Event as NodeEvent;
 use dahlia_node::wire::{AnswerFrame, ReadAnswer};
+use dahlia_node::{Action, Event as NodeEvent};
 use dahlia_types::{DaemonId, Timestamp};
 
 use super::caller::CallerMessage;
@@ -36,6 +36,8 @@
 
     /// The node's timer.
     Tick,
+    /// What a stopped daemon was about to do.
+    Actions(Vec<Action>),
     /// Anything for the node.
     Node(Box<NodeEvent>),
     /// A request to an engine is due to be made again, or its time is up.
--- a/crates/replay/src/world/attempt.rs
+++ b/crates/replay/src/world/attempt.rs
@@ -355,11 +355,12 @@
     fn end_attempt(&mut self, id: DaemonId, name: u64, end: AttemptEnd) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         let Some(task) = daemon.tasks.remove(&name) else { return };
+        let attempt = task.start.attempt;
+        let event = NodeEvent::AttemptEnded { attempt: attempt.id, epoch: attempt.epoch, end };
         if self.crash_here(id, CrashPoint::BeforeOutcome) {
+            self.node_event_later(id, event);
             return;
         }
-        let attempt = task.start.attempt;
-        let event = NodeEvent::AttemptEnded { attempt: attempt.id, epoch: attempt.epoch, end };
         self.node_event(id, event);
     }
 }
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -211,15 +211,16 @@
 
     fn release_done(&mut self, id: DaemonId, order: &ReleaseOrder, end: ReleaseEnd) {
         let confirmed = matches!(end, ReleaseEnd::Confirmed { .. });
-        if confirmed && self.crash_here(id, CrashPoint::BeforeReleaseRecorded) {
-            return;
-        }
         let event = NodeEvent::ReleaseEnded {
             program: order.request.program,
             holder: order.request.holder.clone(),
             covers: order.request.covers,
             end,
         };
+        if confirmed && self.crash_here(id, CrashPoint::BeforeReleaseRecorded) {
+            self.node_event_later(id, event);
+            return;
+        }
         self.node_event(id, event);
     }
 
--- a/crates/replay/src/world/daemon.rs
+++ b/crates/replay/src/world/daemon.rs
@@ -157,6 +157,7 @@
                 self.agenda.push(self.now + Node::TICK, Target::Daemon(id, life), Delivery::Tick);
                 self.node_event(id, NodeEvent::Tick);
             }
+            Delivery::Actions(actions) => self.perform_all(id, actions),
             Delivery::Node(event) => self.node_event(id, *event),
             Delivery::Rpc { rpc, result } => self.rpc_done(id, rpc, *result),
             Delivery::Line { stream, line } => self.attempt_line(id, stream, line),
@@ -189,6 +190,15 @@
         self.perform_all(id, actions);
     }
 
+    /// A daemon that was stopped takes the event in when it wakes; a dead one does not.
+    pub(crate) fn node_event_later(&mut self, id: DaemonId, event: NodeEvent) {
+        if let Some(daemon) = self.daemons.get_mut(&id)
+            && daemon.is_frozen
+        {
+            daemon.backlog.push(Delivery::Node(Box::new(event)));
+        }
+    }
+
     /// Puts a request to a daemon's node.
     pub(crate) fn node_request(&mut self, id: DaemonId, request: Request, waiter: Waiter) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
@@ -300,7 +310,13 @@
         let mut backlog = std::mem::take(&mut daemon.backlog);
         // Timers and sockets are looked at in either order.
         if self.random.random_bool(0.5) {
-            backlog.sort_by_key(|delivery| !matches!(delivery, Delivery::Tick));
+            // What it was in the middle of still comes first.
+            let rank = |delivery: &Delivery| match delivery {
+                Delivery::Actions(_) => 0,
+                Delivery::Tick => 1,
+                _ => 2,
+            };
+            backlog.sort_by_key(rank);
         }
         for delivery in backlog {
             self.deliver_to_daemon(id, life, delivery);
