Drop a hint at an owner when a newer description of its group arrives

Cause: a gateway that holds no replica of a group kept the hint of the last response. Ruled out: hints in the frame "not owner" alone, since a dead owner sends none.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -52,7 +52,12 @@
         if let FactKey::Group(_) = fact.key
             && let Some(description) = decode(&fact.bytes)
         {
-            self.directory.merge(description);
+            let group = description.group;
+            // Whoever answered last may have handed over since. Without this a gateway that holds
+            // no replica would read on at the former owner for good.
+            if self.directory.merge(description) {
+                self.router.drop_hint(group);
+            }
         }
     }
 
@@ -92,6 +97,7 @@
     /// A connection to a daemon broke: it may have died.
     pub(crate) fn connection_lost(&mut self, peer: ReplicaId, now: Timestamp) {
         self.membership_event(MembershipEvent::ConnectionLost(peer.daemon), now);
+        self.router.drop_hints_to(peer.daemon);
         for group in self.groups.values_mut() {
             group.replica.peer_lost(peer, now);
             self.dirty.insert(group.id());
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -123,6 +123,11 @@
         self.hints.remove(&group);
     }
 
+    /// Forgets hints that name a daemon.
+    pub(crate) fn drop_hints_to(&mut self, daemon: DaemonId) {
+        self.hints.retain(|_, owner| *owner != daemon);
+    }
+
     /// Requests without an answer.
     pub(crate) fn len(&self) -> usize {
         self.requests.len()
