Go on with a member's replacement at once; judge no engine by a call that none can hold

What was wrong is the length of the window: the step after a committed change waited for the next second. A death inside the window that is left still ends a group of three: not proved otherwise. The end of an attempt now says whose matter it is; an engine that is overloaded is not ejected either.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use dahlia_node::request::AttemptEnd;
+use dahlia_node::request::{AttemptEnd, NotRunCause};
 use dahlia_node::{Event, StartAttempt};
 use dahlia_platform::engine::{
     AttemptState, EngineRefusal, EventStream, GenerateEvent, GenerateRequest, Stop,
@@ -91,7 +91,7 @@
         match client.generate(&request).await {
             Ok(stream) => self.read(client, stream).await,
             Err(error) if known_already(&error) => self.find_out(client, &error.to_string()).await,
-            Err(error) if error.certainty() == Certainty::NotRun => not_run(&error.to_string()),
+            Err(error) if error.certainty() == Certainty::NotRun => refused(&error),
             Err(error) => self.find_out(client, &error.to_string()).await,
         }
     }
@@ -231,7 +231,17 @@
 }
 
 fn not_run(reason: &str) -> AttemptEnd {
-    AttemptEnd::NotRun { reason: reason.to_owned(), retry_after: None }
+    let cause = NotRunCause::Engine;
+    AttemptEnd::NotRun { cause, reason: reason.to_owned(), retry_after: None }
+}
+
+fn refused(error: &EngineError) -> AttemptEnd {
+    let cause = match error.refusal() {
+        Some(EngineRefusal::Overloaded { .. }) => NotRunCause::Overloaded,
+        Some(EngineRefusal::PromptTooLong { .. }) => NotRunCause::Call,
+        _ => NotRunCause::Engine,
+    };
+    AttemptEnd::NotRun { cause, reason: error.to_string(), retry_after: None }
 }
 
 fn unknown(reason: &str) -> AttemptEnd {
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -15,7 +15,7 @@
 use crate::group::{IntentPurpose, LiveAttempt, Purpose};
 use crate::node::Node;
 use crate::owner::token_bound;
-use crate::request::AttemptEnd;
+use crate::request::{AttemptEnd, NotRunCause};
 use crate::{Action, StartAttempt};
 
 /// A cancelled attempt that has not ended by then is cancelled again.
@@ -111,7 +111,7 @@
             // byte has left, and only this owner could have sent one in this epoch.
             self.recalled.insert(intent.attempt);
             let reason = "the engine was taken out of service before the attempt was sent";
-            let end = AttemptEnd::NotRun { reason: reason.to_owned(), retry_after: None };
+            let end = not_run(reason);
             self.attempt_ended(intent.attempt, epoch, end, now);
             return;
         }
@@ -125,7 +125,7 @@
             _ => {
                 // Its chunks were dropped meanwhile. No byte has left, so it has not run.
                 let reason = "its history has to be read back first".to_owned();
-                let end = AttemptEnd::NotRun { reason, retry_after: None };
+                let end = not_run(&reason);
                 self.attempt_ended(intent.attempt, epoch, end, now);
             }
         }
@@ -254,7 +254,12 @@
                 AttemptOutcome::Ran { answer, usage }
             }
             AttemptEnd::Cut { usage } => AttemptOutcome::Cut { usage },
-            AttemptEnd::NotRun { .. } => AttemptOutcome::NotRun,
+            AttemptEnd::NotRun { cause, .. } => {
+                if cause != NotRunCause::Engine {
+                    self.refusals.insert(attempt, cause);
+                }
+                AttemptOutcome::NotRun
+            }
             AttemptEnd::Unknown { reason } => {
                 log::info!(target: "programs", "The outcome of {attempt} is unknown. {reason}.");
                 AttemptOutcome::Unknown
@@ -272,6 +277,7 @@
         };
         let attempt = recorded.attempt;
         self.recalled.remove(&attempt);
+        self.refusals.remove(&attempt);
         if let Some(group) = self.groups.get_mut(&attempt.call.program.group) {
             group.taken_over.remove(&attempt);
         }
@@ -295,10 +301,17 @@
         };
         let attempt = recorded.attempt;
         let was_recalled = self.recalled.remove(&attempt);
+        let cause = self.refusals.remove(&attempt);
         if !self.is_open_program(call.program) {
             self.abandon(call, NotRunReason::ProgramClosed, None, now);
             return;
         }
+        if cause == Some(NotRunCause::Call) {
+            // No engine is ejected for a call that none can hold.
+            self.schedule(PlacementEvent::AttemptWithdrawn(attempt), now);
+            self.abandon(call, NotRunReason::LimitReached, None, now);
+            return;
+        }
         if attempt.attempt >= self.settings.attempts_per_call {
             let failed =
                 AttemptFailed { attempt, failure: failure_of(&recorded.outcome), retryable: false };
@@ -313,6 +326,9 @@
         }
         let failure = match failure_of(&recorded.outcome) {
             AttemptFailure::Refused if was_recalled => AttemptFailure::Recalled,
+            AttemptFailure::Refused if cause == Some(NotRunCause::Overloaded) => {
+                AttemptFailure::Overloaded
+            }
             failure => failure,
         };
         let failed = AttemptFailed { attempt, failure, retryable: true };
@@ -370,6 +386,11 @@
     }
 }
 
+fn not_run(reason: &str) -> AttemptEnd {
+    let cause = NotRunCause::Engine;
+    AttemptEnd::NotRun { cause, reason: reason.to_owned(), retry_after: None }
+}
+
 fn failure_of(outcome: &AttemptOutcome) -> AttemptFailure {
     match outcome {
         AttemptOutcome::NotRun => AttemptFailure::Refused,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,7 +21,7 @@
 use crate::group::{Group, Purpose, decode};
 use crate::history::History;
 use crate::orders::Orders;
-use crate::request::Response;
+use crate::request::{NotRunCause, Response};
 use crate::routing::{ReplyTo, Router};
 use crate::wire::PeerMessage;
 use crate::{Action, Event, NodeSettings};
@@ -45,6 +45,8 @@
     pub(crate) orders: Orders,
     /// Attempts that were taken back before they began to answer.
     pub(crate) recalled: BTreeSet<AttemptId>,
+    /// Attempts that ended unrun by no fault of their engine, until that is recorded.
+    pub(crate) refusals: BTreeMap<AttemptId, NotRunCause>,
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
     pub(crate) next_upkeep: Timestamp,
@@ -112,6 +114,7 @@
             configuration: Configuration::new(&settings, now),
             orders: Orders::default(),
             recalled: BTreeSet::new(),
+            refusals: BTreeMap::new(),
             settings,
             groups: BTreeMap::new(),
             directory: Directory::new(),
@@ -467,6 +470,9 @@
         if let Some(group) = self.groups.get_mut(&id) {
             group.members_index = index;
         }
+        // The next step of a replacement follows at once: between the removal of a lost voter and
+        // the promotion of its replacement, two voters are left and none may die.
+        self.next_upkeep = Timestamp::ZERO;
         self.publish_group(id);
     }
 
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -7,7 +7,7 @@
 use crate::Action;
 use crate::group::{IntentPurpose, LiveAttempt, Purpose};
 use crate::node::Node;
-use crate::request::{AttemptEnd, Response};
+use crate::request::{AttemptEnd, NotRunCause, Response};
 
 /// Priority of a resumed attempt at its engine: it only reads, so any will do.
 const RESUMED_PRIORITY: u64 = 0;
@@ -72,7 +72,8 @@
         group.taken_over.insert(attempt);
         if self.settings.faults.no_enquiry {
             let reason = "a test's fault: nobody asked the engine".to_owned();
-            let end = AttemptEnd::NotRun { reason, retry_after: None };
+            let cause = NotRunCause::Engine;
+            let end = AttemptEnd::NotRun { cause, reason, retry_after: None };
             self.attempt_ended(attempt, epoch, end, now);
             return;
         }
@@ -99,6 +100,7 @@
         log::info!(target: "groups", "No longer owner of {id}.");
         group.serving = None;
         self.recalled.retain(|attempt| attempt.call.program.group != id);
+        self.refusals.retain(|attempt, _| attempt.call.program.group != id);
         let attempts = std::mem::take(&mut group.live);
         let pending = std::mem::take(&mut group.pending);
         let deferred = std::mem::take(&mut group.deferred);
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -206,6 +206,18 @@
     Unknown,
 }
 
+/// What kept an attempt from running. Placement judges engines by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotRunCause {
+    /// Its engine could not be reached, leaves, or refused it for another reason of its own.
+    Engine,
+    /// Its engine has too much work.
+    Overloaded,
+    /// The call is too large for the engine's memory or its own reservation: another engine of the
+    /// model would refuse it too, and the engine is not to blame.
+    Call,
+}
+
 /// How an attempt ended, as seen by the part of the daemon that talks to engines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AttemptEnd {
@@ -218,6 +230,8 @@
     },
     /// The engine confirmed that it did not start and never will.
     NotRun {
+        /// What kept it from running.
+        cause: NotRunCause,
         /// Why.
         reason: String,
         /// The engine's hint when to come back.
--- a/crates/replay/src/schedules.rs
+++ b/crates/replay/src/schedules.rs
@@ -182,7 +182,7 @@
 
 /// Memory of three replicas survives one death at a time: a second daemon is killed only after
 /// the first one's place has been taken. Freezes and cuts may come together with anything.
-fn limit_deaths(events: &mut Vec<Timed>) {
+fn limit_deaths(events: &mut [Timed]) {
     /// Time in which a lost member of a group has been replaced.
     const REPLACED: Duration = Duration::from_secs(25);
     let is_death = |event: &Event| {
@@ -195,7 +195,15 @@
     };
     events.sort_by_key(|timed| timed.at);
     let mut free_from = Duration::ZERO;
+    let mut one_is_gone = false;
     for timed in events.iter_mut().filter(|timed| is_death(&timed.event)) {
+        // At most one machine never comes back.
+        if let Event::Fault(Fault::Kill { length, .. }) = &mut timed.event
+            && *length == Duration::ZERO
+            && std::mem::replace(&mut one_is_gone, true)
+        {
+            *length = Duration::from_secs(3);
+        }
         timed.at = timed.at.max(free_from);
         let waits = match timed.event {
             Event::Fault(Fault::Crash { .. }) => CRASH_WINDOW,
@@ -210,7 +218,11 @@
     let engine = random.random_range(1..=deployment.engines);
     let zone = deployment.zones.choose(random).cloned().unwrap_or_default();
     match random.random_range(0..20) {
-        0 | 1 => Fault::Kill { subject: draw_daemon(deployment, random), length },
+        0 | 1 => {
+            let subject = draw_daemon(deployment, random);
+            let length = if random.random_bool(0.3) { Duration::ZERO } else { length };
+            Fault::Kill { subject, length }
+        }
         2 | 3 => Fault::Freeze { subject: draw_daemon(deployment, random), length },
         4 => Fault::Kill { subject: Subject::Engine(engine), length },
         5 => Fault::Freeze { subject: Subject::Engine(engine), length: length.times(2) },
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -63,6 +63,10 @@
 pub(crate) enum RpcError {
     /// Refused, or never sent: it had no effect and never will.
     NotRun(String),
+    /// Refused: too much work.
+    Overloaded,
+    /// Refused: the call is too large.
+    TooLarge,
     /// The engine knows the attempt already.
     Known,
     /// The engine does not know the attempt.
@@ -70,7 +74,7 @@
     /// A newer owner was seen.
     StaleEpoch,
     /// It may have had its effect, or may yet.
-    Unknown(String),
+    Unknown,
 }
 
 /// A reply.
@@ -110,7 +114,7 @@
         let is_named = daemon.uses.contains(&engine);
         let own = Target::Daemon(id, life);
         let fail = |error: RpcError| Delivery::Rpc { rpc, result: Box::new(Err(error)) };
-        let timeout = RpcError::Unknown("no answer in time".to_owned());
+        let timeout = RpcError::Unknown;
         self.agenda.push(now + RESPONSE_TIMEOUT, own, fail(timeout));
         let Some(target) = self.engines.get(&engine).filter(|_| is_named) else {
             self.agenda.push(now, own, fail(RpcError::NotRun("no such engine".to_owned())));
--- a/crates/replay/src/world/gateway.rs
+++ b/crates/replay/src/world/gateway.rs
@@ -67,7 +67,7 @@
     ) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         if !daemon.takes_callers() {
-            self.to_caller(id, name, caller, CallerMessage::Refused { connection: name });
+            self.tell_caller(id, name, caller, CallerMessage::Refused { connection: name });
             return;
         }
         let mut connection = Connection { caller, tenant: TenantId::new(""), follow: None };
@@ -101,21 +101,21 @@
                 self.follow(id, name, call, StartPosition::default());
             }
             Response::Failed(error) => {
-                self.last_to_caller(id, name, CallerMessage::Failed { connection: name, error });
+                self.tell_caller_last(id, name, CallerMessage::Failed { connection: name, error });
             }
             Response::Program(_) | Response::Programs(_) => {
-                self.last_to_caller(id, name, CallerMessage::Done { connection: name });
+                self.tell_caller_last(id, name, CallerMessage::Done { connection: name });
             }
             Response::NotOwner { .. } => {
                 let error = ApiError::new(ErrorKind::Internal, "the owner answered \"not owner\"");
-                self.last_to_caller(id, name, CallerMessage::Failed { connection: name, error });
+                self.tell_caller_last(id, name, CallerMessage::Failed { connection: name, error });
             }
         }
     }
 
     /// The node decided on an operator's change.
     pub(crate) fn change_answered(&mut self, id: DaemonId, name: u64, verdict: Verdict) {
-        self.last_to_caller(id, name, CallerMessage::Decided { connection: name, verdict });
+        self.tell_caller_last(id, name, CallerMessage::Decided { connection: name, verdict });
     }
 
     fn follow(&mut self, id: DaemonId, name: u64, call: CallId, start: StartPosition) {
@@ -188,7 +188,7 @@
         follow.source = None;
         if now.since(follow.last_contact) > OWNERLESS_LIMIT {
             let error = ApiError::new(ErrorKind::Unavailable, "no owner can be reached");
-            self.last_to_caller(id, name, CallerMessage::Failed { connection: name, error });
+            self.tell_caller_last(id, name, CallerMessage::Failed { connection: name, error });
             return;
         }
         self.follow_timer_in(id, name, RELOCATE_PAUSE);
@@ -262,26 +262,26 @@
                     return;
                 };
                 let message = CallerMessage::Text { connection: name, attempt, offset, text };
-                self.to_caller(id, name, caller, message);
+                self.tell_caller(id, name, caller, message);
             }
             Followed::End { .. } => {
-                self.last_to_caller(id, name, CallerMessage::End { connection: name });
+                self.tell_caller_last(id, name, CallerMessage::End { connection: name });
             }
             Followed::Failed(error) => {
-                self.last_to_caller(id, name, CallerMessage::Failed { connection: name, error });
+                self.tell_caller_last(id, name, CallerMessage::Failed { connection: name, error });
             }
         }
     }
 
-    fn last_to_caller(&mut self, id: DaemonId, name: u64, message: CallerMessage) {
+    fn tell_caller_last(&mut self, id: DaemonId, name: u64, message: CallerMessage) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         let Some(connection) = daemon.connections.get(&name) else { return };
         let caller = connection.caller;
-        self.to_caller(id, name, caller, message);
+        self.tell_caller(id, name, caller, message);
         self.connection_gone(id, name);
     }
 
-    fn to_caller(&mut self, id: DaemonId, name: u64, caller: usize, message: CallerMessage) {
+    fn tell_caller(&mut self, id: DaemonId, name: u64, caller: usize, message: CallerMessage) {
         let Some(daemon) = self.daemons.get(&id) else { return };
         let channel = Channel::Named(name, true);
         let zone = Some(daemon.zone);
