Send membership as datagrams; spread the start of many daemons

Cause: rehearse scale at 200 daemons never became ready. Random probes and gossip opened a connection from each daemon to every other: 200 daemons in one process need 80,000 descriptors, the machine gives 20,000, and connections that failed made members look dead (live members seen fell from 136 to 108 in 30 s). Each daemon also listed all members 50 times a second while it waited for the layout. Ruled out: a shorter life of idle connections, which turns gossip into a handshake for each message.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -13,7 +13,7 @@
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
 use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -23,6 +23,7 @@
 use crate::clock::Clock;
 use crate::configuration_key::ConfigurationKey;
 use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
+use crate::datagrams::{self, DatagramSender};
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
 use crate::gateway::{self, Gateway};
@@ -38,6 +39,8 @@
 
 /// Messages of peers that may wait for the node.
 const PEER_INBOX: usize = 8_192;
+/// How often the system is asked for another port.
+const PORT_TRIES: u32 = 16;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// How often a planned stop looks whether everything has ended.
@@ -93,6 +96,7 @@
     /// Where other daemons connect.
     pub peer_address: SocketAddr,
     traffic: Arc<Traffic>,
+    datagrams: DatagramSender,
     identity: Identity,
     metrics: Arc<Metrics>,
     in_force: watch::Receiver<Option<Arc<Record>>>,
@@ -100,9 +104,14 @@
 }
 
 impl ControlParts {
-    /// Bytes and frames sent to other daemons.
-    pub fn traffic(&self) -> &Traffic {
-        &self.traffic
+    /// Frames sent to other daemons over connections.
+    pub fn frames_sent(&self) -> u64 {
+        self.traffic.frames()
+    }
+
+    /// Bytes sent to other daemons, without headers of TCP, UDP and IP.
+    pub fn bytes_sent(&self) -> u64 {
+        self.traffic.bytes() + self.datagrams.bytes()
     }
 
     /// Stops at once, like a death: connections break, memory is lost.
@@ -120,7 +129,7 @@
 pub fn start_control(settings: &Settings) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
     let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
-    let peer_listener = listen("peers", settings.daemon.peer_address)?;
+    let (peer_listener, socket) = listen_to_peers(settings.daemon.peer_address)?;
     let peer_address = local(&peer_listener, settings.daemon.peer_address);
     let key = PeerKey::new(settings.credentials.peer_key.as_bytes());
     let identity = Identity { daemon: own.daemon, incarnation: own.incarnation, key };
@@ -133,7 +142,8 @@
         .key_value
         .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
     let (publisher, in_force) = watch::channel(None);
-    let peers = PeerSender::new(identity.clone(), incoming.clone());
+    let datagrams = DatagramSender::new(identity.clone(), socket.clone());
+    let peers = PeerSender::new(identity.clone(), incoming.clone(), datagrams.clone());
     let traffic = peers.traffic();
     let parts = CoreParts {
         peers,
@@ -147,13 +157,14 @@
     let node = Node::new(node_settings(settings, own, peer_address), clock.now());
     let mut tasks = vec![
         tokio::spawn(Core::new(node, clock, inbox, parts).run()),
-        tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming)),
+        tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming.clone())),
+        tokio::spawn(datagrams::receive(socket, identity.clone(), incoming)),
         tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
     ];
     if let Some(machines) = settings.platform.machines {
         tasks.push(tokio::spawn(machine_list::follow(machines, core.clone())));
     }
-    Ok(ControlParts { core, peer_address, traffic, identity, metrics, in_force, tasks })
+    Ok(ControlParts { core, peer_address, traffic, datagrams, identity, metrics, in_force, tasks })
 }
 
 /// Starts a daemon.
@@ -242,6 +253,28 @@
     bind(address).context(ListenSnafu { part, address })
 }
 
+/// A listener for connections and a socket for datagrams at the same port.
+fn listen_to_peers(address: SocketAddr) -> Result<(TcpListener, Arc<UdpSocket>), StartError> {
+    let part = "peers";
+    let mut tries = 0;
+    loop {
+        let listener = listen(part, address)?;
+        let chosen = local(&listener, address);
+        match bind_datagrams(chosen) {
+            Ok(socket) => return Ok((listener, Arc::new(socket))),
+            // A port that the system chose may be taken for datagrams: it chooses another one.
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => tries += 1,
+            Err(source) => return Err(source).context(ListenSnafu { part, address: chosen }),
+        }
+    }
+}
+
+fn bind_datagrams(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
@@ -274,10 +307,7 @@
 async fn take_incoming(mut inbox: mpsc::Receiver<Incoming>, core: CoreHandle, board: AnswerBoard) {
     while let Some(incoming) = inbox.recv().await {
         match incoming {
-            Incoming::Message { from, message } => {
-                let from = ReplicaId { daemon: from.daemon, incarnation: from.incarnation };
-                deliver(&core, from, message).await;
-            }
+            Incoming::Message { from, message } => deliver(&core, from, message).await,
             Incoming::ConnectionLost(address) => core.connection_lost(address).await,
             Incoming::Answer { read, frames } => {
                 tokio::spawn(serve_answers::serve(core.clone(), board.clone(), read, frames));
--- /dev/null
+++ b/crates/daemon/src/datagrams.rs
@@ -0,0 +1,123 @@
+//! Membership messages between daemons as datagrams (UDP).
+//!
+//! They are small, may be lost, and go to ever changing peers: over connections, hundreds of
+//! daemons would each hold one to every other. A message that does not fit into a datagram goes
+//! over a connection.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dahlia_node::wire::PeerMessage;
+use dahlia_types::{DaemonId, Incarnation, ReplicaId};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::handshake::Identity;
+use crate::logging::part;
+use crate::peers::Incoming;
+
+/// Largest datagram: fits into an Ethernet frame with the headers of UDP and IPv6.
+const LARGEST_DATAGRAM: usize = 1_400;
+/// Room for what is received; anything longer is cut off and refused.
+const RECEIVE_BYTES: usize = 2_048;
+
+/// A datagram: who sends, the message, and a keyed hash over both.
+#[derive(Debug, Serialize, Deserialize)]
+struct Datagram {
+    daemon: DaemonId,
+    incarnation: Incarnation,
+    message: Vec<u8>,
+    proof: [u8; 32],
+}
+
+/// Sends datagrams. Cheap to clone.
+#[derive(Clone)]
+pub struct DatagramSender {
+    identity: Identity,
+    socket: Arc<UdpSocket>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl DatagramSender {
+    /// Sends from `socket`.
+    pub fn new(identity: Identity, socket: Arc<UdpSocket>) -> Self {
+        Self { identity, socket, bytes: Arc::default() }
+    }
+
+    /// Sends a message if it fits. Returns whether it did; it may still be lost on the way.
+    pub fn send(&self, peer: SocketAddr, message: &PeerMessage) -> bool {
+        let Some(bytes) = self.encode(message) else {
+            return false;
+        };
+        if bytes.len() > LARGEST_DATAGRAM {
+            return false;
+        }
+        match self.socket.try_send_to(&bytes, peer) {
+            Ok(sent) => drop(self.bytes.fetch_add(sent as u64, Ordering::Relaxed)),
+            Err(error) => {
+                log::debug!(target: part::PEERS, "No datagram to {peer}: {error}.");
+            }
+        }
+        true
+    }
+
+    /// Bytes sent so far, without headers of UDP and IP.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    fn encode(&self, message: &PeerMessage) -> Option<Vec<u8>> {
+        let config = bincode::config::standard();
+        let message = bincode::serde::encode_to_vec(message, config).ok()?;
+        let Identity { daemon, incarnation, key } = &self.identity;
+        let proof = key.prove(&proof_text(*daemon, *incarnation, &message));
+        let datagram = Datagram { daemon: *daemon, incarnation: *incarnation, message, proof };
+        bincode::serde::encode_to_vec(datagram, config).ok()
+    }
+}
+
+/// Receives datagrams for as long as the daemon runs. Those without a right proof are dropped.
+pub async fn receive(socket: Arc<UdpSocket>, identity: Identity, inbox: mpsc::Sender<Incoming>) {
+    let mut buffer = [0; RECEIVE_BYTES];
+    loop {
+        let (length, peer) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            // A peer that is gone makes itself known here by ICMP; the next datagram may be good.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+            Err(error) => {
+                log::warn!(target: part::PEERS, "Receiving datagrams failed: {error}.");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        match decode(&buffer[..length], &identity) {
+            Some((from, message)) => {
+                if inbox.send(Incoming::Message { from, message }).await.is_err() {
+                    return;
+                }
+            }
+            None => log::debug!(target: part::PEERS, "Refused a datagram of {peer}."),
+        }
+    }
+}
+
+fn decode(bytes: &[u8], identity: &Identity) -> Option<(ReplicaId, PeerMessage)> {
+    let config = bincode::config::standard().with_limit::<RECEIVE_BYTES>();
+    let (datagram, _): (Datagram, usize) = bincode::serde::decode_from_slice(bytes, config).ok()?;
+    let Datagram { daemon, incarnation, message, proof } = datagram;
+    // Nothing of the message is looked at before its sender has shown the key.
+    if !identity.key.verify(&proof_text(daemon, incarnation, &message), &proof) {
+        return None;
+    }
+    let (message, _) = bincode::serde::decode_from_slice(&message, config).ok()?;
+    Some((ReplicaId { daemon, incarnation }, message))
+}
+
+fn proof_text(daemon: DaemonId, incarnation: Incarnation, message: &[u8]) -> Vec<u8> {
+    let mut text = format!("dahlialadder datagram {daemon} {incarnation} ").into_bytes();
+    text.extend(message);
+    text
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,7 +8,7 @@
 //! | `core` | the task that drives the node |
 //! | `gateway` | callers' HTTP |
 //! | `operators` | operators' RPC |
-//! | `peers`, `frames`, `handshake` | connections between daemons |
+//! | `peers`, `frames`, `datagrams`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
 //! | `chunk_store` | the thread that owns the data folder |
 //! | `configuration_key` | the configuration at the key-value service |
@@ -24,6 +24,7 @@
 mod clock;
 mod configuration_key;
 pub mod core;
+mod datagrams;
 mod engines;
 mod first_document;
 mod frames;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,12 +7,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dahlia_node::wire::{Hello, PeerMessage, Purpose, ReadAnswer};
+use dahlia_node::wire::{PeerMessage, Purpose, ReadAnswer};
+use dahlia_types::ReplicaId;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::datagrams::DatagramSender;
 use crate::frames::FrameStream;
 use crate::handshake::Identity;
 use crate::logging::part;
@@ -28,8 +30,8 @@
 pub enum Incoming {
     /// A message.
     Message {
-        /// The sender's first frame.
-        from: Hello,
+        /// The sender.
+        from: ReplicaId,
         /// The message.
         message: PeerMessage,
     },
@@ -74,14 +76,19 @@
     identity: Identity,
     lost: mpsc::Sender<Incoming>,
     traffic: Arc<Traffic>,
+    datagrams: DatagramSender,
     queues: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<PeerMessage>>>>,
 }
 
 impl PeerSender {
     /// A sender without connections.
     /// Connections that break are told to `lost`.
-    pub fn new(identity: Identity, lost: mpsc::Sender<Incoming>) -> Self {
-        Self { identity, lost, traffic: Arc::default(), queues: Arc::default() }
+    pub fn new(
+        identity: Identity,
+        lost: mpsc::Sender<Incoming>,
+        datagrams: DatagramSender,
+    ) -> Self {
+        Self { identity, lost, traffic: Arc::default(), datagrams, queues: Arc::default() }
     }
 
     /// What was sent so far.
@@ -89,8 +96,11 @@
         self.traffic.clone()
     }
 
-    /// Queues a message for the daemon at `peer`; drops it when the queue is full.
+    /// Sends a message to the daemon at `peer`; drops it when the queue is full.
     pub fn send(&self, peer: SocketAddr, message: PeerMessage) {
+        if matches!(message, PeerMessage::Membership(_)) && self.datagrams.send(peer, &message) {
+            return;
+        }
         let mut queues = self.queues.lock().expect("no holder of this lock panics");
         let open = queues.get(&peer).filter(|queue| !queue.is_closed());
         let queue = match open {
@@ -198,7 +208,7 @@
     loop {
         match frames.receive::<PeerMessage>().await {
             Ok(message) => {
-                let from = hello.clone();
+                let from = ReplicaId { daemon: hello.daemon, incarnation: hello.incarnation };
                 if inbox.send(Incoming::Message { from, message }).await.is_err() {
                     return;
                 }
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -47,15 +47,20 @@
     }
 
     /// Whether the key should be read now.
-    pub(crate) fn read_due(&mut self, live_daemons: usize, now: Timestamp) -> bool {
+    pub(crate) fn read_due(&mut self, now: Timestamp) -> bool {
         if self.done || now < self.next_read {
             return false;
         }
-        let shared = READ_INTERVAL_PER_DAEMON.times(live_daemons as u64);
-        self.next_read = now + READ_INTERVAL.max(shared);
+        self.next_read = now + READ_INTERVAL;
         true
     }
 
+    /// Spreads the reads of many daemons.
+    pub(crate) fn share_reads(&mut self, live_daemons: usize, now: Timestamp) {
+        let shared = READ_INTERVAL_PER_DAEMON.times(live_daemons as u64);
+        self.next_read = self.next_read.max(now + shared);
+    }
+
     /// Notes that the key is missing.
     pub(crate) fn note_missing(&mut self) {
         self.missing = true;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -306,10 +306,11 @@
         if self.bootstrap.is_done() {
             return;
         }
-        let live = self.live_members();
-        if !self.bootstrap.read_due(live.len(), now) {
+        if !self.bootstrap.read_due(now) {
             return;
         }
+        let live = self.live_members();
+        self.bootstrap.share_reads(live.len(), now);
         if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
             let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
             self.actions.push(Action::Layout(LayoutStep::Value(layout)));
--- a/crates/rehearsal/src/scale/hollow.rs
+++ b/crates/rehearsal/src/scale/hollow.rs
@@ -1,5 +1,6 @@
 //! Many hollow daemons in one process, and what they cost it.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 const SECONDS_A_DAY: f64 = 86_400.0;
 /// How long all daemons may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(180);
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
 const READY_POLL: Duration = Duration::from_millis(200);
 /// Pause between phases, so that one does not count in the next.
 const SETTLE: Duration = Duration::from_secs(5);
@@ -80,6 +82,27 @@
     random: StdRng,
 }
 
+/// How far the crowd is.
+#[derive(Debug, Default)]
+struct Seen {
+    ready: usize,
+    fewest_live: usize,
+    most_live: usize,
+    without_owner: u64,
+    waits_for: String,
+}
+
+impl fmt::Display for Seen {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { ready, fewest_live, most_live, without_owner, waits_for } = self;
+        write!(
+            formatter,
+            "{ready} ready, each sees {fewest_live} to {most_live} live, {without_owner} groups \
+             without an owner, {waits_for}"
+        )
+    }
+}
+
 /// What had been used at the start of a phase.
 struct Mark {
     at: Instant,
@@ -168,23 +191,39 @@
 
     async fn wait_until_ready(&self) -> Result<(), RehearsalError> {
         let started = Instant::now();
+        let mut next_line = started + PROGRESS_INTERVAL;
         loop {
-            let mut ready = 0;
-            for daemon in &self.daemons {
-                ready += usize::from(daemon.core.status().await.ready);
-            }
-            let without = self.groups_without_owner().await;
-            if ready == self.daemons.len() && without == 0 {
+            let seen = self.look().await;
+            if seen.ready == self.daemons.len() && seen.without_owner == 0 {
                 return Ok(());
             }
             if started.elapsed() > READY_LIMIT {
-                let reason = format!("{ready} ready, {without} groups without an owner");
+                let reason = seen.to_string();
                 return Err(RehearsalError::NotReady { name: "the crowd".to_owned(), reason });
             }
+            if Instant::now() >= next_line {
+                next_line += PROGRESS_INTERVAL;
+                eprintln!("{:6.1} s  {seen}", started.elapsed().as_secs_f64());
+            }
             sleep(READY_POLL).await;
         }
     }
 
+    async fn look(&self) -> Seen {
+        let mut seen = Seen { fewest_live: usize::MAX, ..Seen::default() };
+        for daemon in &self.daemons {
+            let status = daemon.core.status().await;
+            seen.ready += usize::from(status.ready);
+            seen.fewest_live = seen.fewest_live.min(status.live_daemons);
+            seen.most_live = seen.most_live.max(status.live_daemons);
+            if let Some(reason) = status.waits_for {
+                seen.waits_for = reason;
+            }
+        }
+        seen.without_owner = self.groups_without_owner().await;
+        seen
+    }
+
     /// Groups that no daemon says it owns, hollow or whole.
     async fn groups_without_owner(&self) -> u64 {
         let mut led = 0;
@@ -213,8 +252,8 @@
         Mark {
             at: Instant::now(),
             usage: usage(),
-            bytes: self.daemons.iter().map(|daemon| daemon.traffic().bytes()).collect(),
-            frames: self.daemons.iter().map(|daemon| daemon.traffic().frames()).sum(),
+            bytes: self.daemons.iter().map(|daemon| daemon.bytes_sent()).collect(),
+            frames: self.daemons.iter().map(|daemon| daemon.frames_sent()).sum(),
         }
     }
 
@@ -228,11 +267,11 @@
             .iter()
             .zip(&mark.bytes)
             .map(|(daemon, before)| {
-                let bytes = daemon.traffic().bytes();
+                let bytes = daemon.bytes_sent();
                 bytes.checked_sub(*before).unwrap_or(bytes)
             })
             .collect();
-        let frames: u64 = self.daemons.iter().map(|daemon| daemon.traffic().frames()).sum();
+        let frames: u64 = self.daemons.iter().map(|daemon| daemon.frames_sent()).sum();
         let used = now.processor_seconds - mark.usage.processor_seconds;
         let resident = now.resident_bytes.saturating_sub(self.empty.resident_bytes);
         Phase {
