--- a/crates/placement/src/retention.rs
+++ b/crates/placement/src/retention.rs
@@ -89,7 +89,7 @@
         copy_cost: Option<f64>,
     ) -> PausePlan {
         let histogram = self.histogram(tenant, tool.unwrap_or(UNKNOWN_TOOL));
-        let chosen = histogram.cheapest(self.break_even(occupancy), copy_cost);
+        let chosen = histogram.cheapest(self.break_even(occupancy, copy_cost.is_some()), copy_cost);
         PausePlan { hold: chosen.hold.min(self.settings.longest_hold), ..chosen }
     }
 
@@ -101,9 +101,14 @@
     }
 
     /// The pause that costs as much to bridge as recomputation: shorter the scarcer memory is.
-    fn break_even(&self, occupancy: f64) -> f64 {
-        let idle = self.settings.break_even_idle.as_secs_f64();
-        let full = self.settings.break_even_full.as_secs_f64();
+    fn break_even(&self, occupancy: f64, can_offload: bool) -> f64 {
+        let settings = &self.settings;
+        let (idle, full) = if can_offload {
+            (settings.break_even_idle, settings.break_even_full)
+        } else {
+            (settings.drop_break_even_idle, settings.drop_break_even_full)
+        };
+        let (idle, full) = (idle.as_secs_f64(), full.as_secs_f64());
         let scarcity = (occupancy - IDLE_OCCUPANCY) / (FULL_OCCUPANCY - IDLE_OCCUPANCY);
         idle * (full / idle).powf(scarcity.clamp(0.0, 1.0))
     }
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -106,6 +106,10 @@
     pub break_even_idle: Duration,
     /// The same when the memory is full.
     pub break_even_full: Duration,
+    /// The same with idle memory, where cache can only be dropped and not offloaded.
+    pub drop_break_even_idle: Duration,
+    /// The same when the memory is full.
+    pub drop_break_even_full: Duration,
     /// Longest hold.
     pub longest_hold: Duration,
     /// Pauses remembered per tool, as a weight; older ones fade.
@@ -121,6 +125,8 @@
         Self {
             break_even_idle: Duration::from_secs(30),
             break_even_full: Duration::from_secs(15),
+            drop_break_even_idle: Duration::from_secs(1200),
+            drop_break_even_full: Duration::from_secs(300),
             longest_hold: Duration::from_secs(1800),
             memory: 500.0,
             release_retry: Duration::from_secs(5),
@@ -238,6 +244,12 @@
             1,
             retention.break_even_idle.as_micros(),
         )?;
+        check_range(
+            "placement.retention.drop_break_even_full",
+            retention.drop_break_even_full.as_micros(),
+            1,
+            retention.drop_break_even_idle.as_micros(),
+        )?;
         check_range("placement.retention.memory", retention.memory, 1.0, 1e9)?;
         let admission = &self.admission;
         check_range("placement.admission.queue_limit", admission.queue_limit, 1, 1 << 24)?;
