--- a/crates/experiment/src/metrics.rs
+++ b/crates/experiment/src/metrics.rs
@@ -56,6 +56,7 @@
 pub struct RunResult {
     warm_up: Timestamp,
     arrivals_end: Timestamp,
+    completed_in_time: u64,
     pub(crate) programs: Vec<ProgramRecord>,
     pub(crate) calls: Vec<CallRecord>,
     pub(crate) cache: HeldCache,
@@ -98,6 +99,7 @@
         Self {
             warm_up: moment(workload.run.warm_up_seconds),
             arrivals_end: moment(workload.run.seconds),
+            completed_in_time: 0,
             programs: Vec::new(),
             calls: Vec::new(),
             cache: HeldCache::default(),
@@ -125,12 +127,9 @@
         self.programs.iter().filter(|program| program.outcome == outcome).count() as u64
     }
 
-    /// Programs completed a second while programs arrived, after the warm-up.
+    /// Programs completed a second between the warm-up and the last arrival, whenever they began.
     pub fn goodput(&self) -> f64 {
-        let within = self.programs.iter().filter(|program| {
-            program.outcome == Outcome::Completed && program.ended <= self.arrivals_end
-        });
-        within.count() as f64 / self.arrivals_end.since(self.warm_up).as_secs_f64()
+        self.completed_in_time as f64 / self.arrivals_end.since(self.warm_up).as_secs_f64()
     }
 
     /// Whether a program or call of this moment is measured.
@@ -139,6 +138,9 @@
     }
 
     pub(crate) fn add_program(&mut self, record: ProgramRecord) {
+        let in_time = record.ended >= self.warm_up && record.ended <= self.arrivals_end;
+        let completed = record.outcome == Outcome::Completed;
+        self.completed_in_time += u64::from(in_time && completed);
         if self.is_measured(record.arrives) {
             self.programs.push(record);
         }
