--- /dev/null
+++ b/crates/daemon/tests/configuration/engines.rs
@@ -0,0 +1,209 @@
+//! Engines that leave, by each of the three sources, and orders that follow from the document.
+
+use std::cell::OnceCell;
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dahlia_platform::engine::{EngineOrder, ModelState};
+use dahlia_platform::machines::MachineState;
+use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
+use dahlia_standins::engine::{EngineFaults, EngineObservation};
+use dahlia_types::{AttemptId, ModelId, Timestamp};
+use futures::future::join_all;
+use tokio::time::Instant;
+
+use crate::support::{MODEL, Operator, Plan, System, engine_id, wait_for, wait_until_in_force};
+
+/// A leaving engine may get work for so long; the list of machines lags by half a second and is
+/// read every two.
+const LEAVING_LIMIT: Duration = Duration::from_secs(4);
+/// How long callers go on after an engine began to leave.
+const PRESSURE: Duration = Duration::from_secs(6);
+/// Tokens of an answer: a third of a second of an engine's time.
+const TOKENS: u64 = 16;
+/// Callers that each have a call open all the time; more than the engines run at once.
+const CALLERS: usize = 12;
+
+/// Who takes the engine out of service.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Itself,
+    List,
+    Configuration,
+}
+
+fn wall_clock() -> Timestamp {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+    Timestamp(since.as_micros() as u64)
+}
+
+/// Keeps the queues of two engines full, and takes engine 1 out of service.
+async fn leave(source: Source) {
+    // The baseline queues at the engines, so that there is something to take back.
+    let plan = Plan { max_batch: 2, policy: "least-loaded", ..Plan::default() };
+    let system = System::start(plan).await;
+    let mut operator = Operator::at(&system.daemons[1]).await;
+    wait_until_in_force(std::slice::from_mut(&mut operator), 1).await;
+    let began = OnceCell::new();
+    let callers = join_all((0..CALLERS).map(|_| call_until(&system, &began)));
+    let leaving = async {
+        wait_for("calls to wait at engine 1", async || {
+            let seen = system.seen_by_engine(1).await;
+            (accepted(&seen).len() >= started(&seen).len() + 2).then_some(())
+        })
+        .await;
+        let from = wall_clock();
+        take_out(&system, &mut operator, source).await;
+        began.set(Instant::now()).expect("is set once");
+        from
+    };
+    let (_, from) = tokio::join!(callers, leaving);
+    let (seen, elsewhere) = (system.seen_by_engine(1).await, system.seen_by_engine(2).await);
+    let last = last_accepted(&seen).since(from);
+    let later = last_accepted(&elsewhere).since(from);
+    println!("{source:?}: last work {} ms after", last.as_millis());
+    assert!(last.as_millis() < LEAVING_LIMIT.as_millis() as u64, "{last:?}");
+    assert!(later.as_millis() > LEAVING_LIMIT.as_millis() as u64, "callers went on: {later:?}");
+    let moved = never_started(&seen);
+    assert!(!moved.is_empty(), "what waited there was taken back");
+    let ran_elsewhere = calls(&started(&elsewhere));
+    assert!(calls(&moved).is_subset(&ran_elsewhere), "what was taken back ran at the other engine");
+    assert!(moved.is_disjoint(&started(&seen)), "nothing that was taken back ran");
+}
+
+async fn take_out(system: &System, operator: &mut Operator, source: Source) {
+    match source {
+        Source::Itself => {
+            let faults = EngineFaults { leaving: true, ..EngineFaults::default() };
+            system.engine(1).set_faults(&faults).await.expect("control answers");
+        }
+        Source::List => system.list_engine(1, MachineState::Leaving).await,
+        Source::Configuration => {
+            let serving = "[engines.engine-1]\nrole = \"serving\"";
+            let draining = "[engines.engine-1]\nrole = \"draining\"";
+            operator.edit(serving, draining, "drain").await;
+        }
+    }
+}
+
+/// One call after the other, until some time after the engine began to leave.
+async fn call_until(system: &System, began: &OnceCell<Instant>) {
+    let program = system.program(MODEL).await.expect("is created").program;
+    while began.get().is_none_or(|began| began.elapsed() < PRESSURE) {
+        let (code, body) = system.call(&program, TOKENS).await;
+        assert_eq!(code, 200, "{body}");
+    }
+}
+
+fn last_accepted(seen: &[(Timestamp, EngineObservation)]) -> Timestamp {
+    let times = seen.iter().filter(|(_, event)| is_accepted(event)).map(|(at, _)| *at);
+    times.max().expect("it had work")
+}
+
+fn is_accepted(event: &EngineObservation) -> bool {
+    matches!(event, EngineObservation::Accepted { .. })
+}
+
+fn accepted(seen: &[(Timestamp, EngineObservation)]) -> BTreeSet<AttemptId> {
+    let attempts = seen.iter().filter_map(|(_, event)| match event {
+        EngineObservation::Accepted { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    attempts.collect()
+}
+
+fn started(seen: &[(Timestamp, EngineObservation)]) -> BTreeSet<AttemptId> {
+    let attempts = seen.iter().filter_map(|(_, event)| match event {
+        EngineObservation::Started { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    attempts.collect()
+}
+
+fn never_started(seen: &[(Timestamp, EngineObservation)]) -> BTreeSet<AttemptId> {
+    let attempts = seen.iter().filter_map(|(_, event)| match event {
+        EngineObservation::NeverStarted { attempt } => Some(*attempt),
+        _ => None,
+    });
+    attempts.collect()
+}
+
+fn calls(attempts: &BTreeSet<AttemptId>) -> BTreeSet<dahlia_types::CallId> {
+    attempts.iter().map(|attempt| attempt.call).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_says_it_leaves_gets_no_new_work_and_its_queue_moves() {
+    leave(Source::Itself).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_the_list_says_leaves_gets_no_new_work_and_its_queue_moves() {
+    leave(Source::List).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_the_configuration_drains_gets_no_new_work_and_its_queue_moves() {
+    leave(Source::Configuration).await;
+}
+
+/// The next version of the model, in the document's terms.
+fn with_next_version(document: &str) -> String {
+    let entry = "[models.agent-llm]\nbase = \"agent-llm\"\nversion = \"\"";
+    assert!(document.contains(entry), "{document}");
+    let next = "[models.\"agent-llm@2\"]\nbase = \"agent-llm\"\nversion = \"2\"";
+    document.replace(entry, next)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_bring_a_new_version_in_and_an_engine_always_serves() {
+    let system = System::start(Plan { engines: 3, ..Plan::default() }).await;
+    let mut operators = [Operator::at(&system.daemons[2]).await];
+    wait_until_in_force(&mut operators, 1).await;
+    let base = operators[0].show().await.expect("answers").document;
+    let next = with_next_version(&base).replace("slots = 2", "slots = 1");
+    operators[0].apply(1, &next, "version-2").await.expect("is accepted");
+    let (old, new) = (ModelId::new(MODEL), ModelId::new("agent-llm@2"));
+    let engines: Vec<EngineClient> = (1..=3)
+        .map(|number| {
+            let address = system.engine_address(number).to_string();
+            let endpoint = EngineEndpoint { engine: engine_id(number), address };
+            EngineClient::new(endpoint, ClientSettings::default())
+        })
+        .collect();
+    wait_for("all engines to serve the new version only", async || {
+        let mut serving = 0;
+        let mut done = 0;
+        for engine in &engines {
+            let models = engine.load().await.expect("answers").models;
+            let ready = |model: &ModelId| {
+                models.iter().any(|it| it.model == *model && it.state == ModelState::Ready)
+            };
+            serving += usize::from(ready(&old) || ready(&new));
+            done += usize::from(ready(&new) && !ready(&old));
+        }
+        assert!(serving >= 1, "an engine serves the model in some version at every moment");
+        (done == engines.len()).then_some(())
+    })
+    .await;
+    for number in 1..=3 {
+        let seen = system.seen_by_engine(number).await;
+        let orders: Vec<EngineOrder> = seen
+            .into_iter()
+            .filter_map(|(_, event)| match event {
+                EngineObservation::Ordered { order, generation } => {
+                    assert_eq!(generation.0, 2, "orders carry the generation");
+                    Some(order)
+                }
+                _ => None,
+            })
+            .collect();
+        assert!(orders.contains(&EngineOrder::LoadModel(new.clone())), "{orders:?}");
+    }
+    let answered = wait_for("the new version to be placed", async || {
+        let program = system.program("agent-llm@2").await.ok()?.program;
+        let (code, _) = system.call(&program, 2).await;
+        (code == 200).then_some(())
+    });
+    answered.await;
+}
--- /dev/null
+++ b/crates/daemon/tests/configuration/main.rs
@@ -0,0 +1,8 @@
+//! The operators' configuration over real daemons: acceptance, spreading, restarts, engines that
+//! leave, orders and limits.
+
+mod acceptance;
+mod engines;
+mod limits;
+mod restarts;
+mod support;
