--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -19,9 +19,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::answers::AnswerBoard;
+use crate::chunk_store::{OpenError, StoreTasks};
 use crate::clock::Clock;
 use crate::configuration_key::ConfigurationKey;
-use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
+use crate::core::{Core, CoreHandle, Hands, channel, deliver};
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
 use crate::gateway::{self, Gateway};
@@ -55,6 +56,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// The data folder could not be used.
+    #[snafu(display("{source}"))]
+    Store {
+        /// Cause.
+        source: OpenError,
+    },
     /// The metrics could not be set up.
     #[snafu(display("setting up metrics: {source}"))]
     Metrics {
@@ -128,17 +135,18 @@
     let (publisher, in_force) = watch::channel(None);
     let peers = PeerSender::new(identity.clone(), incoming.clone());
     let traffic = peers.traffic();
-    let parts = CoreParts {
+    let hands = Hands {
         peers,
         engines: EngineTasks::new(core.clone(), board.clone()),
         platform: PlatformState::new(key_value.clone(), core.clone()),
         configuration_key: ConfigurationKey::new(key_value, core.clone()),
         in_force: publisher,
+        store: open_store(settings, &core)?,
         metrics: metrics.clone(),
     };
     let node = Node::new(node_settings(settings, own, peer_address), clock.now());
     let mut tasks = vec![
-        tokio::spawn(Core::new(node, clock, inbox, parts).run()),
+        tokio::spawn(Core::new(node, clock, inbox, hands).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming)),
         tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
     ];
@@ -248,6 +256,15 @@
     listener.local_addr().unwrap_or(wanted)
 }
 
+fn open_store(settings: &Settings, core: &CoreHandle) -> Result<StoreTasks, StartError> {
+    match &settings.daemon.data_folder {
+        None => Ok(StoreTasks::default()),
+        Some(folder) => {
+            StoreTasks::open(folder, settings.store.clone(), core.clone()).context(StoreSnafu)
+        }
+    }
+}
+
 async fn serve_operators(listener: TcpListener, operators: Operators) {
     if let Err(error) = operators::serve(listener, operators).await {
         log::error!(target: part::OPERATORS, "Serving operators ended: {error}.");
@@ -284,6 +301,8 @@
         replicas: settings.layout.replicas,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
         group: settings.groups.clone(),
+        has_store: settings.daemon.data_folder.is_some(),
+        history: settings.history.clone(),
         membership: settings.membership.clone(),
         maintenance,
         limits: ProgramLimits::default(),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::chunk_store::StoreTasks;
 use crate::clock::Clock;
 use crate::configuration_key::ConfigurationKey;
 use crate::engines::EngineTasks;
@@ -83,6 +84,11 @@
         let _ = self.inbox.send(CoreMessage::Event(event)).await;
     }
 
+    /// Puts an event to the node from a thread that may block.
+    pub fn event_blocking(&self, event: Event) {
+        let _ = self.inbox.blocking_send(CoreMessage::Event(event));
+    }
+
     /// Puts a request to the owner of its group, wherever that is, and waits for the answer.
     pub async fn request(&self, request: Request) -> Response {
         let (reply, answer) = oneshot::channel();
@@ -171,25 +177,8 @@
     }
 }
 
-/// The task that drives the node.
-pub struct Core {
-    node: Node,
-    clock: Clock,
-    inbox: mpsc::Receiver<CoreMessage>,
-    waiting: HashMap<RequestId, oneshot::Sender<Response>>,
-    changes: HashMap<RequestId, oneshot::Sender<Verdict>>,
-    in_force: watch::Sender<Option<Arc<Record>>>,
-    next_request: u64,
-    peers: PeerSender,
-    engines: EngineTasks,
-    platform: PlatformState,
-    configuration_key: ConfigurationKey,
-    metrics: Arc<Metrics>,
-    stopped: bool,
-}
-
-/// What a core talks to besides its node.
-pub struct CoreParts {
+/// What carries out a node's actions.
+pub struct Hands {
     /// Connections to other daemons.
     pub peers: PeerSender,
     /// Tasks that talk to engines.
@@ -200,10 +189,24 @@
     pub configuration_key: ConfigurationKey,
     /// Where generations are published that come into force.
     pub in_force: watch::Sender<Option<Arc<Record>>>,
+    /// The store under the data folder.
+    pub store: StoreTasks,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
 
+/// The task that drives the node.
+pub struct Core {
+    node: Node,
+    clock: Clock,
+    inbox: mpsc::Receiver<CoreMessage>,
+    waiting: HashMap<RequestId, oneshot::Sender<Response>>,
+    changes: HashMap<RequestId, oneshot::Sender<Verdict>>,
+    next_request: u64,
+    hands: Hands,
+    stopped: bool,
+}
+
 /// Makes the handle and the inbox of a core that is still to be built.
 pub fn channel(own: ReplicaId) -> (CoreHandle, mpsc::Receiver<CoreMessage>) {
     let (sender, inbox) = mpsc::channel(INBOX);
@@ -212,13 +215,7 @@
 
 impl Core {
     /// Puts the task's parts together.
-    pub fn new(
-        node: Node,
-        clock: Clock,
-        inbox: mpsc::Receiver<CoreMessage>,
-        parts: CoreParts,
-    ) -> Self {
-        let CoreParts { peers, engines, platform, configuration_key, in_force, metrics } = parts;
+    pub fn new(node: Node, clock: Clock, inbox: mpsc::Receiver<CoreMessage>, hands: Hands) -> Self {
         let Incarnation(start) = clock.incarnation();
         Self {
             node,
@@ -226,14 +223,9 @@
             inbox,
             waiting: HashMap::new(),
             changes: HashMap::new(),
-            in_force,
             // Names of requests must not repeat those of an earlier life of this daemon.
             next_request: start << 20,
-            peers,
-            engines,
-            platform,
-            configuration_key,
-            metrics,
+            hands,
             stopped: false,
         }
     }
@@ -302,24 +294,24 @@
                 }
             }
             Action::StartAttempt(start) => {
-                self.metrics.attempts.inc();
-                self.engines.start(*start);
+                self.hands.metrics.attempts.inc();
+                self.hands.engines.start(*start);
             }
             Action::ResumeAttempt(start) => {
-                self.metrics.resumed.inc();
-                self.engines.resume(*start);
+                self.hands.metrics.resumed.inc();
+                self.hands.engines.resume(*start);
             }
-            Action::CancelAttempt { attempt, epoch } => self.engines.cancel(attempt, epoch),
-            Action::RecallAttempt { attempt, epoch } => self.engines.recall(attempt, epoch),
-            Action::LeaveAttempt { attempt } => self.engines.leave(attempt),
-            Action::ForgetAnswer { call } => self.engines.forget(call),
-            Action::Release(order) => self.engines.release(*order),
+            Action::CancelAttempt { attempt, epoch } => self.hands.engines.cancel(attempt, epoch),
+            Action::RecallAttempt { attempt, epoch } => self.hands.engines.recall(attempt, epoch),
+            Action::LeaveAttempt { attempt } => self.hands.engines.leave(attempt),
+            Action::ForgetAnswer { call } => self.hands.engines.forget(call),
+            Action::Release(order) => self.hands.engines.release(*order),
             Action::Hold { program, engine, epoch, length } => {
-                self.engines.hold(program, engine, epoch, length);
+                self.hands.engines.hold(program, engine, epoch, length);
             }
-            Action::UseEngines(addresses) => self.engines.use_engines(addresses),
-            Action::Order(order) => self.engines.order(*order),
-            Action::KeyValue(step) => self.configuration_key.perform(step),
+            Action::UseEngines(addresses) => self.hands.engines.use_engines(addresses),
+            Action::Order(order) => self.hands.engines.order(*order),
+            Action::KeyValue(step) => self.hands.configuration_key.perform(step),
             Action::Decided { id, verdict } => {
                 if let Some(reply) = self.changes.remove(&id) {
                     // The asker may have gone; the change stands all the same.
@@ -327,15 +319,16 @@
                 }
             }
             Action::ConfigurationInForce(record) => {
-                self.in_force.send_replace(Some(record));
+                self.hands.in_force.send_replace(Some(record));
             }
-            Action::Layout(step) => self.platform.layout(step),
+            Action::Layout(step) => self.hands.platform.layout(step),
+            Action::Store(order) => self.hands.store.order(*order),
             Action::Stop => self.stopped = true,
         }
     }
 
     fn send(&self, to: SocketAddr, message: PeerMessage) {
-        self.peers.send(to, message);
+        self.hands.peers.send(to, message);
     }
 
     fn answer(&self, query: Query) {
@@ -350,7 +343,7 @@
             }
             Query::Status(reply) => {
                 let status = self.node.status(now);
-                self.metrics.note_status(&status);
+                self.hands.metrics.note_status(&status);
                 {
                     let _ = reply.send(status);
                 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,11 +13,13 @@
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
 //! | `machine_list` | reads the platform's list of machines |
+//! | `chunk_store` | the thread that owns the data folder |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
 pub mod assembly;
 mod attempt;
+mod chunk_store;
 pub mod cli;
 mod clock;
 mod configuration_key;
--- a/crates/daemon/tests/configuration/engines.rs
+++ b/crates/daemon/tests/configuration/engines.rs
@@ -27,6 +27,7 @@
 /// Who takes the engine out of service.
 #[derive(Clone, Copy, Debug)]
 enum Source {
+    Nobody,
     Itself,
     List,
     Configuration,
@@ -37,8 +38,22 @@
     Timestamp(since.as_micros() as u64)
 }
 
+/// What two engines saw, of which engine 1 was taken out of service.
+struct Seen {
+    from: Timestamp,
+    leaving: Vec<(Timestamp, EngineObservation)>,
+    other: Vec<(Timestamp, EngineObservation)>,
+}
+
+impl Seen {
+    /// Time from the beginning to the last work that engine 1 got.
+    fn last_work(&self) -> Duration {
+        Duration::from_micros(last_accepted(&self.leaving).since(self.from).as_micros())
+    }
+}
+
 /// Keeps the queues of two engines full, and takes engine 1 out of service.
-async fn leave(source: Source) {
+async fn keep_calling(source: Source) -> Seen {
     // The baseline queues at the engines, so that there is something to take back.
     let plan = Plan { max_batch: 2, policy: "least-loaded", ..Plan::default() };
     let system = System::start(plan).await;
@@ -58,21 +73,30 @@
         from
     };
     let (_, from) = tokio::join!(callers, leaving);
-    let (seen, elsewhere) = (system.seen_by_engine(1).await, system.seen_by_engine(2).await);
-    let last = last_accepted(&seen).since(from);
-    let later = last_accepted(&elsewhere).since(from);
-    println!("{source:?}: last work {} ms after", last.as_millis());
-    assert!(last.as_millis() < LEAVING_LIMIT.as_millis() as u64, "{last:?}");
+    let seen = Seen {
+        from,
+        leaving: system.seen_by_engine(1).await,
+        other: system.seen_by_engine(2).await,
+    };
+    println!("{source:?}: last work {:?} after", seen.last_work());
+    seen
+}
+
+async fn leave(source: Source) {
+    let seen = keep_calling(source).await;
+    assert!(seen.last_work() < LEAVING_LIMIT, "{:?}", seen.last_work());
+    let later = last_accepted(&seen.other).since(seen.from);
     assert!(later.as_millis() > LEAVING_LIMIT.as_millis() as u64, "callers went on: {later:?}");
-    let moved = never_started(&seen);
+    let moved = never_started(&seen.leaving);
     assert!(!moved.is_empty(), "what waited there was taken back");
-    let ran_elsewhere = calls(&started(&elsewhere));
+    let ran_elsewhere = calls(&started(&seen.other));
     assert!(calls(&moved).is_subset(&ran_elsewhere), "what was taken back ran at the other engine");
-    assert!(moved.is_disjoint(&started(&seen)), "nothing that was taken back ran");
+    assert!(moved.is_disjoint(&started(&seen.leaving)), "nothing that was taken back ran");
 }
 
 async fn take_out(system: &System, operator: &mut Operator, source: Source) {
     match source {
+        Source::Nobody => {}
         Source::Itself => {
             let faults = EngineFaults { leaving: true, ..EngineFaults::default() };
             system.engine(1).set_faults(&faults).await.expect("control answers");
@@ -147,6 +171,15 @@
     leave(Source::Configuration).await;
 }
 
+/// Shows that the tests above would notice: an engine that nobody takes out of service goes on
+/// getting work for as long as callers call.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_nobody_takes_out_of_service_keeps_getting_work() {
+    let seen = keep_calling(Source::Nobody).await;
+    assert!(seen.last_work() > LEAVING_LIMIT, "{:?}", seen.last_work());
+    assert!(never_started(&seen.leaving).is_empty(), "nothing is taken back");
+}
+
 /// The next version of the model, in the document's terms.
 fn with_next_version(document: &str) -> String {
     let entry = "[models.agent-llm]\nbase = \"agent-llm\"\nversion = \"\"";
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,13 +6,14 @@
 use dahlia_configuration::{EngineState, FencedOrder, Proposal, Record, Verdict};
 use dahlia_program::{EngineLife, ReleaseRequest};
 use dahlia_types::{
-    Attempt, AttemptId, CallId, Duration, EngineId, LogIndex, Message, ModelId, ProgramId,
-    ReplicaId, TenantId, Term, Tokens,
+    Attempt, AttemptId, CallId, Duration, EngineId, Incarnation, LogIndex, Message, ModelId,
+    ProgramId, ReplicaId, TenantId, Term, Tokens,
 };
 
 use crate::bootstrap::LayoutStep;
 use crate::engine_sources::{EngineAddress, MachineListing};
 use crate::engines::EngineReport;
+use crate::history::{StoreOrder, StoreResult};
 use crate::key_value::{KeyValueEvent, KeyValueStep};
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
 use crate::wire::PeerMessage;
@@ -67,6 +68,13 @@
     EngineReported(EngineReport),
     /// An engine reported its models and its role.
     EngineState(EngineId, EngineState),
+    /// An engine refused an attempt because it takes no new work.
+    EngineRefusesWork {
+        /// The engine.
+        engine: EngineId,
+        /// The life that the attempt was meant for.
+        incarnation: Incarnation,
+    },
     /// The platform's list of machines was read.
     Machines(MachineListing),
     /// The key-value service answered about the configuration.
@@ -80,6 +88,8 @@
     },
     /// The key-value service answered about the layout of groups.
     Layout(LayoutStep),
+    /// An operation on this daemon's store has ended.
+    StoreEnded(Box<StoreResult>),
     /// A planned stop begins.
     Drain,
 }
@@ -160,6 +170,8 @@
     ConfigurationInForce(Arc<Record>),
     /// Read or write the layout of groups at the key-value service.
     Layout(LayoutStep),
+    /// Carry out an operation on this daemon's store.
+    Store(Box<StoreOrder>),
     /// End the process: another life of this daemon has taken its place.
     Stop,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
 //! | `bootstrap` | the first layout of groups |
+//! | `history` | old turns on store daemons' disks |
 //! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
 //! | `engine_sources` | which engines there are, and which leave |
@@ -29,6 +30,7 @@
 mod engines;
 mod event;
 mod group;
+pub mod history;
 mod key_value;
 mod members;
 mod node;
@@ -48,6 +50,7 @@
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
 pub use members::DaemonView;
 pub use node::{Node, NodeStatus};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 use crate::engine_sources::EngineSources;
 use crate::engines::EngineTable;
 use crate::group::{Group, Purpose, decode};
+use crate::history::History;
 use crate::orders::Orders;
 use crate::request::Response;
 use crate::routing::{ReplyTo, Router};
@@ -43,6 +44,7 @@
     pub(crate) orders: Orders,
     /// Attempts that were taken back before they began to answer.
     pub(crate) recalled: BTreeSet<AttemptId>,
+    pub(crate) history: History,
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
     pub(crate) next_upkeep: Timestamp,
@@ -101,7 +103,7 @@
             now,
         );
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
-        Self {
+        let mut node = Self {
             membership,
             scheduler,
             engines: EngineTable::new(settings.zone.clone()),
@@ -109,6 +111,7 @@
             configuration: Configuration::new(&settings, now),
             orders: Orders::default(),
             recalled: BTreeSet::new(),
+            history: History::default(),
             settings,
             groups: BTreeMap::new(),
             directory: Directory::new(),
@@ -119,7 +122,11 @@
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
             draining: false,
+        };
+        if node.settings.has_store {
+            node.publish_store();
         }
+        node
     }
 
     /// Takes in an event. `now` must never go back.
@@ -140,10 +147,14 @@
             }
             Event::EngineReported(report) => self.engine_reported(report, now),
             Event::EngineState(engine, state) => self.engine_state(engine, state, now),
+            Event::EngineRefusesWork { engine, incarnation } => {
+                self.engine_refuses_work(&engine, incarnation, now);
+            }
             Event::Machines(listing) => self.machine_listing(listing, now),
             Event::KeyValue(event) => self.key_value(event, now),
             Event::ProposeChange { id, proposal } => self.propose_change(id, proposal, now),
             Event::Layout(step) => self.layout(step, now),
+            Event::StoreEnded(result) => self.store_ended(*result),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -247,6 +258,9 @@
         self.check_attempts(now);
         self.retry_releases(now);
         self.expire_programs(now);
+        self.move_history(now);
+        self.ask_due_chunks(now);
+        self.check_copies(now);
         self.propose_deferred(now);
         self.route_due(now);
     }
@@ -260,6 +274,7 @@
                 self.configuration_message(from.daemon, message, now);
             }
             PeerMessage::Groups(batch) => self.group_messages(batch, now),
+            PeerMessage::Chunks(message) => self.chunk_message(from, *message, now),
             PeerMessage::Request { id, request } => {
                 // Without an address the answer has nowhere to go; the asker repeats.
                 if let Some(address) = self.address(from.daemon) {
