--- a/crates/daemon/src/gateway/health.rs
+++ b/crates/daemon/src/gateway/health.rs
@@ -40,6 +40,8 @@
 #[handler]
 impl Export {
     async fn handle(&self, response: &mut Response) {
+        // The gauges are taken over from what the node says of itself.
+        self.gateway.core.status().await;
         match self.gateway.metrics.text() {
             Ok(text) => response.render(text),
             Err(error) => {
