--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -22,7 +22,7 @@
 use crate::chunk_store::{OpenError, StoreTasks};
 use crate::clock::Clock;
 use crate::configuration_key::ConfigurationKey;
-use crate::core::{Core, CoreHandle, Hands, channel, deliver};
+use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
 use crate::gateway::{self, Gateway};
@@ -135,18 +135,18 @@
     let (publisher, in_force) = watch::channel(None);
     let peers = PeerSender::new(identity.clone(), incoming.clone());
     let traffic = peers.traffic();
-    let hands = Hands {
+    let parts = CoreParts {
         peers,
         engines: EngineTasks::new(core.clone(), board.clone()),
         platform: PlatformState::new(key_value.clone(), core.clone()),
         configuration_key: ConfigurationKey::new(key_value, core.clone()),
-        in_force: publisher,
         store: open_store(settings, &core)?,
+        in_force: publisher,
         metrics: metrics.clone(),
     };
     let node = Node::new(node_settings(settings, own, peer_address), clock.now());
     let mut tasks = vec![
-        tokio::spawn(Core::new(node, clock, inbox, hands).run()),
+        tokio::spawn(Core::new(node, clock, inbox, parts).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming)),
         tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
     ];
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -177,8 +177,8 @@
     }
 }
 
-/// What carries out a node's actions.
-pub struct Hands {
+/// What a core talks to besides its node.
+pub struct CoreParts {
     /// Connections to other daemons.
     pub peers: PeerSender,
     /// Tasks that talk to engines.
@@ -187,10 +187,10 @@
     pub platform: PlatformState,
     /// The configuration at the key-value service.
     pub configuration_key: ConfigurationKey,
-    /// Where generations are published that come into force.
-    pub in_force: watch::Sender<Option<Arc<Record>>>,
     /// The store under the data folder.
     pub store: StoreTasks,
+    /// Where generations are published that come into force.
+    pub in_force: watch::Sender<Option<Arc<Record>>>,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
@@ -203,7 +203,7 @@
     waiting: HashMap<RequestId, oneshot::Sender<Response>>,
     changes: HashMap<RequestId, oneshot::Sender<Verdict>>,
     next_request: u64,
-    hands: Hands,
+    parts: CoreParts,
     stopped: bool,
 }
 
@@ -215,7 +215,12 @@
 
 impl Core {
     /// Puts the task's parts together.
-    pub fn new(node: Node, clock: Clock, inbox: mpsc::Receiver<CoreMessage>, hands: Hands) -> Self {
+    pub fn new(
+        node: Node,
+        clock: Clock,
+        inbox: mpsc::Receiver<CoreMessage>,
+        parts: CoreParts,
+    ) -> Self {
         let Incarnation(start) = clock.incarnation();
         Self {
             node,
@@ -225,7 +230,7 @@
             changes: HashMap::new(),
             // Names of requests must not repeat those of an earlier life of this daemon.
             next_request: start << 20,
-            hands,
+            parts,
             stopped: false,
         }
     }
@@ -294,24 +299,24 @@
                 }
             }
             Action::StartAttempt(start) => {
-                self.hands.metrics.attempts.inc();
-                self.hands.engines.start(*start);
+                self.parts.metrics.attempts.inc();
+                self.parts.engines.start(*start);
             }
             Action::ResumeAttempt(start) => {
-                self.hands.metrics.resumed.inc();
-                self.hands.engines.resume(*start);
+                self.parts.metrics.resumed.inc();
+                self.parts.engines.resume(*start);
             }
-            Action::CancelAttempt { attempt, epoch } => self.hands.engines.cancel(attempt, epoch),
-            Action::RecallAttempt { attempt, epoch } => self.hands.engines.recall(attempt, epoch),
-            Action::LeaveAttempt { attempt } => self.hands.engines.leave(attempt),
-            Action::ForgetAnswer { call } => self.hands.engines.forget(call),
-            Action::Release(order) => self.hands.engines.release(*order),
+            Action::CancelAttempt { attempt, epoch } => self.parts.engines.cancel(attempt, epoch),
+            Action::RecallAttempt { attempt, epoch } => self.parts.engines.recall(attempt, epoch),
+            Action::LeaveAttempt { attempt } => self.parts.engines.leave(attempt),
+            Action::ForgetAnswer { call } => self.parts.engines.forget(call),
+            Action::Release(order) => self.parts.engines.release(*order),
             Action::Hold { program, engine, epoch, length } => {
-                self.hands.engines.hold(program, engine, epoch, length);
+                self.parts.engines.hold(program, engine, epoch, length);
             }
-            Action::UseEngines(addresses) => self.hands.engines.use_engines(addresses),
-            Action::Order(order) => self.hands.engines.order(*order),
-            Action::KeyValue(step) => self.hands.configuration_key.perform(step),
+            Action::UseEngines(addresses) => self.parts.engines.use_engines(addresses),
+            Action::Order(order) => self.parts.engines.order(*order),
+            Action::KeyValue(step) => self.parts.configuration_key.perform(step),
             Action::Decided { id, verdict } => {
                 if let Some(reply) = self.changes.remove(&id) {
                     // The asker may have gone; the change stands all the same.
@@ -319,16 +324,16 @@
                 }
             }
             Action::ConfigurationInForce(record) => {
-                self.hands.in_force.send_replace(Some(record));
+                self.parts.in_force.send_replace(Some(record));
             }
-            Action::Layout(step) => self.hands.platform.layout(step),
-            Action::Store(order) => self.hands.store.order(*order),
+            Action::Layout(step) => self.parts.platform.layout(step),
+            Action::Store(order) => self.parts.store.order(*order),
             Action::Stop => self.stopped = true,
         }
     }
 
     fn send(&self, to: SocketAddr, message: PeerMessage) {
-        self.hands.peers.send(to, message);
+        self.parts.peers.send(to, message);
     }
 
     fn answer(&self, query: Query) {
@@ -343,7 +348,7 @@
             }
             Query::Status(reply) => {
                 let status = self.node.status(now);
-                self.hands.metrics.note_status(&status);
+                self.parts.metrics.note_status(&status);
                 {
                     let _ = reply.send(status);
                 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,10 +10,10 @@
 //! | `operators` | operators' RPC |
 //! | `peers`, `frames`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
+//! | `chunk_store` | the thread that owns the data folder |
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
 //! | `machine_list` | reads the platform's list of machines |
-//! | `chunk_store` | the thread that owns the data folder |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
--- a/crates/daemon/tests/configuration/engines.rs
+++ b/crates/daemon/tests/configuration/engines.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use dahlia_configuration::Document;
 use dahlia_platform::engine::{EngineOrder, ModelState};
 use dahlia_platform::machines::MachineState;
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
@@ -124,6 +125,12 @@
     times.max().expect("it had work")
 }
 
+fn engine_client(system: &System, number: u32) -> EngineClient {
+    let address = system.engine_address(number).to_string();
+    let endpoint = EngineEndpoint { engine: engine_id(number), address };
+    EngineClient::new(endpoint, ClientSettings::default())
+}
+
 fn is_accepted(event: &EngineObservation) -> bool {
     matches!(event, EngineObservation::Accepted { .. })
 }
@@ -180,6 +187,35 @@
     assert!(never_started(&seen.leaving).is_empty(), "nothing is taken back");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_the_document_no_longer_names_still_frees_what_it_holds() {
+    let system = System::start(Plan::default()).await;
+    let mut operator = Operator::at(&system.daemons[1]).await;
+    wait_until_in_force(std::slice::from_mut(&mut operator), 1).await;
+    let program = system.program(MODEL).await.expect("is created").program;
+    let (code, body) = system.call(&program, TOKENS).await;
+    assert_eq!(code, 200, "{body}");
+    let used = if accepted(&system.seen_by_engine(1).await).is_empty() { 2 } else { 1 };
+    let engine = engine_client(&system, used);
+    let held = engine.inventory().await.expect("answers").entries;
+    assert_eq!(held.len(), 1, "the program's cache is kept over the pause: {held:?}");
+    let shown = operator.show().await.expect("answers");
+    let mut document = Document::parse(&shown.document).expect("is valid");
+    document.engines.remove(&engine_id(used));
+    for model in document.models.values_mut() {
+        model.engines.remove(&engine_id(used));
+    }
+    operator.apply(1, &document.to_text(), "remove").await.expect("is accepted");
+    let mut asked = [operator, Operator::at(&system.daemons[0]).await];
+    wait_until_in_force(&mut asked, 2).await;
+    system.close(&program).await;
+    wait_for("the removed engine to hold nothing", async || {
+        let held = engine.inventory().await.expect("answers").entries;
+        held.is_empty().then_some(())
+    })
+    .await;
+}
+
 /// The next version of the model, in the document's terms.
 fn with_next_version(document: &str) -> String {
     let entry = "[models.agent-llm]\nbase = \"agent-llm\"\nversion = \"\"";
@@ -197,13 +233,7 @@
     let next = with_next_version(&base).replace("slots = 2", "slots = 1");
     operators[0].apply(1, &next, "version-2").await.expect("is accepted");
     let (old, new) = (ModelId::new(MODEL), ModelId::new("agent-llm@2"));
-    let engines: Vec<EngineClient> = (1..=3)
-        .map(|number| {
-            let address = system.engine_address(number).to_string();
-            let endpoint = EngineEndpoint { engine: engine_id(number), address };
-            EngineClient::new(endpoint, ClientSettings::default())
-        })
-        .collect();
+    let engines: Vec<EngineClient> = (1..=3).map(|number| engine_client(&system, number)).collect();
     wait_for("all engines to serve the new version only", async || {
         let mut serving = 0;
         let mut done = 0;
--- a/crates/daemon/tests/configuration/main.rs
+++ b/crates/daemon/tests/configuration/main.rs
@@ -2,6 +2,7 @@
 //! leave, orders and limits.
 
 mod acceptance;
+mod drains;
 mod engines;
 mod limits;
 mod restarts;
--- a/crates/daemon/tests/configuration/support.rs
+++ b/crates/daemon/tests/configuration/support.rs
@@ -12,8 +12,8 @@
 use dahlia_api::operators::machines_client::MachinesClient;
 use dahlia_api::operators::programs_client::ProgramsClient;
 use dahlia_api::operators::{
-    ApplyConfigurationRequest, ConfigurationGeneration, CreateProgramRequest, Program,
-    ShowConfigurationRequest,
+    ApplyConfigurationRequest, CloseProgramRequest, ConfigurationGeneration, CreateProgramRequest,
+    Program, ShowConfigurationRequest,
 };
 use dahlia_daemon::assembly;
 use dahlia_daemon::settings::Settings;
@@ -300,6 +300,14 @@
         answer.map(tonic::Response::into_inner)
     }
 
+    /// Ends a program.
+    pub async fn close(&self, program: &str) {
+        let request = CloseProgramRequest { program: program.to_owned() };
+        let channel = connect(self.daemons[0].operators).await;
+        let closed = ProgramsClient::new(channel).close(with_token(request)).await;
+        closed.expect("is closed");
+    }
+
     /// Sends a call and gives status code and body.
     pub async fn call(&self, program: &str, tokens: u64) -> (u16, Value) {
         let body = json!({
