--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,8 +6,8 @@
 use dahlia_configuration::{EngineState, FencedOrder, Proposal, Record, Verdict};
 use dahlia_program::{EngineLife, ReleaseRequest};
 use dahlia_types::{
-    Attempt, AttemptId, CallId, Duration, EngineId, LogIndex, Message, ModelId, ProgramId,
-    ReplicaId, TenantId, Term, Tokens,
+    Attempt, AttemptId, CallId, Duration, EngineId, Incarnation, LogIndex, Message, ModelId,
+    ProgramId, ReplicaId, TenantId, Term, Tokens,
 };
 
 use crate::bootstrap::LayoutStep;
@@ -68,6 +68,13 @@
     EngineReported(EngineReport),
     /// An engine reported its models and its role.
     EngineState(EngineId, EngineState),
+    /// An engine refused an attempt because it takes no new work.
+    EngineRefusesWork {
+        /// The engine.
+        engine: EngineId,
+        /// The life that the attempt was meant for.
+        incarnation: Incarnation,
+    },
     /// The platform's list of machines was read.
     Machines(MachineListing),
     /// The key-value service answered about the configuration.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -147,6 +147,9 @@
             }
             Event::EngineReported(report) => self.engine_reported(report, now),
             Event::EngineState(engine, state) => self.engine_state(engine, state, now),
+            Event::EngineRefusesWork { engine, incarnation } => {
+                self.engine_refuses_work(&engine, incarnation, now);
+            }
             Event::Machines(listing) => self.machine_listing(listing, now),
             Event::KeyValue(event) => self.key_value(event, now),
             Event::ProposeChange { id, proposal } => self.propose_change(id, proposal, now),
