--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dahlia_node::wire::LARGEST_FRAME;
 use futures::{SinkExt, StreamExt};
 use serde::Serialize;
@@ -77,6 +77,10 @@
     },
 }
 
+/// Largest first frame of a connection, in bytes. A sender that has not shown the peer key yet
+/// may not make this daemon set memory aside for more.
+const LARGEST_FIRST_FRAME: usize = 64 * 1024;
+
 /// A connection that carries frames.
 pub struct FrameStream {
     framed: Framed<TcpStream, LengthDelimitedCodec>,
@@ -84,14 +88,20 @@
 }
 
 impl FrameStream {
-    /// Takes over a connection.
+    /// Takes over a connection. Frames received are small until [`FrameStream::trust`].
     pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
         // Frames are small and wait for an answer; batching by the kernel would only delay them.
         let _ = stream.set_nodelay(true);
-        let codec = LengthDelimitedCodec::builder().max_frame_length(LARGEST_FRAME).new_codec();
+        let codec =
+            LengthDelimitedCodec::builder().max_frame_length(LARGEST_FIRST_FRAME).new_codec();
         Self { framed: Framed::new(stream, codec), peer }
     }
 
+    /// The other side is a daemon of this system: frames may be as large as the protocol allows.
+    pub fn trust(&mut self) {
+        self.framed.codec_mut().set_max_frame_length(LARGEST_FRAME);
+    }
+
     /// The other side's address.
     pub fn peer(&self) -> SocketAddr {
         self.peer
@@ -127,12 +137,20 @@
     }
 }
 
-fn encode<T: Serialize>(value: &T, peer: SocketAddr) -> Result<Bytes, FrameError> {
+/// Writes a value as a frame's contents.
+///
+/// # Errors
+/// [`FrameError::Encode`] naming the peer it was meant for.
+pub fn encode<T: Serialize>(value: &T, peer: SocketAddr) -> Result<Bytes, FrameError> {
     let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard());
     Ok(bytes.context(EncodeSnafu { peer })?.into())
 }
 
-fn decode<T: DeserializeOwned>(frame: &BytesMut, peer: SocketAddr) -> Result<T, FrameError> {
+/// Reads a value from a frame's contents, whoever wrote them.
+///
+/// # Errors
+/// [`FrameError::Decode`] when they are malformed or claim more than the protocol's largest frame.
+pub fn decode<T: DeserializeOwned>(frame: &[u8], peer: SocketAddr) -> Result<T, FrameError> {
     // The limit bounds what a forged length inside the frame may make the decoder allocate.
     let config = bincode::config::standard().with_limit::<LARGEST_FRAME>();
     let decoded = bincode::serde::decode_from_slice(frame, config);
--- a/crates/daemon/src/handshake.rs
+++ b/crates/daemon/src/handshake.rs
@@ -39,6 +39,8 @@
         let connected = connecting.map_err(|_| FrameError::TimedOut { step, peer })?;
         let stream = connected.map_err(|source| FrameError::Connect { peer, source })?;
         let mut frames = FrameStream::new(stream, peer);
+        // This side chose whom to connect to.
+        frames.trust();
         frames.send(&self.hello(purpose)).await?;
         Ok(frames)
     }
@@ -61,6 +63,7 @@
             let reason = "its proof was not made with our peer key".to_owned();
             return Err(FrameError::Refused { peer, reason });
         }
+        frames.trust();
         Ok(hello)
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,7 +19,7 @@
 mod clock;
 pub mod core;
 mod engines;
-mod frames;
+pub mod frames;
 mod gateway;
 mod handshake;
 pub mod logging;
--- a/crates/daemon/src/operators/programs.rs
+++ b/crates/daemon/src/operators/programs.rs
@@ -172,7 +172,9 @@
     if !name.is_empty() && name.len() <= LONGEST_NAME && name.chars().all(plain) {
         return Ok(());
     }
-    let problem = format!("allowed: 1 to {LONGEST_NAME} letters, digits, '-', '_', '@', '/', ':'");
+    let shown: String = name.chars().take(LONGEST_NAME + 1).collect();
+    let allowed = format!("1 to {LONGEST_NAME} letters, digits, '-', '_', '@', '/', ':'");
+    let problem = format!("is {shown:?}; allowed: {allowed}");
     Err(invalid(field, &problem))
 }
 
--- a/crates/types/src/identifiers.rs
+++ b/crates/types/src/identifiers.rs
@@ -150,7 +150,12 @@
         }
         let group = group.parse().map_err(|_| malformed())?;
         let number = u64::from_str_radix(number, 16).map_err(|_| malformed())?;
-        Ok(Self { group: GroupId(group), number })
+        let program = Self { group: GroupId(group), number };
+        // One program has one name: capitals, signs and leading zeros are refused.
+        if program.to_string() != text {
+            return Err(malformed());
+        }
+        Ok(program)
     }
 }
 
@@ -218,6 +223,10 @@
         if parts.next().is_some() {
             return Err(malformed());
         }
-        Ok(Self { call: CallId { program, chain, number: call }, attempt })
+        let attempt = Self { call: CallId { program, chain, number: call }, attempt };
+        if attempt.to_string() != text {
+            return Err(malformed());
+        }
+        Ok(attempt)
     }
 }
