--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -64,6 +64,9 @@
     /// Engines.
     #[options(help = "list engines")]
     Engines(Engines),
+    /// Configuration.
+    #[options(help = "show, compare, apply and follow the configuration")]
+    Configuration(Configuration),
 }
 
 /// `programs`.
@@ -247,6 +250,109 @@
     List(Plain),
 }
 
+/// `configuration`.
+#[derive(Debug, Options)]
+pub struct Configuration {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// What to do.
+    #[options(command, required)]
+    pub command: Option<ConfigurationCommand>,
+}
+
+/// What to do with the configuration.
+#[derive(Debug, Options)]
+pub enum ConfigurationCommand {
+    /// Show a generation.
+    #[options(help = "print a generation's document; its first line names the generation")]
+    Show(ShowConfiguration),
+    /// Apply a document.
+    #[options(help = "make a document the next generation")]
+    Apply(ApplyConfiguration),
+    /// Compare a document.
+    #[options(help = "compare a document with the generation in force")]
+    Diff(OneFile),
+    /// List changes.
+    #[options(help = "list the changes, newest first")]
+    History(ShowHistory),
+    /// Follow.
+    #[options(help = "print each generation as it comes into force on the asked daemon")]
+    Watch(WatchConfiguration),
+}
+
+/// `configuration show`.
+#[derive(Debug, Options)]
+pub struct ShowConfiguration {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The generation.
+    #[options(help = "generation (default: the one in force)", meta = "NUMBER")]
+    pub generation: u64,
+}
+
+/// `configuration apply`.
+#[derive(Debug, Options)]
+pub struct ApplyConfiguration {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The document.
+    #[options(free, required, help = "the whole new document (TOML)")]
+    pub file: String,
+    /// The generation that the change was made from.
+    #[options(
+        help = "generation that the change was made from (default: the file's first line, as \
+                written by show)",
+        meta = "NUMBER"
+    )]
+    pub expected: Option<u64>,
+    /// Who makes the change.
+    #[options(help = "who makes the change (default: $USER)", meta = "NAME")]
+    pub author: Option<String>,
+    /// Identity of the change.
+    #[options(
+        no_short,
+        help = "identity of an earlier try whose outcome is unknown (default: a new one)",
+        meta = "IDENTITY"
+    )]
+    pub change: Option<String>,
+}
+
+/// `configuration history`.
+#[derive(Debug, Options)]
+pub struct ShowHistory {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// At most so many.
+    #[options(help = "at most so many, up to 65 (default: 20)", meta = "NUMBER")]
+    pub limit: u32,
+}
+
+/// `configuration watch`.
+#[derive(Debug, Options)]
+pub struct WatchConfiguration {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// End after so many.
+    #[options(help = "end after so many generations (default: never)", meta = "NUMBER")]
+    pub count: u32,
+}
+
+/// A command on one file.
+#[derive(Debug, Options)]
+pub struct OneFile {
+    /// Print help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The file.
+    #[options(free, required, help = "the document (TOML)")]
+    pub file: String,
+}
+
 /// A command without flags.
 #[derive(Debug, Options)]
 pub struct Plain {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -11,9 +11,10 @@
 
 use crate::Failure;
 use crate::arguments::{
-    Arguments, Budgets, BudgetsCommand, Command, CreateProgram, Engines, ListPrograms, Machines,
-    MachinesCommand, OutputForm, Programs, ProgramsCommand, Sessions,
+    Arguments, Budgets, BudgetsCommand, Command, Configuration, CreateProgram, Engines,
+    ListPrograms, Machines, MachinesCommand, OutputForm, Programs, ProgramsCommand, Sessions,
 };
+use crate::configuration;
 use crate::connection::{Connection, connect};
 use crate::failure::refused;
 use crate::output;
@@ -34,6 +35,9 @@
         Command::Sessions(sessions) => show_sessions(connection, sessions, form).await,
         Command::Machines(Machines { command, .. }) => machines(connection, command, form).await,
         Command::Engines(Engines { .. }) => engines(connection, form).await,
+        Command::Configuration(Configuration { command, .. }) => {
+            configuration::run(connection, command, form).await
+        }
     }
 }
 
@@ -42,7 +46,7 @@
     found.ok_or_else(|| usage(&format!("{name} or {variable} is needed")))
 }
 
-fn usage(message: &str) -> Failure {
+pub(crate) fn usage(message: &str) -> Failure {
     Failure::Usage { message: message.to_owned() }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,19 +10,27 @@
 //! | `operators` | operators' RPC |
 //! | `peers`, `frames`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
+//! | `chunk_store` | the thread that owns the data folder |
+//! | `configuration_key` | the configuration at the key-value service |
+//! | `first_document` | the configuration that a new system starts with |
+//! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
 pub mod assembly;
 mod attempt;
+mod chunk_store;
 pub mod cli;
 mod clock;
+mod configuration_key;
 pub mod core;
 mod engines;
+mod first_document;
 pub mod frames;
 mod gateway;
 mod handshake;
 pub mod logging;
+mod machine_list;
 mod metrics;
 mod operators;
 pub mod peers;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -7,6 +7,7 @@
 use dahlia_types::{CallId, DaemonId, Incarnation, TenantId};
 use serde::{Deserialize, Serialize};
 
+use crate::history::ChunkMessage;
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
@@ -82,8 +83,12 @@
 pub enum PeerMessage {
     /// Of replica groups. One frame carries all that is due to one peer.
     Groups(PeerBatch),
+    /// Of the operators' configuration.
+    Configuration(dahlia_configuration::PeerMessage),
     /// Of membership and spread facts.
     Membership(Box<Envelope>),
+    /// Of bulk history.
+    Chunks(Box<ChunkMessage>),
     /// A request to the owner of a group.
     Request {
         /// The asker's name for it.
