--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,7 +27,7 @@
 mod datagrams;
 mod engines;
 mod first_document;
-mod frames;
+pub mod frames;
 mod gateway;
 mod handshake;
 pub mod logging;
