--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dahlia_configuration::Record;
-use dahlia_node::{Node, NodeSettings};
+use dahlia_node::{Node, NodeFaults, NodeSettings};
 use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
@@ -344,5 +344,6 @@
         configuration: settings.configuration.clone(),
         first_document: first_document(&settings.platform.engines),
         seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
+        faults: NodeFaults::default(),
     }
 }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -18,6 +18,9 @@
 use crate::request::AttemptEnd;
 use crate::{Action, StartAttempt};
 
+/// A cancelled attempt that has not ended by then is cancelled again.
+const CANCEL_RETRY: Duration = Duration::from_secs(2);
+
 impl Node {
     /// Tells placement what happened and carries out what it decides.
     pub(crate) fn schedule(&mut self, event: PlacementEvent, now: Timestamp) {
@@ -62,16 +65,23 @@
         };
         let bound = |sum: Tokens, message: &Message| sum.saturating_add(token_bound(message));
         let prompt_bound = prompt.iter().fold(Tokens::ZERO, bound);
-        let Some(group) = self.groups.get_mut(&id) else {
-            return;
-        };
         let command =
             RecordIntent { attempt, engine: engine.clone(), incarnation, prompt_bound, at: now };
         let holder = EngineLife { engine, incarnation };
-        let purpose = Purpose::Intent(IntentPurpose { attempt, holder, prompt_bound, priority });
+        let intent = IntentPurpose { attempt, holder, prompt_bound, priority };
+        if self.settings.faults.send_before_intent {
+            self.send_early(&intent, now);
+        }
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let purpose = Purpose::Intent(intent);
         // Not leading any more is fine: the next owner dispatches the call.
-        let _ = group.propose(Command::RecordIntent(command), purpose, now);
+        let proposed = group.propose(Command::RecordIntent(command), purpose, now);
         self.dirty.insert(id);
+        if proposed.is_err() {
+            self.schedule(PlacementEvent::AttemptWithdrawn(attempt), now);
+        }
     }
 
     /// The intent reached a quorum: only now may bytes leave. A new owner that finds it must be
@@ -90,8 +100,11 @@
         let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
+        if self.settings.faults.send_before_intent {
+            return;
+        }
         let epoch = group.replica.term();
-        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
+        let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(intent.attempt, live);
         if !self.may_use(&intent.holder.engine) {
             // The engine was taken out of service while the intent was on its way to a quorum. No
@@ -118,6 +131,23 @@
         }
     }
 
+    /// A test's fault: the bytes leave although no quorum knows of the intent.
+    fn send_early(&mut self, intent: &IntentPurpose, now: Timestamp) {
+        let call = intent.attempt.call;
+        let limit = self.settings.attempt_limit;
+        let Some(group) = self.groups.get_mut(&call.program.group) else {
+            return;
+        };
+        let epoch = group.replica.term();
+        let live = LiveAttempt { epoch, cancel_at: now + limit };
+        group.live.insert(intent.attempt, live);
+        let found = group.state.program(call.program).and_then(|program| program.call(call));
+        let wish = found.map_or(Tokens::ZERO, |call| call.max_generated());
+        if let Some(start) = self.describe_start(intent, epoch, wish) {
+            self.actions.push(Action::StartAttempt(Box::new(start)));
+        }
+    }
+
     /// What the engine must be told of an attempt, without the prompt.
     pub(crate) fn describe_start(
         &self,
@@ -158,7 +188,7 @@
                     _ => NotRunReason::LimitReached,
                 };
                 self.abandon(call, reason, None, now);
-                self.schedule(PlacementEvent::CallWithdrawn(call), now);
+                self.schedule(PlacementEvent::AttemptWithdrawn(intent.attempt), now);
             }
             Refusal::StaleIncarnation { .. } => {
                 let failure = AttemptFailure::Refused;
@@ -167,7 +197,7 @@
             }
             _ => {
                 log::debug!(target: "programs", "An intent of {id} was refused: {refusal}.");
-                self.schedule(PlacementEvent::CallWithdrawn(call), now);
+                self.schedule(PlacementEvent::AttemptWithdrawn(intent.attempt), now);
             }
         }
     }
@@ -290,12 +320,14 @@
         group.and_then(|group| group.state.program(program)).is_some_and(|found| found.is_open())
     }
 
-    /// Cancels attempts that have run for too long.
+    /// Cancels attempts that have run for too long, and again those that did not end by it.
     pub(crate) fn check_attempts(&mut self, now: Timestamp) {
         for group in self.groups.values_mut() {
             for (attempt, live) in &mut group.live {
-                if !live.cancelled && live.deadline <= now {
-                    live.cancelled = true;
+                if live.cancel_at <= now {
+                    // A cancel may be lost on its way, and an engine that hangs ends nothing by
+                    // itself: only the attempt's end stops the repetition.
+                    live.cancel_at = now + CANCEL_RETRY;
                     let epoch = live.epoch;
                     self.actions.push(Action::CancelAttempt { attempt: *attempt, epoch });
                 }
@@ -304,17 +336,16 @@
     }
 
     /// Cancels what still runs for a program that ended.
-    pub(crate) fn cancel_attempts_of(&mut self, id: GroupId, program: ProgramId) {
+    pub(crate) fn cancel_attempts_of(&mut self, id: GroupId, program: ProgramId, now: Timestamp) {
         let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
         for (attempt, live) in &mut group.live {
-            if attempt.call.program == program && !live.cancelled {
-                live.cancelled = true;
-                let epoch = live.epoch;
-                self.actions.push(Action::CancelAttempt { attempt: *attempt, epoch });
+            if attempt.call.program == program {
+                live.cancel_at = live.cancel_at.min(now);
             }
         }
+        self.check_attempts(now);
     }
 
     fn recall(&mut self, attempt: AttemptId) {
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -167,7 +167,7 @@
             resident: report.cache_used,
             pinned: report.cache_pinned,
             models: report.models.clone(),
-            draining: leaving.is_some(),
+            draining: leaving.is_some() && !self.settings.faults.ignore_leaving,
         });
         let (engine, incarnation) = (report.engine.clone(), report.incarnation);
         let known = KnownEngine {
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle, ProgramLimits};
-use dahlia_replication::group::{Proposal, ProposeError, Replica};
+use dahlia_program::{Command, EngineLife, ExpirePrograms, GroupState, Lifecycle};
+use dahlia_replication::group::{Proposal, ProposeError, Replica, Role};
 use dahlia_replication::maintenance::Maintenance;
 use dahlia_types::{
     AttemptId, CallId, Duration, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
@@ -40,10 +40,8 @@
 pub(crate) struct LiveAttempt {
     /// The epoch that it runs under.
     pub(crate) epoch: Term,
-    /// When it is cancelled.
-    pub(crate) deadline: Timestamp,
-    /// Whether a cancel was sent.
-    pub(crate) cancelled: bool,
+    /// When it is cancelled, or cancelled again.
+    pub(crate) cancel_at: Timestamp,
 }
 
 /// A release that is under way or due.
@@ -65,6 +63,8 @@
     pub(crate) pending: BTreeMap<LogIndex, (Term, Purpose)>,
     /// Commands that the replica could not take at the moment.
     pub(crate) deferred: Vec<(Command, Purpose)>,
+    /// Intents that got lost with a proposal, for placement to forget.
+    pub(crate) lost_intents: Vec<AttemptId>,
     /// Attempts that run here.
     pub(crate) live: BTreeMap<AttemptId, LiveAttempt>,
     /// Attempts that were taken over: placement on this daemon does not know them.
@@ -85,13 +85,13 @@
 
 impl Group {
     /// A group with an empty state.
-    pub(crate) fn new(replica: Replica, limits: ProgramLimits, maintenance: Maintenance) -> Self {
-        let state = GroupState::new(replica.group(), limits);
+    pub(crate) fn new(replica: Replica, state: GroupState, maintenance: Maintenance) -> Self {
         Self {
             replica,
             state,
             pending: BTreeMap::new(),
             deferred: Vec::new(),
+            lost_intents: Vec::new(),
             live: BTreeMap::new(),
             taken_over: BTreeSet::new(),
             waiters: BTreeMap::new(),
@@ -129,6 +129,15 @@
                 self.deferred.push((command, purpose));
                 Ok(())
             }
+            // A leader that hands over refuses proposals and may yet go on leading. What it knows
+            // must not be lost then: an attempt's end comes only once.
+            Err(ProposeError::NotLeader { .. })
+                if self.replica.role() == Role::Leader
+                    && !matches!(purpose, Purpose::Request(_)) =>
+            {
+                self.deferred.push((command, purpose));
+                Ok(())
+            }
             Err(ProposeError::NotLeader { .. } | ProposeError::TooLarge { .. }) => Err(purpose),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `group` | one replica group here: its replica, its programs, its proposals |
 //! | `owner` | what the leader of a group does for calls |
 //! | `attempts` | intents, dispatch and outcomes of attempts |
+//! | `answer` | putting an answer together at a gateway, across fail-over |
 //! | `release` | freeing engines' memory |
 //! | `recovery` | what a new owner takes up |
 //! | `requests` | requests of operators and gateways, at the owner |
@@ -23,6 +24,7 @@
 //! | `key_value` | steps with the configuration's key |
 //! | `orders` | orders to engines that follow from the configuration |
 
+mod answer;
 mod attempts;
 mod bootstrap;
 mod configuration;
@@ -45,6 +47,7 @@
 mod view;
 pub mod wire;
 
+pub use answer::{AnswerReader, Followed, StartPosition, Taken};
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use configuration::ConfigurationView;
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
@@ -54,4 +57,4 @@
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
 pub use members::DaemonView;
 pub use node::{Node, NodeStatus};
-pub use settings::NodeSettings;
+pub use settings::{NodeFaults, NodeSettings};
