--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -7,6 +7,7 @@
 use dahlia_rehearsal::load::{self, LoadOptions};
 use dahlia_rehearsal::scale::{self, HollowOptions, ScaleOptions};
 use dahlia_rehearsal::{RehearsalError, demo, processes};
+use dahlia_replay::{ReplayOptions, run_folder};
 use gumdrop::Options;
 
 #[derive(Debug, Options)]
@@ -29,6 +30,8 @@
     Hollow(HollowOptions),
     #[options(help = "compare placement policies and baselines in virtual time")]
     Compare(CompareFlags),
+    #[options(help = "replay traces and judge them against the promises")]
+    Replay(ReplayOptions),
     #[options(help = "run one daemon, as the binary dahlialadder does")]
     Daemon(dahlia_daemon::cli::Arguments),
     #[options(help = "run one stand-in, as the binary dahlia-standin does")]
@@ -51,6 +54,14 @@
         Some(Command::Load(options)) => block_on(load::run(options)),
         Some(Command::Scale(options)) => block_on(scale::run(options)),
         Some(Command::Hollow(options)) => block_on(scale::run_hollow(options)),
+        Some(Command::Replay(options)) => match run_folder(&options) {
+            Ok(summary) if summary.holds() => ExitCode::SUCCESS,
+            Ok(_) => ExitCode::FAILURE,
+            Err(error) => {
+                eprintln!("rehearse: {error}");
+                ExitCode::from(2)
+            }
+        },
         Some(Command::Compare(flags)) => match compare::run(flags) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
