Name the seeds as what a daemon waits for only when it has any

Cause: a daemon without seeds said until its first tick that its seeds had not answered; one of four runs of the restart test asked in that moment. Ruled out: a missing refusal; it answered 503 and unavailable all along.

--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -110,7 +110,7 @@
         if self.is_followed {
             return Some("no generation of the configuration exists yet");
         }
-        if self.peers.is_none() {
+        if self.has_seeds && self.peers.is_none() {
             return Some("no daemon of daemon.seeds has answered yet");
         }
         Some("it is not known yet which generation of the configuration is in force")
