--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -298,7 +298,7 @@
                 let seed = self.settings.seed;
                 let replica = Replica::join(self.settings.own, id, settings, seed, now);
                 let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
-                Group::new(replica, self.settings.limits, maintenance)
+                Group::new(replica, self.settings.empty_state(id), maintenance)
             });
             group.replica.step(message, now);
             self.dirty.insert(id);
@@ -309,10 +309,11 @@
         if self.bootstrap.is_done() {
             return;
         }
-        let live = self.live_members();
-        if !self.bootstrap.read_due(live.len(), now) {
+        if !self.bootstrap.read_due(now) {
             return;
         }
+        let live = self.live_members();
+        self.bootstrap.share_reads(live.len(), now);
         if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
             let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
             self.actions.push(Action::Layout(LayoutStep::Value(layout)));
@@ -358,7 +359,8 @@
                 replica.campaign(now);
             }
             let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
-            self.groups.insert(id, Group::new(replica, self.settings.limits, maintenance));
+            let state = self.settings.empty_state(id);
+            self.groups.insert(id, Group::new(replica, state, maintenance));
             self.dirty.insert(id);
         }
     }
@@ -372,6 +374,9 @@
     pub(crate) fn drain(&mut self, _now: Timestamp) {
         self.draining = true;
         self.announce_leaving();
+        if self.settings.faults.no_hand_over {
+            return;
+        }
         for group in self.groups.values_mut() {
             if group.replica.role() != Role::Leader {
                 continue;
@@ -445,9 +450,17 @@
 
     /// A proposal whose fate is not known here any more: its asker repeats it at the owner.
     pub(crate) fn lost(&mut self, id: GroupId, purpose: Purpose) {
-        if let Purpose::Request(to) = purpose {
-            let hint = self.owner_hint(id);
-            self.reply(to, Response::NotOwner { hint });
+        match purpose {
+            Purpose::Request(to) => {
+                let hint = self.owner_hint(id);
+                self.reply(to, Response::NotOwner { hint });
+            }
+            Purpose::Intent(intent) => {
+                if let Some(group) = self.groups.get_mut(&id) {
+                    group.lost_intents.push(intent.attempt);
+                }
+            }
+            Purpose::Housekeeping => {}
         }
     }
 
@@ -456,7 +469,7 @@
             return;
         };
         match GroupState::restore(&snapshot.data) {
-            Ok(state) => group.state = state,
+            Ok(state) => group.state = self.settings.with_faults(state),
             Err(error) => log::error!(target: "groups", "Snapshot of {id} refused: {error}."),
         }
         let settled = group.settle(snapshot.index, snapshot.term);
@@ -484,7 +497,7 @@
     fn retire(&mut self, id: GroupId, now: Timestamp) {
         if let Some(group) = self.groups.get_mut(&id) {
             group.replica.retire(now);
-            group.state = GroupState::new(id, self.settings.limits);
+            group.state = self.settings.empty_state(id);
         }
     }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -72,7 +72,8 @@
                 Response::Begun { call: *call }
             }
             Begun::Replayed(call, outcome) => {
-                Response::Ended { call: *call, outcome: outcome.clone() }
+                let attempt = self.last_attempt(*call);
+                Response::Ended { call: *call, attempt, outcome: outcome.clone() }
             }
             // Its text is read back when the asker waits for the outcome.
             Begun::ReplayedFromStore(call, _) => Response::Begun { call: *call },
@@ -131,11 +132,12 @@
     }
 
     pub(crate) fn answer_waiters(&mut self, call: CallId, outcome: &CallOutcome) {
+        let attempt = self.last_attempt(call);
         let Some(group) = self.groups.get_mut(&call.program.group) else {
             return;
         };
         for to in group.waiters.remove(&call).unwrap_or_default() {
-            self.reply(to, Response::Ended { call, outcome: outcome.clone() });
+            self.reply(to, Response::Ended { call, attempt, outcome: outcome.clone() });
         }
     }
 
@@ -151,7 +153,7 @@
                 self.call_ended(*call, &outcome, now);
             }
         }
-        self.cancel_attempts_of(id, program);
+        self.cancel_attempts_of(id, program, now);
         self.schedule(PlacementEvent::ProgramClosed(program), now);
         self.release_program(id, program, now);
     }
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -7,7 +7,7 @@
 use crate::Action;
 use crate::group::{IntentPurpose, LiveAttempt, Purpose};
 use crate::node::Node;
-use crate::request::Response;
+use crate::request::{AttemptEnd, Response};
 
 /// Priority of a resumed attempt at its engine: it only reads, so any will do.
 const RESUMED_PRIORITY: u64 = 0;
@@ -39,6 +39,7 @@
             }
         }
         for program in ended {
+            self.cancel_attempts_of(id, program, now);
             self.release_program(id, program, now);
         }
         let restarted = self.engines.lives();
@@ -66,9 +67,15 @@
             return;
         };
         let epoch = group.replica.term();
-        let live = LiveAttempt { epoch, deadline: now + limit, cancelled: false };
+        let live = LiveAttempt { epoch, cancel_at: now + limit };
         group.live.insert(attempt, live);
         group.taken_over.insert(attempt);
+        if self.settings.faults.no_enquiry {
+            let reason = "a test's fault: nobody asked the engine".to_owned();
+            let end = AttemptEnd::NotRun { reason, retry_after: None };
+            self.attempt_ended(attempt, epoch, end, now);
+            return;
+        }
         let intent = IntentPurpose {
             attempt,
             holder: dahlia_program::EngineLife {
@@ -93,6 +100,8 @@
         group.serving = None;
         self.recalled.retain(|attempt| attempt.call.program.group != id);
         let attempts = std::mem::take(&mut group.live);
+        let mut withdrawn = std::mem::take(&mut group.lost_intents);
+        withdrawn.extend(attempts.keys());
         let pending = std::mem::take(&mut group.pending);
         let deferred = std::mem::take(&mut group.deferred);
         let waiters = std::mem::take(&mut group.waiters);
@@ -102,11 +111,16 @@
         self.drop_reads(&programs);
         for attempt in attempts.into_keys() {
             self.actions.push(Action::LeaveAttempt { attempt });
+            // Whoever resumes the attempt reads its text from the start. If that is this daemon
+            // again, the text must not stand behind what was read before.
+            self.actions.push(Action::ForgetAnswer { call: attempt.call });
         }
         let purposes = pending.into_values().map(|(_, purpose)| purpose);
         for purpose in purposes.chain(deferred.into_iter().map(|(_, purpose)| purpose)) {
-            if let Purpose::Request(to) = purpose {
-                self.reply(to, Response::NotOwner { hint });
+            match purpose {
+                Purpose::Request(to) => self.reply(to, Response::NotOwner { hint }),
+                Purpose::Intent(intent) => withdrawn.push(intent.attempt),
+                Purpose::Housekeeping => {}
             }
         }
         for (call, waiting) in waiters {
@@ -119,5 +133,10 @@
             // What placement decides on this is for the new owner to do.
             let _ = self.scheduler.handle(PlacementEvent::ProgramClosed(program), now);
         }
+        // Otherwise they would count as dispatched from here for good, and a call that comes back
+        // with the group would pass for one that is under way.
+        for attempt in withdrawn {
+            self.schedule(PlacementEvent::AttemptWithdrawn(attempt), now);
+        }
     }
 }
