--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -4,13 +4,15 @@
 //! A node that starts does not know whether it is current. It stays `Joining`, owns no group and
 //! refuses requests until its follower allows it to serve.
 
+mod changes;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dahlia_configuration::{
-    AcceptAction, AcceptEvent, Accepter, Anomaly, ChangeId, Digest, Follower, FollowerAction,
-    FollowerEvent, Knowledge, Peer, PeerMessage as SpreadMessage, Proposal, Record, Verdict,
+    AcceptEvent, Accepter, Anomaly, ChangeId, Follower, FollowerAction, FollowerEvent, Knowledge,
+    Peer, PeerMessage as SpreadMessage, Record,
 };
 use dahlia_replication::membership::{Health, MemberState};
 use dahlia_types::{DaemonId, Duration, Generation, Timestamp};
@@ -25,12 +27,6 @@
 const SEED_PATIENCE: Duration = Duration::from_secs(5);
 /// How often the list of peers is looked at.
 const PEERS_INTERVAL: Duration = Duration::from_millis(200);
-/// Daemons of one system offer the first document one after the other, this far apart.
-const FIRST_DOCUMENT_STAGGER: Duration = Duration::from_millis(300);
-/// Pause before the first document is offered again.
-const FIRST_DOCUMENT_RETRY: Duration = Duration::from_secs(2);
-/// Author of the first document.
-const FIRST_AUTHOR: &str = "settings";
 
 /// The configuration as this node knows it.
 #[derive(Debug, Clone)]
@@ -258,64 +254,6 @@
         }
     }
 
-    /// An operator asks for a change.
-    pub(crate) fn propose_change(&mut self, id: RequestId, proposal: Proposal, now: Timestamp) {
-        if !self.configuration.is_followed {
-            // A daemon that does not know the newest generation cannot tell what follows it.
-            let verdict = Verdict::Unavailable;
-            self.actions.push(Action::Decided { id, verdict });
-            return;
-        }
-        let change = proposal.change.clone();
-        let decisions = self.configuration.accepter.handle(AcceptEvent::Proposed(proposal), now);
-        if let [AcceptAction::Finished(_, verdict)] = decisions.as_slice() {
-            // Refused at once: whoever waits for an earlier request of this change waits on.
-            self.actions.push(Action::Decided { id, verdict: verdict.clone() });
-            return;
-        }
-        self.configuration.waiting.entry(change).or_default().insert(id);
-        self.carry_out_change(decisions, now);
-    }
-
-    fn accept(&mut self, event: AcceptEvent, now: Timestamp) {
-        let decisions = self.configuration.accepter.handle(event, now);
-        self.carry_out_change(decisions, now);
-    }
-
-    fn carry_out_change(&mut self, decisions: Vec<AcceptAction>, now: Timestamp) {
-        for decision in decisions {
-            match decision {
-                AcceptAction::Read => {
-                    let step = self.next_step();
-                    self.actions.push(Action::KeyValue(KeyValueStep::ReadForChange(step)));
-                }
-                AcceptAction::Swap { expected, value } => {
-                    let step = self.next_step();
-                    let swap = KeyValueStep::Swap { step, expected, value };
-                    self.actions.push(Action::KeyValue(swap));
-                }
-                AcceptAction::Finished(change, verdict) => self.decided(&change, &verdict, now),
-            }
-        }
-    }
-
-    fn next_step(&mut self) -> ChangeStep {
-        self.configuration.step.0 += 1;
-        self.configuration.step
-    }
-
-    fn decided(&mut self, change: &ChangeId, verdict: &Verdict, now: Timestamp) {
-        log::info!(target: "configuration", "Change {change}: {}.", summary(verdict));
-        if let Verdict::Accepted(record) = verdict {
-            // Others get the record before the operator gets the answer: an acceptance that only
-            // this daemon knew of could be lost with it while the service is down.
-            self.follow(FollowerEvent::Accepted(record.clone()), now);
-        }
-        for id in self.configuration.waiting.remove(change).unwrap_or_default() {
-            self.actions.push(Action::Decided { id, verdict: verdict.clone() });
-        }
-    }
-
     fn follow(&mut self, event: FollowerEvent, now: Timestamp) {
         for action in self.configuration.follower.handle(event, now) {
             match action {
@@ -381,53 +319,6 @@
             self.membership.set_state(MemberState::Live);
         }
     }
-
-    /// Offers the document of the settings when the system has none. Each daemon with the same
-    /// settings offers the same change, so that only one of them takes effect.
-    fn offer_first_document(&mut self, now: Timestamp) {
-        let part = &self.configuration;
-        let Some(document) = part.first_document.clone().filter(|_| part.is_followed) else {
-            return;
-        };
-        let Some(at) = part.next_offer else {
-            let before = part.peers.iter().flatten().filter(|peer| peer.daemon < self.own_daemon());
-            let wait = FIRST_DOCUMENT_STAGGER.times(before.count() as u64);
-            self.configuration.next_offer = Some(now + wait);
-            return;
-        };
-        if now < at || part.accepter.is_busy() {
-            return;
-        }
-        self.configuration.next_offer = Some(now + FIRST_DOCUMENT_RETRY);
-        let digest = Digest::of(document.as_bytes()).to_string();
-        let proposal = Proposal {
-            change: ChangeId(format!("first-{}", &digest[..16])),
-            expected: Generation(0),
-            author: FIRST_AUTHOR.to_owned(),
-            document,
-            repeated: true,
-        };
-        self.accept(AcceptEvent::Proposed(proposal), now);
-    }
-
-    fn own_daemon(&self) -> DaemonId {
-        self.settings.own.daemon
-    }
-}
-
-fn summary(verdict: &Verdict) -> String {
-    match verdict {
-        Verdict::Accepted(record) => format!("accepted as generation {}", record.generation()),
-        Verdict::AcceptedEarlier(change) => {
-            format!("accepted earlier as generation {}", change.generation)
-        }
-        Verdict::Conflict { newest, .. } => format!("refused, generation {newest} is the newest"),
-        Verdict::Invalid(error) => format!("refused, {error}"),
-        Verdict::IdentityReused(_) => "refused, its identity was used before".to_owned(),
-        Verdict::Busy => "refused, another change is being decided".to_owned(),
-        Verdict::Unavailable => "refused, the key-value service does not answer".to_owned(),
-        Verdict::Unknown => "its outcome is unknown".to_owned(),
-    }
 }
 
 fn report(anomaly: &Anomaly) {
--- /dev/null
+++ b/crates/node/src/configuration/changes.rs
@@ -0,0 +1,123 @@
+//! Changes of the configuration that this node brings in: those of operators, and the first
+//! document of a new system.
+
+use dahlia_configuration::{
+    AcceptAction, AcceptEvent, ChangeId, Digest, FollowerEvent, Proposal, Verdict,
+};
+use dahlia_types::{Duration, Generation, Timestamp};
+
+use crate::Action;
+use crate::key_value::{ChangeStep, KeyValueStep};
+use crate::node::Node;
+use crate::request::RequestId;
+
+/// Daemons of one system offer the first document one after the other, this far apart.
+const FIRST_DOCUMENT_STAGGER: Duration = Duration::from_millis(300);
+/// Pause before the first document is offered again.
+const FIRST_DOCUMENT_RETRY: Duration = Duration::from_secs(2);
+/// Author of the first document.
+const FIRST_AUTHOR: &str = "settings";
+
+impl Node {
+    /// An operator asks for a change.
+    pub(crate) fn propose_change(&mut self, id: RequestId, proposal: Proposal, now: Timestamp) {
+        if !self.configuration.is_followed {
+            // A daemon that does not know the newest generation cannot tell what follows it.
+            let verdict = Verdict::Unavailable;
+            self.actions.push(Action::Decided { id, verdict });
+            return;
+        }
+        let change = proposal.change.clone();
+        let decisions = self.configuration.accepter.handle(AcceptEvent::Proposed(proposal), now);
+        if let [AcceptAction::Finished(_, verdict)] = decisions.as_slice() {
+            // Refused at once: whoever waits for an earlier request of this change waits on.
+            self.actions.push(Action::Decided { id, verdict: verdict.clone() });
+            return;
+        }
+        self.configuration.waiting.entry(change).or_default().insert(id);
+        self.carry_out_change(decisions, now);
+    }
+
+    pub(super) fn accept(&mut self, event: AcceptEvent, now: Timestamp) {
+        let decisions = self.configuration.accepter.handle(event, now);
+        self.carry_out_change(decisions, now);
+    }
+
+    fn carry_out_change(&mut self, decisions: Vec<AcceptAction>, now: Timestamp) {
+        for decision in decisions {
+            match decision {
+                AcceptAction::Read => {
+                    let step = self.next_step();
+                    self.actions.push(Action::KeyValue(KeyValueStep::ReadForChange(step)));
+                }
+                AcceptAction::Swap { expected, value } => {
+                    let step = self.next_step();
+                    let swap = KeyValueStep::Swap { step, expected, value };
+                    self.actions.push(Action::KeyValue(swap));
+                }
+                AcceptAction::Finished(change, verdict) => self.decided(&change, &verdict, now),
+            }
+        }
+    }
+
+    fn next_step(&mut self) -> ChangeStep {
+        self.configuration.step.0 += 1;
+        self.configuration.step
+    }
+
+    fn decided(&mut self, change: &ChangeId, verdict: &Verdict, now: Timestamp) {
+        log::info!(target: "configuration", "Change {change}: {}.", summary(verdict));
+        if let Verdict::Accepted(record) = verdict {
+            // Others get the record before the operator gets the answer: an acceptance that only
+            // this daemon knew of could be lost with it while the service is down.
+            self.follow(FollowerEvent::Accepted(record.clone()), now);
+        }
+        for id in self.configuration.waiting.remove(change).unwrap_or_default() {
+            self.actions.push(Action::Decided { id, verdict: verdict.clone() });
+        }
+    }
+
+    /// Offers the document of the settings when the system has none. Each daemon with the same
+    /// settings offers the same change, so that only one of them takes effect.
+    pub(super) fn offer_first_document(&mut self, now: Timestamp) {
+        let own = self.settings.own.daemon;
+        let part = &self.configuration;
+        let Some(document) = part.first_document.clone().filter(|_| part.is_followed) else {
+            return;
+        };
+        let Some(at) = part.next_offer else {
+            let before = part.peers.iter().flatten().filter(|peer| peer.daemon < own);
+            let wait = FIRST_DOCUMENT_STAGGER.times(before.count() as u64);
+            self.configuration.next_offer = Some(now + wait);
+            return;
+        };
+        if now < at || part.accepter.is_busy() {
+            return;
+        }
+        self.configuration.next_offer = Some(now + FIRST_DOCUMENT_RETRY);
+        let digest = Digest::of(document.as_bytes()).to_string();
+        let proposal = Proposal {
+            change: ChangeId(format!("first-{}", &digest[..16])),
+            expected: Generation(0),
+            author: FIRST_AUTHOR.to_owned(),
+            document,
+            repeated: true,
+        };
+        self.accept(AcceptEvent::Proposed(proposal), now);
+    }
+}
+
+fn summary(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Accepted(record) => format!("accepted as generation {}", record.generation()),
+        Verdict::AcceptedEarlier(change) => {
+            format!("accepted earlier as generation {}", change.generation)
+        }
+        Verdict::Conflict { newest, .. } => format!("refused, generation {newest} is the newest"),
+        Verdict::Invalid(error) => format!("refused, {error}"),
+        Verdict::IdentityReused(_) => "refused, its identity was used before".to_owned(),
+        Verdict::Busy => "refused, another change is being decided".to_owned(),
+        Verdict::Unavailable => "refused, the key-value service does not answer".to_owned(),
+        Verdict::Unknown => "its outcome is unknown".to_owned(),
+    }
+}
