--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -5,9 +5,15 @@
 //! only if the layout names it in exactly its present incarnation.
 
 use dahlia_replication::directory::{GroupDescription, initial_layout};
+use dahlia_replication::group::Replica;
+use dahlia_replication::maintenance::Maintenance;
 use dahlia_replication::membership::MemberInfo;
 use dahlia_types::{Duration, Timestamp};
 
+use crate::Action;
+use crate::group::Group;
+use crate::node::Node;
+
 /// The key of the layout.
 pub const LAYOUT_KEY: &str = "groups/layout";
 
@@ -84,3 +90,65 @@
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
     decoded.ok().map(|(layout, _)| layout)
 }
+
+impl Node {
+    pub(crate) fn read_layout(&mut self, now: Timestamp) {
+        if self.bootstrap.is_done() {
+            return;
+        }
+        if !self.bootstrap.read_due(now) {
+            return;
+        }
+        let live = self.live_members();
+        self.bootstrap.share_reads(live.len(), now);
+        if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
+            let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
+            self.actions.push(Action::Layout(LayoutStep::Value(layout)));
+        } else {
+            self.actions.push(Action::Layout(LayoutStep::Read));
+        }
+    }
+
+    pub(crate) fn layout(&mut self, step: LayoutStep, now: Timestamp) {
+        match step {
+            LayoutStep::Read => self.bootstrap.note_missing(),
+            LayoutStep::Failed => {}
+            LayoutStep::Value(bytes) if !self.bootstrap.is_done() => match decode_layout(&bytes) {
+                Some(layout) => self.adopt_layout(layout, now),
+                None => log::error!(target: "groups", "The layout of groups is malformed."),
+            },
+            LayoutStep::Value(_) => {}
+        }
+    }
+
+    fn adopt_layout(&mut self, layout: Vec<GroupDescription>, now: Timestamp) {
+        self.bootstrap.finish();
+        for description in layout {
+            let (id, voters) = (description.group, description.members.clone());
+            self.directory.merge(description);
+            // Another life of this daemon is another replica: only the life that the layout
+            // names starts as a voter, and it does so once, because the layout is read once.
+            if !voters.contains(&self.settings.own) {
+                continue;
+            }
+            if let Some(group) = self.groups.get_mut(&id) {
+                // A first voter that was elected already has sent a message before.
+                group.replica.adopt_layout(voters, now);
+                self.dirty.insert(id);
+                continue;
+            }
+            let settings = self.settings.group.clone();
+            let seed = self.settings.seed;
+            let mut replica =
+                Replica::bootstrap(self.settings.own, id, voters.clone(), settings, seed, now);
+            if voters.first() == Some(&self.settings.own) {
+                // The layout balances leaders: its first voter need not wait for a timeout.
+                replica.campaign(now);
+            }
+            let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
+            let state = self.settings.empty_state(id);
+            self.groups.insert(id, Group::new(replica, state, maintenance));
+            self.dirty.insert(id);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | `node` | assembly: hands each event to its part |
 //! | `group` | one replica group here: its replica, its programs, its proposals |
+//! | `outputs` | what replicas ask for: entries to apply, snapshots, ownership |
 //! | `owner` | what the leader of a group does for calls |
 //! | `attempts` | intents, dispatch and outcomes of attempts |
 //! | `answer` | putting an answer together at a gateway, across fail-over |
@@ -37,6 +38,7 @@
 mod members;
 mod node;
 mod orders;
+mod outputs;
 mod owner;
 mod recovery;
 mod release;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,30 +5,26 @@
 
 use dahlia_placement::Scheduler;
 use dahlia_program::GroupState;
-use dahlia_replication::directory::{Directory, GroupDescription};
-use dahlia_replication::group::{Coalescer, Entry, Output, PeerBatch, Replica, Role, Snapshot};
+use dahlia_replication::directory::Directory;
+use dahlia_replication::group::{Coalescer, PeerBatch, Replica, Role};
 use dahlia_replication::maintenance::Maintenance;
 use dahlia_replication::membership::{
     Event as MembershipEvent, Member, MemberInfo, MemberState, Membership,
 };
-use dahlia_types::{AttemptId, DaemonId, Duration, GroupId, LogIndex, ReplicaId, Timestamp};
+use dahlia_types::{AttemptId, DaemonId, Duration, GroupId, ReplicaId, Timestamp};
 use serde::Serialize;
 
-use crate::bootstrap::{Bootstrap, LayoutStep, choose_layout, decode_layout};
+use crate::bootstrap::Bootstrap;
 use crate::configuration::Configuration;
 use crate::engine_sources::EngineSources;
 use crate::engines::EngineTable;
-use crate::group::{Group, Purpose, decode};
+use crate::group::Group;
 use crate::history::History;
 use crate::orders::Orders;
-use crate::request::Response;
 use crate::routing::{ReplyTo, Router};
 use crate::wire::PeerMessage;
 use crate::{Action, Event, NodeSettings};
 
-/// How often expired programs are looked for.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
-
 /// One daemon without its I/O.
 pub struct Node {
     pub(crate) settings: NodeSettings,
@@ -48,9 +44,9 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
     pub(crate) next_upkeep: Timestamp,
-    bootstrap: Bootstrap,
-    coalescer: Coalescer,
-    draining: bool,
+    pub(crate) bootstrap: Bootstrap,
+    pub(crate) coalescer: Coalescer,
+    pub(crate) draining: bool,
 }
 
 /// What a node says of itself.
@@ -305,66 +301,6 @@
         }
     }
 
-    fn read_layout(&mut self, now: Timestamp) {
-        if self.bootstrap.is_done() {
-            return;
-        }
-        if !self.bootstrap.read_due(now) {
-            return;
-        }
-        let live = self.live_members();
-        self.bootstrap.share_reads(live.len(), now);
-        if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
-            let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
-            self.actions.push(Action::Layout(LayoutStep::Value(layout)));
-        } else {
-            self.actions.push(Action::Layout(LayoutStep::Read));
-        }
-    }
-
-    fn layout(&mut self, step: LayoutStep, now: Timestamp) {
-        match step {
-            LayoutStep::Read => self.bootstrap.note_missing(),
-            LayoutStep::Failed => {}
-            LayoutStep::Value(bytes) if !self.bootstrap.is_done() => match decode_layout(&bytes) {
-                Some(layout) => self.adopt_layout(layout, now),
-                None => log::error!(target: "groups", "The layout of groups is malformed."),
-            },
-            LayoutStep::Value(_) => {}
-        }
-    }
-
-    fn adopt_layout(&mut self, layout: Vec<GroupDescription>, now: Timestamp) {
-        self.bootstrap.finish();
-        for description in layout {
-            let (id, voters) = (description.group, description.members.clone());
-            self.directory.merge(description);
-            // Another life of this daemon is another replica: only the life that the layout
-            // names starts as a voter, and it does so once, because the layout is read once.
-            if !voters.contains(&self.settings.own) {
-                continue;
-            }
-            if let Some(group) = self.groups.get_mut(&id) {
-                // A first voter that was elected already has sent a message before.
-                group.replica.adopt_layout(voters, now);
-                self.dirty.insert(id);
-                continue;
-            }
-            let settings = self.settings.group.clone();
-            let seed = self.settings.seed;
-            let mut replica =
-                Replica::bootstrap(self.settings.own, id, voters.clone(), settings, seed, now);
-            if voters.first() == Some(&self.settings.own) {
-                // The layout balances leaders: its first voter need not wait for a timeout.
-                replica.campaign(now);
-            }
-            let maintenance = Maintenance::new(self.settings.maintenance.clone(), now);
-            let state = self.settings.empty_state(id);
-            self.groups.insert(id, Group::new(replica, state, maintenance));
-            self.dirty.insert(id);
-        }
-    }
-
     /// Takes work again after a drain that the configuration asked for.
     pub(crate) fn end_drain(&mut self) {
         self.draining = false;
@@ -400,145 +336,4 @@
             }
         }
     }
-
-    fn take_outputs(&mut self, id: GroupId, now: Timestamp) {
-        let Some(group) = self.groups.get_mut(&id) else {
-            return;
-        };
-        for output in group.replica.take_outputs() {
-            match output {
-                Output::Send(message) => self.coalescer.push(message),
-                Output::Committed(entry) => self.apply(id, &entry, now),
-                Output::Restore(snapshot) => self.restore(id, &snapshot),
-                Output::RoleChanged { role, term, leader } => {
-                    log::debug!(target: "groups", "{id}: {role:?} in {term}, leader {leader:?}.");
-                }
-                Output::MembersChanged { index, .. } => self.members_changed(id, index),
-                Output::SnapshotWanted => self.compact(id),
-                Output::Removed { .. } => self.retire(id, now),
-            }
-        }
-        self.check_ownership(id, now);
-    }
-
-    fn apply(&mut self, id: GroupId, entry: &Entry, now: Timestamp) {
-        let Some(group) = self.groups.get_mut(&id) else {
-            return;
-        };
-        let settled = group.settle(entry.index, entry.term);
-        let command = decode(&entry.payload);
-        let Some(command) = command else {
-            // Every replica of this build skips it alike.
-            log::error!(target: "groups", "Entry {} of {id} cannot be decoded.", entry.index);
-            return;
-        };
-        let result = group.state.apply(entry.index, entry.term, &command);
-        let serving = group.is_serving();
-        for purpose in settled.lost {
-            self.lost(id, purpose);
-        }
-        let own = settled.own;
-        if serving {
-            self.applied(id, &command, result, own, now);
-        } else if let Some(purpose) = own {
-            self.lost(id, purpose);
-        }
-    }
-
-    /// A proposal whose fate is not known here any more: its asker repeats it at the owner.
-    pub(crate) fn lost(&mut self, id: GroupId, purpose: Purpose) {
-        match purpose {
-            Purpose::Request(to) => {
-                let hint = self.owner_hint(id);
-                self.reply(to, Response::NotOwner { hint });
-            }
-            Purpose::Intent(intent) => {
-                if let Some(group) = self.groups.get_mut(&id) {
-                    group.lost_intents.push(intent.attempt);
-                }
-            }
-            Purpose::Housekeeping => {}
-        }
-    }
-
-    fn restore(&mut self, id: GroupId, snapshot: &Snapshot) {
-        let Some(group) = self.groups.get_mut(&id) else {
-            return;
-        };
-        match GroupState::restore(&snapshot.data) {
-            Ok(state) => group.state = self.settings.with_faults(state),
-            Err(error) => log::error!(target: "groups", "Snapshot of {id} refused: {error}."),
-        }
-        let settled = group.settle(snapshot.index, snapshot.term);
-        for purpose in settled.own.into_iter().chain(settled.lost) {
-            self.lost(id, purpose);
-        }
-    }
-
-    fn members_changed(&mut self, id: GroupId, index: LogIndex) {
-        if let Some(group) = self.groups.get_mut(&id) {
-            group.members_index = index;
-        }
-        self.publish_group(id);
-    }
-
-    fn compact(&mut self, id: GroupId) {
-        if let Some(group) = self.groups.get_mut(&id) {
-            let applied = group.replica.applied();
-            let snapshot = group.state.snapshot();
-            group.replica.compact(applied, snapshot);
-            self.dirty.insert(id);
-        }
-    }
-
-    fn retire(&mut self, id: GroupId, now: Timestamp) {
-        if let Some(group) = self.groups.get_mut(&id) {
-            group.replica.retire(now);
-            group.state = self.settings.empty_state(id);
-        }
-    }
-
-    fn check_ownership(&mut self, id: GroupId, now: Timestamp) {
-        let Some(group) = self.groups.get_mut(&id) else {
-            return;
-        };
-        let term = group.replica.term();
-        let leads = group.replica.is_leader_ready();
-        match group.serving {
-            None if leads => {
-                group.serving = Some(term);
-                self.publish_group(id);
-                self.take_up(id, now);
-            }
-            Some(served) if !leads || served != term => {
-                self.step_down(id, now);
-                // A replica can lose and win back the lead between two looks at it.
-                if leads {
-                    self.check_ownership(id, now);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn expire_programs(&mut self, now: Timestamp) {
-        for group in self.groups.values_mut() {
-            if group.is_serving() && now >= group.next_expiry {
-                group.next_expiry = now + EXPIRY_INTERVAL;
-                group.propose_expiry(self.settings.keep_records, now);
-                self.dirty.insert(group.id());
-            }
-        }
-    }
-
-    fn propose_deferred(&mut self, now: Timestamp) {
-        let waiting = |group: &&mut Group| !group.deferred.is_empty();
-        for group in self.groups.values_mut().filter(waiting) {
-            for (command, purpose) in std::mem::take(&mut group.deferred) {
-                // A purpose that comes back is a request's: the owner changed, its asker repeats.
-                let _ = group.propose(command, purpose, now);
-            }
-            self.dirty.insert(group.replica.group());
-        }
-    }
 }
--- /dev/null
+++ b/crates/node/src/outputs.rs
@@ -0,0 +1,155 @@
+//! What the replicas of groups ask for: messages, committed entries, snapshots, ownership.
+
+use dahlia_program::GroupState;
+use dahlia_replication::group::{Entry, Output, Snapshot};
+use dahlia_types::{Duration, GroupId, LogIndex, Timestamp};
+
+use crate::group::{Group, Purpose, decode};
+use crate::node::Node;
+use crate::request::Response;
+
+/// How often expired programs are looked for.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
+
+impl Node {
+    pub(crate) fn take_outputs(&mut self, id: GroupId, now: Timestamp) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        for output in group.replica.take_outputs() {
+            match output {
+                Output::Send(message) => self.coalescer.push(message),
+                Output::Committed(entry) => self.apply(id, &entry, now),
+                Output::Restore(snapshot) => self.restore(id, &snapshot),
+                Output::RoleChanged { role, term, leader } => {
+                    log::debug!(target: "groups", "{id}: {role:?} in {term}, leader {leader:?}.");
+                }
+                Output::MembersChanged { index, .. } => self.members_changed(id, index),
+                Output::SnapshotWanted => self.compact(id),
+                Output::Removed { .. } => self.retire(id, now),
+            }
+        }
+        self.check_ownership(id, now);
+    }
+
+    fn apply(&mut self, id: GroupId, entry: &Entry, now: Timestamp) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let settled = group.settle(entry.index, entry.term);
+        let command = decode(&entry.payload);
+        let Some(command) = command else {
+            // Every replica of this build skips it alike.
+            log::error!(target: "groups", "Entry {} of {id} cannot be decoded.", entry.index);
+            return;
+        };
+        let result = group.state.apply(entry.index, entry.term, &command);
+        let serving = group.is_serving();
+        for purpose in settled.lost {
+            self.lost(id, purpose);
+        }
+        let own = settled.own;
+        if serving {
+            self.applied(id, &command, result, own, now);
+        } else if let Some(purpose) = own {
+            self.lost(id, purpose);
+        }
+    }
+
+    /// A proposal whose fate is not known here any more: its asker repeats it at the owner.
+    pub(crate) fn lost(&mut self, id: GroupId, purpose: Purpose) {
+        match purpose {
+            Purpose::Request(to) => {
+                let hint = self.owner_hint(id);
+                self.reply(to, Response::NotOwner { hint });
+            }
+            Purpose::Intent(intent) => {
+                if let Some(group) = self.groups.get_mut(&id) {
+                    group.lost_intents.push(intent.attempt);
+                }
+            }
+            Purpose::Housekeeping => {}
+        }
+    }
+
+    fn restore(&mut self, id: GroupId, snapshot: &Snapshot) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        match GroupState::restore(&snapshot.data) {
+            Ok(state) => group.state = self.settings.with_faults(state),
+            Err(error) => log::error!(target: "groups", "Snapshot of {id} refused: {error}."),
+        }
+        let settled = group.settle(snapshot.index, snapshot.term);
+        for purpose in settled.own.into_iter().chain(settled.lost) {
+            self.lost(id, purpose);
+        }
+    }
+
+    fn members_changed(&mut self, id: GroupId, index: LogIndex) {
+        if let Some(group) = self.groups.get_mut(&id) {
+            group.members_index = index;
+        }
+        self.publish_group(id);
+    }
+
+    fn compact(&mut self, id: GroupId) {
+        if let Some(group) = self.groups.get_mut(&id) {
+            let applied = group.replica.applied();
+            let snapshot = group.state.snapshot();
+            group.replica.compact(applied, snapshot);
+            self.dirty.insert(id);
+        }
+    }
+
+    fn retire(&mut self, id: GroupId, now: Timestamp) {
+        if let Some(group) = self.groups.get_mut(&id) {
+            group.replica.retire(now);
+            group.state = self.settings.empty_state(id);
+        }
+    }
+
+    fn check_ownership(&mut self, id: GroupId, now: Timestamp) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let term = group.replica.term();
+        let leads = group.replica.is_leader_ready();
+        match group.serving {
+            None if leads => {
+                group.serving = Some(term);
+                self.publish_group(id);
+                self.take_up(id, now);
+            }
+            Some(served) if !leads || served != term => {
+                self.step_down(id, now);
+                // A replica can lose and win back the lead between two looks at it.
+                if leads {
+                    self.check_ownership(id, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn expire_programs(&mut self, now: Timestamp) {
+        for group in self.groups.values_mut() {
+            if group.is_serving() && now >= group.next_expiry {
+                group.next_expiry = now + EXPIRY_INTERVAL;
+                group.propose_expiry(self.settings.keep_records, now);
+                self.dirty.insert(group.id());
+            }
+        }
+    }
+
+    pub(crate) fn propose_deferred(&mut self, now: Timestamp) {
+        let waiting = |group: &&mut Group| !group.deferred.is_empty();
+        for group in self.groups.values_mut().filter(waiting) {
+            for (command, purpose) in std::mem::take(&mut group.deferred) {
+                // A purpose that comes back is a request's: the owner changed, its asker repeats.
+                let _ = group.propose(command, purpose, now);
+            }
+            self.dirty.insert(group.replica.group());
+        }
+    }
+}
