Take back the promotion before the removal of a lost voter

Cause: since a lost voter stayed until its replacement voted. With three voters and one dead, that promotion needs the learner's own vote, which replicas refuse: the group was never repaired (three_voters_bear_death_after_death failed with 'not repaired'). Ruled out: letting replicas promote a learner whose vote the commit needs; a death of the learner then stops the group (design/replication.md). The fault that change was for (a zone cut off for 8 s, then the owner killed, between removal and promotion) had a window of up to 1 s, because the driver asked for the next step once a second; it now asks after each committed change.

--- a/crates/node/src/outputs.rs
+++ b/crates/node/src/outputs.rs
@@ -90,6 +90,8 @@
         if let Some(group) = self.groups.get_mut(&id) {
             group.members_index = index;
         }
+        // Between two steps of a replacement the group may survive less: no second is lost here.
+        self.next_upkeep = Timestamp::ZERO;
         self.publish_group(id);
     }
 
--- a/crates/replication/src/maintenance/plan.rs
+++ b/crates/replication/src/maintenance/plan.rs
@@ -126,10 +126,10 @@
     /// Removes a voter that is gone, or a lost one where keeping it is of no more use.
     fn remove_dead(&self) -> Option<MemberChange> {
         let dead = self.gone.first().or(self.lost.first()).copied()?;
-        // A lost voter may only be out of reach and come back with all that it remembers. It stays
-        // until its replacement votes: without it, two voters would be left, and the death of one
-        // of them would end the group for good.
-        let is_useless = !self.gone.is_empty() || self.rest_survives_more() || !self.lacks_voters();
+        let is_useless = !self.gone.is_empty()
+            || self.rest_survives_more()
+            || self.has_ready_learner()
+            || !self.lacks_voters();
         is_useless.then_some(MemberChange::Remove(dead))
     }
 
@@ -141,6 +141,10 @@
         survives(answering.min(rest), rest) > survives(answering, voters.len())
     }
 
+    fn has_ready_learner(&self) -> bool {
+        self.healthy_learners.iter().any(|learner| self.is_caught_up(*learner))
+    }
+
     /// Promotes a learner that is needed and caught up.
     fn promote(&self) -> Option<MemberChange> {
         let caught_up = self.healthy_learners.iter().copied().filter(|l| self.is_caught_up(*l));
