Take a dispatched attempt back when its prompt is not at hand

Cause: when a call's chunks were dropped from the cache between placement's decision and the intent, the node withdrew the call, but placement counts it as dispatched by then and withdraws only what waits. Ruled out: the gateway and its readers (the owner had the call waiting). The attempt is withdrawn instead.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -58,8 +58,9 @@
     ) {
         let id = attempt.call.program.group;
         let Some(prompt) = self.compose_prompt(attempt.call, now) else {
-            // Its chunks were dropped while it waited for an engine.
-            self.schedule(PlacementEvent::CallWithdrawn(attempt.call), now);
+            // Its chunks were dropped while it waited for an engine. Placement counts the attempt
+            // as dispatched: unless it is taken back, the call is known there and never placed.
+            self.schedule(PlacementEvent::AttemptWithdrawn(attempt), now);
             self.wait_for_prompt(attempt.call);
             return;
         };
