--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -92,6 +92,17 @@
     }
 }
 
+impl ClusterPlan {
+    /// The same with at least `count` daemons, more of them in the first zones.
+    pub fn with_daemons(mut self, count: usize) -> Self {
+        let zones = self.daemon_zones.clone();
+        let missing = count.saturating_sub(zones.len());
+        self.daemon_zones.extend(zones.into_iter().cycle().take(missing));
+        self.bootstrap_daemons = self.daemon_zones.len() as u32;
+        self
+    }
+}
+
 /// A daemon's process and addresses.
 pub struct DaemonProcess {
     /// The process; none after it was killed.
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -106,7 +106,8 @@
         speed: options.speed,
         replicas: options.replicas,
         ..ClusterPlan::bayou_current()
-    };
+    }
+    .with_daemons(options.replicas as usize);
     let cluster = Cluster::start(plan, folder).await?;
     cluster.wait_until_ready().await?;
     let direct = measure_direct(&cluster, options).await?;
