--- a/crates/replay/src/schedules.rs
+++ b/crates/replay/src/schedules.rs
@@ -182,7 +182,7 @@
 
 /// Memory of three replicas survives one death at a time: a second daemon is killed only after
 /// the first one's place has been taken. Freezes and cuts may come together with anything.
-fn limit_deaths(events: &mut Vec<Timed>) {
+fn limit_deaths(events: &mut [Timed]) {
     /// Time in which a lost member of a group has been replaced.
     const REPLACED: Duration = Duration::from_secs(25);
     let is_death = |event: &Event| {
--- a/crates/replay/src/trace/line.rs
+++ b/crates/replay/src/trace/line.rs
@@ -131,10 +131,10 @@
 /// Writes a length so that it reads back the same.
 pub(super) fn write_duration(length: Duration) -> String {
     let micros = length.as_micros();
-    if micros % 1_000 != 0 {
+    if !micros.is_multiple_of(1_000) {
         return format!("{micros}us");
     }
-    if micros % 1_000_000 != 0 {
+    if !micros.is_multiple_of(1_000_000) {
         format!("{}ms", micros / 1_000)
     } else {
         format!("{}s", micros / 1_000_000)
--- a/crates/replay/src/world/attempt.rs
+++ b/crates/replay/src/world/attempt.rs
@@ -176,7 +176,7 @@
             Ok(_) => self.begin_reading(id, name, rpc),
             Err(RpcError::NotRun(reason)) => self.end_attempt(id, name, not_run(&reason)),
             Err(RpcError::StaleEpoch) => self.end_attempt(id, name, not_run("stale epoch")),
-            Err(RpcError::Known | RpcError::Unseen | RpcError::Unknown(_)) => {
+            Err(RpcError::Known | RpcError::Unseen | RpcError::Unknown) => {
                 self.find_out(id, name);
             }
         }
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -70,7 +70,7 @@
     /// A newer owner was seen.
     StaleEpoch,
     /// It may have had its effect, or may yet.
-    Unknown(String),
+    Unknown,
 }
 
 /// A reply.
@@ -110,7 +110,7 @@
         let is_named = daemon.uses.contains(&engine);
         let own = Target::Daemon(id, life);
         let fail = |error: RpcError| Delivery::Rpc { rpc, result: Box::new(Err(error)) };
-        let timeout = RpcError::Unknown("no answer in time".to_owned());
+        let timeout = RpcError::Unknown;
         self.agenda.push(now + RESPONSE_TIMEOUT, own, fail(timeout));
         let Some(target) = self.engines.get(&engine).filter(|_| is_named) else {
             self.agenda.push(now, own, fail(RpcError::NotRun("no such engine".to_owned())));
--- a/crates/replay/src/world/engine.rs
+++ b/crates/replay/src/world/engine.rs
@@ -111,7 +111,7 @@
         let Some(engine) = self.engines.get_mut(&number) else { return };
         if engine.life != life || !engine.is_up() {
             if let Delivery::EngineCall { path, .. } = delivery {
-                let error = RpcError::Unknown("the connection broke".to_owned());
+                let error = RpcError::Unknown;
                 self.engine_replies(number, path, Err(error));
             }
             return;
@@ -169,7 +169,7 @@
                 continue;
             }
             let latency = self.network.latency(from, to, self.now, &mut self.random);
-            let error = RpcError::Unknown("the connection broke".to_owned());
+            let error = RpcError::Unknown;
             let delivery = Delivery::Rpc { rpc, result: Box::new(Err(error)) };
             self.agenda.push(self.now + latency, Target::Daemon(id, life), delivery);
         }
@@ -221,7 +221,7 @@
                 let zone = engine.zone;
                 self.break_stream(zone, path.rpc, reader.path);
             }
-            let error = RpcError::Unknown("the reply was lost".to_owned());
+            let error = RpcError::Unknown;
             self.engine_replies(number, path, Err(error));
             return;
         }
@@ -268,7 +268,7 @@
         let engine = self.engines.get_mut(&number);
         let model = engine.and_then(|engine| engine.model.as_mut());
         let Some(model) = model else {
-            return Err(RpcError::Unknown("the engine is down".to_owned()));
+            return Err(RpcError::Unknown);
         };
         match model.handle(command, now) {
             EngineReply::Refused(EngineRefusal::StaleEpoch { .. }) => Err(RpcError::StaleEpoch),
@@ -309,7 +309,7 @@
             },
         );
         let Some(engine) = self.engines.get_mut(&number) else {
-            return Err(RpcError::Unknown("the engine is down".to_owned()));
+            return Err(RpcError::Unknown);
         };
         engine.records.insert(attempt, record);
         engine.readers.insert(path.rpc, Reader::new(attempt, path, 0));
--- a/crates/replay/src/world/gateway.rs
+++ b/crates/replay/src/world/gateway.rs
@@ -67,7 +67,7 @@
     ) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         if !daemon.takes_callers() {
-            self.to_caller(id, name, caller, CallerMessage::Refused { connection: name });
+            self.send_to_caller(id, name, caller, CallerMessage::Refused { connection: name });
             return;
         }
         let mut connection = Connection { caller, tenant: TenantId::new(""), follow: None };
@@ -262,7 +262,7 @@
                     return;
                 };
                 let message = CallerMessage::Text { connection: name, attempt, offset, text };
-                self.to_caller(id, name, caller, message);
+                self.send_to_caller(id, name, caller, message);
             }
             Followed::End { .. } => {
                 self.last_to_caller(id, name, CallerMessage::End { connection: name });
@@ -277,11 +277,11 @@
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         let Some(connection) = daemon.connections.get(&name) else { return };
         let caller = connection.caller;
-        self.to_caller(id, name, caller, message);
+        self.send_to_caller(id, name, caller, message);
         self.connection_gone(id, name);
     }
 
-    fn to_caller(&mut self, id: DaemonId, name: u64, caller: usize, message: CallerMessage) {
+    fn send_to_caller(&mut self, id: DaemonId, name: u64, caller: usize, message: CallerMessage) {
         let Some(daemon) = self.daemons.get(&id) else { return };
         let channel = Channel::Named(name, true);
         let zone = Some(daemon.zone);
