--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -34,7 +34,7 @@
 use crate::operators::{self, Operators};
 use crate::peers::{self, Incoming, PeerSender, Traffic};
 use crate::platform_state::PlatformState;
-use crate::serve_answers;
+use crate::serve_answers::{self, AnswerSink};
 use crate::settings::Settings;
 
 /// Messages of peers that may wait for the node.
@@ -98,6 +98,7 @@
     traffic: Arc<Traffic>,
     datagrams: DatagramSender,
     identity: Identity,
+    board: AnswerBoard,
     metrics: Arc<Metrics>,
     in_force: watch::Receiver<Option<Arc<Record>>>,
     tasks: Vec<JoinHandle<()>>,
@@ -159,12 +160,22 @@
         tokio::spawn(Core::new(node, clock, inbox, parts).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming.clone())),
         tokio::spawn(datagrams::receive(socket, identity.clone(), incoming)),
-        tokio::spawn(take_incoming(peers_inbox, core.clone(), board)),
+        tokio::spawn(take_incoming(peers_inbox, core.clone(), board.clone())),
     ];
     if let Some(machines) = settings.platform.machines {
         tasks.push(tokio::spawn(machine_list::follow(machines, core.clone())));
     }
-    Ok(ControlParts { core, peer_address, traffic, datagrams, identity, metrics, in_force, tasks })
+    Ok(ControlParts {
+        core,
+        peer_address,
+        traffic,
+        datagrams,
+        identity,
+        board,
+        metrics,
+        in_force,
+        tasks,
+    })
 }
 
 /// Starts a daemon.
@@ -181,6 +192,7 @@
     let gateway_parts = Gateway::new(
         core.clone(),
         control.identity.clone(),
+        control.board.clone(),
         TenantKey::new(settings.credentials.tenant_key.as_bytes()),
         settings.limits.clone(),
         control.metrics.clone(),
@@ -310,7 +322,8 @@
             Incoming::Message { from, message } => deliver(&core, from, message).await,
             Incoming::ConnectionLost(address) => core.connection_lost(address).await,
             Incoming::Answer { read, frames } => {
-                tokio::spawn(serve_answers::serve(core.clone(), board.clone(), read, frames));
+                let sink = AnswerSink::Peer(Box::new(frames));
+                tokio::spawn(serve_answers::serve(core.clone(), board.clone(), read, sink));
             }
         }
     }
--- a/crates/daemon/src/gateway/answers.rs
+++ b/crates/daemon/src/gateway/answers.rs
@@ -32,13 +32,7 @@
         let permit = gateway.admit();
         match (read, permit) {
             (Ok((tenant, call, start)), Ok(permit)) => {
-                let follower = Follower::new(
-                    gateway.core.clone(),
-                    gateway.identity.clone(),
-                    tenant,
-                    call,
-                    start,
-                );
+                let follower = Follower::new(gateway, tenant, call, start);
                 let frame = render::frame(call, "");
                 render::name_call(gateway, response, call);
                 render::stream(gateway, response, frame, follower, permit).await;
--- a/crates/daemon/src/gateway/chat.rs
+++ b/crates/daemon/src/gateway/chat.rs
@@ -68,13 +68,8 @@
 
     async fn answer(&self, accepted: Accepted, response: &mut Response) {
         let gateway = &self.gateway;
-        let follower = Follower::new(
-            gateway.core.clone(),
-            gateway.identity.clone(),
-            accepted.tenant,
-            accepted.call,
-            StartPosition::default(),
-        );
+        let follower =
+            Follower::new(gateway, accepted.tenant, accepted.call, StartPosition::default());
         let frame = render::frame(accepted.call, &accepted.model);
         render::name_call(gateway, response, accepted.call);
         match accepted.form {
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -11,10 +11,13 @@
 use dahlia_types::{CallId, TenantId};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::Gateway;
+use super::source::AnswerSource;
+use crate::answers::AnswerBoard;
 use crate::core::CoreHandle;
-use crate::frames::FrameStream;
 use crate::handshake::Identity;
 use crate::logging::part;
+use crate::serve_answers;
 
 pub use dahlia_node::{Followed, StartPosition};
 
@@ -31,24 +34,20 @@
 pub struct Follower {
     core: CoreHandle,
     identity: Identity,
+    board: AnswerBoard,
     reader: AnswerReader,
-    source: Option<FrameStream>,
+    source: Option<AnswerSource>,
     last_contact: Instant,
     waiting: VecDeque<Followed>,
 }
 
 impl Follower {
     /// A follower that will yield what comes after `start`.
-    pub fn new(
-        core: CoreHandle,
-        identity: Identity,
-        tenant: TenantId,
-        call: CallId,
-        start: StartPosition,
-    ) -> Self {
+    pub fn new(gateway: &Gateway, tenant: TenantId, call: CallId, start: StartPosition) -> Self {
         Self {
-            core,
-            identity,
+            core: gateway.core.clone(),
+            identity: gateway.identity.clone(),
+            board: gateway.board.clone(),
             reader: AnswerReader::new(tenant, call, start),
             source: None,
             last_contact: Instant::now(),
@@ -89,7 +88,7 @@
             self.source = self.connect().await;
         }
         let source = self.source.as_mut()?;
-        match timeout(SILENCE_LIMIT, source.receive::<AnswerFrame>()).await {
+        match timeout(SILENCE_LIMIT, source.receive()).await {
             Ok(Ok(frame)) => {
                 self.last_contact = Instant::now();
                 Some(frame)
@@ -106,14 +105,21 @@
         }
     }
 
-    async fn connect(&self) -> Option<FrameStream> {
-        let owner: SocketAddr = self.core.owner(self.reader.call().program.group).await?;
-        let connected = self.identity.connect(owner, Purpose::Answer(self.reader.request())).await;
+    async fn connect(&self) -> Option<AnswerSource> {
+        let group = self.reader.call().program.group;
+        let read = self.reader.request();
+        if self.core.owns(group).await {
+            let frames = serve_answers::open_here(&self.core, &self.board, read);
+            return Some(AnswerSource::Local(frames));
+        }
+        let owner: SocketAddr = self.core.owner(group).await?;
+        let connected = self.identity.connect(owner, Purpose::Answer(read)).await;
         connected
             .inspect_err(|error| {
                 log::debug!(target: part::GATEWAY, "No answer of {}. {error}.", self.reader.call());
             })
             .ok()
+            .map(|frames| AnswerSource::Peer(Box::new(frames)))
     }
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `chat` | `POST /v1/chat/completions` |
 //! | `answers` | reading on from an offset, and closing a program |
+//! | `source` | where an answer is read: here or at another daemon |
 //! | `follow` | following an answer at its owner across fail-over |
 //! | `body` | a request's body, within its limits |
 //! | `head` | limits on a request's head |
@@ -18,6 +19,7 @@
 mod head;
 mod health;
 mod render;
+mod source;
 mod unserved;
 
 use std::io;
@@ -33,6 +35,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::answers::AnswerBoard;
 use crate::core::CoreHandle;
 use crate::handshake::Identity;
 use crate::metrics::Metrics;
@@ -51,6 +54,8 @@
     pub core: CoreHandle,
     /// This daemon towards its peers.
     pub identity: Identity,
+    /// Text of answers that are generated here.
+    pub board: AnswerBoard,
     /// Checks tenants' credentials.
     pub tenants: TenantKey,
     /// Limits on requests.
@@ -65,12 +70,13 @@
     pub fn new(
         core: CoreHandle,
         identity: Identity,
+        board: AnswerBoard,
         tenants: TenantKey,
         limits: RequestLimits,
         metrics: Arc<Metrics>,
     ) -> Arc<Self> {
         let permits = Arc::new(Semaphore::new(limits.concurrent_requests as usize));
-        Arc::new(Self { core, identity, tenants, limits, metrics, permits })
+        Arc::new(Self { core, identity, board, tenants, limits, metrics, permits })
     }
 
     /// Finds the tenant of a request.
