--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use dahlia_types::{TenantId, TenantKey};
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -23,6 +24,8 @@
     check: bool,
     #[options(no_short, help = "print the effective settings with defaults and exit")]
     print_settings: bool,
+    #[options(no_short, help = "print the credential of a tenant and exit", meta = "TENANT")]
+    issue_credential: Option<String>,
     #[options(no_short, help = "overrides daemon.id", meta = "NUMBER")]
     id: Option<u32>,
     #[options(no_short, help = "overrides daemon.zone", meta = "NAME")]
@@ -53,6 +56,11 @@
     if arguments.print_settings {
         return print(&settings);
     }
+    if let Some(tenant) = &arguments.issue_credential {
+        let key = TenantKey::new(settings.credentials.tenant_key.as_bytes());
+        println!("{}", key.issue(&TenantId::new(tenant)));
+        return ExitCode::SUCCESS;
+    }
     if arguments.check {
         println!("settings are valid");
         return ExitCode::SUCCESS;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -5,6 +5,7 @@
 use std::process::{Command, Output};
 
 use dahlia_daemon::settings::Settings;
+use dahlia_types::{TenantId, TenantKey};
 use tempfile::TempDir;
 
 const SMALLEST: &str = r#"[daemon]
@@ -76,6 +77,19 @@
     assert_eq!(settings.limits, dahlia_api::RequestLimits::default());
 }
 
+#[test]
+fn an_issued_credential_opens_the_tenants_programs_by_the_same_key() {
+    let file = File::with(SMALLEST);
+    let output = file.run(&["--issue-credential", "bayou-current"]);
+    assert!(output.status.success());
+    let credential = String::from_utf8(output.stdout).expect("a line of text");
+    let settings: toml::Value = toml::from_str(SMALLEST).expect("the settings are TOML");
+    let key = settings["credentials"]["tenant_key"].as_str().expect("there is a key");
+    let tenant = TenantKey::new(key.as_bytes()).check(credential.trim());
+    assert_eq!(tenant, Ok(TenantId::new("bayou-current")));
+    assert!(TenantKey::new("another-key").check(credential.trim()).is_err());
+}
+
 #[test]
 fn flags_go_before_the_file() {
     let flags = ["--print-settings", "--id", "9", "--zone", "hall-b", "--log-level", "debug"];
