--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -91,11 +91,24 @@
         match client.generate(&request).await {
             Ok(stream) => self.read(client, stream).await,
             Err(error) if known_already(&error) => self.find_out(client, &error.to_string()).await,
-            Err(error) if error.certainty() == Certainty::NotRun => refused(&error),
+            Err(error) if error.certainty() == Certainty::NotRun => {
+                self.note_refusal(&error).await;
+                refused(&error)
+            }
             Err(error) => self.find_out(client, &error.to_string()).await,
         }
     }
 
+    /// A refusal is the engine's own word, newer than its last report. The node hears of it before
+    /// the end of the attempt, so that the next attempt does not go to the same engine.
+    async fn note_refusal(&self, error: &EngineError) {
+        if matches!(error.refusal(), Some(EngineRefusal::Leaving)) {
+            let engine = self.start.engine.clone();
+            let incarnation = self.start.attempt.engine_incarnation;
+            self.core.event(Event::EngineRefusesWork { engine, incarnation }).await;
+        }
+    }
+
     async fn read(&mut self, client: &EngineClient, stream: EventStream) -> AttemptEnd {
         match self.read_stream(stream).await {
             Ok(end) => end,
--- a/crates/node/src/engines.rs
+++ b/crates/node/src/engines.rs
@@ -14,6 +14,9 @@
 /// A report older than this does not count: the engine may be gone.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
 
+/// A report may describe the engine as it was so long ago.
+const REPORT_LAG: Duration = Duration::from_secs(3);
+
 /// One way to an engine of the same zone.
 const SAME_ZONE_DISTANCE: Duration = Duration::from_micros(200);
 /// One way to an engine of another zone of the region (BRIEF, sizes of today).
@@ -77,6 +80,8 @@
     heard: Timestamp,
     usable: bool,
     leaving: Option<LeavingSource>,
+    /// Its reports may be older than its last refusal until then.
+    refuses_until: Timestamp,
     /// Whether its last report is too old for new work.
     doubted: bool,
 }
@@ -161,8 +166,11 @@
 
 impl Node {
     /// An engine reported to this node.
-    pub(crate) fn engine_reported(&mut self, report: EngineReport, now: Timestamp) {
+    pub(crate) fn engine_reported(&mut self, mut report: EngineReport, now: Timestamp) {
         let before = self.engines.engines.get(&report.engine);
+        let same_life = before.filter(|known| known.report.incarnation == report.incarnation);
+        let refuses_until = same_life.map_or(Timestamp::ZERO, |known| known.refuses_until);
+        report.leaving |= now < refuses_until;
         let restarted = before.is_some_and(|known| known.report.incarnation < report.incarnation);
         // Reports of an earlier life may still be under way; they describe nothing that exists.
         if before.is_some_and(|known| known.report.incarnation > report.incarnation) {
@@ -192,6 +200,7 @@
             heard: now,
             usable: true,
             leaving,
+            refuses_until,
             doubted: false,
         };
         self.engines.engines.insert(engine.clone(), known);
@@ -206,6 +215,23 @@
         self.schedule(load, now);
     }
 
+    /// An engine refused an attempt: it takes no new work, whatever its last report said.
+    pub(crate) fn engine_refuses_work(
+        &mut self,
+        engine: &EngineId,
+        incarnation: Incarnation,
+        now: Timestamp,
+    ) {
+        let known = self.engines.engines.get_mut(engine);
+        let Some(known) = known.filter(|known| known.report.incarnation == incarnation) else {
+            return;
+        };
+        known.refuses_until = now + REPORT_LAG;
+        let mut report = known.report.clone();
+        report.leaving = true;
+        self.engine_reported(report, now);
+    }
+
     /// An engine may be given work from now on.
     pub(crate) fn engine_joins(&mut self, report: &EngineReport, now: Timestamp) {
         let joined = EngineJoined {
