--- a/crates/replay/src/trace/mod.rs
+++ b/crates/replay/src/trace/mod.rs
@@ -3,11 +3,13 @@
 //! | module | job |
 //! |---|---|
 //! | `event` | what can stand in a trace |
+//! | `fault` | what goes wrong in it |
 //! | `line` | one line as a keyword and fields |
 //! | `parse` | text to trace, with errors naming line and field |
 //! | `write` | trace to text |
 
 mod event;
+mod fault;
 mod line;
 mod parse;
 mod write;
@@ -17,9 +19,9 @@
 use crate::Promise;
 
 pub use event::{
-    CrashPoint, Deployment, EndOfProgram, Event, Expectation, Fault, OutcomeKind, ProgramScript,
-    PromptForm, Subject, Work,
+    Deployment, EndOfProgram, Event, Expectation, OutcomeKind, ProgramScript, PromptForm, Work,
 };
+pub use fault::{CrashPoint, Fault, Subject};
 pub use parse::{TraceError, parse};
 pub use write::write;
 
--- a/crates/replay/src/trace/parse.rs
+++ b/crates/replay/src/trace/parse.rs
@@ -4,9 +4,9 @@
 use snafu::Snafu;
 
 use super::event::{
-    CrashPoint, Deployment, EndOfProgram, Event, Expectation, Fault, OutcomeKind, ProgramScript,
-    PromptForm, Subject, Work,
+    Deployment, EndOfProgram, Event, Expectation, OutcomeKind, ProgramScript, PromptForm, Work,
 };
+use super::fault::{CrashPoint, Fault, Subject};
 use super::line::{Line, error};
 use super::{Timed, Trace};
 use crate::Promise;
--- a/crates/replay/src/trace/write.rs
+++ b/crates/replay/src/trace/write.rs
@@ -4,9 +4,8 @@
 
 use dahlia_types::Duration;
 
-use super::event::{
-    Deployment, EndOfProgram, Event, Expectation, Fault, ProgramScript, PromptForm, Subject, Work,
-};
+use super::event::{Deployment, EndOfProgram, Event, Expectation, ProgramScript, PromptForm, Work};
+use super::fault::{Fault, Subject};
 use super::line::write_duration;
 use super::{Timed, Trace};
 
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -17,9 +17,11 @@
 //! | `gateway` | callers' connections at a daemon |
 //! | `answers` | text of answers at their owner |
 //! | `engine` | an engine's life |
+//! | `engine_requests` | what engines do about requests |
 //! | `streams` | what an engine tells of attempts |
 //! | `key_value` | the key-value service |
 //! | `caller` | callers and operators |
+//! | `caller_requests` | what callers send |
 //! | `caller_replies` | what callers do about replies |
 //! | `faults` | faults begin and end |
 //! | `observe` | what was seen from outside |
@@ -30,10 +32,12 @@
 mod attempt;
 mod caller;
 mod caller_replies;
+mod caller_requests;
 mod calls;
 mod changes;
 mod daemon;
 mod engine;
+mod engine_requests;
 mod faults;
 mod gateway;
 mod key_value;
