Send waiting messages to a peer at once; keep connections to engines

Cause: every message to a peer was flushed by itself, and the stream of an attempt was dropped at its last event, before the end of the body, which closes the connection: each attempt opened a new one at its engine.

Kept for the connections that it spares.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -130,7 +130,10 @@
                     return Ok(not_run("the engine took it off its queue unrun"));
                 }
                 GenerateEvent::Token { text, .. } => self.append(&text).await,
-                GenerateEvent::Finished { usage, stop } => return Ok(self.ended(usage, stop)),
+                GenerateEvent::Finished { usage, stop } => {
+                    tokio::spawn(stream.finish());
+                    return Ok(self.ended(usage, stop));
+                }
             }
         }
         Ok(unknown("the engine's stream ended without an end"))
--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -112,13 +112,34 @@
     /// # Errors
     /// [`FrameError`] when the value cannot be encoded or the connection is broken.
     pub async fn send<T: Serialize>(&mut self, value: &T) -> Result<usize, FrameError> {
+        let length = self.feed(value).await?;
+        self.flush().await?;
+        Ok(length)
+    }
+
+    /// Puts one value into the buffer that [`FrameStream::flush`] sends. Returns the bytes of its
+    /// frame.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the value cannot be encoded or the connection is broken.
+    pub async fn feed<T: Serialize>(&mut self, value: &T) -> Result<usize, FrameError> {
         let bytes = encode(value, self.peer)?;
         let length = bytes.len() + LENGTH_BYTES;
         let step = "writing to";
-        self.framed.send(bytes).await.context(TransferSnafu { step, peer: self.peer })?;
+        self.framed.feed(bytes).await.context(TransferSnafu { step, peer: self.peer })?;
         Ok(length)
     }
 
+    /// Sends what is in the buffer.
+    ///
+    /// # Errors
+    /// [`FrameError`] when the connection is broken.
+    pub async fn flush(&mut self) -> Result<(), FrameError> {
+        let step = "writing to";
+        let flushed = SinkExt::<Bytes>::flush(&mut self.framed).await;
+        flushed.context(TransferSnafu { step, peer: self.peer })
+    }
+
     /// Waits until the other side closes the connection or it breaks.
     pub async fn ended(&mut self) {
         while let Some(Ok(_)) = self.framed.next().await {}
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::datagrams::DatagramSender;
-use crate::frames::FrameStream;
+use crate::frames::{FrameError, FrameStream};
 use crate::handshake::Identity;
 use crate::logging::part;
 
@@ -164,16 +164,28 @@
             // The other side never writes here, so anything that can be read is its end.
             () = frames.ended() => return false,
         };
-        match frames.send(&message).await {
-            Ok(bytes) => traffic.count(bytes),
-            Err(error) => {
-                log::debug!(target: part::PEERS, "Lost a connection. {error}.");
-                return false;
-            }
+        if let Err(error) = send_waiting(&mut frames, message, waiting, traffic).await {
+            log::debug!(target: part::PEERS, "Lost a connection. {error}.");
+            return false;
         }
     }
 }
 
+/// Sends a message and those that wait behind it with as few system calls as possible.
+async fn send_waiting(
+    frames: &mut FrameStream,
+    first: PeerMessage,
+    waiting: &mut mpsc::Receiver<PeerMessage>,
+    traffic: &Traffic,
+) -> Result<(), FrameError> {
+    let mut next = Some(first);
+    while let Some(message) = next {
+        traffic.count(frames.feed(&message).await?);
+        next = waiting.try_recv().ok();
+    }
+    frames.flush().await
+}
+
 /// Accepts connections for as long as the daemon runs.
 pub async fn listen(listener: TcpListener, identity: Identity, inbox: mpsc::Sender<Incoming>) {
     // Connections end with this task, so that peers see at once that the daemon is gone.
--- a/crates/platform/src/engine/stream.rs
+++ b/crates/platform/src/engine/stream.rs
@@ -1,13 +1,21 @@
 //! The events of one attempt, checked for belonging and for place.
 
+use std::time::Duration;
+
 use dahlia_types::AttemptId;
 use futures::Stream;
+use tokio::time::timeout;
 
 use super::error::{CrossedSnafu, OutOfPlaceSnafu};
 use super::{EngineError, GenerateEvent, GenerateLine};
 use crate::error::TruncatedSnafu;
 use crate::lines::JsonLines;
 
+/// How long the end of a body may take after the last event.
+const END_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes that may follow the last event.
+const END_BYTES: usize = 1024;
+
 /// The events of one attempt. Ends after the last event or the first error.
 pub struct EventStream {
     lines: JsonLines<GenerateLine>,
@@ -41,6 +49,13 @@
         Some(event)
     }
 
+    /// After the last event: reads on to the end of the body, which comes at once, so that the
+    /// connection can serve the next request. Bounded in time and bytes.
+    pub async fn finish(self) {
+        // Whatever happens here, the last event has been read.
+        let _ = timeout(END_LIMIT, self.lines.read_to_end(END_BYTES)).await;
+    }
+
     /// The events as a [`Stream`].
     pub fn into_stream(mut self) -> impl Stream<Item = Result<GenerateEvent, EngineError>> + Send {
         async_stream::stream! {
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// Reads what is left of the body, up to a limit of bytes. A body that was read to its end
+    /// leaves its connection open for the next request.
+    pub(crate) async fn read_to_end(mut self, limit: usize) {
+        let mut read = 0;
+        while let Ok(Some(chunk)) = self.response.chunk().await {
+            read += chunk.len();
+            if read > limit {
+                return;
+            }
+        }
+    }
+
     fn take_line(&mut self) -> Result<Option<Bytes>, TransportError> {
         let unscanned = &self.buffer[self.scanned..];
         let newline = unscanned.iter().position(|byte| *byte == b'\n');
