--- a/crates/replay/src/schedules.rs
+++ b/crates/replay/src/schedules.rs
@@ -182,7 +182,7 @@
 
 /// Memory of three replicas survives one death at a time: a second daemon is killed only after
 /// the first one's place has been taken. Freezes and cuts may come together with anything.
-fn limit_deaths(events: &mut Vec<Timed>) {
+fn limit_deaths(events: &mut [Timed]) {
     /// Time in which a lost member of a group has been replaced.
     const REPLACED: Duration = Duration::from_secs(25);
     let is_death = |event: &Event| {
@@ -216,7 +216,12 @@
         5 => Fault::Freeze { subject: Subject::Engine(engine), length: length.times(2) },
         6..=9 => {
             let (point, _) = CrashPoint::ALL[random.random_range(0..CrashPoint::ALL.len())];
-            Fault::Crash { point, skip: random.random_range(0..12), length }
+            let skip = random.random_range(0..12);
+            if random.random_bool(0.3) {
+                Fault::Pause { point, skip, length }
+            } else {
+                Fault::Crash { point, skip, length }
+            }
         }
         10 => Fault::Isolate { zone, length },
         11 => {
--- a/crates/replay/src/world/attempt.rs
+++ b/crates/replay/src/world/attempt.rs
@@ -176,7 +176,7 @@
             Ok(_) => self.begin_reading(id, name, rpc),
             Err(RpcError::NotRun(reason)) => self.end_attempt(id, name, not_run(&reason)),
             Err(RpcError::StaleEpoch) => self.end_attempt(id, name, not_run("stale epoch")),
-            Err(RpcError::Known | RpcError::Unseen | RpcError::Unknown(_)) => {
+            Err(RpcError::Known | RpcError::Unseen | RpcError::Unknown) => {
                 self.find_out(id, name);
             }
         }
@@ -355,11 +355,12 @@
     fn end_attempt(&mut self, id: DaemonId, name: u64, end: AttemptEnd) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         let Some(task) = daemon.tasks.remove(&name) else { return };
+        let attempt = task.start.attempt;
+        let event = NodeEvent::AttemptEnded { attempt: attempt.id, epoch: attempt.epoch, end };
         if self.crash_here(id, CrashPoint::BeforeOutcome) {
+            self.node_event_later(id, event);
             return;
         }
-        let attempt = task.start.attempt;
-        let event = NodeEvent::AttemptEnded { attempt: attempt.id, epoch: attempt.epoch, end };
         self.node_event(id, event);
     }
 }
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -70,7 +70,7 @@
     /// A newer owner was seen.
     StaleEpoch,
     /// It may have had its effect, or may yet.
-    Unknown(String),
+    Unknown,
 }
 
 /// A reply.
@@ -110,7 +110,7 @@
         let is_named = daemon.uses.contains(&engine);
         let own = Target::Daemon(id, life);
         let fail = |error: RpcError| Delivery::Rpc { rpc, result: Box::new(Err(error)) };
-        let timeout = RpcError::Unknown("no answer in time".to_owned());
+        let timeout = RpcError::Unknown;
         self.agenda.push(now + RESPONSE_TIMEOUT, own, fail(timeout));
         let Some(target) = self.engines.get(&engine).filter(|_| is_named) else {
             self.agenda.push(now, own, fail(RpcError::NotRun("no such engine".to_owned())));
@@ -211,15 +211,16 @@
 
     fn release_done(&mut self, id: DaemonId, order: &ReleaseOrder, end: ReleaseEnd) {
         let confirmed = matches!(end, ReleaseEnd::Confirmed { .. });
-        if confirmed && self.crash_here(id, CrashPoint::BeforeReleaseRecorded) {
-            return;
-        }
         let event = NodeEvent::ReleaseEnded {
             program: order.request.program,
             holder: order.request.holder.clone(),
             covers: order.request.covers,
             end,
         };
+        if confirmed && self.crash_here(id, CrashPoint::BeforeReleaseRecorded) {
+            self.node_event_later(id, event);
+            return;
+        }
         self.node_event(id, event);
     }
 
--- a/crates/replay/src/world/daemon.rs
+++ b/crates/replay/src/world/daemon.rs
@@ -141,6 +141,7 @@
     pub(crate) fn deliver_to_daemon(&mut self, id: DaemonId, life: u32, delivery: Delivery) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
         if daemon.life != life || !daemon.is_up() {
+            self.refuse_connection(id, delivery);
             return;
         }
         if daemon.is_frozen {
@@ -157,6 +158,7 @@
                 self.agenda.push(self.now + Node::TICK, Target::Daemon(id, life), Delivery::Tick);
                 self.node_event(id, NodeEvent::Tick);
             }
+            Delivery::Actions(actions) => self.perform_all(id, actions),
             Delivery::Node(event) => self.node_event(id, *event),
             Delivery::Rpc { rpc, result } => self.rpc_done(id, rpc, *result),
             Delivery::Line { stream, line } => self.attempt_line(id, stream, line),
@@ -179,6 +181,20 @@
         }
     }
 
+    /// A connection that arrives when the process has ended is refused by its machine.
+    fn refuse_connection(&mut self, id: DaemonId, delivery: Delivery) {
+        match delivery {
+            Delivery::Gateway { connection, caller, .. } => {
+                let zone = self.daemons[&id].zone;
+                self.connection_broken(zone, connection, caller);
+            }
+            Delivery::OpenAnswer { source, gateway, .. } => {
+                self.tell_source_lost(id, source, gateway);
+            }
+            _ => {}
+        }
+    }
+
     /// Puts an event to a daemon's node and carries out what it asks for.
     pub(crate) fn node_event(&mut self, id: DaemonId, event: NodeEvent) {
         let now = self.now;
@@ -189,6 +205,15 @@
         self.perform_all(id, actions);
     }
 
+    /// A daemon that was stopped takes the event in when it wakes; a dead one does not.
+    pub(crate) fn node_event_later(&mut self, id: DaemonId, event: NodeEvent) {
+        if let Some(daemon) = self.daemons.get_mut(&id)
+            && daemon.is_frozen
+        {
+            daemon.backlog.push(Delivery::Node(Box::new(event)));
+        }
+    }
+
     /// Puts a request to a daemon's node.
     pub(crate) fn node_request(&mut self, id: DaemonId, request: Request, waiter: Waiter) {
         let Some(daemon) = self.daemons.get_mut(&id) else { return };
@@ -300,7 +325,13 @@
         let mut backlog = std::mem::take(&mut daemon.backlog);
         // Timers and sockets are looked at in either order.
         if self.random.random_bool(0.5) {
-            backlog.sort_by_key(|delivery| !matches!(delivery, Delivery::Tick));
+            // What it was in the middle of still comes first.
+            let rank = |delivery: &Delivery| match delivery {
+                Delivery::Actions(_) => 0,
+                Delivery::Tick => 1,
+                _ => 2,
+            };
+            backlog.sort_by_key(rank);
         }
         for delivery in backlog {
             self.deliver_to_daemon(id, life, delivery);
