Test deaths and planned stops of real daemons while answers are streamed

Killed owner, killed gateway, SIGTERM with streams under way at the stopping daemon as owner and as gateway, a second SIGTERM, and a SIGKILL of the tool itself. Judged by what the caller read and by what the engines started. Tests start clusters from the binary 'rehearse', for which children may be run from a named program.

--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -1,10 +1,13 @@
 //! Child processes that never outlive the tool.
 
 use std::fs::File;
-use std::path::Path;
-use std::process::Stdio;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::OnceLock;
 use std::time::Duration;
 
+use rustix::process::{Pid, Signal, kill_process};
 use snafu::ResultExt;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, Command};
@@ -33,6 +36,19 @@
     });
 }
 
+/// The program that children run, where it is not this very program.
+static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+
+/// Makes children run the binary at `path`. For tests, whose own program is not `rehearse`.
+/// Only the first call in a process counts.
+pub fn run_children_from(path: impl Into<PathBuf>) {
+    PROGRAM.get_or_init(|| path.into());
+}
+
+fn program() -> io::Result<PathBuf> {
+    PROGRAM.get().cloned().map_or_else(std::env::current_exe, Ok)
+}
+
 /// A process started by this tool, killed when it is dropped.
 pub struct ChildProcess {
     name: String,
@@ -56,7 +72,7 @@
     ) -> Result<(Self, String), RehearsalError> {
         let path = folder.join(format!("{name}.log"));
         let log = File::create(&path).context(FileSnafu { path: &path })?;
-        let program = std::env::current_exe().context(ProcessSnafu { step: "finding", name })?;
+        let program = program().context(ProcessSnafu { step: "finding", name })?;
         let mut child = Command::new(program)
             .args(arguments)
             .env(GUARD, "1")
@@ -125,6 +141,30 @@
         self.child.kill().await.context(ProcessSnafu { step: "killing", name })
     }
 
+    /// Asks it to stop as planned (SIGTERM).
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when it has ended or cannot be signalled.
+    pub fn terminate(&self) -> Result<(), RehearsalError> {
+        let ended = || self.not_ready("it has ended");
+        let id = self.id().and_then(|id| Pid::from_raw(id.cast_signed())).ok_or_else(ended)?;
+        let name = &self.name;
+        let sent = kill_process(id, Signal::TERM).map_err(io::Error::from);
+        sent.context(ProcessSnafu { step: "stopping", name })
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// [`RehearsalError`] when it does not end in time.
+    pub async fn ended(&mut self, limit: Duration) -> Result<ExitStatus, RehearsalError> {
+        let name = self.name.clone();
+        match timeout(limit, self.child.wait()).await {
+            Ok(status) => status.context(ProcessSnafu { step: "waiting for", name }),
+            Err(_) => Err(self.not_ready("it did not end in time")),
+        }
+    }
+
     fn not_ready(&self, reason: &str) -> RehearsalError {
         RehearsalError::NotReady { name: self.name.clone(), reason: reason.to_owned() }
     }
--- /dev/null
+++ b/crates/rehearsal/tests/processes.rs
@@ -0,0 +1,240 @@
+//! Whole clusters of real processes: deaths and planned stops while answers are streamed.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::process::Stdio;
+use std::time::Duration;
+
+use dahlia_rehearsal::caller::{Answer, Caller, Turn};
+use dahlia_rehearsal::cluster::{Cluster, ClusterPlan};
+use dahlia_rehearsal::operator::Operator;
+use dahlia_rehearsal::{RehearsalError, processes};
+use dahlia_standins::ControlClient;
+use dahlia_standins::engine::EngineObservation;
+use dahlia_types::ProgramId;
+use tempfile::TempDir;
+use tokio::process::Command;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+const REHEARSE: &str = env!("CARGO_BIN_EXE_rehearse");
+const TENANT: &str = "bayou-current";
+/// Tokens of an answer whose stream is disturbed: at real speed it lasts some seconds.
+const TOKENS: u64 = 120;
+/// Longest wait for something that must come about.
+const PATIENCE: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+/// The cluster's `daemon.drain_ms`, and time to exit.
+const STOP_LIMIT: Duration = Duration::from_secs(25);
+
+struct Rehearsal {
+    cluster: Cluster,
+    operator: Operator,
+    _folder: TempDir,
+}
+
+impl Rehearsal {
+    async fn start() -> Self {
+        processes::run_children_from(REHEARSE);
+        let folder = TempDir::new().expect("a folder");
+        let plan = ClusterPlan { speed: 1.0, ..ClusterPlan::bayou_current() };
+        let cluster = Cluster::start(plan, folder.path()).await.expect("the cluster starts");
+        cluster.wait_until_ready().await.expect("the cluster is ready");
+        let operator = Operator::connect(&cluster.operators()).await.expect("a daemon answers");
+        Self { cluster, operator, _folder: folder }
+    }
+
+    /// A program, and the position of the daemon that owns it.
+    async fn program(&mut self) -> (String, usize) {
+        let model = self.cluster.plan.model.clone();
+        let created = self.operator.create(TENANT, &model, 100_000).await.expect("is created");
+        let owns = |name: &String| *name == created.owner;
+        let names: Vec<String> =
+            self.cluster.daemons.iter().map(|daemon| daemon.name.clone()).collect();
+        let owner = names.iter().position(owns).expect("a daemon owns it");
+        (created.program, owner)
+    }
+
+    /// Puts a turn to the gateway of position `first`, in a task of its own.
+    fn ask(
+        &self,
+        program: &str,
+        number: u32,
+        first: usize,
+    ) -> JoinHandle<Result<Answer, RehearsalError>> {
+        let caller = Caller::new(self.cluster.gateways(), first, self.cluster.credential(TENANT));
+        let turn = Turn {
+            program: program.to_owned(),
+            chain: 0,
+            number,
+            text: "Fault code 31 on the roof".to_owned(),
+            max_tokens: TOKENS,
+        };
+        tokio::spawn(async move { caller.ask(&turn).await })
+    }
+
+    /// Attempts of a program that engines started.
+    async fn started(&self, program: &str) -> usize {
+        let program: ProgramId = program.parse().expect("a program");
+        let mut started = 0;
+        for engine in &self.cluster.engines {
+            let control = ControlClient::new(engine.address);
+            let observed = control.observations::<EngineObservation>(0).await.expect("control");
+            let is_start = |event: &EngineObservation| {
+                matches!(event, EngineObservation::Started { attempt, .. }
+                    if attempt.call.program == program)
+            };
+            started += observed.observations.iter().filter(|seen| is_start(&seen.event)).count();
+        }
+        started
+    }
+
+    async fn wait_until_started(&self, program: &str, count: usize) {
+        let since = Instant::now();
+        while self.started(program).await < count {
+            assert!(since.elapsed() < PATIENCE, "no engine started the call");
+            sleep(POLL).await;
+        }
+    }
+}
+
+async fn finished(asked: JoinHandle<Result<Answer, RehearsalError>>) -> Answer {
+    asked.await.expect("no panic").expect("a whole answer")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn death_of_the_owner_leaves_the_answer_whole_and_run_once() {
+    let mut rehearsal = Rehearsal::start().await;
+    let (program, owner) = rehearsal.program().await;
+    let gateway = (owner + 1) % 4;
+    let asked = rehearsal.ask(&program, 1, gateway);
+    rehearsal.wait_until_started(&program, 1).await;
+    let name = rehearsal.cluster.daemons[owner].name.clone();
+    rehearsal.cluster.kill_daemon(&name).await.expect("is killed");
+    let answer = finished(asked).await;
+    assert_eq!(answer.gateways_lost, 0, "its own gateway followed the new owner");
+    assert!(answer.text.starts_with(&format!("[{program}/0/1 ")), "{}", answer.text);
+    let again = finished(rehearsal.ask(&program, 1, gateway)).await;
+    assert_eq!(answer.text, again.text);
+    assert_eq!(rehearsal.started(&program).await, 1);
+    let next = finished(rehearsal.ask(&program, 2, gateway)).await;
+    assert!(next.text.starts_with(&format!("[{program}/0/2 ")), "{}", next.text);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn death_of_the_gateway_leaves_the_answer_whole_and_run_once() {
+    let mut rehearsal = Rehearsal::start().await;
+    let (program, owner) = rehearsal.program().await;
+    let gateway = (owner + 1) % 4;
+    let asked = rehearsal.ask(&program, 1, gateway);
+    rehearsal.wait_until_started(&program, 1).await;
+    let name = rehearsal.cluster.daemons[gateway].name.clone();
+    rehearsal.cluster.kill_daemon(&name).await.expect("is killed");
+    let answer = finished(asked).await;
+    assert!(answer.gateways_lost >= 1, "the caller had to go elsewhere");
+    let again = finished(rehearsal.ask(&program, 1, owner)).await;
+    assert_eq!(answer.text, again.text);
+    assert_eq!(rehearsal.started(&program).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_no_request() {
+    let mut rehearsal = Rehearsal::start().await;
+    // One stream whose owner and gateway is the daemon that stops, and one that only passes it.
+    let (owned, stopping) = rehearsal.program().await;
+    let other = rehearsal.cluster.daemons[(stopping + 1) % 4].operators;
+    rehearsal.operator = Operator::connect(&[other]).await.expect("a daemon answers");
+    let (passing, owner) = rehearsal.program().await;
+    assert_ne!(owner, stopping, "a daemon takes new programs itself");
+    let asked = [rehearsal.ask(&owned, 1, stopping), rehearsal.ask(&passing, 1, stopping)];
+    rehearsal.wait_until_started(&owned, 1).await;
+    rehearsal.wait_until_started(&passing, 1).await;
+    let mut process = rehearsal.cluster.daemons[stopping].process.take().expect("it runs");
+    process.terminate().expect("is signalled");
+    for asked in asked {
+        let answer = finished(asked).await;
+        assert_eq!(answer.gateways_lost, 0, "its stream was cut");
+    }
+    let status = process.ended(STOP_LIMIT).await.expect("ends within its bound");
+    assert_eq!(status.code(), Some(0));
+    assert_eq!(rehearsal.started(&owned).await, 1);
+    assert_eq!(rehearsal.started(&passing).await, 1);
+    let next = finished(rehearsal.ask(&owned, 2, (stopping + 1) % 4)).await;
+    assert!(next.text.starts_with(&format!("[{owned}/0/2 ")), "{}", next.text);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_signal_ends_a_planned_stop_at_once() {
+    let mut rehearsal = Rehearsal::start().await;
+    let (program, stopping) = rehearsal.program().await;
+    let asked = rehearsal.ask(&program, 1, stopping);
+    rehearsal.wait_until_started(&program, 1).await;
+    let mut process = rehearsal.cluster.daemons[stopping].process.take().expect("it runs");
+    process.terminate().expect("is signalled");
+    // The first signal has been taken when the daemon says that it leaves.
+    let gateway = rehearsal.cluster.daemons[stopping].gateway;
+    let since = Instant::now();
+    while is_ready(gateway).await {
+        assert!(since.elapsed() < PATIENCE, "the planned stop does not begin");
+        sleep(POLL).await;
+    }
+    assert!(!asked.is_finished(), "the stream is still under way");
+    process.terminate().expect("is signalled");
+    process.ended(PATIENCE).await.expect("ends");
+    // It ended before the stream that it was waiting for; the caller goes on elsewhere.
+    assert!(!asked.is_finished(), "it did not wait for the stream");
+    let answer = finished(asked).await;
+    assert!(answer.gateways_lost >= 1);
+    assert_eq!(rehearsal.started(&program).await, 1);
+}
+
+/// Whether the daemon says that it takes work. One that no longer answers does not.
+async fn is_ready(gateway: std::net::SocketAddr) -> bool {
+    let answer = reqwest::get(format!("http://{gateway}/readyz")).await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_tool_leaves_no_process() {
+    let mut tool = Command::new(REHEARSE)
+        .args(["load", "--programs", "2", "--turns", "100000"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the tool starts");
+    let id = tool.id().expect("it runs");
+    // A key-value service, eight engines and four daemons.
+    let since = Instant::now();
+    while children_of(id).len() < 13 {
+        assert!(since.elapsed() < PATIENCE, "the tool does not start its processes");
+        sleep(POLL).await;
+    }
+    let children = children_of(id);
+    tool.kill().await.expect("is killed");
+    let since = Instant::now();
+    while children.iter().any(|child| is_rehearse(*child)) {
+        assert!(since.elapsed() < PATIENCE, "processes are left");
+        sleep(POLL).await;
+    }
+}
+
+/// Processes whose parent is `parent`.
+fn children_of(parent: u32) -> BTreeSet<u32> {
+    let entries = fs::read_dir("/proc").expect("Linux lists processes there");
+    let ids = entries.filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok());
+    ids.filter(|id: &u32| parent_of(*id) == Some(parent)).collect()
+}
+
+fn parent_of(process: u32) -> Option<u32> {
+    let status = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    // The name in brackets may contain blanks; state and parent follow it.
+    let (_, rest) = status.rsplit_once(") ")?;
+    rest.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// Whether a process of this identifier runs the tool; a later process may have its number.
+fn is_rehearse(process: u32) -> bool {
+    let line = fs::read(format!("/proc/{process}/cmdline")).unwrap_or_default();
+    line.starts_with(REHEARSE.as_bytes())
+}
