Refuse new requests of callers at once during a planned stop

Cause: the listener stayed open but idle, so that whoever connected to a stopping daemon waited in the kernel's queue until its process ended, up to daemon.drain_ms; found by a test whose look at /readyz hung. The daemon also stopped by force as soon as its last request counted as ended, while a connection could still hold bytes of the answer.

Now the listener serves on: requests in progress go on, new ones get 'unavailable' with Retry-After, /readyz says that the daemon leaves. At the end open connections may send what they have.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -11,7 +11,6 @@
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
-use salvo::server::ServerHandle;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -26,7 +25,7 @@
 use crate::datagrams::{self, DatagramSender};
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
-use crate::gateway::{self, Gateway};
+use crate::gateway::{self, Gateway, GatewayServer};
 use crate::handshake::Identity;
 use crate::logging::part;
 use crate::machine_list;
@@ -46,6 +45,9 @@
 /// How often a planned stop looks whether everything has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// What connections get at least to send what they have at the end of a planned stop.
+const SHORTEST_FINISH: Duration = Duration::from_millis(200);
+
 /// Why a daemon did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -76,7 +78,7 @@
 /// A daemon that runs.
 pub struct RunningDaemon {
     core: CoreHandle,
-    gateway: ServerHandle,
+    gateway: GatewayServer,
     requests: Arc<Gateway>,
     control: ControlParts,
     operators: JoinHandle<()>,
@@ -230,21 +232,16 @@
 impl RunningDaemon {
     /// A planned stop: hands groups over, lets requests end, then closes. Bounded by the
     /// settings.
-    pub async fn drain(self) {
+    pub async fn drain(mut self) {
         log::info!(target: part::DAEMON, "Planned stop.");
-        self.core.drain().await;
-        self.gateway.stop_graceful(self.drain_limit);
         let started = Instant::now();
-        loop {
-            let status = self.core.status().await;
-            // An answer that is read from another daemon leaves no trace in the node, yet its
-            // caller's connection is here.
-            let answered = self.requests.in_progress() == 0;
-            let idle = status.attempts == 0 && status.requests == 0 && status.groups_led == 0;
-            if idle && answered {
-                break;
-            }
+        self.core.drain().await;
+        // The listener stays open: a caller that connects now is told to go elsewhere. With the
+        // listener idle it would wait in the kernel's queue until this process ends.
+        self.requests.close();
+        while !self.is_idle().await {
             if started.elapsed() > self.drain_limit {
+                let status = self.core.status().await;
                 log::warn!(
                     target: part::DAEMON,
                     "Planned stop cut short: {} attempts and {} requests left.",
@@ -255,12 +252,24 @@
             }
             sleep(DRAIN_POLL).await;
         }
+        // A request counts as ended when its last byte is on its way; connections may still
+        // have to send it.
+        let left = self.drain_limit.saturating_sub(started.elapsed()).max(SHORTEST_FINISH);
+        self.gateway.finish(left).await;
         self.stop();
     }
 
+    /// Whether nobody depends on this daemon any more. An answer that is read from another
+    /// daemon leaves no trace in the node, yet its caller's connection is here.
+    async fn is_idle(&self) -> bool {
+        let status = self.core.status().await;
+        let answered = self.requests.in_progress() == 0;
+        answered && status.attempts == 0 && status.requests == 0 && status.groups_led == 0
+    }
+
     /// Stops at once.
     pub fn stop(self) {
-        self.gateway.stop_forcible();
+        self.gateway.stop();
         self.operators.abort();
         self.control.stop();
         log::info!(target: part::DAEMON, "Stopped.");
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -33,7 +33,9 @@
 use salvo::prelude::{Request, Router, Server};
 use salvo::server::ServerHandle;
 use tokio::net::TcpListener;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, TryAcquireError};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use crate::answers::AnswerBoard;
 use crate::core::CoreHandle;
@@ -100,22 +102,55 @@
         limit.saturating_sub(self.permits.available_permits())
     }
 
+    /// Refuses all further requests, at once and with the advice to go elsewhere.
+    pub fn close(&self) {
+        self.permits.close();
+    }
+
     /// Takes a place among the requests in progress, or refuses at once.
     fn admit(&self) -> Result<OwnedSemaphorePermit, ApiError> {
-        self.permits.clone().try_acquire_owned().map_err(|_| {
-            let limit = self.limits.concurrent_requests;
-            let message =
-                format!("this daemon serves {limit} requests already (limits.concurrent_requests)");
-            ApiError::new(ErrorKind::Overloaded, message).with_retry_after(BUSY_RETRY)
+        self.permits.clone().try_acquire_owned().map_err(|error| match error {
+            TryAcquireError::Closed => {
+                let message = "this daemon is stopping; ask another one";
+                ApiError::new(ErrorKind::Unavailable, message).with_retry_after(BUSY_RETRY)
+            }
+            TryAcquireError::NoPermits => {
+                let limit = self.limits.concurrent_requests;
+                let message = format!(
+                    "this daemon serves {limit} requests already (limits.concurrent_requests)"
+                );
+                ApiError::new(ErrorKind::Overloaded, message).with_retry_after(BUSY_RETRY)
+            }
         })
     }
 }
 
+/// The server that serves callers.
+pub struct GatewayServer {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl GatewayServer {
+    /// Takes no more connections and lets those that are open send what they have, for as long
+    /// as `limit`.
+    pub async fn finish(&mut self, limit: Duration) {
+        self.handle.stop_graceful(limit);
+        // A server that takes longer is stopped by force afterwards.
+        let _ = timeout(limit, &mut self.task).await;
+    }
+
+    /// Breaks every connection.
+    pub fn stop(&self) {
+        self.handle.stop_forcible();
+    }
+}
+
 /// Starts serving callers on `listener`.
 ///
 /// # Errors
 /// An I/O error when the listener cannot be used.
-pub fn serve(listener: TcpListener, gateway: Arc<Gateway>) -> io::Result<ServerHandle> {
+pub fn serve(listener: TcpListener, gateway: Arc<Gateway>) -> io::Result<GatewayServer> {
     let acceptor = TcpAcceptor::try_from(listener)?;
     let mut server = Server::new(acceptor);
     let receive = Duration::from_millis(gateway.limits.receive_ms);
@@ -127,8 +162,8 @@
         // Bounds memory; `head` checks exactly, and gives a typed refusal up to here.
         .max_buf_size(gateway.limits.head_bytes as usize * HEAD_BUFFER_FACTOR);
     let handle = server.handle();
-    tokio::spawn(server.serve(router(gateway)));
-    Ok(handle)
+    let task = tokio::spawn(server.serve(router(gateway)));
+    Ok(GatewayServer { handle, task })
 }
 
 fn router(gateway: Arc<Gateway>) -> Router {
--- a/crates/rehearsal/tests/processes.rs
+++ b/crates/rehearsal/tests/processes.rs
@@ -5,10 +5,11 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use dahlia_rehearsal::RehearsalError;
 use dahlia_rehearsal::caller::{Answer, Caller, Turn};
 use dahlia_rehearsal::cluster::{Cluster, ClusterPlan};
 use dahlia_rehearsal::operator::Operator;
-use dahlia_rehearsal::{RehearsalError, processes};
+use dahlia_rehearsal::processes::{self, ChildProcess};
 use dahlia_standins::ControlClient;
 use dahlia_standins::engine::EngineObservation;
 use dahlia_types::ProgramId;
@@ -21,12 +22,16 @@
 const TENANT: &str = "bayou-current";
 /// Tokens of an answer whose stream is disturbed: at real speed it lasts some seconds.
 const TOKENS: u64 = 120;
+/// Tokens of an answer that is still under way when a planned stop has begun.
+const MANY_TOKENS: u64 = 600;
 /// Longest wait for something that must come about.
 const PATIENCE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(20);
 /// The cluster's `daemon.drain_ms`, and time to exit.
 const STOP_LIMIT: Duration = Duration::from_secs(25);
 
+type Asked = JoinHandle<Result<Answer, RehearsalError>>;
+
 struct Rehearsal {
     cluster: Cluster,
     operator: Operator,
@@ -56,23 +61,49 @@
     }
 
     /// Puts a turn to the gateway of position `first`, in a task of its own.
-    fn ask(
-        &self,
-        program: &str,
-        number: u32,
-        first: usize,
-    ) -> JoinHandle<Result<Answer, RehearsalError>> {
+    fn ask(&self, program: &str, number: u32, first: usize) -> Asked {
+        self.ask_for(program, number, first, TOKENS)
+    }
+
+    fn ask_for(&self, program: &str, number: u32, first: usize, max_tokens: u64) -> Asked {
         let caller = Caller::new(self.cluster.gateways(), first, self.cluster.credential(TENANT));
         let turn = Turn {
             program: program.to_owned(),
             chain: 0,
             number,
             text: "Fault code 31 on the roof".to_owned(),
-            max_tokens: TOKENS,
+            max_tokens,
         };
         tokio::spawn(async move { caller.ask(&turn).await })
     }
 
+    /// Asks a daemon to stop, and waits until it has begun to.
+    async fn begin_stop(&mut self, position: usize) -> ChildProcess {
+        let process = self.cluster.daemons[position].process.take().expect("it runs");
+        process.terminate().expect("is signalled");
+        let gateway = self.cluster.daemons[position].gateway;
+        let since = Instant::now();
+        while is_ready(gateway).await {
+            assert!(since.elapsed() < PATIENCE, "the planned stop does not begin");
+            sleep(POLL).await;
+        }
+        process
+    }
+
+    /// The error that a new request gets from a daemon.
+    async fn refusal(&self, program: &str, position: usize) -> [Option<String>; 3] {
+        let url = format!("http://{}/v1/chat/completions", self.cluster.daemons[position].gateway);
+        let body = serde_json::json!({"messages": [{"role": "user", "content": "x"}]});
+        let request = reqwest::Client::new().post(url).json(&body);
+        let request = request.header("x-program-id", program);
+        let request = request.bearer_auth(self.cluster.credential(TENANT)).timeout(PATIENCE);
+        let answer = request.send().await.expect("is answered");
+        ["x-error", "x-should-retry", "retry-after"].map(|name| {
+            let value = answer.headers().get(name)?;
+            Some(value.to_str().expect("plain characters").to_owned())
+        })
+    }
+
     /// Attempts of a program that engines started.
     async fn started(&self, program: &str) -> usize {
         let program: ProgramId = program.parse().expect("a program");
@@ -98,7 +129,7 @@
     }
 }
 
-async fn finished(asked: JoinHandle<Result<Answer, RehearsalError>>) -> Answer {
+async fn finished(asked: Asked) -> Answer {
     asked.await.expect("no panic").expect("a whole answer")
 }
 
@@ -146,11 +177,14 @@
     rehearsal.operator = Operator::connect(&[other]).await.expect("a daemon answers");
     let (passing, owner) = rehearsal.program().await;
     assert_ne!(owner, stopping, "a daemon takes new programs itself");
-    let asked = [rehearsal.ask(&owned, 1, stopping), rehearsal.ask(&passing, 1, stopping)];
+    let ask = |program| rehearsal.ask_for(program, 1, stopping, MANY_TOKENS);
+    let asked = [ask(&owned), ask(&passing)];
     rehearsal.wait_until_started(&owned, 1).await;
     rehearsal.wait_until_started(&passing, 1).await;
-    let mut process = rehearsal.cluster.daemons[stopping].process.take().expect("it runs");
-    process.terminate().expect("is signalled");
+    let mut process = rehearsal.begin_stop(stopping).await;
+    let refused = rehearsal.refusal(&passing, stopping).await;
+    assert_eq!(refused, ["unavailable", "true", "1"].map(|text| Some(text.to_owned())));
+    assert!(!asked[0].is_finished(), "new work was refused at once");
     for asked in asked {
         let answer = finished(asked).await;
         assert_eq!(answer.gateways_lost, 0, "its stream was cut");
@@ -167,17 +201,9 @@
 async fn second_signal_ends_a_planned_stop_at_once() {
     let mut rehearsal = Rehearsal::start().await;
     let (program, stopping) = rehearsal.program().await;
-    let asked = rehearsal.ask(&program, 1, stopping);
+    let asked = rehearsal.ask_for(&program, 1, stopping, MANY_TOKENS);
     rehearsal.wait_until_started(&program, 1).await;
-    let mut process = rehearsal.cluster.daemons[stopping].process.take().expect("it runs");
-    process.terminate().expect("is signalled");
-    // The first signal has been taken when the daemon says that it leaves.
-    let gateway = rehearsal.cluster.daemons[stopping].gateway;
-    let since = Instant::now();
-    while is_ready(gateway).await {
-        assert!(since.elapsed() < PATIENCE, "the planned stop does not begin");
-        sleep(POLL).await;
-    }
+    let mut process = rehearsal.begin_stop(stopping).await;
     assert!(!asked.is_finished(), "the stream is still under way");
     process.terminate().expect("is signalled");
     process.ended(PATIENCE).await.expect("ends");
