--- /dev/null
+++ b/crates/backends/src/lib.rs
@@ -0,0 +1,15 @@
+//! Which servers of a service there are, how loaded they are, and which one a request goes to.
+//!
+//! A deterministic state machine without I/O: records of servers, ends of attempts and moments go
+//! in; choices come out. Many daemons choose at once and none knows what the others have sent, so
+//! a choice rests on the daemon's own attempts, on what servers said when they refused, and on
+//! rendezvous hashing, which lets all daemons prefer the same server for the same program without
+//! a word between them.
+//!
+//! | module | job |
+//! |---|---|
+//! | `record` | what is known of a server from discovery |
+
+mod record;
+
+pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
--- /dev/null
+++ b/crates/relay/src/headers.rs
@@ -0,0 +1,36 @@
+//! Names of the headers that a deployment uses. The relay knows their meaning only.
+
+use http::HeaderName;
+
+/// Names of headers by their meaning.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Identifies a caller's try of a request; servers send it back.
+    pub attempt: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline: HeaderName,
+    /// Server to caller: proves which server made the answer.
+    pub signature: HeaderName,
+    /// Relay to server: which life of the server is meant.
+    pub expected_instance: HeaderName,
+    /// Server to relay: the request did not run.
+    pub not_run: HeaderName,
+    /// The program that a request belongs to.
+    pub program: HeaderName,
+    /// The line of turns inside the program.
+    pub session: HeaderName,
+    /// Milliseconds until the program should be over.
+    pub program_deadline: HeaderName,
+    /// Tokens that all turns of the program may generate.
+    pub budget: HeaderName,
+    /// Tokens of the prompt, and the most to be generated, with a comma between.
+    pub token_count: HeaderName,
+    /// Parts of the prompt in order, as `id:tokens` with commas between.
+    pub prompt_parts: HeaderName,
+    /// The turn that this one goes on from.
+    pub previous_turn: HeaderName,
+    /// Relay to server: urgency from 0 (first) to 9.
+    pub priority: HeaderName,
+    /// The last event that the reader has.
+    pub last_event: HeaderName,
+}
