Let replicas give out what must be durable, and recover from it

Storage was memory only, so a loss of power of all machines lost every group. A replica notes what changed (term, vote, entries, sessions, a new base); the driver takes it out before the outputs. Node gives it as Action::Persist and names the messages that need not wait for the sync. Off by default: a group without a disk notes nothing.

Weighed: a storage trait inside the replica (I/O in the state machine, no group commit over groups) against changes taken by the driver (chosen). Early appends are refused to a leader that is a quorum alone, also by the committed configuration that it is about to leave: it would show an entry as committed that it can still forget.

--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -5,9 +5,10 @@
 
 use dahlia_configuration::{EngineState, FencedOrder, Proposal, Record, Verdict};
 use dahlia_program::{EngineLife, ReleaseRequest};
+use dahlia_replication::group::DurableChange;
 use dahlia_types::{
-    Attempt, AttemptId, CallId, Duration, EngineId, Incarnation, LogIndex, Message, ModelId,
-    ProgramId, ReplicaId, TenantId, Term, Tokens,
+    Attempt, AttemptId, CallId, Duration, EngineId, GroupId, Incarnation, LogIndex, Message,
+    ModelId, ProgramId, ReplicaId, TenantId, Term, Tokens,
 };
 
 use crate::bootstrap::LayoutStep;
@@ -90,6 +91,8 @@
     Layout(LayoutStep),
     /// An operation on this daemon's store has ended.
     StoreEnded(Box<StoreResult>),
+    /// The driver wants a group recorded as a whole, to drop its earlier changes.
+    ImageWanted(GroupId),
     /// A planned stop begins.
     Drain,
 }
@@ -97,6 +100,14 @@
 /// Something to do.
 #[derive(Debug, Clone)]
 pub enum Action {
+    /// Make a change of a group durable.
+    ///
+    /// SAFETY: no later action may be carried out before, except for [`Action::SendUnsynced`],
+    /// and the node may take no event in from outside this batch. A driver collects the actions
+    /// of a batch of events, syncs all changes of the batch at once, and then carries out the
+    /// rest. Nothing of a batch whose changes could not be synced may ever be carried out. Given
+    /// only when [`NodeSettings::group`](crate::NodeSettings::group) says that there is a disk.
+    Persist(Box<DurableChange>),
     /// Send a message; it may be lost.
     Send {
         /// Where to.
@@ -104,6 +115,16 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Send a message without waiting for the sync of the batch; it may be lost. It promises
+    /// nothing: see [`Replica::may_send_unsynced`].
+    ///
+    /// [`Replica::may_send_unsynced`]: dahlia_replication::group::Replica::may_send_unsynced
+    SendUnsynced {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
     /// Answer a request of this daemon's gateway or operators' server.
     Respond {
         /// The request.
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -9,6 +9,7 @@
     AttemptId, CallId, Duration, GroupId, LogIndex, ProgramId, Term, Timestamp, Tokens,
 };
 
+use crate::Action;
 use crate::routing::ReplyTo;
 
 /// What a proposal was for.
@@ -105,6 +106,11 @@
         self.replica.group()
     }
 
+    /// What must be durable before anything that the replica put out since the last call.
+    pub(crate) fn take_durable(&mut self) -> Option<Action> {
+        self.replica.take_durable().map(|change| Action::Persist(Box::new(change)))
+    }
+
     /// Whether this node may act as the owner of the group's programs.
     pub(crate) fn is_serving(&self) -> bool {
         self.serving == Some(self.replica.term()) && self.replica.is_leader_ready()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | job |
 //! |---|---|
 //! | `node` | assembly: hands each event to its part |
+//! | `durable` | starting again with the groups found on the disk |
 //! | `group` | one replica group here: its replica, its programs, its proposals |
 //! | `outputs` | what replicas ask for: entries to apply, snapshots, ownership |
 //! | `owner` | what the leader of a group does for calls |
@@ -29,6 +30,7 @@
 mod attempts;
 mod bootstrap;
 mod configuration;
+mod durable;
 mod engine_sources;
 mod engines;
 mod event;
@@ -52,6 +54,7 @@
 pub use answer::{AnswerReader, Followed, StartPosition, Taken};
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use configuration::ConfigurationView;
+pub use durable::RecoverError;
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, Event, ReleaseOrder, StartAttempt};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -49,6 +49,8 @@
     pub(crate) next_upkeep: Timestamp,
     pub(crate) bootstrap: Bootstrap,
     pub(crate) coalescer: Coalescer,
+    /// Messages that need not wait for a sync.
+    pub(crate) unsynced: Coalescer,
     pub(crate) draining: bool,
 }
 
@@ -121,6 +123,7 @@
             next_upkeep: Timestamp::ZERO,
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
+            unsynced: Coalescer::new(),
             draining: false,
         };
         if node.settings.has_store {
@@ -155,6 +158,7 @@
             Event::ProposeChange { id, proposal } => self.propose_change(id, proposal, now),
             Event::Layout(step) => self.layout(step, now),
             Event::StoreEnded(result) => self.store_ended(*result),
+            Event::ImageWanted(group) => self.record_image(group),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -334,6 +338,11 @@
         while let Some(id) = self.dirty.pop_first() {
             self.take_outputs(id, now);
         }
+        for (daemon, batch) in self.unsynced.take() {
+            if let Some(to) = self.address(daemon) {
+                self.actions.push(Action::SendUnsynced { to, message: PeerMessage::Groups(batch) });
+            }
+        }
         for (daemon, batch) in self.coalescer.take() {
             if let Some(to) = self.address(daemon) {
                 self.actions.push(Action::Send { to, message: PeerMessage::Groups(batch) });
--- a/crates/node/src/outputs.rs
+++ b/crates/node/src/outputs.rs
@@ -1,9 +1,10 @@
 //! What the replicas of groups ask for: messages, committed entries, snapshots, ownership.
 
 use dahlia_program::GroupState;
-use dahlia_replication::group::{Entry, Output, Snapshot};
+use dahlia_replication::group::{Entry, GroupMessage, Output, Snapshot};
 use dahlia_types::{Duration, GroupId, LogIndex, Timestamp};
 
+use crate::Action;
 use crate::group::{Group, Purpose, decode};
 use crate::node::Node;
 use crate::request::Response;
@@ -16,9 +17,10 @@
         let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
+        self.actions.extend(group.take_durable());
         for output in group.replica.take_outputs() {
             match output {
-                Output::Send(message) => self.coalescer.push(message),
+                Output::Send(message) => self.send_to_replica(message),
                 Output::Committed(entry) => self.apply(id, &entry, now),
                 Output::Restore(snapshot) => self.restore(id, &snapshot),
                 Output::RoleChanged { role, term, leader } => {
@@ -32,6 +34,22 @@
         self.check_ownership(id, now);
     }
 
+    fn send_to_replica(&mut self, message: GroupMessage) {
+        let sender = self.groups.get(&message.group).filter(|_| self.settings.group.is_durable);
+        let leaves_early = sender.is_some_and(|group| group.replica.may_send_unsynced(&message));
+        let coalescer = if leaves_early { &mut self.unsynced } else { &mut self.coalescer };
+        coalescer.push(message);
+    }
+
+    /// Records a group as a whole.
+    pub(crate) fn record_image(&mut self, id: GroupId) {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
+        let image = group.replica.durable_image(group.state.snapshot());
+        self.actions.extend(image.map(|image| Action::Persist(Box::new(image))));
+    }
+
     fn apply(&mut self, id: GroupId, entry: &Entry, now: Timestamp) {
         let Some(group) = self.groups.get_mut(&id) else {
             return;
@@ -100,6 +118,9 @@
         if let Some(group) = self.groups.get_mut(&id) {
             group.replica.retire(now);
             group.state = self.settings.empty_state(id);
+            if self.settings.group.is_durable {
+                self.dirty.insert(id);
+            }
         }
     }
 
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -54,7 +54,9 @@
 
     fn perform(&mut self, id: DaemonId, action: Action) {
         match action {
-            Action::Send { to, message } => self.send(id, to, message),
+            Action::Send { to, message } | Action::SendUnsynced { to, message } => {
+                self.send(id, to, message);
+            }
             Action::Respond { id: request, response } => self.node_responded(id, request, response),
             Action::StartAttempt(start) => self.start_attempt(id, *start),
             Action::ResumeAttempt(start) => self.resume_attempt(id, *start),
@@ -107,7 +109,7 @@
                 self.seen.note(self.now, seen);
             }
             // Engines here serve one model throughout, and no virtual daemon has a disk.
-            Action::Order(_) | Action::Store(_) => {}
+            Action::Order(_) | Action::Store(_) | Action::Persist(_) => {}
             Action::Stop => self.kill_daemon(id, Duration::ZERO),
         }
     }
--- a/crates/replication/src/group/election.rs
+++ b/crates/replication/src/group/election.rs
@@ -80,6 +80,10 @@
     }
 
     pub(super) fn reset_election_deadline(&mut self) {
+        if self.is_recovering {
+            self.election_deadline = self.now + self.recovery_wait();
+            return;
+        }
         let shortest = self.settings.election_timeout().0;
         let wait = self.random.random_range(shortest..=shortest * 2);
         self.election_deadline = self.now + Duration(wait);
@@ -162,6 +166,7 @@
 
     fn become_leader(&mut self) {
         self.role = Role::Leader;
+        self.is_recovering = false;
         self.leader = Some(self.id);
         self.votes.clear();
         self.incoming = None;
--- a/crates/replication/src/group/follower.rs
+++ b/crates/replication/src/group/follower.rs
@@ -16,6 +16,7 @@
             self.become_follower(self.term, Some(leader));
         }
         self.leader_contact = self.now;
+        self.is_recovering = false;
         self.reset_election_deadline();
     }
 
@@ -74,6 +75,7 @@
 
     fn drop_entries_from(&mut self, index: LogIndex) {
         self.log.truncate_from(index);
+        self.journal.note_entries(index);
         self.configurations.retain(|(at, _)| *at < index);
     }
 
@@ -82,6 +84,7 @@
         if let EntryData::Members(members) = &entry.data {
             self.configurations.push((entry.index, members.clone()));
         }
+        self.journal.note_entries(entry.index);
         self.log.push(entry);
     }
 
--- a/crates/replication/src/group/mod.rs
+++ b/crates/replication/src/group/mod.rs
@@ -1,12 +1,15 @@
 //! Replica groups: agreement on one log of commands by Raft (Ongaro and Ousterhout 2014).
 //!
 //! From Ongaro's thesis (2014) come pre-vote, check-quorum, learners, single-server membership
-//! changes and leadership transfer. Storage is memory only, so the failure model is crash-stop:
-//! a daemon that restarts is a new [`ReplicaId`](dahlia_types::ReplicaId) and starts as an empty
-//! learner. What a replica promised (term, vote, log) lives exactly as long as its identifier.
+//! changes and leadership transfer. What a replica promised (term, vote, log) lives exactly as
+//! long as its identifier. On a daemon without a disk that is the life of the process: one that
+//! restarts is a new [`ReplicaId`](dahlia_types::ReplicaId) and starts as an empty learner. With
+//! a disk, [`Replica::take_durable`] gives out what must be synced, and [`Replica::recover`]
+//! goes on with the same identifier.
 
 mod coalescer;
 mod delivery;
+mod durable;
 mod election;
 mod faults;
 mod follower;
@@ -16,12 +19,14 @@
 mod message;
 mod output;
 mod progress;
+mod recovery;
 mod replica;
 mod settings;
 mod snapshot;
 mod status;
 
 pub use coalescer::{Beat, BeatRun, Coalescer, PeerBatch};
+pub use durable::{DurableChange, DurableReplica, DurableUpdate, GapError, HardState};
 #[doc(hidden)]
 pub use faults::Faults;
 pub use log::{EntryData, LogEntry};
--- a/crates/replication/src/group/output.rs
+++ b/crates/replication/src/group/output.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use dahlia_types::{LogIndex, ReplicaId, Term};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use super::{GroupMessage, Members};
@@ -33,7 +34,7 @@
 }
 
 /// The state after applying every entry up to an index.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The last entry that it includes.
     pub index: LogIndex,
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::durable::Journal;
 use super::log::Log;
 use super::members::{NotReadyTransferSnafu, NotVoterTransferSnafu};
 use super::output::{NotLeaderSnafu, OverloadedSnafu, TooLargeSnafu};
@@ -75,6 +76,9 @@
     pub(super) incoming: Option<Incoming>,
     pub(super) snapshot: Option<Snapshot>,
     pub(super) is_snapshot_asked: bool,
+    /// Set from a recovery until a leader is known.
+    pub(super) is_recovering: bool,
+    pub(super) journal: Journal,
     announced: (Role, Term, Option<ReplicaId>),
     pub(super) outputs: Vec<Output>,
 }
@@ -101,6 +105,7 @@
             // The layout wants it to lead: it asks before the others' timeouts end.
             replica.election_deadline = now + replica.settings.heartbeat_interval();
         }
+        replica.record_beginning();
         replica
     }
 
@@ -140,10 +145,13 @@
             incoming: None,
             snapshot: None,
             is_snapshot_asked: false,
+            is_recovering: false,
+            journal: Journal::default(),
             announced: (Role::Learner, Term(0), None),
             outputs: Vec::new(),
         };
         replica.reset_election_deadline();
+        replica.record_beginning();
         replica
     }
 
@@ -161,6 +169,7 @@
             return;
         }
         *members = Members::of_voters(voters);
+        self.journal.note_first_members(members);
         if self.role == Role::Learner {
             self.role = self.resting_role();
             self.announce();
@@ -182,6 +191,7 @@
             empty.retired_last = self.last_for_votes();
         }
         empty.announced.1 = self.term;
+        // The new beginning is recorded as an image, which holds the promises kept.
         *self = empty;
     }
 
@@ -357,6 +367,11 @@
         (first..=self.log.last_index().0).filter_map(|index| self.log.get(LogIndex(index)))
     }
 
+    /// Takes the present role for the one that the driver knows.
+    pub(super) fn set_announced(&mut self) {
+        self.announced = (self.role, self.term, self.leader);
+    }
+
     pub(super) fn advance(&mut self, now: Timestamp) {
         self.now = self.now.max(now);
     }
--- a/crates/replication/src/group/settings.rs
+++ b/crates/replication/src/group/settings.rs
@@ -34,6 +34,9 @@
     pub max_uncommitted_bytes: usize,
     /// Entries that a learner may lag when it is promoted.
     pub promotion_lag_entries: u64,
+    /// Whether replicas give out what must be durable. Set by a driver that has a disk.
+    #[serde(skip)]
+    pub is_durable: bool,
     /// Mechanisms removed by tests.
     #[doc(hidden)]
     #[serde(skip)]
@@ -55,6 +58,7 @@
             max_payload_bytes: 16 * 1024 * 1024,
             max_uncommitted_bytes: 32 * 1024 * 1024,
             promotion_lag_entries: 64,
+            is_durable: false,
             faults: Faults::default(),
         }
     }
--- a/crates/replication/src/group/snapshot.rs
+++ b/crates/replication/src/group/snapshot.rs
@@ -163,6 +163,7 @@
         self.delivered = index;
         self.configurations = vec![(index, members.clone())];
         let snapshot = Snapshot { index, term, members, data: Bytes::from(data) };
+        self.journal.note_base(snapshot.clone());
         self.outputs.push(Output::Restore(snapshot));
         self.adopt_members();
     }
