Add the write-ahead log of a daemon's replica groups

One log for all groups, so that one write and one sync cover a batch. A frame carries a checksum and a sequence; an intact frame behind a damaged one shows damage that no loss of power makes. Compaction writes groups anew as a whole at the log's end and removes the oldest segments, one synced removal after the other. Weighed: a separate checkpoint file with a rename (all groups' state encoded at once in memory, a second format); an embedded store (several syncs a commit, its own compaction, a disk's format that is not ours).

--- /dev/null
+++ b/crates/durable/src/lib.rs
@@ -0,0 +1,36 @@
+//! What a daemon's replica groups must find again after a loss of power: one write-ahead log for
+//! all groups of the daemon, and the identity of its replicas.
+//!
+//! | module | job |
+//! |---|---|
+//! | `disk` | the few file operations used; tests put one in place that loses power |
+//! | `error` | why the log could not be used |
+//! | `frame` | the checksummed unit that is written and synced at once |
+//! | `segment` | names and headers of the log's files, reading one back |
+//! | `open` | reading all segments back |
+//! | `replay` | from segments to replicas |
+//! | `log` | opening, appending, dropping what newer images cover |
+//!
+//! # What is relied on
+//!
+//! A loss of power leaves each file with what its last sync covered; of what was written later,
+//! any part may be there. A new file and a removed name last once the folder is synced. So there
+//! is one write and one sync for each frame, only the last frame of the last segment can be torn,
+//! and a segment is removed only after the removal of the one before it was synced.
+
+mod disk;
+mod error;
+mod frame;
+mod log;
+mod open;
+mod replay;
+mod segment;
+mod settings;
+
+pub use disk::{Disk, FolderDisk};
+pub use error::{LogError, Step};
+pub use frame::{FORMAT_VERSION, Frame, FrameError, encode_frame, read_frames};
+pub use log::{DurableLog, Opened};
+pub use replay::ReplayError;
+pub use segment::Identity;
+pub use settings::DurableSettings;
