Sync groups of a daemon with a data folder; keep its replicas' identity

A daemon with a data folder opens the log under <folder>/groups, goes on with the groups found and keeps their incarnation. A batch of events is synced at once on a thread that may block; what depends on it leaves after, a leader's appends before. Daemons without a data folder do as before: nothing is ever held.

Identity: the version of a member's statements begins at life * 65536, with the life counted in the log. Weighed: a start from the clock (it may be set back by seconds) and a second identifier in MemberInfo (every message and table would carry both). Keys of calls and random seeds follow the process.

holds_groups: daemons that hold none are left out of the first layout, of the count before it, and of maintenance's candidates.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use dahlia_configuration::Record;
-use dahlia_node::{Node, NodeFaults, NodeSettings};
+use dahlia_durable::Opened;
+use dahlia_node::{Node, NodeFaults, NodeSettings, RecoverError};
 use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
+use dahlia_replication::group::{DurableReplica, GroupSettings};
 use dahlia_replication::maintenance::MaintenanceSettings;
-use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
+use dahlia_types::{Duration as Length, Incarnation, PeerKey, ReplicaId, TenantKey};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -26,6 +28,7 @@
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
 use crate::gateway::{self, Gateway, GatewayServer};
+use crate::group_log::{self, GroupLog, OpenGroupsError};
 use crate::handshake::Identity;
 use crate::logging::part;
 use crate::machine_list;
@@ -67,6 +70,18 @@
         /// Cause.
         source: OpenError,
     },
+    /// The log of groups could not be used.
+    #[snafu(display("{source}"))]
+    Groups {
+        /// Cause.
+        source: OpenGroupsError,
+    },
+    /// The groups in the log could not be used.
+    #[snafu(display("{source}"))]
+    Recover {
+        /// Cause.
+        source: RecoverError,
+    },
     /// The metrics could not be set up.
     #[snafu(display("setting up metrics: {source}"))]
     Metrics {
@@ -118,6 +133,15 @@
         self.traffic.bytes() + self.datagrams.bytes()
     }
 
+    /// Waits until the node's task has ended by itself: another life of this daemon has taken its
+    /// place, or its disk failed. The process should end then, to be started anew.
+    pub async fn ended(&mut self) {
+        if let Some(core) = self.tasks.first_mut() {
+            // How it ended changes nothing.
+            let _ = core.await;
+        }
+    }
+
     /// Stops at once, like a death: connections break, memory is lost.
     pub fn stop(&self) {
         for task in &self.tasks {
@@ -132,7 +156,8 @@
 /// [`StartError`] when the address is taken.
 pub fn start_control(settings: &Settings) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
-    let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
+    let Durable { groups, replicas, incarnation, life } = open_groups(settings, clock)?;
+    let own = ReplicaId { daemon: settings.daemon.id, incarnation };
     let (peer_listener, socket) = listen_to_peers(settings.daemon.peer_address)?;
     let peer_address = local(&peer_listener, settings.daemon.peer_address);
     let key = PeerKey::new(settings.credentials.peer_key.as_bytes());
@@ -155,10 +180,13 @@
         platform: PlatformState::new(key_value.clone(), core.clone()),
         configuration_key: ConfigurationKey::new(key_value, core.clone()),
         store: open_store(settings, &core)?,
+        groups,
         in_force: publisher,
         metrics: metrics.clone(),
     };
-    let node = Node::new(node_settings(settings, own, peer_address), clock.now());
+    let mut node_settings = node_settings(settings, own, peer_address, clock);
+    node_settings.life = life;
+    let node = Node::recover(node_settings, replicas, clock.now()).context(RecoverSnafu)?;
     let mut tasks = vec![
         tokio::spawn(Core::new(node, clock, inbox, parts).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming.clone())),
@@ -267,6 +295,11 @@
         answered && status.attempts == 0 && status.requests == 0 && status.groups_led == 0
     }
 
+    /// Waits until the node's task has ended by itself; see [`ControlParts::ended`].
+    pub async fn ended(&mut self) {
+        self.control.ended().await;
+    }
+
     /// Stops at once.
     pub fn stop(self) {
         self.gateway.stop();
@@ -325,6 +358,32 @@
     }
 }
 
+/// What was found under the data folder.
+struct Durable {
+    groups: GroupLog,
+    replicas: Vec<DurableReplica>,
+    incarnation: Incarnation,
+    life: u32,
+}
+
+/// Without a data folder each process is another incarnation, and nothing is durable.
+fn open_groups(settings: &Settings, clock: Clock) -> Result<Durable, StartError> {
+    let fresh = clock.incarnation();
+    let Some(folder) = &settings.daemon.data_folder else {
+        let groups = GroupLog::default();
+        return Ok(Durable { groups, replicas: Vec::new(), incarnation: fresh, life: 0 });
+    };
+    let opened = group_log::open(folder, settings.durable.clone(), fresh).context(GroupsSnafu)?;
+    let Opened { log, replicas } = opened;
+    let identity = log.identity();
+    Ok(Durable {
+        groups: GroupLog::new(log),
+        replicas,
+        incarnation: identity.incarnation,
+        life: identity.life,
+    })
+}
+
 async fn serve_operators(listener: TcpListener, operators: Operators) {
     if let Err(error) = operators::serve(listener, operators).await {
         log::error!(target: part::OPERATORS, "Serving operators ended: {error}.");
@@ -344,11 +403,17 @@
     }
 }
 
-fn node_settings(settings: &Settings, own: ReplicaId, address: SocketAddr) -> NodeSettings {
+fn node_settings(
+    settings: &Settings,
+    own: ReplicaId,
+    address: SocketAddr,
+    clock: Clock,
+) -> NodeSettings {
     let maintenance = MaintenanceSettings {
         voters: settings.layout.replicas as usize,
         ..settings.maintenance.clone()
     };
+    let is_durable = settings.daemon.data_folder.is_some();
     NodeSettings {
         own,
         zone: settings.daemon.zone.clone(),
@@ -358,7 +423,9 @@
         group_count: settings.layout.groups,
         replicas: settings.layout.replicas,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
-        group: settings.groups.clone(),
+        holds_groups: settings.daemon.holds_groups,
+        life: 0,
+        group: GroupSettings { is_durable, ..settings.groups.clone() },
         has_store: settings.daemon.data_folder.is_some(),
         history: settings.history.clone(),
         membership: settings.membership.clone(),
@@ -371,7 +438,8 @@
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
         configuration: settings.configuration.clone(),
         first_document: first_document(&settings.platform.engines),
-        seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
+        // Of the process, not of its replicas: their identifiers may outlive it.
+        seed: clock.incarnation().0 ^ (u64::from(own.daemon.0) << 40),
         faults: NodeFaults::default(),
     }
 }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -129,7 +129,7 @@
 }
 
 async fn serve(settings: &Settings) -> ExitCode {
-    let daemon = match assembly::start(settings).await {
+    let mut daemon = match assembly::start(settings).await {
         Ok(daemon) => daemon,
         Err(error) => {
             eprintln!("dahlialadder: {error}");
@@ -149,6 +149,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = daemon.ended() => return ExitCode::FAILURE,
     }
     // A second signal ends the wait; what is left is cut.
     tokio::select! {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -11,6 +11,7 @@
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
 use dahlia_node::{Action, ConfigurationView, DaemonView, EngineView, Event, Node, NodeStatus};
+use dahlia_replication::group::DurableChange;
 use dahlia_replication::membership::Member;
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -20,6 +21,7 @@
 use crate::clock::Clock;
 use crate::configuration_key::ConfigurationKey;
 use crate::engines::EngineTasks;
+use crate::group_log::GroupLog;
 use crate::logging::part;
 use crate::metrics::Metrics;
 use crate::peers::PeerSender;
@@ -189,12 +191,21 @@
     pub configuration_key: ConfigurationKey,
     /// The store under the data folder.
     pub store: StoreTasks,
+    /// The log of groups under the data folder.
+    pub groups: GroupLog,
     /// Where generations are published that come into force.
     pub in_force: watch::Sender<Option<Arc<Record>>>,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
 
+/// What events of one batch asked for and what waits for its sync.
+#[derive(Default)]
+struct Batch {
+    changes: Vec<DurableChange>,
+    held: Vec<Action>,
+}
+
 /// The task that drives the node.
 pub struct Core {
     node: Node,
@@ -204,13 +215,18 @@
     changes: HashMap<RequestId, oneshot::Sender<Verdict>>,
     next_request: u64,
     parts: CoreParts,
+    batch: Batch,
+    /// Groups that the log wants recorded anew; one goes with each batch.
+    wanted_images: Vec<GroupId>,
     stopped: bool,
 }
 
 /// Makes the handle and the inbox of a core that is still to be built.
 pub fn channel(own: ReplicaId) -> (CoreHandle, mpsc::Receiver<CoreMessage>) {
     let (sender, inbox) = mpsc::channel(INBOX);
-    (CoreHandle { inbox: sender, own, keys: Arc::default() }, inbox)
+    // A replica's identifier may outlive the process: keys must not repeat those of earlier lives.
+    let first_key = Clock::start().now().0;
+    (CoreHandle { inbox: sender, own, keys: Arc::new(AtomicU64::new(first_key)) }, inbox)
 }
 
 impl Core {
@@ -231,6 +247,8 @@
             // Names of requests must not repeat those of an earlier life of this daemon.
             next_request: start << 20,
             parts,
+            batch: Batch::default(),
+            wanted_images: Vec::new(),
             stopped: false,
         }
     }
@@ -249,6 +267,31 @@
                     self.take_batch();
                 }
             }
+            if let Some(group) = self.wanted_images.pop() {
+                self.handle(Event::ImageWanted(group));
+            }
+            self.finish_batch().await;
+        }
+    }
+
+    /// Makes the changes of the batch durable by one sync, then carries out what waited for it.
+    ///
+    /// SAFETY: no event is taken in meanwhile. So whatever answers a message that left before
+    /// the sync is handled when this daemon's own entries are durable; see [`Action::Persist`].
+    async fn finish_batch(&mut self) {
+        if self.batch.changes.is_empty() {
+            return;
+        }
+        let Batch { changes, held } = std::mem::take(&mut self.batch);
+        match self.parts.groups.sync(changes).await {
+            Ok(wanted) => {
+                self.wanted_images = wanted;
+                held.into_iter().for_each(|action| self.perform(action));
+            }
+            Err(error) => {
+                log::error!(target: part::STORE, "This daemon stops. {error}.");
+                self.stopped = true;
+            }
         }
     }
 
@@ -290,7 +333,13 @@
 
     fn handle(&mut self, event: Event) {
         for action in self.node.handle(event, self.clock.now()) {
-            self.perform(action);
+            match action {
+                Action::Persist(change) => self.batch.changes.push(*change),
+                Action::SendUnsynced { to, message } => self.send(to, message),
+                // What comes before any change of its batch depends on none.
+                action if self.batch.changes.is_empty() => self.perform(action),
+                action => self.batch.held.push(action),
+            }
         }
     }
 
@@ -334,6 +383,8 @@
             Action::Layout(step) => self.parts.platform.layout(step),
             Action::Store(order) => self.parts.store.order(*order),
             Action::Stop => self.stopped = true,
+            // Both are taken out before.
+            Action::Persist(_) | Action::SendUnsynced { .. } => {}
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `peers`, `frames`, `datagrams`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
 //! | `chunk_store` | the thread that owns the data folder |
+//! | `group_log` | syncs of replica groups |
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
 //! | `machine_list` | reads the platform's list of machines |
@@ -29,6 +30,7 @@
 mod first_document;
 pub mod frames;
 mod gateway;
+mod group_log;
 mod handshake;
 pub mod logging;
 mod machine_list;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use dahlia_api::RequestLimits;
+use dahlia_durable::DurableSettings;
 use dahlia_node::HistorySettings;
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
@@ -47,6 +48,9 @@
     /// The store under `daemon.data_folder`, if there is one.
     #[serde(default)]
     pub store: StoreSettings,
+    /// The log of replica groups under `daemon.data_folder`, if there is one.
+    #[serde(default)]
+    pub durable: DurableSettings,
     /// Timing and bounds of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
@@ -88,11 +92,19 @@
     /// Folder for bulk data; absent on machines that keep nothing.
     #[serde(default)]
     pub data_folder: Option<PathBuf>,
+    /// Whether replicas of groups may be placed here. A daemon that holds none reaches their
+    /// owners all the same.
+    #[serde(default = "default_holds_groups")]
+    pub holds_groups: bool,
     /// Milliseconds that a planned stop may take before it cuts what is left.
     #[serde(default = "default_drain")]
     pub drain_ms: u64,
 }
 
+fn default_holds_groups() -> bool {
+    true
+}
+
 fn default_drain() -> u64 {
     60_000
 }
@@ -257,6 +269,7 @@
         self.groups.check()?;
         self.history.check()?;
         self.store.check()?;
+        self.durable.check()?;
         self.membership.check()?;
         self.maintenance.check()?;
         self.calls.check()?;
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -101,7 +101,8 @@
         }
         let live = self.live_members();
         self.bootstrap.share_reads(live.len(), now);
-        if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
+        let holders = live.iter().filter(|member| member.holds_groups).count();
+        if self.bootstrap.is_missing() && holders >= self.settings.bootstrap_daemons as usize {
             let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
             self.actions.push(Action::Layout(LayoutStep::Value(layout)));
         } else {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -95,14 +95,16 @@
             region: settings.region.clone(),
             // It takes no work before it knows which configuration is in force.
             state: MemberState::Joining,
+            holds_groups: settings.holds_groups,
         };
-        let membership = Membership::new(
+        let mut membership = Membership::new(
             own,
             settings.seeds.clone(),
             settings.membership.clone(),
             settings.seed,
             now,
         );
+        membership.begin_life(settings.life);
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         let mut node = Self {
             membership,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -30,6 +30,11 @@
     pub replicas: u32,
     /// Daemons that must be live before the groups are laid out.
     pub bootstrap_daemons: u32,
+    /// Whether replicas of groups may be placed on this daemon.
+    pub holds_groups: bool,
+    /// Which process of this incarnation runs, from 1; 0 where no incarnation outlives its
+    /// process.
+    pub life: u32,
     /// Timing and bounds of replica groups.
     pub group: GroupSettings,
     /// Timing and bounds of membership.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -11,7 +11,7 @@
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// Largest frame in bytes; a longer one ends the connection.
 pub const LARGEST_FRAME: usize = 16 * 1024 * 1024;
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -10,6 +10,7 @@
     CallsSettings, CredentialSettings, DaemonSettings, EngineSettings, LayoutSettings,
     PlatformSettings, Settings,
 };
+use dahlia_durable::DurableSettings;
 use dahlia_node::HistorySettings;
 use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
@@ -379,6 +380,7 @@
             operators_address: any_port,
             seeds,
             data_folder: plan.data_folder.clone(),
+            holds_groups: true,
             drain_ms: DRAIN_MS,
         },
         credentials: CredentialSettings {
@@ -401,6 +403,7 @@
         groups: GroupSettings::default(),
         history: plan.history.clone(),
         store: StoreSettings::default(),
+        durable: DurableSettings::default(),
         membership: MembershipSettings::default(),
         maintenance: MaintenanceSettings::default(),
         calls: CallsSettings::default(),
--- a/crates/replay/src/world/settings.rs
+++ b/crates/replay/src/world/settings.rs
@@ -82,6 +82,8 @@
         group_count: deployment.groups,
         replicas: deployment.replicas,
         bootstrap_daemons: deployment.daemons,
+        holds_groups: true,
+        life: 0,
         group: group_settings(switches),
         membership: MembershipSettings::default(),
         maintenance: MaintenanceSettings {
--- a/crates/replication/examples/measure/groups.rs
+++ b/crates/replication/examples/measure/groups.rs
@@ -137,6 +137,7 @@
         zone: Zone(format!("zone-{zone}")),
         region: Region(format!("region-{}", zone % REGIONS)),
         state: MemberState::Live,
+        holds_groups: true,
     }
 }
 
--- a/crates/replication/src/directory/layout.rs
+++ b/crates/replication/src/directory/layout.rs
@@ -14,7 +14,8 @@
 /// Replica sets that each daemon is in.
 const SETS_PER_DAEMON: usize = 2;
 
-/// Lays out `group_count` groups of `replicas_per_group` voters over the live members.
+/// Lays out `group_count` groups of `replicas_per_group` voters over the live members that may
+/// hold groups.
 ///
 /// Voters of a group are in different zones as far as there are zones, and a majority of them is
 /// in one region; leaders are balanced. The result depends on the arguments only. With fewer
@@ -24,8 +25,7 @@
     group_count: u32,
     replicas_per_group: usize,
 ) -> Vec<GroupDescription> {
-    let live: Vec<&MemberInfo> =
-        members.iter().filter(|member| member.state == MemberState::Live).collect();
+    let live: Vec<&MemberInfo> = members.iter().filter(|member| may_hold(member)).collect();
     let sets = replica_sets(&live, replicas_per_group);
     if sets.is_empty() {
         return Vec::new();
@@ -37,6 +37,10 @@
         .collect()
 }
 
+fn may_hold(member: &MemberInfo) -> bool {
+    member.state == MemberState::Live && member.holds_groups
+}
+
 fn set_of(group: u32, group_count: u32, sets: &[Vec<ReplicaId>]) -> &[ReplicaId] {
     let (group, group_count) = (group as usize, group_count as usize);
     // Few groups use sets from all over the list, which is ordered by region.
--- a/crates/replication/src/maintenance/candidates.rs
+++ b/crates/replication/src/maintenance/candidates.rs
@@ -61,7 +61,8 @@
         let mut best = None;
         for (daemon, view) in &self.view.daemons {
             let replica = ReplicaId { daemon: *daemon, incarnation: view.incarnation };
-            if view.liveness != Liveness::Live || is_member(&replica) || !self.may_hold(view) {
+            let is_free = view.liveness == Liveness::Live && !is_member(&replica);
+            if !is_free || !self.may_hold(view) {
                 continue;
             }
             let rank = (
@@ -77,9 +78,9 @@
         best.map(|(_, replica)| replica)
     }
 
-    /// A daemon of another region only while the home region keeps a majority.
+    /// A daemon that holds groups; one of another region only while the home region keeps a majority.
     fn may_hold(&self, daemon: &DaemonView) -> bool {
-        self.is_home(daemon) || self.home_voters() > self.target / 2
+        daemon.holds_groups && (self.is_home(daemon) || self.home_voters() > self.target / 2)
     }
 
     /// Whether a vote there, in exchange for one in the fullest zone, spreads the group better.
--- a/crates/replication/src/maintenance/view.rs
+++ b/crates/replication/src/maintenance/view.rs
@@ -31,6 +31,8 @@
     pub region: Region,
     /// What is thought of it.
     pub liveness: Liveness,
+    /// Whether replicas may be placed on it.
+    pub holds_groups: bool,
     /// Replicas it holds.
     pub replicas: u32,
     /// Groups it leads.
@@ -57,6 +59,7 @@
                 zone: info.zone.clone(),
                 region: info.region.clone(),
                 liveness: liveness(member),
+                holds_groups: info.holds_groups,
                 replicas: replicas.get(&info.daemon).copied().unwrap_or(0),
                 leaderships: leaderships.get(&info.daemon).copied().unwrap_or(0),
             };
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -49,6 +49,10 @@
     },
 }
 
+/// Low bits of a version that count changes within one life of a process; the life is above.
+const LIFE_BITS: u32 = 16;
+/// A daemon started more often than this waits for an objection, as after a suspicion.
+const MOST_LIVES: u32 = (1 << (u32::BITS - LIFE_BITS)) - 1;
 /// Bytes of an envelope without news, at most.
 const ENVELOPE_BYTES: usize = 64;
 
@@ -107,6 +111,15 @@
         membership
     }
 
+    /// Puts this daemon's statements above those of its earlier lives with the same incarnation,
+    /// so that others take it for alive at once. `life` counts them from 1.
+    ///
+    /// A daemon that kept its disk kept its replicas, and so their incarnation. Its process
+    /// begins anew; what others hold of the earlier one, a death included, must not stand.
+    pub fn begin_life(&mut self, life: u32) {
+        self.own.version = life.min(MOST_LIVES) << LIFE_BITS;
+    }
+
     /// Takes an event in and returns what to do, in order.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
         self.now = self.now.max(now);
--- a/crates/replication/src/membership/types.rs
+++ b/crates/replication/src/membership/types.rs
@@ -42,6 +42,8 @@
     pub region: Region,
     /// What it says of itself.
     pub state: MemberState,
+    /// Whether replicas of groups may be placed on it.
+    pub holds_groups: bool,
 }
 
 impl MemberInfo {
@@ -56,8 +58,8 @@
 pub struct MemberRecord {
     /// The daemon's own description.
     pub info: MemberInfo,
-    /// Rises within an incarnation whenever the daemon changes its state or objects to a
-    /// suspicion. Only the daemon itself raises it.
+    /// Rises within an incarnation whenever the daemon changes its state, objects to a suspicion
+    /// or is started again. Only the daemon itself raises it.
     pub version: u32,
     /// What the sender thinks of it.
     pub health: Health,
--- a/crates/replication/tests/layout.rs
+++ b/crates/replication/tests/layout.rs
@@ -27,6 +27,7 @@
         zone: Zone::new(zone),
         region: Region::new(region),
         state: MemberState::Live,
+        holds_groups: true,
     }
 }
 
--- a/crates/replication/tests/maintenance.rs
+++ b/crates/replication/tests/maintenance.rs
@@ -38,6 +38,7 @@
                 zone: Zone(format!("zone-{}", daemon % 4)),
                 region: Region("near".to_owned()),
                 liveness: Liveness::Live,
+                holds_groups: true,
                 replicas: 1,
                 leaderships: 1,
             };
--- a/crates/replication/tests/support/nemesis.rs
+++ b/crates/replication/tests/support/nemesis.rs
@@ -276,6 +276,7 @@
                 zone: Zone(format!("zone-{}", daemon.0 % ZONES)),
                 region: Region("region".to_owned()),
                 liveness,
+                holds_groups: true,
                 replicas: 0,
                 leaderships: 0,
             };
--- a/crates/replication/tests/support/swarm.rs
+++ b/crates/replication/tests/support/swarm.rs
@@ -91,6 +91,7 @@
             zone: Zone(format!("zone-{region}-{zone}")),
             region: Region(format!("region-{region}")),
             state: MemberState::Live,
+            holds_groups: true,
         }
     }
 
