--- a/crates/durable/tests/support/mod.rs
+++ b/crates/durable/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod disk;
+pub mod machine;
 
 use bytes::Bytes;
 use dahlia_durable::DurableSettings;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -12,11 +12,15 @@
 use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
 
 use crate::Action;
+use crate::group::Group;
 use crate::node::Node;
 use crate::wire::PeerMessage;
 
 /// How often a leader looks after the members of its group.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// How often it looks while the group lacks voters or a member has begun another life: until it
+/// is whole again, the next death may stop it.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A daemon as operators see it.
 #[derive(Debug, Clone)]
@@ -38,7 +42,7 @@
                     let message = PeerMessage::Membership(Box::new(message));
                     self.actions.push(Action::Send { to, message });
                 }
-                MembershipAction::MemberChanged(_) => {}
+                MembershipAction::MemberChanged(record) => self.note_life(&record.info, now),
                 MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
                 MembershipAction::Superseded { by } => {
                     log::error!(target: "members", "A later life of this daemon runs: {by}.");
@@ -48,6 +52,19 @@
         }
     }
 
+    /// A voter whose daemon lost its memory or its disk is replaced without waiting for the next
+    /// regular look.
+    fn note_life(&mut self, info: &MemberInfo, now: Timestamp) {
+        let is_earlier = |replica: ReplicaId| {
+            replica.daemon == info.daemon && replica.incarnation < info.incarnation
+        };
+        let holds_earlier =
+            |group: &Group| group.is_serving() && group.replica.members().all().any(is_earlier);
+        if self.groups.values().any(holds_earlier) {
+            self.next_upkeep = self.next_upkeep.min(now);
+        }
+    }
+
     fn fact_changed(&mut self, fact: &Fact) {
         if let FactKey::Group(_) = fact.key
             && let Some(description) = decode(&fact.bytes)
@@ -126,12 +143,17 @@
             return;
         }
         self.next_upkeep = now + UPKEEP_INTERVAL;
+        let voters = self.settings.maintenance.voters;
         if !self.groups.values().any(|group| group.is_serving()) {
             return;
         }
         let view = ClusterView::new(&self.membership.members(), &self.directory);
         for group in self.groups.values_mut().filter(|group| group.is_serving()) {
-            let step = group.maintenance.next(&group.replica.status(), &view, now);
+            let status = group.replica.status();
+            if status.members.voters.len() < voters {
+                self.next_upkeep = now + REPAIR_INTERVAL;
+            }
+            let step = group.maintenance.next(&status, &view, now);
             let refused = match step {
                 None => continue,
                 Some(MaintenanceStep::Change(change)) => {
