--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::answers::AnswerBoard;
 use crate::chunk_store::{OpenError, StoreTasks};
@@ -267,7 +267,8 @@
         // The listener stays open: a caller that connects now is told to go elsewhere. With the
         // listener idle it would wait in the kernel's queue until this process ends.
         self.requests.close();
-        while !self.is_idle().await {
+        // A node whose disk is full answers nothing, this question neither.
+        while !timeout(self.drain_limit, self.is_idle()).await.unwrap_or(true) {
             if started.elapsed() > self.drain_limit {
                 let status = self.core.status().await;
                 log::warn!(
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -172,6 +172,16 @@
         }
     }
 
+    /// Whether a group has all its voters, none of them in an earlier life of its daemon.
+    pub(crate) fn is_whole(&self, group: &Group) -> bool {
+        let voters = &group.replica.members().voters;
+        let is_present = |voter: &ReplicaId| {
+            let member = self.membership.member(voter.daemon);
+            member.is_none_or(|member| member.record.info.replica() == *voter)
+        };
+        voters.len() >= self.settings.replicas as usize && voters.iter().all(is_present)
+    }
+
     /// Says to all that this daemon is about to stop.
     pub(crate) fn announce_leaving(&mut self) {
         self.membership.set_state(MemberState::Leaving);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -71,6 +71,8 @@
     pub groups_held: usize,
     /// Groups whose programs it owns.
     pub groups_led: usize,
+    /// Of these, groups that lack a voter, or have one whose memory or disk is lost.
+    pub groups_short: usize,
     /// Engines that reported lately.
     pub live_engines: usize,
     /// Programs in the groups that it owns.
@@ -178,6 +180,7 @@
             live_daemons: self.live_members().len(),
             groups_held: self.groups.len(),
             groups_led: led().count(),
+            groups_short: led().filter(|group| !self.is_whole(group)).count(),
             live_engines: self.engines.live(now),
             programs: led().map(|group| group.state.programs().count()).sum(),
             attempts: self.groups.values().map(|group| group.live.len()).sum(),
