--- a/crates/replication/tests/layout.rs
+++ b/crates/replication/tests/layout.rs
@@ -199,3 +199,15 @@
     assert!(toml::from_str::<GroupSettings>("heartbeat = 100").is_err());
     assert!(toml::from_str::<GroupSettings>("[faults]\nshort_quorum = true").is_err());
 }
+
+#[test]
+fn the_layout_uses_daemons_that_hold_groups_only() {
+    let mut members = target_members();
+    for info in &mut members {
+        info.holds_groups = info.daemon.0 % 10 == 0;
+    }
+    for description in initial_layout(&members, 100, 3) {
+        assert_eq!(description.members.len(), 3);
+        assert!(description.members.iter().all(|member| member.daemon.0 % 10 == 0));
+    }
+}
--- a/crates/replication/tests/maintenance.rs
+++ b/crates/replication/tests/maintenance.rs
@@ -321,3 +321,17 @@
     }
     nemesis.cluster.assert_sound();
 }
+
+#[test]
+fn a_daemon_that_holds_no_groups_gets_no_replica() {
+    let mut situation = Situation::new(&[1, 2, 3]);
+    situation.restart(3);
+    situation.status.members.voters.remove(&id(3));
+    for daemon in 4..=8 {
+        situation.daemon(daemon).holds_groups = daemon == 6;
+    }
+    situation.daemon(3).holds_groups = false;
+    assert_eq!(situation.next_change(), Some(MemberChange::AddLearner(id(6))));
+    situation.daemon(6).holds_groups = false;
+    assert_eq!(situation.next(), None);
+}
--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -220,3 +220,19 @@
     let limit = MembershipSettings::default().sync_chunk_bytes;
     assert!(swarm.largest_message <= limit, "{} bytes", swarm.largest_message);
 }
+
+#[test]
+fn a_daemon_that_kept_its_disk_is_alive_for_all_at_once_in_its_next_life() {
+    for seed in 0..10 {
+        let mut swarm = complete_by_default(ONE_REGION, seed);
+        swarm.start_with_disk(DaemonId(7), 1);
+        assert!(swarm.run_until_holds(SECOND.times(5), Swarm::is_complete).is_some());
+        swarm.kill(DaemonId(7));
+        let dead = |swarm: &Swarm| all_see(swarm, 7, Health::Dead);
+        assert!(swarm.run_until_holds(SECOND.times(30), dead).is_some(), "seed {seed}");
+        swarm.start_with_disk(DaemonId(7), 2);
+        let alive = |swarm: &Swarm| all_see(swarm, 7, Health::Alive);
+        let took = swarm.run_until_holds(SECOND.times(3), alive);
+        assert!(took.is_some(), "seed {seed}: {:?}", swarm.healths(7));
+    }
+}
--- a/crates/replication/tests/support/swarm.rs
+++ b/crates/replication/tests/support/swarm.rs
@@ -99,8 +99,21 @@
     pub fn start(&mut self, daemon: DaemonId) {
         self.lives += 1;
         let own = self.info(daemon, self.lives);
+        self.start_as(own, 0);
+    }
+
+    /// Starts a daemon again that kept its disk, and with it its incarnation.
+    pub fn start_with_disk(&mut self, daemon: DaemonId, life: u32) {
+        let own = self.nodes[&daemon].membership.own().clone();
+        self.start_as(own, life);
+    }
+
+    fn start_as(&mut self, own: MemberInfo, life: u32) {
+        let daemon = own.daemon;
         let seeds = (1..=3).map(|seed| address(DaemonId(seed))).collect();
-        let membership = Membership::new(own, seeds, self.settings.clone(), self.lives, self.now);
+        let mut membership =
+            Membership::new(own, seeds, self.settings.clone(), self.lives, self.now);
+        membership.begin_life(life);
         let node = Node {
             membership,
             is_running: true,
