Let a superseded daemon without groups take a later incarnation

A disk lost while the clock is set back drew an incarnation below the earlier life's; recorded on the disk it would have been superseded at each start for good. Ruled out: emptying a log that has groups, which a second daemon with the same number would then destroy.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -219,6 +219,7 @@
     /// Groups that the log wants recorded anew; one goes with each batch.
     wanted_images: Vec<GroupId>,
     stopped: bool,
+    superseded_by: Option<Incarnation>,
 }
 
 /// Makes the handle and the inbox of a core that is still to be built.
@@ -250,6 +251,7 @@
             batch: Batch::default(),
             wanted_images: Vec::new(),
             stopped: false,
+            superseded_by: None,
         }
     }
 
@@ -272,6 +274,9 @@
             }
             self.finish_batch().await;
         }
+        if let Some(by) = self.superseded_by {
+            self.parts.groups.begin_anew(by).await;
+        }
     }
 
     /// Makes the changes of the batch durable by one sync, then carries out what waited for it.
@@ -382,7 +387,10 @@
             }
             Action::Layout(step) => self.parts.platform.layout(step),
             Action::Store(order) => self.parts.store.order(*order),
-            Action::Stop => self.stopped = true,
+            Action::Stop { superseded_by } => {
+                self.stopped = true;
+                self.superseded_by = Some(superseded_by);
+            }
             // Both are taken out before.
             Action::Persist(_) | Action::SendUnsynced { .. } => {}
         }
--- a/crates/daemon/src/group_log.rs
+++ b/crates/daemon/src/group_log.rs
@@ -115,6 +115,21 @@
     }
 }
 
+impl GroupLog {
+    /// Lets the next process of this daemon be a later life than `by`, if nothing is lost by it.
+    pub async fn begin_anew(&mut self, by: Incarnation) {
+        let Some(mut log) = self.log.take() else { return };
+        match spawn_blocking(move || log.begin_anew(by)).await {
+            Ok(Ok(true)) => log::warn!(target: part::STORE, "The next start is a life after {by}."),
+            Ok(Ok(false)) => {
+                log::error!(target: part::STORE, "The groups here belong to a life before {by}.");
+            }
+            Ok(Err(error)) => log::error!(target: part::STORE, "No later life: {error}."),
+            Err(error) => log::error!(target: part::STORE, "No later life: {error}."),
+        }
+    }
+}
+
 /// One append on a thread that may block.
 struct Work {
     log: DurableLog,
--- a/crates/durable/src/log.rs
+++ b/crates/durable/src/log.rs
@@ -105,6 +105,29 @@
         Ok(())
     }
 
+    /// Takes an incarnation later than `after`, for a log that has no groups yet. Returns whether
+    /// it did.
+    ///
+    /// A daemon that lost its disk draws its incarnation from the clock. If the clock was set
+    /// back meanwhile, the earlier life stays the later one for all others, at each start anew.
+    ///
+    /// # Errors
+    /// [`LogError`]; the identity is then as before.
+    pub fn begin_anew(&mut self, after: Incarnation) -> Result<bool, LogError> {
+        let is_older = self.identity.incarnation <= after;
+        if !self.images.is_empty() || !is_older {
+            return Ok(false);
+        }
+        let earlier = self.identity;
+        self.identity = Identity { incarnation: Incarnation(after.0 + 1), life: 0 };
+        if let Err(error) = self.begin_segment(self.current + 1) {
+            self.identity = earlier;
+            return Err(error);
+        }
+        self.drop_covered();
+        Ok(true)
+    }
+
     /// Groups to be recorded anew as a whole, so that old segments can be removed.
     pub fn wanted_images(&self) -> Vec<GroupId> {
         let images: u64 = self.images.values().map(|image| image.bytes).sum();
--- a/crates/durable/src/open.rs
+++ b/crates/durable/src/open.rs
@@ -61,9 +61,9 @@
         }
     };
     let follows = found.identity.is_none() || header.first_sequence == found.next_sequence;
-    let is_same =
-        found.identity.is_none_or(|known| known.incarnation == header.identity.incarnation);
-    ensure!(header.number == number && follows && is_same, BadHeaderSnafu { name });
+    // It rises only in a log without groups; see `DurableLog::begin_anew`.
+    let rises = found.identity.is_none_or(|known| known.incarnation <= header.identity.incarnation);
+    ensure!(header.number == number && follows && rises, BadHeaderSnafu { name });
     let read = read_frames(&bytes[HEADER_BYTES..], header.first_sequence);
     let (frames, taken) = read.context(DamagedSnafu { name: &name })?;
     let length = HEADER_BYTES + taken;
--- a/crates/durable/tests/log.rs
+++ b/crates/durable/tests/log.rs
@@ -179,3 +179,18 @@
         Err(LogError::Missing { .. })
     ));
 }
+
+#[test]
+fn a_log_without_groups_takes_a_later_incarnation_and_one_with_groups_does_not() {
+    let disk = MemoryDisk::new(1);
+    let mut log = open(disk.handle()).log;
+    assert!(log.begin_anew(Incarnation(20)).unwrap());
+    let mut log = open(disk.handle()).log;
+    assert_eq!((log.identity().incarnation, log.identity().life), (Incarnation(21), 1));
+    assert!(!log.begin_anew(Incarnation(20)).unwrap(), "it is later already");
+    log.append(&[image(1, 0, 10)]).unwrap();
+    assert!(!log.begin_anew(Incarnation(30)).unwrap());
+    let opened = open(disk.handle());
+    assert_eq!(opened.log.identity().incarnation, Incarnation(21));
+    assert_eq!(opened.replicas.len(), 1);
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -194,7 +194,10 @@
     /// Carry out an operation on this daemon's store.
     Store(Box<StoreOrder>),
     /// End the process: another life of this daemon has taken its place.
-    Stop,
+    Stop {
+        /// That life, or a later one.
+        superseded_by: Incarnation,
+    },
 }
 
 /// All that an engine must be told of an attempt.
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -46,7 +46,7 @@
                 MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
                 MembershipAction::Superseded { by } => {
                     log::error!(target: "members", "A later life of this daemon runs: {by}.");
-                    self.actions.push(Action::Stop);
+                    self.actions.push(Action::Stop { superseded_by: by });
                 }
             }
         }
