--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dahlia_configuration::Record;
-use dahlia_node::{Node, NodeFaults, NodeSettings};
+use dahlia_node::{Node, NodeFaults, NodeSettings, SharedDocument};
 use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::maintenance::MaintenanceSettings;
@@ -27,6 +27,7 @@
 use crate::first_document::first_document;
 use crate::gateway::{self, Gateway, GatewayServer};
 use crate::handshake::Identity;
+use crate::layout_store::SharedLayoutStore;
 use crate::logging::part;
 use crate::machine_list;
 use crate::metrics::Metrics;
@@ -126,11 +127,49 @@
     }
 }
 
-/// Starts the control parts of a daemon.
+/// What the control parts of a daemon get from outside.
+pub struct Surroundings {
+    /// Keeps the layout of groups; none when nothing does.
+    pub layout_store: Option<SharedLayoutStore>,
+    /// The service that keeps the operators' configuration; none when nothing does.
+    pub key_value: Option<KeyValueClient>,
+    /// Whether this daemon may hold replicas of groups.
+    pub holds_groups: bool,
+    /// Whether the daemons keep the operators' configuration themselves.
+    pub follows_configuration: bool,
+    /// Where documents go that other daemons shared.
+    pub shared: mpsc::UnboundedSender<SharedDocument>,
+}
+
+/// Starts the control parts of a daemon that uses the platform its settings name.
 ///
 /// # Errors
 /// [`StartError`] when the address is taken.
 pub fn start_control(settings: &Settings) -> Result<ControlParts, StartError> {
+    let key_value = settings
+        .platform
+        .key_value
+        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
+    let layout_store = key_value.clone().map(|client| -> SharedLayoutStore { Arc::new(client) });
+    let (shared, _) = mpsc::unbounded_channel();
+    let surroundings = Surroundings {
+        layout_store,
+        key_value,
+        holds_groups: true,
+        follows_configuration: true,
+        shared,
+    };
+    start_control_in(settings, surroundings)
+}
+
+/// Starts the control parts of a daemon in given surroundings.
+///
+/// # Errors
+/// [`StartError`] when the address is taken.
+pub fn start_control_in(
+    settings: &Settings,
+    surroundings: Surroundings,
+) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
     let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
     let (peer_listener, socket) = listen_to_peers(settings.daemon.peer_address)?;
@@ -141,10 +180,6 @@
     let (core, inbox) = channel(own);
     let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
-    let key_value = settings
-        .platform
-        .key_value
-        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
     let (publisher, in_force) = watch::channel(None);
     let datagrams = DatagramSender::new(identity.clone(), socket.clone());
     let peers = PeerSender::new(identity.clone(), incoming.clone(), datagrams.clone());
@@ -152,13 +187,19 @@
     let parts = CoreParts {
         peers,
         engines: EngineTasks::new(core.clone(), board.clone()),
-        platform: PlatformState::new(key_value.clone(), core.clone()),
-        configuration_key: ConfigurationKey::new(key_value, core.clone()),
+        platform: PlatformState::new(surroundings.layout_store, core.clone()),
+        configuration_key: ConfigurationKey::new(surroundings.key_value, core.clone()),
         store: open_store(settings, &core)?,
         in_force: publisher,
+        shared: surroundings.shared,
         metrics: metrics.clone(),
     };
-    let node = Node::new(node_settings(settings, own, peer_address), clock.now());
+    let node_settings = NodeSettings {
+        holds_groups: surroundings.holds_groups,
+        follows_configuration: surroundings.follows_configuration,
+        ..node_settings(settings, own, peer_address)
+    };
+    let node = Node::new(node_settings, clock.now());
     let mut tasks = vec![
         tokio::spawn(Core::new(node, clock, inbox, parts).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming.clone())),
@@ -370,6 +411,8 @@
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
         configuration: settings.configuration.clone(),
+        holds_groups: true,
+        follows_configuration: true,
         first_document: first_document(&settings.platform.engines),
         seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
         faults: NodeFaults::default(),
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -10,7 +10,9 @@
 use dahlia_configuration::{Proposal, Record, Verdict};
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, ConfigurationView, DaemonView, EngineView, Event, Node, NodeStatus};
+use dahlia_node::{
+    Action, ConfigurationView, DaemonView, EngineView, Event, Node, NodeStatus, SharedDocument,
+};
 use dahlia_replication::membership::Member;
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -191,6 +193,8 @@
     pub store: StoreTasks,
     /// Where generations are published that come into force.
     pub in_force: watch::Sender<Option<Arc<Record>>>,
+    /// Where documents go that other daemons shared.
+    pub shared: mpsc::UnboundedSender<SharedDocument>,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
@@ -332,6 +336,10 @@
                 self.parts.in_force.send_replace(Some(record));
             }
             Action::Layout(step) => self.parts.platform.layout(step),
+            Action::Shared(document) => {
+                // A daemon that reads no documents has dropped the receiver.
+                let _ = self.parts.shared.send(document);
+            }
             Action::Store(order) => self.parts.store.order(*order),
             Action::Stop => self.stopped = true,
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `chunk_store` | the thread that owns the data folder |
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
+//! | `layout_store` | where the first layout of groups is kept |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
@@ -30,6 +31,7 @@
 pub mod frames;
 mod gateway;
 mod handshake;
+pub mod layout_store;
 pub mod logging;
 mod machine_list;
 mod metrics;
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -96,6 +96,13 @@
         if self.bootstrap.is_done() {
             return;
         }
+        if !self.settings.holds_groups {
+            // The owners tell all daemons of their groups; the key holds nothing that it needs.
+            if self.directory.iter().count() >= self.settings.group_count as usize {
+                self.bootstrap.finish();
+            }
+            return;
+        }
         if !self.bootstrap.read_due(now) {
             return;
         }
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -64,6 +64,8 @@
     is_open: bool,
     /// The configuration says that this daemon drains.
     drains: bool,
+    /// Whether the operators' configuration is kept by the daemons at all.
+    is_kept: bool,
 }
 
 impl Configuration {
@@ -100,8 +102,9 @@
             next_offer: None,
             told: BTreeMap::new(),
             is_followed: false,
-            is_open: false,
+            is_open: !settings.follows_configuration,
             drains: false,
+            is_kept: settings.follows_configuration,
         }
     }
 
@@ -187,6 +190,9 @@
 
     /// Time has passed.
     pub(crate) fn configuration_tick(&mut self, now: Timestamp) {
+        if !self.configuration.is_kept {
+            return;
+        }
         self.update_peers(now);
         if now >= self.configuration.next_tick {
             self.follow(FollowerEvent::Tick, now);
@@ -232,6 +238,9 @@
         message: SpreadMessage,
         now: Timestamp,
     ) {
+        if !self.configuration.is_kept {
+            return;
+        }
         self.configuration.note_told(from, &message);
         self.follow(FollowerEvent::Message { from, message }, now);
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -18,6 +18,18 @@
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
 use crate::wire::PeerMessage;
 
+/// A document that the driver keeps in step with an outside source. Daemons that cannot reach the
+/// source learn it from those that could. The newest version of each number wins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SharedDocument {
+    /// Which document, by a number that the driver assigns.
+    pub number: u32,
+    /// Rises with every change.
+    pub version: u64,
+    /// The driver's encoding; `membership.max_document_bytes` at most.
+    pub bytes: Vec<u8>,
+}
+
 /// Something that happened.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -90,6 +102,10 @@
     Layout(LayoutStep),
     /// An operation on this daemon's store has ended.
     StoreEnded(Box<StoreResult>),
+    /// Further addresses of daemons to start from, used while no other daemon is known.
+    Seeds(Vec<SocketAddr>),
+    /// This daemon has read a document that others may need from it.
+    Share(SharedDocument),
     /// A planned stop begins.
     Drain,
 }
@@ -170,6 +186,8 @@
     ConfigurationInForce(Arc<Record>),
     /// Read or write the layout of groups at the key-value service.
     Layout(LayoutStep),
+    /// Another daemon shared a newer version of a document.
+    Shared(SharedDocument),
     /// Carry out an operation on this daemon's store.
     Store(Box<StoreOrder>),
     /// End the process: another life of this daemon has taken its place.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -54,7 +54,7 @@
 pub use configuration::ConfigurationView;
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
-pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use event::{Action, Event, ReleaseOrder, SharedDocument, StartAttempt};
 pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
 pub use members::DaemonView;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -11,9 +11,9 @@
 };
 use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
 
-use crate::Action;
 use crate::node::Node;
 use crate::wire::PeerMessage;
+use crate::{Action, SharedDocument};
 
 /// How often a leader looks after the members of its group.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -48,7 +48,19 @@
         }
     }
 
+    /// Keeps a document for daemons that cannot read it themselves.
+    pub(crate) fn share(&mut self, document: SharedDocument) {
+        let SharedDocument { number, version, bytes } = document;
+        self.membership.publish(FactKey::Document(number), version, bytes);
+    }
+
     fn fact_changed(&mut self, fact: &Fact) {
+        if let FactKey::Document(number) = fact.key {
+            let bytes = fact.bytes.to_vec();
+            let document = SharedDocument { number, version: fact.version, bytes };
+            self.actions.push(Action::Shared(document));
+            return;
+        }
         if let FactKey::Group(_) = fact.key
             && let Some(description) = decode(&fact.bytes)
         {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -91,8 +91,7 @@
             address: settings.address,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
-            // It takes no work before it knows which configuration is in force.
-            state: MemberState::Joining,
+            state: first_state(&settings),
         };
         let membership = Membership::new(
             own,
@@ -155,6 +154,8 @@
             Event::ProposeChange { id, proposal } => self.propose_change(id, proposal, now),
             Event::Layout(step) => self.layout(step, now),
             Event::StoreEnded(result) => self.store_ended(*result),
+            Event::Seeds(addresses) => self.membership.add_seeds(addresses),
+            Event::Share(document) => self.share(document),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -341,3 +342,11 @@
         }
     }
 }
+
+/// A daemon that is kept in step with the operators' configuration takes no work before it knows
+/// which generation is in force.
+fn first_state(settings: &NodeSettings) -> MemberState {
+    // A daemon that holds no groups stays `Joining`: nobody gives it any.
+    let is_open = settings.holds_groups && !settings.follows_configuration;
+    if is_open { MemberState::Live } else { MemberState::Joining }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -54,6 +54,11 @@
     pub keep_records: Duration,
     /// How the operators' configuration spreads and is accepted.
     pub configuration: dahlia_configuration::Settings,
+    /// Whether this daemon may hold replicas of groups.
+    pub holds_groups: bool,
+    /// Whether the operators' configuration is kept by the daemons. Without it a node serves from
+    /// its start, and whatever drives it answers for the configuration.
+    pub follows_configuration: bool,
     /// The document that is offered when the system has none; none leaves that to operators.
     pub first_document: Option<String>,
     /// Seed of all random draws.
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -107,7 +107,7 @@
                 self.seen.note(self.now, seen);
             }
             // Engines here serve one model throughout, and no virtual daemon has a disk.
-            Action::Order(_) | Action::Store(_) => {}
+            Action::Order(_) | Action::Store(_) | Action::Shared(_) => {}
             Action::Stop => self.kill_daemon(id, Duration::ZERO),
         }
     }
--- a/crates/replay/src/world/settings.rs
+++ b/crates/replay/src/world/settings.rs
@@ -97,6 +97,8 @@
         attempt_limit: deployment.attempt_limit,
         keep_records: KEEP_RECORDS,
         configuration: dahlia_configuration::Settings::default(),
+        holds_groups: true,
+        follows_configuration: true,
         first_document: Some(document(deployment, FIRST_OPEN_CALLS)),
         seed,
         faults: node_faults(switches),
--- a/crates/replication/src/membership/facts.rs
+++ b/crates/replication/src/membership/facts.rs
@@ -19,6 +19,9 @@
     DaemonLoad(DaemonId),
     /// Anything else, by a number that the driver assigns.
     Other(u32),
+    /// A document that every daemon reads elsewhere as a rule, by a number that the driver assigns.
+    /// Spread by comparison only: gossip would send everybody what everybody has.
+    Document(u32),
 }
 
 impl FactKey {
@@ -26,6 +29,11 @@
     pub fn is_load(&self) -> bool {
         matches!(self, Self::EngineLoad(_) | Self::DaemonLoad(_))
     }
+
+    /// Whether news of the fact is passed on at once.
+    pub(super) fn is_gossiped(&self) -> bool {
+        !matches!(self, Self::Document(_))
+    }
 }
 
 /// A fact as it spreads.
--- a/crates/replication/src/membership/settings.rs
+++ b/crates/replication/src/membership/settings.rs
@@ -43,6 +43,8 @@
     pub load_fact_lifetime_ms: u64,
     /// Most bytes of one fact.
     pub max_fact_bytes: usize,
+    /// Most bytes of one document. Documents spread by comparison, over connections.
+    pub max_document_bytes: usize,
     /// Most facts kept.
     pub max_facts: usize,
 }
@@ -66,6 +68,7 @@
             forget_dead_after_ms: 3_600_000,
             load_fact_lifetime_ms: 30_000,
             max_fact_bytes: 512,
+            max_document_bytes: 256 * 1024,
             max_facts: 1 << 16,
         }
     }
@@ -98,6 +101,8 @@
         let lifetime = self.load_fact_lifetime_ms;
         check_range("membership.load_fact_lifetime_ms", lifetime, 100, 86_400_000)?;
         check_range("membership.max_fact_bytes", self.max_fact_bytes, 16, 32 * 1024)?;
+        let document = self.max_document_bytes;
+        check_range("membership.max_document_bytes", document, 16, 1 << 20)?;
         check_range("membership.max_facts", self.max_facts, 16, 1 << 24)
     }
 
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Further addresses to ask while no other daemon is known.
+    pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            if !self.seeds.contains(&address) {
+                self.seeds.push(address);
+            }
+        }
+        self.next_sync = self.now;
+    }
+
     /// Makes a fact known to all. Returns whether it is newer than what is known, and small
     /// enough; otherwise nothing happens.
     pub fn publish(&mut self, key: FactKey, version: u64, bytes: Vec<u8>) -> bool {
@@ -279,12 +289,15 @@
     }
 
     fn merge_fact(&mut self, fact: Fact) -> bool {
-        if fact.bytes.len() > self.settings.max_fact_bytes {
+        let key = fact.key.clone();
+        let is_gossiped = key.is_gossiped();
+        let settings = &self.settings;
+        let limit = if is_gossiped { settings.max_fact_bytes } else { settings.max_document_bytes };
+        if fact.bytes.len() > limit {
             return false;
         }
-        let key = fact.key.clone();
         let is_news = self.facts.merge(fact, self.settings.max_facts, self.now);
-        if is_news {
+        if is_news && is_gossiped {
             self.queue.push(Subject::Fact(key));
         }
         is_news
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -41,6 +41,7 @@
         FactKey::Group(group) => [1, u64::from(group.0)],
         FactKey::DaemonLoad(daemon) => [2, u64::from(daemon.0)],
         FactKey::Other(number) => [3, u64::from(*number)],
+        FactKey::Document(number) => [5, u64::from(*number)],
         FactKey::EngineLoad(engine) => {
             let bytes = engine.as_str().bytes();
             [4, hash(&bytes.map(u64::from).collect::<Vec<u64>>())]
