Choose servers by rendezvous hashing with bounded loads

Cause: routed requests need a choice of servers that many gateways make at once without a word between them, on lagging discovery. Weighed: the scheduler of crate placement. It belongs to a program's owner, which sees all of the program's turns; here turns of one program enter through any gateway. Rendezvous hashing lets all gateways prefer the same server; the load bound (Mirrokni and others 2018) keeps popular programs from filling it. Plain requests go to the least loaded server, near ones first.

--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -9,7 +9,20 @@
 //! | module | job |
 //! |---|---|
 //! | `record` | what is known of a server from discovery |
+//! | `choice` | what is asked, and what comes out |
+//! | `table` | all servers, and the choice among them |
+//! | `server` | one server: this daemon's attempts there, its failures |
+//! | `rendezvous` | a rank of servers that all daemons agree on |
+//! | `settings` | settings of the choice |
 
+mod choice;
 mod record;
+mod rendezvous;
+mod server;
+mod settings;
+mod table;
 
+pub use choice::{Ask, AttemptEnd, Choice};
 pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
+pub use settings::BackendSettings;
+pub use table::Backends;
--- /dev/null
+++ b/crates/backends/src/server.rs
@@ -0,0 +1,104 @@
+//! One server as this daemon knows it: its record, this daemon's attempts there, its failures.
+
+use dahlia_types::{Duration, Timestamp};
+
+use crate::{AttemptEnd, BackendRecord, BackendSettings, BackendState};
+
+/// Doublings of the pause after which it no longer grows; bounds the shift.
+const MOST_DOUBLINGS: u32 = 10;
+
+/// One server.
+#[derive(Debug, Clone)]
+pub(crate) struct Server {
+    pub record: BackendRecord,
+    /// Attempts of this daemon that have not ended.
+    pub in_flight: u32,
+    /// It said itself that it leaves, or that another server has its address.
+    said_leaving: bool,
+    /// It is left alone until then.
+    paused_until: Timestamp,
+    unreachable_in_a_row: u32,
+    failures: f64,
+    failures_at: Timestamp,
+}
+
+impl Server {
+    pub(crate) fn new(record: BackendRecord, now: Timestamp) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            said_leaving: false,
+            paused_until: Timestamp::ZERO,
+            unreachable_in_a_row: 0,
+            failures: 0.0,
+            failures_at: now,
+        }
+    }
+
+    /// Whether it takes new work, by discovery and by its own word; the stricter one counts.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.record.state == BackendState::Ready && !self.said_leaving
+    }
+
+    /// Whether it is left alone for a moment.
+    pub(crate) fn is_paused(&self, now: Timestamp) -> bool {
+        now < self.paused_until
+    }
+
+    /// How long it is still left alone.
+    pub(crate) fn pause_left(&self, now: Timestamp) -> Duration {
+        self.paused_until.since(now)
+    }
+
+    /// Whether this daemon has as many attempts there as it may have.
+    pub(crate) fn is_full(&self, settings: &BackendSettings) -> bool {
+        f64::from(self.in_flight) >= f64::from(self.record.slots) * settings.most_per_slot
+    }
+
+    /// Whether it failed so often of late that others are better.
+    pub(crate) fn is_suspect(&self, settings: &BackendSettings, now: Timestamp) -> bool {
+        self.faded(settings, now) >= settings.suspect_failures
+    }
+
+    /// Attempts of this daemon for each slot.
+    pub(crate) fn load(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.record.slots.max(1))
+    }
+
+    pub(crate) fn begin(&mut self) {
+        self.in_flight += 1;
+    }
+
+    pub(crate) fn end(&mut self, end: AttemptEnd, settings: &BackendSettings, now: Timestamp) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Answered => self.unreachable_in_a_row = 0,
+            AttemptEnd::Cancelled => {}
+            AttemptEnd::Refused => self.pause(settings.refused_pause_ms, now),
+            AttemptEnd::Leaving => self.said_leaving = true,
+            AttemptEnd::Broken => {
+                self.failures = self.faded(settings, now) + 1.0;
+                self.failures_at = now;
+            }
+            AttemptEnd::Unreachable => self.pause_unreachable(settings, now),
+        }
+    }
+
+    fn pause_unreachable(&mut self, settings: &BackendSettings, now: Timestamp) {
+        let doublings = self.unreachable_in_a_row.min(MOST_DOUBLINGS);
+        let pause = settings.unreachable_pause_ms << doublings;
+        self.unreachable_in_a_row += 1;
+        self.pause(pause.min(settings.longest_pause_ms), now);
+    }
+
+    fn pause(&mut self, millis: u64, now: Timestamp) {
+        let until = now + Duration::from_millis(millis);
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    fn faded(&self, settings: &BackendSettings, now: Timestamp) -> f64 {
+        let half_life = Duration::from_millis(settings.failure_half_life_ms).as_secs_f64();
+        let age = now.since(self.failures_at).as_secs_f64();
+        self.failures * 0.5_f64.powf(age / half_life)
+    }
+}
--- /dev/null
+++ b/crates/backends/src/settings.rs
@@ -0,0 +1,60 @@
+//! Settings of the choice of servers, checked at load.
+
+use dahlia_types::{InvalidSetting, check_range};
+use serde::{Deserialize, Serialize};
+
+/// Settings of the choice of servers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BackendSettings {
+    /// A server may have this many times the mean load of its service before a program that
+    /// prefers it goes elsewhere (consistent hashing with bounded loads, Mirrokni and others 2018).
+    pub load_bound: f64,
+    /// Attempts of this daemon that one server may have, as a multiple of its slots.
+    pub most_per_slot: f64,
+    /// What a server in another zone must be less loaded to be chosen, in shares of its slots.
+    pub zone_penalty: f64,
+    /// Milliseconds that a server is left alone after it refused an attempt as full.
+    pub refused_pause_ms: u64,
+    /// Milliseconds that a server is left alone after it could not be reached; doubles each time.
+    pub unreachable_pause_ms: u64,
+    /// The longest such pause in milliseconds.
+    pub longest_pause_ms: u64,
+    /// Failed answers, faded, from which on a server is chosen only if there is no other.
+    pub suspect_failures: f64,
+    /// Milliseconds in which the count of failed answers fades to a half.
+    pub failure_half_life_ms: u64,
+}
+
+impl Default for BackendSettings {
+    fn default() -> Self {
+        Self {
+            load_bound: 1.5,
+            most_per_slot: 2.0,
+            zone_penalty: 0.4,
+            refused_pause_ms: 100,
+            unreachable_pause_ms: 250,
+            longest_pause_ms: 4_000,
+            suspect_failures: 2.0,
+            failure_half_life_ms: 2_000,
+        }
+    }
+}
+
+impl BackendSettings {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// The first field with a value that is not allowed.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        check_range("backends.load_bound", self.load_bound, 1.0, 100.0)?;
+        check_range("backends.most_per_slot", self.most_per_slot, 0.1, 1_000.0)?;
+        check_range("backends.zone_penalty", self.zone_penalty, 0.0, 10.0)?;
+        check_range("backends.refused_pause_ms", self.refused_pause_ms, 1, 60_000)?;
+        let longest = self.longest_pause_ms;
+        check_range("backends.longest_pause_ms", longest, 1, 3_600_000)?;
+        check_range("backends.unreachable_pause_ms", self.unreachable_pause_ms, 1, longest)?;
+        check_range("backends.suspect_failures", self.suspect_failures, 0.5, 1_000.0)?;
+        check_range("backends.failure_half_life_ms", self.failure_half_life_ms, 10, 3_600_000)
+    }
+}
--- /dev/null
+++ b/crates/backends/src/table.rs
@@ -0,0 +1,190 @@
+//! All servers of all services, and the choice among them.
+
+use std::collections::BTreeMap;
+
+use dahlia_types::{Duration, Timestamp, Zone};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::rendezvous::weight;
+use crate::server::Server;
+use crate::{
+    Ask, AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice, ServiceName,
+};
+
+/// When to come back if no server of a service is known to take work.
+const NO_BACKEND_RETRY: Duration = Duration::from_millis(400);
+/// When to come back if all servers are full and none said for how long.
+const FULL_RETRY: Duration = Duration::from_millis(150);
+
+/// All servers that this daemon knows.
+#[derive(Debug)]
+pub struct Backends {
+    settings: BackendSettings,
+    zone: Zone,
+    random: ChaCha8Rng,
+    services: BTreeMap<ServiceName, BTreeMap<BackendId, Server>>,
+    /// Where each server is listed, so that ends of attempts find it.
+    listed: BTreeMap<BackendId, ServiceName>,
+}
+
+impl Backends {
+    /// A table without servers, for a daemon in `own_zone`.
+    pub fn new(settings: BackendSettings, own_zone: Zone, seed: u64) -> Self {
+        Self {
+            settings,
+            zone: own_zone,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            services: BTreeMap::new(),
+            listed: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in what discovery says of a server. What this daemon learnt of that life stays.
+    pub fn put(&mut self, record: BackendRecord, now: Timestamp) {
+        let id = record.id.clone();
+        let listed = self.listed.insert(id.clone(), record.service.clone());
+        if listed.is_some_and(|service| service != record.service) {
+            self.take_out(&id);
+        }
+        let servers = self.services.entry(record.service.clone()).or_default();
+        match servers.get_mut(&id) {
+            Some(server) => server.record = record,
+            None => {
+                servers.insert(id, Server::new(record, now));
+            }
+        }
+    }
+
+    /// Discovery no longer lists a server: it gets no new work.
+    pub fn remove(&mut self, id: &BackendId, _now: Timestamp) {
+        self.take_out(id);
+        self.listed.remove(id);
+    }
+
+    /// All servers listed, in the order of their identifiers.
+    pub fn ids(&self) -> impl Iterator<Item = &BackendId> {
+        self.listed.keys()
+    }
+
+    /// Attempts of this daemon at a service that have not ended.
+    pub fn in_flight(&self, service: &ServiceName) -> u32 {
+        let servers = self.services.get(service).into_iter().flatten();
+        servers.map(|(_, server)| server.in_flight).sum()
+    }
+
+    /// Chooses a server. On [`Choice::Use`] the attempt counts as begun.
+    pub fn choose(&mut self, ask: &Ask<'_>, now: Timestamp) -> Choice {
+        let Some(id) = self.pick(ask, now) else {
+            return self.refuse(ask, now);
+        };
+        let servers = self.services.get_mut(ask.service);
+        let Some(server) = servers.and_then(|servers| servers.get_mut(&id)) else {
+            return Choice::NoBackend { retry_after: NO_BACKEND_RETRY };
+        };
+        server.begin();
+        Choice::Use(BackendAddress { id, address: server.record.address })
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn end(&mut self, id: &BackendId, end: AttemptEnd, now: Timestamp) {
+        let service = self.listed.get(id);
+        let servers = service.and_then(|service| self.services.get_mut(service));
+        if let Some(server) = servers.and_then(|servers| servers.get_mut(id)) {
+            server.end(end, &self.settings, now);
+        }
+    }
+
+    fn pick(&mut self, ask: &Ask<'_>, now: Timestamp) -> Option<BackendId> {
+        let draw = self.random.random();
+        let servers = self.services.get(ask.service)?;
+        let usable: Vec<&Server> = self.usable(servers, ask, now).collect();
+        let settings = &self.settings;
+        let sound: Vec<&Server> =
+            usable.iter().copied().filter(|server| !server.is_suspect(settings, now)).collect();
+        // A server that failed of late is better than none.
+        let candidates = if sound.is_empty() { usable } else { sound };
+        let chosen = match ask.affinity {
+            Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings.load_bound),
+            None => by_load(&candidates, &self.zone, settings.zone_penalty, draw),
+        };
+        chosen.map(|server| server.record.id.clone())
+    }
+
+    fn usable<'a>(
+        &'a self,
+        servers: &'a BTreeMap<BackendId, Server>,
+        ask: &'a Ask<'_>,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a Server> {
+        servers.values().filter(move |server| {
+            server.takes_work()
+                && !server.is_paused(now)
+                && !server.is_full(&self.settings)
+                && !ask.tried.contains(&server.record.id)
+        })
+    }
+
+    fn refuse(&self, ask: &Ask<'_>, now: Timestamp) -> Choice {
+        let servers = self.services.get(ask.service).into_iter().flatten();
+        let untried = servers
+            .map(|(_, server)| server)
+            .filter(|server| server.takes_work() && !ask.tried.contains(&server.record.id));
+        let shortest = untried.map(|server| server.pause_left(now)).min();
+        match shortest {
+            Some(pause) => Choice::Full { retry_after: pause.max(FULL_RETRY) },
+            None => Choice::NoBackend { retry_after: NO_BACKEND_RETRY },
+        }
+    }
+
+    fn take_out(&mut self, id: &BackendId) {
+        for servers in self.services.values_mut() {
+            servers.remove(id);
+        }
+        self.services.retain(|_, servers| !servers.is_empty());
+    }
+}
+
+/// The preferred server, else the first by rendezvous hashing, of those whose load is not far
+/// above the mean.
+fn by_affinity<'a>(
+    candidates: &[&'a Server],
+    hash: u64,
+    preferred: Option<&BackendId>,
+    load_bound: f64,
+) -> Option<&'a Server> {
+    let total: u32 = candidates.iter().map(|server| server.in_flight).sum();
+    let slots: u32 = candidates.iter().map(|server| server.record.slots).sum();
+    let mean = f64::from(total + 1) / f64::from(slots.max(1));
+    // One attempt is always within the bound: else an idle service would spread every program.
+    let within = |server: &&&Server| {
+        let bound = (mean * load_bound * f64::from(server.record.slots)).max(1.0);
+        f64::from(server.in_flight) < bound
+    };
+    let is_preferred = |server: &&&Server| Some(&server.record.id) == preferred;
+    let kept = candidates.iter().find(|server| is_preferred(server) && within(server));
+    let ranked =
+        || candidates.iter().filter(within).max_by_key(|server| weight(hash, &server.record.id));
+    let least = || candidates.iter().min_by(|left, right| left.load().total_cmp(&right.load()));
+    kept.or_else(ranked).or_else(least).copied()
+}
+
+/// The least loaded server; one of another zone must be clearly less loaded.
+fn by_load<'a>(
+    candidates: &[&'a Server],
+    zone: &Zone,
+    zone_penalty: f64,
+    draw: u64,
+) -> Option<&'a Server> {
+    let cost = |server: &Server| {
+        let penalty = if server.record.zone == *zone { 0.0 } else { zone_penalty };
+        server.load() + penalty
+    };
+    // Equal servers are drawn among: else all daemons would begin with the same one.
+    let costs = candidates.iter().map(|server| (cost(server), weight(draw, &server.record.id)));
+    let ranked = costs.zip(candidates);
+    let best = ranked.min_by(|((left, left_draw), _), ((right, right_draw), _)| {
+        left.total_cmp(right).then(left_draw.cmp(right_draw))
+    });
+    best.map(|(_, server)| *server)
+}
--- /dev/null
+++ b/crates/backends/tests/choice.rs
@@ -0,0 +1,185 @@
+//! Which server a request goes to.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use dahlia_backends::{
+    Ask, AttemptEnd, BackendId, BackendRecord, BackendSettings, BackendState, Backends, Choice,
+    ServiceName,
+};
+use dahlia_types::{Duration, Timestamp, Zone};
+
+const SLOTS: u32 = 4;
+const START: Timestamp = Timestamp(1_000_000);
+
+fn service() -> ServiceName {
+    ServiceName("assistant".to_owned())
+}
+
+fn record(name: &str, zone: &str) -> BackendRecord {
+    BackendRecord {
+        id: BackendId(name.to_owned()),
+        service: service(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: Zone::new(zone),
+        slots: SLOTS,
+        state: BackendState::Ready,
+    }
+}
+
+fn table(servers: &[(&str, &str)]) -> Backends {
+    let mut backends = Backends::new(BackendSettings::default(), Zone::new("hall-a"), 7);
+    for (name, zone) in servers {
+        backends.put(record(name, zone), START);
+    }
+    backends
+}
+
+fn ask<'a>(service: &'a ServiceName, tried: &'a [BackendId]) -> Ask<'a> {
+    Ask { service, affinity: None, preferred: None, tried }
+}
+
+fn used(choice: Choice) -> Option<BackendId> {
+    match choice {
+        Choice::Use(address) => Some(address.id),
+        Choice::Full { .. } | Choice::NoBackend { .. } => None,
+    }
+}
+
+#[test]
+fn near_servers_are_used_until_they_are_clearly_fuller_than_far_ones() {
+    let mut backends = table(&[("near", "hall-a"), ("far", "hall-b")]);
+    let service = service();
+    let chosen: Vec<BackendId> =
+        (0..4).filter_map(|_| used(backends.choose(&ask(&service, &[]), START))).collect();
+    let near = chosen.iter().filter(|id| id.0 == "near").count();
+    assert_eq!((near, chosen.len()), (3, 4), "{chosen:?}");
+}
+
+#[test]
+fn all_daemons_prefer_the_same_server_for_a_program() {
+    let servers = [("a", "hall-a"), ("b", "hall-b"), ("c", "hall-c"), ("d", "hall-d")];
+    let service = service();
+    let mut counts: BTreeMap<BackendId, u32> = BTreeMap::new();
+    for program in 0..400 {
+        let mut one = table(&servers);
+        let mut other = Backends::new(BackendSettings::default(), Zone::new("hall-c"), 99);
+        servers.iter().rev().for_each(|(name, zone)| other.put(record(name, zone), START));
+        let ask = Ask { affinity: Some(program), ..ask(&service, &[]) };
+        let chosen = used(one.choose(&ask, START));
+        assert_eq!(chosen, used(other.choose(&ask, START)));
+        *counts.entry(chosen.expect("servers are idle")).or_default() += 1;
+    }
+    // Four servers share 400 programs: far from even would show a weak hash.
+    assert!(counts.values().all(|count| (60..=140).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn a_program_leaves_its_server_only_when_that_is_far_above_the_mean() {
+    let mut backends = table(&[("a", "hall-a"), ("b", "hall-a"), ("c", "hall-a")]);
+    let service = service();
+    let home = BackendId("b".to_owned());
+    let ask = Ask { affinity: Some(1), preferred: Some(&home), ..ask(&service, &[]) };
+    let chosen: Vec<BackendId> =
+        (0..6).filter_map(|_| used(backends.choose(&ask, START))).collect();
+    let at_home = chosen.iter().filter(|id| **id == home).count();
+    assert_eq!(chosen.len(), 6);
+    assert!((1..=3).contains(&at_home), "six attempts over three servers: {chosen:?}");
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_new_work_whoever_says_so() {
+    let service = service();
+    let mut by_discovery = table(&[("a", "hall-a")]);
+    let mut leaving = record("a", "hall-a");
+    leaving.state = BackendState::Draining;
+    by_discovery.put(leaving, START);
+    assert_eq!(used(by_discovery.choose(&ask(&service, &[]), START)), None);
+
+    let mut by_its_word = table(&[("a", "hall-a")]);
+    let id = used(by_its_word.choose(&ask(&service, &[]), START)).expect("it is idle");
+    by_its_word.end(&id, AttemptEnd::Leaving, START);
+    // Discovery lags: it still says ready, also later.
+    by_its_word.put(record("a", "hall-a"), START + Duration::from_secs(1));
+    let later = START + Duration::from_secs(2);
+    assert_eq!(used(by_its_word.choose(&ask(&service, &[]), later)), None);
+
+    let mut gone = table(&[("a", "hall-a")]);
+    gone.remove(&BackendId("a".to_owned()), START);
+    assert_eq!(used(gone.choose(&ask(&service, &[]), START)), None);
+    assert_eq!(gone.ids().count(), 0);
+}
+
+#[test]
+fn a_refusal_as_full_says_when_to_come_back_and_the_server_is_tried_again_then() {
+    let mut backends = table(&[("a", "hall-a")]);
+    let service = service();
+    let id = used(backends.choose(&ask(&service, &[]), START)).expect("it is idle");
+    backends.end(&id, AttemptEnd::Refused, START);
+    let Choice::Full { retry_after } = backends.choose(&ask(&service, &[]), START) else {
+        panic!("the only server just refused");
+    };
+    assert!(retry_after > Duration::ZERO);
+    let later = START + retry_after;
+    assert_eq!(used(backends.choose(&ask(&service, &[]), later)), Some(id));
+}
+
+#[test]
+fn pauses_of_an_unreachable_server_double_and_end_with_an_answer() {
+    let mut backends = table(&[("a", "hall-a")]);
+    let service = service();
+    let mut now = START;
+    let mut pauses = Vec::new();
+    for _ in 0..3 {
+        let id = used(backends.choose(&ask(&service, &[]), now)).expect("its pause is over");
+        backends.end(&id, AttemptEnd::Unreachable, now);
+        let failed = now;
+        while used(backends.choose(&ask(&service, &[]), now)).is_none() {
+            now = now + Duration::from_millis(50);
+        }
+        backends.end(&id, AttemptEnd::Cancelled, now);
+        pauses.push(now.since(failed).as_millis());
+    }
+    assert_eq!(pauses, [250, 500, 1_000]);
+    let id = used(backends.choose(&ask(&service, &[]), now)).expect("its pause is over");
+    backends.end(&id, AttemptEnd::Answered, now);
+    assert_eq!(used(backends.choose(&ask(&service, &[]), now)), Some(id));
+}
+
+#[test]
+fn a_server_that_breaks_answers_is_the_last_choice_until_its_failures_fade() {
+    let mut backends = table(&[("bad", "hall-a"), ("good", "hall-b")]);
+    let service = service();
+    let good = [BackendId("good".to_owned())];
+    for _ in 0..3 {
+        let id = used(backends.choose(&ask(&service, &good), START)).expect("it is idle");
+        backends.end(&id, AttemptEnd::Broken, START);
+    }
+    assert_eq!(used(backends.choose(&ask(&service, &[]), START)), Some(good[0].clone()));
+    // Better than none: the other one was tried already.
+    let last = used(backends.choose(&ask(&service, &good), START));
+    assert_eq!(last, Some(BackendId("bad".to_owned())));
+    backends.end(&BackendId("bad".to_owned()), AttemptEnd::Cancelled, START);
+    backends.end(&good[0], AttemptEnd::Answered, START);
+    let later = START + Duration::from_secs(30);
+    let again = used(backends.choose(&ask(&service, &[]), later));
+    assert_eq!(again, Some(BackendId("bad".to_owned())), "the near one is sound again");
+}
+
+#[test]
+fn attempts_of_this_daemon_at_one_server_are_bounded() {
+    let mut backends = table(&[("a", "hall-a")]);
+    let service = service();
+    let taken = (0..100).filter_map(|_| used(backends.choose(&ask(&service, &[]), START))).count();
+    assert_eq!(taken, 2 * SLOTS as usize);
+    assert_eq!(backends.in_flight(&service), 2 * SLOTS);
+    let refused = backends.choose(&ask(&service, &[]), START);
+    assert!(matches!(refused, Choice::Full { .. }), "{refused:?}");
+}
+
+#[test]
+fn settings_out_of_bounds_are_named() {
+    let settings = BackendSettings { load_bound: 0.5, ..BackendSettings::default() };
+    let error = settings.check().expect_err("below one");
+    assert!(error.to_string().contains("backends.load_bound"), "{error}");
+}
