Give the relay its public interface

The lead's assembly needs the names before the inside is there: settings, counters, Relay with set_routes, serve, begin_drain. serve does nothing yet.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,12 +10,18 @@
 //! | `headers` | names of the headers that a deployment uses |
 //! | `ledger` | what the relay asks of the ledger |
 
+mod counters;
 mod headers;
 mod ledger;
+mod relay;
 mod routes;
+mod settings;
 
+pub use counters::CounterReadings;
 pub use headers::HeaderNames;
 pub use ledger::{LedgerUnavailable, TurnLedger};
+pub use relay::{Clock, Relay};
 pub use routes::{
     CallerLimits, EngineSpecification, Repeatability, Route, RouteTable, Service, WeightedService,
 };
+pub use settings::RelaySettings;
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,86 @@
+//! The relay as a whole: what is put together once and shared by all requests.
+
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use dahlia_backends::Backends;
+use dahlia_types::Timestamp;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::counters::{CounterReadings, Counters};
+use crate::{HeaderNames, RelaySettings, RouteTable, TurnLedger};
+
+/// Tells the daemon's time, for [`Backends`] and the ledger.
+pub type Clock = Arc<dyn Fn() -> Timestamp + Send + Sync>;
+
+/// What all requests share.
+pub(crate) struct Shared<L> {
+    pub(crate) settings: RelaySettings,
+    pub(crate) headers: HeaderNames,
+    pub(crate) clock: Clock,
+    pub(crate) ledger: L,
+    pub(crate) backends: Arc<Mutex<Backends>>,
+    pub(crate) counters: Arc<Counters>,
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    drain: watch::Sender<bool>,
+}
+
+/// Relays callers' requests to servers. Clones are the same relay.
+pub struct Relay<L> {
+    shared: Arc<Shared<L>>,
+}
+
+impl<L> Clone for Relay<L> {
+    fn clone(&self) -> Self {
+        Self { shared: Arc::clone(&self.shared) }
+    }
+}
+
+impl<L: TurnLedger> Relay<L> {
+    /// A relay without routes: it refuses every request until [`Relay::set_routes`].
+    pub fn new(
+        settings: RelaySettings,
+        headers: HeaderNames,
+        clock: Clock,
+        ledger: L,
+        backends: Arc<Mutex<Backends>>,
+    ) -> Self {
+        let shared = Shared {
+            settings,
+            headers,
+            clock,
+            ledger,
+            backends,
+            counters: Arc::default(),
+            routes: RwLock::new(None),
+            drain: watch::Sender::new(false),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Puts routes in force for all requests that are read whole from now on.
+    pub fn set_routes(&self, table: Arc<RouteTable>) {
+        *self.shared.routes.write().unwrap_or_else(PoisonError::into_inner) = Some(table);
+    }
+
+    /// Takes callers' connections until the future is dropped; open connections go on without it.
+    pub async fn serve(&self, listener: TcpListener) {
+        let _ = listener;
+        std::future::pending().await
+    }
+
+    /// Serves on, but lets go of callers: answers close their connections, resting ones end.
+    pub fn begin_drain(&self) {
+        self.shared.drain.send_replace(true);
+    }
+
+    /// Requests whose answer is not yet handed to the caller's connection.
+    pub fn in_progress(&self) -> u64 {
+        self.counters().in_progress
+    }
+
+    /// All counters at this moment.
+    pub fn counters(&self) -> CounterReadings {
+        self.shared.counters.read()
+    }
+}
