--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,212 @@
+//! Step 6: a server's answer on its way to the caller.
+
+use std::mem;
+
+use bytes::Bytes;
+use dahlia_backends::AttemptEnd;
+use futures::stream;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Method, Response, StatusCode, response};
+use tokio::time::timeout_at;
+
+use crate::TurnLedger;
+use crate::body::{AnswerBody, BrokenOff, Pieces};
+use crate::counters::count;
+use crate::events::EventReader;
+use crate::exchange::{Answer, Exchange};
+use crate::hop;
+use crate::live::{BrokenAnswer, LiveAnswer};
+
+/// Makes the caller's answer from a server's.
+pub(crate) fn hand_on<L: TurnLedger>(
+    mut exchange: Exchange<L>,
+    answer: Answer,
+    method: &Method,
+) -> Response<AnswerBody> {
+    count(&exchange.shared.counters.answered);
+    match answer {
+        Answer::Whole { live, body } => {
+            if live.did_not_run {
+                exchange.did_not_run();
+            }
+            whole(live.parts, body, method)
+        }
+        Answer::Stream { mut live, first } => {
+            let mut head = Response::new(());
+            *head.status_mut() = live.parts.status;
+            *head.headers_mut() = mem::take(&mut live.parts.headers);
+            hop::strip(head.headers_mut());
+            // A stream that goes on elsewhere may have another length.
+            head.headers_mut().remove(CONTENT_LENGTH);
+            let pieces = StreamedAnswer::new(exchange, live, first).into_pieces();
+            head.map(|()| AnswerBody::stream(pieces))
+        }
+    }
+}
+
+fn whole(mut parts: response::Parts, body: Bytes, method: &Method) -> Response<AnswerBody> {
+    hop::strip(&mut parts.headers);
+    if !describes_absent_body(&parts, method) {
+        set_length(&mut parts.headers, &body);
+    }
+    Response::from_parts(parts, AnswerBody::whole(body))
+}
+
+/// Whether the length in a head is that of a body which another request would get.
+fn describes_absent_body(parts: &response::Parts, method: &Method) -> bool {
+    method == Method::HEAD
+        || parts.status == StatusCode::NOT_MODIFIED
+        || parts.status == StatusCode::NO_CONTENT
+}
+
+fn set_length(headers: &mut HeaderMap, body: &Bytes) {
+    headers.insert(CONTENT_LENGTH, body.len().into());
+}
+
+/// A stream that is being handed on.
+struct StreamedAnswer<L: TurnLedger> {
+    exchange: Exchange<L>,
+    /// None once the server's answer has ended or broken off.
+    live: Option<Box<LiveAnswer>>,
+    /// A piece that is there and was not looked at.
+    ready: Option<Bytes>,
+    /// Cuts events out where they matter: to resume after a whole one, or to account for a turn.
+    events: Option<EventReader>,
+    is_resumed: bool,
+    /// The server whose answer ended whole.
+    served_by: String,
+}
+
+/// What the caller gets next.
+enum Next {
+    Piece(Bytes),
+    End,
+    BreakOff,
+}
+
+impl<L: TurnLedger> StreamedAnswer<L> {
+    fn new(exchange: Exchange<L>, live: Box<LiveAnswer>, first: Option<Bytes>) -> Self {
+        let needs_events = exchange.route().is_resumable || exchange.turn.is_some();
+        Self {
+            exchange,
+            live: Some(live),
+            ready: first,
+            events: needs_events.then(EventReader::default),
+            is_resumed: false,
+            served_by: String::new(),
+        }
+    }
+
+    fn into_pieces(self) -> Pieces {
+        let pieces = stream::unfold(Some(Box::new(self)), |answer| async move {
+            let mut answer = answer?;
+            match answer.next().await {
+                Next::Piece(piece) => Some((Ok(piece), Some(answer))),
+                Next::End => None,
+                Next::BreakOff => {
+                    count(&answer.exchange.shared.counters.broken_off);
+                    Some((Err(BrokenOff), None))
+                }
+            }
+        });
+        Box::pin(pieces)
+    }
+
+    /// The next piece for the caller, until the deadline.
+    async fn next(&mut self) -> Next {
+        let deadline = self.exchange.deadline;
+        // The stream is cut at the deadline, and its server stops with the connection.
+        timeout_at(deadline, self.next_in_time()).await.unwrap_or(Next::BreakOff)
+    }
+
+    async fn next_in_time(&mut self) -> Next {
+        loop {
+            if let Some(piece) = self.take_ready() {
+                return Next::Piece(piece);
+            }
+            if self.has_overlong_event() {
+                return Next::BreakOff;
+            }
+            let Some(live) = &mut self.live else { return self.end().await };
+            match live.next().await {
+                Some(Ok(piece)) => self.ready = Some(piece),
+                Some(Err(BrokenAnswer)) => {
+                    if !self.resume().await {
+                        return Next::BreakOff;
+                    }
+                }
+                None => {
+                    if let Some(rest) = self.take_rest() {
+                        return Next::Piece(rest);
+                    }
+                }
+            }
+        }
+    }
+
+    /// What is there to be handed on: all of it, or the next whole event.
+    fn take_ready(&mut self) -> Option<Bytes> {
+        let Some(events) = &mut self.events else { return self.ready.take() };
+        if let Some(piece) = self.ready.take() {
+            events.push(piece);
+        }
+        while let Some(event) = events.next_event() {
+            let last = self.exchange.last_event.as_deref();
+            if self.is_resumed && last.is_some_and(|last| !event.is_after(last)) {
+                continue;
+            }
+            if let Some(turn) = &mut self.exchange.turn {
+                turn.hand_on(&event);
+            }
+            if event.id.is_some() {
+                self.exchange.last_event = event.id;
+            }
+            return Some(event.raw);
+        }
+        None
+    }
+
+    /// The server's answer has ended whole: bytes behind its last event belong to it, too.
+    fn take_rest(&mut self) -> Option<Bytes> {
+        if let Some(live) = self.live.take() {
+            self.served_by = live.server().0.clone();
+        }
+        let rest = self.events.as_mut()?.take_rest();
+        Some(rest).filter(|rest| !rest.is_empty())
+    }
+
+    fn has_overlong_event(&self) -> bool {
+        let most = self.exchange.shared.settings.most_answer_bytes;
+        self.events.as_ref().is_some_and(|events| events.pending() > most)
+    }
+
+    async fn end(&mut self) -> Next {
+        let Some(turn) = self.exchange.turn.take() else { return Next::End };
+        match turn.whole(mem::take(&mut self.served_by)).await {
+            Ok(()) => Next::End,
+            Err(error) => {
+                log::warn!(target: "relay", "a turn is broken off at its end: {error}");
+                Next::BreakOff
+            }
+        }
+    }
+
+    /// Goes on at another server behind the last whole event. The caller keeps the first head.
+    async fn resume(&mut self) -> bool {
+        self.live = None;
+        if let Some(events) = &mut self.events {
+            events.take_rest();
+        }
+        while self.exchange.answer_lost().is_ok() {
+            let Ok(mut live) = self.exchange.live_answer().await else { return false };
+            if live.parts.status.is_success() {
+                self.live = Some(live);
+                self.is_resumed = true;
+                count(&self.exchange.shared.counters.resumed);
+                return true;
+            }
+            live.set_end(AttemptEnd::Answered);
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,166 @@
+//! Step 4: one send of a request to one server, and what can be said of it afterwards.
+//!
+//! Whether a request may be sent again rests on one question: can it have run? Only three things
+//! say no: no byte of it left, the server said so in a header, or it answered 421.
+
+use std::sync::Arc;
+
+use dahlia_backends::{AttemptEnd, BackendAddress};
+use dahlia_types::Duration;
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderName, Response, StatusCode, response};
+use hyper::body::Incoming;
+use tokio::time::{self, timeout};
+
+use crate::connection::{SendError, ServerConnection};
+use crate::counters::count;
+use crate::live::{AttemptGuard, LiveAnswer};
+use crate::outgoing::Outgoing;
+use crate::pool::Keeping;
+use crate::relay::Shared;
+use crate::{Service, TurnLedger};
+
+/// How long the rest of a refusal is waited for, so that its connection can be kept.
+const REFUSAL_BODY_TIMEOUT: time::Duration = time::Duration::from_millis(50);
+/// Bytes of a refusal's body that are read for the same end.
+const MOST_REFUSAL_BYTES: usize = 64 * 1024;
+
+/// What came of a send.
+pub(crate) enum Sent {
+    /// The head of this request's answer.
+    Answering(Box<LiveAnswer>),
+    /// It did not run and will not.
+    NotRun {
+        /// When the server says that it is worth coming back.
+        retry_after: Option<Duration>,
+    },
+    /// It may have run.
+    Broken,
+}
+
+/// A request ready for one server.
+pub(crate) struct Sending<'a, L> {
+    pub(crate) shared: &'a Arc<Shared<L>>,
+    pub(crate) service: Option<&'a Service>,
+    pub(crate) server: &'a BackendAddress,
+    pub(crate) outgoing: Outgoing<'a>,
+}
+
+impl<L: TurnLedger> Sending<'_, L> {
+    /// Sends the request and waits for the head of its answer.
+    pub(crate) async fn send(self, mut guard: AttemptGuard) -> Sent {
+        count(&self.shared.counters.attempts);
+        let (connection, answer) = match self.send_on_some_connection().await {
+            Ok(sent) => sent,
+            Err(SendError::NotSent) => {
+                guard.end = AttemptEnd::Unreachable;
+                return Sent::NotRun { retry_after: None };
+            }
+            Err(error @ SendError::NoAnswer { .. }) => {
+                log::debug!(target: "relay", "attempt at {}: {error}", self.server.id);
+                guard.end = AttemptEnd::Broken;
+                return Sent::Broken;
+            }
+        };
+        self.judge(connection, answer, guard).await
+    }
+
+    /// Tries connections kept from before, then a new one, until the request leaves on one.
+    async fn send_on_some_connection(
+        &self,
+    ) -> Result<(ServerConnection, Response<Incoming>), SendError> {
+        while let Some(mut connection) = self.shared.pool.take(&self.server.id) {
+            match connection.send(self.outgoing.request()).await {
+                Err(SendError::NotSent) => {}
+                Err(error) => return Err(error),
+                Ok(answer) => return Ok((connection, answer)),
+            }
+        }
+        let opened = ServerConnection::open(self.server.address, &self.shared.settings).await;
+        let mut connection = opened.map_err(|error| {
+            log::debug!(target: "relay", "{error}");
+            SendError::NotSent
+        })?;
+        count(&self.shared.counters.connections_to_servers);
+        let answer = connection.send(self.outgoing.request()).await?;
+        Ok((connection, answer))
+    }
+
+    async fn judge(
+        &self,
+        connection: ServerConnection,
+        answer: Response<Incoming>,
+        mut guard: AttemptGuard,
+    ) -> Sent {
+        let (parts, body) = answer.into_parts();
+        if !self.is_ours(&parts) {
+            guard.end = AttemptEnd::Broken;
+            return Sent::Broken;
+        }
+        let verdict = verdict(&parts, &self.shared.headers.not_run);
+        let keeping = Keeping::new(&parts.headers, self.service, &self.shared.settings);
+        let pool = Arc::clone(&self.shared.pool);
+        let did_not_run = verdict == Verdict::NotRunAnswer;
+        let mut live = LiveAnswer::new(parts, body, did_not_run, connection, keeping, pool, guard);
+        match verdict {
+            Verdict::Answer | Verdict::NotRunAnswer => Sent::Answering(Box::new(live)),
+            Verdict::NotRun(end) => {
+                let retry_after = retry_after(&live.parts.headers);
+                let rest = live.read_whole(MOST_REFUSAL_BYTES);
+                let _ = timeout(REFUSAL_BODY_TIMEOUT, rest).await;
+                live.set_end(end);
+                Sent::NotRun { retry_after }
+            }
+            Verdict::Unsafe => {
+                live.set_end(AttemptEnd::Broken);
+                Sent::Broken
+            }
+        }
+    }
+
+    /// A surplus answer may stand where ours is due; the attempt id shows which is which. An
+    /// answer that switches protocols was never asked for.
+    fn is_ours(&self, parts: &response::Parts) -> bool {
+        let mut ids = parts.headers.get_all(&self.shared.headers.attempt).iter();
+        ids.next() == Some(&self.outgoing.head.attempt)
+            && ids.next().is_none()
+            && !parts.status.is_informational()
+    }
+}
+
+/// What the head of an answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// It is the answer, and the request ran.
+    Answer,
+    /// It is the answer, although the request did not run: no other server would answer better.
+    NotRunAnswer,
+    /// It did not run, and another server may take it.
+    NotRun(AttemptEnd),
+    /// Its status promises callers that the request never runs, and the server gives no ground
+    /// for such a promise.
+    Unsafe,
+}
+
+fn verdict(parts: &response::Parts, not_run: &HeaderName) -> Verdict {
+    let says_not_run = parts.headers.contains_key(not_run);
+    match parts.status {
+        StatusCode::MISDIRECTED_REQUEST => Verdict::NotRun(AttemptEnd::Leaving),
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::REQUEST_TIMEOUT => {
+            if says_not_run {
+                Verdict::NotRun(AttemptEnd::Refused)
+            } else {
+                Verdict::Unsafe
+            }
+        }
+        _ if says_not_run => Verdict::NotRunAnswer,
+        _ => Verdict::Answer,
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    Some(seconds).filter(|seconds| *seconds >= 0.0).map(Duration::from_secs_f64)
+}
--- /dev/null
+++ b/crates/relay/src/body.rs
@@ -0,0 +1,87 @@
+//! Bodies of answers to callers: whole ones with a length, and streams.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures::Stream;
+use hyper::body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+
+use crate::caller::BusyGuard;
+use crate::counters::GaugeGuard;
+
+/// A stream ends before its last piece; the caller's connection must end with it, since any other
+/// end would look complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("the answer broke off"))]
+pub(crate) struct BrokenOff;
+
+impl From<Infallible> for BrokenOff {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// Pieces of a stream as they are handed on.
+pub(crate) type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>> + Send>>;
+
+/// The body of an answer to a caller.
+pub(crate) struct AnswerBody {
+    content: Content,
+    // Held until the connection has taken the last byte, or has ended.
+    held: Option<(GaugeGuard, BusyGuard)>,
+}
+
+enum Content {
+    Whole(Option<Bytes>),
+    Stream(Pieces),
+}
+
+impl AnswerBody {
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        let content = Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()));
+        Self { content, held: None }
+    }
+
+    pub(crate) fn stream(pieces: Pieces) -> Self {
+        Self { content: Content::Stream(pieces), held: None }
+    }
+
+    /// Keeps the request in progress and its connection busy until the body is gone.
+    pub(crate) fn hold(&mut self, gauge: GaugeGuard, busy: BusyGuard) {
+        self.held = Some((gauge, busy));
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut self.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Content::Stream(pieces) => {
+                let piece = pieces.as_mut().poll_next(context);
+                piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.content, Content::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Content::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/caller.rs
@@ -0,0 +1,174 @@
+//! A caller's connection: what it waits for, and since when.
+//!
+//! Two limits hold on a connection without a request: how long it may rest, and how long a head
+//! may take once its first byte is there. hyper has one timer for both, so they are kept here.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Duration, Instant};
+
+/// What a caller's connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// No byte of the next request is there.
+    Resting { since: Instant },
+    /// The head of a request is arriving.
+    Head { since: Instant },
+    /// A request is read whole or being read, or its answer is under way.
+    Busy,
+}
+
+/// What has become of a connection's time limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TimeCheck {
+    /// Nothing can be over before this moment.
+    Until(Instant),
+    /// It rested too long.
+    RestedTooLong,
+    /// The head of a request took too long.
+    HeadTooSlow,
+}
+
+/// Limits on a connection's time without a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConnectionTimes {
+    pub(crate) rest: Duration,
+    pub(crate) head: Duration,
+}
+
+#[derive(Debug)]
+struct State {
+    phase: Phase,
+    served: u64,
+}
+
+/// The state of a caller's connection, shared by its stream and its requests.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerState(Arc<Mutex<State>>);
+
+impl CallerState {
+    pub(crate) fn new() -> Self {
+        let phase = Phase::Resting { since: Instant::now() };
+        Self(Arc::new(Mutex::new(State { phase, served: 0 })))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The connection is busy until the guard is dropped.
+    pub(crate) fn busy(&self) -> BusyGuard {
+        self.lock().phase = Phase::Busy;
+        BusyGuard(self.clone())
+    }
+
+    fn bytes_arrived(&self) {
+        let mut state = self.lock();
+        if matches!(state.phase, Phase::Resting { .. }) {
+            state.phase = Phase::Head { since: Instant::now() };
+        }
+    }
+
+    /// Whether closing the connection for new requests loses none: one that never had a request
+    /// may have one on the way, and one whose head arrives is answered and then closed.
+    pub(crate) fn may_be_closed(&self) -> bool {
+        let state = self.lock();
+        match state.phase {
+            Phase::Resting { .. } => state.served > 0,
+            Phase::Head { .. } => false,
+            Phase::Busy => true,
+        }
+    }
+
+    pub(crate) fn check(&self, now: Instant, times: ConnectionTimes) -> TimeCheck {
+        match self.lock().phase {
+            Phase::Resting { since } if now >= since + times.rest => TimeCheck::RestedTooLong,
+            Phase::Head { since } if now >= since + times.head => TimeCheck::HeadTooSlow,
+            // A head may begin at any moment of a rest: look again as soon as it could be late.
+            Phase::Resting { since } => {
+                TimeCheck::Until((since + times.rest).min(now + times.head))
+            }
+            Phase::Head { since } => TimeCheck::Until(since + times.head),
+            Phase::Busy => TimeCheck::Until(now + times.head),
+        }
+    }
+}
+
+/// Holds a connection busy; it rests from the guard's end.
+#[derive(Debug)]
+pub(crate) struct BusyGuard(CallerState);
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        let mut state = self.0.lock();
+        state.phase = Phase::Resting { since: Instant::now() };
+        state.served += 1;
+    }
+}
+
+/// A caller's stream that notes when bytes arrive.
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    state: CallerState,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, state: CallerState) -> Self {
+        Self { stream, state }
+    }
+
+    /// Offers bytes to the socket without waiting, as a last word before it is closed.
+    pub(crate) fn last_word(&self, bytes: &[u8]) {
+        let _ = self.stream.try_write(bytes);
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.state.bytes_arrived();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/connection.rs
@@ -0,0 +1,235 @@
+//! One connection to a server.
+//!
+//! hyper's connection is driven by the task that waits for its answer, not by a task of its own:
+//! that spares two wake-ups a request, and a caller that leaves takes the connection with it.
+
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Duration, timeout};
+
+use crate::RelaySettings;
+
+type Driver = http1::Connection<TokioIo<ServerStream>, Full<Bytes>>;
+
+/// A connection could not be opened; nothing was sent.
+#[derive(Debug, Snafu)]
+pub(crate) enum OpenError {
+    #[snafu(display("{server} took longer than the time to connect"))]
+    TooSlow { server: SocketAddr },
+    #[snafu(display("connecting to {server}: {source}"))]
+    Connect { server: SocketAddr, source: io::Error },
+    #[snafu(display("starting HTTP with {server}: {source}"))]
+    Start { server: SocketAddr, source: hyper::Error },
+}
+
+/// A request got no head of an answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum SendError {
+    /// No byte of it left: it cannot have run.
+    #[snafu(display("the connection was closed before the request was sent"))]
+    NotSent,
+    /// Some of it left: it may have run.
+    #[snafu(display("no answer to what was sent: {source}"))]
+    NoAnswer { source: hyper::Error },
+}
+
+/// One connection to a server, with at most one request on it.
+pub(crate) struct ServerConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    /// None once the connection has ended.
+    driver: Option<Box<Driver>>,
+    progress: Arc<WriteProgress>,
+}
+
+impl ServerConnection {
+    /// Opens a connection.
+    pub(crate) async fn open(
+        server: SocketAddr,
+        settings: &RelaySettings,
+    ) -> Result<Self, OpenError> {
+        let patience = Duration::from_millis(settings.connect_timeout_ms);
+        let stream = timeout(patience, TcpStream::connect(server)).await;
+        let stream = stream.map_err(|_| OpenError::TooSlow { server })?;
+        let stream = stream.context(ConnectSnafu { server })?;
+        // A system without these options still serves; it only notices dead peers later.
+        let _ = stream.set_nodelay(true);
+        let _ = notice_dead_peers(&stream, settings);
+        let progress = Arc::new(WriteProgress::default());
+        let stream = ServerStream { stream, progress: Arc::clone(&progress) };
+        let (sender, driver) =
+            http1::handshake(TokioIo::new(stream)).await.context(StartSnafu { server })?;
+        Ok(Self { sender, driver: Some(Box::new(driver)), progress })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let written_before = self.progress.written();
+        let mut answer = pin!(self.sender.try_send_request(request));
+        let answer = poll_fn(|context| {
+            poll_driver(&mut self.driver, context);
+            answer.as_mut().poll(context)
+        });
+        match answer.await {
+            Ok(answer) => Ok(answer),
+            Err(error) if error.message().is_some() => Err(SendError::NotSent),
+            Err(_) if self.progress.written() == written_before => Err(SendError::NotSent),
+            Err(error) => Err(SendError::NoAnswer { source: error.into_error() }),
+        }
+    }
+
+    /// The next data of an answer's body; none at its end.
+    pub(crate) async fn next_data(
+        &mut self,
+        body: &mut Incoming,
+    ) -> Option<Result<Bytes, hyper::Error>> {
+        poll_fn(|context| {
+            if let Poll::Ready(data) = poll_data(body, context) {
+                return Poll::Ready(data);
+            }
+            poll_driver(&mut self.driver, context);
+            poll_data(body, context)
+        })
+        .await
+    }
+
+    /// Whether another request may go over it: the one before is fully sent and answered, nothing
+    /// is left over, and the server has not closed it.
+    pub(crate) fn is_reusable(&mut self) -> bool {
+        poll_driver(&mut self.driver, &mut Context::from_waker(Waker::noop()));
+        self.driver.is_some() && self.sender.is_ready() && !self.progress.is_blocked()
+    }
+}
+
+fn poll_driver(driver: &mut Option<Box<Driver>>, context: &mut Context<'_>) {
+    let Some(running) = driver else { return };
+    // How it ended shows in the answer.
+    if Pin::new(running).poll(context).is_ready() {
+        *driver = None;
+    }
+}
+
+fn poll_data(
+    body: &mut Incoming,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Bytes, hyper::Error>>> {
+    loop {
+        let frame = match Pin::new(&mut *body).poll_frame(context) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error))),
+            Poll::Ready(Some(Ok(frame))) => frame,
+        };
+        if let Ok(data) = frame.into_data() {
+            return Poll::Ready(Some(Ok(data)));
+        }
+    }
+}
+
+/// Ends connections whose peer is gone without a word: without power, or behind a cut.
+fn notice_dead_peers(stream: &TcpStream, settings: &RelaySettings) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let interval = Duration::from_secs(settings.probe_interval_s);
+    let probes = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(settings.most_probes);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(settings.unacknowledged_timeout_ms)))
+}
+
+/// What a connection has written.
+#[derive(Debug, Default)]
+struct WriteProgress {
+    written: AtomicU64,
+    /// The socket did not take all that it was offered last.
+    is_blocked: AtomicBool,
+}
+
+impl WriteProgress {
+    fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    fn is_blocked(&self) -> bool {
+        self.is_blocked.load(Ordering::Relaxed)
+    }
+
+    fn note(&self, offered: usize, result: &Poll<io::Result<usize>>) {
+        let taken = match result {
+            Poll::Ready(Ok(taken)) => *taken,
+            _ => 0,
+        };
+        self.written.fetch_add(taken as u64, Ordering::Relaxed);
+        self.is_blocked.store(taken < offered, Ordering::Relaxed);
+    }
+}
+
+/// A stream to a server that notes what the socket has taken.
+struct ServerStream {
+    stream: TcpStream,
+    progress: Arc<WriteProgress>,
+}
+
+impl AsyncRead for ServerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for ServerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.progress.note(bytes.len(), &result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let offered = slices.iter().map(|slice| slice.len()).sum();
+        self.progress.note(offered, &result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,232 @@
+//! Step 5: the loop over attempts, until a server answers or the request is given up.
+
+use std::sync::{Arc, PoisonError};
+
+use bytes::{Bytes, BytesMut};
+use dahlia_backends::{Ask, BackendAddress, BackendId, Choice};
+use dahlia_types::Duration;
+use tokio::time::Instant;
+
+use crate::attempt::{Sending, Sent};
+use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
+use crate::outgoing::Outgoing;
+use crate::refusal::Refusal;
+use crate::relay::Shared;
+use crate::request::RequestHead;
+use crate::router::{Matched, key_of};
+use crate::turn::Turn;
+use crate::{Repeatability, Route, TurnLedger};
+
+/// A request on its way, whichever servers it meets.
+pub(crate) struct Exchange<L: TurnLedger> {
+    pub(crate) shared: Arc<Shared<L>>,
+    pub(crate) matched: Matched,
+    /// When the caller must have its answer.
+    pub(crate) deadline: Instant,
+    pub(crate) turn: Option<Turn<L>>,
+    /// Identifier of the last event that was handed on.
+    pub(crate) last_event: Option<Bytes>,
+    head: RequestHead,
+    body: Bytes,
+    preferred: Option<BackendId>,
+    tried: Vec<BackendId>,
+    /// Servers that may have run it and whose answer is lost.
+    lost_answers: u32,
+    /// Servers that did not run it.
+    refusals: u32,
+    /// A server may be running it now.
+    is_sent: bool,
+}
+
+/// A server's answer as far as it must be there before the caller gets any of it.
+pub(crate) enum Answer {
+    /// All of it.
+    Whole { live: Box<LiveAnswer>, body: Bytes },
+    /// A stream with its first piece; none when it is empty.
+    Stream { live: Box<LiveAnswer>, first: Option<Bytes> },
+}
+
+impl<L: TurnLedger> Exchange<L> {
+    pub(crate) fn new(
+        shared: Arc<Shared<L>>,
+        matched: Matched,
+        head: RequestHead,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            shared,
+            matched,
+            deadline,
+            turn: None,
+            last_event: None,
+            head,
+            body,
+            preferred: None,
+            tried: Vec::new(),
+            lost_answers: 0,
+            refusals: 0,
+            is_sent: false,
+        }
+    }
+
+    pub(crate) fn route(&self) -> &Route {
+        self.matched.route()
+    }
+
+    /// Opens the request's turn, if it is one, and puts its prompt together.
+    pub(crate) async fn open_turn(&mut self) -> Result<(), Refusal> {
+        let turn = Turn::open(&self.shared, &self.matched, &self.head, &self.body).await?;
+        let Some((turn, opened)) = turn else { return Ok(()) };
+        self.turn = Some(turn);
+        self.preferred = opened.last_served_by.map(BackendId);
+        if !opened.history.is_empty() {
+            let mut prompt = BytesMut::from(opened.history.as_slice());
+            prompt.extend_from_slice(&self.body);
+            self.body = prompt.freeze();
+        }
+        Ok(())
+    }
+
+    /// Sends the request until a server has answered it.
+    pub(crate) async fn answer(&mut self) -> Result<Answer, Refusal> {
+        let most = self.shared.settings.most_answer_bytes;
+        loop {
+            let mut live = self.live_answer().await?;
+            if self.route().is_stream && live.parts.status.is_success() {
+                match live.next().await {
+                    Some(Err(BrokenAnswer)) => {}
+                    Some(Ok(first)) => return Ok(Answer::Stream { live, first: Some(first) }),
+                    None => return Ok(Answer::Stream { live, first: None }),
+                }
+            } else if let Ok(body) = live.read_whole(most).await {
+                return Ok(Answer::Whole { live, body });
+            }
+            // The connection must be gone before another server gets the request.
+            drop(live);
+            self.answer_lost()?;
+        }
+    }
+
+    /// Sends the request until a server's answer begins.
+    pub(crate) async fn live_answer(&mut self) -> Result<Box<LiveAnswer>, Refusal> {
+        loop {
+            let server = self.choose()?;
+            let guard = AttemptGuard::new(&self.shared, server.id.clone());
+            self.sent();
+            let outgoing = Outgoing {
+                names: &self.shared.headers,
+                head: &self.head,
+                body: &self.body,
+                expected_instance: &server.id,
+                priority: self.route().priority,
+                last_event: self.last_event.as_ref(),
+                deadline: self.deadline,
+            };
+            let service = self.matched.service();
+            let sending = Sending { shared: &self.shared, service, server: &server, outgoing };
+            let sent = sending.send(guard).await;
+            self.tried.push(server.id);
+            match sent {
+                Sent::Answering(live) => return Ok(live),
+                Sent::Broken => self.answer_lost()?,
+                Sent::NotRun { retry_after } => self.not_run(retry_after)?,
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<BackendAddress, Refusal> {
+        let ask = Ask {
+            service: self.matched.service_name(),
+            affinity: self.affinity(),
+            preferred: self.preferred.as_ref(),
+            tried: &self.tried,
+        };
+        let now = (self.shared.clock)();
+        let mut backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
+        match backends.choose(&ask, now) {
+            Choice::Use(server) => Ok(server),
+            Choice::Full { retry_after } | Choice::NoBackend { retry_after } => {
+                Err(self.give_up(retry_after))
+            }
+        }
+    }
+
+    /// Requests of one program stay together on routes that are better served so.
+    fn affinity(&self) -> Option<u64> {
+        if !self.route().is_sticky {
+            return None;
+        }
+        let program = self.head.text(&self.shared.headers.program)?;
+        Some(key_of(program.as_bytes()))
+    }
+
+    fn sent(&mut self) {
+        self.is_sent = true;
+        if let Some(turn) = &mut self.turn {
+            turn.may_run();
+        }
+    }
+
+    /// The promise that the last server gave holds for the request if no other may have run it.
+    pub(crate) fn did_not_run(&mut self) {
+        self.is_sent = false;
+        if self.may_have_run() {
+            return;
+        }
+        if let Some(turn) = &mut self.turn {
+            turn.did_not_run();
+        }
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.is_sent || self.lost_answers > 0
+    }
+
+    fn not_run(&mut self, retry_after: Option<Duration>) -> Result<(), Refusal> {
+        self.did_not_run();
+        self.refusals += 1;
+        if self.refusals < self.shared.settings.most_refusals {
+            return Ok(());
+        }
+        let otherwise = Duration::from_millis(self.shared.settings.retry_after_ms);
+        Err(self.give_up(retry_after.unwrap_or(otherwise)))
+    }
+
+    /// The last server may have run the request, and its answer is lost.
+    ///
+    /// # Errors
+    /// No other server may run it.
+    pub(crate) fn answer_lost(&mut self) -> Result<(), Refusal> {
+        self.is_sent = false;
+        self.lost_answers += 1;
+        if self.may_run_again() && self.lost_answers < self.route().max_attempts {
+            return Ok(());
+        }
+        Err(Refusal::AnswerLost)
+    }
+
+    /// A stream that cannot be resumed runs once at most, whatever else its route says.
+    fn may_run_again(&self) -> bool {
+        let route = self.route();
+        match route.is_stream {
+            true => route.is_resumable,
+            false => route.repeatability == Repeatability::Repeatable,
+        }
+    }
+
+    fn give_up(&self, retry_after: Duration) -> Refusal {
+        if self.may_have_run() {
+            return Refusal::AnswerLost;
+        }
+        Refusal::Busy { retry_after }
+    }
+
+    /// What the caller gets when its time is over.
+    pub(crate) fn out_of_time(&self) -> Refusal {
+        if self.may_have_run() {
+            return Refusal::DeadlinePassed;
+        }
+        Refusal::Busy { retry_after: Duration::from_millis(self.shared.settings.retry_after_ms) }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/hop.rs
@@ -0,0 +1,53 @@
+//! Headers that concern one connection only (RFC 9110, section 7.6.1). They are never passed on.
+
+use http::header::{
+    CONNECTION, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderValue};
+
+/// Connection's old companion, which the `http` crate has no constant for.
+pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+const OF_ONE_CONNECTION: [HeaderName; 9] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    PROXY_CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+];
+
+/// Takes out the headers of one connection, those that `Connection` names included.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        headers.remove(name);
+    }
+    for name in &OF_ONE_CONNECTION {
+        headers.remove(name);
+    }
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect()
+}
+
+/// Whole seconds that a server keeps an idle connection, when it says so.
+pub(crate) fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(KEEP_ALIVE).map(HeaderValue::to_str)?.ok()?;
+    value
+        .split(',')
+        .filter_map(|parameter| parameter.trim().split_once('='))
+        .find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))
+        .and_then(|(_, seconds)| seconds.trim().parse().ok())
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,20 +4,54 @@
 //! program, sent to a server, and its answer is handed on as it arrives. The names of headers are
 //! a deployment's own and come in as [`HeaderNames`].
 //!
+//! The way of a request, one file a step: `server` takes the connection, `request` checks the head
+//! and reads the body, `router` finds route and service, `turn` opens the turn, `exchange` loops
+//! over servers, `attempt` sends to one of them, `answer` hands its answer on, and `refusal` says
+//! what the caller gets when there is none.
+//!
+//! It is built on hyper, not on salvo and reqwest as the rest of the project: those rewrite paths
+//! and headers, and do not tell whether a request has left on a connection, on which every
+//! promise to callers rests. hyper is what both are built on.
+//!
 //! | module | job |
 //! |---|---|
 //! | `routes` | routes, services and limits in force |
 //! | `headers` | names of the headers that a deployment uses |
+//! | `hop` | headers that concern one connection only |
 //! | `ledger` | what the relay asks of the ledger |
+//! | `relay` | what all requests share |
+//! | `server`, `caller`, `body` | callers' connections, their time limits, bodies of answers |
+//! | `request`, `router`, `turn`, `exchange`, `attempt`, `answer`, `refusal` | the steps above |
+//! | `outgoing`, `live` | a request as one server gets it, and its answer while it arrives |
+//! | `connection`, `pool` | connections to servers, and the idle ones |
+//! | `events` | server-sent events cut out of a stream |
+//! | `settings`, `counters` | settings, and what is counted |
 
+mod answer;
+mod attempt;
+mod body;
+mod caller;
+mod connection;
 mod counters;
+mod events;
+mod exchange;
 mod headers;
+mod hop;
 mod ledger;
+mod live;
+mod outgoing;
+mod pool;
+mod refusal;
 mod relay;
+mod request;
+mod router;
 mod routes;
+mod server;
 mod settings;
+mod turn;
 
 pub use counters::CounterReadings;
+pub use events::{Event, EventReader};
 pub use headers::HeaderNames;
 pub use ledger::{LedgerUnavailable, TurnLedger};
 pub use relay::{Clock, Relay};
--- /dev/null
+++ b/crates/relay/src/live.rs
@@ -0,0 +1,130 @@
+//! An answer of a server while it arrives.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::{Bytes, BytesMut};
+use dahlia_backends::{AttemptEnd, BackendId, Backends};
+use http::response;
+use hyper::body::Incoming;
+use snafu::Snafu;
+
+use crate::connection::ServerConnection;
+use crate::pool::{Keeping, Pool};
+use crate::relay::{Clock, Shared};
+
+/// The answer was not whole, or was none, or was another request's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("the server's answer was not whole"))]
+pub(crate) struct BrokenAnswer;
+
+/// Tells [`Backends`] how an attempt ended; that the caller left, when nothing else was said.
+pub(crate) struct AttemptGuard {
+    backends: Arc<Mutex<Backends>>,
+    clock: Clock,
+    server: BackendId,
+    pub(crate) end: AttemptEnd,
+}
+
+impl AttemptGuard {
+    pub(crate) fn new<L>(shared: &Shared<L>, server: BackendId) -> Self {
+        Self {
+            backends: Arc::clone(&shared.backends),
+            clock: Arc::clone(&shared.clock),
+            server,
+            end: AttemptEnd::Cancelled,
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let now = (self.clock)();
+        let mut backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
+        backends.end(&self.server, self.end, now);
+    }
+}
+
+/// An answer whose head is there. Dropping it before its end drops the connection.
+pub(crate) struct LiveAnswer {
+    pub(crate) parts: response::Parts,
+    /// The server said that it did not run the request.
+    pub(crate) did_not_run: bool,
+    body: Incoming,
+    /// None once the body has ended, whole or not.
+    connection: Option<ServerConnection>,
+    keeping: Keeping,
+    pool: Arc<Pool>,
+    guard: AttemptGuard,
+}
+
+impl LiveAnswer {
+    pub(crate) fn new(
+        parts: response::Parts,
+        body: Incoming,
+        did_not_run: bool,
+        connection: ServerConnection,
+        keeping: Keeping,
+        pool: Arc<Pool>,
+        guard: AttemptGuard,
+    ) -> Self {
+        let connection = Some(connection);
+        Self { parts, did_not_run, body, connection, keeping, pool, guard }
+    }
+
+    pub(crate) fn server(&self) -> &BackendId {
+        &self.guard.server
+    }
+
+    /// Overrides what is told of the attempt's end.
+    pub(crate) fn set_end(&mut self, end: AttemptEnd) {
+        self.guard.end = end;
+    }
+
+    /// The next piece of the body; none at its end.
+    ///
+    /// # Errors
+    /// The body broke off. The connection is closed then.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
+        let connection = self.connection.as_mut()?;
+        match connection.next_data(&mut self.body).await {
+            Some(Ok(piece)) => Some(Ok(piece)),
+            Some(Err(error)) => {
+                log::debug!(target: "relay", "answer of {}: {error}", self.guard.server);
+                self.connection = None;
+                self.guard.end = AttemptEnd::Broken;
+                Some(Err(BrokenAnswer))
+            }
+            None => {
+                self.keep_connection();
+                self.guard.end = AttemptEnd::Answered;
+                None
+            }
+        }
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    /// It broke off, or is longer than the limit.
+    pub(crate) async fn read_whole(&mut self, limit: usize) -> Result<Bytes, BrokenAnswer> {
+        let Some(first) = self.next().await else { return Ok(Bytes::new()) };
+        let first = first?;
+        let Some(second) = self.next().await else { return Ok(first) };
+        let mut whole = BytesMut::from(first);
+        whole.extend_from_slice(&second?);
+        while let Some(piece) = self.next().await {
+            whole.extend_from_slice(&piece?);
+            if whole.len() > limit {
+                self.connection = None;
+                return Err(BrokenAnswer);
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    fn keep_connection(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.put(&self.guard.server, connection, self.keeping);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/outgoing.rs
@@ -0,0 +1,50 @@
+//! A request as one server gets it.
+
+use bytes::Bytes;
+use dahlia_backends::BackendId;
+use http::{HeaderValue, Request, Version};
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use crate::HeaderNames;
+use crate::request::RequestHead;
+
+/// The least urgent priority that servers know.
+const LAST_PRIORITY: u32 = 9;
+
+/// What a request to one server is made of.
+#[derive(Clone, Copy)]
+pub(crate) struct Outgoing<'a> {
+    pub(crate) names: &'a HeaderNames,
+    pub(crate) head: &'a RequestHead,
+    pub(crate) body: &'a Bytes,
+    pub(crate) expected_instance: &'a BackendId,
+    pub(crate) priority: u32,
+    /// Identifier of the last event that the caller has, when this goes on behind it.
+    pub(crate) last_event: Option<&'a Bytes>,
+    pub(crate) deadline: Instant,
+}
+
+impl Outgoing<'_> {
+    /// The request at this moment: its deadline is what is left now.
+    pub(crate) fn request(&self) -> Request<Full<Bytes>> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.version_mut() = Version::HTTP_11;
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.target.clone().into();
+        let headers = request.headers_mut();
+        *headers = self.head.headers.clone();
+        headers.insert(self.names.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
+        headers.insert(self.names.priority.clone(), self.priority.min(LAST_PRIORITY).into());
+        if let Ok(server) = HeaderValue::from_str(&self.expected_instance.0) {
+            headers.insert(self.names.expected_instance.clone(), server);
+        }
+        if let Some(last) = self.last_event.cloned()
+            && let Ok(last) = HeaderValue::from_maybe_shared(last)
+        {
+            headers.insert(self.names.last_event.clone(), last);
+        }
+        request
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,7 +8,9 @@
 use tokio::sync::watch;
 
 use crate::counters::{CounterReadings, Counters};
-use crate::{HeaderNames, RelaySettings, RouteTable, TurnLedger};
+use crate::pool::Pool;
+use crate::router::Routing;
+use crate::{CallerLimits, HeaderNames, RelaySettings, RouteTable, TurnLedger, server};
 
 /// Tells the daemon's time, for [`Backends`] and the ledger.
 pub type Clock = Arc<dyn Fn() -> Timestamp + Send + Sync>;
@@ -21,8 +23,25 @@
     pub(crate) ledger: L,
     pub(crate) backends: Arc<Mutex<Backends>>,
     pub(crate) counters: Arc<Counters>,
-    routes: RwLock<Option<Arc<RouteTable>>>,
-    drain: watch::Sender<bool>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) drain: watch::Sender<bool>,
+    routing: RwLock<Option<Arc<Routing>>>,
+}
+
+impl<L> Shared<L> {
+    /// The routes in force; none before the first.
+    pub(crate) fn routing(&self) -> Option<Arc<Routing>> {
+        self.routing.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The limits in force; before the first routes, the usual ones.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        self.routing().map(|routing| routing.table().limits.clone()).unwrap_or_default()
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.drain.borrow()
+    }
 }
 
 /// Relays callers' requests to servers. Clones are the same relay.
@@ -52,21 +71,24 @@
             ledger,
             backends,
             counters: Arc::default(),
-            routes: RwLock::new(None),
+            pool: Arc::new(Pool::new()),
             drain: watch::Sender::new(false),
+            routing: RwLock::new(None),
         };
         Self { shared: Arc::new(shared) }
     }
 
     /// Puts routes in force for all requests that are read whole from now on.
     pub fn set_routes(&self, table: Arc<RouteTable>) {
-        *self.shared.routes.write().unwrap_or_else(PoisonError::into_inner) = Some(table);
+        let routing = Some(Arc::new(Routing::new(table)));
+        *self.shared.routing.write().unwrap_or_else(PoisonError::into_inner) = routing;
     }
 
     /// Takes callers' connections until the future is dropped; open connections go on without it.
+    /// To stop, begin to drain, wait until [`Relay::counters`] shows no request in progress, no
+    /// open connection and no unsettled turn, and drop the future.
     pub async fn serve(&self, listener: TcpListener) {
-        let _ = listener;
-        std::future::pending().await
+        server::accept(&self.shared, listener).await;
     }
 
     /// Serves on, but lets go of callers: answers close their connections, resting ones end.
--- /dev/null
+++ b/crates/relay/src/request.rs
@@ -0,0 +1,187 @@
+//! Step 1: a request as it arrived: its head checked, its body read whole within the limits.
+
+use bytes::{Bytes, BytesMut};
+use dahlia_ledger::{ProgramName, TurnId};
+use dahlia_types::Tokens;
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Version, request};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use tokio::time::{Duration, timeout};
+
+use crate::refusal::Refusal;
+use crate::{CallerLimits, HeaderNames, hop};
+
+/// The longest identifier that callers may choose, in bytes.
+const LONGEST_IDENTIFIER: usize = 128;
+/// A head line's bytes besides name and value: colon, space, carriage return, line feed.
+const BYTES_AROUND_HEADER: usize = 4;
+
+/// The head of a request, without the headers of the caller's connection and those that the
+/// relay sets itself.
+#[derive(Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) method: Method,
+    pub(crate) target: PathAndQuery,
+    /// In lower case, without a port.
+    pub(crate) host: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) attempt: HeaderValue,
+    /// How long the caller waits, when it says so.
+    pub(crate) patience: Option<Duration>,
+}
+
+impl RequestHead {
+    /// Checks a head and takes it apart.
+    pub(crate) fn parse(
+        mut parts: request::Parts,
+        names: &HeaderNames,
+        limits: &CallerLimits,
+    ) -> Result<Self, Refusal> {
+        if head_bytes(&parts) > limits.header_bytes {
+            return Err(Refusal::HeadTooLarge);
+        }
+        let target = parts.uri.path_and_query().cloned();
+        let target = target.ok_or(Refusal::NotProper { what: "it names no path" })?;
+        let host = host(&parts)?;
+        let attempt = attempt(&parts.headers, names)?;
+        let patience = parts.headers.get(&names.deadline).and_then(milliseconds);
+        let headers = &mut parts.headers;
+        hop::strip(headers);
+        // The body is read whole here, which is all that the expectation asks for; its length is
+        // set anew when it is sent.
+        for name in [&EXPECT, &CONTENT_LENGTH] {
+            headers.remove(name);
+        }
+        for name in [&names.deadline, &names.expected_instance, &names.priority] {
+            headers.remove(name);
+        }
+        Ok(Self { method: parts.method, target, host, headers: parts.headers, attempt, patience })
+    }
+
+    /// The value of a header as text, when it has one that is not empty.
+    pub(crate) fn text(&self, name: &HeaderName) -> Option<&str> {
+        let text = self.headers.get(name)?.to_str().ok()?.trim();
+        Some(text).filter(|text| !text.is_empty())
+    }
+
+    /// A caller's identifier in a header.
+    pub(crate) fn identifier(&self, name: &HeaderName) -> Result<Option<&str>, Refusal> {
+        match self.text(name) {
+            Some(text) if text.len() > LONGEST_IDENTIFIER => {
+                Err(Refusal::NotProper { what: "an identifier is too long" })
+            }
+            text => Ok(text),
+        }
+    }
+
+    pub(crate) fn program(&self, names: &HeaderNames) -> Result<Option<ProgramName>, Refusal> {
+        let name = self.identifier(&names.program)?;
+        Ok(name.map(|name| ProgramName(name.to_owned())))
+    }
+
+    pub(crate) fn previous_turn(&self, names: &HeaderNames) -> Result<Option<TurnId>, Refusal> {
+        let turn = self.identifier(&names.previous_turn)?;
+        Ok(turn.map(|turn| TurnId(turn.to_owned())))
+    }
+
+    pub(crate) fn budget(&self, names: &HeaderNames) -> Result<Option<Tokens>, Refusal> {
+        let Some(text) = self.text(&names.budget) else { return Ok(None) };
+        let tokens = text.parse().map_err(|_| Refusal::NotProper { what: "the token budget" })?;
+        Ok(Some(Tokens(tokens)))
+    }
+
+    /// The most tokens that the answer may have: the second number of the token count.
+    pub(crate) fn most_generated(&self, names: &HeaderNames) -> Option<Tokens> {
+        let (_, most) = self.text(&names.token_count)?.split_once(',')?;
+        most.trim().parse().ok().map(Tokens)
+    }
+}
+
+fn head_bytes(parts: &request::Parts) -> usize {
+    let target = parts.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let lines = parts.headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + BYTES_AROUND_HEADER);
+    target + lines.sum::<usize>()
+}
+
+fn host(parts: &request::Parts) -> Result<String, Refusal> {
+    if let Some(host) = parts.uri.host() {
+        return Ok(host.to_ascii_lowercase());
+    }
+    let mut values = parts.headers.get_all(HOST).iter();
+    let (first, second) = (values.next(), values.next());
+    let text = match (first, second) {
+        (Some(value), None) => value.to_str().unwrap_or_default(),
+        (None, _) if parts.version < Version::HTTP_11 => "",
+        _ => return Err(Refusal::NotProper { what: "it must name one host" }),
+    };
+    Ok(without_port(text).to_ascii_lowercase())
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+fn attempt(headers: &HeaderMap, names: &HeaderNames) -> Result<HeaderValue, Refusal> {
+    let mut values = headers.get_all(&names.attempt).iter();
+    match (values.next(), values.next()) {
+        (Some(id), None) if !id.is_empty() && id.len() <= LONGEST_IDENTIFIER => Ok(id.clone()),
+        _ => Err(Refusal::NotProper { what: "it must have one attempt id" }),
+    }
+}
+
+fn milliseconds(value: &HeaderValue) -> Option<Duration> {
+    let milliseconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(milliseconds / 1e3).ok()
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+/// It is longer than the limit, or rests longer than a head may take, or breaks off.
+pub(crate) async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let mut body = body;
+    let Some(first) = next_data(&mut body, limits).await? else { return Ok(Bytes::new()) };
+    if body.is_end_stream() {
+        return within(first, limits);
+    }
+    let mut whole = BytesMut::from(first);
+    while let Some(data) = next_data(&mut body, limits).await? {
+        if whole.len() + data.len() > limits.body_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+    within(whole.freeze(), limits)
+}
+
+fn within(body: Bytes, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    if body.len() > limits.body_bytes {
+        return Err(Refusal::BodyTooLarge);
+    }
+    Ok(body)
+}
+
+async fn next_data(body: &mut Incoming, limits: &CallerLimits) -> Result<Option<Bytes>, Refusal> {
+    let pause = Duration::from_micros(limits.header_timeout.as_micros());
+    loop {
+        let frame = timeout(pause, body.frame()).await.map_err(|_| Refusal::TooSlow)?;
+        match frame {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(Refusal::NotProper { what: "its body broke off" }),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/server.rs
@@ -0,0 +1,162 @@
+//! Callers' connections, and the steps that every request goes through.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::select;
+use tokio::sync::Semaphore;
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
+
+use crate::TurnLedger;
+use crate::answer::hand_on;
+use crate::body::AnswerBody;
+use crate::caller::{CallerState, CallerStream, ConnectionTimes, TimeCheck};
+use crate::counters::{Gauge, GaugeGuard, count};
+use crate::exchange::{Answer, Exchange};
+use crate::refusal::Refusal;
+use crate::relay::Shared;
+use crate::request::{RequestHead, read_body};
+use crate::router::{Matched, key_of};
+
+/// Pause after the system refused to hand out a connection, e.g. for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// hyper's least size of the buffer that a head must fit into, in bytes.
+const LEAST_BUFFER: usize = 8_192;
+/// The answer to a head that took too long; hyper itself would close without a word.
+const HEAD_TOO_SLOW: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Takes connections until the future is dropped. Beyond the most, they wait in the listener.
+pub(crate) async fn accept<L: TurnLedger>(shared: &Arc<Shared<L>>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(shared.settings.most_connections));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = Arc::clone(shared);
+                tokio::spawn(async move {
+                    serve_connection(&shared, stream).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::warn!(target: "relay", "taking a connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<L: TurnLedger>(shared: &Arc<Shared<L>>, stream: TcpStream) {
+    count(&shared.counters.connections);
+    let _open = GaugeGuard::new(&shared.counters, Gauge::OpenConnections);
+    let _ = stream.set_nodelay(true);
+    let limits = shared.limits();
+    let times = ConnectionTimes {
+        rest: Duration::from_micros(limits.idle_timeout.as_micros()),
+        head: Duration::from_micros(limits.header_timeout.as_micros()),
+    };
+    let state = CallerState::new();
+    let io = TokioIo::new(CallerStream::new(stream, state.clone()));
+    let service = service_fn(|request| handle(shared, &state, request));
+    let mut connection = http1::Builder::new()
+        .auto_date_header(false)
+        .header_read_timeout(None)
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(io, service);
+    let mut drain = shared.drain.subscribe();
+    let mut is_open_end = !*drain.borrow_and_update();
+    let mut alarm = pin!(sleep_until(Instant::now() + times.head));
+    loop {
+        select! {
+            biased;
+            result = &mut connection => {
+                if let Err(error) = result {
+                    log::debug!(target: "relay", "a caller's connection: {error}");
+                }
+                return;
+            }
+            () = &mut alarm => match state.check(Instant::now(), times) {
+                TimeCheck::Until(moment) => alarm.as_mut().reset(moment),
+                TimeCheck::RestedTooLong => return,
+                TimeCheck::HeadTooSlow => {
+                    connection.into_parts().io.into_inner().last_word(HEAD_TOO_SLOW);
+                    return;
+                }
+            },
+            _ = drain.changed(), if is_open_end => {
+                is_open_end = false;
+                if state.may_be_closed() {
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Answers one request, whatever comes of it.
+async fn handle<L: TurnLedger>(
+    shared: &Arc<Shared<L>>,
+    state: &CallerState,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let busy = state.busy();
+    count(&shared.counters.requests);
+    let gauge = GaugeGuard::new(&shared.counters, Gauge::InProgress);
+    let answer = serve(shared, request).await;
+    let mut answer = answer.unwrap_or_else(|refusal| {
+        log::debug!(target: "relay", "refused: {refusal}");
+        refusal.into_response(&shared.counters)
+    });
+    if shared.is_draining() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer.body_mut().hold(gauge, busy);
+    Ok(answer)
+}
+
+async fn serve<L: TurnLedger>(
+    shared: &Arc<Shared<L>>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let arrived = Instant::now();
+    let limits = shared.limits();
+    let (parts, body) = request.into_parts();
+    let head = RequestHead::parse(parts, &shared.headers, &limits)?;
+    let body = read_body(body, &limits).await?;
+    let matched = matched(shared, &head)?;
+    let deadline = arrived + time_to_answer(&matched, &head);
+    let method = head.method.clone();
+    let mut exchange = Exchange::new(Arc::clone(shared), matched, head, body, deadline);
+    match timeout_at(deadline, open_and_answer(&mut exchange)).await {
+        Ok(answer) => Ok(hand_on(exchange, answer?, &method)),
+        Err(_) => Err(exchange.out_of_time()),
+    }
+}
+
+async fn open_and_answer<L: TurnLedger>(exchange: &mut Exchange<L>) -> Result<Answer, Refusal> {
+    exchange.open_turn().await?;
+    exchange.answer().await
+}
+
+/// The route in force now that the request is read whole.
+fn matched<L: TurnLedger>(shared: &Shared<L>, head: &RequestHead) -> Result<Matched, Refusal> {
+    let retry_after = dahlia_types::Duration::from_millis(shared.settings.retry_after_ms);
+    let routing = shared.routing().ok_or(Refusal::NoConfiguration { retry_after })?;
+    let program = head.text(&shared.headers.program).map(str::as_bytes);
+    let key = key_of(program.unwrap_or(head.attempt.as_bytes()));
+    routing.find(&head.host, head.target.path(), key).ok_or(Refusal::NoRoute)
+}
+
+fn time_to_answer(matched: &Matched, head: &RequestHead) -> Duration {
+    let route = Duration::from_micros(matched.route().timeout.as_micros());
+    head.patience.map_or(route, |patience| patience.min(route))
+}
--- /dev/null
+++ b/crates/relay/src/turn.rs
@@ -0,0 +1,224 @@
+//! Step 3: a program's turn in the ledger: opened before anything is sent, settled at its end.
+//!
+//! What the ledger is told at the end is kept ready at every moment, and the turn's drop tells
+//! it: a caller that leaves, a deadline and a fault all end here without a path of their own.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dahlia_ledger::{
+    CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, ProgramName, TurnEnd, TurnId,
+    TurnInput, TurnRefusal,
+};
+use dahlia_types::{Duration, Tokens};
+use tokio::runtime::Handle;
+use tokio::time::{self, Instant, sleep};
+
+use crate::counters::{Gauge, GaugeGuard};
+use crate::events::Event;
+use crate::refusal::Refusal;
+use crate::relay::Shared;
+use crate::request::RequestHead;
+use crate::router::Matched;
+use crate::{LedgerUnavailable, TurnLedger};
+
+/// A turn whose end the ledger has not been told.
+pub(crate) struct Turn<L: TurnLedger> {
+    shared: Arc<Shared<L>>,
+    program: ProgramName,
+    turn: TurnId,
+    retains: bool,
+    tokens_per_event: Tokens,
+    events: u64,
+    output: Vec<u8>,
+    /// What the ledger is told if the turn ends now; none when it knows already.
+    end: Option<TurnEnd>,
+    open: Option<GaugeGuard>,
+}
+
+impl<L: TurnLedger> Turn<L> {
+    /// Opens the turn that a request is, if it is one.
+    ///
+    /// # Errors
+    /// The ledger refuses it, or did not answer; nothing was sent and nothing will be.
+    pub(crate) async fn open(
+        shared: &Arc<Shared<L>>,
+        matched: &Matched,
+        head: &RequestHead,
+        body: &Bytes,
+    ) -> Result<Option<(Self, OpenedTurn)>, Refusal> {
+        let Some(command) = open_command(shared, matched, head, body)? else { return Ok(None) };
+        let engine = matched.service().and_then(|service| service.engine.as_ref());
+        let mut turn = Self {
+            shared: Arc::clone(shared),
+            program: command.program.clone(),
+            turn: command.turn.clone(),
+            retains: matched.route().retains_turns,
+            tokens_per_event: engine.map_or(Tokens(1), |engine| engine.tokens_per_event),
+            events: 0,
+            output: Vec::new(),
+            end: Some(TurnEnd::NotRun),
+            open: Some(GaugeGuard::new(&shared.counters, Gauge::UnsettledTurns)),
+        };
+        let reply = shared.ledger.ask(LedgerCommand::Open(command)).await;
+        let opened = turn.opened(reply)?;
+        Ok(Some((turn, opened)))
+    }
+
+    fn opened(
+        &mut self,
+        reply: Result<LedgerReply, LedgerUnavailable>,
+    ) -> Result<OpenedTurn, Refusal> {
+        let retry_after = Duration::from_millis(self.shared.settings.retry_after_ms);
+        let refusal = match reply {
+            Ok(LedgerReply::Opened(opened)) => return Ok(opened),
+            Ok(LedgerReply::Refused(refusal)) => refusal,
+            // It may have been recorded: the drop settles it.
+            Ok(_) | Err(_) => return Err(Refusal::LedgerUnavailable { retry_after }),
+        };
+        self.settled();
+        Err(match refusal {
+            TurnRefusal::BudgetSpent { .. } => Refusal::BudgetSpent,
+            TurnRefusal::NoSuchTurn { .. } => Refusal::NoSuchTurn,
+            // A try of this name was here before, and what became of it cannot be told anew.
+            TurnRefusal::AlreadyEnded => Refusal::AnswerLost,
+            TurnRefusal::LimitReached { .. } => Refusal::Busy { retry_after },
+        })
+    }
+
+    /// From here on a server may run it.
+    pub(crate) fn may_run(&mut self) {
+        self.end = Some(TurnEnd::Broken);
+    }
+
+    /// No server has run it, and none will unless it is sent again.
+    pub(crate) fn did_not_run(&mut self) {
+        self.end = Some(TurnEnd::NotRun);
+    }
+
+    /// An event is handed on to the caller.
+    pub(crate) fn hand_on(&mut self, event: &Event) {
+        let Some(data) = &event.data else { return };
+        self.events += 1;
+        if self.retains {
+            self.output.extend_from_slice(data);
+            self.output.push(b'\n');
+        }
+    }
+
+    /// The answer is whole. When the turn's text is kept, this returns once that is durable:
+    /// only then may the caller learn the end, since it may go on from this turn at once.
+    ///
+    /// # Errors
+    /// The ledger did not confirm it.
+    pub(crate) async fn whole(mut self, served_by: String) -> Result<(), LedgerUnavailable> {
+        self.end = Some(TurnEnd::Whole {
+            generated: Tokens(self.events.saturating_mul(self.tokens_per_event.0)),
+            output: std::mem::take(&mut self.output),
+            served_by,
+        });
+        if !self.retains {
+            return Ok(());
+        }
+        let Some(command) = self.close_command() else { return Ok(()) };
+        let confirmed = offer(&self.shared, &command).await;
+        if confirmed.is_ok() {
+            self.settled();
+        }
+        confirmed
+    }
+
+    fn close_command(&self) -> Option<CloseTurn> {
+        Some(CloseTurn {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            end: self.end.clone()?,
+            at: (self.shared.clock)(),
+        })
+    }
+
+    fn settled(&mut self) {
+        self.end = None;
+    }
+}
+
+impl<L: TurnLedger> Drop for Turn<L> {
+    fn drop(&mut self) {
+        let Some(command) = self.close_command() else { return };
+        let Ok(runtime) = Handle::try_current() else { return };
+        let (shared, open) = (Arc::clone(&self.shared), self.open.take());
+        runtime.spawn(async move {
+            if let Err(error) = offer(&shared, &command).await {
+                log::warn!(target: "relay", "end of turn {} not recorded: {error}", command.turn);
+            }
+            drop(open);
+        });
+    }
+}
+
+/// Offers the end of a turn to the ledger until it is recorded or the time for it is over.
+async fn offer<L: TurnLedger>(
+    shared: &Shared<L>,
+    command: &CloseTurn,
+) -> Result<(), LedgerUnavailable> {
+    let settings = &shared.settings;
+    let until = Instant::now() + time::Duration::from_millis(settings.close_turn_ms);
+    let pause = time::Duration::from_millis(settings.close_turn_pause_ms);
+    loop {
+        let error = match shared.ledger.ask(LedgerCommand::Close(command.clone())).await {
+            Ok(LedgerReply::Closed) => return Ok(()),
+            Ok(reply) => LedgerUnavailable { reason: format!("it replied {reply:?}") },
+            Err(error) => error,
+        };
+        if Instant::now() + pause >= until {
+            return Err(error);
+        }
+        sleep(pause).await;
+    }
+}
+
+/// The command that opens a request's turn: on streams of programs with a budget or kept turns.
+fn open_command<L: TurnLedger>(
+    shared: &Shared<L>,
+    matched: &Matched,
+    head: &RequestHead,
+    body: &Bytes,
+) -> Result<Option<OpenTurn>, Refusal> {
+    let (route, names) = (matched.route(), &shared.headers);
+    if !route.is_stream {
+        return Ok(None);
+    }
+    let Some(program) = head.program(names)? else {
+        return match route.retains_turns {
+            true => Err(Refusal::NotProper { what: "a turn must name its program" }),
+            false => Ok(None),
+        };
+    };
+    let budget = head.budget(names)?;
+    if budget.is_none() && !route.retains_turns {
+        return Ok(None);
+    }
+    let turn = head.identifier(&names.attempt)?;
+    let turn = turn.ok_or(Refusal::NotProper { what: "the attempt id of a turn" })?;
+    let max_generated = head.most_generated(names);
+    if budget.is_some() && max_generated.is_none() {
+        return Err(Refusal::NotProper { what: "a turn with a budget must name its token count" });
+    }
+    let input = route.retains_turns.then_some(());
+    let input = match input {
+        Some(()) => Some(TurnInput {
+            previous: head.previous_turn(names)?,
+            new_input: body.to_vec(),
+            retention: route.retention,
+        }),
+        None => None,
+    };
+    Ok(Some(OpenTurn {
+        program,
+        turn: TurnId(turn.to_owned()),
+        budget,
+        max_generated: max_generated.unwrap_or_default(),
+        input,
+        at: (shared.clock)(),
+    }))
+}
--- /dev/null
+++ b/crates/relay/tests/common/ledger.rs
@@ -0,0 +1,86 @@
+//! A ledger that answers as it is told and remembers what it was asked.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+
+use dahlia_ledger::{CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, TurnEnd};
+use dahlia_relay::{LedgerUnavailable, TurnLedger};
+use tokio::sync::watch;
+
+type Reply = Result<LedgerReply, LedgerUnavailable>;
+
+/// Opens with an empty history and closes everything, unless told otherwise.
+#[derive(Clone)]
+pub struct TestLedger {
+    commands: Arc<Mutex<Vec<LedgerCommand>>>,
+    opens: Arc<Mutex<VecDeque<Reply>>>,
+    closes: Arc<Mutex<VecDeque<Reply>>>,
+    answers_closes: Arc<watch::Sender<bool>>,
+}
+
+impl Default for TestLedger {
+    fn default() -> Self {
+        Self {
+            commands: Arc::default(),
+            opens: Arc::default(),
+            closes: Arc::default(),
+            answers_closes: Arc::new(watch::Sender::new(true)),
+        }
+    }
+}
+
+impl TestLedger {
+    pub fn next_open(&self, reply: Reply) {
+        self.opens.lock().expect("whole").push_back(reply);
+    }
+
+    pub fn next_close(&self, reply: Reply) {
+        self.closes.lock().expect("whole").push_back(reply);
+    }
+
+    /// Whether closes get their reply, or wait until this is called again.
+    pub fn answer_closes(&self, answers: bool) {
+        self.answers_closes.send_replace(answers);
+    }
+
+    pub fn opened(&self) -> Vec<OpenTurn> {
+        let commands = self.commands.lock().expect("whole");
+        let opens = commands.iter().filter_map(|command| match command {
+            LedgerCommand::Open(open) => Some(open.clone()),
+            _ => None,
+        });
+        opens.collect()
+    }
+
+    pub fn closed(&self) -> Vec<CloseTurn> {
+        let commands = self.commands.lock().expect("whole");
+        let closes = commands.iter().filter_map(|command| match command {
+            LedgerCommand::Close(close) => Some(close.clone()),
+            _ => None,
+        });
+        closes.collect()
+    }
+
+    pub fn ends(&self) -> Vec<TurnEnd> {
+        self.closed().into_iter().map(|close| close.end).collect()
+    }
+}
+
+pub fn unavailable() -> Reply {
+    Err(LedgerUnavailable { reason: "told so".into() })
+}
+
+impl TurnLedger for TestLedger {
+    async fn ask(&self, command: LedgerCommand) -> Reply {
+        let is_open = matches!(command, LedgerCommand::Open(_));
+        self.commands.lock().expect("whole").push(command);
+        if is_open {
+            let told = self.opens.lock().expect("whole").pop_front();
+            return told.unwrap_or(Ok(LedgerReply::Opened(OpenedTurn::default())));
+        }
+        let mut answers = self.answers_closes.subscribe();
+        let _ = answers.wait_for(|answers| *answers).await;
+        let told = self.closes.lock().expect("whole").pop_front();
+        told.unwrap_or(Ok(LedgerReply::Closed))
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,167 @@
+//! A relay on loopback between a scripted server, a scripted ledger and a plain caller.
+#![allow(dead_code)] // Each test file uses its own part.
+
+pub mod caller;
+pub mod ledger;
+pub mod stand_in;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration as StdDuration;
+
+use dahlia_backends::{
+    BackendId, BackendRecord, BackendSettings, BackendState, Backends, ServiceName,
+};
+use dahlia_relay::{
+    Clock, EngineSpecification, HeaderNames, Relay, RelaySettings, Repeatability, Route,
+    RouteTable, Service, WeightedService,
+};
+use dahlia_types::{Duration, Timestamp, Tokens, Zone};
+use http::HeaderName;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep, timeout};
+
+use ledger::TestLedger;
+use stand_in::StandIn;
+
+/// Longest wait for what must come: a bound on a hang, never a measure.
+pub const PATIENCE: StdDuration = StdDuration::from_secs(10);
+
+/// Header names as a deployment may have them.
+pub fn names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        attempt: name("x-attempt"),
+        deadline: name("x-deadline"),
+        signature: name("x-signature"),
+        expected_instance: name("x-expected"),
+        not_run: name("x-not-run"),
+        program: name("x-program"),
+        session: name("x-session"),
+        program_deadline: name("x-program-deadline"),
+        budget: name("x-budget"),
+        token_count: name("x-tokens"),
+        prompt_parts: name("x-parts"),
+        previous_turn: name("x-previous"),
+        priority: name("x-priority"),
+        last_event: name("x-last-event"),
+    }
+}
+
+/// A repeatable route that may use three servers.
+pub fn route() -> Route {
+    Route {
+        name: "route".into(),
+        host: "host.example".into(),
+        path_prefix: "/a/".into(),
+        repeatability: Repeatability::Repeatable,
+        is_stream: false,
+        is_resumable: false,
+        targets: vec![WeightedService { service: service_name(), weight: 1.0 }],
+        timeout: Duration::from_secs(8),
+        objective: Duration::from_millis(100),
+        gap_objective: None,
+        max_attempts: 3,
+        priority: 2,
+        is_sticky: false,
+        retains_turns: false,
+        retention: Duration::from_secs(60),
+    }
+}
+
+/// The same, for requests that must not run twice.
+pub fn once() -> Route {
+    Route { repeatability: Repeatability::AtMostOnce, ..route() }
+}
+
+/// A stream that may go on elsewhere.
+pub fn resumable() -> Route {
+    Route { is_stream: true, is_resumable: true, ..route() }
+}
+
+/// A stream of turns whose text is kept.
+pub fn turns() -> Route {
+    Route { is_stream: true, retains_turns: true, ..once() }
+}
+
+pub fn service_name() -> ServiceName {
+    ServiceName("service".into())
+}
+
+fn service() -> Service {
+    let engine =
+        EngineSpecification { slots: 4, memory: Tokens(1_000), tokens_per_event: Tokens(9) };
+    Service {
+        name: service_name(),
+        health_path: "/health".into(),
+        max_connections: 80,
+        engine: Some(engine),
+    }
+}
+
+pub fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable { generation: 1, routes, services: vec![service()], ..RouteTable::default() }
+}
+
+/// A relay that serves on loopback.
+pub struct Bed {
+    pub relay: Relay<TestLedger>,
+    pub ledger: TestLedger,
+    pub backends: Arc<Mutex<Backends>>,
+    pub address: SocketAddr,
+}
+
+impl Bed {
+    pub async fn new(table: Option<RouteTable>, servers: &[&StandIn]) -> Self {
+        Self::with_settings(RelaySettings::default(), table, servers).await
+    }
+
+    pub async fn with_settings(
+        settings: RelaySettings,
+        table: Option<RouteTable>,
+        servers: &[&StandIn],
+    ) -> Self {
+        let zone = Zone("zone".into());
+        let backends = Backends::new(BackendSettings::default(), zone, 1);
+        let backends = Arc::new(Mutex::new(backends));
+        let begun = Instant::now();
+        let clock: Clock = Arc::new(move || Timestamp(begun.elapsed().as_micros() as u64));
+        let ledger = TestLedger::default();
+        let shared = Arc::clone(&backends);
+        let relay = Relay::new(settings, names(), clock, ledger.clone(), shared);
+        if let Some(table) = table {
+            relay.set_routes(Arc::new(table));
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let serving = relay.clone();
+        tokio::spawn(async move { serving.serve(listener).await });
+        let bed = Self { relay, ledger, backends, address };
+        for server in servers {
+            bed.add(&server.id, server.address);
+        }
+        bed
+    }
+
+    pub fn add(&self, id: &str, address: SocketAddr) {
+        let record = BackendRecord {
+            id: BackendId(id.into()),
+            service: service_name(),
+            address,
+            zone: Zone("zone".into()),
+            slots: 8,
+            state: BackendState::Ready,
+        };
+        self.backends.lock().expect("whole").put(record, Timestamp(0));
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            sleep(StdDuration::from_millis(2)).await;
+        }
+    };
+    assert!(timeout(PATIENCE, wait).await.is_ok(), "never happened: {what}");
+}
--- /dev/null
+++ b/crates/relay/tests/common/stand_in.rs
@@ -0,0 +1,196 @@
+//! A server that answers by a script, byte by byte.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// A request as a server got it.
+#[derive(Debug, Clone)]
+pub struct Got {
+    /// Which of the server's connections it came on, from 0.
+    pub connection: usize,
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn attempt(&self) -> &str {
+        self.header("x-attempt").expect("an attempt id")
+    }
+}
+
+/// What a server does next on a connection.
+#[derive(Debug, Clone)]
+pub enum Step {
+    Send(String),
+    /// Waits until [`StandIn::release`].
+    Wait,
+    /// Waits until the relay closes the connection.
+    WaitForClose,
+    Close,
+    Reset,
+}
+
+type Script = dyn Fn(&Got) -> Vec<Step> + Send + Sync;
+
+/// A scripted server.
+#[derive(Clone)]
+pub struct StandIn {
+    pub id: String,
+    pub address: SocketAddr,
+    got: Arc<Mutex<Vec<Got>>>,
+    closed: Arc<Mutex<usize>>,
+    released: Arc<watch::Sender<bool>>,
+}
+
+impl StandIn {
+    pub async fn new(id: &str, script: impl Fn(&Got) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let server = Self {
+            id: id.into(),
+            address: listener.local_addr().expect("its address"),
+            got: Arc::default(),
+            closed: Arc::default(),
+            released: Arc::new(watch::Sender::new(false)),
+        };
+        let (accepting, script) = (server.clone(), Arc::new(script) as Arc<Script>);
+        tokio::spawn(async move {
+            let mut connection = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(accepting.clone().serve(connection, stream, Arc::clone(&script)));
+                connection += 1;
+            }
+        });
+        server
+    }
+
+    /// Requests so far.
+    pub fn got(&self) -> Vec<Got> {
+        self.got.lock().expect("whole").clone()
+    }
+
+    /// Connections that the relay closed so far.
+    pub fn closed(&self) -> usize {
+        *self.closed.lock().expect("whole")
+    }
+
+    pub fn release(&self) {
+        self.released.send_replace(true);
+    }
+
+    async fn serve(self, connection: usize, mut stream: TcpStream, script: Arc<Script>) {
+        let mut buffer = Vec::new();
+        while let Some(got) = read_request(&mut stream, &mut buffer, connection).await {
+            self.got.lock().expect("whole").push(got.clone());
+            for step in script(&got) {
+                if !self.act(&mut stream, step).await {
+                    return;
+                }
+            }
+        }
+        *self.closed.lock().expect("whole") += 1;
+    }
+
+    async fn act(&self, stream: &mut TcpStream, step: Step) -> bool {
+        match step {
+            Step::Send(text) => stream.write_all(text.as_bytes()).await.is_ok(),
+            Step::Wait => {
+                let mut released = self.released.subscribe();
+                released.wait_for(|released| *released).await.is_ok()
+            }
+            Step::WaitForClose => {
+                let ended = !matches!(stream.read(&mut [0; 64]).await, Ok(count) if count > 0);
+                *self.closed.lock().expect("whole") += usize::from(ended);
+                false
+            }
+            Step::Close => false,
+            Step::Reset => {
+                let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
+                false
+            }
+        }
+    }
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    connection: usize,
+) -> Option<Got> {
+    loop {
+        if let Some(got) = whole_request(buffer, connection) {
+            return Some(got);
+        }
+        match stream.read_buf(buffer).await {
+            Ok(count) if count > 0 => {}
+            _ => return None,
+        }
+    }
+}
+
+fn whole_request(buffer: &mut Vec<u8>, connection: usize) -> Option<Got> {
+    let end = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8(buffer[..end - 4].to_vec()).expect("text");
+    let mut lines = head.split("\r\n");
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers = lines.filter_map(|line| line.split_once(": "));
+    let headers: Vec<_> =
+        headers.map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
+    let mut got = Got { connection, line, headers, body: String::new() };
+    let length = got.header("content-length").map_or(0, |length| length.parse().expect("number"));
+    if buffer.len() < end + length {
+        return None;
+    }
+    got.body = String::from_utf8(buffer[end..end + length].to_vec()).expect("text");
+    buffer.drain(..end + length);
+    Some(got)
+}
+
+/// An answer with a length.
+pub fn answer(got: &Got, status: &str, lines: &str, body: &str) -> Step {
+    let (attempt, length) = (got.attempt(), body.len());
+    Step::Send(format!(
+        "HTTP/1.1 {status}\r\nX-Attempt: {attempt}\r\nX-Signature: s-1\r\n{lines}Content-Length: {length}\r\n\r\n{body}"
+    ))
+}
+
+/// The usual answer.
+pub fn ok(got: &Got) -> Vec<Step> {
+    vec![answer(got, "200 OK", "", "done")]
+}
+
+/// A refusal that says that the request did not run.
+pub fn shed(got: &Got) -> Vec<Step> {
+    vec![answer(got, "503 Service Unavailable", "X-Not-Run: full\r\n", "full")]
+}
+
+/// The head of a stream in chunks.
+pub fn stream_head(got: &Got) -> Step {
+    let attempt = got.attempt();
+    Step::Send(format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt: {attempt}\r\nX-Signature: s-1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ))
+}
+
+pub fn chunk(text: &str) -> Step {
+    Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+pub fn last_chunk() -> Step {
+    Step::Send("0\r\n\r\n".into())
+}
+
+/// An event of a stream.
+pub fn event(id: u32, data: &str) -> String {
+    format!("id: {id}\ndata: {data}\n\n")
+}
