--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -97,6 +97,8 @@
 pub struct ControlParts {
     /// Talks to the node.
     pub core: CoreHandle,
+    /// The node's clock.
+    pub clock: Clock,
     /// Where other daemons connect.
     pub peer_address: SocketAddr,
     traffic: Arc<Traffic>,
@@ -211,6 +213,7 @@
     }
     Ok(ControlParts {
         core,
+        clock,
         peer_address,
         traffic,
         datagrams,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,7 +22,7 @@
 mod attempt;
 mod chunk_store;
 pub mod cli;
-mod clock;
+pub mod clock;
 mod configuration_key;
 pub mod core;
 mod datagrams;
