--- a/crates/relay/src/turn.rs
+++ b/crates/relay/src/turn.rs
@@ -82,7 +82,9 @@
             TurnRefusal::NoSuchTurn { .. } => Refusal::NoSuchTurn,
             // A try of this name was here before, and what became of it cannot be told anew.
             TurnRefusal::AlreadyEnded => Refusal::AnswerLost,
-            TurnRefusal::LimitReached { .. } => Refusal::Busy { retry_after },
+            TurnRefusal::NotEnded { .. } | TurnRefusal::LimitReached { .. } => {
+                Refusal::Busy { retry_after }
+            }
         })
     }
 
