--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -7,6 +7,7 @@
 use futures::stream;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Response, StatusCode, response};
+use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
 use crate::TurnLedger;
@@ -104,6 +105,9 @@
                 Next::Piece(piece) => Some((Ok(piece), Some(answer))),
                 Next::End => None,
                 Next::BreakOff => {
+                    // hyper throws away what it has not flushed when a body fails. It flushes
+                    // when a body has to wait, so that the caller gets every piece before.
+                    yield_now().await;
                     count(&answer.exchange.shared.counters.broken_off);
                     Some((Err(BrokenOff), None))
                 }
--- /dev/null
+++ b/crates/relay/tests/streams.rs
@@ -0,0 +1,173 @@
+//! Streams: pieces as they arrive, going on elsewhere, and never an end that looks complete.
+
+mod common;
+
+use common::caller::{Caller, call, post};
+use common::stand_in::{Got, StandIn, Step, answer, chunk, event, last_chunk, shed, stream_head};
+use common::{Bed, once, resumable, table, until};
+use dahlia_relay::Route;
+use dahlia_types::Duration;
+
+fn whole_stream(got: &Got, events: std::ops::Range<u32>) -> Vec<Step> {
+    let events = events.map(|id| chunk(&event(id, &format!("d{id}"))));
+    let mut steps = vec![stream_head(got)];
+    steps.extend(events);
+    steps.push(last_chunk());
+    steps
+}
+
+fn text(events: std::ops::Range<u32>) -> String {
+    events.map(|id| event(id, &format!("d{id}"))).collect()
+}
+
+#[tokio::test]
+async fn pieces_are_handed_on_as_they_arrive() {
+    let plain = Route { is_stream: true, ..once() };
+    for route in [resumable(), plain] {
+        let server = StandIn::new("s-1", |got| {
+            let (first, second) = (event(1, "a"), event(2, "b"));
+            vec![stream_head(got), chunk(&first), Step::Wait, chunk(&second), last_chunk()]
+        })
+        .await;
+        let bed = Bed::new(Some(table(vec![route])), &[&server]).await;
+        let mut caller = Caller::new(bed.address).await;
+        caller.send(&post("t", "", "")).await;
+        let head = caller.head().await;
+        assert_eq!((head.status, head.header("x-signature")), (200, Some("s-1")));
+        assert_eq!(caller.chunk().await, Some(event(1, "a")));
+        server.release();
+        assert_eq!(caller.chunk().await, Some(event(2, "b")));
+        assert_eq!(caller.chunk().await.as_deref(), Some(""));
+        until("all is settled", || bed.relay.in_progress() == 0).await;
+        assert_eq!(caller.call(&post("u", "", "")).await.status, 200, "connections go on");
+        assert!(server.got().iter().all(|got| got.connection == 0));
+    }
+}
+
+/// Two servers: whichever gets the request first sends the steps, the other goes on.
+async fn broken_then(
+    route: Route,
+    first: impl Fn(&Got) -> Vec<Step> + Send + Sync + Clone + 'static,
+    then: impl Fn(&Got) -> Vec<Step> + Send + Sync + Clone + 'static,
+) -> (common::caller::Reply, Vec<Got>, Bed) {
+    let order = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let script = move |got: &Got| {
+        let mut order = order.lock().expect("whole");
+        order.push(got.clone());
+        if order.len() == 1 { first(got) } else { then(got) }
+    };
+    let one = StandIn::new("s-1", script.clone()).await;
+    let two = StandIn::new("s-2", script).await;
+    let bed = Bed::new(Some(table(vec![route])), &[&one, &two]).await;
+    let reply = call(bed.address, &post("t", "", "prompt")).await;
+    let mut got = [one.got(), two.got()].concat();
+    got.sort_by_key(|got| got.header("x-last-event").is_some());
+    (reply, got, bed)
+}
+
+fn breaks_inside_the_third_event(got: &Got) -> Vec<Step> {
+    vec![stream_head(got), chunk(&text(1..3)), chunk("id: 3\nda"), Step::Reset]
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_inside_an_event_goes_on_behind_the_last_whole_one() {
+    let then = |got: &Got| whole_stream(got, 3..6);
+    let (reply, got, bed) = broken_then(resumable(), breaks_inside_the_third_event, then).await;
+    assert_eq!((reply.body.as_str(), reply.is_whole), (text(1..6).as_str(), true));
+    assert_eq!(reply.header("x-signature"), Some("s-1"));
+    assert_eq!(got.len(), 2);
+    assert_eq!(got[1].header("x-last-event"), Some("2"));
+    assert_eq!((got[1].attempt(), got[1].body.as_str()), ("t", "prompt"));
+    assert_eq!(bed.relay.counters().resumed, 1);
+}
+
+#[tokio::test]
+async fn events_that_come_again_are_dropped() {
+    let then = |got: &Got| whole_stream(got, 1..6);
+    let (reply, _, _bed) = broken_then(resumable(), breaks_inside_the_third_event, then).await;
+    assert_eq!((reply.body.as_str(), reply.is_whole), (text(1..6).as_str(), true));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_before_its_first_event_begins_again() {
+    let first = |got: &Got| vec![stream_head(got), chunk("id: 1\n"), Step::Close];
+    let then = |got: &Got| whole_stream(got, 1..3);
+    let (reply, got, _bed) = broken_then(resumable(), first, then).await;
+    assert_eq!((reply.body, reply.is_whole), (text(1..3), true));
+    assert!(got.iter().all(|got| got.header("x-last-event").is_none()));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_go_on_is_broken_off() {
+    let plain = Route { is_stream: true, ..common::route() };
+    let only = Route { max_attempts: 1, ..resumable() };
+    for route in [plain, only] {
+        let then = |got: &Got| whole_stream(got, 3..6);
+        let first = breaks_inside_the_third_event;
+        let (reply, got, bed) = broken_then(route, first, then).await;
+        assert_eq!((reply.status, reply.is_whole, got.len()), (200, false, 1));
+        assert!(reply.body.starts_with(&text(1..3)));
+        assert_eq!(bed.relay.counters().broken_off, 1);
+    }
+}
+
+#[tokio::test]
+async fn a_stream_is_broken_off_when_no_server_goes_on() {
+    for then in [shed as fn(&Got) -> Vec<Step>, |got| vec![answer(got, "500 Bad", "", "")]] {
+        let first = breaks_inside_the_third_event;
+        let (reply, got, _bed) = broken_then(resumable(), first, then).await;
+        assert_eq!((reply.body, reply.is_whole, got.len()), (text(1..3), false, 2));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_without_a_first_piece_is_an_answer_lost() {
+    let first = |got: &Got| vec![stream_head(got), Step::Reset];
+    let plain = Route { is_stream: true, ..common::route() };
+    let (reply, got, _bed) = broken_then(plain, first, first).await;
+    assert_eq!((reply.status, got.len()), (502, 1));
+}
+
+#[tokio::test]
+async fn what_stands_behind_the_last_event_belongs_to_the_stream() {
+    let server = StandIn::new("s-1", |got| {
+        let rest = "weight-versions: 2\nid: 2\ndata: b\n\n: bye";
+        vec![stream_head(got), chunk(&event(1, "a")), chunk(rest), last_chunk()]
+    })
+    .await;
+    let bed = Bed::new(Some(table(vec![resumable()])), &[&server]).await;
+    let reply = call(bed.address, &post("t", "", "")).await;
+    let expected = format!("{}weight-versions: 2\nid: 2\ndata: b\n\n: bye", event(1, "a"));
+    assert_eq!((reply.body, reply.is_whole), (expected, true));
+}
+
+#[tokio::test]
+async fn a_stream_is_cut_at_its_deadline() {
+    let short = Route { timeout: Duration::from_millis(250), ..resumable() };
+    let server = StandIn::new("s-1", |got| {
+        vec![stream_head(got), chunk(&event(1, "a")), Step::WaitForClose]
+    })
+    .await;
+    let bed = Bed::new(Some(table(vec![short])), &[&server]).await;
+    let reply = call(bed.address, &post("t", "", "")).await;
+    assert_eq!((reply.body, reply.is_whole), (event(1, "a"), false));
+    until("the server sees the close", || server.closed() == 1).await;
+    assert_eq!(server.got().len(), 1, "nobody goes on behind the deadline");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_a_stream_takes_the_connection_to_the_server_with_it() {
+    let server = StandIn::new("s-1", |got| {
+        vec![stream_head(got), chunk(&event(1, "a")), Step::WaitForClose]
+    })
+    .await;
+    let bed = Bed::new(Some(table(vec![resumable()])), &[&server]).await;
+    let mut caller = Caller::new(bed.address).await;
+    caller.send(&post("t", "", "")).await;
+    caller.head().await;
+    caller.chunk().await.expect("the first event");
+    drop(caller);
+    until("the server sees the close", || server.closed() == 1).await;
+    until("nothing is in progress", || bed.relay.in_progress() == 0).await;
+    assert_eq!(server.got().len(), 1);
+}
