--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -220,3 +220,15 @@
     let limit = MembershipSettings::default().sync_chunk_bytes;
     assert!(swarm.largest_message <= limit, "{} bytes", swarm.largest_message);
 }
+
+#[test]
+fn a_document_spreads_by_comparison_alone_and_may_be_large() {
+    let settings = MembershipSettings { sync_interval_ms: 1_000, ..Default::default() };
+    let mut swarm = complete(ONE_REGION, settings, 12);
+    let key = FactKey::Document(1);
+    let large = MembershipSettings::default().max_fact_bytes * 20;
+    assert!(swarm.publish(1, key.clone(), 4, large));
+    assert!(!swarm.publish(1, FactKey::Other(1), 4, large), "no other fact may be so large");
+    let all = |swarm: &Swarm| swarm.knowing(&key, 4) == 24;
+    assert!(swarm.run_until_holds(SECOND.times(60), all).is_some());
+}
