--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -42,48 +42,48 @@
 pub(crate) struct Sending<'a, L> {
     pub(crate) shared: &'a Arc<Shared<L>>,
     pub(crate) service: Option<&'a Service>,
-    pub(crate) server: &'a BackendAddress,
     pub(crate) outgoing: Outgoing<'a>,
 }
 
+/// A connection kept from before, or a new one; none when there is none to be had.
+pub(crate) async fn connect<L>(
+    shared: &Shared<L>,
+    server: &BackendAddress,
+) -> Option<ServerConnection> {
+    if let Some(connection) = shared.pool.take(&server.id) {
+        return Some(connection);
+    }
+    match ServerConnection::open(server.address, &shared.settings).await {
+        Ok(connection) => {
+            count(&shared.counters.connections_to_servers);
+            Some(connection)
+        }
+        Err(error) => {
+            log::debug!(target: "relay", "{error}");
+            None
+        }
+    }
+}
+
 impl<L: TurnLedger> Sending<'_, L> {
     /// Sends the request and waits for the head of its answer.
-    pub(crate) async fn send(self, mut guard: AttemptGuard) -> Sent {
-        count(&self.shared.counters.attempts);
-        let (connection, answer) = match self.send_on_some_connection().await {
-            Ok(sent) => sent,
-            Err(SendError::NotSent) => {
-                guard.end = AttemptEnd::Unreachable;
-                return Sent::NotRun { retry_after: None };
-            }
+    ///
+    /// # Errors
+    /// The connection had closed before a byte left; the guard comes back.
+    pub(crate) async fn send(
+        self,
+        mut connection: ServerConnection,
+        mut guard: AttemptGuard,
+    ) -> Result<Sent, AttemptGuard> {
+        match connection.send(self.outgoing.request()).await {
+            Ok(answer) => Ok(self.judge(connection, answer, guard).await),
+            Err(SendError::NotSent) => Err(guard),
             Err(error @ SendError::NoAnswer { .. }) => {
-                log::debug!(target: "relay", "attempt at {}: {error}", self.server.id);
-                guard.end = AttemptEnd::Broken;
-                return Sent::Broken;
-            }
-        };
-        self.judge(connection, answer, guard).await
-    }
-
-    /// Tries connections kept from before, then a new one, until the request leaves on one.
-    async fn send_on_some_connection(
-        &self,
-    ) -> Result<(ServerConnection, Response<Incoming>), SendError> {
-        while let Some(mut connection) = self.shared.pool.take(&self.server.id) {
-            match connection.send(self.outgoing.request()).await {
-                Err(SendError::NotSent) => {}
-                Err(error) => return Err(error),
-                Ok(answer) => return Ok((connection, answer)),
+                log::debug!(target: "relay", "attempt at {}: {error}", guard.server());
+                guard.set_end(AttemptEnd::Broken);
+                Ok(Sent::Broken)
             }
         }
-        let opened = ServerConnection::open(self.server.address, &self.shared.settings).await;
-        let mut connection = opened.map_err(|error| {
-            log::debug!(target: "relay", "{error}");
-            SendError::NotSent
-        })?;
-        count(&self.shared.counters.connections_to_servers);
-        let answer = connection.send(self.outgoing.request()).await?;
-        Ok((connection, answer))
     }
 
     async fn judge(
@@ -94,7 +94,7 @@
     ) -> Sent {
         let (parts, body) = answer.into_parts();
         if !self.is_ours(&parts) {
-            guard.end = AttemptEnd::Broken;
+            guard.set_end(AttemptEnd::Broken);
             return Sent::Broken;
         }
         let verdict = verdict(&parts, &self.shared.headers.not_run);
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -10,7 +10,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, Sleep, sleep_until};
 
 /// What a caller's connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,22 +23,13 @@
     Busy,
 }
 
-/// What has become of a connection's time limits.
+/// What has become of a connection's rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TimeCheck {
-    /// Nothing can be over before this moment.
+pub(crate) enum RestCheck {
+    /// It cannot be over before this moment.
     Until(Instant),
-    /// It rested too long.
-    RestedTooLong,
-    /// The head of a request took too long.
-    HeadTooSlow,
-}
-
-/// Limits on a connection's time without a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ConnectionTimes {
-    pub(crate) rest: Duration,
-    pub(crate) head: Duration,
+    /// It is over.
+    TooLong,
 }
 
 #[derive(Debug)]
@@ -85,18 +76,27 @@
         }
     }
 
-    pub(crate) fn check(&self, now: Instant, times: ConnectionTimes) -> TimeCheck {
+    /// Whether the connection has rested too long.
+    pub(crate) fn check_rest(&self, now: Instant, most: Duration) -> RestCheck {
+        match self.lock().phase {
+            Phase::Resting { since } if now >= since + most => RestCheck::TooLong,
+            Phase::Resting { since } => RestCheck::Until(since + most),
+            Phase::Head { .. } | Phase::Busy => RestCheck::Until(now + most),
+        }
+    }
+
+    /// Since when the head of a request is arriving.
+    fn head_since(&self) -> Option<Instant> {
         match self.lock().phase {
-            Phase::Resting { since } if now >= since + times.rest => TimeCheck::RestedTooLong,
-            Phase::Head { since } if now >= since + times.head => TimeCheck::HeadTooSlow,
-            // A head may begin at any moment of a rest: look again as soon as it could be late.
-            Phase::Resting { since } => {
-                TimeCheck::Until((since + times.rest).min(now + times.head))
-            }
-            Phase::Head { since } => TimeCheck::Until(since + times.head),
-            Phase::Busy => TimeCheck::Until(now + times.head),
+            Phase::Head { since } => Some(since),
+            Phase::Resting { .. } | Phase::Busy => None,
         }
     }
+
+    /// Whether the head of a request is not there yet.
+    pub(crate) fn awaits_head(&self) -> bool {
+        self.head_since().is_some()
+    }
 }
 
 /// Holds a connection busy; it rests from the guard's end.
@@ -111,15 +111,28 @@
     }
 }
 
-/// A caller's stream that notes when bytes arrive.
+/// A caller's stream that notes when bytes arrive, and fails when a head takes too long.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     state: CallerState,
+    most_head_time: Duration,
+    /// Set only when a head does not come in one piece, which is rare.
+    alarm: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, state: CallerState) -> Self {
-        Self { stream, state }
+    pub(crate) fn new(stream: TcpStream, state: CallerState, most_head_time: Duration) -> Self {
+        Self { stream, state, most_head_time, alarm: None }
+    }
+
+    fn poll_head_time(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(since) = self.state.head_since() else {
+            self.alarm = None;
+            return Poll::Pending;
+        };
+        let end = since + self.most_head_time;
+        let alarm = self.alarm.get_or_insert_with(|| Box::pin(sleep_until(end)));
+        alarm.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Offers bytes to the socket without waiting, as a last word before it is closed.
@@ -139,6 +152,9 @@
         if buffer.filled().len() > before {
             self.state.bytes_arrived();
         }
+        if result.is_pending() {
+            return self.poll_head_time(context);
+        }
         result
     }
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -111,6 +111,11 @@
         .await
     }
 
+    /// Whether nothing was sent on it yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.progress.written() == 0
+    }
+
     /// Whether another request may go over it: the one before is fully sent and answered, nothing
     /// is left over, and the server has not closed it.
     pub(crate) fn is_reusable(&mut self) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,11 +3,12 @@
 use std::sync::{Arc, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use dahlia_backends::{Ask, BackendAddress, BackendId, Choice};
+use dahlia_backends::{Ask, AttemptEnd, BackendAddress, BackendId, Choice};
 use dahlia_types::Duration;
 use tokio::time::Instant;
 
-use crate::attempt::{Sending, Sent};
+use crate::attempt::{Sending, Sent, connect};
+use crate::counters::count;
 use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
 use crate::outgoing::Outgoing;
 use crate::refusal::Refusal;
@@ -113,19 +114,8 @@
         loop {
             let server = self.choose()?;
             let guard = AttemptGuard::new(&self.shared, server.id.clone());
-            self.sent();
-            let outgoing = Outgoing {
-                names: &self.shared.headers,
-                head: &self.head,
-                body: &self.body,
-                expected_instance: &server.id,
-                priority: self.route().priority,
-                last_event: self.last_event.as_ref(),
-                deadline: self.deadline,
-            };
-            let service = self.matched.service();
-            let sending = Sending { shared: &self.shared, service, server: &server, outgoing };
-            let sent = sending.send(guard).await;
+            count(&self.shared.counters.attempts);
+            let sent = self.send_to(&server, guard).await;
             self.tried.push(server.id);
             match sent {
                 Sent::Answering(live) => return Ok(live),
@@ -135,6 +125,37 @@
         }
     }
 
+    /// Sends the request to one server, on the first of its connections that is still open.
+    async fn send_to(&mut self, server: &BackendAddress, mut guard: AttemptGuard) -> Sent {
+        while let Some(connection) = connect(&self.shared, server).await {
+            let is_new = connection.is_new();
+            self.sent();
+            guard = match self.sending(server).send(connection, guard).await {
+                Ok(sent) => return sent,
+                Err(guard) => guard,
+            };
+            self.did_not_run();
+            if is_new {
+                break;
+            }
+        }
+        guard.set_end(AttemptEnd::Unreachable);
+        Sent::NotRun { retry_after: None }
+    }
+
+    fn sending<'a>(&'a self, server: &'a BackendAddress) -> Sending<'a, L> {
+        let outgoing = Outgoing {
+            names: &self.shared.headers,
+            head: &self.head,
+            body: &self.body,
+            expected_instance: &server.id,
+            priority: self.route().priority,
+            last_event: self.last_event.as_ref(),
+            deadline: self.deadline,
+        };
+        Sending { shared: &self.shared, service: self.matched.service(), outgoing }
+    }
+
     fn choose(&self) -> Result<BackendAddress, Refusal> {
         let ask = Ask {
             service: self.matched.service_name(),
--- a/crates/relay/src/live.rs
+++ b/crates/relay/src/live.rs
@@ -22,7 +22,7 @@
     backends: Arc<Mutex<Backends>>,
     clock: Clock,
     server: BackendId,
-    pub(crate) end: AttemptEnd,
+    end: AttemptEnd,
 }
 
 impl AttemptGuard {
@@ -34,6 +34,14 @@
             end: AttemptEnd::Cancelled,
         }
     }
+
+    pub(crate) fn server(&self) -> &BackendId {
+        &self.server
+    }
+
+    pub(crate) fn set_end(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
 }
 
 impl Drop for AttemptGuard {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,6 +1,8 @@
 //! Callers' connections, and the steps that every request goes through.
 
 use std::convert::Infallible;
+use std::error::Error;
+use std::io;
 use std::pin::pin;
 use std::sync::Arc;
 
@@ -18,7 +20,7 @@
 use crate::TurnLedger;
 use crate::answer::hand_on;
 use crate::body::AnswerBody;
-use crate::caller::{CallerState, CallerStream, ConnectionTimes, TimeCheck};
+use crate::caller::{CallerState, CallerStream, RestCheck};
 use crate::counters::{Gauge, GaugeGuard, count};
 use crate::exchange::{Answer, Exchange};
 use crate::refusal::Refusal;
@@ -60,12 +62,10 @@
     let _open = GaugeGuard::new(&shared.counters, Gauge::OpenConnections);
     let _ = stream.set_nodelay(true);
     let limits = shared.limits();
-    let times = ConnectionTimes {
-        rest: Duration::from_micros(limits.idle_timeout.as_micros()),
-        head: Duration::from_micros(limits.header_timeout.as_micros()),
-    };
+    let most_rest = Duration::from_micros(limits.idle_timeout.as_micros());
+    let most_head_time = Duration::from_micros(limits.header_timeout.as_micros());
     let state = CallerState::new();
-    let io = TokioIo::new(CallerStream::new(stream, state.clone()));
+    let io = TokioIo::new(CallerStream::new(stream, state.clone(), most_head_time));
     let service = service_fn(|request| handle(shared, &state, request));
     let mut connection = http1::Builder::new()
         .auto_date_header(false)
@@ -73,27 +73,26 @@
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
         .serve_connection(io, service);
     let mut drain = shared.drain.subscribe();
-    let mut is_open_end = !*drain.borrow_and_update();
-    let mut alarm = pin!(sleep_until(Instant::now() + times.head));
+    let mut may_begin_drain = !*drain.borrow_and_update();
+    let mut alarm = pin!(sleep_until(Instant::now() + most_rest));
     loop {
         select! {
             biased;
             result = &mut connection => {
                 if let Err(error) = result {
                     log::debug!(target: "relay", "a caller's connection: {error}");
+                    if is_timeout(&error) && state.awaits_head() {
+                        connection.into_parts().io.into_inner().last_word(HEAD_TOO_SLOW);
+                    }
                 }
                 return;
             }
-            () = &mut alarm => match state.check(Instant::now(), times) {
-                TimeCheck::Until(moment) => alarm.as_mut().reset(moment),
-                TimeCheck::RestedTooLong => return,
-                TimeCheck::HeadTooSlow => {
-                    connection.into_parts().io.into_inner().last_word(HEAD_TOO_SLOW);
-                    return;
-                }
+            () = &mut alarm => match state.check_rest(Instant::now(), most_rest) {
+                RestCheck::Until(moment) => alarm.as_mut().reset(moment),
+                RestCheck::TooLong => return,
             },
-            _ = drain.changed(), if is_open_end => {
-                is_open_end = false;
+            _ = drain.changed(), if may_begin_drain => {
+                may_begin_drain = false;
                 if state.may_be_closed() {
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                 }
@@ -102,6 +101,12 @@
     }
 }
 
+/// Whether a connection failed for want of bytes in time.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Answers one request, whatever comes of it.
 async fn handle<L: TurnLedger>(
     shared: &Arc<Shared<L>>,
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -10,6 +10,8 @@
 use dahlia_relay::{RelaySettings, Route};
 use dahlia_types::Duration;
 
+type Script = fn(&Got) -> Vec<Step>;
+
 /// Two servers that do what the script says to the first request that either gets, and answer
 /// every later one. Returns what the caller got and how many requests reached a server.
 async fn first_fails(
@@ -31,7 +33,7 @@
 }
 
 /// Every way in which an answer can be lost after the request was sent.
-fn lost_answers() -> Vec<(&'static str, fn(&Got) -> Vec<Step>)> {
+fn lost_answers() -> Vec<(&'static str, Script)> {
     vec![
         ("reset", |_| vec![Step::Reset]),
         ("closed", |_| vec![Step::Close]),
@@ -97,7 +99,7 @@
 
 #[tokio::test]
 async fn a_request_that_a_server_did_not_run_goes_to_another_whatever_its_route() {
-    let not_run: [(&str, fn(&Got) -> Vec<Step>); 3] = [
+    let not_run: [(&str, Script); 3] = [
         ("full", shed),
         ("another instance", |got| vec![answer(got, "421 Misdirected Request", "", "")]),
         ("too many", |got| vec![answer(got, "429 Too Many", "X-Not-Run: 1\r\n", "")]),
@@ -176,7 +178,7 @@
         let server = StandIn::new("s-1", move |got| {
             let head = format!("HTTP/1.1 200 OK\r\nX-Attempt: {}\r\n", got.attempt());
             let head = Step::Send(format!("{head}Content-Length: 9\r\n\r\nfirst"));
-            let steps = vec![head, Step::WaitForClose];
+            let steps = [head, Step::WaitForClose];
             steps[usize::from(!head_first)..].to_vec()
         })
         .await;
--- a/crates/relay/tests/passing.rs
+++ b/crates/relay/tests/passing.rs
@@ -2,11 +2,16 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use common::caller::{Caller, call, post};
 use common::stand_in::{StandIn, Step, answer, chunk, ok};
 use common::{Bed, once, route, table};
 use dahlia_relay::{CallerLimits, Route, RouteTable};
 use dahlia_types::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 #[tokio::test]
 async fn requests_and_answers_pass_unchanged_but_for_headers_of_one_connection() {
@@ -129,6 +134,33 @@
     }
 }
 
+#[tokio::test]
+async fn a_connection_is_not_used_again_while_a_body_is_on_its_way() {
+    // This server answers before it reads the body, and never reads it.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&connections);
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            stream.read_exact(&mut [0; 16]).await.expect("a head");
+            let answer = "HTTP/1.1 200 OK\r\nX-Attempt: t\r\nContent-Length: 2\r\n\r\nok";
+            stream.write_all(answer.as_bytes()).await.expect("it reads");
+            open.push(stream);
+        }
+    });
+    let limits = CallerLimits { body_bytes: 1 << 26, ..CallerLimits::default() };
+    let bed = Bed::new(Some(RouteTable { limits, ..table(vec![once()]) }), &[]).await;
+    bed.add("s-1", address);
+    let long = "x".repeat(1 << 25);
+    for _ in 0..2 {
+        assert_eq!(call(bed.address, &post("t", "", &long)).await.status, 200);
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 2);
+}
+
 #[tokio::test]
 async fn without_routes_callers_are_told_to_come_back_and_without_a_route_that_there_is_none() {
     let server = StandIn::new("s-1", ok).await;
