--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
@@ -117,10 +117,10 @@
     }
 
     /// Whether another request may go over it: the one before is fully sent and answered, nothing
-    /// is left over, and the server has not closed it.
+    /// is left over, and the server has not closed it. hyper wants no further request before.
     pub(crate) fn is_reusable(&mut self) -> bool {
         poll_driver(&mut self.driver, &mut Context::from_waker(Waker::noop()));
-        self.driver.is_some() && self.sender.is_ready() && !self.progress.is_blocked()
+        self.driver.is_some() && self.sender.is_ready()
     }
 }
 
@@ -161,34 +161,23 @@
     socket.set_tcp_user_timeout(Some(Duration::from_millis(settings.unacknowledged_timeout_ms)))
 }
 
-/// What a connection has written.
+/// Bytes that the socket has taken.
 #[derive(Debug, Default)]
-struct WriteProgress {
-    written: AtomicU64,
-    /// The socket did not take all that it was offered last.
-    is_blocked: AtomicBool,
-}
+struct WriteProgress(AtomicU64);
 
 impl WriteProgress {
     fn written(&self) -> u64 {
-        self.written.load(Ordering::Relaxed)
-    }
-
-    fn is_blocked(&self) -> bool {
-        self.is_blocked.load(Ordering::Relaxed)
+        self.0.load(Ordering::Relaxed)
     }
 
-    fn note(&self, offered: usize, result: &Poll<io::Result<usize>>) {
-        let taken = match result {
-            Poll::Ready(Ok(taken)) => *taken,
-            _ => 0,
-        };
-        self.written.fetch_add(taken as u64, Ordering::Relaxed);
-        self.is_blocked.store(taken < offered, Ordering::Relaxed);
+    fn note(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(taken)) = result {
+            self.0.fetch_add(*taken as u64, Ordering::Relaxed);
+        }
     }
 }
 
-/// A stream to a server that notes what the socket has taken.
+/// A stream to a server that notes how much the socket has taken.
 struct ServerStream {
     stream: TcpStream,
     progress: Arc<WriteProgress>,
@@ -211,7 +200,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.progress.note(bytes.len(), &result);
+        self.progress.note(&result);
         result
     }
 
@@ -221,8 +210,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        let offered = slices.iter().map(|slice| slice.len()).sum();
-        self.progress.note(offered, &result);
+        self.progress.note(&result);
         result
     }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -144,9 +144,13 @@
     }
 
     pub fn add(&self, id: &str, address: SocketAddr) {
+        self.add_to(service_name(), id, address);
+    }
+
+    pub fn add_to(&self, service: ServiceName, id: &str, address: SocketAddr) {
         let record = BackendRecord {
             id: BackendId(id.into()),
-            service: service_name(),
+            service,
             address,
             zone: Zone("zone".into()),
             slots: 8,
--- a/crates/relay/tests/passing.rs
+++ b/crates/relay/tests/passing.rs
@@ -7,8 +7,9 @@
 
 use common::caller::{Caller, call, post};
 use common::stand_in::{StandIn, Step, answer, chunk, ok};
-use common::{Bed, once, route, table};
-use dahlia_relay::{CallerLimits, Route, RouteTable};
+use common::{Bed, once, route, service_name, table};
+use dahlia_backends::ServiceName;
+use dahlia_relay::{CallerLimits, Route, RouteTable, WeightedService};
 use dahlia_types::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -190,6 +191,30 @@
     }
 }
 
+#[tokio::test]
+async fn a_split_route_sends_shares_by_weight_and_a_program_always_one_way() {
+    let (first, second) = (StandIn::new("s-1", ok).await, StandIn::new("s-2", ok).await);
+    let other = ServiceName("other".into());
+    let targets = vec![
+        WeightedService { service: service_name(), weight: 80.0 },
+        WeightedService { service: other.clone(), weight: 20.0 },
+    ];
+    let bed = Bed::new(Some(table(vec![Route { targets, ..route() }])), &[&first]).await;
+    bed.add_to(other, "s-2", second.address);
+    let mut caller = Caller::new(bed.address).await;
+    for attempt in 0..300 {
+        let reply = caller.call(&post(&format!("t-{attempt}"), "", "")).await;
+        assert_eq!(reply.status, 200);
+    }
+    let (most, least) = (first.got().len(), second.got().len());
+    assert!((200..=280).contains(&most) && most + least == 300, "{most} and {least}");
+    for attempt in 0..20 {
+        caller.call(&post(&format!("u-{attempt}"), "X-Program: p\r\n", "")).await;
+    }
+    let more = [first.got().len() - most, second.got().len() - least];
+    assert!(more.contains(&20), "{more:?}");
+}
+
 #[tokio::test]
 async fn limits_on_callers_are_kept() {
     let limits = CallerLimits {
