--- a/crates/api/src/error.rs
+++ b/crates/api/src/error.rs
@@ -149,6 +149,12 @@
         self
     }
 
+    /// The same error for a request that fails again however often it is sent unchanged.
+    pub fn without_retry(mut self) -> Self {
+        self.retry_after = None;
+        self
+    }
+
     /// The value of the HTTP `Retry-After` header: whole seconds, rounded up, at least 1.
     pub fn retry_after_seconds(&self) -> Option<u64> {
         self.retry_after.map(|after| after.as_millis().div_ceil(1000).max(1) as u64)
--- a/crates/daemon/src/gateway/render.rs
+++ b/crates/daemon/src/gateway/render.rs
@@ -45,7 +45,11 @@
     let status = StatusCode::from_u16(error.kind.http_status());
     response.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     set(response, headers::ERROR, error.kind.name());
-    set(response, headers::SHOULD_RETRY, if error.kind.should_retry() { "true" } else { "false" });
+    set(
+        response,
+        headers::SHOULD_RETRY,
+        if error.retry_after.is_some() { "true" } else { "false" },
+    );
     if let Some(seconds) = error.retry_after_seconds() {
         set(response, "retry-after", &seconds.to_string());
     }
--- a/crates/daemon/src/operators/programs.rs
+++ b/crates/daemon/src/operators/programs.rs
@@ -183,7 +183,8 @@
         return Ok(());
     }
     let message = format!("the budget is {budget}; the limit of tenant {tenant} is {most} tokens");
-    let error = ApiError::new(ErrorKind::LimitReached, message);
+    // Only an operator's change of the limit or of the request helps, not time.
+    let error = ApiError::new(ErrorKind::LimitReached, message).without_retry();
     Err(status(&error.with_field("budget_tokens")))
 }
 
--- a/crates/daemon/tests/configuration/limits.rs
+++ b/crates/daemon/tests/configuration/limits.rs
@@ -1,5 +1,6 @@
 //! Defaults and limits of the document in force.
 
+use dahlia_api::headers;
 use dahlia_api::operators::CreateProgramRequest;
 
 use crate::support::{MODEL, Operator, Plan, System, error_name, wait_until_in_force};
@@ -26,6 +27,8 @@
     let refused = system.create(plain("night-shift", 0)).await.expect_err("over its limit");
     assert_eq!(error_name(&refused), "limit_reached");
     assert!(refused.message().contains("700"), "{}", refused.message());
+    // The same request fails however often it is sent: an advice to come back would mislead.
+    assert!(refused.metadata().get(headers::RPC_RETRY_AFTER).is_none(), "{refused:?}");
     system.create(plain("night-shift", 700)).await.expect("at its limit");
 }
 
