Keep the set of switched-off mechanisms in one place

Now dahlia_types::Switches, generic over a part's mechanisms. Ruled out: one enum of all mechanisms; each crate would have to know the others' parts.

--- a/crates/program/src/switches.rs
+++ b/crates/program/src/switches.rs
@@ -1,7 +1,5 @@
 //! Mechanisms that a test can switch off, to show that its checker notices their absence.
 
-use std::collections::BTreeSet;
-
 /// One mechanism that a promise rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Mechanism {
@@ -26,18 +24,4 @@
 }
 
 /// The mechanisms switched off. Always empty outside of test builds.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct Switches {
-    off: BTreeSet<Mechanism>,
-}
-
-impl Switches {
-    pub(crate) fn is_on(&self, mechanism: Mechanism) -> bool {
-        !self.off.contains(&mechanism)
-    }
-
-    #[cfg(feature = "test-switches")]
-    pub(crate) fn disable(&mut self, mechanism: Mechanism) {
-        self.off.insert(mechanism);
-    }
-}
+pub(crate) type Switches = dahlia_types::Switches<Mechanism>;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod epochs;
 mod identifiers;
 mod settings;
+mod switches;
 mod time;
 mod units;
 
@@ -19,5 +20,6 @@
     ParseIdError, ProgramId, Region, ReplicaId, TenantId, Zone,
 };
 pub use settings::{InvalidSetting, check_range};
+pub use switches::Switches;
 pub use time::{Duration, Timestamp};
 pub use units::{Bytes, Tokens};
