Relay: answer in HTTP/1.1 whatever version the server speaks

The version belongs to each connection: handing on a server's HTTP/1.0 would tell the caller that its own connection ends. Found in review of the code; the test of answers without a length now covers such a server.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -6,7 +6,7 @@
 use dahlia_backends::AttemptEnd;
 use futures::stream;
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, Method, Response, StatusCode, response};
+use http::{HeaderMap, Method, Response, StatusCode, Version, response};
 use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
@@ -46,6 +46,8 @@
 }
 
 fn whole(mut parts: response::Parts, body: Bytes, method: &Method) -> Response<AnswerBody> {
+    // The version is a matter of each connection.
+    parts.version = Version::HTTP_11;
     hop::strip(&mut parts.headers);
     if !describes_absent_body(&parts, method) {
         set_length(&mut parts.headers, &body);
--- a/crates/relay/tests/passing.rs
+++ b/crates/relay/tests/passing.rs
@@ -80,14 +80,22 @@
             let head = Step::Send(format!("{head}Transfer-Encoding: chunked\r\n\r\n"));
             return vec![head, chunk("abc"), chunk("de"), Step::Send("0\r\n\r\n".into())];
         }
+        let head = match got.attempt() {
+            "old" => head.replace("1.1", "1.0"),
+            _ => head,
+        };
         vec![Step::Send(format!("{head}\r\nto the end")), Step::Close]
     })
     .await;
     let bed = Bed::new(Some(table(vec![once()])), &[&server]).await;
     let reply = call(bed.address, &post("chunks", "", "")).await;
     assert_eq!((reply.body.as_str(), reply.header("content-length")), ("abcde", Some("5")));
-    let reply = call(bed.address, &post("close", "", "")).await;
-    assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "to the end", true));
+    let mut caller = Caller::new(bed.address).await;
+    for attempt in ["close", "old", "close"] {
+        let reply = caller.call(&post(attempt, "", "")).await;
+        assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "to the end", true));
+        assert_eq!(reply.header("connection"), None, "{attempt}: the caller's connection goes on");
+    }
 }
 
 #[tokio::test]
