--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,8 @@
 //! | `chunk_store` | the thread that owns the data folder |
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
+//! | `layout_store` | where the first layout of groups is kept |
+//! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
@@ -21,7 +23,7 @@
 mod attempt;
 mod chunk_store;
 pub mod cli;
-mod clock;
+pub mod clock;
 mod configuration_key;
 pub mod core;
 mod datagrams;
@@ -30,6 +32,8 @@
 pub mod frames;
 mod gateway;
 mod handshake;
+pub mod layout_store;
+pub mod ledger_client;
 pub mod logging;
 mod machine_list;
 mod metrics;
