--- /dev/null
+++ b/crates/node/tests/cluster/mod.rs
@@ -0,0 +1,271 @@
+//! A few nodes in virtual time, with links that can be cut and messages that can be lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use dahlia_ledger::{LedgerCommand, LedgerReply};
+use dahlia_node::request::{Request, RequestId, Response};
+use dahlia_node::wire::PeerMessage;
+use dahlia_node::{Action, Event, HistorySettings, LayoutStep, Node, NodeFaults, NodeSettings};
+use dahlia_placement::{PlacementSettings, PolicyKind};
+use dahlia_program::ProgramLimits;
+use dahlia_replication::directory::GroupDescription;
+use dahlia_replication::group::GroupSettings;
+use dahlia_replication::maintenance::MaintenanceSettings;
+use dahlia_replication::membership::MembershipSettings;
+use dahlia_types::{
+    DaemonId, Duration, GroupId, Incarnation, LogIndex, Region, ReplicaId, Term, Timestamp, Zone,
+};
+
+/// The gateway, which holds no group.
+pub const GATEWAY: u32 = 4;
+/// The daemons that hold the group.
+pub const STORES: [u32; 3] = [1, 2, 3];
+/// The only group.
+pub const GROUP: GroupId = GroupId(0);
+/// One way between any two daemons.
+pub const LINK: Duration = Duration::from_millis(1);
+
+const PORT: u16 = 7_000;
+const START: Timestamp = Timestamp(3_600_000_000);
+
+enum Delivery {
+    Tick,
+    Message { from: u32, message: PeerMessage },
+    Layout,
+}
+
+/// The nodes and what is under way between them.
+pub struct Cluster {
+    pub now: Timestamp,
+    nodes: BTreeMap<u32, Node>,
+    agenda: BTreeMap<(Timestamp, u64), (u32, Delivery)>,
+    cut: BTreeSet<(u32, u32)>,
+    lost_responses: u32,
+    answers: BTreeMap<RequestId, (Timestamp, Response)>,
+    sequence: u64,
+    /// Messages between daemons by kind: appends and their answers, requests, responses.
+    pub messages: Messages,
+}
+
+/// Messages that were sent for requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Messages {
+    pub groups: u32,
+    pub requests: u32,
+    pub responses: u32,
+}
+
+impl Cluster {
+    /// Nodes that have their layout and an owner of the group.
+    pub fn started(group: GroupSettings) -> Self {
+        let mut cluster = Self {
+            now: START,
+            nodes: BTreeMap::new(),
+            agenda: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            lost_responses: 0,
+            answers: BTreeMap::new(),
+            sequence: 0,
+            messages: Messages::default(),
+        };
+        for daemon in STORES.into_iter().chain([GATEWAY]) {
+            cluster.nodes.insert(daemon, Node::new(settings(daemon, &group), START));
+            cluster.push(START + Duration(u64::from(daemon) * 3_700), daemon, Delivery::Tick);
+        }
+        let knows_all = |cluster: &Self| {
+            cluster.nodes.values().all(|node| node.daemons().len() == cluster.nodes.len())
+        };
+        cluster.run_until(Duration::from_secs(30), |cluster| {
+            cluster.owner().is_some() && knows_all(cluster)
+        });
+        cluster
+    }
+
+    /// The daemon that owns the group.
+    pub fn owner(&self) -> Option<u32> {
+        let mut owners = self.nodes.iter().filter(|(_, node)| node.owns(GROUP));
+        owners.next().map(|(daemon, _)| *daemon)
+    }
+
+    /// The daemon that owns the group among those that are not `besides`.
+    pub fn other_owner(&self, besides: u32) -> Option<u32> {
+        let mut owners = self.nodes.iter().filter(|(_, node)| node.owns(GROUP));
+        owners.find(|(daemon, _)| **daemon != besides).map(|(daemon, _)| *daemon)
+    }
+
+    /// Ends a daemon's process.
+    pub fn kill(&mut self, daemon: u32) {
+        self.nodes.remove(&daemon);
+    }
+
+    /// Cuts a daemon off from the other stores, both ways.
+    pub fn cut_from_stores(&mut self, daemon: u32) {
+        for other in STORES.into_iter().filter(|other| *other != daemon) {
+            self.cut.extend([(daemon, other), (other, daemon)]);
+        }
+    }
+
+    /// Loses the next answers to requests.
+    pub fn lose_responses(&mut self, count: u32) {
+        self.lost_responses = count;
+    }
+
+    /// Puts a command to the ledger at the gateway.
+    pub fn ask(&mut self, command: LedgerCommand) -> RequestId {
+        self.sequence += 1;
+        let id = RequestId(self.sequence);
+        let request = Request::Ledger { group: GROUP, command };
+        self.handle(GATEWAY, Event::Request { id, request });
+        id
+    }
+
+    /// Waits for the answer to a request, and gives how long it took from now.
+    pub fn answer(&mut self, id: RequestId) -> (Response, Duration) {
+        let asked = self.now;
+        let limit = Duration::from_secs(10);
+        self.run_until(limit, |cluster| cluster.answers.contains_key(&id));
+        let (at, response) = self.answers.remove(&id).expect("just seen");
+        (response, at.since(asked))
+    }
+
+    /// Puts a command to the ledger, again after every answer that it is unavailable.
+    pub fn insist(&mut self, command: &LedgerCommand) -> LedgerReply {
+        loop {
+            let id = self.ask(command.clone());
+            if let Response::Ledger(reply) = self.answer(id).0 {
+                return reply;
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, length: Duration) {
+        let end = self.now + length;
+        self.run_until(length, |cluster| cluster.next_at() > end);
+    }
+
+    /// The ledger at a daemon.
+    pub fn ledger(&self, daemon: u32) -> &dahlia_ledger::Ledger {
+        self.nodes[&daemon].group_state(GROUP).expect("it holds the group").ledger()
+    }
+
+    fn next_at(&self) -> Timestamp {
+        self.agenda.first_key_value().expect("nodes tick for ever").0.0
+    }
+
+    pub fn run_until(&mut self, limit: Duration, is_done: impl Fn(&Self) -> bool) {
+        let deadline = self.now + limit;
+        while !is_done(self) {
+            assert!(self.now <= deadline, "not within {limit:?}");
+            let ((at, _), (daemon, delivery)) = self.agenda.pop_first().expect("nodes tick");
+            self.now = at;
+            self.deliver(daemon, delivery);
+        }
+    }
+
+    fn deliver(&mut self, daemon: u32, delivery: Delivery) {
+        if !self.nodes.contains_key(&daemon) {
+            return;
+        }
+        let event = match delivery {
+            Delivery::Tick => {
+                self.push(self.now + Node::TICK, daemon, Delivery::Tick);
+                Event::Tick
+            }
+            Delivery::Message { from, message } => Event::Message { from: replica(from), message },
+            Delivery::Layout => Event::Layout(LayoutStep::Value(layout())),
+        };
+        self.handle(daemon, event);
+    }
+
+    fn handle(&mut self, daemon: u32, event: Event) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&daemon) else {
+            return;
+        };
+        for action in node.handle(event, now) {
+            match action {
+                Action::Send { to, message } => self.send(daemon, to, message),
+                Action::Respond { id, response } => {
+                    self.answers.insert(id, (now, response));
+                }
+                Action::Layout(_) => self.push(now + LINK, daemon, Delivery::Layout),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: u32, to: SocketAddr, message: PeerMessage) {
+        let IpAddr::V4(ip) = to.ip() else {
+            return;
+        };
+        let to = u32::from(ip.octets()[3]);
+        match &message {
+            PeerMessage::Groups(_) => self.messages.groups += 1,
+            PeerMessage::Request { .. } => self.messages.requests += 1,
+            PeerMessage::Response { .. } => self.messages.responses += 1,
+            _ => {}
+        }
+        if matches!(message, PeerMessage::Response { .. }) && self.lost_responses > 0 {
+            self.lost_responses -= 1;
+            return;
+        }
+        if !self.cut.contains(&(from, to)) {
+            self.push(self.now + LINK, to, Delivery::Message { from, message });
+        }
+    }
+
+    fn push(&mut self, at: Timestamp, daemon: u32, delivery: Delivery) {
+        self.sequence += 1;
+        self.agenda.insert((at, self.sequence), (daemon, delivery));
+    }
+}
+
+fn replica(daemon: u32) -> ReplicaId {
+    ReplicaId { daemon: DaemonId(daemon), incarnation: Incarnation(1) }
+}
+
+fn address(daemon: u32) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, daemon as u8)), PORT)
+}
+
+fn layout() -> Vec<u8> {
+    let description = GroupDescription {
+        group: GROUP,
+        members: STORES.into_iter().map(replica).collect(),
+        leader: Some(replica(STORES[0])),
+        term: Term(0),
+        index: LogIndex(0),
+    };
+    let config = bincode::config::standard();
+    bincode::serde::encode_to_vec(vec![description], config).expect("plain fields")
+}
+
+fn settings(daemon: u32, group: &GroupSettings) -> NodeSettings {
+    NodeSettings {
+        own: replica(daemon),
+        zone: Zone::new(format!("zone-{daemon}")),
+        region: Region::new("region"),
+        address: address(daemon),
+        seeds: vec![address(1), address(2)],
+        group_count: 1,
+        replicas: STORES.len() as u32,
+        bootstrap_daemons: STORES.len() as u32,
+        group: group.clone(),
+        membership: MembershipSettings::default(),
+        maintenance: MaintenanceSettings::default(),
+        has_store: false,
+        history: HistorySettings::default(),
+        limits: ProgramLimits::default(),
+        placement: PlacementSettings::default(),
+        policy: PolicyKind::default(),
+        attempts_per_call: 1,
+        attempt_limit: Duration::from_secs(60),
+        keep_records: Duration::from_secs(60),
+        configuration: dahlia_configuration::Settings::default(),
+        first_document: None,
+        seed: u64::from(daemon),
+        faults: NodeFaults::default(),
+    }
+}
--- /dev/null
+++ b/crates/node/tests/ledger.rs
@@ -0,0 +1,161 @@
+//! Ledgers in replica groups, asked through a gateway, in virtual time.
+
+mod cluster;
+
+use cluster::{Cluster, GATEWAY, LINK, STORES};
+use dahlia_ledger::{
+    CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, ProgramName, TurnEnd, TurnId,
+    TurnInput, TurnRefusal,
+};
+use dahlia_node::request::Response;
+use dahlia_replication::group::GroupSettings;
+use dahlia_types::{Duration, Timestamp, Tokens};
+
+const BUDGET: u64 = 100;
+const RETENTION: Duration = Duration::from_secs(60);
+/// A ledger's asker is told after this time that nobody answered, and a tick may be in between.
+const REQUEST_LIMIT: Duration = Duration::from_millis(3_520);
+/// From the gateway to the owner, to its followers and back, and back to the gateway.
+const FOUR_LINKS: Duration = Duration::from_micros(4 * LINK.as_micros());
+
+fn program() -> ProgramName {
+    ProgramName("program".into())
+}
+
+fn open(turn: &str, previous: Option<&str>, most: u64) -> LedgerCommand {
+    LedgerCommand::Open(OpenTurn {
+        program: program(),
+        turn: TurnId(turn.into()),
+        budget: Some(Tokens(BUDGET)),
+        max_generated: Tokens(most),
+        input: Some(TurnInput {
+            previous: previous.map(|previous| TurnId(previous.into())),
+            new_input: format!("<{turn}").into_bytes(),
+            retention: RETENTION,
+        }),
+        at: Timestamp::ZERO,
+    })
+}
+
+fn close(turn: &str, generated: u64) -> LedgerCommand {
+    let output = format!("{turn}>").into_bytes();
+    let served_by = "server".to_owned();
+    let end = TurnEnd::Whole { generated: Tokens(generated), output, served_by };
+    let turn = TurnId(turn.into());
+    LedgerCommand::Close(CloseTurn { program: program(), turn, end, at: Timestamp::ZERO })
+}
+
+fn opened(reply: LedgerReply) -> OpenedTurn {
+    match reply {
+        LedgerReply::Opened(opened) => opened,
+        other => panic!("not opened: {other:?}"),
+    }
+}
+
+fn spent(used: u64) -> LedgerReply {
+    let (budget, used) = (Tokens(BUDGET), Tokens(used));
+    LedgerReply::Refused(TurnRefusal::BudgetSpent { budget, used })
+}
+
+#[test]
+fn an_answer_takes_four_links_and_no_tick() {
+    let mut cluster = Cluster::started(GroupSettings::default());
+    // The first may find a log that its followers are still being sent.
+    opened(cluster.insist(&open("first", None, 1)));
+    for (turn, offset) in [("a", 0), ("b", 7), ("c", 13), ("d", 19)] {
+        cluster.pass(Duration::from_millis(40 + offset));
+        let before = cluster.messages;
+        let id = cluster.ask(open(turn, None, 1));
+        let (response, took) = cluster.answer(id);
+        assert!(matches!(response, Response::Ledger(LedgerReply::Opened(_))), "{response:?}");
+        assert_eq!(took, FOUR_LINKS);
+        assert_eq!(cluster.messages.requests - before.requests, 1);
+        assert_eq!(cluster.messages.responses - before.responses, 1);
+    }
+}
+
+#[test]
+fn budget_and_turns_survive_their_owner() {
+    let mut cluster = Cluster::started(GroupSettings::default());
+    opened(cluster.insist(&open("one", None, 40)));
+    assert_eq!(cluster.insist(&close("one", 30)), LedgerReply::Closed);
+    opened(cluster.insist(&open("two", Some("one"), 40)));
+    let owner = cluster.owner().expect("an owner");
+    cluster.kill(owner);
+    let asked = cluster.now;
+    assert_eq!(cluster.insist(&close("two", 20)), LedgerReply::Closed);
+    let took = cluster.now.since(asked);
+    assert!(took <= REQUEST_LIMIT, "the new owner answered after {took:?}");
+    let three = opened(cluster.insist(&open("three", Some("two"), 50)));
+    assert_eq!(three.history, b"<oneone><twotwo>");
+    assert_eq!(three.last_served_by.as_deref(), Some("server"));
+    assert_eq!(cluster.insist(&open("four", None, 1)), spent(100));
+    assert_eq!(cluster.insist(&close("two", 0)), LedgerReply::Closed);
+    assert_eq!(cluster.insist(&open("four", None, 1)), spent(100), "the first end stands");
+}
+
+#[test]
+fn a_lost_answer_is_asked_for_again_and_charged_once() {
+    let mut cluster = Cluster::started(GroupSettings::default());
+    cluster.lose_responses(1);
+    let id = cluster.ask(open("one", None, 60));
+    let (response, took) = cluster.answer(id);
+    assert!(matches!(response, Response::Ledger(LedgerReply::Opened(_))), "{response:?}");
+    assert!(took <= Duration::from_millis(500), "{took:?}");
+    opened(cluster.insist(&open("two", None, 40)));
+    assert_eq!(cluster.insist(&open("three", None, 1)), spent(100));
+}
+
+#[test]
+fn an_asker_is_told_in_time_that_nobody_answers() {
+    let mut cluster = Cluster::started(GroupSettings::default());
+    STORES.into_iter().for_each(|store| cluster.kill(store));
+    let id = cluster.ask(open("one", None, 1));
+    let (response, took) = cluster.answer(id);
+    assert!(matches!(response, Response::Failed(_)), "{response:?}");
+    assert!(took <= REQUEST_LIMIT, "{took:?}");
+}
+
+/// Opens turns of 60 tokens at an owner that is cut off from its followers, and then at the
+/// owner that they elect. Gives how many were opened.
+fn opened_around_a_cut(settings: GroupSettings) -> usize {
+    let mut cluster = Cluster::started(settings);
+    let old = cluster.owner().expect("an owner");
+    cluster.cut_from_stores(old);
+    let id = cluster.ask(open("cut-off", None, 60));
+    let is_opened = |response| matches!(response, Response::Ledger(LedgerReply::Opened(_)));
+    let first = usize::from(is_opened(cluster.answer(id).0));
+    cluster.kill(old);
+    cluster.run_until(Duration::from_secs(10), |cluster| cluster.other_owner(old).is_some());
+    let reply = cluster.insist(&open("later", None, 60));
+    first + usize::from(matches!(reply, LedgerReply::Opened(_)))
+}
+
+#[test]
+fn an_owner_that_is_cut_off_opens_nothing() {
+    assert_eq!(opened_around_a_cut(GroupSettings::default()), 1);
+}
+
+#[test]
+fn the_budget_needs_the_quorum() {
+    let mut settings = GroupSettings::default();
+    settings.faults.short_quorum = true;
+    assert_eq!(opened_around_a_cut(settings), 2, "without a quorum the budget is overrun");
+}
+
+#[test]
+fn owners_forget_what_is_no_longer_kept() {
+    let mut cluster = Cluster::started(GroupSettings::default());
+    opened(cluster.insist(&open("one", None, 60)));
+    assert_eq!(cluster.insist(&close("one", 10)), LedgerReply::Closed);
+    cluster.pass(RETENTION);
+    let two = opened(cluster.insist(&open("two", Some("one"), 10)));
+    assert_eq!(two.history, b"<oneone>");
+    cluster.pass(Duration::from_secs(500));
+    for store in STORES {
+        assert_eq!(cluster.ledger(store).size().turns, 0, "at daemon {store}");
+        let charge = cluster.ledger(store).charge(&program()).expect("outlives its turns");
+        assert_eq!(charge.spent, Tokens(20));
+    }
+    assert_ne!(cluster.owner(), Some(GATEWAY));
+}
