--- a/crates/relay/tests/passing.rs
+++ b/crates/relay/tests/passing.rs
@@ -2,11 +2,17 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use common::caller::{Caller, call, post};
 use common::stand_in::{StandIn, Step, answer, chunk, ok};
-use common::{Bed, once, route, table};
-use dahlia_relay::{CallerLimits, Route, RouteTable};
+use common::{Bed, once, route, service_name, table};
+use dahlia_backends::ServiceName;
+use dahlia_relay::{CallerLimits, Route, RouteTable, WeightedService};
 use dahlia_types::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 #[tokio::test]
 async fn requests_and_answers_pass_unchanged_but_for_headers_of_one_connection() {
@@ -74,14 +80,22 @@
             let head = Step::Send(format!("{head}Transfer-Encoding: chunked\r\n\r\n"));
             return vec![head, chunk("abc"), chunk("de"), Step::Send("0\r\n\r\n".into())];
         }
+        let head = match got.attempt() {
+            "old" => head.replace("1.1", "1.0"),
+            _ => head,
+        };
         vec![Step::Send(format!("{head}\r\nto the end")), Step::Close]
     })
     .await;
     let bed = Bed::new(Some(table(vec![once()])), &[&server]).await;
     let reply = call(bed.address, &post("chunks", "", "")).await;
     assert_eq!((reply.body.as_str(), reply.header("content-length")), ("abcde", Some("5")));
-    let reply = call(bed.address, &post("close", "", "")).await;
-    assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "to the end", true));
+    let mut caller = Caller::new(bed.address).await;
+    for attempt in ["close", "old", "close"] {
+        let reply = caller.call(&post(attempt, "", "")).await;
+        assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "to the end", true));
+        assert_eq!(reply.header("connection"), None, "{attempt}: the caller's connection goes on");
+    }
 }
 
 #[tokio::test]
@@ -129,6 +143,33 @@
     }
 }
 
+#[tokio::test]
+async fn a_connection_is_not_used_again_while_a_body_is_on_its_way() {
+    // This server answers before it reads the body, and never reads it.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&connections);
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            stream.read_exact(&mut [0; 16]).await.expect("a head");
+            let answer = "HTTP/1.1 200 OK\r\nX-Attempt: t\r\nContent-Length: 2\r\n\r\nok";
+            stream.write_all(answer.as_bytes()).await.expect("it reads");
+            open.push(stream);
+        }
+    });
+    let limits = CallerLimits { body_bytes: 1 << 26, ..CallerLimits::default() };
+    let bed = Bed::new(Some(RouteTable { limits, ..table(vec![once()]) }), &[]).await;
+    bed.add("s-1", address);
+    let long = "x".repeat(1 << 25);
+    for _ in 0..2 {
+        assert_eq!(call(bed.address, &post("t", "", &long)).await.status, 200);
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 2);
+}
+
 #[tokio::test]
 async fn without_routes_callers_are_told_to_come_back_and_without_a_route_that_there_is_none() {
     let server = StandIn::new("s-1", ok).await;
@@ -158,6 +199,30 @@
     }
 }
 
+#[tokio::test]
+async fn a_split_route_sends_shares_by_weight_and_a_program_always_one_way() {
+    let (first, second) = (StandIn::new("s-1", ok).await, StandIn::new("s-2", ok).await);
+    let other = ServiceName("other".into());
+    let targets = vec![
+        WeightedService { service: service_name(), weight: 80.0 },
+        WeightedService { service: other.clone(), weight: 20.0 },
+    ];
+    let bed = Bed::new(Some(table(vec![Route { targets, ..route() }])), &[&first]).await;
+    bed.add_to(other, "s-2", second.address);
+    let mut caller = Caller::new(bed.address).await;
+    for attempt in 0..300 {
+        let reply = caller.call(&post(&format!("t-{attempt}"), "", "")).await;
+        assert_eq!(reply.status, 200);
+    }
+    let (most, least) = (first.got().len(), second.got().len());
+    assert!((200..=280).contains(&most) && most + least == 300, "{most} and {least}");
+    for attempt in 0..20 {
+        caller.call(&post(&format!("u-{attempt}"), "X-Program: p\r\n", "")).await;
+    }
+    let more = [first.got().len() - most, second.got().len() - least];
+    assert!(more.contains(&20), "{more:?}");
+}
+
 #[tokio::test]
 async fn limits_on_callers_are_kept() {
     let limits = CallerLimits {
