--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use dahlia_configuration::Record;
-use dahlia_node::{Node, NodeFaults, NodeSettings, SharedDocument};
+use dahlia_durable::Opened;
+use dahlia_node::{Node, NodeFaults, NodeSettings, RecoverError, SharedDocument};
 use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
+use dahlia_replication::group::{DurableReplica, GroupSettings};
 use dahlia_replication::maintenance::MaintenanceSettings;
-use dahlia_types::{Duration as Length, PeerKey, ReplicaId, TenantKey};
+use dahlia_types::{Duration as Length, Incarnation, PeerKey, ReplicaId, TenantKey};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -26,6 +28,7 @@
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
 use crate::gateway::{self, Gateway, GatewayServer};
+use crate::group_log::{self, GroupLog, OpenGroupsError};
 use crate::handshake::Identity;
 use crate::layout_store::SharedLayoutStore;
 use crate::logging::part;
@@ -68,6 +71,18 @@
         /// Cause.
         source: OpenError,
     },
+    /// The log of groups could not be used.
+    #[snafu(display("{source}"))]
+    Groups {
+        /// Cause.
+        source: OpenGroupsError,
+    },
+    /// The groups in the log could not be used.
+    #[snafu(display("{source}"))]
+    Recover {
+        /// Cause.
+        source: RecoverError,
+    },
     /// The metrics could not be set up.
     #[snafu(display("setting up metrics: {source}"))]
     Metrics {
@@ -121,6 +136,15 @@
         self.traffic.bytes() + self.datagrams.bytes()
     }
 
+    /// Waits until the node's task has ended by itself: another life of this daemon has taken its
+    /// place, or its disk failed. The process should end then, to be started anew.
+    pub async fn ended(&mut self) {
+        if let Some(core) = self.tasks.first_mut() {
+            // How it ended changes nothing.
+            let _ = core.await;
+        }
+    }
+
     /// Stops at once, like a death: connections break, memory is lost.
     pub fn stop(&self) {
         for task in &self.tasks {
@@ -135,8 +159,6 @@
     pub layout_store: Option<SharedLayoutStore>,
     /// The service that keeps the operators' configuration; none when nothing does.
     pub key_value: Option<KeyValueClient>,
-    /// Whether this daemon may hold replicas of groups.
-    pub holds_groups: bool,
     /// Whether the daemons keep the operators' configuration themselves.
     pub follows_configuration: bool,
     /// Where documents go that other daemons shared.
@@ -154,13 +176,8 @@
         .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
     let layout_store = key_value.clone().map(|client| -> SharedLayoutStore { Arc::new(client) });
     let (shared, _) = mpsc::unbounded_channel();
-    let surroundings = Surroundings {
-        layout_store,
-        key_value,
-        holds_groups: true,
-        follows_configuration: true,
-        shared,
-    };
+    let surroundings =
+        Surroundings { layout_store, key_value, follows_configuration: true, shared };
     start_control_in(settings, surroundings)
 }
 
@@ -173,7 +190,8 @@
     surroundings: Surroundings,
 ) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
-    let own = ReplicaId { daemon: settings.daemon.id, incarnation: clock.incarnation() };
+    let Durable { groups, replicas, incarnation, life } = open_groups(settings, clock)?;
+    let own = ReplicaId { daemon: settings.daemon.id, incarnation };
     let (peer_listener, socket) = listen_to_peers(settings.daemon.peer_address)?;
     let peer_address = local(&peer_listener, settings.daemon.peer_address);
     let key = PeerKey::new(settings.credentials.peer_key.as_bytes());
@@ -192,16 +210,15 @@
         platform: PlatformState::new(surroundings.layout_store, core.clone()),
         configuration_key: ConfigurationKey::new(surroundings.key_value, core.clone()),
         store: open_store(settings, &core)?,
+        groups,
         in_force: publisher,
         shared: surroundings.shared,
         metrics: metrics.clone(),
     };
-    let node_settings = NodeSettings {
-        holds_groups: surroundings.holds_groups,
-        follows_configuration: surroundings.follows_configuration,
-        ..node_settings(settings, own, peer_address)
-    };
-    let node = Node::new(node_settings, clock.now());
+    let mut node_settings = node_settings(settings, own, peer_address, clock);
+    node_settings.life = life;
+    node_settings.follows_configuration = surroundings.follows_configuration;
+    let node = Node::recover(node_settings, replicas, clock.now()).context(RecoverSnafu)?;
     let mut tasks = vec![
         tokio::spawn(Core::new(node, clock, inbox, parts).run()),
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming.clone())),
@@ -311,6 +328,11 @@
         answered && status.attempts == 0 && status.requests == 0 && status.groups_led == 0
     }
 
+    /// Waits until the node's task has ended by itself; see [`ControlParts::ended`].
+    pub async fn ended(&mut self) {
+        self.control.ended().await;
+    }
+
     /// Stops at once.
     pub fn stop(self) {
         self.gateway.stop();
@@ -369,6 +391,32 @@
     }
 }
 
+/// What was found under the data folder.
+struct Durable {
+    groups: GroupLog,
+    replicas: Vec<DurableReplica>,
+    incarnation: Incarnation,
+    life: u32,
+}
+
+/// Without a data folder each process is another incarnation, and nothing is durable.
+fn open_groups(settings: &Settings, clock: Clock) -> Result<Durable, StartError> {
+    let fresh = clock.incarnation();
+    let Some(folder) = &settings.daemon.data_folder else {
+        let groups = GroupLog::default();
+        return Ok(Durable { groups, replicas: Vec::new(), incarnation: fresh, life: 0 });
+    };
+    let opened = group_log::open(folder, settings.durable.clone(), fresh).context(GroupsSnafu)?;
+    let Opened { log, replicas } = opened;
+    let identity = log.identity();
+    Ok(Durable {
+        groups: GroupLog::new(log),
+        replicas,
+        incarnation: identity.incarnation,
+        life: identity.life,
+    })
+}
+
 async fn serve_operators(listener: TcpListener, operators: Operators) {
     if let Err(error) = operators::serve(listener, operators).await {
         log::error!(target: part::OPERATORS, "Serving operators ended: {error}.");
@@ -388,11 +436,17 @@
     }
 }
 
-fn node_settings(settings: &Settings, own: ReplicaId, address: SocketAddr) -> NodeSettings {
+fn node_settings(
+    settings: &Settings,
+    own: ReplicaId,
+    address: SocketAddr,
+    clock: Clock,
+) -> NodeSettings {
     let maintenance = MaintenanceSettings {
         voters: settings.layout.replicas as usize,
         ..settings.maintenance.clone()
     };
+    let is_durable = settings.daemon.data_folder.is_some();
     NodeSettings {
         own,
         zone: settings.daemon.zone.clone(),
@@ -402,7 +456,9 @@
         group_count: settings.layout.groups,
         replicas: settings.layout.replicas,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
-        group: settings.groups.clone(),
+        holds_groups: settings.daemon.holds_groups,
+        life: 0,
+        group: GroupSettings { is_durable, ..settings.groups.clone() },
         has_store: settings.daemon.data_folder.is_some(),
         history: settings.history.clone(),
         membership: settings.membership.clone(),
@@ -414,10 +470,10 @@
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
         configuration: settings.configuration.clone(),
-        holds_groups: true,
         follows_configuration: true,
         first_document: first_document(&settings.platform.engines),
-        seed: own.incarnation.0 ^ (u64::from(own.daemon.0) << 40),
+        // Of the process, not of its replicas: their identifiers may outlive it.
+        seed: clock.incarnation().0 ^ (u64::from(own.daemon.0) << 40),
         faults: NodeFaults::default(),
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -49,6 +49,8 @@
     pub(crate) next_upkeep: Timestamp,
     pub(crate) bootstrap: Bootstrap,
     pub(crate) coalescer: Coalescer,
+    /// Messages that need not wait for a sync.
+    pub(crate) unsynced: Coalescer,
     pub(crate) draining: bool,
 }
 
@@ -92,14 +94,16 @@
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             state: first_state(&settings),
+            holds_groups: settings.holds_groups,
         };
-        let membership = Membership::new(
+        let mut membership = Membership::new(
             own,
             settings.seeds.clone(),
             settings.membership.clone(),
             settings.seed,
             now,
         );
+        membership.begin_life(settings.life);
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         let mut node = Self {
             membership,
@@ -120,6 +124,7 @@
             next_upkeep: Timestamp::ZERO,
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
+            unsynced: Coalescer::new(),
             draining: false,
         };
         if node.settings.has_store {
@@ -156,6 +161,7 @@
             Event::StoreEnded(result) => self.store_ended(*result),
             Event::Seeds(addresses) => self.membership.add_seeds(addresses),
             Event::Share(document) => self.share(document),
+            Event::ImageWanted(group) => self.record_image(group),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -335,6 +341,11 @@
         while let Some(id) = self.dirty.pop_first() {
             self.take_outputs(id, now);
         }
+        for (daemon, batch) in self.unsynced.take() {
+            if let Some(to) = self.address(daemon) {
+                self.actions.push(Action::SendUnsynced { to, message: PeerMessage::Groups(batch) });
+            }
+        }
         for (daemon, batch) in self.coalescer.take() {
             if let Some(to) = self.address(daemon) {
                 self.actions.push(Action::Send { to, message: PeerMessage::Groups(batch) });
@@ -346,7 +357,5 @@
 /// A daemon that is kept in step with the operators' configuration takes no work before it knows
 /// which generation is in force.
 fn first_state(settings: &NodeSettings) -> MemberState {
-    // A daemon that holds no groups stays `Joining`: nobody gives it any.
-    let is_open = settings.holds_groups && !settings.follows_configuration;
-    if is_open { MemberState::Live } else { MemberState::Joining }
+    if settings.follows_configuration { MemberState::Joining } else { MemberState::Live }
 }
