Ask soon again when no member of a request's group is known yet

The test cluster now waits until all nodes know the group, which the layout's key gave before; no assertion changed.

--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -38,9 +38,14 @@
             self.send_request(id, request.clone(), suspect);
         }
         let target = first.or_else(|| self.member_besides(group, suspect, tries, now));
-        if let Some(target) = target {
-            self.router.note_asked(id, target);
-            self.send_request(id, request, target);
+        match target {
+            Some(target) => {
+                self.router.note_asked(id, target);
+                self.send_request(id, request, target);
+            }
+            // No member of the group is known yet; the news of one may arrive any moment.
+            None if suspect.is_none() => self.router.ask_soon(id, now),
+            None => {}
         }
     }
 
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -171,6 +171,13 @@
         at_once
     }
 
+    /// Nobody could be asked: the request is due again after a short pause.
+    pub(crate) fn ask_soon(&mut self, id: RequestId, now: Timestamp) {
+        if let Some(routed) = self.requests.get_mut(&id) {
+            routed.next_try = now + REDIRECT_PAUSE;
+        }
+    }
+
     /// Notes that an urgent request was sent to a daemon, whose answer is now awaited.
     pub(crate) fn note_asked(&mut self, id: RequestId, daemon: DaemonId) {
         if let Some(routed) = self.requests.get_mut(&id) {
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -57,8 +57,8 @@
 }
 
 impl Cluster {
-    /// Nodes that have their layout and an owner of the group.
-    pub fn started(group: GroupSettings) -> Self {
+    /// Nodes that know of no group and of each other only by their seeds.
+    pub fn starting(group: GroupSettings) -> Self {
         let mut cluster = Self {
             now: START,
             nodes: BTreeMap::new(),
@@ -73,8 +73,16 @@
             cluster.nodes.insert(daemon, Node::new(settings(daemon, &group), START));
             cluster.push(START + Duration(u64::from(daemon) * 3_700), daemon, Delivery::Tick);
         }
+        cluster
+    }
+
+    /// Nodes that have their layout, an owner of the group, and each other.
+    pub fn started(group: GroupSettings) -> Self {
+        let mut cluster = Self::starting(group);
         let knows_all = |cluster: &Self| {
-            cluster.nodes.values().all(|node| node.daemons().len() == cluster.nodes.len())
+            let members = cluster.nodes.len();
+            let mut nodes = cluster.nodes.values();
+            nodes.all(|node| node.daemons().len() == members && !node.group_ids().is_empty())
         };
         cluster.run_until(Duration::from_secs(30), |cluster| {
             cluster.owner().is_some() && knows_all(cluster)
@@ -82,6 +90,23 @@
         cluster
     }
 
+    /// Waits until the group has an owner and all nodes know each other. The gateway need not
+    /// know of the group yet.
+    pub fn wait_for_owner_and_members(&mut self) {
+        self.run_until(Duration::from_secs(30), |cluster| {
+            let members = cluster.nodes.len();
+            let knows_all = cluster.nodes.values().all(|node| node.daemons().len() == members);
+            cluster.owner().is_some() && knows_all
+        });
+    }
+
+    /// Waits until the gateway knows of the group.
+    pub fn wait_for_news_at_gateway(&mut self) {
+        self.run_until(Duration::from_secs(30), |cluster| {
+            !cluster.nodes[&GATEWAY].group_ids().is_empty()
+        });
+    }
+
     /// The daemon that owns the group.
     pub fn owner(&self) -> Option<u32> {
         let mut owners = self.nodes.iter().filter(|(_, node)| node.owns(GROUP));
@@ -264,6 +289,8 @@
         attempt_limit: Duration::from_secs(60),
         keep_records: Duration::from_secs(60),
         configuration: dahlia_configuration::Settings::default(),
+        holds_groups: STORES.contains(&daemon),
+        follows_configuration: true,
         first_document: None,
         seed: u64::from(daemon),
         faults: NodeFaults::default(),
--- a/crates/node/tests/ledger.rs
+++ b/crates/node/tests/ledger.rs
@@ -106,6 +106,17 @@
     assert_eq!(cluster.insist(&open("three", None, 1)), spent(100));
 }
 
+#[test]
+fn a_request_that_is_there_before_its_group_is_known_goes_out_with_the_news() {
+    let mut cluster = Cluster::starting(GroupSettings::default());
+    cluster.wait_for_owner_and_members();
+    let id = cluster.ask(open("one", None, 1));
+    cluster.wait_for_news_at_gateway();
+    let (response, took) = cluster.answer(id);
+    assert!(matches!(response, Response::Ledger(LedgerReply::Opened(_))), "{response:?}");
+    assert!(took <= Duration::from_millis(100), "{took:?} after the news");
+}
+
 #[test]
 fn an_asker_is_told_in_time_that_nobody_answers() {
     let mut cluster = Cluster::started(GroupSettings::default());
