--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -49,6 +49,8 @@
     pub(crate) next_upkeep: Timestamp,
     pub(crate) bootstrap: Bootstrap,
     pub(crate) coalescer: Coalescer,
+    /// Messages that need not wait for a sync.
+    pub(crate) unsynced: Coalescer,
     pub(crate) draining: bool,
 }
 
@@ -69,6 +71,8 @@
     pub groups_held: usize,
     /// Groups whose programs it owns.
     pub groups_led: usize,
+    /// Of these, groups that lack a voter, or have one whose memory or disk is lost.
+    pub groups_short: usize,
     /// Engines that reported lately.
     pub live_engines: usize,
     /// Programs in the groups that it owns.
@@ -92,14 +96,16 @@
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             state: first_state(&settings),
+            holds_groups: settings.holds_groups,
         };
-        let membership = Membership::new(
+        let mut membership = Membership::new(
             own,
             settings.seeds.clone(),
             settings.membership.clone(),
             settings.seed,
             now,
         );
+        membership.begin_life(settings.life);
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         let mut node = Self {
             membership,
@@ -120,6 +126,7 @@
             next_upkeep: Timestamp::ZERO,
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
+            unsynced: Coalescer::new(),
             draining: false,
         };
         if node.settings.has_store {
@@ -156,6 +163,7 @@
             Event::StoreEnded(result) => self.store_ended(*result),
             Event::Seeds(addresses) => self.membership.add_seeds(addresses),
             Event::Share(document) => self.share(document),
+            Event::ImageWanted(group) => self.record_image(group),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -173,6 +181,7 @@
             live_daemons: self.live_members().len(),
             groups_held: self.groups.len(),
             groups_led: led().count(),
+            groups_short: led().filter(|group| !self.is_whole(group)).count(),
             live_engines: self.engines.live(now),
             programs: led().map(|group| group.state.programs().count()).sum(),
             attempts: self.groups.values().map(|group| group.live.len()).sum(),
@@ -335,6 +344,11 @@
         while let Some(id) = self.dirty.pop_first() {
             self.take_outputs(id, now);
         }
+        for (daemon, batch) in self.unsynced.take() {
+            if let Some(to) = self.address(daemon) {
+                self.actions.push(Action::SendUnsynced { to, message: PeerMessage::Groups(batch) });
+            }
+        }
         for (daemon, batch) in self.coalescer.take() {
             if let Some(to) = self.address(daemon) {
                 self.actions.push(Action::Send { to, message: PeerMessage::Groups(batch) });
@@ -346,7 +360,5 @@
 /// A daemon that is kept in step with the operators' configuration takes no work before it knows
 /// which generation is in force.
 fn first_state(settings: &NodeSettings) -> MemberState {
-    // A daemon that holds no groups stays `Joining`: nobody gives it any.
-    let is_open = settings.holds_groups && !settings.follows_configuration;
-    if is_open { MemberState::Live } else { MemberState::Joining }
+    if settings.follows_configuration { MemberState::Joining } else { MemberState::Live }
 }
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -290,6 +290,7 @@
         keep_records: Duration::from_secs(60),
         configuration: dahlia_configuration::Settings::default(),
         holds_groups: STORES.contains(&daemon),
+        life: 0,
         follows_configuration: true,
         first_document: None,
         seed: u64::from(daemon),
--- a/crates/replay/src/world/settings.rs
+++ b/crates/replay/src/world/settings.rs
@@ -82,6 +82,8 @@
         group_count: deployment.groups,
         replicas: deployment.replicas,
         bootstrap_daemons: deployment.daemons,
+        holds_groups: true,
+        life: 0,
         group: group_settings(switches),
         membership: MembershipSettings::default(),
         maintenance: MaintenanceSettings {
@@ -97,7 +99,6 @@
         attempt_limit: deployment.attempt_limit,
         keep_records: KEEP_RECORDS,
         configuration: dahlia_configuration::Settings::default(),
-        holds_groups: true,
         follows_configuration: true,
         first_document: Some(document(deployment, FIRST_OPEN_CALLS)),
         seed,
