--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -7,7 +7,7 @@
 
 use dahlia_configuration::Record;
 use dahlia_durable::Opened;
-use dahlia_node::{Node, NodeFaults, NodeSettings, RecoverError};
+use dahlia_node::{Node, NodeFaults, NodeSettings, RecoverError, SharedDocument};
 use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::group::{DurableReplica, GroupSettings};
@@ -30,6 +30,7 @@
 use crate::gateway::{self, Gateway, GatewayServer};
 use crate::group_log::{self, GroupLog, OpenGroupsError};
 use crate::handshake::Identity;
+use crate::layout_store::SharedLayoutStore;
 use crate::logging::part;
 use crate::machine_list;
 use crate::metrics::Metrics;
@@ -111,6 +112,8 @@
 pub struct ControlParts {
     /// Talks to the node.
     pub core: CoreHandle,
+    /// The node's clock.
+    pub clock: Clock,
     /// Where other daemons connect.
     pub peer_address: SocketAddr,
     traffic: Arc<Traffic>,
@@ -150,11 +153,42 @@
     }
 }
 
-/// Starts the control parts of a daemon.
+/// What the control parts of a daemon get from outside.
+pub struct Surroundings {
+    /// Keeps the layout of groups; none when nothing does.
+    pub layout_store: Option<SharedLayoutStore>,
+    /// The service that keeps the operators' configuration; none when nothing does.
+    pub key_value: Option<KeyValueClient>,
+    /// Whether the daemons keep the operators' configuration themselves.
+    pub follows_configuration: bool,
+    /// Where documents go that other daemons shared.
+    pub shared: mpsc::UnboundedSender<SharedDocument>,
+}
+
+/// Starts the control parts of a daemon that uses the platform its settings name.
 ///
 /// # Errors
 /// [`StartError`] when the address is taken.
 pub fn start_control(settings: &Settings) -> Result<ControlParts, StartError> {
+    let key_value = settings
+        .platform
+        .key_value
+        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
+    let layout_store = key_value.clone().map(|client| -> SharedLayoutStore { Arc::new(client) });
+    let (shared, _) = mpsc::unbounded_channel();
+    let surroundings =
+        Surroundings { layout_store, key_value, follows_configuration: true, shared };
+    start_control_in(settings, surroundings)
+}
+
+/// Starts the control parts of a daemon in given surroundings.
+///
+/// # Errors
+/// [`StartError`] when the address is taken.
+pub fn start_control_in(
+    settings: &Settings,
+    surroundings: Surroundings,
+) -> Result<ControlParts, StartError> {
     let clock = Clock::start();
     let Durable { groups, replicas, incarnation, life } = open_groups(settings, clock)?;
     let own = ReplicaId { daemon: settings.daemon.id, incarnation };
@@ -166,10 +200,6 @@
     let (core, inbox) = channel(own);
     let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
-    let key_value = settings
-        .platform
-        .key_value
-        .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
     let (publisher, in_force) = watch::channel(None);
     let datagrams = DatagramSender::new(identity.clone(), socket.clone());
     let peers = PeerSender::new(identity.clone(), incoming.clone(), datagrams.clone());
@@ -177,15 +207,17 @@
     let parts = CoreParts {
         peers,
         engines: EngineTasks::new(core.clone(), board.clone()),
-        platform: PlatformState::new(key_value.clone(), core.clone()),
-        configuration_key: ConfigurationKey::new(key_value, core.clone()),
+        platform: PlatformState::new(surroundings.layout_store, core.clone()),
+        configuration_key: ConfigurationKey::new(surroundings.key_value, core.clone()),
         store: open_store(settings, &core)?,
         groups,
         in_force: publisher,
+        shared: surroundings.shared,
         metrics: metrics.clone(),
     };
     let mut node_settings = node_settings(settings, own, peer_address, clock);
     node_settings.life = life;
+    node_settings.follows_configuration = surroundings.follows_configuration;
     let node = Node::recover(node_settings, replicas, clock.now()).context(RecoverSnafu)?;
     let mut tasks = vec![
         tokio::spawn(Core::new(node, clock, inbox, parts).run()),
@@ -198,6 +230,7 @@
     }
     Ok(ControlParts {
         core,
+        clock,
         peer_address,
         traffic,
         datagrams,
@@ -438,6 +471,7 @@
         attempt_limit: Length::from_millis(settings.calls.attempt_limit_ms),
         keep_records: Length::from_millis(settings.calls.keep_records_ms),
         configuration: settings.configuration.clone(),
+        follows_configuration: true,
         first_document: first_document(&settings.platform.engines),
         // Of the process, not of its replicas: their identifiers may outlive it.
         seed: clock.incarnation().0 ^ (u64::from(own.daemon.0) << 40),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,8 @@
 //! | `group_log` | syncs of replica groups |
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
+//! | `layout_store` | where the first layout of groups is kept |
+//! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
@@ -22,7 +24,7 @@
 mod attempt;
 mod chunk_store;
 pub mod cli;
-mod clock;
+pub mod clock;
 mod configuration_key;
 pub mod core;
 mod datagrams;
@@ -32,6 +34,8 @@
 mod gateway;
 mod group_log;
 mod handshake;
+pub mod layout_store;
+pub mod ledger_client;
 pub mod logging;
 mod machine_list;
 mod metrics;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `recovery` | what a new owner takes up |
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
+//! | `ledger` | requests to ledgers of caller-named programs |
 //! | `bootstrap` | the first layout of groups |
 //! | `history` | old turns on store daemons' disks |
 //! | `members` | which daemons are there, and upkeep of groups' members |
@@ -37,6 +38,7 @@
 mod group;
 pub mod history;
 mod key_value;
+mod ledger;
 mod members;
 mod node;
 mod orders;
@@ -57,7 +59,7 @@
 pub use durable::RecoverError;
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
-pub use event::{Action, Event, ReleaseOrder, StartAttempt};
+pub use event::{Action, Event, ReleaseOrder, SharedDocument, StartAttempt};
 pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
 pub use members::DaemonView;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -11,10 +11,10 @@
 };
 use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
 
-use crate::Action;
 use crate::group::Group;
 use crate::node::Node;
 use crate::wire::PeerMessage;
+use crate::{Action, SharedDocument};
 
 /// How often a leader looks after the members of its group.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Keeps a document for daemons that cannot read it themselves.
+    pub(crate) fn share(&mut self, document: SharedDocument) {
+        let SharedDocument { number, version, bytes } = document;
+        self.membership.publish(FactKey::Document(number), version, bytes);
+    }
+
     /// A voter whose daemon lost its memory or its disk is replaced without waiting for the next
     /// regular look.
     fn note_life(&mut self, info: &MemberInfo, now: Timestamp) {
@@ -66,6 +72,12 @@
     }
 
     fn fact_changed(&mut self, fact: &Fact) {
+        if let FactKey::Document(number) = fact.key {
+            let bytes = fact.bytes.to_vec();
+            let document = SharedDocument { number, version: fact.version, bytes };
+            self.actions.push(Action::Shared(document));
+            return;
+        }
         if let FactKey::Group(_) = fact.key
             && let Some(description) = decode(&fact.bytes)
         {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -95,8 +95,7 @@
             address: settings.address,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
-            // It takes no work before it knows which configuration is in force.
-            state: MemberState::Joining,
+            state: first_state(&settings),
             holds_groups: settings.holds_groups,
         };
         let mut membership = Membership::new(
@@ -162,6 +161,8 @@
             Event::ProposeChange { id, proposal } => self.propose_change(id, proposal, now),
             Event::Layout(step) => self.layout(step, now),
             Event::StoreEnded(result) => self.store_ended(*result),
+            Event::Seeds(addresses) => self.membership.add_seeds(addresses),
+            Event::Share(document) => self.share(document),
             Event::ImageWanted(group) => self.record_image(group),
             Event::Drain => self.drain(now),
         }
@@ -355,3 +356,9 @@
         }
     }
 }
+
+/// A daemon that is kept in step with the operators' configuration takes no work before it knows
+/// which generation is in force.
+fn first_state(settings: &NodeSettings) -> MemberState {
+    if settings.follows_configuration { MemberState::Joining } else { MemberState::Live }
+}
