Sync what is read back before the log goes on from it

Cause: a process that dies between the write of a frame and its sync leaves the frame in the file, unsynced. Its next life read it, counted it and began a segment behind it; a later loss of power took the frame, and the segment no longer began where the one before it ended: the store refused its log and ended at each start.

The new test kills the process at each durable step, goes on and then loses power; it failed with DamagedEnd before. One more sync at each start.

--- a/crates/durable/src/open.rs
+++ b/crates/durable/src/open.rs
@@ -38,9 +38,17 @@
         ensure!(number == expected, MissingSnafu { name: file_name(expected) });
         read_segment(disk, number, number == last, &mut found)?;
     }
+    sync_read(disk, last)?;
     Ok(found)
 }
 
+/// A process that died between a write and its sync leaves frames that a loss of power may still
+/// take. What follows builds on them, so they must be as durable as all others.
+fn sync_read(disk: &mut dyn Disk, last: u64) -> Result<(), LogError> {
+    let name = file_name(last);
+    disk.sync(&name).map_err(|source| LogError::io(Step::Sync, &name, source))
+}
+
 fn read_segment(
     disk: &mut dyn Disk,
     number: u64,
--- a/crates/durable/tests/log.rs
+++ b/crates/durable/tests/log.rs
@@ -130,6 +130,35 @@
     assert_eq!(by_group(open(disk.handle()).replicas), again.expected, "seed {seed}, {left}");
 }
 
+#[test]
+fn a_death_of_the_process_and_then_a_loss_of_power_keep_all_that_was_read_back() {
+    for seed in 0..8 {
+        for left in 0..100 {
+            die_then_lose_power(seed, left);
+        }
+    }
+}
+
+/// What a process wrote without a sync is there for its next life, which goes on from it.
+fn die_then_lose_power(seed: u64, left: u64) {
+    let disk = MemoryDisk::new(seed * 1_000 + left);
+    let mut written = Written::new(disk.handle());
+    disk.lose_power_after(left);
+    let mut number = 0;
+    while written.step(number).is_ok() {
+        number += 1;
+    }
+    disk.kill();
+    let opened = open(disk.handle());
+    let found = by_group(opened.replicas);
+    let mut again = Written::go_on(opened.log, found);
+    for number in 0..GROUPS {
+        again.step(u64::from(number)).unwrap();
+    }
+    disk.lose_power();
+    assert_eq!(by_group(open(disk.handle()).replicas), again.expected, "seed {seed}, {left}");
+}
+
 #[test]
 fn a_full_disk_loses_nothing_that_was_acknowledged_and_goes_on_when_there_is_room() {
     let disk = MemoryDisk::new(3);
--- a/crates/durable/tests/support/disk.rs
+++ b/crates/durable/tests/support/disk.rs
@@ -96,6 +96,13 @@
         state.is_dead = false;
     }
 
+    /// The process dies and starts again; what it wrote stays, synced or not.
+    pub fn kill(&self) {
+        let mut state = self.state();
+        state.left = None;
+        state.is_dead = false;
+    }
+
     /// The disk is lost.
     pub fn wipe(&self) {
         let mut state = self.state();
