Break connections between daemons whose bytes nobody acknowledges

Groups had owners again at 3.5 s, yet gateways got no answer until about 14 s: their connections to the stores were open, and a machine without power resets nothing; the kernel's retransmissions back off for seconds. Ruled out: the elections (log lines at 3.45 to 3.50 s) and the metadata store (the layout is known). Now TCP_USER_TIMEOUT is 1 s, silent connections are probed, a connection has 0.7 s to be made and the pause between tries ends at 0.4 s.

--- a/crates/daemon/src/frames.rs
+++ b/crates/daemon/src/frames.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dahlia_node::wire::LARGEST_FRAME;
@@ -9,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -77,6 +79,15 @@
     },
 }
 
+/// A machine that lost power or is cut off resets nothing: a connection to it takes bytes until
+/// the kernel gives up, after many seconds. Bytes that are not acknowledged for so long break it;
+/// it is made anew at once, and every protocol above repeats what matters.
+pub const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(1);
+/// Time between probes of a silent connection, and before the first one.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes that break a connection.
+const MOST_PROBES: u32 = 2;
+
 /// Largest first frame of a connection, in bytes. A sender that has not shown the peer key yet
 /// may not make this daemon set memory aside for more.
 const LARGEST_FIRST_FRAME: usize = 64 * 1024;
@@ -92,6 +103,7 @@
     pub fn new(stream: TcpStream, peer: SocketAddr) -> Self {
         // Frames are small and wait for an answer; batching by the kernel would only delay them.
         let _ = stream.set_nodelay(true);
+        notice_silence(&stream);
         let codec =
             LengthDelimitedCodec::builder().max_frame_length(LARGEST_FIRST_FRAME).new_codec();
         Self { framed: Framed::new(stream, codec), peer }
@@ -158,6 +170,17 @@
     }
 }
 
+/// A socket that refuses an option still works; its end is noticed later.
+fn notice_silence(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(MOST_PROBES);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+}
+
 /// Writes a value as a frame's contents.
 ///
 /// # Errors
--- a/crates/daemon/src/handshake.rs
+++ b/crates/daemon/src/handshake.rs
@@ -10,9 +10,13 @@
 
 use crate::frames::{FrameError, FrameStream};
 
-/// How long a connection may take to be made, and its first frame to arrive.
+/// How long the first frame of a connection may take to arrive.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a connection may take to be made. The opening packet to a machine without power is
+/// sent again only after a second: another try reaches it sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Who this daemon is towards its peers.
 #[derive(Clone)]
 pub struct Identity {
@@ -35,7 +39,7 @@
         purpose: Purpose,
     ) -> Result<FrameStream, FrameError> {
         let step = "connecting to";
-        let connecting = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(peer)).await;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
         let connected = connecting.map_err(|_| FrameError::TimedOut { step, peer })?;
         let stream = connected.map_err(|source| FrameError::Connect { peer, source })?;
         let mut frames = FrameStream::new(stream, peer);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -22,7 +22,7 @@
 /// Messages that may wait for one peer; later ones are dropped.
 const QUEUE_PER_PEER: usize = 4_096;
 const FIRST_RECONNECT: Duration = Duration::from_millis(50);
-const LONGEST_RECONNECT: Duration = Duration::from_secs(2);
+const LONGEST_RECONNECT: Duration = Duration::from_millis(400);
 /// A connection without a message to send for so long is given up.
 const IDLE_CONNECTION: Duration = Duration::from_secs(120);
 
--- /dev/null
+++ b/crates/daemon/tests/peer_connections.rs
@@ -0,0 +1,23 @@
+//! Connections between daemons notice a peer that falls silent.
+
+use std::net::TcpStream as StdStream;
+use std::os::fd::AsFd;
+
+use dahlia_daemon::frames::{FrameStream, UNACKNOWLEDGED_LIMIT};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Loopback loses no packets, so that only the options can be checked here; days of the users'
+/// bench with losses of power check what they do.
+#[tokio::test]
+async fn bytes_that_nobody_acknowledges_break_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stream = TcpStream::connect(address).await.unwrap();
+    let same_socket = StdStream::from(stream.as_fd().try_clone_to_owned().unwrap());
+    let _frames = FrameStream::new(stream, address);
+    let socket = SockRef::from(&same_socket);
+    assert_eq!(socket.tcp_user_timeout().unwrap(), Some(UNACKNOWLEDGED_LIMIT));
+    assert!(socket.keepalive().unwrap());
+    assert!(socket.tcp_nodelay().unwrap());
+}
