Send callers away at once while the ledger of a group is silent

Ends of turns always go through. An opening that was not put to the ledger is not undone; one that had no answer is, and the ledger takes an end that overtakes its opening.

Ruled out: counting any missing answer as silence; a caller in a hurry is held for less than an answer may take. With the note of silence taken out, the client's test fails.

--- a/crates/daemon/src/ledger_client.rs
+++ b/crates/daemon/src/ledger_client.rs
@@ -1,20 +1,26 @@
 //! Puts a relay's commands to the ledgers in replica groups.
 
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dahlia_api::ErrorKind;
 use dahlia_ledger::{
     ImportTurn, KeptChain, LedgerCommand, LedgerReply, OpenTurn, TurnId, TurnRefusal, group_of,
 };
 use dahlia_node::request::{Request, Response};
 use dahlia_relay::{LedgerUnavailable, TurnLedger};
-use dahlia_types::{GroupId, Timestamp};
+use dahlia_types::{Duration, GroupId, Timestamp};
 use futures::future::join_all;
+use tokio::time::{self, Instant, timeout};
 
 use crate::core::CoreHandle;
+use crate::ledger_breaker::{Admission, LedgerBreaker, LedgerBreakerSettings};
 
 /// The ledgers of all groups, by way of this daemon's node. Cheap to clone.
 #[derive(Clone)]
 pub struct LedgerClient {
     core: CoreHandle,
     groups: u32,
+    breaker: Arc<Mutex<LedgerBreaker>>,
 }
 
 /// What the other groups say of a turn that the own group does not have.
@@ -23,24 +29,88 @@
     Refused(TurnRefusal),
 }
 
+/// Frees the place of a probe, also when its caller leaves.
+struct ProbeGuard<'a> {
+    client: &'a LedgerClient,
+    group: GroupId,
+}
+
+impl Drop for ProbeGuard<'_> {
+    fn drop(&mut self) {
+        self.client.breaker().probe_ended(self.group);
+    }
+}
+
 impl LedgerClient {
     /// A client of a system of `groups` groups: the node's `group_count`.
-    pub fn new(core: CoreHandle, groups: u32) -> Self {
-        Self { core, groups }
+    pub fn new(core: CoreHandle, groups: u32, settings: LedgerBreakerSettings) -> Self {
+        let breaker = Arc::new(Mutex::new(LedgerBreaker::new(settings)));
+        Self { core, groups, breaker }
+    }
+
+    fn breaker(&self) -> MutexGuard<'_, LedgerBreaker> {
+        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Asks for a caller that waits for the answer before anything else can be done for it.
     async fn ask_group(
         &self,
         group: GroupId,
         command: LedgerCommand,
+        until: Instant,
+    ) -> Result<LedgerReply, LedgerUnavailable> {
+        let admission = self.breaker().admit(group, left(until));
+        let (wait, _probe) = match admission {
+            Admission::Ask { wait } => (wait, None),
+            Admission::Probe { wait } => (wait, Some(ProbeGuard { client: self, group })),
+            Admission::Refuse { retry_after } => {
+                return Err(LedgerUnavailable {
+                    reason: format!("{group} is silent"),
+                    retry_after: Some(retry_after),
+                    was_not_asked: true,
+                });
+            }
+        };
+        let client = self.clone();
+        let mut answer = Box::pin(async move { client.answer_of(group, command).await });
+        match timeout(time::Duration::from_micros(wait.as_micros()), &mut answer).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                // The caller is let go, but a late answer still tells that the group is back.
+                tokio::spawn(answer);
+                self.breaker().unanswered(group, wait);
+
+                self.unavailable(format!("{group} did not answer in time"))
+            }
+        }
+    }
+
+    /// The answer of a group, however long it takes.
+    async fn answer_of(
+        &self,
+        group: GroupId,
+        command: LedgerCommand,
     ) -> Result<LedgerReply, LedgerUnavailable> {
         match self.core.request(Request::Ledger { group, command }).await {
-            Response::Ledger(reply) => Ok(reply),
-            Response::Failed(error) => unavailable(format!("{group}: {error}")),
-            other => unavailable(format!("{group} answered {other:?}")),
+            Response::Ledger(reply) => {
+                self.breaker().answered(group);
+                Ok(reply)
+            }
+            Response::Failed(error) => {
+                if error.kind == ErrorKind::Unavailable {
+                    self.breaker().without_owner(group);
+                }
+                self.unavailable(format!("{group}: {error}"))
+            }
+            other => self.unavailable(format!("{group} answered {other:?}")),
         }
     }
 
+    fn unavailable<T>(&self, reason: String) -> Result<T, LedgerUnavailable> {
+        let retry_after = Some(self.breaker().retry_after());
+        Err(LedgerUnavailable { reason, retry_after, was_not_asked: false })
+    }
+
     /// A new program may go on from a turn of an earlier program, which another group holds.
     /// Its chain is taken over, and the turn opened again. Opening by the chain instead, without
     /// recording it, would give a repeated opening another answer than the first.
@@ -49,15 +119,16 @@
         open: OpenTurn,
         previous: TurnId,
         own: GroupId,
+        until: Instant,
     ) -> Result<LedgerReply, LedgerUnavailable> {
-        let chain = match self.find_elsewhere(&previous, own).await? {
+        let chain = match self.find_elsewhere(&previous, own, until).await? {
             Elsewhere::Found(chain) => chain,
             Elsewhere::Refused(refusal) => return Ok(LedgerReply::Refused(refusal)),
         };
         let (program, at) = (open.program.clone(), Timestamp::ZERO);
         let import = ImportTurn { program, turn: previous, chain, at };
-        match self.ask_group(own, LedgerCommand::Import(import)).await? {
-            LedgerReply::Imported => self.ask_group(own, LedgerCommand::Open(open)).await,
+        match self.ask_group(own, LedgerCommand::Import(import), until).await? {
+            LedgerReply::Imported => self.ask_group(own, LedgerCommand::Open(open), until).await,
             other => Ok(other),
         }
     }
@@ -67,10 +138,11 @@
         &self,
         turn: &TurnId,
         own: GroupId,
+        until: Instant,
     ) -> Result<Elsewhere, LedgerUnavailable> {
         let read = || LedgerCommand::Read { turn: turn.clone(), at: Timestamp::ZERO };
         let others = (0..self.groups).map(GroupId).filter(|group| *group != own);
-        let replies = join_all(others.map(|group| self.ask_group(group, read()))).await;
+        let replies = join_all(others.map(|group| self.ask_group(group, read(), until))).await;
         let mut refusal = TurnRefusal::NoSuchTurn { previous: turn.clone() };
         let mut silent = None;
         for reply in replies {
@@ -82,27 +154,41 @@
                 Err(error) => silent = Some(error.reason),
             }
         }
-        silent.map_or(Ok(Elsewhere::Refused(refusal)), unavailable)
+        silent.map_or(Ok(Elsewhere::Refused(refusal)), |reason| self.unavailable(reason))
     }
 }
 
 impl TurnLedger for LedgerClient {
-    async fn ask(&self, command: LedgerCommand) -> Result<LedgerReply, LedgerUnavailable> {
+    async fn ask(
+        &self,
+        command: LedgerCommand,
+        patience: Duration,
+    ) -> Result<LedgerReply, LedgerUnavailable> {
+        let until = Instant::now() + time::Duration::from_micros(patience.as_micros());
         let Some(program) = command.program() else {
-            return unavailable("the command names no program".to_owned());
+            return self.unavailable("the command names no program".to_owned());
         };
         let group = group_of(program, self.groups);
-        let reply = self.ask_group(group, command.clone()).await?;
+        if let LedgerCommand::Close(_) = command {
+            return self.answer_of(group, command).await;
+        }
+        let reply = self.ask_group(group, command.clone(), until).await?;
         match (command, reply) {
             (
                 LedgerCommand::Open(open),
                 LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous }),
-            ) => self.open_from_elsewhere(open, previous, group).await,
+            ) => {
+                let opened = self.open_from_elsewhere(open, previous, group, until).await;
+                // The first opening was put to the ledger, whatever came of the later steps.
+                opened.map_err(|error| LedgerUnavailable { was_not_asked: false, ..error })
+            }
             (_, reply) => Ok(reply),
         }
     }
 }
 
-fn unavailable<T>(reason: String) -> Result<T, LedgerUnavailable> {
-    Err(LedgerUnavailable { reason })
+/// What is left until a moment.
+fn left(until: Instant) -> Duration {
+    let left = until.saturating_duration_since(Instant::now());
+    Duration::from_micros(left.as_micros() as u64)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
 //! | `layout_store` | where the first layout of groups is kept |
+//! | `ledger_breaker` | tells silent ledgers from those that answer |
 //! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
@@ -33,6 +34,7 @@
 mod gateway;
 mod handshake;
 pub mod layout_store;
+pub mod ledger_breaker;
 pub mod ledger_client;
 pub mod logging;
 mod machine_list;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,6 +16,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::first_document::first_document;
+use crate::ledger_breaker::LedgerBreakerSettings;
 use crate::logging::LogSettings;
 
 /// All settings of one daemon.
@@ -53,6 +54,9 @@
     /// Upkeep of groups' members. `voters` is taken from `layout.replicas`.
     #[serde(default)]
     pub maintenance: MaintenanceSettings,
+    /// Groups whose ledger does not answer.
+    #[serde(default)]
+    pub ledger_breaker: LedgerBreakerSettings,
     /// Calls and their attempts.
     #[serde(default)]
     pub calls: CallsSettings,
@@ -259,6 +263,7 @@
         self.store.check()?;
         self.membership.check()?;
         self.maintenance.check()?;
+        self.ledger_breaker.check()?;
         self.calls.check()?;
         self.placement.check()?;
         self.log.check()
--- a/crates/daemon/tests/ledger_client.rs
+++ b/crates/daemon/tests/ledger_client.rs
@@ -1,9 +1,12 @@
 //! The client of the ledgers, against groups played by ledgers in memory.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use dahlia_api::{ApiError, ErrorKind};
 use dahlia_daemon::core::{CoreMessage, channel};
+use dahlia_daemon::ledger_breaker::LedgerBreakerSettings;
 use dahlia_daemon::ledger_client::LedgerClient;
 use dahlia_ledger::{
     CloseTurn, Ledger, LedgerCommand, LedgerLimits, LedgerReply, OpenTurn, ProgramName, TurnEnd,
@@ -12,8 +15,11 @@
 use dahlia_node::request::{Request, Response};
 use dahlia_relay::TurnLedger;
 use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, ReplicaId, Timestamp, Tokens};
+use futures::FutureExt;
+use tokio::sync::watch;
 
 const GROUPS: u32 = 4;
+const PATIENCE: Duration = Duration::from_secs(4);
 
 /// A client, and a task that answers for all groups but `silent`.
 fn client(silent: Option<GroupId>) -> LedgerClient {
@@ -35,7 +41,7 @@
             let _ = reply.send(response);
         }
     });
-    LedgerClient::new(core, GROUPS)
+    LedgerClient::new(core, GROUPS, LedgerBreakerSettings::default())
 }
 
 /// A program whose ledger is in `group`.
@@ -65,7 +71,7 @@
     let end = TurnEnd::Whole { generated: Tokens(1), output, served_by: "server".into() };
     let (program, turn) = (program.clone(), TurnId(turn.into()));
     let close = CloseTurn { program, turn, end, at: Timestamp::ZERO };
-    let reply = client.ask(LedgerCommand::Close(close)).await;
+    let reply = client.ask(LedgerCommand::Close(close), PATIENCE).await;
     assert_eq!(reply, Ok(LedgerReply::Closed));
 }
 
@@ -73,19 +79,19 @@
 async fn a_program_goes_on_from_a_turn_in_another_group() {
     let client = client(None);
     let (earlier, later) = (program_in(0), program_in(3));
-    client.ask(open(&earlier, "one", None)).await.expect("opened");
-    let early = client.ask(open(&later, "two", Some("one"))).await;
+    client.ask(open(&earlier, "one", None), PATIENCE).await.expect("opened");
+    let early = client.ask(open(&later, "two", Some("one")), PATIENCE).await;
     let previous = TurnId("one".into());
     assert_eq!(early, Ok(LedgerReply::Refused(TurnRefusal::NotEnded { previous })));
     end_whole(&client, &earlier, "one").await;
     for _ in 0..2 {
-        match client.ask(open(&later, "two", Some("one"))).await {
+        match client.ask(open(&later, "two", Some("one")), PATIENCE).await {
             Ok(LedgerReply::Opened(opened)) => assert_eq!(opened.history, b"inout"),
             other => panic!("not opened: {other:?}"),
         }
     }
     end_whole(&client, &later, "two").await;
-    match client.ask(open(&later, "three", Some("two"))).await {
+    match client.ask(open(&later, "three", Some("two")), PATIENCE).await {
         Ok(LedgerReply::Opened(opened)) => assert_eq!(opened.history, b"inoutinout"),
         other => panic!("not opened: {other:?}"),
     }
@@ -96,7 +102,76 @@
     let previous = TurnId("unknown".into());
     let nobody = LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous });
     let command = open(&program_in(0), "one", Some("unknown"));
-    assert_eq!(client(None).ask(command.clone()).await, Ok(nobody));
-    let unsure = client(Some(GroupId(2))).ask(command).await;
+    assert_eq!(client(None).ask(command.clone(), PATIENCE).await, Ok(nobody));
+    let unsure = client(Some(GroupId(2))).ask(command, PATIENCE).await;
     assert!(unsure.expect_err("one group is silent").reason.contains("no owner"));
 }
+
+/// Groups that answer only while the test says so, and count what they are asked.
+struct Owner {
+    answers: watch::Sender<bool>,
+    asked: Arc<AtomicUsize>,
+}
+
+fn client_with_owner() -> (LedgerClient, Owner) {
+    let own = ReplicaId { daemon: DaemonId(1), incarnation: Incarnation(1) };
+    let (core, mut inbox) = channel(own);
+    let owner = Owner { answers: watch::Sender::new(false), asked: Arc::default() };
+    let (answers, asked) = (owner.answers.subscribe(), Arc::clone(&owner.asked));
+    tokio::spawn(async move {
+        while let Some(CoreMessage::Request(_, reply)) = inbox.recv().await {
+            asked.fetch_add(1, Ordering::SeqCst);
+            let mut answers = answers.clone();
+            tokio::spawn(async move {
+                let _ = answers.wait_for(|answers| *answers).await;
+                let _ = reply.send(Response::Ledger(LedgerReply::Closed));
+            });
+        }
+    });
+    let settings = LedgerBreakerSettings { answer_timeout_ms: 30, ..Default::default() };
+    (LedgerClient::new(core, GROUPS, settings), owner)
+}
+
+#[tokio::test]
+async fn callers_are_not_held_for_a_silent_group_and_come_back_when_it_answers() {
+    let (client, owner) = client_with_owner();
+    let program = program_in(0);
+    let first = client.ask(open(&program, "one", None), PATIENCE).await.expect_err("silent");
+    assert_eq!(first.retry_after, Some(Duration::from_millis(400)));
+    assert!(!first.was_not_asked, "it may be recorded");
+    let both = || {
+        let (two, three) = (open(&program, "two", None), open(&program, "three", None));
+        futures::future::join(client.ask(two, PATIENCE), client.ask(three, PATIENCE))
+    };
+    for _ in 0..2 {
+        let (probe, refused) = both().await;
+        assert!(!probe.expect_err("silent").was_not_asked);
+        assert!(refused.expect_err("silent").was_not_asked, "one probe at a time");
+    }
+    assert!(both().now_or_never().is_none(), "the probe's caller leaves");
+    let (probe, _) = both().await;
+    assert!(!probe.expect_err("silent").was_not_asked, "its place is free");
+    assert_eq!(owner.asked.load(Ordering::SeqCst), 5);
+    owner.answers.send_replace(true);
+    assert!(client.ask(open(&program, "two", None), PATIENCE).await.is_ok());
+    let (first, second) = both().await;
+    assert!(first.is_ok() && second.is_ok());
+}
+
+#[tokio::test]
+async fn an_end_is_put_to_a_silent_group_and_waits_longer() {
+    let (client, owner) = client_with_owner();
+    let program = program_in(0);
+    client.ask(open(&program, "one", None), PATIENCE).await.expect_err("silent");
+    let end = TurnEnd::NotRun;
+    let turn = TurnId("one".into());
+    let close = CloseTurn { program: program.clone(), turn, end, at: Timestamp::ZERO };
+    let closing = client.ask(LedgerCommand::Close(close), PATIENCE);
+    let answering = async {
+        // An opening is given up in the meantime.
+        client.ask(open(&program, "two", None), PATIENCE).await.expect_err("silent");
+        owner.answers.send_replace(true);
+    };
+    let (closed, ()) = tokio::join!(closing, answering);
+    assert_eq!(closed, Ok(LedgerReply::Closed));
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -77,8 +77,9 @@
 
     /// Opens the request's turn, if it is one, and puts its prompt together.
     pub(crate) async fn open_turn(&mut self) -> Result<(), Refusal> {
-        let turn = Turn::open(&self.shared, &self.matched, &self.head, &self.body).await?;
-        let Some((turn, opened)) = turn else { return Ok(()) };
+        let opening =
+            Turn::open(&self.shared, &self.matched, &self.head, &self.body, self.deadline);
+        let Some((turn, opened)) = opening.await? else { return Ok(()) };
         self.turn = Some(turn);
         self.preferred = opened.last_served_by.map(BackendId);
         if !opened.history.is_empty() {
--- a/crates/relay/src/turn.rs
+++ b/crates/relay/src/turn.rs
@@ -46,6 +46,7 @@
         matched: &Matched,
         head: &RequestHead,
         body: &Bytes,
+        deadline: Instant,
     ) -> Result<Option<(Self, OpenedTurn)>, Refusal> {
         let Some(command) = open_command(shared, matched, head, body)? else { return Ok(None) };
         let engine = matched.service().and_then(|service| service.engine.as_ref());
@@ -60,7 +61,7 @@
             end: Some(TurnEnd::NotRun),
             open: Some(GaugeGuard::new(&shared.counters, Gauge::UnsettledTurns)),
         };
-        let reply = shared.ledger.ask(LedgerCommand::Open(command)).await;
+        let reply = shared.ledger.ask(LedgerCommand::Open(command), until(deadline)).await;
         let opened = turn.opened(reply)?;
         Ok(Some((turn, opened)))
     }
@@ -74,7 +75,14 @@
             Ok(LedgerReply::Opened(opened)) => return Ok(opened),
             Ok(LedgerReply::Refused(refusal)) => refusal,
             // It may have been recorded: the drop settles it.
-            Ok(_) | Err(_) => return Err(Refusal::LedgerUnavailable { retry_after }),
+            Ok(_) => return Err(Refusal::LedgerUnavailable { retry_after }),
+            Err(error) => {
+                if error.was_not_asked {
+                    self.settled();
+                }
+                let retry_after = error.retry_after.unwrap_or(retry_after);
+                return Err(Refusal::LedgerUnavailable { retry_after });
+            }
         };
         self.settled();
         Err(match refusal {
@@ -164,21 +172,32 @@
     command: &CloseTurn,
 ) -> Result<(), LedgerUnavailable> {
     let settings = &shared.settings;
-    let until = Instant::now() + time::Duration::from_millis(settings.close_turn_ms);
+    let end = Instant::now() + time::Duration::from_millis(settings.close_turn_ms);
     let pause = time::Duration::from_millis(settings.close_turn_pause_ms);
     loop {
-        let error = match shared.ledger.ask(LedgerCommand::Close(command.clone())).await {
+        let close = LedgerCommand::Close(command.clone());
+        let error = match shared.ledger.ask(close, until(end)).await {
             Ok(LedgerReply::Closed) => return Ok(()),
-            Ok(reply) => LedgerUnavailable { reason: format!("it replied {reply:?}") },
+            Ok(reply) => LedgerUnavailable {
+                reason: format!("it replied {reply:?}"),
+                retry_after: None,
+                was_not_asked: false,
+            },
             Err(error) => error,
         };
-        if Instant::now() + pause >= until {
+        if Instant::now() + pause >= end {
             return Err(error);
         }
         sleep(pause).await;
     }
 }
 
+/// What is left until a moment.
+fn until(moment: Instant) -> Duration {
+    let left = moment.saturating_duration_since(Instant::now());
+    Duration::from_micros(left.as_micros() as u64)
+}
+
 /// The command that opens a request's turn: on streams of programs with a budget or kept turns.
 fn open_command<L: TurnLedger>(
     shared: &Shared<L>,
--- a/crates/relay/tests/common/ledger.rs
+++ b/crates/relay/tests/common/ledger.rs
@@ -5,6 +5,7 @@
 
 use dahlia_ledger::{CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, TurnEnd};
 use dahlia_relay::{LedgerUnavailable, TurnLedger};
+use dahlia_types::Duration;
 use tokio::sync::watch;
 
 type Reply = Result<LedgerReply, LedgerUnavailable>;
@@ -15,6 +16,7 @@
     commands: Arc<Mutex<Vec<LedgerCommand>>>,
     opens: Arc<Mutex<VecDeque<Reply>>>,
     closes: Arc<Mutex<VecDeque<Reply>>>,
+    answers_opens: Arc<watch::Sender<bool>>,
     answers_closes: Arc<watch::Sender<bool>>,
 }
 
@@ -24,6 +26,7 @@
             commands: Arc::default(),
             opens: Arc::default(),
             closes: Arc::default(),
+            answers_opens: Arc::new(watch::Sender::new(true)),
             answers_closes: Arc::new(watch::Sender::new(true)),
         }
     }
@@ -38,6 +41,11 @@
         self.closes.lock().expect("whole").push_back(reply);
     }
 
+    /// Whether openings get their reply, or wait until this is called again.
+    pub fn answer_opens(&self, answers: bool) {
+        self.answers_opens.send_replace(answers);
+    }
+
     /// Whether closes get their reply, or wait until this is called again.
     pub fn answer_closes(&self, answers: bool) {
         self.answers_closes.send_replace(answers);
@@ -67,14 +75,16 @@
 }
 
 pub fn unavailable() -> Reply {
-    Err(LedgerUnavailable { reason: "told so".into() })
+    Err(LedgerUnavailable { reason: "told so".into(), retry_after: None, was_not_asked: false })
 }
 
 impl TurnLedger for TestLedger {
-    async fn ask(&self, command: LedgerCommand) -> Reply {
+    async fn ask(&self, command: LedgerCommand, _patience: Duration) -> Reply {
         let is_open = matches!(command, LedgerCommand::Open(_));
         self.commands.lock().expect("whole").push(command);
         if is_open {
+            let mut answers = self.answers_opens.subscribe();
+            let _ = answers.wait_for(|answers| *answers).await;
             let told = self.opens.lock().expect("whole").pop_front();
             return told.unwrap_or(Ok(LedgerReply::Opened(OpenedTurn::default())));
         }
--- a/crates/relay/tests/turns.rs
+++ b/crates/relay/tests/turns.rs
@@ -7,7 +7,7 @@
 use common::stand_in::{Got, StandIn, Step, answer, chunk, event, last_chunk, shed, stream_head};
 use common::{Bed, once, route, table, turns, until};
 use dahlia_ledger::{LedgerReply, OpenedTurn, ProgramName, TurnEnd, TurnId, TurnRefusal};
-use dahlia_relay::Route;
+use dahlia_relay::{LedgerUnavailable, Route};
 use dahlia_types::{Duration, Tokens};
 
 const TURN: &str = "X-Program: p-1\r\nX-Session: l-1\r\nX-Budget: 500\r\nX-Tokens: 40,80\r\n";
@@ -145,6 +145,39 @@
     assert!(server.got().is_empty());
 }
 
+#[tokio::test]
+async fn a_turn_that_the_ledger_was_not_asked_for_is_refused_at_once_and_not_undone() {
+    let server = StandIn::new("s-1", stream).await;
+    let bed = Bed::new(Some(table(vec![turns()])), &[&server]).await;
+    bed.ledger.next_open(Err(LedgerUnavailable {
+        reason: "silent".into(),
+        retry_after: Some(Duration::from_millis(400)),
+        was_not_asked: true,
+    }));
+    let reply = call(bed.address, &post("t", TURN, "")).await;
+    assert_eq!((reply.status, reply.header("retry-after")), (503, Some("0.400")));
+    until("the turn is settled", || bed.relay.counters().unsettled_turns == 0).await;
+    assert!(server.got().is_empty() && bed.ledger.ends().is_empty());
+}
+
+#[tokio::test]
+async fn a_turn_that_waits_for_its_opening_has_not_run_at_its_deadline_or_when_its_caller_leaves() {
+    let server = StandIn::new("s-1", stream).await;
+    let bed = Bed::new(Some(table(vec![turns()])), &[&server]).await;
+    bed.ledger.answer_opens(false);
+    let late = call(bed.address, &post("t-1", &format!("{TURN}X-Deadline: 100\r\n"), "")).await;
+    assert_eq!(late.status, 503);
+    assert!(late.header("retry-after").is_some());
+    let mut caller = Caller::new(bed.address).await;
+    caller.send(&post("t-2", TURN, "")).await;
+    until("the ledger is asked", || bed.ledger.opened().len() == 2).await;
+    drop(caller);
+    until("both are undone", || bed.ledger.ends() == [TurnEnd::NotRun, TurnEnd::NotRun]).await;
+    bed.ledger.answer_opens(true);
+    until("nothing is left", || bed.relay.counters().unsettled_turns == 0).await;
+    assert!(server.got().is_empty());
+}
+
 #[tokio::test]
 async fn only_a_promise_lets_a_turn_cost_nothing() {
     type Script = fn(&Got) -> Vec<Step>;
