Let requests that may run again leave servers that have ended, whatever their route's most

Cause: on routes with max_attempts 1 a stream was broken off when its server ended, although the limit leaves out servers that have ended.

A server has ended when discovery or its own word says so, or when a new connection to its address is refused; that is looked up only when the route's most is reached. Silence proves nothing, and requests that must not run twice are lost as before.

With the check taken out, the new tests of a plain request and of a stream fail.

--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -62,6 +62,13 @@
         self.listed.remove(id);
     }
 
+    /// Whether a server, in this life, has ended or is about to: discovery or it itself said so.
+    pub fn is_gone(&self, id: &BackendId) -> bool {
+        let service = self.listed.get(id);
+        let servers = service.and_then(|service| self.services.get(service));
+        !servers.and_then(|servers| servers.get(id)).is_some_and(Server::takes_work)
+    }
+
     /// All servers listed, in the order of their identifiers.
     pub fn ids(&self) -> impl Iterator<Item = &BackendId> {
         self.listed.keys()
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -166,6 +166,16 @@
     assert_eq!(again, Some(BackendId("bad".to_owned())), "the near one is sound again");
 }
 
+#[test]
+fn a_server_is_gone_when_it_leaves_or_is_not_listed() {
+    let mut backends = table(&[("a", "hall-a"), ("b", "hall-a"), ("c", "hall-a")]);
+    let id = |name: &str| BackendId(name.to_owned());
+    backends.put(BackendRecord { state: BackendState::Draining, ..record("a", "hall-a") }, START);
+    backends.end(&id("b"), AttemptEnd::Leaving, START);
+    let gone = ["a", "b", "c", "d"].map(|name| backends.is_gone(&id(name)));
+    assert_eq!(gone, [true, true, false, true]);
+}
+
 #[test]
 fn attempts_of_this_daemon_at_one_server_are_bounded() {
     let mut backends = table(&[("a", "hall-a")]);
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -203,7 +203,7 @@
         if let Some(events) = &mut self.events {
             events.take_rest();
         }
-        while self.exchange.answer_lost().is_ok() {
+        while self.exchange.answer_lost().await.is_ok() {
             let Ok(mut live) = self.exchange.live_answer().await else { return false };
             if live.parts.status.is_success() {
                 self.live = Some(live);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{Sending, Sent, connect};
+use crate::connection::is_refused;
 use crate::counters::count;
 use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
 use crate::outgoing::Outgoing;
@@ -33,6 +34,10 @@
     tried: Vec<BackendId>,
     /// Servers that may have run it and whose answer is lost.
     lost_answers: u32,
+    /// Those of them that count against the route's most: not those that have ended since.
+    counted: Vec<BackendAddress>,
+    /// The server that it was sent to last.
+    current: Option<BackendAddress>,
     /// Servers that did not run it.
     refusals: u32,
     /// A server may be running it now.
@@ -66,6 +71,8 @@
             preferred: None,
             tried: Vec::new(),
             lost_answers: 0,
+            counted: Vec::new(),
+            current: None,
             refusals: 0,
             is_sent: false,
         }
@@ -106,7 +113,7 @@
             }
             // The connection must be gone before another server gets the request.
             drop(live);
-            self.answer_lost()?;
+            self.answer_lost().await?;
         }
     }
 
@@ -117,10 +124,11 @@
             let guard = AttemptGuard::new(&self.shared, server.id.clone());
             count(&self.shared.counters.attempts);
             let sent = self.send_to(&server, guard).await;
-            self.tried.push(server.id);
+            self.tried.push(server.id.clone());
+            self.current = Some(server);
             match sent {
                 Sent::Answering(live) => return Ok(live),
-                Sent::Broken => self.answer_lost()?,
+                Sent::Broken => self.answer_lost().await?,
                 Sent::NotRun { retry_after } => self.not_run(retry_after)?,
             }
         }
@@ -219,15 +227,39 @@
     ///
     /// # Errors
     /// No other server may run it.
-    pub(crate) fn answer_lost(&mut self) -> Result<(), Refusal> {
+    pub(crate) async fn answer_lost(&mut self) -> Result<(), Refusal> {
         self.is_sent = false;
         self.lost_answers += 1;
-        if self.may_run_again() && self.lost_answers < self.route().max_attempts {
+        self.counted.extend(self.current.take());
+        if self.may_run_again() && self.is_below_most().await {
             return Ok(());
         }
         Err(Refusal::AnswerLost)
     }
 
+    /// Whether another server may run it. A server that has ended runs nothing any more, so that
+    /// it does not count; it is looked for only when the answer depends on it.
+    async fn is_below_most(&mut self) -> bool {
+        let most = self.route().max_attempts as usize;
+        let mut checked = 0;
+        while self.counted.len() >= most && checked < self.counted.len() {
+            if self.has_ended(&self.counted[checked]).await {
+                self.counted.swap_remove(checked);
+            } else {
+                checked += 1;
+            }
+        }
+        self.counted.len() < most
+    }
+
+    async fn has_ended(&self, server: &BackendAddress) -> bool {
+        let is_gone = {
+            let backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
+            backends.is_gone(&server.id)
+        };
+        is_gone || is_refused(server.address, &self.shared.settings).await
+    }
+
     /// A stream that cannot be resumed runs once at most, whatever else its route says.
     fn may_run_again(&self) -> bool {
         let route = self.route();
--- a/crates/relay/tests/common/stand_in.rs
+++ b/crates/relay/tests/common/stand_in.rs
@@ -7,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// A request as a server got it.
 #[derive(Debug, Clone)]
@@ -39,6 +40,8 @@
     WaitForClose,
     Close,
     Reset,
+    /// Stops listening, and resets.
+    Die,
 }
 
 type Script = dyn Fn(&Got) -> Vec<Step> + Send + Sync;
@@ -51,6 +54,7 @@
     got: Arc<Mutex<Vec<Got>>>,
     closed: Arc<Mutex<usize>>,
     released: Arc<watch::Sender<bool>>,
+    accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
 
 impl StandIn {
@@ -62,15 +66,17 @@
             got: Arc::default(),
             closed: Arc::default(),
             released: Arc::new(watch::Sender::new(false)),
+            accepting: Arc::default(),
         };
         let (accepting, script) = (server.clone(), Arc::new(script) as Arc<Script>);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             let mut connection = 0;
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(accepting.clone().serve(connection, stream, Arc::clone(&script)));
                 connection += 1;
             }
         });
+        *server.accepting.lock().expect("whole") = Some(task);
         server
     }
 
@@ -114,6 +120,13 @@
                 false
             }
             Step::Close => false,
+            Step::Die => {
+                let task = self.accepting.lock().expect("whole").take().expect("it listens");
+                task.abort();
+                let _ = task.await;
+                let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
+                false
+            }
             Step::Reset => {
                 let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
                 false
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -97,6 +97,15 @@
     assert_eq!(servers.iter().map(|server| server.got().len()).sum::<usize>(), 3);
 }
 
+#[tokio::test]
+async fn a_server_that_has_ended_does_not_count_against_the_most() {
+    let only = Route { max_attempts: 1, ..route() };
+    let (reply, sends, _bed) = first_fails(only, |_| vec![Step::Die]).await;
+    assert_eq!((reply.status, sends), (200, 2));
+    let (reply, sends, _bed) = first_fails(once(), |_| vec![Step::Die]).await;
+    assert_eq!((reply.status, sends), (502, 1), "it must not run twice");
+}
+
 #[tokio::test]
 async fn a_request_that_a_server_did_not_run_goes_to_another_whatever_its_route() {
     let not_run: [(&str, Script); 3] = [
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -111,6 +111,16 @@
     }
 }
 
+#[tokio::test]
+async fn a_stream_of_a_server_that_has_ended_goes_on_whatever_its_routes_most() {
+    let only = Route { max_attempts: 1, ..resumable() };
+    let dies = |got: &Got| vec![stream_head(got), chunk(&text(1..3)), Step::Die];
+    let (reply, got, _bed) = broken_then(only, dies, |got| whole_stream(got, 3..5)).await;
+    assert!(reply.is_whole);
+    assert_eq!(reply.body, text(1..5));
+    assert_eq!((got.len(), got[1].header("x-last-event")), (2, Some("2")));
+}
+
 #[tokio::test]
 async fn a_stream_is_broken_off_when_no_server_goes_on() {
     for then in [shed as fn(&Got) -> Vec<Step>, |got| vec![answer(got, "500 Bad", "", "")]] {
