Leave servers that answer late or fail to others, although their health is good

Cause: the choice of servers saw broken answers only; servers that hang, answer 500 or have grown slow kept their share, and programs with affinity stayed there.

The choice keeps a faded mean of the time to an answer's head for each server; over 2.5 times the median of its service, with five samples, it is chosen only if there is no other, and tried once a second. A caller that left without an answer is a lower bound. 5xx count as failures.

Ruled out: times of refusals and failures, which are fast on any server.

With the check of slowness taken out, both new tests of the choice fail. Further tests: what each end of an attempt makes of a server, callers beyond the most connections, settings.

--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -37,8 +37,10 @@
 /// How an attempt ended, as far as the server's fitness is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
-    /// It answered, whatever the answer.
+    /// It answered, whatever the answer, unless that tells of its own failure.
     Answered,
+    /// It answered that it failed itself.
+    Failed,
     /// It said that it did not run the attempt because it is full.
     Refused,
     /// It said that it did not run the attempt because it leaves or is another server.
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -12,10 +12,12 @@
 //! | `choice` | what is asked, and what comes out |
 //! | `table` | all servers, and the choice among them |
 //! | `server` | one server: this daemon's attempts there, its failures |
+//! | `latency` | how long a server takes to answer |
 //! | `rendezvous` | a rank of servers that all daemons agree on |
 //! | `settings` | settings of the choice |
 
 mod choice;
+mod latency;
 mod record;
 mod rendezvous;
 mod server;
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -2,6 +2,7 @@
 
 use dahlia_types::{Duration, Timestamp};
 
+use crate::latency::Latency;
 use crate::{AttemptEnd, BackendRecord, BackendSettings, BackendState};
 
 /// Doublings of the pause after which it no longer grows; bounds the shift.
@@ -20,6 +21,9 @@
     unreachable_in_a_row: u32,
     failures: f64,
     failures_at: Timestamp,
+    latency: Latency,
+    /// From then on it may be tried although it is slow.
+    try_again_at: Timestamp,
 }
 
 impl Server {
@@ -32,6 +36,8 @@
             unreachable_in_a_row: 0,
             failures: 0.0,
             failures_at: now,
+            latency: Latency::default(),
+            try_again_at: Timestamp::ZERO,
         }
     }
 
@@ -65,8 +71,49 @@
         f64::from(self.in_flight) / f64::from(self.record.slots.max(1))
     }
 
-    pub(crate) fn begin(&mut self) {
+    /// Its mean time to an answer, once there are samples enough.
+    pub(crate) fn latency(&self, settings: &BackendSettings) -> Option<Duration> {
+        self.latency.mean(settings)
+    }
+
+    /// Whether it is left to others because it answers later than `bound`. Now and then it is
+    /// tried all the same, to find out whether it has recovered.
+    pub(crate) fn is_slow(
+        &self,
+        bound: Option<Duration>,
+        settings: &BackendSettings,
+        now: Timestamp,
+    ) -> bool {
+        let is_late = self.latency(settings).zip(bound).is_some_and(|(mean, bound)| mean > bound);
+        is_late && now < self.try_again_at
+    }
+
+    pub(crate) fn begin(&mut self, settings: &BackendSettings, now: Timestamp) {
         self.in_flight += 1;
+        if now >= self.try_again_at {
+            self.try_again_at = now + Duration::from_millis(settings.slow_retry_ms);
+        }
+    }
+
+    pub(crate) fn answered_in(
+        &mut self,
+        time: Duration,
+        settings: &BackendSettings,
+        now: Timestamp,
+    ) {
+        self.latency.add(time, settings, now);
+    }
+
+    /// An answer that did not come says only that it takes longer than this.
+    pub(crate) fn silent_for(
+        &mut self,
+        time: Duration,
+        settings: &BackendSettings,
+        now: Timestamp,
+    ) {
+        if self.latency.is_at_most(time) {
+            self.latency.add(time, settings, now);
+        }
     }
 
     pub(crate) fn end(&mut self, end: AttemptEnd, settings: &BackendSettings, now: Timestamp) {
@@ -76,7 +123,7 @@
             AttemptEnd::Cancelled => {}
             AttemptEnd::Refused => self.pause(settings.refused_pause_ms, now),
             AttemptEnd::Leaving => self.said_leaving = true,
-            AttemptEnd::Broken => {
+            AttemptEnd::Broken | AttemptEnd::Failed => {
                 self.failures = self.faded(settings, now) + 1.0;
                 self.failures_at = now;
             }
--- a/crates/backends/src/settings.rs
+++ b/crates/backends/src/settings.rs
@@ -24,6 +24,17 @@
     pub suspect_failures: f64,
     /// Milliseconds in which the count of failed answers fades to a half.
     pub failure_half_life_ms: u64,
+    /// A server that takes this many times the median time of its service to answer is chosen
+    /// only if there is no other.
+    pub slow_factor: f64,
+    /// Answers before a server's time says anything.
+    pub slow_samples: u32,
+    /// Milliseconds below which a server never counts as slow.
+    pub slow_floor_ms: u64,
+    /// Milliseconds after which a slow server is tried again, once.
+    pub slow_retry_ms: u64,
+    /// Milliseconds in which an old answer's weight fades to a half.
+    pub latency_half_life_ms: u64,
 }
 
 impl Default for BackendSettings {
@@ -37,6 +48,11 @@
             longest_pause_ms: 4_000,
             suspect_failures: 2.0,
             failure_half_life_ms: 2_000,
+            slow_factor: 2.5,
+            slow_samples: 5,
+            slow_floor_ms: 30,
+            slow_retry_ms: 1_000,
+            latency_half_life_ms: 2_000,
         }
     }
 }
@@ -55,6 +71,11 @@
         check_range("backends.longest_pause_ms", longest, 1, 3_600_000)?;
         check_range("backends.unreachable_pause_ms", self.unreachable_pause_ms, 1, longest)?;
         check_range("backends.suspect_failures", self.suspect_failures, 0.5, 1_000.0)?;
-        check_range("backends.failure_half_life_ms", self.failure_half_life_ms, 10, 3_600_000)
+        check_range("backends.failure_half_life_ms", self.failure_half_life_ms, 10, 3_600_000)?;
+        check_range("backends.slow_factor", self.slow_factor, 1.0, 1_000.0)?;
+        check_range("backends.slow_samples", self.slow_samples, 1, 1_000)?;
+        check_range("backends.slow_floor_ms", self.slow_floor_ms, 0, 60_000)?;
+        check_range("backends.slow_retry_ms", self.slow_retry_ms, 1, 3_600_000)?;
+        check_range("backends.latency_half_life_ms", self.latency_half_life_ms, 10, 3_600_000)
     }
 }
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -89,27 +89,48 @@
         let Some(server) = servers.and_then(|servers| servers.get_mut(&id)) else {
             return Choice::NoBackend { retry_after: NO_BACKEND_RETRY };
         };
-        server.begin();
+        server.begin(&self.settings, now);
         Choice::Use(BackendAddress { id, address: server.record.address })
     }
 
     /// Takes in how an attempt ended.
     pub fn end(&mut self, id: &BackendId, end: AttemptEnd, now: Timestamp) {
-        let service = self.listed.get(id);
-        let servers = service.and_then(|service| self.services.get_mut(service));
-        if let Some(server) = servers.and_then(|servers| servers.get_mut(id)) {
-            server.end(end, &self.settings, now);
+        if let Some((server, settings)) = self.server_mut(id) {
+            server.end(end, settings, now);
+        }
+    }
+
+    /// Takes in how long a server took until its answer began.
+    pub fn answered_in(&mut self, id: &BackendId, time: Duration, now: Timestamp) {
+        if let Some((server, settings)) = self.server_mut(id) {
+            server.answered_in(time, settings, now);
+        }
+    }
+
+    /// Takes in that an attempt ended without an answer after this time.
+    pub fn silent_for(&mut self, id: &BackendId, time: Duration, now: Timestamp) {
+        if let Some((server, settings)) = self.server_mut(id) {
+            server.silent_for(time, settings, now);
         }
     }
 
+    fn server_mut(&mut self, id: &BackendId) -> Option<(&mut Server, &BackendSettings)> {
+        let service = self.listed.get(id)?;
+        let server = self.services.get_mut(service)?.get_mut(id)?;
+        Some((server, &self.settings))
+    }
+
     fn pick(&mut self, ask: &Ask<'_>, now: Timestamp) -> Option<BackendId> {
         let draw = self.random.random();
         let servers = self.services.get(ask.service)?;
         let usable: Vec<&Server> = self.usable(servers, ask, now).collect();
         let settings = &self.settings;
-        let sound: Vec<&Server> =
-            usable.iter().copied().filter(|server| !server.is_suspect(settings, now)).collect();
-        // A server that failed of late is better than none.
+        let bound = slow_bound(servers, settings);
+        let is_sound = |server: &&Server| {
+            !server.is_suspect(settings, now) && !server.is_slow(bound, settings, now)
+        };
+        let sound: Vec<&Server> = usable.iter().copied().filter(is_sound).collect();
+        // A server that failed of late, or is slow, is better than none.
         let candidates = if sound.is_empty() { usable } else { sound };
         let chosen = match ask.affinity {
             Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings.load_bound),
@@ -152,6 +173,24 @@
     }
 }
 
+/// The time to an answer beyond which a server of a service counts as slow; none when fewer than
+/// two servers can be compared. Of an even number the faster middle one counts, so that one of two
+/// can be slow.
+fn slow_bound(
+    servers: &BTreeMap<BackendId, Server>,
+    settings: &BackendSettings,
+) -> Option<Duration> {
+    let mut means: Vec<Duration> =
+        servers.values().filter_map(|server| server.latency(settings)).collect();
+    if means.len() < 2 {
+        return None;
+    }
+    means.sort_unstable();
+    let median = means[(means.len() - 1) / 2];
+    let bound = Duration::from_secs_f64(median.as_secs_f64() * settings.slow_factor);
+    Some(bound.max(Duration::from_millis(settings.slow_floor_ms)))
+}
+
 /// The preferred server, else the first by rendezvous hashing, of those whose load is not far
 /// above the mean.
 fn by_affinity<'a>(
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -193,3 +193,60 @@
     let error = settings.check().expect_err("below one");
     assert!(error.to_string().contains("backends.load_bound"), "{error}");
 }
+
+/// Sends `count` requests. Server "slow" answers after `slow_ms`, others after 50 ms. Returns how
+/// many "slow" got.
+fn shares(
+    backends: &mut Backends,
+    affinity: Option<u64>,
+    slow_ms: u64,
+    count: u64,
+    begun: Timestamp,
+) -> usize {
+    let service = service();
+    let mut slow = 0;
+    for index in 0..count {
+        let now = begun + Duration::from_millis(index * 10);
+        let asked = Ask { affinity, ..ask(&service, &[]) };
+        let id = used(backends.choose(&asked, now)).expect("there are idle ones");
+        let is_slow = id.0 == "slow";
+        slow += usize::from(is_slow);
+        let time = Duration::from_millis(if is_slow { slow_ms } else { 50 });
+        backends.answered_in(&id, time, now);
+        backends.end(&id, AttemptEnd::Answered, now);
+    }
+    slow
+}
+
+#[test]
+fn a_slow_server_is_tried_now_and_then_only_until_it_has_recovered() {
+    let mut backends = table(&[("slow", "hall-a"), ("b", "hall-a"), ("c", "hall-a")]);
+    assert!(shares(&mut backends, None, 300, 60, START) >= 5, "it is not known to be slow yet");
+    let later = START + Duration::from_secs(1);
+    let tried = shares(&mut backends, None, 300, 400, later);
+    assert!((1..=5).contains(&tried), "{tried} of 400 in four seconds");
+    let sticky = (0..100).find(|hash| {
+        let mut fresh = table(&[("slow", "hall-a"), ("b", "hall-a"), ("c", "hall-a")]);
+        shares(&mut fresh, Some(*hash), 300, 1, START) == 1
+    });
+    let tried = shares(&mut backends, sticky, 300, 400, START + Duration::from_secs(5));
+    assert!((1..=5).contains(&tried), "{tried} of 400 with affinity to it");
+    shares(&mut backends, sticky, 50, 600, START + Duration::from_secs(10));
+    let again = shares(&mut backends, sticky, 50, 20, START + Duration::from_secs(17));
+    assert_eq!(again, 20, "it has recovered");
+}
+
+#[test]
+fn a_server_that_hangs_is_slow_without_an_answer() {
+    let mut backends = table(&[("hangs", "hall-a"), ("good", "hall-b")]);
+    let (hangs, good) = (BackendId("hangs".to_owned()), BackendId("good".to_owned()));
+    let service = service();
+    for _ in 0..5 {
+        backends.answered_in(&good, Duration::from_millis(50), START);
+        backends.silent_for(&hangs, Duration::from_secs(4), START);
+    }
+    let first = used(backends.choose(&ask(&service, &[]), START));
+    assert_eq!(first, Some(hangs.clone()), "it is tried, and then left");
+    backends.end(&hangs, AttemptEnd::Cancelled, START);
+    assert_eq!(used(backends.choose(&ask(&service, &[]), START)), Some(good));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -75,6 +75,7 @@
         mut connection: ServerConnection,
         mut guard: AttemptGuard,
     ) -> Result<Sent, AttemptGuard> {
+        guard.sending();
         match connection.send(self.outgoing.request()).await {
             Ok(answer) => Ok(self.judge(connection, answer, guard).await),
             Err(SendError::NotSent) => Err(guard),
@@ -101,6 +102,10 @@
         let keeping = Keeping::new(&parts.headers, self.service, &self.shared.settings);
         let pool = Arc::clone(&self.shared.pool);
         let did_not_run = verdict == Verdict::NotRunAnswer;
+        // A refusal or a failure comes fast, also from a slow server.
+        if verdict == Verdict::Answer && !parts.status.is_server_error() {
+            guard.answering();
+        }
         let mut live = LiveAnswer::new(parts, body, did_not_run, connection, keeping, pool, guard);
         match verdict {
             Verdict::Answer | Verdict::NotRunAnswer => Sent::Answering(Box::new(live)),
--- a/crates/relay/src/live.rs
+++ b/crates/relay/src/live.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use dahlia_backends::{AttemptEnd, BackendId, Backends};
+use dahlia_types::Timestamp;
 use http::response;
 use hyper::body::Incoming;
 use snafu::Snafu;
@@ -23,6 +24,8 @@
     clock: Clock,
     server: BackendId,
     end: AttemptEnd,
+    /// When the attempt was sent; none before, and once its answer has begun.
+    waits_since: Option<Timestamp>,
 }
 
 impl AttemptGuard {
@@ -32,6 +35,7 @@
             clock: Arc::clone(&shared.clock),
             server,
             end: AttemptEnd::Cancelled,
+            waits_since: None,
         }
     }
 
@@ -42,12 +46,30 @@
     pub(crate) fn set_end(&mut self, end: AttemptEnd) {
         self.end = end;
     }
+
+    /// The attempt is being sent.
+    pub(crate) fn sending(&mut self) {
+        self.waits_since = Some((self.clock)());
+    }
+
+    /// The head of the attempt's answer is there.
+    pub(crate) fn answering(&mut self) {
+        let now = (self.clock)();
+        if let Some(since) = self.waits_since.take() {
+            let mut backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
+            backends.answered_in(&self.server, now.since(since), now);
+        }
+    }
 }
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = (self.clock)();
         let mut backends = self.backends.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self.waits_since.map(|since| now.since(since));
+        if let Some(waited) = waited.filter(|_| self.end == AttemptEnd::Cancelled) {
+            backends.silent_for(&self.server, waited, now);
+        }
         backends.end(&self.server, self.end, now);
     }
 }
@@ -104,7 +126,10 @@
             }
             None => {
                 self.keep_connection();
-                self.guard.end = AttemptEnd::Answered;
+                self.guard.end = match self.parts.status.is_server_error() {
+                    true => AttemptEnd::Failed,
+                    false => AttemptEnd::Answered,
+                };
                 None
             }
         }
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -7,8 +7,9 @@
 use common::caller::{Caller, Reply, call, post};
 use common::stand_in::{Got, StandIn, Step, answer, ok, shed};
 use common::{Bed, once, route, table, until};
+use dahlia_backends::{Ask, BackendId, Choice};
 use dahlia_relay::{RelaySettings, Route};
-use dahlia_types::Duration;
+use dahlia_types::{Duration, Timestamp};
 
 type Script = fn(&Got) -> Vec<Step>;
 
@@ -181,6 +182,72 @@
     }
 }
 
+/// What a server is taken for.
+#[derive(Debug, PartialEq, Eq)]
+enum Fitness {
+    Sound,
+    /// Chosen when there is no other.
+    LastChoice,
+    /// Left alone for a moment.
+    Paused,
+    Gone,
+}
+
+fn fitness(bed: &Bed, id: &str) -> Fitness {
+    bed.add("other", std::net::SocketAddr::from(([127, 0, 0, 1], 9)));
+    let (service, other) = (common::service_name(), [BackendId("other".into())]);
+    let mut backends = bed.backends.lock().expect("whole");
+    if backends.is_gone(&BackendId(id.into())) {
+        return Fitness::Gone;
+    }
+    // Nothing has faded at the very beginning, and no pause is over.
+    let mut chosen = |preferred, tried| {
+        let ask = Ask { service: &service, affinity: Some(1), preferred, tried };
+        match backends.choose(&ask, Timestamp(0)) {
+            Choice::Use(server) => Some(server.id.0),
+            _ => None,
+        }
+    };
+    let own = BackendId(id.into());
+    match (chosen(Some(&own), &[]), chosen(Some(&own), &other)) {
+        (Some(first), _) if first == id => Fitness::Sound,
+        (_, Some(_)) => Fitness::LastChoice,
+        (_, None) => Fitness::Paused,
+    }
+}
+
+#[tokio::test]
+async fn the_choice_of_servers_learns_how_each_attempt_ended() {
+    let cases: [(&str, Script, Fitness); 9] = [
+        ("answered", ok, Fitness::Sound),
+        ("not found", |got| vec![answer(got, "404 Not Found", "", "")], Fitness::Sound),
+        ("not proper", |got| vec![answer(got, "400 Bad", "X-Not-Run: 1\r\n", "")], Fitness::Sound),
+        ("failed", |got| vec![answer(got, "500 Bad", "", "")], Fitness::LastChoice),
+        ("reset", |_| vec![Step::Reset], Fitness::LastChoice),
+        ("no promise", |got| vec![answer(got, "503 Full", "", "")], Fitness::LastChoice),
+        ("full", shed, Fitness::Paused),
+        ("another", |got| vec![answer(got, "421 Misdirected", "", "")], Fitness::Gone),
+        ("left", |_| vec![Step::WaitForClose], Fitness::Sound),
+    ];
+    for (name, script, expected) in cases {
+        let server = StandIn::new("s-1", script).await;
+        let bed = Bed::new(Some(table(vec![once()])), &[&server]).await;
+        for _ in 0..3 {
+            call(bed.address, &post("t", "X-Deadline: 150\r\n", "")).await;
+        }
+        let in_flight = || bed.backends.lock().expect("whole").in_flight(&common::service_name());
+        until("the attempt's end is told", || in_flight() == 0).await;
+        assert_eq!(fitness(&bed, "s-1"), expected, "{name}");
+    }
+    let dead = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = dead.local_addr().expect("its address");
+    drop(dead);
+    let bed = Bed::new(Some(table(vec![once()])), &[]).await;
+    bed.add("dead", address);
+    call(bed.address, &post("t", "", "")).await;
+    assert_eq!(fitness(&bed, "dead"), Fitness::Paused, "unreachable");
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_takes_the_connection_to_the_server_with_it() {
     for head_first in [false, true] {
@@ -215,3 +282,26 @@
         assert_eq!(server.got().len(), 1);
     }
 }
+
+#[tokio::test]
+async fn callers_beyond_the_most_wait_until_another_one_has_left() {
+    let server = StandIn::new("s-1", ok).await;
+    let settings = RelaySettings { most_connections: 1, ..RelaySettings::default() };
+    let bed = Bed::with_settings(settings, Some(table(vec![once()])), &[&server]).await;
+    let mut first = Caller::new(bed.address).await;
+    assert_eq!(first.call(&post("t-1", "", "")).await.status, 200);
+    let mut second = Caller::new(bed.address).await;
+    second.send(&post("t-2", "", "")).await;
+    assert_eq!(first.call(&post("t-3", "", "")).await.status, 200);
+    assert_eq!(bed.relay.counters().connections, 1, "the other one waits");
+    drop(first);
+    assert_eq!(second.reply().await.status, 200);
+}
+
+#[test]
+fn settings_out_of_range_are_named() {
+    assert!(RelaySettings::default().check().is_ok());
+    let wrong = RelaySettings { most_refusals: 0, ..RelaySettings::default() };
+    let error = wrong.check().expect_err("none").to_string();
+    assert!(error.contains("relay.most_refusals"), "{error}");
+}
