Keep prompts with a shared part together; cut callers that stop reading at the deadline

Sticky routes spread requests without a program evenly, so that kept parts of prompts were read anew. Their affinity is now the last part that others may share: the last but one.

A stream whose caller takes no bytes was not cut at its deadline: its body is not asked for more until the caller has taken what is there. A write that waits then fails, by a timer that exists only while it waits. Ruled out: the timer of rests, which may fire much later.

With either change taken out, its new test fails.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -36,6 +36,8 @@
 struct State {
     phase: Phase,
     served: u64,
+    /// When the caller must have taken the answer under way.
+    answer_due: Option<Instant>,
 }
 
 /// The state of a caller's connection, shared by its stream and its requests.
@@ -45,7 +47,7 @@
 impl CallerState {
     pub(crate) fn new() -> Self {
         let phase = Phase::Resting { since: Instant::now() };
-        Self(Arc::new(Mutex::new(State { phase, served: 0 })))
+        Self(Arc::new(Mutex::new(State { phase, served: 0, answer_due: None })))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -58,6 +60,11 @@
         BusyGuard(self.clone())
     }
 
+    /// The answer under way must be taken by then.
+    pub(crate) fn answer_due(&self, deadline: Instant) {
+        self.lock().answer_due = Some(deadline);
+    }
+
     fn bytes_arrived(&self) {
         let mut state = self.lock();
         if matches!(state.phase, Phase::Resting { .. }) {
@@ -108,21 +115,25 @@
         let mut state = self.0.lock();
         state.phase = Phase::Resting { since: Instant::now() };
         state.served += 1;
+        state.answer_due = None;
     }
 }
 
-/// A caller's stream that notes when bytes arrive, and fails when a head takes too long.
+/// A caller's stream that notes when bytes arrive, and fails when a head takes too long or an
+/// answer is not taken in time.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     state: CallerState,
     most_head_time: Duration,
     /// Set only when a head does not come in one piece, which is rare.
     alarm: Option<Pin<Box<Sleep>>>,
+    /// Set only while the caller takes no bytes.
+    write_alarm: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, state: CallerState, most_head_time: Duration) -> Self {
-        Self { stream, state, most_head_time, alarm: None }
+        Self { stream, state, most_head_time, alarm: None, write_alarm: None }
     }
 
     fn poll_head_time(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -135,6 +146,22 @@
         alarm.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// What becomes of a write: one that still waits when the answer is due fails. The answer's
+    /// body cannot tell, since it is not asked for more until the caller has taken what is there.
+    fn or_due(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_alarm = None;
+            return written;
+        }
+        let Some(due) = self.state.lock().answer_due else { return Poll::Pending };
+        let alarm = self.write_alarm.get_or_insert_with(|| Box::pin(sleep_until(due)));
+        alarm.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Offers bytes to the socket without waiting, as a last word before it is closed.
     pub(crate) fn last_word(&self, bytes: &[u8]) {
         let _ = self.stream.try_write(bytes);
@@ -165,7 +192,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.or_due(written, context)
     }
 
     fn poll_write_vectored(
@@ -173,7 +201,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.or_due(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::counters::count;
 use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
 use crate::outgoing::Outgoing;
+use crate::prompt_parts::last_shared_part;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
 use crate::request::RequestHead;
@@ -182,13 +183,16 @@
         }
     }
 
-    /// Requests of one program stay together on routes that are better served so.
+    /// Requests of one program stay together on routes that are better served so; others go where
+    /// the parts of their prompt may be kept.
     fn affinity(&self) -> Option<u64> {
         if !self.route().is_sticky {
             return None;
         }
-        let program = self.head.text(&self.shared.headers.program)?;
-        Some(key_of(program.as_bytes()))
+        let names = &self.shared.headers;
+        let program = self.head.text(&names.program);
+        let shared = || self.head.text(&names.prompt_parts).and_then(last_shared_part);
+        program.or_else(shared).map(|text| key_of(text.as_bytes()))
     }
 
     fn sent(&mut self) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `relay` | what all requests share |
 //! | `server`, `caller`, `body` | callers' connections, their time limits, bodies of answers |
 //! | `request`, `router`, `turn`, `exchange`, `attempt`, `answer`, `refusal` | the steps above |
+//! | `prompt_parts` | which part of a prompt is shared |
 //! | `outgoing`, `live` | a request as one server gets it, and its answer while it arrives |
 //! | `connection`, `pool` | connections to servers, and the idle ones |
 //! | `events` | server-sent events cut out of a stream |
@@ -41,6 +42,7 @@
 mod live;
 mod outgoing;
 mod pool;
+mod prompt_parts;
 mod refusal;
 mod relay;
 mod request;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -116,7 +116,7 @@
     let busy = state.busy();
     count(&shared.counters.requests);
     let gauge = GaugeGuard::new(&shared.counters, Gauge::InProgress);
-    let answer = serve(shared, request).await;
+    let answer = serve(shared, state, request).await;
     let mut answer = answer.unwrap_or_else(|refusal| {
         log::debug!(target: "relay", "refused: {refusal}");
         refusal.into_response(&shared.counters)
@@ -130,6 +130,7 @@
 
 async fn serve<L: TurnLedger>(
     shared: &Arc<Shared<L>>,
+    state: &CallerState,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let arrived = Instant::now();
@@ -139,6 +140,7 @@
     let body = read_body(body, &limits).await?;
     let matched = matched(shared, &head)?;
     let deadline = arrived + time_to_answer(&matched, &head);
+    state.answer_due(deadline);
     let method = head.method.clone();
     let mut exchange = Exchange::new(Arc::clone(shared), matched, head, body, deadline);
     match timeout_at(deadline, open_and_answer(&mut exchange)).await {
--- a/crates/relay/tests/passing.rs
+++ b/crates/relay/tests/passing.rs
@@ -255,3 +255,24 @@
     assert!(resting.ends().await, "a resting connection is closed without a word");
     assert_eq!(server.got().len(), 1, "nothing else reached a server");
 }
+
+#[tokio::test]
+async fn without_a_program_prompts_that_share_their_last_shared_part_stay_together() {
+    let servers = [StandIn::new("s-1", ok).await, StandIn::new("s-2", ok).await];
+    let sticky = Route { is_sticky: true, ..route() };
+    let bed = Bed::new(Some(table(vec![sticky])), &[&servers[0], &servers[1]]).await;
+    let counts = || [servers[0].got().len(), servers[1].got().len()];
+    let mut used = std::collections::BTreeSet::new();
+    for part in 0..16 {
+        let before = counts();
+        for own in 0..4 {
+            let lines = format!("X-Parts: aa:9,b{part}:5,c{own}:3\r\n");
+            assert_eq!(call(bed.address, &post("t", &lines, "")).await.status, 200);
+        }
+        let after = counts();
+        let got = [after[0] - before[0], after[1] - before[1]];
+        assert!(got == [4, 0] || got == [0, 4], "part {part} is spread: {got:?}");
+        used.insert(got);
+    }
+    assert_eq!(used.len(), 2, "other prompts use the other server");
+}
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -181,3 +181,20 @@
     until("nothing is in progress", || bed.relay.in_progress() == 0).await;
     assert_eq!(server.got().len(), 1);
 }
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_is_cut_at_the_deadline() {
+    // More than all buffers on the way hold.
+    let server = StandIn::new("s-1", |got| {
+        let piece = chunk(&"x".repeat(1 << 20));
+        [vec![stream_head(got)], vec![piece; 48], vec![Step::WaitForClose]].concat()
+    })
+    .await;
+    let bed = Bed::new(Some(table(vec![Route { is_stream: true, ..once() }])), &[&server]).await;
+    let mut caller = Caller::new(bed.address).await;
+    caller.send(&post("t", "X-Deadline: 400\r\n", "")).await;
+    caller.head().await;
+    until("the connection is dropped", || bed.relay.counters().open_connections == 0).await;
+    assert_eq!(bed.relay.in_progress(), 0);
+    drop(caller);
+}
