Weigh a program's remaining time in the order at servers

Cause: urgency was the route's rank only, so a program with little time left waited behind others.

The ranks in force share the ten levels in equal bands; inside a band less remaining time goes first. Without a program, or with its time over, a request stands in the middle. A pure function.

Ruled out: programs whose time is over first; each would make another one late.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -18,7 +18,7 @@
 use crate::request::RequestHead;
 use crate::router::{Matched, key_of};
 use crate::turn::Turn;
-use crate::{Repeatability, Route, TurnLedger};
+use crate::{Repeatability, Route, TurnLedger, level};
 
 /// A request on its way, whichever servers it meets.
 pub(crate) struct Exchange<L: TurnLedger> {
@@ -159,7 +159,7 @@
             head: &self.head,
             body: &self.body,
             expected_instance: &server.id,
-            priority: self.route().priority,
+            priority: level(self.matched.rank(), self.head.program_time_left),
             last_event: self.last_event.as_ref(),
             deadline: self.deadline,
         };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `server`, `caller`, `body` | callers' connections, their time limits, bodies of answers |
 //! | `request`, `router`, `turn`, `exchange`, `attempt`, `answer`, `refusal` | the steps above |
 //! | `prompt_parts` | which part of a prompt is shared |
+//! | `urgency` | how urgent a request is to servers |
 //! | `outgoing`, `live` | a request as one server gets it, and its answer while it arrives |
 //! | `connection`, `pool` | connections to servers, and the idle ones |
 //! | `events` | server-sent events cut out of a stream |
@@ -51,6 +52,7 @@
 mod server;
 mod settings;
 mod turn;
+mod urgency;
 
 pub use counters::CounterReadings;
 pub use events::{Event, EventReader};
@@ -61,3 +63,4 @@
     CallerLimits, EngineSpecification, Repeatability, Route, RouteTable, Service, WeightedService,
 };
 pub use settings::RelaySettings;
+pub use urgency::{RankPlace, level};
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -9,9 +9,6 @@
 use crate::HeaderNames;
 use crate::request::RequestHead;
 
-/// The least urgent priority that servers know.
-const LAST_PRIORITY: u32 = 9;
-
 /// What a request to one server is made of.
 #[derive(Clone, Copy)]
 pub(crate) struct Outgoing<'a> {
@@ -36,7 +33,7 @@
         let headers = request.headers_mut();
         *headers = self.head.headers.clone();
         headers.insert(self.names.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
-        headers.insert(self.names.priority.clone(), self.priority.min(LAST_PRIORITY).into());
+        headers.insert(self.names.priority.clone(), self.priority.into());
         if let Ok(server) = HeaderValue::from_str(&self.expected_instance.0) {
             headers.insert(self.names.expected_instance.clone(), server);
         }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -30,6 +30,8 @@
     pub(crate) attempt: HeaderValue,
     /// How long the caller waits, when it says so.
     pub(crate) patience: Option<Duration>,
+    /// Time until its program should be over, when it says so.
+    pub(crate) program_time_left: Option<dahlia_types::Duration>,
 }
 
 impl RequestHead {
@@ -47,6 +49,9 @@
         let host = host(&parts)?;
         let attempt = attempt(&parts.headers, names)?;
         let patience = parts.headers.get(&names.deadline).and_then(milliseconds);
+        let program_time_left = parts.headers.get(&names.program_deadline).and_then(milliseconds);
+        let program_time_left =
+            program_time_left.map(|left| dahlia_types::Duration::from_secs_f64(left.as_secs_f64()));
         let headers = &mut parts.headers;
         hop::strip(headers);
         // The body is read whole here, which is all that the expectation asks for; its length is
@@ -57,7 +62,15 @@
         for name in [&names.deadline, &names.expected_instance, &names.priority] {
             headers.remove(name);
         }
-        Ok(Self { method: parts.method, target, host, headers: parts.headers, attempt, patience })
+        Ok(Self {
+            method: parts.method,
+            target,
+            host,
+            headers: parts.headers,
+            attempt,
+            patience,
+            program_time_left,
+        })
     }
 
     /// The value of a header as text, when it has one that is not empty.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -6,7 +6,7 @@
 
 use dahlia_backends::ServiceName;
 
-use crate::{Route, RouteTable, Service, WeightedService};
+use crate::{RankPlace, Route, RouteTable, Service, WeightedService};
 
 /// Routes in force, arranged for look-up.
 #[derive(Debug)]
@@ -15,6 +15,8 @@
     /// Positions of each host's routes, the longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<ServiceName, usize>,
+    /// The place of each route's rank.
+    ranks: Vec<RankPlace>,
 }
 
 impl Routing {
@@ -31,7 +33,9 @@
         let services = table.services.iter().enumerate();
         let services =
             services.map(|(position, service)| (service.name.clone(), position)).collect();
-        Self { table, by_host, services }
+        let ranks = || table.routes.iter().map(|route| route.priority);
+        let ranks = ranks().map(|rank| RankPlace::new(rank, ranks())).collect();
+        Self { table, by_host, services, ranks }
     }
 
     pub(crate) fn table(&self) -> &RouteTable {
@@ -62,6 +66,10 @@
         &self.routing.table.routes[self.route]
     }
 
+    pub(crate) fn rank(&self) -> RankPlace {
+        self.routing.ranks[self.route]
+    }
+
     pub(crate) fn service_name(&self) -> &ServiceName {
         &self.route().targets[self.target].service
     }
