--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -393,6 +393,7 @@
         },
         configuration: configuration_settings(plan.bootstrap_daemons),
         limits: RequestLimits::default(),
+        ledger_breaker: Default::default(),
         layout: LayoutSettings {
             groups: plan.groups,
             replicas: plan.replicas,
