--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
 //! | `layout_store` | where the first layout of groups is kept |
+//! | `ledger_breaker` | tells silent ledgers from those that answer |
 //! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
@@ -35,6 +36,7 @@
 mod group_log;
 mod handshake;
 pub mod layout_store;
+pub mod ledger_breaker;
 pub mod ledger_client;
 pub mod logging;
 mod machine_list;
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -111,6 +111,16 @@
     }
 }
 
+#[tokio::test]
+async fn a_stream_of_a_server_that_has_ended_goes_on_whatever_its_routes_most() {
+    let only = Route { max_attempts: 1, ..resumable() };
+    let dies = |got: &Got| vec![stream_head(got), chunk(&text(1..3)), Step::Die];
+    let (reply, got, _bed) = broken_then(only, dies, |got| whole_stream(got, 3..5)).await;
+    assert!(reply.is_whole);
+    assert_eq!(reply.body, text(1..5));
+    assert_eq!((got.len(), got[1].header("x-last-event")), (2, Some("2")));
+}
+
 #[tokio::test]
 async fn a_stream_is_broken_off_when_no_server_goes_on() {
     for then in [shed as fn(&Got) -> Vec<Step>, |got| vec![answer(got, "500 Bad", "", "")]] {
@@ -171,3 +181,20 @@
     until("nothing is in progress", || bed.relay.in_progress() == 0).await;
     assert_eq!(server.got().len(), 1);
 }
+
+#[tokio::test]
+async fn a_caller_that_stops_reading_is_cut_at_the_deadline() {
+    // More than all buffers on the way hold.
+    let server = StandIn::new("s-1", |got| {
+        let piece = chunk(&"x".repeat(1 << 20));
+        [vec![stream_head(got)], vec![piece; 48], vec![Step::WaitForClose]].concat()
+    })
+    .await;
+    let bed = Bed::new(Some(table(vec![Route { is_stream: true, ..once() }])), &[&server]).await;
+    let mut caller = Caller::new(bed.address).await;
+    caller.send(&post("t", "X-Deadline: 400\r\n", "")).await;
+    caller.head().await;
+    until("the connection is dropped", || bed.relay.counters().open_connections == 0).await;
+    assert_eq!(bed.relay.in_progress(), 0);
+    drop(caller);
+}
