--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -30,6 +30,11 @@
     pub replicas: u32,
     /// Daemons that must be live before the groups are laid out.
     pub bootstrap_daemons: u32,
+    /// Whether replicas of groups may be placed on this daemon.
+    pub holds_groups: bool,
+    /// Which process of this incarnation runs, from 1; 0 where no incarnation outlives its
+    /// process.
+    pub life: u32,
     /// Timing and bounds of replica groups.
     pub group: GroupSettings,
     /// Timing and bounds of membership.
@@ -54,8 +59,6 @@
     pub keep_records: Duration,
     /// How the operators' configuration spreads and is accepted.
     pub configuration: dahlia_configuration::Settings,
-    /// Whether this daemon may hold replicas of groups.
-    pub holds_groups: bool,
     /// Whether the operators' configuration is kept by the daemons. Without it a node serves from
     /// its start, and whatever drives it answers for the configuration.
     pub follows_configuration: bool,
--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -220,3 +220,31 @@
     let limit = MembershipSettings::default().sync_chunk_bytes;
     assert!(swarm.largest_message <= limit, "{} bytes", swarm.largest_message);
 }
+
+#[test]
+fn a_document_spreads_by_comparison_alone_and_may_be_large() {
+    let settings = MembershipSettings { sync_interval_ms: 1_000, ..Default::default() };
+    let mut swarm = complete(ONE_REGION, settings, 12);
+    let key = FactKey::Document(1);
+    let large = MembershipSettings::default().max_fact_bytes * 20;
+    assert!(swarm.publish(1, key.clone(), 4, large));
+    assert!(!swarm.publish(1, FactKey::Other(1), 4, large), "no other fact may be so large");
+    let all = |swarm: &Swarm| swarm.knowing(&key, 4) == 24;
+    assert!(swarm.run_until_holds(SECOND.times(60), all).is_some());
+}
+
+#[test]
+fn a_daemon_that_kept_its_disk_is_alive_for_all_at_once_in_its_next_life() {
+    for seed in 0..10 {
+        let mut swarm = complete_by_default(ONE_REGION, seed);
+        swarm.start_with_disk(DaemonId(7), 1);
+        assert!(swarm.run_until_holds(SECOND.times(5), Swarm::is_complete).is_some());
+        swarm.kill(DaemonId(7));
+        let dead = |swarm: &Swarm| all_see(swarm, 7, Health::Dead);
+        assert!(swarm.run_until_holds(SECOND.times(30), dead).is_some(), "seed {seed}");
+        swarm.start_with_disk(DaemonId(7), 2);
+        let alive = |swarm: &Swarm| all_see(swarm, 7, Health::Alive);
+        let took = swarm.run_until_holds(SECOND.times(3), alive);
+        assert!(took.is_some(), "seed {seed}: {:?}", swarm.healths(7));
+    }
+}
