Let recovered replicas stand early, and new daemons ask their seeds often

Weighed: equally short waits throughout made candidates end each other's elections while syncs are slow (power_loss test: led again after 3.13 s, limit 3 s). So only the first wait is short and pauses grow by a heartbeat each. Longer waits after votes only were tried as well and did not help (3.13 s).

Tests that failed before: a group that lost power as a whole took 502 ms at the median in virtual time (now within one heartbeat, 200 ms); a daemon that starts 0.25 s before its seeds did not know them within 0.3 s. Worst time to a leader in the power_loss test: 2.11 s before, 1.86 s now.

--- a/crates/replication/src/group/recovery.rs
+++ b/crates/replication/src/group/recovery.rs
@@ -7,8 +7,8 @@
 use super::replica::Replica;
 use super::{GroupBody, GroupMessage, GroupSettings, LogEntry, Members, Snapshot};
 
-/// Heartbeats that a recovered replica waits for a leader at least, before it asks for votes.
-const RECOVERY_HEARTBEATS: u64 = 2;
+/// Heartbeats by which the pauses between a recovered replica's pre-votes grow at most.
+const MOST_RECOVERY_PAUSES: u64 = 3;
 
 impl Replica {
     /// The replica with this identifier, as it was when its last change became durable.
@@ -141,11 +141,14 @@
     }
 
     /// After a loss of power of all machines no leader is left to wait for. A pre-vote costs a
-    /// group that has a leader nothing, so a recovered replica asks early, and often until the
-    /// others' addresses are known.
+    /// group that has a leader nothing, so a recovered replica asks at once, and again with
+    /// growing pauses: the others may not be back, or their votes wait for slow syncs.
     pub(super) fn recovery_wait(&mut self) -> Duration {
-        let shortest = self.settings.heartbeat_interval().times(RECOVERY_HEARTBEATS).0;
-        let spread = self.settings.election_timeout().0 / 2;
-        Duration(self.random.random_range(shortest..=shortest + spread))
+        let longest = self.settings.heartbeat_interval().0;
+        // Replicas that ask at one moment split the votes: the draw lies well apart.
+        let first = self.random.random_range(longest / 4..=longest);
+        let pauses = self.recovery_asks.min(MOST_RECOVERY_PAUSES);
+        self.recovery_asks += 1;
+        Duration(first + pauses * longest)
     }
 }
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -78,6 +78,8 @@
     pub(super) is_snapshot_asked: bool,
     /// Set from a recovery until a leader is known.
     pub(super) is_recovering: bool,
+    /// How often it has drawn a wait since then.
+    pub(super) recovery_asks: u64,
     pub(super) journal: Journal,
     announced: (Role, Term, Option<ReplicaId>),
     pub(super) outputs: Vec<Output>,
@@ -146,6 +148,7 @@
             snapshot: None,
             is_snapshot_asked: false,
             is_recovering: false,
+            recovery_asks: 0,
             journal: Journal::default(),
             announced: (Role::Learner, Term(0), None),
             outputs: Vec::new(),
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -73,7 +73,7 @@
     pub(super) next_probe: Timestamp,
     pub(super) next_gossip: Timestamp,
     pub(super) next_sync: Timestamp,
-    /// Time to the sync after the next one; grows from a probe interval to the full interval.
+    /// Time to the sync after the next one; grows from a gossip interval to the full interval.
     sync_pause: Duration,
     pub(super) actions: Vec<Action>,
 }
@@ -94,7 +94,7 @@
             seeds,
             random: ChaCha8Rng::seed_from_u64(seed),
             now,
-            sync_pause: settings.probe_interval(),
+            sync_pause: settings.gossip_interval(),
             members: Members::default(),
             facts: Facts::default(),
             queue: Queue::default(),
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -116,7 +116,7 @@
                 self.send_to_address(seed, body.clone(), own.clone(), Vec::new());
             }
         }
-        self.next_sync = self.now + self.settings.probe_interval();
+        self.next_sync = self.now + self.settings.gossip_interval();
     }
 
     pub(super) fn answer_sync(&mut self, from: DaemonId, other: &SyncDigest) {
--- a/crates/replication/tests/durable.rs
+++ b/crates/replication/tests/durable.rs
@@ -215,3 +215,58 @@
         nodes[message.to.daemon.0 as usize - 1].step(message, at(now));
     }
 }
+
+/// Three replicas whose machines lost power together, on a network of two milliseconds.
+fn recovered_trio(seed: u64) -> Vec<Replica> {
+    let voters = vec![id(1), id(2), id(3)];
+    let start = |own: u32| {
+        let settings = settings();
+        let mut replica =
+            Replica::bootstrap(id(own), GROUP, voters.clone(), settings.clone(), seed, at(0));
+        let mut kept = Kept::default();
+        kept.take(&mut replica);
+        let durable = kept.0.expect("an image");
+        Replica::recover(id(own), durable, settings, seed, at(0))
+    };
+    (1..=3).map(start).collect()
+}
+
+/// Milliseconds until one of the replicas leads.
+fn time_to_leader(mut replicas: Vec<Replica>) -> u64 {
+    const LATENCY: u64 = 2;
+    const MOST: u64 = 10_000;
+    let mut on_way: Vec<(u64, GroupMessage)> = Vec::new();
+    for now in 0..MOST {
+        let (due, later) = on_way.into_iter().partition(|(due, _)| *due <= now);
+        on_way = later;
+        let mut due: Vec<(u64, GroupMessage)> = due;
+        for replica in &mut replicas {
+            replica.tick(at(now));
+            let own = replica.id();
+            for (_, message) in due.extract_if(.., |(_, message)| message.to == own) {
+                replica.step(message, at(now));
+            }
+            replica.take_durable();
+            for output in replica.take_outputs() {
+                if let Output::Send(message) = output {
+                    on_way.push((now + LATENCY, message));
+                }
+            }
+        }
+        if replicas.iter().any(Replica::is_leader_ready) {
+            return now;
+        }
+    }
+    MOST
+}
+
+#[test]
+fn a_group_that_lost_power_as_a_whole_soon_has_a_leader() {
+    let mut times: Vec<u64> = (0..200).map(|seed| time_to_leader(recovered_trio(seed))).collect();
+    times.sort_unstable();
+    let heartbeat = settings().heartbeat_interval_ms;
+    let (middle, last) = (times[100], times[199]);
+    assert!(middle <= heartbeat, "half of the groups took more than {middle} ms");
+    // A split vote costs another draw.
+    assert!(last <= 3 * heartbeat, "the slowest group took {last} ms");
+}
--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -248,3 +248,25 @@
         assert!(took.is_some(), "seed {seed}: {:?}", swarm.healths(7));
     }
 }
+
+/// All machines lose power; the first to be back finds no seed, and the seeds know nobody.
+#[test]
+fn a_daemon_soon_knows_seeds_that_start_after_it() {
+    for seed in 0..10 {
+        let mut swarm = complete_by_default(ONE_REGION, seed);
+        for daemon in 1..=ONE_REGION.daemons {
+            swarm.kill(DaemonId(daemon));
+        }
+        swarm.start(DaemonId(9));
+        swarm.run_for(Duration::from_millis(250));
+        for other in (1..=ONE_REGION.daemons).filter(|daemon| *daemon != 9) {
+            swarm.start(DaemonId(other));
+        }
+        let knows_seeds = |swarm: &Swarm| {
+            let known = &swarm.nodes[&DaemonId(9)].membership;
+            (1..=3).all(|seed| known.member(DaemonId(seed)).is_some())
+        };
+        let took = swarm.run_until_holds(Duration::from_millis(300), knows_seeds);
+        assert!(took.is_some(), "seed {seed}: not all seeds are known");
+    }
+}
