Redial peers soon, and break connections to machines without power

Cause: a peer that was down was dialled with pauses up to 2 s and up to 2 s for an attempt, and connections to a machine without power hung until the system's next repeated packet.

A frozen process is not affected: its kernel answers.

--- a/crates/daemon/src/handshake.rs
+++ b/crates/daemon/src/handshake.rs
@@ -5,14 +5,25 @@
 
 use dahlia_node::wire::{Hello, PROTOCOL_VERSION, Purpose};
 use dahlia_types::{DaemonId, Incarnation, PeerKey};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::frames::{FrameError, FrameStream};
+use crate::logging::part;
 
-/// How long a connection may take to be made, and its first frame to arrive.
+/// How long the first frame of a connection may take to arrive.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long the operating system may take to make a connection. Far longer than a round trip
+/// between regions. It repeats a lost first packet only after a second, and one sent to a
+/// machine without power is lost: dialling anew finds a machine that is back much sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a peer's machine may leave sent bytes unacknowledged. A frozen process does not; a
+/// machine without power and a cut network do.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Who this daemon is towards its peers.
 #[derive(Clone)]
 pub struct Identity {
@@ -35,9 +46,10 @@
         purpose: Purpose,
     ) -> Result<FrameStream, FrameError> {
         let step = "connecting to";
-        let connecting = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(peer)).await;
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
         let connected = connecting.map_err(|_| FrameError::TimedOut { step, peer })?;
         let stream = connected.map_err(|source| FrameError::Connect { peer, source })?;
+        bound_silence(&stream, peer);
         let mut frames = FrameStream::new(stream, peer);
         // This side chose whom to connect to.
         frames.trust();
@@ -78,6 +90,14 @@
     }
 }
 
+/// Lets a connection break whose peer lost power. Without this it hangs until the system repeats
+/// a packet after the machine is back, which it does with growing pauses.
+fn bound_silence(stream: &TcpStream, peer: SocketAddr) {
+    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT)) {
+        log::warn!(target: part::PEERS, "No bound on the silence of {peer}: {error}.");
+    }
+}
+
 fn proof_text(daemon: DaemonId, incarnation: Incarnation) -> Vec<u8> {
     format!("dahlialadder peer {PROTOCOL_VERSION} {daemon} {incarnation}").into_bytes()
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,5 +42,6 @@
 mod operators;
 pub mod peers;
 mod platform_state;
+pub mod reconnect;
 mod serve_answers;
 pub mod settings;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -18,11 +18,12 @@
 use crate::frames::{FrameError, FrameStream};
 use crate::handshake::Identity;
 use crate::logging::part;
+use crate::reconnect::ReconnectPauses;
 
 /// Messages that may wait for one peer; later ones are dropped.
 const QUEUE_PER_PEER: usize = 4_096;
-const FIRST_RECONNECT: Duration = Duration::from_millis(50);
-const LONGEST_RECONNECT: Duration = Duration::from_secs(2);
+/// Pause after an accept that failed, most likely for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A connection without a message to send for so long is given up.
 const IDLE_CONNECTION: Duration = Duration::from_secs(120);
 
@@ -127,11 +128,11 @@
     lost: mpsc::Sender<Incoming>,
     traffic: Arc<Traffic>,
 ) {
-    let mut pause = FIRST_RECONNECT;
+    let mut pauses = ReconnectPauses::default();
     loop {
         match identity.connect(peer, Purpose::Messages).await {
             Ok(frames) => {
-                pause = FIRST_RECONNECT;
+                pauses.reset();
                 if pump_connected(frames, &mut waiting, &traffic).await {
                     return;
                 }
@@ -144,8 +145,7 @@
         if waiting.is_closed() {
             return;
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_RECONNECT);
+        sleep(pauses.next_pause()).await;
     }
 }
 
@@ -199,7 +199,7 @@
             }
             Err(error) => {
                 log::warn!(target: part::PEERS, "Accepting a connection failed: {error}.");
-                sleep(FIRST_RECONNECT).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
