Let a start on a full disk wait for room

Cause: each start begins a segment, and a disk too full for its header ended the process. The wait blocks the thread; a stop then takes the system's default action or the grace's end. A first start whose folder cannot even be made still ends.

Test on the disk in memory: refused with room for a part of the header (a plain open fails as before), opens at the third wait with one more life and all that was acknowledged.

--- a/crates/daemon/src/group_log.rs
+++ b/crates/daemon/src/group_log.rs
@@ -2,9 +2,10 @@
 //! the task that drives the node.
 
 use std::path::Path;
+use std::thread;
 use std::time::Duration;
 
-use dahlia_durable::{DurableLog, DurableSettings, FolderDisk, Identity, LogError, Opened};
+use dahlia_durable::{Disk, DurableLog, DurableSettings, FolderDisk, Identity, LogError, Opened};
 use dahlia_replication::group::DurableChange;
 use dahlia_types::{GroupId, Incarnation};
 use snafu::{ResultExt, Snafu};
@@ -51,6 +52,9 @@
 
 /// Opens the log under a data folder, or begins one with the incarnation `fresh`.
 ///
+/// Blocks while the disk is full. Nothing of this daemon can run before: who it is must be
+/// durable first, and the room may come from outside only.
+///
 /// # Errors
 /// [`OpenGroupsError`] when the folder cannot be used or the log is damaged.
 pub fn open(
@@ -58,8 +62,18 @@
     settings: DurableSettings,
     fresh: Incarnation,
 ) -> Result<Opened, OpenGroupsError> {
-    let disk = FolderDisk::open(&folder.join(FOLDER)).context(FolderSnafu)?;
-    let opened = DurableLog::open(Box::new(disk), settings, fresh).context(LogSnafu)?;
+    let folder = folder.join(FOLDER);
+    let disk = FolderDisk::open(&folder).context(FolderSnafu)?;
+    let mut has_waited = false;
+    let wait = |error: &LogError| {
+        if !has_waited {
+            log::error!(target: part::STORE, "Waiting for room before the start: {error}.");
+        }
+        has_waited = true;
+        thread::sleep(FULL_RETRY);
+    };
+    let disks = || -> Box<dyn Disk> { Box::new(disk.reopened()) };
+    let opened = DurableLog::open_when_room(disks, &settings, fresh, wait).context(LogSnafu)?;
     let Identity { incarnation, life } = opened.log.identity();
     log::info!(
         target: part::STORE,
--- a/crates/durable/src/disk.rs
+++ b/crates/durable/src/disk.rs
@@ -75,6 +75,12 @@
         Ok(Self { folder: folder.to_owned(), open: None })
     }
 
+    /// The same folder with no file open.
+    #[must_use]
+    pub fn reopened(&self) -> Self {
+        Self { folder: self.folder.clone(), open: None }
+    }
+
     fn path(&self, name: &str) -> PathBuf {
         self.folder.join(name)
     }
--- a/crates/durable/src/log.rs
+++ b/crates/durable/src/log.rs
@@ -73,6 +73,25 @@
         Ok(Opened { log, replicas })
     }
 
+    /// Opens the log as [`Self::open`] does. While the disk is too full for the beginning of a
+    /// segment, calls `wait` and tries again on a new `disk`.
+    ///
+    /// # Errors
+    /// As [`Self::open`], except for a full disk.
+    pub fn open_when_room(
+        mut disk: impl FnMut() -> Box<dyn Disk>,
+        settings: &DurableSettings,
+        fresh: Incarnation,
+        mut wait: impl FnMut(&LogError),
+    ) -> Result<Opened, LogError> {
+        loop {
+            match Self::open(disk(), settings.clone(), fresh) {
+                Err(error) if error.is_full() => wait(&error),
+                opened_or_failed => return opened_or_failed,
+            }
+        }
+    }
+
     /// Whose log it is.
     pub fn identity(&self) -> Identity {
         self.identity
--- a/crates/durable/tests/log.rs
+++ b/crates/durable/tests/log.rs
@@ -149,6 +149,34 @@
     assert_eq!(by_group(open(disk.handle()).replicas), written.expected);
 }
 
+#[test]
+fn a_start_on_a_full_disk_waits_for_room_and_finds_everything() {
+    let disk = MemoryDisk::new(3);
+    let mut written = Written::new(disk.handle());
+    for number in 0..10 {
+        written.step(number).unwrap();
+    }
+    let life = written.log.identity().life;
+    drop(written.log);
+    // Room for a part of a segment's beginning only.
+    disk.set_capacity(disk.bytes() + 5);
+    let refused = DurableLog::open(disk.handle(), settings(), Incarnation(9)).err();
+    assert!(refused.is_some_and(|error| error.is_full()));
+    let mut waits = 0;
+    let wait = |error: &LogError| {
+        assert!(error.is_full(), "{error}");
+        waits += 1;
+        if waits == 3 {
+            disk.set_capacity(usize::MAX);
+        }
+    };
+    let handle = || disk.handle();
+    let opened = DurableLog::open_when_room(handle, &settings(), Incarnation(9), wait).unwrap();
+    assert_eq!(waits, 3);
+    assert_eq!(opened.log.identity().life, life + 1);
+    assert_eq!(by_group(opened.replicas), written.expected);
+}
+
 #[test]
 fn a_disk_that_was_emptied_begins_another_incarnation() {
     let disk = MemoryDisk::new(1);
