Take recovered groups for proof of a layout

Cause: a store that started with its groups waited for the metadata store before it said that it is ready, though what it recovered cannot exist without a layout. The layout is still read afterwards, since it may name this daemon for a group that it has not begun.

Test: a node with a recovered group waited for "the replica groups are not laid out yet"; now it waits for nothing. With an empty disk it waits as before. The test support's `settings` and `replica` are public for it.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -198,9 +198,11 @@
         self.configuration.problem().or((!self.is_laid_out()).then_some(unlaid))
     }
 
-    /// Whether the groups are known to be laid out.
+    /// Whether the groups are known to be laid out. A group with members, recovered from the disk
+    /// before the key-value service answers, tells as much.
     pub(crate) fn is_laid_out(&self) -> bool {
-        self.bootstrap.is_done()
+        let has_members = |group: &Group| group.replica.members().all().next().is_some();
+        self.bootstrap.is_done() || self.groups.values().any(has_members)
     }
 
     /// Where the owner of a group is thought to listen.
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -247,7 +247,7 @@
     }
 }
 
-fn replica(daemon: u32) -> ReplicaId {
+pub fn replica(daemon: u32) -> ReplicaId {
     ReplicaId { daemon: DaemonId(daemon), incarnation: Incarnation(1) }
 }
 
@@ -267,7 +267,7 @@
     bincode::serde::encode_to_vec(vec![description], config).expect("plain fields")
 }
 
-fn settings(daemon: u32, group: &GroupSettings) -> NodeSettings {
+pub fn settings(daemon: u32, group: &GroupSettings) -> NodeSettings {
     NodeSettings {
         own: replica(daemon),
         zone: Zone::new(format!("zone-{daemon}")),
--- a/crates/node/tests/ledger.rs
+++ b/crates/node/tests/ledger.rs
@@ -2,14 +2,15 @@
 
 mod cluster;
 
-use cluster::{Cluster, GATEWAY, LINK, STORES};
+use cluster::{Cluster, GATEWAY, LINK, STORES, replica, settings};
 use dahlia_ledger::{
     CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, ProgramName, TurnEnd, TurnId,
     TurnInput, TurnRefusal,
 };
 use dahlia_node::request::Response;
-use dahlia_replication::group::GroupSettings;
-use dahlia_types::{Duration, Timestamp, Tokens};
+use dahlia_node::{Node, NodeSettings};
+use dahlia_replication::group::{DurableReplica, GroupSettings, HardState, Members, Snapshot};
+use dahlia_types::{Duration, GroupId, LogIndex, Term, Timestamp, Tokens};
 
 const BUDGET: u64 = 100;
 const RETENTION: Duration = Duration::from_secs(60);
@@ -170,3 +171,29 @@
     }
     assert_ne!(cluster.owner(), Some(GATEWAY));
 }
+
+/// After a start the key-value service may be away; the disk says that groups are laid out.
+#[test]
+fn a_store_with_recovered_groups_does_not_wait_for_their_layout() {
+    let own = STORES[0];
+    let voters: Vec<_> = STORES.iter().map(|daemon| replica(*daemon)).collect();
+    let (index, term) = (LogIndex(0), Term(0));
+    let base =
+        Snapshot { index, term, members: Members::of_voters(voters), data: Vec::new().into() };
+    let recorded = DurableReplica {
+        group: GroupId(0),
+        hard_state: HardState::default(),
+        base,
+        entries: Vec::new(),
+    };
+    let settings = || NodeSettings {
+        follows_configuration: false,
+        ..settings(own, &GroupSettings { is_durable: true, ..GroupSettings::default() })
+    };
+    let waits = |replicas| {
+        let node = Node::recover(settings(), replicas, Timestamp::ZERO).expect("it recovers");
+        node.status(Timestamp::ZERO).waits_for
+    };
+    assert!(waits(Vec::new()).is_some(), "an empty disk says nothing of a layout");
+    assert_eq!(waits(vec![recorded]), None);
+}
