--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,8 +11,11 @@
 //! | `peers`, `frames`, `datagrams`, `handshake` | connections between daemons |
 //! | `engines`, `attempt` | tasks that talk to engines |
 //! | `chunk_store` | the thread that owns the data folder |
+//! | `group_log` | syncs of replica groups |
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `first_document` | the configuration that a new system starts with |
+//! | `layout_store` | where the first layout of groups is kept |
+//! | `ledger_breaker` | tells silent ledgers from those that answer |
 //! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
@@ -22,7 +25,7 @@
 mod attempt;
 mod chunk_store;
 pub mod cli;
-mod clock;
+pub mod clock;
 mod configuration_key;
 pub mod core;
 mod datagrams;
@@ -30,7 +33,10 @@
 mod first_document;
 pub mod frames;
 mod gateway;
+mod group_log;
 mod handshake;
+pub mod layout_store;
+pub mod ledger_breaker;
 pub mod ledger_client;
 pub mod logging;
 mod machine_list;
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -96,12 +96,20 @@
         if self.bootstrap.is_done() {
             return;
         }
+        if !self.settings.holds_groups {
+            // The owners tell all daemons of their groups; the key holds nothing that it needs.
+            if self.directory.iter().count() >= self.settings.group_count as usize {
+                self.bootstrap.finish();
+            }
+            return;
+        }
         if !self.bootstrap.read_due(now) {
             return;
         }
         let live = self.live_members();
         self.bootstrap.share_reads(live.len(), now);
-        if self.bootstrap.is_missing() && live.len() >= self.settings.bootstrap_daemons as usize {
+        let holders = live.iter().filter(|member| member.holds_groups).count();
+        if self.bootstrap.is_missing() && holders >= self.settings.bootstrap_daemons as usize {
             let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
             self.actions.push(Action::Layout(LayoutStep::Value(layout)));
         } else {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -5,9 +5,10 @@
 
 use dahlia_configuration::{EngineState, FencedOrder, Proposal, Record, Verdict};
 use dahlia_program::{EngineLife, ReleaseRequest};
+use dahlia_replication::group::DurableChange;
 use dahlia_types::{
-    Attempt, AttemptId, CallId, Duration, EngineId, Incarnation, LogIndex, Message, ModelId,
-    ProgramId, ReplicaId, TenantId, Term, Tokens,
+    Attempt, AttemptId, CallId, Duration, EngineId, GroupId, Incarnation, LogIndex, Message,
+    ModelId, ProgramId, ReplicaId, TenantId, Term, Tokens,
 };
 
 use crate::bootstrap::LayoutStep;
@@ -18,6 +19,18 @@
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
 use crate::wire::PeerMessage;
 
+/// A document that the driver keeps in step with an outside source. Daemons that cannot reach the
+/// source learn it from those that could. The newest version of each number wins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SharedDocument {
+    /// Which document, by a number that the driver assigns.
+    pub number: u32,
+    /// Rises with every change.
+    pub version: u64,
+    /// The driver's encoding; `membership.max_document_bytes` at most.
+    pub bytes: Vec<u8>,
+}
+
 /// Something that happened.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -90,6 +103,12 @@
     Layout(LayoutStep),
     /// An operation on this daemon's store has ended.
     StoreEnded(Box<StoreResult>),
+    /// Further addresses of daemons to start from, used while no other daemon is known.
+    Seeds(Vec<SocketAddr>),
+    /// This daemon has read a document that others may need from it.
+    Share(SharedDocument),
+    /// The driver wants a group recorded as a whole, to drop its earlier changes.
+    ImageWanted(GroupId),
     /// A planned stop begins.
     Drain,
 }
@@ -97,6 +116,14 @@
 /// Something to do.
 #[derive(Debug, Clone)]
 pub enum Action {
+    /// Make a change of a group durable.
+    ///
+    /// SAFETY: no later action may be carried out before, except for [`Action::SendUnsynced`],
+    /// and the node may take no event in from outside this batch. A driver collects the actions
+    /// of a batch of events, syncs all changes of the batch at once, and then carries out the
+    /// rest. Nothing of a batch whose changes could not be synced may ever be carried out. Given
+    /// only when [`NodeSettings::group`](crate::NodeSettings::group) says that there is a disk.
+    Persist(Box<DurableChange>),
     /// Send a message; it may be lost.
     Send {
         /// Where to.
@@ -104,6 +131,16 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Send a message without waiting for the sync of the batch; it may be lost. It promises
+    /// nothing: see [`Replica::may_send_unsynced`].
+    ///
+    /// [`Replica::may_send_unsynced`]: dahlia_replication::group::Replica::may_send_unsynced
+    SendUnsynced {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
     /// Answer a request of this daemon's gateway or operators' server.
     Respond {
         /// The request.
@@ -170,10 +207,15 @@
     ConfigurationInForce(Arc<Record>),
     /// Read or write the layout of groups at the key-value service.
     Layout(LayoutStep),
+    /// Another daemon shared a newer version of a document.
+    Shared(SharedDocument),
     /// Carry out an operation on this daemon's store.
     Store(Box<StoreOrder>),
     /// End the process: another life of this daemon has taken its place.
-    Stop,
+    Stop {
+        /// That life, or a later one.
+        superseded_by: Incarnation,
+    },
 }
 
 /// All that an engine must be told of an attempt.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -30,6 +30,11 @@
     pub replicas: u32,
     /// Daemons that must be live before the groups are laid out.
     pub bootstrap_daemons: u32,
+    /// Whether replicas of groups may be placed on this daemon.
+    pub holds_groups: bool,
+    /// Which process of this incarnation runs, from 1; 0 where no incarnation outlives its
+    /// process.
+    pub life: u32,
     /// Timing and bounds of replica groups.
     pub group: GroupSettings,
     /// Timing and bounds of membership.
@@ -54,6 +59,9 @@
     pub keep_records: Duration,
     /// How the operators' configuration spreads and is accepted.
     pub configuration: dahlia_configuration::Settings,
+    /// Whether the operators' configuration is kept by the daemons. Without it a node serves from
+    /// its start, and whatever drives it answers for the configuration.
+    pub follows_configuration: bool,
     /// The document that is offered when the system has none; none leaves that to operators.
     pub first_document: Option<String>,
     /// Seed of all random draws.
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -49,6 +49,10 @@
     },
 }
 
+/// Low bits of a version that count changes within one life of a process; the life is above.
+const LIFE_BITS: u32 = 16;
+/// A daemon started more often than this waits for an objection, as after a suspicion.
+const MOST_LIVES: u32 = (1 << (u32::BITS - LIFE_BITS)) - 1;
 /// Bytes of an envelope without news, at most.
 const ENVELOPE_BYTES: usize = 64;
 
@@ -107,6 +111,15 @@
         membership
     }
 
+    /// Puts this daemon's statements above those of its earlier lives with the same incarnation,
+    /// so that others take it for alive at once. `life` counts them from 1.
+    ///
+    /// A daemon that kept its disk kept its replicas, and so their incarnation. Its process
+    /// begins anew; what others hold of the earlier one, a death included, must not stand.
+    pub fn begin_life(&mut self, life: u32) {
+        self.own.version = life.min(MOST_LIVES) << LIFE_BITS;
+    }
+
     /// Takes an event in and returns what to do, in order.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
         self.now = self.now.max(now);
@@ -154,6 +167,16 @@
         }
     }
 
+    /// Further addresses to ask while no other daemon is known.
+    pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            if !self.seeds.contains(&address) {
+                self.seeds.push(address);
+            }
+        }
+        self.next_sync = self.now;
+    }
+
     /// Makes a fact known to all. Returns whether it is newer than what is known, and small
     /// enough; otherwise nothing happens.
     pub fn publish(&mut self, key: FactKey, version: u64, bytes: Vec<u8>) -> bool {
@@ -279,12 +302,15 @@
     }
 
     fn merge_fact(&mut self, fact: Fact) -> bool {
-        if fact.bytes.len() > self.settings.max_fact_bytes {
+        let key = fact.key.clone();
+        let is_gossiped = key.is_gossiped();
+        let settings = &self.settings;
+        let limit = if is_gossiped { settings.max_fact_bytes } else { settings.max_document_bytes };
+        if fact.bytes.len() > limit {
             return false;
         }
-        let key = fact.key.clone();
         let is_news = self.facts.merge(fact, self.settings.max_facts, self.now);
-        if is_news {
+        if is_news && is_gossiped {
             self.queue.push(Subject::Fact(key));
         }
         is_news
