Refuse new requests near the end of a planned stop

Weighed: closing the listener (a caller then meets a reset, which promises it nothing) and a longer stop (the platform kills at 8 s).

--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -30,6 +30,9 @@
     TooSlow,
     #[snafu(display("no server takes the request now"))]
     Busy { retry_after: Duration },
+    /// The relay ends soon: what began now might be cut.
+    #[snafu(display("this gateway is stopping; ask again elsewhere"))]
+    Stopping { retry_after: Duration },
     #[snafu(display("the ledger did not answer"))]
     LedgerUnavailable { retry_after: Duration },
     #[snafu(display("the program's budget is spent"))]
@@ -46,9 +49,10 @@
 impl Refusal {
     pub(crate) fn status(&self) -> StatusCode {
         match self {
-            Self::NoConfiguration { .. } | Self::Busy { .. } | Self::LedgerUnavailable { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration { .. }
+            | Self::Busy { .. }
+            | Self::Stopping { .. }
+            | Self::LedgerUnavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
             Self::NotProper { .. } => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -64,6 +68,7 @@
         match self {
             Self::NoConfiguration { retry_after }
             | Self::Busy { retry_after }
+            | Self::Stopping { retry_after }
             | Self::LedgerUnavailable { retry_after } => Some(*retry_after),
             _ => None,
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,5 +1,6 @@
 //! The relay as a whole: what is put together once and shared by all requests.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use dahlia_backends::Backends;
@@ -25,6 +26,7 @@
     pub(crate) counters: Arc<Counters>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) drain: watch::Sender<bool>,
+    refusing: AtomicBool,
     routing: RwLock<Option<Arc<Routing>>>,
 }
 
@@ -39,6 +41,10 @@
         self.routing().map(|routing| routing.table().limits.clone()).unwrap_or_default()
     }
 
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         *self.drain.borrow()
     }
@@ -73,6 +79,7 @@
             counters: Arc::default(),
             pool: Arc::new(Pool::new()),
             drain: watch::Sender::new(false),
+            refusing: AtomicBool::new(false),
             routing: RwLock::new(None),
         };
         Self { shared: Arc::new(shared) }
@@ -96,6 +103,13 @@
         self.shared.drain.send_replace(true);
     }
 
+    /// Refuses every request that is read whole from now on: it has not run, and its caller is
+    /// told when to come back. For the end of a planned stop, when a request that began now might
+    /// be cut; callers may still come, because whoever sends them here learns of the stop late.
+    pub fn refuse_new(&self) {
+        self.shared.refusing.store(true, Ordering::Relaxed);
+    }
+
     /// Requests whose answer is not yet handed to the caller's connection.
     pub fn in_progress(&self) -> u64 {
         self.counters().in_progress
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -138,6 +138,10 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(parts, &shared.headers, &limits)?;
     let body = read_body(body, &limits).await?;
+    if shared.is_refusing() {
+        let retry_after = dahlia_types::Duration::from_millis(shared.settings.retry_after_ms);
+        return Err(Refusal::Stopping { retry_after });
+    }
     let matched = matched(shared, &head)?;
     let deadline = arrived + time_to_answer(&matched, &head);
     state.answer_due(deadline);
--- a/crates/relay/tests/draining.rs
+++ b/crates/relay/tests/draining.rs
@@ -60,3 +60,21 @@
     assert!(waiting.ends().await);
     until("nothing is left", || bed.relay.in_progress() == 0).await;
 }
+
+#[tokio::test]
+async fn near_the_end_new_requests_are_refused_at_once_and_those_under_way_are_finished() {
+    let server =
+        StandIn::new("s-1", |got| vec![Step::Wait, answer(got, "200 OK", "", "done")]).await;
+    let bed = Bed::new(Some(table(vec![route()])), &[&server]).await;
+    let mut under_way = Caller::new(bed.address).await;
+    under_way.send(&post("t", "", "")).await;
+    until("it is at the server", || server.got().len() == 1).await;
+    bed.relay.begin_drain();
+    bed.relay.refuse_new();
+    let new = call(bed.address, &post("u", "", "")).await;
+    assert_eq!((new.status, new.header("connection")), (503, Some("close")));
+    assert!(new.header("retry-after").is_some(), "its caller must know when to come back");
+    assert_eq!(server.got().len(), 1, "a request that was refused must not run");
+    server.release();
+    assert_eq!(under_way.reply().await.status, 200);
+}
