Empty a store machine on the operator's order

Cause: op/retire/NODE was not followed. The store named now spreads holds_groups = false; leaders replace a voter there like a leaving one (learner elsewhere, promoted, old voter removed, hand-over first) while it serves on. Weighed: MemberState::Leaving, ruled out since a leaving daemon takes no work. NodeStatus::retired decides when it is empty: no own replica and no known description counts it.

--- a/crates/daemon/tests/durable_groups.rs
+++ b/crates/daemon/tests/durable_groups.rs
@@ -6,6 +6,7 @@
 
 use dahlia_daemon::assembly::{ControlParts, start_control};
 use dahlia_daemon::settings::Settings;
+use dahlia_node::Event;
 use dahlia_node::request::{Request, Response};
 use dahlia_program::ProgramSpecification;
 use dahlia_standins::{KeyValueServer, KeyValueSettings, RunningServer};
@@ -260,3 +261,48 @@
     // By now no store has the disk that it had when the programs were acknowledged.
     system.show(0..PROGRAMS + u64::from(STORES)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_is_emptied_while_it_serves_and_its_disk_is_needed_no_more() {
+    let mut system = System::start().await;
+    system.create(0..PROGRAMS).await;
+    let retiring = system.stores[0].replica().daemon;
+    let core = system.stores[0].control().core.clone();
+    assert!(core.status().await.groups_held > 0, "there is something to move");
+    core.event(Event::Retire).await;
+    let ordered = Instant::now();
+    while !core.status().await.retired {
+        assert!(ordered.elapsed() < WAIT_LIMIT, "{:?}", core.status().await);
+        sleep(POLL).await;
+    }
+    println!("Emptied after {:?}.", ordered.elapsed());
+    assert_eq!(core.status().await.groups_led, 0);
+    system.stores[0].kill().await;
+    std::fs::remove_dir_all(system.folders[0].path()).expect("the disk is taken away");
+    system.wait_until_whole().await;
+    system.show(0..PROGRAMS).await;
+    for store in &system.stores[1..] {
+        let status = store.control().core.status().await;
+        assert_eq!(status.groups_held, GROUPS as usize, "three stores hold all but {retiring}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_whose_replicas_have_nowhere_to_go_is_not_called_empty() {
+    let system = System::start().await;
+    system.create(0..PROGRAMS).await;
+    for store in &system.stores[..2] {
+        store.control().core.event(Event::Retire).await;
+    }
+    // The other two are then voters of all groups, and a third has to stay.
+    let started = Instant::now();
+    let held = async |store: &Daemon| store.control().core.status().await.groups_held;
+    while held(&system.stores[2]).await + held(&system.stores[3]).await < 2 * GROUPS as usize {
+        assert!(started.elapsed() < WAIT_LIMIT, "replicas move to those that stay");
+        sleep(POLL).await;
+    }
+    system.create(PROGRAMS..PROGRAMS + u64::from(GROUPS)).await;
+    let retired = async |store: &Daemon| store.control().core.status().await.retired;
+    assert!(!(retired(&system.stores[0]).await && retired(&system.stores[1]).await));
+    system.show(0..PROGRAMS).await;
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -109,6 +109,8 @@
     Share(SharedDocument),
     /// The driver wants a group recorded as a whole, to drop its earlier changes.
     ImageWanted(GroupId),
+    /// This daemon is to be emptied: its replicas are replaced elsewhere while it serves on.
+    Retire,
     /// A planned stop begins.
     Drain,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,6 +48,7 @@
 mod release;
 pub mod request;
 mod requests;
+mod retirement;
 mod routing;
 mod settings;
 mod view;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -65,6 +65,9 @@
     pub configuration_generation: u64,
     /// Whether a planned stop is under way.
     pub draining: bool,
+    /// Whether it is to hold no groups, by its settings or by [`Event::Retire`], and no group known
+    /// counts it as a member.
+    pub retired: bool,
     /// Daemons heard of lately, this one included.
     pub live_daemons: usize,
     /// Groups that it holds a replica of.
@@ -164,6 +167,7 @@
             Event::Seeds(addresses) => self.membership.add_seeds(addresses),
             Event::Share(document) => self.share(document),
             Event::ImageWanted(group) => self.record_image(group),
+            Event::Retire => self.retire_daemon(now),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
@@ -178,6 +182,7 @@
             waits_for: self.waits_for().map(str::to_owned),
             configuration_generation: self.configuration.generation().0,
             draining: self.draining,
+            retired: self.is_retired(),
             live_daemons: self.live_members().len(),
             groups_held: self.groups.len(),
             groups_led: led().count(),
--- a/crates/replication/src/maintenance/plan.rs
+++ b/crates/replication/src/maintenance/plan.rs
@@ -76,7 +76,9 @@
         if view.is_some_and(|view| view.incarnation > member.incarnation) {
             return Standing::Gone;
         }
-        let is_leaving = view.is_some_and(|view| view.liveness == Liveness::Leaving);
+        // One that no longer holds groups serves on until its replicas are replaced.
+        let is_leaving =
+            view.is_some_and(|view| view.liveness == Liveness::Leaving || !view.holds_groups);
         if member == self.status.id {
             return if is_leaving { Standing::Leaving } else { Standing::Healthy };
         }
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -167,6 +167,15 @@
         }
     }
 
+    /// Says whether replicas of groups may be placed on this daemon.
+    pub fn set_holds_groups(&mut self, holds_groups: bool) {
+        if self.own.info.holds_groups != holds_groups {
+            self.own.info.holds_groups = holds_groups;
+            self.own.version += 1;
+            self.queue.push(Subject::Member(self.own.info.daemon));
+        }
+    }
+
     /// Further addresses to ask while no other daemon is known.
     pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
         for address in addresses {
