Reserve the ports of servers that tests expect not to answer

Ruled out: the relay; with the port bound and not listening the connection is refused every time. No assertion changed.

--- a/crates/platform/tests/bad_peers.rs
+++ b/crates/platform/tests/bad_peers.rs
@@ -14,7 +14,7 @@
 };
 use futures::StreamExt;
 use support::{Then, response, scripted, stream};
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 fn settings() -> ClientSettings {
     ClientSettings { connect_timeout_ms: 10_000, response_timeout_ms: 20_000, ..Default::default() }
@@ -210,9 +210,10 @@
 
 #[tokio::test]
 async fn a_refused_connection_is_certainly_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    drop(listener);
+    // Bound and not listening: nobody else gets the port meanwhile.
+    let reserved = TcpSocket::new_v4().expect("a socket");
+    reserved.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let address = reserved.local_addr().expect("bound");
     let error = engine(address, settings()).generate(&request()).await.err().expect("refused");
     let EngineError::Transport { error: TransportError::Connect { .. } } = &error else {
         panic!("{error}")
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::net::TcpListener;
+use std::net::SocketAddr;
 
 use common::caller::{Caller, Reply, call, post};
 use common::stand_in::{Got, StandIn, Step, answer, ok, shed};
@@ -10,6 +10,7 @@
 use dahlia_backends::{Ask, BackendId, Choice};
 use dahlia_relay::{RelaySettings, Route};
 use dahlia_types::{Duration, Timestamp};
+use socket2::{Domain, Socket, Type};
 
 type Script = fn(&Got) -> Vec<Step>;
 
@@ -141,9 +142,10 @@
 
 #[tokio::test]
 async fn a_server_that_cannot_be_reached_did_not_run_it() {
-    let dead = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = dead.local_addr().expect("its address");
-    drop(dead);
+    // Bound and not listening: connections are refused, and no other test's server gets the port.
+    let dead = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    dead.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let address = dead.local_addr().expect("its address").as_socket().expect("an IP address");
     let server = StandIn::new("s-1", ok).await;
     let bed = Bed::new(Some(table(vec![once()])), &[]).await;
     bed.add("dead", address);
@@ -151,6 +153,7 @@
     assert_eq!(reply.status, 503);
     bed.add("s-1", server.address);
     assert_eq!(call(bed.address, &post("t", "", "")).await.status, 200);
+    drop(dead);
 }
 
 #[tokio::test]
@@ -239,9 +242,10 @@
         until("the attempt's end is told", || in_flight() == 0).await;
         assert_eq!(fitness(&bed, "s-1"), expected, "{name}");
     }
-    let dead = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = dead.local_addr().expect("its address");
-    drop(dead);
+    // Bound and not listening: connections are refused, and no other test's server gets the port.
+    let dead = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    dead.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let address = dead.local_addr().expect("its address").as_socket().expect("an IP address");
     let bed = Bed::new(Some(table(vec![once()])), &[]).await;
     bed.add("dead", address);
     call(bed.address, &post("t", "", "")).await;
