Derive the voters of groups from the losses that a deployment declares

Cause: the deploy template fixed three voters a group, the grown deployments declare two losses at once. What cannot be borne is a warning with field, limit and what is borne. A lost voter with a disk keeps its vote until it is replaced: with five voters the early removal of two lost ones would leave three, of which the next two lost disks leave one. Replicas of the first layout are spread over all daemons instead of the first by number. `layout.replicas` is gone.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -107,8 +107,7 @@
     pub peer_address: SocketAddr,
 }
 
-/// The parts of a daemon that control the system: membership, groups, configuration. A hollow
-/// daemon of a scale run has nothing else.
+/// The parts of a daemon that control the system: membership, groups, configuration.
 pub struct ControlParts {
     /// Talks to the node.
     pub core: CoreHandle,
@@ -127,11 +126,6 @@
 }
 
 impl ControlParts {
-    /// Frames sent to other daemons over connections.
-    pub fn frames_sent(&self) -> u64 {
-        self.traffic.frames()
-    }
-
     /// Bytes sent to other daemons, without headers of TCP, UDP and IP.
     pub fn bytes_sent(&self) -> u64 {
         self.traffic.bytes() + self.datagrams.bytes()
@@ -453,11 +447,12 @@
     address: SocketAddr,
     clock: Clock,
 ) -> NodeSettings {
+    let is_durable = settings.daemon.data_folder.is_some();
     let maintenance = MaintenanceSettings {
-        voters: settings.layout.replicas as usize,
+        voters: settings.tolerance.wanted_voters(),
+        keeps_lost_voters: is_durable,
         ..settings.maintenance.clone()
     };
-    let is_durable = settings.daemon.data_folder.is_some();
     NodeSettings {
         own,
         zone: settings.daemon.zone.clone(),
@@ -465,7 +460,7 @@
         address,
         seeds: settings.daemon.seeds.clone(),
         group_count: settings.layout.groups,
-        replicas: settings.layout.replicas,
+        tolerance: settings.tolerance,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
         holds_groups: settings.daemon.holds_groups,
         life: 0,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -11,6 +11,7 @@
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
+use dahlia_replication::tolerance::LossTolerance;
 use dahlia_store::StoreSettings;
 use dahlia_types::{DaemonId, EngineId, InvalidSetting, ModelId, Region, Zone, check_range};
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,9 @@
     /// Limits on callers' requests.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// What may be lost at once; the voters of each replica group follow from it.
+    #[serde(default)]
+    pub tolerance: LossTolerance,
     /// The first layout of replica groups.
     #[serde(default)]
     pub layout: LayoutSettings,
@@ -55,7 +59,7 @@
     /// Timing and bounds of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
-    /// Upkeep of groups' members. `voters` is taken from `layout.replicas`.
+    /// Upkeep of groups' members. `voters` and `keeps_lost_voters` are worked out.
     #[serde(default)]
     pub maintenance: MaintenanceSettings,
     /// Groups whose ledger does not answer.
@@ -172,15 +176,14 @@
 pub struct LayoutSettings {
     /// Number of groups in the system.
     pub groups: u32,
-    /// Voters of each group: 3 survive one death at once, 5 survive two.
-    pub replicas: u32,
-    /// Daemons that must be live before the groups are laid out.
-    pub bootstrap_daemons: u32,
+    /// Daemons that must be live before the groups are laid out. Absent: as many as `tolerance`
+    /// needs, or those that came when for 3 s no further one has.
+    pub bootstrap_daemons: Option<u32>,
 }
 
 impl Default for LayoutSettings {
     fn default() -> Self {
-        Self { groups: 8, replicas: 3, bootstrap_daemons: 3 }
+        Self { groups: 8, bootstrap_daemons: None }
     }
 }
 
@@ -269,6 +272,7 @@
         self.check_engines()?;
         self.configuration.check()?;
         self.limits.check()?;
+        self.tolerance.check()?;
         self.layout.check()?;
         self.groups.check()?;
         self.history.check()?;
@@ -300,15 +304,8 @@
 impl LayoutSettings {
     fn check(&self) -> Result<(), InvalidSetting> {
         check_range("layout.groups", self.groups, 1, 100_000)?;
-        check_range("layout.replicas", self.replicas, 1, 7)?;
-        if self.replicas.is_multiple_of(2) {
-            return Err(InvalidSetting {
-                field: "layout.replicas".to_owned(),
-                value: self.replicas.to_string(),
-                allowed: "1, 3, 5 or 7: an even number survives no more deaths".to_owned(),
-            });
-        }
-        check_range("layout.bootstrap_daemons", self.bootstrap_daemons, self.replicas, 10_000)
+        let daemons = self.bootstrap_daemons.unwrap_or(1);
+        check_range("layout.bootstrap_daemons", daemons, 1, 10_000)
     }
 }
 
--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -1,13 +1,15 @@
 //! The first layout of groups: written once to the key-value service by compare-and-swap.
 //!
 //! Every daemon reads the key until it is there. The daemon that sees enough live members and
-//! no layout writes one. Whoever loses the race reads the winner's. A daemon bootstraps a replica
+//! no layout writes one. Enough are as many as the declared losses need; where fewer come, the
+//! groups are laid out on those that are there, and get further voters when others join. Whoever loses the race reads the winner's. A daemon bootstraps a replica
 //! only if the layout names it in exactly its present incarnation.
 
 use dahlia_replication::directory::{GroupDescription, initial_layout};
 use dahlia_replication::group::Replica;
 use dahlia_replication::maintenance::Maintenance;
 use dahlia_replication::membership::MemberInfo;
+use dahlia_replication::tolerance::HolderCounts;
 use dahlia_types::{Duration, Timestamp};
 
 use crate::Action;
@@ -19,6 +21,10 @@
 
 /// How often the key is read while it is missing.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// How long no further daemon must have come before the groups are laid out on those that did.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// The same while fewer daemons are there than the declared losses need.
+const PATIENCE: Duration = Duration::from_secs(3);
 /// What each live daemon adds to the interval: together they read about 100 times a second.
 const READ_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
 
@@ -39,6 +45,10 @@
     done: bool,
     missing: bool,
     next_read: Timestamp,
+    /// Most daemons that may hold groups seen at once.
+    holders: usize,
+    /// When there were that many first.
+    holders_since: Timestamp,
 }
 
 impl Bootstrap {
@@ -67,6 +77,16 @@
         self.next_read = self.next_read.max(now + shared);
     }
 
+    /// Whether the groups may be laid out on so many daemons, of which `needed` are wanted.
+    pub(crate) fn has_settled(&mut self, holders: usize, needed: usize, now: Timestamp) -> bool {
+        if holders > self.holders {
+            self.holders = holders;
+            self.holders_since = now;
+        }
+        let pause = if holders >= needed { SETTLE_TIME } else { PATIENCE };
+        holders > 0 && now.since(self.holders_since) >= pause
+    }
+
     /// Notes that the key is missing.
     pub(crate) fn note_missing(&mut self) {
         self.missing = true;
@@ -79,8 +99,8 @@
 }
 
 /// Chooses the first voters of each group and encodes the layout.
-pub(crate) fn choose_layout(live: &[MemberInfo], groups: u32, replicas: u32) -> Vec<u8> {
-    let layout = initial_layout(live, groups, replicas as usize);
+pub(crate) fn choose_layout(live: &[MemberInfo], groups: u32, voters: usize) -> Vec<u8> {
+    let layout = initial_layout(live, groups, voters);
     let encoded = bincode::serde::encode_to_vec(&layout, bincode::config::standard());
     encoded.expect("a layout has only plain fields")
 }
@@ -108,13 +128,33 @@
         }
         let live = self.live_members();
         self.bootstrap.share_reads(live.len(), now);
-        let holders = live.iter().filter(|member| member.holds_groups).count();
-        if self.bootstrap.is_missing() && holders >= self.settings.bootstrap_daemons as usize {
-            let layout = choose_layout(&live, self.settings.group_count, self.settings.replicas);
-            self.actions.push(Action::Layout(LayoutStep::Value(layout)));
+        let step = if self.may_lay_out(&live, now) && self.bootstrap.is_missing() {
+            LayoutStep::Value(self.choose_layout(&live))
         } else {
-            self.actions.push(Action::Layout(LayoutStep::Read));
+            LayoutStep::Read
+        };
+        self.actions.push(Action::Layout(step));
+    }
+
+    fn may_lay_out(&mut self, live: &[MemberInfo], now: Timestamp) -> bool {
+        let holders = live.iter().filter(|member| member.holds_groups).count();
+        match self.settings.bootstrap_daemons {
+            Some(daemons) => holders >= daemons as usize,
+            None => {
+                let needed = self.settings.tolerance.wanted_voters();
+                self.bootstrap.has_settled(holders, needed, now)
+            }
+        }
+    }
+
+    fn choose_layout(&self, live: &[MemberInfo]) -> Vec<u8> {
+        let holders = live.iter().filter(|member| member.holds_groups);
+        let holders = HolderCounts::of_zones(holders.map(|member| member.zone.clone()));
+        let target = self.settings.tolerance.target(&holders);
+        for shortfall in &target.shortfalls {
+            log::warn!(target: "groups", "First layout: {shortfall}.");
         }
+        choose_layout(live, self.settings.group_count, target.voters)
     }
 
     pub(crate) fn layout(&mut self, step: LayoutStep, now: Timestamp) {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -6,6 +6,7 @@
 use dahlia_configuration::{EngineState, FencedOrder, Proposal, Record, Verdict};
 use dahlia_program::{EngineLife, ReleaseRequest};
 use dahlia_replication::group::DurableChange;
+use dahlia_replication::tolerance::LossTolerance;
 use dahlia_types::{
     Attempt, AttemptId, CallId, Duration, EngineId, GroupId, Incarnation, LogIndex, Message,
     ModelId, ProgramId, ReplicaId, TenantId, Term, Tokens,
@@ -105,6 +106,8 @@
     StoreEnded(Box<StoreResult>),
     /// Further addresses of daemons to start from, used while no other daemon is known.
     Seeds(Vec<SocketAddr>),
+    /// What may be lost at once has changed.
+    Tolerance(LossTolerance),
     /// This daemon has read a document that others may need from it.
     Share(SharedDocument),
     /// The driver wants a group recorded as a whole, to drop its earlier changes.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,8 @@
 //! A whole daemon as one state machine without I/O: `(event, now) -> actions`.
 //!
-//! The same code runs in the real daemon, in virtual-time runs with seeded faults, and as
-//! hundreds of hollow daemons in one process. The driver owns sockets, timers and tasks; it
-//! feeds [`Event`]s and carries out [`Action`]s in the order given.
+//! The same code runs in the real daemon and in virtual-time runs with seeded faults. The driver
+//! owns sockets, timers and tasks; it feeds [`Event`]s and carries out [`Action`]s in the order
+//! given.
 //!
 //! | module | job |
 //! |---|---|
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -9,6 +9,7 @@
     Action as MembershipAction, Event as MembershipEvent, Fact, FactKey, Member, MemberInfo,
     MemberState,
 };
+use dahlia_replication::tolerance::{HolderCounts, LossTolerance};
 use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
 
 use crate::group::Group;
@@ -155,13 +156,20 @@
             return;
         }
         self.next_upkeep = now + UPKEEP_INTERVAL;
-        let voters = self.settings.maintenance.voters;
         if !self.groups.values().any(|group| group.is_serving()) {
             return;
         }
-        let view = ClusterView::new(&self.membership.members(), &self.directory);
+        let members = self.membership.members();
+        self.renew_voter_target(&members);
+        let voters = self.voter_target.voters;
+        let wanted = self.settings.tolerance.wanted_voters();
+        let view = ClusterView::new(&members, &self.directory);
         for group in self.groups.values_mut().filter(|group| group.is_serving()) {
             let status = group.replica.status();
+            // A lack of daemons is no reason to do with fewer voters than there are: membership may
+            // know too few after a start, and one that is to be emptied stays until it is replaced.
+            let least = status.members.voters.len().min(wanted);
+            group.maintenance.set_voters(voters.max(least));
             if status.members.voters.len() < voters {
                 self.next_upkeep = now + REPAIR_INTERVAL;
             }
@@ -184,6 +192,27 @@
         }
     }
 
+    /// Takes over what may be lost at once; groups get or give up voters one at a time.
+    pub(crate) fn change_tolerance(&mut self, tolerance: LossTolerance, now: Timestamp) {
+        if self.settings.tolerance == tolerance {
+            return;
+        }
+        log::info!(target: "groups", "Losses to be borne at once are now {tolerance:?}.");
+        self.settings.tolerance = tolerance;
+        self.next_upkeep = self.next_upkeep.min(now);
+    }
+
+    /// Works out the voters of each group anew, and says when a declared loss cannot be borne.
+    fn renew_voter_target(&mut self, members: &[Member]) {
+        let target = self.settings.tolerance.target(&HolderCounts::of_members(members));
+        if target.shortfalls != self.voter_target.shortfalls {
+            for shortfall in &target.shortfalls {
+                log::warn!(target: "groups", "{shortfall}.");
+            }
+        }
+        self.voter_target = target;
+    }
+
     /// Whether a group has all its voters, none of them in an earlier life of its daemon.
     pub(crate) fn is_whole(&self, group: &Group) -> bool {
         let voters = &group.replica.members().voters;
@@ -191,7 +220,7 @@
             let member = self.membership.member(voter.daemon);
             member.is_none_or(|member| member.record.info.replica() == *voter)
         };
-        voters.len() >= self.settings.replicas as usize && voters.iter().all(is_present)
+        voters.len() >= self.voter_target.voters && voters.iter().all(is_present)
     }
 
     /// Says to all that this daemon is about to stop.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,7 @@
 use dahlia_replication::membership::{
     Event as MembershipEvent, Member, MemberInfo, MemberState, Membership,
 };
+use dahlia_replication::tolerance::VoterTarget;
 use dahlia_types::{AttemptId, DaemonId, Duration, GroupId, ReplicaId, Timestamp};
 use serde::Serialize;
 
@@ -47,6 +48,8 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) dirty: BTreeSet<GroupId>,
     pub(crate) next_upkeep: Timestamp,
+    /// Voters that each group should have, as worked out at the last upkeep.
+    pub(crate) voter_target: VoterTarget,
     pub(crate) bootstrap: Bootstrap,
     pub(crate) coalescer: Coalescer,
     /// Messages that need not wait for a sync.
@@ -109,6 +112,8 @@
             now,
         );
         membership.begin_life(settings.life);
+        let voters = settings.tolerance.wanted_voters();
+        let voter_target = VoterTarget { voters, shortfalls: Vec::new() };
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         let mut node = Self {
             membership,
@@ -127,6 +132,7 @@
             actions: Vec::new(),
             dirty: BTreeSet::new(),
             next_upkeep: Timestamp::ZERO,
+            voter_target,
             bootstrap: Bootstrap::default(),
             coalescer: Coalescer::new(),
             unsynced: Coalescer::new(),
@@ -165,6 +171,7 @@
             Event::Layout(step) => self.layout(step, now),
             Event::StoreEnded(result) => self.store_ended(*result),
             Event::Seeds(addresses) => self.membership.add_seeds(addresses),
+            Event::Tolerance(tolerance) => self.change_tolerance(tolerance, now),
             Event::Share(document) => self.share(document),
             Event::ImageWanted(group) => self.record_image(group),
             Event::Retire => self.retire_daemon(now),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,6 +7,7 @@
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
+use dahlia_replication::tolerance::LossTolerance;
 use dahlia_types::{Duration, GroupId, Region, ReplicaId, Zone};
 
 use crate::history::HistorySettings;
@@ -26,10 +27,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Number of groups in the system.
     pub group_count: u32,
-    /// Voters of each group.
-    pub replicas: u32,
-    /// Daemons that must be live before the groups are laid out.
-    pub bootstrap_daemons: u32,
+    /// What may be lost at once; the voters of each group follow from it.
+    pub tolerance: LossTolerance,
+    /// Daemons that must be live before the groups are laid out; none leaves that to `tolerance`.
+    pub bootstrap_daemons: Option<u32>,
     /// Whether replicas of groups may be placed on this daemon.
     pub holds_groups: bool,
     /// Which process of this incarnation runs, from 1; 0 where no incarnation outlives its
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -104,7 +104,7 @@
 async fn measure(options: &LoadOptions, folder: &Path) -> Result<LoadReport, RehearsalError> {
     let plan = ClusterPlan {
         speed: options.speed,
-        replicas: options.replicas,
+        voters: options.replicas,
         ..ClusterPlan::bayou_current()
     }
     .with_daemons(options.replicas as usize);
--- a/crates/replication/src/directory/layout.rs
+++ b/crates/replication/src/directory/layout.rs
@@ -80,19 +80,20 @@
         let far: Vec<&MemberInfo> =
             live.iter().copied().filter(|member| member.region != **region).collect();
         for turn in 0..SETS_PER_DAEMON {
-            sets.extend(sets_of_region(near, &far, replicas, turn));
+            add_sets_of_region(&mut sets, near, &far, replicas, turn);
         }
     }
     sets
 }
 
-/// Sets that together use every daemon of a region at least once.
-fn sets_of_region(
+/// Adds sets that together use every daemon of a region at least once.
+fn add_sets_of_region(
+    sets: &mut Vec<Vec<ReplicaId>>,
     near: &[&MemberInfo],
     far: &[&MemberInfo],
     replicas: usize,
     turn: usize,
-) -> Vec<Vec<ReplicaId>> {
+) {
     let mut unused: BTreeMap<&Zone, Vec<&MemberInfo>> = BTreeMap::new();
     for member in near {
         unused.entry(&member.zone).or_default().push(member);
@@ -103,11 +104,10 @@
         let shift = turn * (place + 1) % members.len();
         members.rotate_left(shift);
     }
-    let mut sets = Vec::new();
     while unused.values().any(|members| !members.is_empty()) {
-        sets.push(next_set(&mut unused, near, far, replicas));
+        let set = next_set(&mut unused, near, far, replicas, sets);
+        sets.push(set);
     }
-    sets
 }
 
 fn next_set(
@@ -115,10 +115,12 @@
     near: &[&MemberInfo],
     far: &[&MemberInfo],
     replicas: usize,
+    earlier: &[Vec<ReplicaId>],
 ) -> Vec<ReplicaId> {
     let mut set: Vec<&MemberInfo> = Vec::new();
     while set.len() < replicas {
-        let Some(member) = take_unused(unused, &set).or_else(|| reuse(near, far, &set)) else {
+        let Some(member) = take_unused(unused, &set).or_else(|| reuse(near, far, &set, earlier))
+        else {
             break;
         };
         set.push(member);
@@ -136,16 +138,20 @@
     best.and_then(|(_, members)| members.pop())
 }
 
-/// A daemon that is in another set already: near before far, from the zone used least.
+/// A daemon that is in another set already: near before far, from the zone used least, then the one
+/// in fewest sets.
 fn reuse<'a>(
     near: &[&'a MemberInfo],
     far: &[&'a MemberInfo],
     set: &[&MemberInfo],
+    earlier: &[Vec<ReplicaId>],
 ) -> Option<&'a MemberInfo> {
+    let uses =
+        |member: &MemberInfo| earlier.iter().filter(|set| set.contains(&member.replica())).count();
     let used: BTreeSet<DaemonId> = set.iter().map(|member| member.daemon).collect();
     let pick = |members: &[&'a MemberInfo]| {
         let free = members.iter().copied().filter(|member| !used.contains(&member.daemon));
-        free.min_by_key(|member| (in_zone(set, &member.zone), member.daemon))
+        free.min_by_key(|member| (in_zone(set, &member.zone), uses(member), member.daemon))
     };
     pick(near).or_else(|| pick(far))
 }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -4,12 +4,14 @@
 //! - [`maintenance`]: which member of a group its leader should add, promote or remove next.
 //! - [`membership`]: who is there, by SWIM (Das, Gupta and Motivala 2002), and small facts.
 //! - [`directory`]: where groups are, and their first layout.
+//! - [`tolerance`]: how many voters a group needs for the losses that a deployment declares.
 //!
 //! Every state machine takes the time and its random seed as arguments and returns what its
-//! driver must do, so that daemons, virtual-time tests and hollow daemons run the same code.
+//! driver must do, so that daemons and virtual-time tests run the same code.
 //! The time passed in must never go backwards: a daemon derives it from a monotonic clock.
 
 pub mod directory;
 pub mod group;
 pub mod maintenance;
 pub mod membership;
+pub mod tolerance;
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -33,8 +33,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MaintenanceSettings {
-    /// Voters that a group should have: 3 survive one death at a time, 5 two.
+    /// Voters that a group should have at first; see [`Maintenance::set_voters`].
     pub voters: usize,
+    /// Whether a lost voter keeps its vote until another one can take its place. Needed where its
+    /// disk may bring back what it acknowledged: without its vote the group bears fewer lost disks.
+    pub keeps_lost_voters: bool,
     /// Learners kept caught up beside them, so that a replacement takes two commits only.
     pub standby_learners: usize,
     /// Milliseconds of silence towards the leader after which a member that membership holds
@@ -50,6 +53,7 @@
     fn default() -> Self {
         Self {
             voters: 3,
+            keeps_lost_voters: false,
             standby_learners: 0,
             dead_grace_ms: 3_000,
             silent_grace_ms: 60_000,
@@ -104,6 +108,11 @@
         Self { settings, balanced_at: now }
     }
 
+    /// Sets how many voters the group should have. Takes effect with the next step.
+    pub fn set_voters(&mut self, voters: usize) {
+        self.settings.voters = voters;
+    }
+
     /// The next step, if any. The replica may refuse it; it is then asked for again.
     pub fn next(
         &mut self,
--- a/crates/replication/src/maintenance/plan.rs
+++ b/crates/replication/src/maintenance/plan.rs
@@ -129,7 +129,7 @@
     fn remove_dead(&self) -> Option<MemberChange> {
         let dead = self.gone.first().or(self.lost.first()).copied()?;
         let is_useless = !self.gone.is_empty()
-            || self.rest_survives_more()
+            || (!self.settings.keeps_lost_voters && self.rest_survives_more())
             || self.has_ready_learner()
             || !self.lacks_voters();
         is_useless.then_some(MemberChange::Remove(dead))
--- a/crates/replication/tests/maintenance.rs
+++ b/crates/replication/tests/maintenance.rs
@@ -335,3 +335,30 @@
     situation.daemon(6).holds_groups = false;
     assert_eq!(situation.next(), None);
 }
+
+#[test]
+fn a_lost_voter_with_a_disk_keeps_its_vote_until_another_takes_its_place() {
+    let mut situation = Situation::new(&[1, 2, 3, 4, 5]);
+    situation.settings.keeps_lost_voters = true;
+    situation.lose(4);
+    situation.lose(5);
+    // Without its vote two more lost disks would leave one voter of three.
+    assert!(matches!(situation.next_change(), Some(MemberChange::AddLearner(_))));
+    situation.restart(4);
+    // What the disk held is gone for certain: its vote protects nothing.
+    assert_eq!(situation.next_change(), Some(MemberChange::Remove(id(4))));
+}
+
+#[test]
+fn a_raised_target_adds_voters_one_at_a_time() {
+    let mut situation = Situation::new(&[1, 2, 3]);
+    let mut maintenance = Maintenance::new(situation.settings.clone(), Timestamp::ZERO);
+    maintenance.set_voters(5);
+    let step = maintenance.next(&situation.status, &situation.view, NOW);
+    let Some(MaintenanceStep::Change(MemberChange::AddLearner(learner))) = step else {
+        panic!("{step:?}")
+    };
+    situation.learner(learner.daemon.0, true);
+    let step = maintenance.next(&situation.status, &situation.view, NOW);
+    assert_eq!(step, Some(MaintenanceStep::Change(MemberChange::Promote(learner))));
+}
--- /dev/null
+++ b/crates/replication/tests/tolerance.rs
@@ -0,0 +1,77 @@
+//! Voters that follow from the losses that a deployment declares.
+
+use dahlia_replication::tolerance::{HolderCounts, LossTolerance, MOST_VOTERS, Shortfall};
+use dahlia_types::Zone;
+
+/// So many machines in each zone.
+fn holders(counts: &[usize]) -> HolderCounts {
+    let zones = counts.iter().enumerate();
+    let zones = zones.flat_map(|(zone, count)| vec![Zone::new(format!("zone-{zone}")); *count]);
+    HolderCounts::of_zones(zones)
+}
+
+fn tolerance(machines: u32, zones: u32, regions: u32) -> LossTolerance {
+    LossTolerance { machines, zones, regions }
+}
+
+fn notes(shortfalls: &[Shortfall]) -> Vec<String> {
+    shortfalls.iter().map(Shortfall::to_string).collect()
+}
+
+#[test]
+fn twice_the_losses_and_one_more_vote() {
+    for (machines, voters) in [(0, 1), (1, 3), (2, 5), (3, 7), (4, 9)] {
+        let target = tolerance(machines, 0, 0).target(&holders(&[3, 3, 3]));
+        assert_eq!((target.voters, target.shortfalls), (voters, vec![]), "{machines} machines");
+    }
+}
+
+#[test]
+fn too_few_machines_give_the_best_that_can_be_had_and_say_so() {
+    let target = tolerance(2, 0, 0).target(&holders(&[1, 1, 1, 1]));
+    assert_eq!(target.voters, 3, "a fourth vote would bear no further loss");
+    insta::assert_snapshot!(notes(&target.shortfalls).join("\n"), @"tolerance.machines = 2 cannot be borne, 1 can: 5 machines that hold groups are needed (at most 9 are used by a group), 4 are there");
+    assert_eq!(tolerance(2, 0, 0).target(&holders(&[])).voters, 1);
+    assert_eq!(tolerance(50, 0, 0).target(&holders(&[40, 40])).voters, MOST_VOTERS);
+}
+
+#[test]
+fn too_few_zones_are_said_by_field_and_limit() {
+    let target = tolerance(1, 1, 0).target(&holders(&[3, 3]));
+    assert_eq!(target.voters, 3);
+    insta::assert_snapshot!(notes(&target.shortfalls).join("\n"), @"tolerance.zones = 1 cannot be borne, 0 can: 3 zones with machines that hold groups are needed, 2 are there");
+}
+
+#[test]
+fn the_loss_of_a_region_is_not_promised() {
+    let target = tolerance(1, 0, 1).target(&holders(&[1, 1, 1]));
+    insta::assert_snapshot!(notes(&target.shortfalls).join("\n"), @"tolerance.regions = 1 cannot be borne, 0 can: a group keeps its majority in one region");
+}
+
+#[test]
+fn the_fullest_zones_may_go_without_the_quorum() {
+    // Seven voters over five zones lie 2, 2, 1, 1, 1: two zones would take four of seven.
+    let target = tolerance(3, 2, 0).target(&holders(&[2, 2, 2, 2, 2]));
+    assert_eq!((target.voters, target.shortfalls), (9, vec![]));
+    // Machines of one zone only cannot be spread.
+    let crowded = tolerance(1, 1, 0).target(&holders(&[5, 1]));
+    assert_eq!(notes(&crowded.shortfalls).len(), 1, "{crowded:?}");
+}
+
+#[test]
+fn no_demand_that_is_met_could_lose_its_quorum() {
+    let shapes: [&[usize]; 6] =
+        [&[1, 1, 1], &[2, 2, 2, 2], &[3, 1, 1], &[5, 5, 5, 5, 5], &[1, 2, 3, 4], &[9]];
+    for shape in shapes {
+        for machines in 0..5 {
+            for zones in 0..3 {
+                let target = tolerance(machines, zones, 0).target(&holders(shape));
+                assert!(target.voters % 2 == 1 && target.voters <= shape.iter().sum(), "{shape:?}");
+                if target.shortfalls.is_empty() {
+                    assert!(target.voters / 2 >= machines as usize, "{shape:?} {machines}");
+                    assert!(2 * zones < shape.len() as u32 || zones == 0, "{shape:?} {zones}");
+                }
+            }
+        }
+    }
+}
