Reach owners before the news of them, and elect them sooner

A gateway learnt of owners by gossip only, which after a loss of power of everybody is full of members' news; and two of three recovered replicas that ask at one moment each vote for themselves. Ruled out: the time to read the log back (45 ms), discovery (routes in force 14 ms after the start). Change: a daemon that knows no member of a group asks any daemon that holds groups, which answers or names the owner; a gateway counts as reaching the groups as soon as it knows one. Of two recovered replicas that ask for pre-votes one gives way.

--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -43,7 +43,7 @@
                 self.router.note_asked(id, target);
                 self.send_request(id, request, target);
             }
-            // No member of the group is known yet; the news of one may arrive any moment.
+            // Nobody who could know the owner is known yet; news may arrive any moment.
             None if suspect.is_none() => self.router.ask_soon(id, now),
             None => {}
         }
@@ -56,10 +56,8 @@
         tries: u32,
         now: Timestamp,
     ) -> Option<DaemonId> {
-        let own = self.settings.own.daemon;
-        let route = self.directory.route(group);
-        let members = route.iter().map(|member| member.daemon);
-        let others = members.filter(|daemon| *daemon != own && Some(*daemon) != besides);
+        let others = self.possible_owners(group);
+        let others = others.into_iter().filter(|daemon| Some(*daemon) != besides);
         let (silent, heard): (Vec<DaemonId>, Vec<DaemonId>) =
             others.partition(|daemon| self.router.is_suspect(*daemon, now));
         let candidates = if heard.is_empty() { silent } else { heard };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -6,8 +6,8 @@
 use dahlia_replication::directory::GroupDescription;
 use dahlia_replication::maintenance::{ClusterView, MaintenanceStep};
 use dahlia_replication::membership::{
-    Action as MembershipAction, Event as MembershipEvent, Fact, FactKey, Member, MemberInfo,
-    MemberState,
+    Action as MembershipAction, Event as MembershipEvent, Fact, FactKey, Health, Member,
+    MemberInfo, MemberRecord, MemberState,
 };
 use dahlia_replication::tolerance::{HolderCounts, LossTolerance};
 use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
@@ -105,6 +105,22 @@
         members.into_iter().filter(Member::takes_work).map(|member| member.record.info).collect()
     }
 
+    /// Other daemons that hold groups and are not known to be dead. Each group begins at another
+    /// one, so that questions are spread.
+    pub(crate) fn other_holders(&self, group: GroupId) -> Vec<DaemonId> {
+        let own = self.settings.own.daemon;
+        let members = self.membership.members();
+        let is_holder = |record: &MemberRecord| {
+            record.info.holds_groups && record.health != Health::Dead && record.info.daemon != own
+        };
+        let records = members.iter().map(|member| &member.record);
+        let mut holders: Vec<DaemonId> =
+            records.filter(|record| is_holder(record)).map(|record| record.info.daemon).collect();
+        let first = (group.0 as usize).checked_rem(holders.len()).unwrap_or(0);
+        holders.rotate_left(first);
+        holders
+    }
+
     /// All daemons known with the groups that each leads, as far as known here.
     pub fn daemon_views(&self) -> Vec<DaemonView> {
         let mut led: BTreeMap<DaemonId, u32> = BTreeMap::new();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -62,6 +62,8 @@
 pub struct NodeStatus {
     /// Whether it can route calls to owners.
     pub ready: bool,
+    /// Whether it knows somebody who owns groups or can say who does.
+    pub reaches_groups: bool,
     /// What it waits for while it is not ready.
     pub waits_for: Option<String>,
     /// The generation of the configuration that it holds.
@@ -186,6 +188,7 @@
         let led = || self.groups.values().filter(|group| group.is_serving());
         NodeStatus {
             ready: self.waits_for().is_none(),
+            reaches_groups: self.reaches_groups(),
             waits_for: self.waits_for().map(str::to_owned),
             configuration_generation: self.configuration.generation().0,
             draining: self.draining,
@@ -217,6 +220,10 @@
         self.bootstrap.is_done() || self.groups.values().any(has_members)
     }
 
+    fn reaches_groups(&self) -> bool {
+        self.is_laid_out() || !self.other_holders(GroupId(0)).is_empty()
+    }
+
     /// Where the owner of a group is thought to listen.
     pub fn owner_address(&self, group: GroupId) -> Option<SocketAddr> {
         let daemon = self.owner_hint(group)?;
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -72,13 +72,20 @@
         if let Some(hint) = self.owner_hint(group).filter(|hint| *hint != own) {
             return Some(hint);
         }
-        let route = self.directory.route(group);
-        let others: Vec<DaemonId> =
-            route.iter().map(|member| member.daemon).filter(|daemon| *daemon != own).collect();
-        if others.is_empty() {
-            return None;
-        }
-        Some(others[tries as usize % others.len()])
+        let others = self.possible_owners(group);
+        let place = (tries as usize).checked_rem(others.len())?;
+        others.get(place).copied()
+    }
+
+    /// Other daemons that may own a group or know who does: its members, or while none is known all
+    /// daemons that hold groups. News of a group reach a daemon that has just started later than it
+    /// reaches the others.
+    pub(crate) fn possible_owners(&self, group: GroupId) -> Vec<DaemonId> {
+        let own = self.settings.own.daemon;
+        let members = self.directory.route(group);
+        let known: Vec<DaemonId> =
+            members.iter().map(|member| member.daemon).filter(|daemon| *daemon != own).collect();
+        if known.is_empty() { self.other_holders(group) } else { known }
     }
 
     /// An owner, or somebody who is not, answered.
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -115,6 +115,11 @@
         self.run_until(Duration::from_secs(1), |cluster| cluster.answers_to_stranger > 0);
     }
 
+    /// Whether the gateway has news of the group.
+    pub fn gateway_knows_the_group(&self) -> bool {
+        !self.nodes[&GATEWAY].group_ids().is_empty()
+    }
+
     /// Waits until the gateway knows of the group.
     pub fn wait_for_news_at_gateway(&mut self) {
         self.run_until(Duration::from_secs(30), |cluster| {
--- a/crates/node/tests/ledger.rs
+++ b/crates/node/tests/ledger.rs
@@ -204,3 +204,15 @@
     assert!(waits(Vec::new()).is_some(), "an empty disk says nothing of a layout");
     assert_eq!(waits(vec![recorded]), None);
 }
+
+#[test]
+fn a_gateway_without_news_of_a_group_asks_any_daemon_that_holds_groups() {
+    let mut cluster = Cluster::starting(GroupSettings::default());
+    cluster.wait_for_owner_and_members();
+    assert!(!cluster.gateway_knows_the_group(), "the news must not be there yet");
+    let id = cluster.ask(open("one", None, 1));
+    let (response, took) = cluster.answer(id);
+    assert!(matches!(response, Response::Ledger(LedgerReply::Opened(_))), "{response:?}");
+    assert!(!cluster.gateway_knows_the_group(), "the answer came before the news");
+    assert!(took <= Duration::from_millis(60), "{took:?}");
+}
--- a/crates/replication/src/group/election.rs
+++ b/crates/replication/src/group/election.rs
@@ -215,10 +215,29 @@
             return;
         }
         let granted = term > self.term && !self.hears_leader() && self.is_up_to_date(&request);
+        if granted {
+            self.give_way(from, &request);
+        }
         let answer_term = if granted { term } else { self.term };
         self.send_in_term(from, answer_term, GroupBody::PreVoteResponse { granted });
     }
 
+    /// Of two recovered replicas that ask at the same time one gives up, the same on both sides:
+    /// else each would vote for itself, and the group would wait for another round. The one with
+    /// the later log goes on, of equal ones that with the greater identifier. Others draw their
+    /// time from a range wide enough.
+    fn give_way(&mut self, to: ReplicaId, request: &VoteRequest) {
+        let other = (request.last_term, request.last_index, to);
+        let (term, index) = self.last_for_votes();
+        let is_asking = self.is_recovering && self.role == Role::PreCandidate;
+        if is_asking && other > (term, index, self.id) {
+            self.role = self.resting_role();
+            self.votes.clear();
+            self.reset_election_deadline();
+            self.announce();
+        }
+    }
+
     fn handle_pre_vote_response(&mut self, from: ReplicaId, term: Term, granted: bool) {
         let is_answer = self.role == Role::PreCandidate && term == self.term.next();
         if !granted || !is_answer {
--- a/crates/replication/src/group/recovery.rs
+++ b/crates/replication/src/group/recovery.rs
@@ -145,8 +145,8 @@
     /// growing pauses: the others may not be back, or their votes wait for slow syncs.
     pub(super) fn recovery_wait(&mut self) -> Duration {
         let longest = self.settings.heartbeat_interval().0;
-        // Replicas that ask at one moment split the votes: the draw lies well apart.
-        let first = self.random.random_range(longest / 4..=longest);
+        // Of those that ask at one moment one gives way; the draw makes that rare.
+        let first = self.random.random_range(longest / 8..=longest / 2);
         let pauses = self.recovery_asks.min(MOST_RECOVERY_PAUSES);
         self.recovery_asks += 1;
         Duration(first + pauses * longest)
--- a/crates/replication/tests/durable.rs
+++ b/crates/replication/tests/durable.rs
@@ -270,3 +270,43 @@
     // A split vote costs another draw.
     assert!(last <= 3 * heartbeat, "the slowest group took {last} ms");
 }
+
+/// What a voter of three has on its disk before the first entry.
+fn kept_by_a_voter() -> DurableReplica {
+    let mut kept = Kept::default();
+    kept.take(&mut voter());
+    kept.0.expect("the first layout is recorded")
+}
+
+/// Messages of each replica to the others, taken at one moment.
+fn sent(replicas: &mut [Replica]) -> Vec<GroupMessage> {
+    let outputs = replicas.iter_mut().flat_map(Replica::take_outputs);
+    let messages = outputs.filter_map(|output| match output {
+        Output::Send(message) => Some(message),
+        _ => None,
+    });
+    messages.collect()
+}
+
+#[test]
+fn two_that_ask_for_votes_at_the_same_moment_elect_one_in_the_first_round() {
+    for seed in 0..20 {
+        let make = |own| Replica::recover(id(own), kept_by_a_voter(), settings(), seed, at(0));
+        // The third is dead: each of the two needs the other's vote.
+        let mut pair: Vec<Replica> = [1, 2].map(make).into();
+        let deadline = pair.iter().map(Replica::next_deadline).max().expect("two");
+        let mut now = deadline;
+        pair.iter_mut().for_each(|replica| replica.tick(now));
+        assert!(pair.iter().all(|replica| replica.role() == Role::PreCandidate));
+        for _ in 0..4 {
+            now = now + Duration::from_millis(1);
+            for message in sent(&mut pair) {
+                if let Some(to) = pair.iter_mut().find(|replica| replica.id() == message.to) {
+                    to.step(message, now);
+                }
+            }
+        }
+        let leaders = pair.iter().filter(|replica| replica.role() == Role::Leader).count();
+        assert_eq!(leaders, 1, "seed {seed}");
+    }
+}
