Tell other gateways of servers that fail

Cause: with 51 and 74 gateways each meets one of 40 servers about once in ten seconds, so the count of failed answers (two within a half-life of 2 s) that sets a server aside was never reached: each failing server cost its share of all requests for as long as it failed.

Ruled out: a threshold of one failure a gateway (a gateway meets the server once in its half-life). The half-life is 4 s instead of 2, the count is bounded to three times what makes a server suspect, so that one that is sound again is tried within 8 s. Left: the 502s that remain look like requests on kept connections that a server had dropped ("answers 0 and doesn't run it (gone)"); not mended by this.

--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -27,4 +27,4 @@
 pub use choice::{Ask, AttemptEnd, Choice};
 pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
 pub use settings::BackendSettings;
-pub use table::Backends;
+pub use table::{Backends, FailureListener};
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -7,6 +7,8 @@
 
 /// Doublings of the pause after which it no longer grows; bounds the shift.
 const MOST_DOUBLINGS: u32 = 10;
+/// Failures that are counted at most, as a multiple of those that make a server suspect.
+const MOST_FAILURES: f64 = 3.0;
 
 /// One server.
 #[derive(Debug, Clone)]
@@ -124,13 +126,20 @@
             AttemptEnd::Refused => self.pause(settings.refused_pause_ms, now),
             AttemptEnd::Leaving => self.said_leaving = true,
             AttemptEnd::Broken | AttemptEnd::Failed => {
-                self.failures = self.faded(settings, now) + 1.0;
-                self.failures_at = now;
+                self.add_failures(1.0, settings, now);
             }
             AttemptEnd::Unreachable => self.pause_unreachable(settings, now),
         }
     }
 
+    /// Failures that this daemon or another one saw.
+    pub(crate) fn add_failures(&mut self, count: f64, settings: &BackendSettings, now: Timestamp) {
+        // Bounded, so that a back end which is sound again is tried again before long.
+        let most = settings.suspect_failures * MOST_FAILURES;
+        self.failures = (self.faded(settings, now) + count).min(most);
+        self.failures_at = now;
+    }
+
     fn pause_unreachable(&mut self, settings: &BackendSettings, now: Timestamp) {
         let doublings = self.unreachable_in_a_row.min(MOST_DOUBLINGS);
         let pause = settings.unreachable_pause_ms << doublings;
--- a/crates/backends/src/settings.rs
+++ b/crates/backends/src/settings.rs
@@ -47,7 +47,7 @@
             unreachable_pause_ms: 250,
             longest_pause_ms: 4_000,
             suspect_failures: 2.0,
-            failure_half_life_ms: 2_000,
+            failure_half_life_ms: 4_000,
             slow_factor: 2.5,
             slow_samples: 5,
             slow_floor_ms: 30,
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -1,6 +1,7 @@
 //! All servers of all services, and the choice among them.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use dahlia_types::{Duration, Timestamp, Zone};
 use rand::{Rng, SeedableRng};
@@ -17,8 +18,10 @@
 /// When to come back if all servers are full and none said for how long.
 const FULL_RETRY: Duration = Duration::from_millis(150);
 
+/// Told of each attempt of this daemon that a server failed while it was not suspect.
+pub type FailureListener = Box<dyn Fn(&BackendId) + Send>;
+
 /// All servers that this daemon knows.
-#[derive(Debug)]
 pub struct Backends {
     settings: BackendSettings,
     zone: Zone,
@@ -26,6 +29,13 @@
     services: BTreeMap<ServiceName, BTreeMap<BackendId, Server>>,
     /// Where each server is listed, so that ends of attempts find it.
     listed: BTreeMap<BackendId, ServiceName>,
+    on_failure: Option<FailureListener>,
+}
+
+impl fmt::Debug for Backends {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Backends").field("services", &self.services).finish_non_exhaustive()
+    }
 }
 
 impl Backends {
@@ -37,6 +47,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             services: BTreeMap::new(),
             listed: BTreeMap::new(),
+            on_failure: None,
         }
     }
 
@@ -93,8 +104,24 @@
         Choice::Use(BackendAddress { id, address: server.record.address })
     }
 
+    /// Sets who is told of failures, so that other daemons hear of them.
+    pub fn on_failure(&mut self, listener: FailureListener) {
+        self.on_failure = Some(listener);
+    }
+
+    /// Takes in that other daemons saw attempts at a server fail. They count as this daemon's own:
+    /// with many daemons each meets a server rarely.
+    pub fn heard_failures(&mut self, id: &BackendId, failures: u8, now: Timestamp) {
+        if let Some((server, settings)) = self.server_mut(id) {
+            server.add_failures(f64::from(failures), settings, now);
+        }
+    }
+
     /// Takes in how an attempt ended.
     pub fn end(&mut self, id: &BackendId, end: AttemptEnd, now: Timestamp) {
+        if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
+            self.tell_failure(id, now);
+        }
         if let Some((server, settings)) = self.server_mut(id) {
             server.end(end, settings, now);
         }
@@ -114,6 +141,16 @@
         }
     }
 
+    fn tell_failure(&self, id: &BackendId, now: Timestamp) {
+        let service = self.listed.get(id).and_then(|service| self.services.get(service));
+        let server = service.and_then(|servers| servers.get(id));
+        // Others know of one that is suspect here, or soon will.
+        let is_news = server.is_some_and(|server| !server.is_suspect(&self.settings, now));
+        if let Some(listener) = self.on_failure.as_ref().filter(|_| is_news) {
+            listener(id);
+        }
+    }
+
     fn server_mut(&mut self, id: &BackendId) -> Option<(&mut Server, &BackendSettings)> {
         let service = self.listed.get(id)?;
         let server = self.services.get_mut(service)?.get_mut(id)?;
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -250,3 +250,33 @@
     backends.end(&hangs, AttemptEnd::Cancelled, START);
     assert_eq!(used(backends.choose(&ask(&service, &[]), START)), Some(good));
 }
+
+#[test]
+fn failures_that_other_daemons_saw_count_as_own_ones() {
+    let mut backends = table(&[("grey", "hall-a"), ("sound", "hall-b")]);
+    let (service, grey) = (service(), BackendId("grey".to_owned()));
+    assert_eq!(used(backends.choose(&ask(&service, &[]), START)), Some(grey.clone()));
+    backends.heard_failures(&grey, 2, START);
+    let next = used(backends.choose(&ask(&service, &[]), START));
+    assert_eq!(next, Some(BackendId("sound".to_owned())));
+    // However many others saw, it is tried again before long.
+    backends.heard_failures(&grey, 200, START);
+    let later = START + Duration::from_secs(8);
+    assert_eq!(used(backends.choose(&ask(&service, &[]), later)), Some(grey));
+}
+
+#[test]
+fn others_are_told_of_failures_until_the_server_is_suspect() {
+    let mut backends = table(&[("grey", "hall-a")]);
+    let (told, tellings) = std::sync::mpsc::channel();
+    backends.on_failure(Box::new(move |id| told.send(id.clone()).expect("the test listens")));
+    let grey = BackendId("grey".to_owned());
+    for end in [AttemptEnd::Answered, AttemptEnd::Cancelled, AttemptEnd::Refused] {
+        backends.end(&grey, end, START);
+    }
+    assert_eq!(tellings.try_iter().count(), 0, "neither its own nor the caller's doing");
+    for end in [AttemptEnd::Broken, AttemptEnd::Failed, AttemptEnd::Broken] {
+        backends.end(&grey, end, START);
+    }
+    assert_eq!(tellings.try_iter().collect::<Vec<_>>(), vec![grey.clone(), grey]);
+}
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -7,7 +7,7 @@
 
 use dahlia_configuration::Record;
 use dahlia_durable::Opened;
-use dahlia_node::{Node, NodeFaults, NodeSettings, RecoverError, SharedDocument};
+use dahlia_node::{Node, NodeFaults, NodeSettings, RecoverError};
 use dahlia_platform::{ClientSettings, KeyValueClient};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::group::{DurableReplica, GroupSettings};
@@ -23,7 +23,7 @@
 use crate::chunk_store::{OpenError, StoreTasks};
 use crate::clock::Clock;
 use crate::configuration_key::ConfigurationKey;
-use crate::core::{Core, CoreHandle, CoreParts, channel, deliver};
+use crate::core::{Core, CoreHandle, CoreParts, SharedSenders, channel, deliver};
 use crate::datagrams::{self, DatagramSender};
 use crate::engines::EngineTasks;
 use crate::first_document::first_document;
@@ -158,8 +158,8 @@
     pub after: Option<Incarnation>,
     /// Whether the daemons keep the operators' configuration themselves.
     pub follows_configuration: bool,
-    /// Where documents go that other daemons shared.
-    pub shared: mpsc::UnboundedSender<SharedDocument>,
+    /// Where goes what other daemons shared.
+    pub shared: SharedSenders,
 }
 
 /// Starts the control parts of a daemon that uses the platform its settings name.
@@ -172,7 +172,7 @@
         .key_value
         .map(|address| KeyValueClient::new(&address.to_string(), ClientSettings::default()));
     let layout_store = key_value.clone().map(|client| -> SharedLayoutStore { Arc::new(client) });
-    let (shared, _) = mpsc::unbounded_channel();
+    let shared = SharedSenders::ignored();
     let surroundings =
         Surroundings { layout_store, key_value, after: None, follows_configuration: true, shared };
     start_control_in(settings, surroundings)
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -11,7 +11,8 @@
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
 use dahlia_node::{
-    Action, ConfigurationView, DaemonView, EngineView, Event, Node, NodeStatus, SharedDocument,
+    Action, BackendFailure, ConfigurationView, DaemonView, EngineView, Event, Node, NodeStatus,
+    SharedDocument,
 };
 use dahlia_replication::group::DurableChange;
 use dahlia_replication::membership::Member;
@@ -181,6 +182,22 @@
     }
 }
 
+/// Where goes what other daemons shared with this one.
+#[derive(Clone)]
+pub struct SharedSenders {
+    /// Documents.
+    pub documents: mpsc::UnboundedSender<SharedDocument>,
+    /// Failures of back ends.
+    pub failures: mpsc::UnboundedSender<BackendFailure>,
+}
+
+impl SharedSenders {
+    /// For a daemon that has no use for any of it.
+    pub fn ignored() -> Self {
+        Self { documents: mpsc::unbounded_channel().0, failures: mpsc::unbounded_channel().0 }
+    }
+}
+
 /// What a core talks to besides its node.
 pub struct CoreParts {
     /// Connections to other daemons.
@@ -197,8 +214,8 @@
     pub groups: GroupLog,
     /// Where generations are published that come into force.
     pub in_force: watch::Sender<Option<Arc<Record>>>,
-    /// Where documents go that other daemons shared.
-    pub shared: mpsc::UnboundedSender<SharedDocument>,
+    /// Where goes what other daemons shared.
+    pub shared: SharedSenders,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
@@ -394,7 +411,11 @@
             Action::Layout(step) => self.parts.platform.layout(step),
             Action::Shared(document) => {
                 // A daemon that reads no documents has dropped the receiver.
-                let _ = self.parts.shared.send(document);
+                let _ = self.parts.shared.documents.send(document);
+            }
+            Action::BackendFailureHeard(failure) => {
+                // A daemon that passes no requests on has dropped the receiver.
+                let _ = self.parts.shared.failures.send(failure);
             }
             Action::Store(order) => self.parts.store.order(*order),
             Action::Stop { superseded_by } => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `chunk_store` | the thread that owns the data folder |
 //! | `group_log` | syncs of replica groups |
 //! | `configuration_key` | the configuration at the key-value service |
+//! | `failure_reports` | failures of back ends, told to other daemons and heard from them |
 //! | `first_document` | the configuration that a new system starts with |
 //! | `layout_store` | where the first layout of groups is kept |
 //! | `ledger_breaker` | tells silent ledgers from those that answer |
@@ -30,6 +31,7 @@
 pub mod core;
 mod datagrams;
 mod engines;
+pub mod failure_reports;
 mod first_document;
 pub mod frames;
 mod gateway;
--- a/crates/daemon/tests/earlier_clock.rs
+++ b/crates/daemon/tests/earlier_clock.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use dahlia_daemon::assembly::{ControlParts, StartError, Surroundings, start_control_in};
+use dahlia_daemon::core::SharedSenders;
 use dahlia_daemon::settings::Settings;
 use dahlia_types::{DaemonId, Incarnation};
 use tokio::runtime::Runtime;
-use tokio::sync::mpsc;
 use tokio::task::spawn_blocking;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -77,13 +77,12 @@
         seeds.join(",")
     );
     let settings: Settings = toml::from_str(&text).expect("settings");
-    let (shared, _) = mpsc::unbounded_channel();
     let surroundings = Surroundings {
         layout_store: None,
         key_value: None,
         after,
         follows_configuration: false,
-        shared,
+        shared: SharedSenders::ignored(),
     };
     start_control_in(&settings, surroundings)
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -32,6 +32,16 @@
     pub bytes: Vec<u8>,
 }
 
+/// Attempts at a back end that failed by its own doing, as one daemon saw them. With many gateways
+/// each sees few of them; together they see which back end is to be left alone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendFailure {
+    /// The back end's identifier.
+    pub backend: String,
+    /// Failed attempts since this daemon's last report of it.
+    pub failures: u8,
+}
+
 /// Something that happened.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -110,6 +120,8 @@
     Tolerance(LossTolerance),
     /// This daemon has read a document that others may need from it.
     Share(SharedDocument),
+    /// Attempts of this daemon at a back end failed: others are told.
+    BackendFailed(BackendFailure),
     /// The driver wants a group recorded as a whole, to drop its earlier changes.
     ImageWanted(GroupId),
     /// This daemon is to be emptied: its replicas are replaced elsewhere while it serves on.
@@ -214,6 +226,8 @@
     Layout(LayoutStep),
     /// Another daemon shared a newer version of a document.
     Shared(SharedDocument),
+    /// Another daemon saw attempts at a back end fail.
+    BackendFailureHeard(BackendFailure),
     /// Carry out an operation on this daemon's store.
     Store(Box<StoreOrder>),
     /// End the process: another life of this daemon has taken its place.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -60,7 +60,7 @@
 pub use durable::RecoverError;
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
-pub use event::{Action, Event, ReleaseOrder, SharedDocument, StartAttempt};
+pub use event::{Action, BackendFailure, Event, ReleaseOrder, SharedDocument, StartAttempt};
 pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
 pub use members::DaemonView;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -15,7 +15,7 @@
 use crate::group::Group;
 use crate::node::Node;
 use crate::wire::PeerMessage;
-use crate::{Action, SharedDocument};
+use crate::{Action, BackendFailure, SharedDocument};
 
 /// How often a leader looks after the members of its group.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,6 +59,18 @@
         self.membership.publish(FactKey::Document(number), version, bytes);
     }
 
+    /// Tells others of attempts at a back end that failed here.
+    pub(crate) fn report_backend_failure(&mut self, failure: &BackendFailure) {
+        // A later life of this daemon begins above all versions of this one.
+        const REPORTS_PER_LIFE_BITS: u32 = 20;
+        self.failure_reports += 1;
+        let own = self.settings.own;
+        let version = (own.incarnation.0 << REPORTS_PER_LIFE_BITS) + self.failure_reports;
+        let backend = failure.backend.clone();
+        let key = FactKey::BackendFailure { backend, reporter: own.daemon };
+        self.membership.publish(key, version, vec![failure.failures]);
+    }
+
     /// A voter whose daemon lost its memory or its disk is replaced without waiting for the next
     /// regular look.
     fn note_life(&mut self, info: &MemberInfo, now: Timestamp) {
@@ -79,6 +91,12 @@
             self.actions.push(Action::Shared(document));
             return;
         }
+        if let FactKey::BackendFailure { backend, .. } = &fact.key {
+            let failures = fact.bytes.first().copied().unwrap_or_default();
+            let failure = BackendFailure { backend: backend.clone(), failures };
+            self.actions.push(Action::BackendFailureHeard(failure));
+            return;
+        }
         if let FactKey::Group(_) = fact.key
             && let Some(description) = decode(&fact.bytes)
         {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -55,6 +55,8 @@
     /// Messages that need not wait for a sync.
     pub(crate) unsynced: Coalescer,
     pub(crate) draining: bool,
+    /// Reports of failed back ends that this life has made.
+    pub(crate) failure_reports: u64,
 }
 
 /// What a node says of itself.
@@ -139,6 +141,7 @@
             coalescer: Coalescer::new(),
             unsynced: Coalescer::new(),
             draining: false,
+            failure_reports: 0,
         };
         if node.settings.has_store {
             node.publish_store();
@@ -175,6 +178,7 @@
             Event::Seeds(addresses) => self.membership.add_seeds(addresses),
             Event::Tolerance(tolerance) => self.change_tolerance(tolerance, now),
             Event::Share(document) => self.share(document),
+            Event::BackendFailed(failure) => self.report_backend_failure(&failure),
             Event::ImageWanted(group) => self.record_image(group),
             Event::Retire => self.retire_daemon(now),
             Event::Drain => self.drain(now),
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -1,10 +1,13 @@
 //! Daemons that hold groups, a place that keeps the layout, and links, all in virtual time.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, Event, HistorySettings, LayoutStep, Node, NodeFaults, NodeSettings};
+use dahlia_node::{
+    Action, BackendFailure, Event, HistorySettings, LayoutStep, Node, NodeFaults, NodeSettings,
+};
 use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_program::ProgramLimits;
 use dahlia_replication::directory::GroupDescription;
@@ -43,6 +46,8 @@
     tolerance: LossTolerance,
     sequence: u64,
     seed: u64,
+    /// Failures of back ends that each daemon heard of.
+    pub heard: BTreeMap<u32, Vec<BackendFailure>>,
 }
 
 impl Stores {
@@ -62,6 +67,7 @@
             tolerance,
             sequence: 0,
             seed,
+            heard: BTreeMap::new(),
         };
         daemons.iter().for_each(|daemon| stores.start(*daemon));
         stores.run_until(FIRST_LAYOUT_LIMIT, |stores| stores.layout.is_some());
@@ -89,6 +95,11 @@
         daemons.into_iter().for_each(|daemon| self.handle(daemon, event()));
     }
 
+    /// Puts an event to one daemon.
+    pub fn tell(&mut self, daemon: u32, event: Event) {
+        self.handle(daemon, event);
+    }
+
     /// Voters of each group in the first layout.
     pub fn voters_at_first(&self) -> Vec<usize> {
         let bytes = self.layout.as_ref().expect("the groups are laid out");
@@ -172,6 +183,9 @@
                     let answer = self.keep_layout(step);
                     self.push(now + LAYOUT_ANSWER, own, Delivery::Layout(answer));
                 }
+                Action::BackendFailureHeard(failure) => {
+                    self.heard.entry(daemon).or_default().push(failure);
+                }
                 _ => {}
             }
         }
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -110,6 +110,7 @@
             }
             // Engines here serve one model throughout, and no virtual daemon has a disk.
             Action::Order(_) | Action::Store(_) | Action::Persist(_) | Action::Shared(_) => {}
+            Action::BackendFailureHeard(_) => {}
             Action::Stop { .. } => self.kill_daemon(id, Duration::ZERO),
         }
     }
--- a/crates/replication/src/membership/facts.rs
+++ b/crates/replication/src/membership/facts.rs
@@ -17,6 +17,14 @@
     EngineLoad(EngineId),
     /// A load report of a daemon. Dropped when it is not renewed, and not compared.
     DaemonLoad(DaemonId),
+    /// Failed attempts at a back end, as one daemon saw them. Dropped when it is not renewed, and
+    /// not compared.
+    BackendFailure {
+        /// The back end's identifier.
+        backend: String,
+        /// Who saw them.
+        reporter: DaemonId,
+    },
     /// Anything else, by a number that the driver assigns.
     Other(u32),
     /// A document that every daemon reads elsewhere as a rule, by a number that the driver assigns.
@@ -27,7 +35,7 @@
 impl FactKey {
     /// Whether the fact is soon replaced: such facts spread by gossip only.
     pub fn is_load(&self) -> bool {
-        matches!(self, Self::EngineLoad(_) | Self::DaemonLoad(_))
+        matches!(self, Self::EngineLoad(_) | Self::DaemonLoad(_) | Self::BackendFailure { .. })
     }
 
     /// Whether news of the fact is passed on at once.
@@ -53,6 +61,7 @@
         const FIXED: usize = 24;
         let name = match &self.key {
             FactKey::EngineLoad(engine) => engine.as_str().len(),
+            FactKey::BackendFailure { backend, .. } => backend.len(),
             _ => 0,
         };
         FIXED + name + self.bytes.len()
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -42,13 +42,17 @@
         FactKey::DaemonLoad(daemon) => [2, u64::from(daemon.0)],
         FactKey::Other(number) => [3, u64::from(*number)],
         FactKey::Document(number) => [5, u64::from(*number)],
-        FactKey::EngineLoad(engine) => {
-            let bytes = engine.as_str().bytes();
-            [4, hash(&bytes.map(u64::from).collect::<Vec<u64>>())]
+        FactKey::EngineLoad(engine) => [4, hash_of_text(engine.as_str())],
+        FactKey::BackendFailure { backend, reporter } => {
+            [6, hash_of_text(backend) ^ u64::from(reporter.0)]
         }
     }
 }
 
+fn hash_of_text(text: &str) -> u64 {
+    hash(&text.bytes().map(u64::from).collect::<Vec<u64>>())
+}
+
 fn fact_bucket(key: &FactKey) -> usize {
     hash(&fact_words(key)) as usize % BUCKETS
 }
