--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -49,6 +49,9 @@
     Unreachable,
     /// The answer broke off, was not whole, or belonged to another attempt.
     Broken,
+    /// It was sent on a kept connection that the server had dropped: that says nothing of its
+    /// fitness.
+    Dropped,
     /// The caller left.
     Cancelled,
 }
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -122,7 +122,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Answered => self.unreachable_in_a_row = 0,
-            AttemptEnd::Cancelled => {}
+            AttemptEnd::Dropped | AttemptEnd::Cancelled => {}
             AttemptEnd::Refused => self.pause(settings.refused_pause_ms, now),
             AttemptEnd::Leaving => self.said_leaving = true,
             AttemptEnd::Broken | AttemptEnd::Failed => {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,14 +10,15 @@
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, Response, StatusCode, response};
 use hyper::body::Incoming;
-use tokio::time::{self, timeout};
+use tokio::time::{self, Instant, timeout};
 
 use crate::connection::{SendError, ServerConnection};
 use crate::counters::count;
 use crate::live::{AttemptGuard, LiveAnswer};
 use crate::outgoing::Outgoing;
-use crate::pool::Keeping;
+use crate::pool::{Connected, Keeping};
 use crate::relay::Shared;
+use crate::rest_limit::Reset;
 use crate::{Service, TurnLedger};
 
 /// How long the rest of a refusal is waited for, so that its connection can be kept.
@@ -45,18 +46,20 @@
     pub(crate) outgoing: Outgoing<'a>,
 }
 
-/// A connection kept from before, or a new one; none when there is none to be had.
+/// A connection kept from before, or a new one; none when there is none to be had. `may_lose` says
+/// whether the request may lose its answer on it.
 pub(crate) async fn connect<L>(
     shared: &Shared<L>,
     server: &BackendAddress,
-) -> Option<ServerConnection> {
-    if let Some(connection) = shared.pool.take(&server.id) {
-        return Some(connection);
+    may_lose: bool,
+) -> Option<Connected> {
+    if let Some(kept) = shared.pool.take(&server.id, may_lose) {
+        return Some(kept);
     }
     match ServerConnection::open(server.address, &shared.settings).await {
         Ok(connection) => {
             count(&shared.counters.connections_to_servers);
-            Some(connection)
+            Some(Connected { connection, rested: None })
         }
         Err(error) => {
             log::debug!(target: "relay", "{error}");
@@ -72,16 +75,21 @@
     /// The connection had closed before a byte left; the guard comes back.
     pub(crate) async fn send(
         self,
-        mut connection: ServerConnection,
+        connected: Connected,
         mut guard: AttemptGuard,
     ) -> Result<Sent, AttemptGuard> {
+        let Connected { mut connection, rested } = connected;
+        let began = Instant::now();
         guard.sending();
         match connection.send(self.outgoing.request()).await {
             Ok(answer) => Ok(self.judge(connection, answer, guard).await),
             Err(SendError::NotSent) => Err(guard),
             Err(error @ SendError::NoAnswer { .. }) => {
                 log::debug!(target: "relay", "attempt at {}: {error}", guard.server());
-                guard.set_end(AttemptEnd::Broken);
+                let reset = Reset { rested, after: began.elapsed() };
+                self.shared.pool.note_reset(reset);
+                let is_dropped = reset.is_of_dropped_connection();
+                guard.set_end(if is_dropped { AttemptEnd::Dropped } else { AttemptEnd::Broken });
                 Ok(Sent::Broken)
             }
         }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -119,11 +119,6 @@
         .await
     }
 
-    /// Whether nothing was sent on it yet.
-    pub(crate) fn is_new(&self) -> bool {
-        self.progress.written() == 0
-    }
-
     /// Whether another request may go over it: the one before is fully sent and answered, nothing
     /// is left over, and the server has not closed it. hyper wants no further request before.
     pub(crate) fn is_reusable(&mut self) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -137,10 +137,12 @@
 
     /// Sends the request to one server, on the first of its connections that is still open.
     async fn send_to(&mut self, server: &BackendAddress, mut guard: AttemptGuard) -> Sent {
-        while let Some(connection) = connect(&self.shared, server).await {
-            let is_new = connection.is_new();
+        // One lost answer may be made good by another server; it must not lose a second one.
+        let may_lose = self.may_run_again() && self.lost_answers == 0;
+        while let Some(connected) = connect(&self.shared, server, may_lose).await {
+            let is_new = connected.rested.is_none();
             self.sent();
-            guard = match self.sending(server).send(connection, guard).await {
+            guard = match self.sending(server).send(connected, guard).await {
                 Ok(sent) => return sent,
                 Err(guard) => guard,
             };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 //! | `urgency` | how urgent a request is to servers |
 //! | `outgoing`, `live` | a request as one server gets it, and its answer while it arrives |
 //! | `connection`, `pool` | connections to servers, and the idle ones |
+//! | `rest_limit` | how long a connection may have rested for a request that runs once |
 //! | `events` | server-sent events cut out of a stream |
 //! | `settings`, `counters` | settings, and what is counted |
 
@@ -47,6 +48,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod rest_limit;
 mod router;
 mod routes;
 mod server;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Duration, Instant};
 
 use crate::connection::ServerConnection;
+use crate::rest_limit::{Reset, RestLimit};
 use crate::{RelaySettings, Service, hop};
 
 /// How often connections that have grown old are looked for.
@@ -58,16 +59,29 @@
 struct IdleConnections {
     by_server: HashMap<BackendId, Vec<IdleConnection>>,
     swept_at: Instant,
+    rest_limit: RestLimit,
 }
 
 struct IdleConnection {
     connection: ServerConnection,
+    since: Instant,
     until: Instant,
 }
 
+/// A connection for one request.
+pub(crate) struct Connected {
+    pub(crate) connection: ServerConnection,
+    /// How long it rested before; none for a new one.
+    pub(crate) rested: Option<Duration>,
+}
+
 impl Pool {
     pub(crate) fn new() -> Self {
-        let idle = IdleConnections { by_server: HashMap::new(), swept_at: Instant::now() };
+        let idle = IdleConnections {
+            by_server: HashMap::new(),
+            swept_at: Instant::now(),
+            rest_limit: RestLimit::default(),
+        };
         Self { idle: Mutex::new(idle) }
     }
 
@@ -76,17 +90,25 @@
     }
 
     /// The connection of a server that was used last. It may have been closed meanwhile; then a
-    /// request on it is not sent.
-    pub(crate) fn take(&self, server: &BackendId) -> Option<ServerConnection> {
+    /// request on it is not sent. A request that may not lose its answer gets none that the
+    /// server may have dropped.
+    pub(crate) fn take(&self, server: &BackendId, may_lose: bool) -> Option<Connected> {
         let now = Instant::now();
         let mut idle = self.lock();
+        let rest_limit = idle.rest_limit;
         let connections = idle.by_server.get_mut(server)?;
-        loop {
-            let last = connections.pop()?;
-            if last.until > now {
-                return Some(last.connection);
-            }
+        connections.retain(|idle| idle.until > now);
+        let rested = now - connections.last()?.since;
+        if !may_lose && !rest_limit.allows(rested, now) {
+            return None;
         }
+        let IdleConnection { connection, .. } = connections.pop()?;
+        Some(Connected { connection, rested: Some(rested) })
+    }
+
+    /// Takes in that a request got a reset instead of an answer.
+    pub(crate) fn note_reset(&self, reset: Reset) {
+        self.lock().rest_limit.note(reset, Instant::now());
     }
 
     /// Keeps a connection, if it can be used again.
@@ -106,7 +128,8 @@
         if connections.len() >= keeping.most {
             connections.remove(0);
         }
-        connections.push(IdleConnection { connection, until: now + keeping.rest });
+        let until = now + keeping.rest;
+        connections.push(IdleConnection { connection, since: now, until });
     }
 }
 
