--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -1,22 +1,21 @@
 //! A few nodes in virtual time, with links that can be cut and messages that can be lost.
 
+#[path = "../plain_settings/mod.rs"]
+mod plain_settings;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
 use dahlia_ledger::{LedgerCommand, LedgerReply};
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, Event, HistorySettings, LayoutStep, Node, NodeFaults, NodeSettings};
-use dahlia_placement::{PlacementSettings, PolicyKind};
-use dahlia_program::ProgramLimits;
+use dahlia_node::{Action, Event, LayoutStep, Node, NodeSettings};
 use dahlia_replication::directory::GroupDescription;
 use dahlia_replication::group::GroupSettings;
-use dahlia_replication::maintenance::MaintenanceSettings;
-use dahlia_replication::membership::MembershipSettings;
-use dahlia_replication::tolerance::LossTolerance;
 use dahlia_types::{
-    DaemonId, Duration, GroupId, Incarnation, LogIndex, Region, ReplicaId, Term, Timestamp, Zone,
+    DaemonId, Duration, GroupId, Incarnation, LogIndex, ReplicaId, Term, Timestamp, Zone,
 };
+use plain_settings::{address, daemon_at, plain_settings};
 
 /// A gateway that no node has heard of.
 const STRANGER: u32 = 9;
@@ -29,7 +28,6 @@
 /// One way between any two daemons.
 pub const LINK: Duration = Duration::from_millis(1);
 
-const PORT: u16 = 7_000;
 const START: Timestamp = Timestamp(3_600_000_000);
 
 enum Delivery {
@@ -242,10 +240,7 @@
     }
 
     fn send(&mut self, from: u32, to: SocketAddr, message: PeerMessage) {
-        let IpAddr::V4(ip) = to.ip() else {
-            return;
-        };
-        let to = u32::from(ip.octets()[3]);
+        let Some(to) = daemon_at(to) else { return };
         match &message {
             PeerMessage::Groups(_) => self.messages.groups += 1,
             PeerMessage::Request { .. } => self.messages.requests += 1,
@@ -274,10 +269,6 @@
     ReplicaId { daemon: DaemonId(daemon), incarnation: Incarnation(1) }
 }
 
-fn address(daemon: u32) -> SocketAddr {
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, daemon as u8)), PORT)
-}
-
 fn layout() -> Vec<u8> {
     let description = GroupDescription {
         group: GROUP,
@@ -292,31 +283,11 @@
 
 pub fn settings(daemon: u32, group: &GroupSettings) -> NodeSettings {
     NodeSettings {
-        own: replica(daemon),
         zone: Zone::new(format!("zone-{daemon}")),
-        region: Region::new("region"),
-        address: address(daemon),
         seeds: vec![address(1), address(2)],
-        group_count: 1,
-        tolerance: LossTolerance::of_machines(1),
         bootstrap_daemons: Some(STORES.len() as u32),
-        group: group.clone(),
-        membership: MembershipSettings::default(),
-        maintenance: MaintenanceSettings::default(),
-        has_store: false,
-        history: HistorySettings::default(),
-        limits: ProgramLimits::default(),
-        placement: PlacementSettings::default(),
-        policy: PolicyKind::default(),
-        attempts_per_call: 1,
-        attempt_limit: Duration::from_secs(60),
-        keep_records: Duration::from_secs(60),
-        configuration: dahlia_configuration::Settings::default(),
         holds_groups: STORES.contains(&daemon),
-        life: 0,
-        follows_configuration: true,
-        first_document: None,
-        seed: u64::from(daemon),
-        faults: NodeFaults::default(),
+        group: group.clone(),
+        ..plain_settings(replica(daemon))
     }
 }
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -1,21 +1,18 @@
 //! Daemons that hold groups, a place that keeps the layout, and links, all in virtual time.
 #![allow(dead_code)]
 
+#[path = "../plain_settings/mod.rs"]
+mod plain_settings;
+
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{
-    Action, BackendFailure, Event, HistorySettings, LayoutStep, Node, NodeFaults, NodeSettings,
-};
-use dahlia_placement::{PlacementSettings, PolicyKind};
-use dahlia_program::ProgramLimits;
+use dahlia_node::{Action, BackendFailure, Event, LayoutStep, Node, NodeSettings};
 use dahlia_replication::directory::GroupDescription;
-use dahlia_replication::group::GroupSettings;
-use dahlia_replication::maintenance::MaintenanceSettings;
-use dahlia_replication::membership::MembershipSettings;
 use dahlia_replication::tolerance::LossTolerance;
-use dahlia_types::{DaemonId, Duration, Incarnation, Region, ReplicaId, Timestamp, Zone};
+use dahlia_types::{DaemonId, Duration, Incarnation, ReplicaId, Timestamp, Zone};
+use plain_settings::{address, daemon_at, plain_settings};
 
 /// Groups of the system.
 pub const GROUPS: u32 = 8;
@@ -24,7 +21,6 @@
 const LINK: Duration = Duration::from_millis(1);
 /// From the question about the layout to its answer.
 const LAYOUT_ANSWER: Duration = Duration::from_millis(4);
-const PORT: u16 = 7_000;
 const START: Timestamp = Timestamp(3_600_000_000);
 /// How long the groups have to be laid out and led.
 const FIRST_LAYOUT_LIMIT: Duration = Duration::from_secs(15);
@@ -200,8 +196,7 @@
     }
 
     fn send(&mut self, from: ReplicaId, to: SocketAddr, message: PeerMessage) {
-        let IpAddr::V4(ip) = to.ip() else { return };
-        let daemon = u32::from(ip.octets()[3]);
+        let Some(daemon) = daemon_at(to) else { return };
         let Some(life) = self.lives.get(&daemon).copied() else { return };
         self.push(self.now + LINK, replica(daemon, life), Delivery::Message { from, message });
     }
@@ -216,37 +211,13 @@
     ReplicaId { daemon: DaemonId(daemon), incarnation: Incarnation(life) }
 }
 
-fn address(daemon: u32) -> SocketAddr {
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, daemon as u8)), PORT)
-}
-
 fn settings(own: ReplicaId, tolerance: LossTolerance, seed: u64) -> NodeSettings {
     NodeSettings {
-        own,
         zone: Zone::new(format!("zone-{}", own.daemon.0 % 4)),
-        region: Region::new("region"),
-        address: address(own.daemon.0),
         seeds: vec![address(1), address(2), address(3)],
         group_count: GROUPS,
         tolerance,
-        bootstrap_daemons: None,
-        holds_groups: true,
-        life: 0,
-        group: GroupSettings::default(),
-        membership: MembershipSettings::default(),
-        maintenance: MaintenanceSettings::default(),
-        has_store: false,
-        history: HistorySettings::default(),
-        limits: ProgramLimits::default(),
-        placement: PlacementSettings::default(),
-        policy: PolicyKind::default(),
-        attempts_per_call: 1,
-        attempt_limit: Duration::from_secs(60),
-        keep_records: Duration::from_secs(60),
-        configuration: dahlia_configuration::Settings::default(),
-        follows_configuration: false,
-        first_document: None,
         seed: seed * 1_000 + u64::from(own.daemon.0),
-        faults: NodeFaults::default(),
+        ..plain_settings(own)
     }
 }
