--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -17,11 +17,56 @@
     pub tried: &'a [BackendId],
 }
 
+/// By what a server was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChoiceWay {
+    /// It is known to hold what the request needs.
+    Preferred,
+    /// All daemons prefer it for this affinity.
+    Affinity,
+    /// Those preferred have far more than the mean load: it is the least loaded.
+    LeastLoaded,
+    /// Nothing ties the request to a server: it is the least loaded, its zone considered.
+    Load,
+}
+
+impl ChoiceWay {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Preferred => "preferred",
+            Self::Affinity => "affinity",
+            Self::LeastLoaded => "least-loaded",
+            Self::Load => "load",
+        }
+    }
+}
+
+/// What a choice rested on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChoiceBasis {
+    /// By what it was chosen.
+    pub way: ChoiceWay,
+    /// Servers of the service that discovery lists.
+    pub listed: usize,
+    /// Of these, servers that take the request now.
+    pub usable: usize,
+    /// Of these, servers that neither failed of late nor are slow.
+    pub sound: usize,
+    /// Attempts of this daemon that the chosen one had before.
+    pub in_flight: u32,
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
     /// To this server. The attempt counts as begun.
-    Use(BackendAddress),
+    Use {
+        /// The server.
+        server: BackendAddress,
+        /// Why this one.
+        basis: ChoiceBasis,
+    },
     /// Every server has as much work as it takes.
     Full {
         /// When it is worth coming back.
@@ -55,3 +100,19 @@
     /// The caller left.
     Cancelled,
 }
+
+impl AttemptEnd {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Refused => "refused",
+            Self::Leaving => "leaving",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Dropped => "dropped",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -24,7 +24,7 @@
 mod settings;
 mod table;
 
-pub use choice::{Ask, AttemptEnd, Choice};
+pub use choice::{Ask, AttemptEnd, Choice, ChoiceBasis, ChoiceWay};
 pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
 pub use settings::BackendSettings;
 pub use table::{Backends, FailureListener};
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -10,7 +10,8 @@
 use crate::rendezvous::weight;
 use crate::server::Server;
 use crate::{
-    Ask, AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice, ServiceName,
+    Ask, AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice,
+    ChoiceBasis, ChoiceWay, ServiceName,
 };
 
 /// When to come back if no server of a service is known to take work.
@@ -80,6 +81,13 @@
         !servers.and_then(|servers| servers.get(id)).is_some_and(Server::takes_work)
     }
 
+    /// Whether a server failed so often of late that others are better.
+    pub fn is_suspect(&self, id: &BackendId, now: Timestamp) -> bool {
+        let servers = self.listed.get(id).and_then(|service| self.services.get(service));
+        let server = servers.and_then(|servers| servers.get(id));
+        server.is_some_and(|server| server.is_suspect(&self.settings, now))
+    }
+
     /// All servers listed, in the order of their identifiers.
     pub fn ids(&self) -> impl Iterator<Item = &BackendId> {
         self.listed.keys()
@@ -93,7 +101,7 @@
 
     /// Chooses a server. On [`Choice::Use`] the attempt counts as begun.
     pub fn choose(&mut self, ask: &Ask<'_>, now: Timestamp) -> Choice {
-        let Some(id) = self.pick(ask, now) else {
+        let Some((id, basis)) = self.pick(ask, now) else {
             return self.refuse(ask, now);
         };
         let servers = self.services.get_mut(ask.service);
@@ -101,7 +109,7 @@
             return Choice::NoBackend { retry_after: NO_BACKEND_RETRY };
         };
         server.begin(&self.settings, now);
-        Choice::Use(BackendAddress { id, address: server.record.address })
+        Choice::Use { server: BackendAddress { id, address: server.record.address }, basis }
     }
 
     /// Sets who is told of failures, so that other daemons hear of them.
@@ -157,7 +165,7 @@
         Some((server, &self.settings))
     }
 
-    fn pick(&mut self, ask: &Ask<'_>, now: Timestamp) -> Option<BackendId> {
+    fn pick(&mut self, ask: &Ask<'_>, now: Timestamp) -> Option<(BackendId, ChoiceBasis)> {
         let draw = self.random.random();
         let servers = self.services.get(ask.service)?;
         let usable: Vec<&Server> = self.usable(servers, ask, now).collect();
@@ -167,13 +175,19 @@
             !server.is_suspect(settings, now) && !server.is_slow(bound, settings, now)
         };
         let sound: Vec<&Server> = usable.iter().copied().filter(is_sound).collect();
+        let counts = (servers.len(), usable.len(), sound.len());
         // A server that failed of late, or is slow, is better than none.
         let candidates = if sound.is_empty() { usable } else { sound };
-        let chosen = match ask.affinity {
-            Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings.load_bound),
-            None => by_load(&candidates, &self.zone, settings.zone_penalty, draw),
+        let (server, way) = match ask.affinity {
+            Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings.load_bound)?,
+            None => {
+                let server = by_load(&candidates, &self.zone, settings.zone_penalty, draw)?;
+                (server, ChoiceWay::Load)
+            }
         };
-        chosen.map(|server| server.record.id.clone())
+        let (listed, usable, sound) = counts;
+        let basis = ChoiceBasis { way, listed, usable, sound, in_flight: server.in_flight };
+        Some((server.record.id.clone(), basis))
     }
 
     fn usable<'a>(
@@ -235,7 +249,7 @@
     hash: u64,
     preferred: Option<&BackendId>,
     load_bound: f64,
-) -> Option<&'a Server> {
+) -> Option<(&'a Server, ChoiceWay)> {
     let total: u32 = candidates.iter().map(|server| server.in_flight).sum();
     let slots: u32 = candidates.iter().map(|server| server.record.slots).sum();
     let mean = f64::from(total + 1) / f64::from(slots.max(1));
@@ -246,10 +260,17 @@
     };
     let is_preferred = |server: &&&Server| Some(&server.record.id) == preferred;
     let kept = candidates.iter().find(|server| is_preferred(server) && within(server));
-    let ranked =
-        || candidates.iter().filter(within).max_by_key(|server| weight(hash, &server.record.id));
-    let least = || candidates.iter().min_by(|left, right| left.load().total_cmp(&right.load()));
-    kept.or_else(ranked).or_else(least).copied()
+    let kept = kept.map(|server| (*server, ChoiceWay::Preferred));
+    let ranked = || {
+        let ranked = candidates.iter().filter(within);
+        let first = ranked.max_by_key(|server| weight(hash, &server.record.id));
+        first.map(|server| (*server, ChoiceWay::Affinity))
+    };
+    let least = || {
+        let least = candidates.iter().min_by(|left, right| left.load().total_cmp(&right.load()));
+        least.map(|server| (*server, ChoiceWay::LeastLoaded))
+    };
+    kept.or_else(ranked).or_else(least)
 }
 
 /// The least loaded server; one of another zone must be clearly less loaded.
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -41,7 +41,7 @@
 
 fn used(choice: Choice) -> Option<BackendId> {
     match choice {
-        Choice::Use(address) => Some(address.id),
+        Choice::Use { server, .. } => Some(server.id),
         Choice::Full { .. } | Choice::NoBackend { .. } => None,
     }
 }
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -119,7 +119,8 @@
     datagrams: DatagramSender,
     identity: Identity,
     board: AnswerBoard,
-    metrics: Arc<Metrics>,
+    /// What the daemon counts.
+    pub metrics: Arc<Metrics>,
     in_force: watch::Receiver<Option<Arc<Record>>>,
     core_task: JoinHandle<Option<Incarnation>>,
     tasks: Vec<JoinHandle<()>>,
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -76,7 +76,9 @@
             return ExitCode::FAILURE;
         }
     };
-    runtime.block_on(serve(&settings))
+    let code = runtime.block_on(serve(&settings));
+    logging::flush();
+    code
 }
 
 fn load(arguments: &Arguments) -> Result<Settings, String> {
--- a/crates/daemon/src/failure_reports.rs
+++ b/crates/daemon/src/failure_reports.rs
@@ -44,7 +44,11 @@
             *count = count.saturating_add(1);
         }
         for (backend, failures) in counts {
-            log::debug!(target: "backends", "{backend} failed {failures} attempts.");
+            log::info!(
+                target: "backends",
+                server = backend.0.as_str(), failures = failures;
+                "Failures of a server are told to other daemons."
+            );
             let failure = BackendFailure { backend: backend.0, failures };
             core.event(Event::BackendFailed(failure)).await;
         }
@@ -57,8 +61,18 @@
     clock: Clock,
 ) {
     while let Some(BackendFailure { backend, failures }) = heard.recv().await {
-        log::debug!(target: "backends", "Heard of {failures} failures of {backend}.");
+        let (backend, now) = (BackendId(backend), clock.now());
         let mut backends = backends.lock().unwrap_or_else(PoisonError::into_inner);
-        backends.heard_failures(&BackendId(backend), failures, clock.now());
+        let was_suspect = backends.is_suspect(&backend, now);
+        backends.heard_failures(&backend, failures, now);
+        let is_suspect = backends.is_suspect(&backend, now);
+        log::info!(
+            target: "backends",
+            server = backend.0.as_str(),
+            failures = failures,
+            was_suspect = was_suspect,
+            is_suspect = is_suspect;
+            "Heard of failures of a server."
+        );
     }
 }
--- a/crates/daemon/src/ledger_breaker.rs
+++ b/crates/daemon/src/ledger_breaker.rs
@@ -85,6 +85,11 @@
         Duration::from_millis(self.settings.retry_after_ms)
     }
 
+    /// Whether a group counts as silent.
+    pub fn is_silent(&self, group: GroupId) -> bool {
+        self.silent.contains_key(&group)
+    }
+
     /// Asks to put a command to a group for a caller that waits `patience` at most.
     pub fn admit(&mut self, group: GroupId, patience: Duration) -> Admission {
         let wait = self.wait(patience);
--- a/crates/daemon/src/ledger_client.rs
+++ b/crates/daemon/src/ledger_client.rs
@@ -58,6 +58,33 @@
         group: GroupId,
         command: LedgerCommand,
         until: Instant,
+    ) -> Result<LedgerReply, LedgerUnavailable> {
+        let turn = command.turn().cloned();
+        let asked = Instant::now();
+        let reply = self.ask_admitted(group, command, until).await;
+        let request = turn.as_ref().map_or("-", |turn| turn.0.as_str());
+        let took_ms = asked.elapsed().as_millis() as u64;
+        match &reply {
+            Ok(reply) => log::info!(
+                target: "ledger",
+                request = request, group:% = group, reply = reply.name(), took_ms = took_ms;
+                "The ledger answered."
+            ),
+            Err(error) => log::warn!(
+                target: "ledger",
+                request = request, group:% = group, cause:% = error,
+                was_asked = !error.was_not_asked, took_ms = took_ms;
+                "No answer of the ledger."
+            ),
+        }
+        reply
+    }
+
+    async fn ask_admitted(
+        &self,
+        group: GroupId,
+        command: LedgerCommand,
+        until: Instant,
     ) -> Result<LedgerReply, LedgerUnavailable> {
         let admission = self.breaker().admit(group, left(until));
         let (wait, _probe) = match admission {
@@ -78,8 +105,7 @@
             Err(_) => {
                 // The caller is let go, but a late answer still tells that the group is back.
                 tokio::spawn(answer);
-                self.breaker().unanswered(group, wait);
-
+                self.note(group, |breaker| breaker.unanswered(group, wait));
                 self.unavailable(format!("{group} did not answer in time"))
             }
         }
@@ -93,12 +119,12 @@
     ) -> Result<LedgerReply, LedgerUnavailable> {
         match self.core.request(Request::Ledger { group, command }).await {
             Response::Ledger(reply) => {
-                self.breaker().answered(group);
+                self.note(group, |breaker| breaker.answered(group));
                 Ok(reply)
             }
             Response::Failed(error) => {
                 if error.kind == ErrorKind::Unavailable {
-                    self.breaker().without_owner(group);
+                    self.note(group, |breaker| breaker.without_owner(group));
                 }
                 self.unavailable(format!("{group}: {error}"))
             }
@@ -106,6 +132,18 @@
         }
     }
 
+    /// Tells the breaker something, and says when it changes its mind on a group.
+    fn note(&self, group: GroupId, tell: impl FnOnce(&mut LedgerBreaker)) {
+        let mut breaker = self.breaker();
+        let was_silent = breaker.is_silent(group);
+        tell(&mut breaker);
+        match (was_silent, breaker.is_silent(group)) {
+            (false, true) => log::warn!(target: "ledger", group:% = group; "A group is silent."),
+            (true, false) => log::info!(target: "ledger", group:% = group; "A group is back."),
+            _ => {}
+        }
+    }
+
     fn unavailable<T>(&self, reason: String) -> Result<T, LedgerUnavailable> {
         let retry_after = Some(self.breaker().retry_after());
         Err(LedgerUnavailable { reason, retry_after, was_not_asked: false })
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -35,6 +35,8 @@
     waiting: IntGauge,
     generation: IntGauge,
     ready: IntGauge,
+    groups_short: IntGauge,
+    dropped_log_lines: IntCounter,
 }
 
 impl Metrics {
@@ -92,12 +94,25 @@
                 "Generation of the configuration held.",
             )?,
             ready: gauge("dahlialadder_ready", "1 when the daemon takes calls.")?,
+            groups_short: gauge(
+                "dahlialadder_groups_short",
+                "Groups owned here that lack a voter, or have one whose memory or disk is lost.",
+            )?,
+            dropped_log_lines: counter(
+                "dahlialadder_dropped_log_lines_total",
+                "Lines of logs dropped for want of room.",
+            )?,
             waiting: gauge("dahlialadder_requests_waiting", "Requests without an answer yet.")?,
             registry,
         };
         Ok(Arc::new(metrics))
     }
 
+    /// Where other parts of the process add their metrics.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Counts an error answer.
     pub fn count_error(&self, kind: ErrorKind) {
         self.errors.with_label_values(&[kind.name()]).inc();
@@ -124,6 +139,9 @@
         self.waiting.set(status.requests as i64);
         self.generation.set(status.configuration_generation as i64);
         self.ready.set(i64::from(status.ready));
+        self.groups_short.set(status.groups_short as i64);
+        let dropped = crate::logging::dropped_lines();
+        self.dropped_log_lines.inc_by(dropped.saturating_sub(self.dropped_log_lines.get()));
     }
 
     /// All metrics as text.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -129,16 +129,30 @@
     traffic: Arc<Traffic>,
 ) {
     let mut pauses = ReconnectPauses::default();
+    let mut failures: u32 = 0;
     loop {
         match identity.connect(peer, Purpose::Messages).await {
             Ok(frames) => {
+                log::info!(
+                    target: part::PEERS,
+                    peer:% = peer, failures_before = std::mem::take(&mut failures);
+                    "Connected."
+                );
                 pauses.reset();
                 if pump_connected(frames, &mut waiting, &traffic).await {
                     return;
                 }
+                log::warn!(target: part::PEERS, peer:% = peer; "Lost a connection.");
                 let _ = lost.send(Incoming::ConnectionLost(peer)).await;
             }
-            Err(error) => log::debug!(target: part::PEERS, "No connection. {error}."),
+            Err(error) => {
+                // One line for a row of failures; the next one tells how many there were.
+                let level = if failures == 0 { log::Level::Warn } else { log::Level::Debug };
+                failures += 1;
+                log::log!(
+                    target: part::PEERS, level, peer:% = peer, cause:% = error; "No connection."
+                );
+            }
         }
         // What queued up meanwhile is stale: its senders repeat with newer contents.
         while waiting.try_recv().is_ok() {}
@@ -165,7 +179,7 @@
             () = frames.ended() => return false,
         };
         if let Err(error) = send_waiting(&mut frames, message, waiting, traffic).await {
-            log::debug!(target: part::PEERS, "Lost a connection. {error}.");
+            log::debug!(target: part::PEERS, cause:% = error; "Sending failed.");
             return false;
         }
     }
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -149,6 +149,28 @@
         }
     }
 
+    /// The turn that it is about, for logs; none when it is about no single one.
+    pub fn turn(&self) -> Option<&TurnId> {
+        match self {
+            Self::Open(open) => Some(&open.turn),
+            Self::Close(close) => Some(&close.turn),
+            Self::Import(import) => Some(&import.turn),
+            Self::Read { turn, .. } => Some(turn),
+            Self::Expire { .. } => None,
+        }
+    }
+
+    /// Its name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Open(_) => "open",
+            Self::Close(_) => "close",
+            Self::Read { .. } => "read",
+            Self::Import(_) => "import",
+            Self::Expire { .. } => "expire",
+        }
+    }
+
     /// Bytes of text that it carries.
     pub fn text_bytes(&self) -> usize {
         match self {
@@ -243,3 +265,21 @@
     /// Turns and programs were forgotten.
     Expired,
 }
+
+impl LedgerReply {
+    /// Its name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Opened(_) => "opened",
+            Self::Refused(TurnRefusal::BudgetSpent { .. }) => "budget-spent",
+            Self::Refused(TurnRefusal::NoSuchTurn { .. }) => "no-such-turn",
+            Self::Refused(TurnRefusal::NotEnded { .. }) => "not-ended",
+            Self::Refused(TurnRefusal::AlreadyEnded) => "already-ended",
+            Self::Refused(TurnRefusal::LimitReached { .. }) => "limit-reached",
+            Self::Closed => "closed",
+            Self::Chain(_) => "chain",
+            Self::Imported => "imported",
+            Self::Expired => "expired",
+        }
+    }
+}
--- /dev/null
+++ b/crates/logging/src/install.rs
@@ -0,0 +1,75 @@
+//! Puts the parts together as the process's logger.
+
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, SystemTime};
+
+use log::kv::Key;
+use log::{LevelFilter, Record};
+use snafu::ResultExt;
+
+use crate::settings::{FileSnafu, InstallSnafu, LevelSnafu, ThreadSnafu, parse_level};
+use crate::{LineBuffer, LineWriter, LogSettings, LoggingError, REQUEST_FIELD, Rank, format_line};
+
+/// Libraries that speak up only when something is wrong.
+const LIBRARIES: [&str; 8] =
+    ["hyper", "salvo", "salvo_core", "reqwest", "h2", "tonic", "tower", "hyper_util"];
+/// The longest wait for lines to be written when the process ends.
+const LAST_FLUSH: Duration = Duration::from_millis(500);
+
+static INSTALLED: OnceLock<Arc<LineBuffer>> = OnceLock::new();
+
+/// Installs the process's logger.
+///
+/// # Errors
+/// [`LoggingError`] when a level is unknown, the file cannot be opened or a logger exists.
+pub fn install(settings: &LogSettings) -> Result<(), LoggingError> {
+    let level = parse_level("log.level", &settings.level).context(LevelSnafu)?;
+    let buffer = Arc::new(LineBuffer::new(settings.buffer_kb * 1024));
+    let mut dispatch = fern::Dispatch::new().level(level);
+    for library in LIBRARIES {
+        dispatch = dispatch.level_for(library, level.min(LevelFilter::Warn));
+    }
+    for (part, name) in &settings.parts {
+        let part_level = parse_level(&format!("log.parts.{part}"), name).context(LevelSnafu)?;
+        dispatch = dispatch.level_for(part.clone(), part_level);
+    }
+    let sink = sink(settings)?;
+    let filled = Arc::clone(&buffer);
+    dispatch = dispatch.chain(fern::Output::call(move |record| put(&filled, record)));
+    dispatch.apply().context(InstallSnafu)?;
+    let gather = Duration::from_millis(settings.gather_ms);
+    LineWriter::new(Arc::clone(&buffer), sink, gather).start().context(ThreadSnafu)?;
+    // Only the first logger of a process is installed, so that this one is it.
+    let _ = INSTALLED.set(buffer);
+    Ok(())
+}
+
+fn sink(settings: &LogSettings) -> Result<Box<dyn Write + Send>, LoggingError> {
+    let Some(path) = &settings.file else { return Ok(Box::new(io::stdout())) };
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    Ok(Box::new(file.context(FileSnafu { path })?))
+}
+
+fn put(buffer: &LineBuffer, record: &Record<'_>) {
+    let request = record.key_values().get(Key::from_str(REQUEST_FIELD));
+    let request = request.map(|request| request.to_string());
+    let rank = Rank::of(record, request.is_some());
+    let is_kept = rank != Rank::Routine || request.is_none_or(|request| buffer.keeps(&request));
+    if is_kept {
+        buffer.push(rank, &format_line(record, SystemTime::now()));
+    }
+}
+
+/// Waits a moment until all lines are written; for the end of a process.
+pub fn flush() {
+    if let Some(buffer) = INSTALLED.get() {
+        buffer.flush(LAST_FLUSH);
+    }
+}
+
+/// Lines dropped for want of room since the start.
+pub fn dropped_lines() -> u64 {
+    INSTALLED.get().map_or(0, |buffer| buffer.dropped_ever())
+}
--- /dev/null
+++ b/crates/logging/src/settings.rs
@@ -0,0 +1,95 @@
+//! Where logs go and how much is said.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use dahlia_types::{InvalidSetting, check_range};
+use log::LevelFilter;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Settings of the logs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// `off`, `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// Another level for single parts, e.g. `peers = "debug"`.
+    pub parts: BTreeMap<String, String>,
+    /// A file to append to; absent means standard output.
+    pub file: Option<PathBuf>,
+    /// Kilobytes of lines that wait to be written; beyond it lines are dropped and counted.
+    pub buffer_kb: usize,
+    /// Milliseconds in which lines gather before they are written together. With `buffer_kb` it
+    /// bounds what a process writes in a second.
+    pub gather_ms: u64,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+            parts: BTreeMap::new(),
+            file: None,
+            buffer_kb: 128,
+            gather_ms: 100,
+        }
+    }
+}
+
+impl LogSettings {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// The first field with a value that is not allowed.
+    pub fn check(&self) -> Result<(), InvalidSetting> {
+        parse_level("log.level", &self.level)?;
+        for (part, level) in &self.parts {
+            parse_level(&format!("log.parts.{part}"), level)?;
+        }
+        check_range("log.buffer_kb", self.buffer_kb, 4, 65_536)?;
+        check_range("log.gather_ms", self.gather_ms, 0, 10_000)
+    }
+}
+
+/// Why logging could not be set up.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum LoggingError {
+    /// A level's name is unknown.
+    #[snafu(display("{source}"))]
+    Level {
+        /// The field.
+        source: InvalidSetting,
+    },
+    /// The log file could not be opened.
+    #[snafu(display("opening the log file {}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The writing thread could not be started.
+    #[snafu(display("starting the thread that writes logs: {source}"))]
+    Thread {
+        /// Cause.
+        source: io::Error,
+    },
+    /// A logger is installed already.
+    #[snafu(display("installing the logger: {source}"))]
+    Install {
+        /// Cause.
+        source: log::SetLoggerError,
+    },
+}
+
+pub(crate) fn parse_level(field: &str, name: &str) -> Result<LevelFilter, InvalidSetting> {
+    LevelFilter::from_str(name).map_err(|_| InvalidSetting {
+        field: field.to_owned(),
+        value: format!("{name:?}"),
+        allowed: "off, error, warn, info, debug, trace".to_owned(),
+    })
+}
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -43,7 +43,17 @@
                     let message = PeerMessage::Membership(Box::new(message));
                     self.actions.push(Action::Send { to, message });
                 }
-                MembershipAction::MemberChanged(record) => self.note_life(&record.info, now),
+                MembershipAction::MemberChanged(record) => {
+                    log::info!(
+                        target: "members",
+                        daemon:% = record.info.replica(),
+                        state:? = record.info.state,
+                        health:? = record.health,
+                        version = record.version;
+                        "A member changed."
+                    );
+                    self.note_life(&record.info, now);
+                }
                 MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
                 MembershipAction::Superseded { by } => {
                     log::error!(target: "members", "A later life of this daemon runs: {by}.");
@@ -211,11 +221,13 @@
             let refused = match step {
                 None => continue,
                 Some(MaintenanceStep::Change(change)) => {
-                    log::info!(target: "groups", "{}: {change:?}.", group.replica.group());
+                    let name = group.replica.group();
+                    log::info!(target: "groups", group:% = name, change:? = change; "Members change.");
                     group.replica.change_members(change).err().map(|error| error.to_string())
                 }
                 Some(MaintenanceStep::Transfer(to)) => {
-                    log::info!(target: "groups", "{}: hands over to {to}.", group.replica.group());
+                    let name = group.replica.group();
+                    log::info!(target: "groups", group:% = name, to:% = to; "Leadership handed over.");
                     group.replica.transfer_leadership(to).err().map(|error| error.to_string())
                 }
             };
--- a/crates/node/src/outputs.rs
+++ b/crates/node/src/outputs.rs
@@ -1,14 +1,46 @@
 //! What the replicas of groups ask for: messages, committed entries, snapshots, ownership.
 
-use dahlia_program::GroupState;
-use dahlia_replication::group::{Entry, GroupMessage, Output, Snapshot};
-use dahlia_types::{Duration, GroupId, LogIndex, Timestamp};
+use dahlia_ledger::{LedgerCommand, LedgerReply};
+use dahlia_program::{Applied, Command, GroupState};
+use dahlia_replication::group::{Entry, GroupMessage, Output, Role, Snapshot};
+use dahlia_types::{Duration, GroupId, LogIndex, ReplicaId, Term, Timestamp};
 
 use crate::Action;
 use crate::group::{Group, Purpose, decode};
 use crate::node::Node;
 use crate::request::Response;
 
+/// The owner's decision on a turn, with the epoch and the entry that it rests on.
+fn note_ledger(id: GroupId, entry: &Entry, command: &LedgerCommand, reply: &LedgerReply) {
+    let Some(turn) = command.turn() else { return };
+    log::info!(
+        target: "ledger",
+        request = turn.0.as_str(),
+        program = command.program().map_or("-", |program| program.0.as_str()),
+        group:% = id,
+        command = command.name(),
+        outcome = reply.name(),
+        epoch = entry.term.0,
+        entry = entry.index.0;
+        "Decided."
+    );
+}
+
+/// A change of what this replica believes; asking for votes is none yet.
+fn note_role(id: GroupId, role: Role, term: Term, leader: Option<ReplicaId>) {
+    let level = match role {
+        Role::PreCandidate | Role::Candidate => log::Level::Debug,
+        Role::Leader | Role::Follower | Role::Learner => log::Level::Info,
+    };
+    let leader = leader.map_or_else(|| "-".to_owned(), |leader| leader.to_string());
+    log::log!(
+        target: "groups",
+        level,
+        group:% = id, role:? = role, term = term.0, leader = leader.as_str();
+        "Role changed."
+    );
+}
+
 /// How often expired programs are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -24,7 +56,7 @@
                 Output::Committed(entry) => self.apply(id, &entry, now),
                 Output::Restore(snapshot) => self.restore(id, &snapshot),
                 Output::RoleChanged { role, term, leader } => {
-                    log::debug!(target: "groups", "{id}: {role:?} in {term}, leader {leader:?}.");
+                    note_role(id, role, term, leader);
                 }
                 Output::MembersChanged { index, .. } => self.members_changed(id, index),
                 Output::SnapshotWanted => self.compact(id),
@@ -62,6 +94,11 @@
             return;
         };
         let result = group.state.apply(entry.index, entry.term, &command);
+        if let (Command::Ledger(ledger), Ok(Applied::Ledger(reply)), true) =
+            (&command, &result, group.is_serving())
+        {
+            note_ledger(id, entry, ledger, reply);
+        }
         let serving = group.is_serving();
         for purpose in settled.lost {
             self.lost(id, purpose);
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -20,9 +20,10 @@
         };
         log::info!(
             target: "groups",
-            "Owner of {id} in epoch {} with {} programs.",
-            group.replica.term(),
-            group.state.programs().count()
+            group:% = id,
+            epoch = group.replica.term().0,
+            programs = group.state.programs().count();
+            "This daemon owns a group."
         );
         let ended: Vec<ProgramId> = group
             .state
@@ -97,7 +98,7 @@
         let Some(group) = self.groups.get_mut(&id) else {
             return;
         };
-        log::info!(target: "groups", "No longer owner of {id}.");
+        log::info!(target: "groups", group:% = id; "This daemon owns a group no longer.");
         group.serving = None;
         self.recalled.retain(|attempt| attempt.call.program.group != id);
         self.refusals.retain(|attempt, _| attempt.call.program.group != id);
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -13,6 +13,7 @@
 use crate::TurnLedger;
 use crate::body::{AnswerBody, BrokenOff, Pieces};
 use crate::counters::count;
+use crate::decisions::LeavingGuard;
 use crate::events::EventReader;
 use crate::exchange::{Answer, Exchange};
 use crate::hop;
@@ -30,9 +31,11 @@
             if live.did_not_run {
                 exchange.did_not_run();
             }
+            exchange.log.answered(live.server(), live.parts.status, body.len());
             whole(live.parts, body, method)
         }
         Answer::Stream { mut live, first } => {
+            exchange.log.stream_began(live.server(), live.parts.status);
             let mut head = Response::new(());
             *head.status_mut() = live.parts.status;
             *head.headers_mut() = mem::take(&mut live.parts.headers);
@@ -78,6 +81,9 @@
     is_resumed: bool,
     /// The server whose answer ended whole.
     served_by: String,
+    /// Why the stream is broken off; what the caller's leaving leaves behind otherwise.
+    broken_by: Option<String>,
+    leaving: LeavingGuard,
 }
 
 /// What the caller gets next.
@@ -90,7 +96,11 @@
 impl<L: TurnLedger> StreamedAnswer<L> {
     fn new(exchange: Exchange<L>, live: Box<LiveAnswer>, first: Option<Bytes>) -> Self {
         let needs_events = exchange.route().is_resumable || exchange.turn.is_some();
+        let mut leaving = LeavingGuard::default();
+        leaving.began(exchange.log.clone());
         Self {
+            leaving,
+            broken_by: None,
             exchange,
             live: Some(live),
             ready: first,
@@ -105,8 +115,12 @@
             let mut answer = answer?;
             match answer.next().await {
                 Next::Piece(piece) => Some((Ok(piece), Some(answer))),
-                Next::End => None,
+                Next::End => {
+                    answer.ended_whole();
+                    None
+                }
                 Next::BreakOff => {
+                    answer.broken_off();
                     // hyper throws away what it has not flushed when a body fails. It flushes
                     // when a body has to wait, so that the caller gets every piece before.
                     yield_now().await;
@@ -122,7 +136,26 @@
     async fn next(&mut self) -> Next {
         let deadline = self.exchange.deadline;
         // The stream is cut at the deadline, and its server stops with the connection.
-        timeout_at(deadline, self.next_in_time()).await.unwrap_or(Next::BreakOff)
+        match timeout_at(deadline, self.next_in_time()).await {
+            Ok(next) => next,
+            Err(_) => self.break_off("the deadline passed"),
+        }
+    }
+
+    fn break_off(&mut self, cause: &str) -> Next {
+        self.broken_by = Some(cause.to_owned());
+        Next::BreakOff
+    }
+
+    fn ended_whole(&mut self) {
+        self.leaving.ended();
+        self.exchange.log.stream_ended(&self.served_by);
+    }
+
+    fn broken_off(&mut self) {
+        self.leaving.ended();
+        let cause = self.broken_by.as_deref().unwrap_or("no other server may take it up");
+        self.exchange.log.stream_broken(cause);
     }
 
     async fn next_in_time(&mut self) -> Next {
@@ -131,7 +164,7 @@
                 return Next::Piece(piece);
             }
             if self.has_overlong_event() {
-                return Next::BreakOff;
+                return self.break_off("an event is too long");
             }
             let Some(live) = &mut self.live else { return self.end().await };
             match live.next().await {
@@ -188,12 +221,9 @@
 
     async fn end(&mut self) -> Next {
         let Some(turn) = self.exchange.turn.take() else { return Next::End };
-        match turn.whole(mem::take(&mut self.served_by)).await {
+        match turn.whole(self.served_by.clone()).await {
             Ok(()) => Next::End,
-            Err(error) => {
-                log::warn!(target: "relay", "a turn is broken off at its end: {error}");
-                Next::BreakOff
-            }
+            Err(error) => self.break_off(&format!("the turn is not recorded: {error}")),
         }
     }
 
@@ -206,6 +236,7 @@
         while self.exchange.answer_lost().await.is_ok() {
             let Ok(mut live) = self.exchange.live_answer().await else { return false };
             if live.parts.status.is_success() {
+                self.exchange.log.stream_resumed(live.server());
                 self.live = Some(live);
                 self.is_resumed = true;
                 count(&self.exchange.shared.counters.resumed);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -85,11 +85,11 @@
             Ok(answer) => Ok(self.judge(connection, answer, guard).await),
             Err(SendError::NotSent) => Err(guard),
             Err(error @ SendError::NoAnswer { .. }) => {
-                log::debug!(target: "relay", "attempt at {}: {error}", guard.server());
                 let reset = Reset { rested, after: began.elapsed() };
                 self.shared.pool.note_reset(reset);
                 let is_dropped = reset.is_of_dropped_connection();
-                guard.set_end(if is_dropped { AttemptEnd::Dropped } else { AttemptEnd::Broken });
+                let end = if is_dropped { AttemptEnd::Dropped } else { AttemptEnd::Broken };
+                guard.fail(end, &error.to_string());
                 Ok(Sent::Broken)
             }
         }
@@ -103,7 +103,7 @@
     ) -> Sent {
         let (parts, body) = answer.into_parts();
         if !self.is_ours(&parts) {
-            guard.set_end(AttemptEnd::Broken);
+            guard.fail(AttemptEnd::Broken, "the answer belongs to another attempt");
             return Sent::Broken;
         }
         let verdict = verdict(&parts, &self.shared.headers.not_run);
@@ -121,11 +121,11 @@
                 let retry_after = retry_after(&live.parts.headers);
                 let rest = live.read_whole(MOST_REFUSAL_BYTES);
                 let _ = timeout(REFUSAL_BODY_TIMEOUT, rest).await;
-                live.set_end(end);
+                live.fail(end, &format!("not run: {}", live.parts.status));
                 Sent::NotRun { retry_after }
             }
             Verdict::Unsafe => {
-                live.set_end(AttemptEnd::Broken);
+                live.fail(AttemptEnd::Broken, "a promise that the server does not keep");
                 Sent::Broken
             }
         }
--- /dev/null
+++ b/crates/relay/src/decisions.rs
@@ -0,0 +1,234 @@
+//! Decisions on one request as they are logged and counted: a line each, with the request's
+//! identifier, what decided it, and the outcome.
+//!
+//! Decisions on requests that go well are of level info, refusals and failures warn. No body, no
+//! header but identifiers, and no address of a caller is ever logged.
+
+use std::sync::Arc;
+
+use dahlia_backends::{AttemptEnd, BackendId, ChoiceBasis, ServiceName};
+use dahlia_types::Duration;
+use http::{HeaderValue, StatusCode};
+use tokio::time::Instant;
+
+use crate::metrics::RelayMetrics;
+use crate::refusal::Refusal;
+use crate::request::RequestHead;
+use crate::router::Matched;
+
+/// What stands for an identifier that is missing or is no text.
+const NOT_NAMED: &str = "-";
+
+/// One request as its log lines name it. Cheap to clone.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestLog {
+    metrics: Arc<RelayMetrics>,
+    service: Option<ServiceName>,
+    attempt: Option<HeaderValue>,
+    arrived: Instant,
+}
+
+impl RequestLog {
+    /// A request whose head was not read yet.
+    pub(crate) fn new(metrics: Arc<RelayMetrics>, arrived: Instant) -> Self {
+        Self { metrics, service: None, attempt: None, arrived }
+    }
+
+    /// The head is read: from now on lines name the request.
+    pub(crate) fn name(&mut self, head: &RequestHead) {
+        self.attempt = Some(head.attempt.clone());
+    }
+
+    fn request(&self) -> &str {
+        let text = self.attempt.as_ref().and_then(|attempt| attempt.to_str().ok());
+        text.unwrap_or(NOT_NAMED)
+    }
+
+    fn answer_began(&self) {
+        if let Some(service) = &self.service {
+            self.metrics.answer_began(service, self.arrived.elapsed());
+        }
+    }
+
+    fn answer_ended(&self) {
+        if let Some(service) = &self.service {
+            self.metrics.answer_ended(service, self.arrived.elapsed());
+        }
+    }
+
+    fn age_ms(&self) -> u64 {
+        self.arrived.elapsed().as_millis() as u64
+    }
+
+    /// A route takes it.
+    pub(crate) fn routed(&mut self, matched: &Matched, program: Option<&str>, deadline: Instant) {
+        self.service = Some(matched.service_name().clone());
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            program = program.unwrap_or(NOT_NAMED),
+            route = matched.route().name.as_str(),
+            service = matched.service_name().0.as_str(),
+            generation = matched.generation(),
+            deadline_ms = deadline.saturating_duration_since(self.arrived).as_millis() as u64;
+            "Taken."
+        );
+    }
+
+    /// The ledger opened its turn.
+    pub(crate) fn turn_opened(&self, history_bytes: usize, served_by: Option<&str>) {
+        self.metrics.turn_opened(self.arrived.elapsed());
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            history_bytes = history_bytes,
+            last_server = served_by.unwrap_or(NOT_NAMED),
+            age_ms = self.age_ms();
+            "Turn opened."
+        );
+    }
+
+    /// A server was chosen.
+    pub(crate) fn chosen(&self, server: &BackendId, basis: &ChoiceBasis, sends_before: usize) {
+        self.metrics.chosen(basis.way);
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            server = server.0.as_str(),
+            way = basis.way.name(),
+            in_flight = basis.in_flight,
+            sound = basis.sound,
+            usable = basis.usable,
+            listed = basis.listed,
+            sends_before = sends_before,
+            age_ms = self.age_ms();
+            "Server chosen."
+        );
+    }
+
+    /// A send did not bring the request's answer.
+    pub(crate) fn attempt_failed(&self, server: &BackendId, end: AttemptEnd, cause: &str) {
+        self.metrics.attempt_failed(end);
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            server = server.0.as_str(),
+            end = end.name(),
+            cause = cause,
+            age_ms = self.age_ms();
+            "An attempt failed."
+        );
+    }
+
+    /// A server's answer is handed on whole.
+    pub(crate) fn answered(&self, server: &BackendId, status: StatusCode, bytes: usize) {
+        self.answer_began();
+        self.answer_ended();
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            server = server.0.as_str(),
+            status = status.as_u16(),
+            bytes = bytes,
+            age_ms = self.age_ms();
+            "Answered."
+        );
+    }
+
+    /// A server's stream begins.
+    pub(crate) fn stream_began(&self, server: &BackendId, status: StatusCode) {
+        self.answer_began();
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            server = server.0.as_str(),
+            status = status.as_u16(),
+            age_ms = self.age_ms();
+            "Stream began."
+        );
+    }
+
+    /// A broken stream goes on at another server.
+    pub(crate) fn stream_resumed(&self, server: &BackendId) {
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            server = server.0.as_str(),
+            age_ms = self.age_ms();
+            "Stream resumed."
+        );
+    }
+
+    /// The stream ended whole.
+    pub(crate) fn stream_ended(&self, server: &str) {
+        self.answer_ended();
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            server = server,
+            age_ms = self.age_ms();
+            "Stream ended whole."
+        );
+    }
+
+    /// The stream is broken off.
+    pub(crate) fn stream_broken(&self, cause: &str) {
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            cause = cause,
+            age_ms = self.age_ms();
+            "Stream broken off."
+        );
+    }
+
+    /// The relay ends the request itself.
+    pub(crate) fn refused(&self, refusal: &Refusal) {
+        self.metrics.refused(refusal.name());
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            status = refusal.status().as_u16(),
+            cause:% = refusal,
+            retry_after_ms = refusal.retry_after().map_or(0, Duration::as_millis),
+            age_ms = self.age_ms();
+            "Refused."
+        );
+    }
+
+    /// The caller left before its answer, or before the end of its stream.
+    fn caller_left(&self) {
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            age_ms = self.age_ms();
+            "The caller left."
+        );
+    }
+}
+
+/// Tells that the caller left, unless the request was ended before.
+#[derive(Default)]
+pub(crate) struct LeavingGuard {
+    log: Option<RequestLog>,
+}
+
+impl LeavingGuard {
+    /// The request has begun.
+    pub(crate) fn began(&mut self, log: RequestLog) {
+        self.log = Some(log);
+    }
+
+    /// The request has its end.
+    pub(crate) fn ended(&mut self) {
+        self.log = None;
+    }
+}
+
+impl Drop for LeavingGuard {
+    fn drop(&mut self) {
+        if let Some(log) = &self.log {
+            log.caller_left();
+        }
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{Sending, Sent, connect};
 use crate::connection::is_refused;
 use crate::counters::count;
+use crate::decisions::RequestLog;
 use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
 use crate::outgoing::Outgoing;
 use crate::prompt_parts::last_shared_part;
@@ -29,6 +30,7 @@
     pub(crate) turn: Option<Turn<L>>,
     /// Identifier of the last event that was handed on.
     pub(crate) last_event: Option<Bytes>,
+    pub(crate) log: RequestLog,
     head: RequestHead,
     body: Bytes,
     preferred: Option<BackendId>,
@@ -60,8 +62,10 @@
         head: RequestHead,
         body: Bytes,
         deadline: Instant,
+        log: RequestLog,
     ) -> Self {
         Self {
+            log,
             shared,
             matched,
             deadline,
@@ -89,6 +93,7 @@
             Turn::open(&self.shared, &self.matched, &self.head, &self.body, self.deadline);
         let Some((turn, opened)) = opening.await? else { return Ok(()) };
         self.turn = Some(turn);
+        self.log.turn_opened(opened.history.len(), opened.last_served_by.as_deref());
         self.preferred = opened.last_served_by.map(BackendId);
         if !opened.history.is_empty() {
             let mut prompt = BytesMut::from(opened.history.as_slice());
@@ -122,7 +127,7 @@
     pub(crate) async fn live_answer(&mut self) -> Result<Box<LiveAnswer>, Refusal> {
         loop {
             let server = self.choose()?;
-            let guard = AttemptGuard::new(&self.shared, server.id.clone());
+            let guard = AttemptGuard::new(&self.shared, server.id.clone(), self.log.clone());
             count(&self.shared.counters.attempts);
             let sent = self.send_to(&server, guard).await;
             self.tried.push(server.id.clone());
@@ -151,7 +156,7 @@
                 break;
             }
         }
-        guard.set_end(AttemptEnd::Unreachable);
+        guard.fail(AttemptEnd::Unreachable, "no connection took a byte of it");
         Sent::NotRun { retry_after: None }
     }
 
@@ -178,7 +183,10 @@
         let now = (self.shared.clock)();
         let mut backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
         match backends.choose(&ask, now) {
-            Choice::Use(server) => Ok(server),
+            Choice::Use { server, basis } => {
+                self.log.chosen(&server.id, &basis, self.tried.len());
+                Ok(server)
+            }
             Choice::Full { retry_after } | Choice::NoBackend { retry_after } => {
                 Err(self.give_up(retry_after))
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,7 +28,8 @@
 //! | `connection`, `pool` | connections to servers, and the idle ones |
 //! | `rest_limit` | how long a connection may have rested for a request that runs once |
 //! | `events` | server-sent events cut out of a stream |
-//! | `settings`, `counters` | settings, and what is counted |
+//! | `settings`, `counters`, `metrics` | settings, and what is counted and timed |
+//! | `decisions` | log lines on a request's decisions |
 
 mod answer;
 mod attempt;
@@ -36,12 +37,14 @@
 mod caller;
 mod connection;
 mod counters;
+mod decisions;
 mod events;
 mod exchange;
 mod headers;
 mod hop;
 mod ledger;
 mod live;
+mod metrics;
 mod outgoing;
 mod pool;
 mod prompt_parts;
--- a/crates/relay/src/live.rs
+++ b/crates/relay/src/live.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 
 use crate::connection::ServerConnection;
+use crate::decisions::RequestLog;
 use crate::pool::{Keeping, Pool};
 use crate::relay::{Clock, Shared};
 
@@ -24,27 +25,27 @@
     clock: Clock,
     server: BackendId,
     end: AttemptEnd,
+    log: RequestLog,
     /// When the attempt was sent; none before, and once its answer has begun.
     waits_since: Option<Timestamp>,
 }
 
 impl AttemptGuard {
-    pub(crate) fn new<L>(shared: &Shared<L>, server: BackendId) -> Self {
+    pub(crate) fn new<L>(shared: &Shared<L>, server: BackendId, log: RequestLog) -> Self {
         Self {
             backends: Arc::clone(&shared.backends),
             clock: Arc::clone(&shared.clock),
             server,
             end: AttemptEnd::Cancelled,
+            log,
             waits_since: None,
         }
     }
 
-    pub(crate) fn server(&self) -> &BackendId {
-        &self.server
-    }
-
-    pub(crate) fn set_end(&mut self, end: AttemptEnd) {
+    /// The attempt did not bring its request's answer.
+    pub(crate) fn fail(&mut self, end: AttemptEnd, cause: &str) {
         self.end = end;
+        self.log.attempt_failed(&self.server, end, cause);
     }
 
     /// The attempt is being sent.
@@ -105,6 +106,11 @@
         &self.guard.server
     }
 
+    /// Tells that this is no answer for the caller.
+    pub(crate) fn fail(&mut self, end: AttemptEnd, cause: &str) {
+        self.guard.fail(end, cause);
+    }
+
     /// Overrides what is told of the attempt's end.
     pub(crate) fn set_end(&mut self, end: AttemptEnd) {
         self.guard.end = end;
@@ -119,9 +125,8 @@
         match connection.next_data(&mut self.body).await {
             Some(Ok(piece)) => Some(Ok(piece)),
             Some(Err(error)) => {
-                log::debug!(target: "relay", "answer of {}: {error}", self.guard.server);
                 self.connection = None;
-                self.guard.end = AttemptEnd::Broken;
+                self.guard.fail(AttemptEnd::Broken, &error.to_string());
                 Some(Err(BrokenAnswer))
             }
             None => {
@@ -149,6 +154,7 @@
             whole.extend_from_slice(&piece?);
             if whole.len() > limit {
                 self.connection = None;
+                self.guard.fail(AttemptEnd::Broken, "the answer is too long");
                 return Err(BrokenAnswer);
             }
         }
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,148 @@
+//! What the relay counts and times, for Prometheus. Labels are names of services and of kinds of
+//! decisions, so that their number is bounded by what operators configure.
+
+use dahlia_backends::{AttemptEnd, ChoiceWay, ServiceName};
+use prometheus::core::Collector;
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+};
+use tokio::time::Duration;
+
+use crate::CounterReadings;
+
+/// Upper bounds in seconds, from a lookup's few milliseconds to a long stream.
+const SECONDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// Metrics of one relay.
+#[derive(Debug)]
+pub(crate) struct RelayMetrics {
+    events: IntCounterVec,
+    now: IntGaugeVec,
+    choices: IntCounterVec,
+    attempt_failures: IntCounterVec,
+    refusals: IntCounterVec,
+    head_seconds: HistogramVec,
+    whole_seconds: HistogramVec,
+    turn_seconds: Histogram,
+}
+
+impl RelayMetrics {
+    /// Fresh metrics.
+    ///
+    /// # Panics
+    /// Never: names and labels are constants that the tests register.
+    pub(crate) fn new() -> Self {
+        let counters = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant names are valid")
+        };
+        let histograms = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            HistogramVec::new(options, &["service"]).expect("constant names are valid")
+        };
+        let turns = HistogramOpts::new(
+            "dahlialadder_relay_turn_open_seconds",
+            "From a request's arrival until the ledger opened its turn.",
+        );
+        let now = Opts::new("dahlialadder_relay_now", "What is open at this moment.");
+        Self {
+            events: counters("dahlialadder_relay_events_total", "Events by kind.", "event"),
+            now: IntGaugeVec::new(now, &["what"]).expect("constant names are valid"),
+            choices: counters(
+                "dahlialadder_relay_choices_total",
+                "Servers chosen, by what decided.",
+                "way",
+            ),
+            attempt_failures: counters(
+                "dahlialadder_relay_attempt_failures_total",
+                "Sends that brought no answer, by their end.",
+                "end",
+            ),
+            refusals: counters(
+                "dahlialadder_relay_refusals_total",
+                "Requests that the relay ended itself, by cause.",
+                "cause",
+            ),
+            head_seconds: histograms(
+                "dahlialadder_relay_head_seconds",
+                "From a request's arrival until its answer begins.",
+            ),
+            whole_seconds: histograms(
+                "dahlialadder_relay_whole_seconds",
+                "From a request's arrival until its answer ended whole.",
+            ),
+            turn_seconds: Histogram::with_opts(turns.buckets(SECONDS.to_vec()))
+                .expect("constant names are valid"),
+        }
+    }
+
+    /// Adds them to a registry.
+    ///
+    /// # Errors
+    /// One of the names is registered already.
+    pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        let collectors: [Box<dyn Collector>; 8] = [
+            Box::new(self.events.clone()),
+            Box::new(self.now.clone()),
+            Box::new(self.choices.clone()),
+            Box::new(self.attempt_failures.clone()),
+            Box::new(self.refusals.clone()),
+            Box::new(self.head_seconds.clone()),
+            Box::new(self.whole_seconds.clone()),
+            Box::new(self.turn_seconds.clone()),
+        ];
+        collectors.into_iter().try_for_each(|collector| registry.register(collector))
+    }
+
+    /// Takes over the relay's counters; asked before each reading.
+    pub(crate) fn refresh(&self, readings: &CounterReadings) {
+        let events = [
+            ("connection", readings.connections),
+            ("request", readings.requests),
+            ("answered", readings.answered),
+            ("refused", readings.refused),
+            ("rejected", readings.rejected),
+            ("failed", readings.failed),
+            ("timed_out", readings.timed_out),
+            ("broken_off", readings.broken_off),
+            ("attempt", readings.attempts),
+            ("connection_to_server", readings.connections_to_servers),
+            ("resumed", readings.resumed),
+        ];
+        for (event, count) in events {
+            let counter = self.events.with_label_values(&[event]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+        let now = [
+            ("connections", readings.open_connections),
+            ("requests", readings.in_progress),
+            ("unsettled_turns", readings.unsettled_turns),
+        ];
+        for (what, count) in now {
+            self.now.with_label_values(&[what]).set(count as i64);
+        }
+    }
+
+    pub(crate) fn chosen(&self, way: ChoiceWay) {
+        self.choices.with_label_values(&[way.name()]).inc();
+    }
+
+    pub(crate) fn attempt_failed(&self, end: AttemptEnd) {
+        self.attempt_failures.with_label_values(&[end.name()]).inc();
+    }
+
+    pub(crate) fn refused(&self, cause: &str) {
+        self.refusals.with_label_values(&[cause]).inc();
+    }
+
+    pub(crate) fn answer_began(&self, service: &ServiceName, after: Duration) {
+        self.head_seconds.with_label_values(&[&service.0]).observe(after.as_secs_f64());
+    }
+
+    pub(crate) fn answer_ended(&self, service: &ServiceName, after: Duration) {
+        self.whole_seconds.with_label_values(&[&service.0]).observe(after.as_secs_f64());
+    }
+
+    pub(crate) fn turn_opened(&self, after: Duration) {
+        self.turn_seconds.observe(after.as_secs_f64());
+    }
+}
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -64,7 +64,26 @@
         }
     }
 
-    fn retry_after(&self) -> Option<Duration> {
+    /// Its name in metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::NoConfiguration { .. } => "no-configuration",
+            Self::NoRoute => "no-route",
+            Self::NotProper { .. } => "not-proper",
+            Self::HeadTooLarge => "head-too-large",
+            Self::BodyTooLarge => "body-too-large",
+            Self::TooSlow => "too-slow",
+            Self::Busy { .. } => "busy",
+            Self::Stopping { .. } => "stopping",
+            Self::LedgerUnavailable { .. } => "ledger-unavailable",
+            Self::BudgetSpent => "budget-spent",
+            Self::NoSuchTurn => "no-such-turn",
+            Self::AnswerLost => "answer-lost",
+            Self::DeadlinePassed => "deadline-passed",
+        }
+    }
+
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoConfiguration { retry_after }
             | Self::Busy { retry_after }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::counters::{CounterReadings, Counters};
+use crate::metrics::RelayMetrics;
 use crate::pool::Pool;
 use crate::router::Routing;
 use crate::{CallerLimits, HeaderNames, RelaySettings, RouteTable, TurnLedger, server};
@@ -24,6 +25,7 @@
     pub(crate) ledger: L,
     pub(crate) backends: Arc<Mutex<Backends>>,
     pub(crate) counters: Arc<Counters>,
+    pub(crate) metrics: Arc<RelayMetrics>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) drain: watch::Sender<bool>,
     refusing: AtomicBool,
@@ -77,6 +79,7 @@
             ledger,
             backends,
             counters: Arc::default(),
+            metrics: Arc::new(RelayMetrics::new()),
             pool: Arc::new(Pool::new()),
             drain: watch::Sender::new(false),
             refusing: AtomicBool::new(false),
@@ -110,6 +113,19 @@
         self.shared.refusing.store(true, Ordering::Relaxed);
     }
 
+    /// Adds the relay's metrics to a registry.
+    ///
+    /// # Errors
+    /// One of the names is registered already.
+    pub fn register_metrics(&self, registry: &prometheus::Registry) -> prometheus::Result<()> {
+        self.shared.metrics.register(registry)
+    }
+
+    /// Brings the registered metrics up to date; asked before each reading.
+    pub fn refresh_metrics(&self) {
+        self.shared.metrics.refresh(&self.counters());
+    }
+
     /// Requests whose answer is not yet handed to the caller's connection.
     pub fn in_progress(&self) -> u64 {
         self.counters().in_progress
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -74,6 +74,11 @@
         &self.route().targets[self.target].service
     }
 
+    /// The generation of the routes that it was matched by.
+    pub(crate) fn generation(&self) -> u64 {
+        self.routing.table.generation
+    }
+
     /// What is known of the service.
     pub(crate) fn service(&self) -> Option<&Service> {
         let position = *self.routing.services.get(self.service_name())?;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -22,6 +22,7 @@
 use crate::body::AnswerBody;
 use crate::caller::{CallerState, CallerStream, RestCheck};
 use crate::counters::{Gauge, GaugeGuard, count};
+use crate::decisions::{LeavingGuard, RequestLog};
 use crate::exchange::{Answer, Exchange};
 use crate::refusal::Refusal;
 use crate::relay::Shared;
@@ -116,9 +117,12 @@
     let busy = state.busy();
     count(&shared.counters.requests);
     let gauge = GaugeGuard::new(&shared.counters, Gauge::InProgress);
-    let answer = serve(shared, state, request).await;
+    let mut log = RequestLog::new(Arc::clone(&shared.metrics), Instant::now());
+    let mut leaving = LeavingGuard::default();
+    let answer = serve(shared, state, request, &mut log, &mut leaving).await;
+    leaving.ended();
     let mut answer = answer.unwrap_or_else(|refusal| {
-        log::debug!(target: "relay", "refused: {refusal}");
+        log.refused(&refusal);
         refusal.into_response(&shared.counters)
     });
     if shared.is_draining() {
@@ -132,11 +136,15 @@
     shared: &Arc<Shared<L>>,
     state: &CallerState,
     request: Request<Incoming>,
+    log: &mut RequestLog,
+    leaving: &mut LeavingGuard,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let arrived = Instant::now();
     let limits = shared.limits();
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(parts, &shared.headers, &limits)?;
+    log.name(&head);
+    leaving.began(log.clone());
     let body = read_body(body, &limits).await?;
     if shared.is_refusing() {
         let retry_after = dahlia_types::Duration::from_millis(shared.settings.retry_after_ms);
@@ -145,8 +153,10 @@
     let matched = matched(shared, &head)?;
     let deadline = arrived + time_to_answer(&matched, &head);
     state.answer_due(deadline);
+    log.routed(&matched, head.text(&shared.headers.program), deadline);
     let method = head.method.clone();
-    let mut exchange = Exchange::new(Arc::clone(shared), matched, head, body, deadline);
+    let mut exchange =
+        Exchange::new(Arc::clone(shared), matched, head, body, deadline, log.clone());
     match timeout_at(deadline, open_and_answer(&mut exchange)).await {
         Ok(answer) => Ok(hand_on(exchange, answer?, &method)),
         Err(_) => Err(exchange.out_of_time()),
--- a/crates/relay/src/turn.rs
+++ b/crates/relay/src/turn.rs
@@ -159,7 +159,12 @@
         let (shared, open) = (Arc::clone(&self.shared), self.open.take());
         runtime.spawn(async move {
             if let Err(error) = offer(&shared, &command).await {
-                log::warn!(target: "relay", "end of turn {} not recorded: {error}", command.turn);
+                log::warn!(
+                    target: "relay",
+                    request = command.turn.0.as_str(),
+                    cause:% = error;
+                    "The end of the turn is not recorded."
+                );
             }
             drop(open);
         });
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -207,7 +207,7 @@
     let mut chosen = |preferred, tried| {
         let ask = Ask { service: &service, affinity: Some(1), preferred, tried };
         match backends.choose(&ask, Timestamp(0)) {
-            Choice::Use(server) => Some(server.id.0),
+            Choice::Use { server, .. } => Some(server.id.0),
             _ => None,
         }
     };
--- a/crates/replication/tests/malformed.rs
+++ b/crates/replication/tests/malformed.rs
@@ -39,7 +39,8 @@
 
 #[test]
 fn damaged_group_messages_crash_nothing() {
-    const SEEDS: u64 = 60;
+    const SEEDS: u64 = 120;
+    const LEAST_MESSAGES: u64 = 60_000;
     let mut taken = 0;
     for seed in 0..SEEDS {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -73,7 +74,7 @@
             }
         }
     }
-    assert!(taken > SEEDS * 1_000, "only {taken} messages");
+    assert!(taken > LEAST_MESSAGES, "only {taken} messages");
 }
 
 fn sends(replica: &mut Replica) -> Vec<GroupMessage> {
