Daemons that start at the same moment learn of those that went on within a second

From their start at 17.03 s until they were killed again at 21.3 s every group was silent on each of them ("A group is silent", all eight groups), while every group had an owner that answered the other gateways. Their logs name only each other as members: they asked their seeds, who had started at the same moment, and believed that they were all. Members that went on knew them from pings that the newcomers could not answer, since they did not know where the pinger listens. Only comparisons at random, up to 5 s apart, ended it.

Ruled out: elections (every group led within 0.15 s), the breaker (it closes with the first answer).

Change: a message says where its sender listens; a daemon that gets one from an unknown sender compares with it at once; and of those that hear of a new life about four compare with it of their own accord.

--- a/crates/replication/src/membership/message.rs
+++ b/crates/replication/src/membership/message.rs
@@ -1,5 +1,7 @@
 //! Messages between daemons about membership.
 
+use std::net::SocketAddr;
+
 use dahlia_types::{DaemonId, ReplicaId};
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +12,8 @@
 pub struct Envelope {
     /// The sender, in its present life.
     pub from: ReplicaId,
+    /// Where the sender listens, for receivers that do not know it yet.
+    pub address: SocketAddr,
     /// What it says.
     pub body: MemberMessage,
     /// News of members.
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -274,12 +274,13 @@
         members: Vec<MemberRecord>,
         facts: Vec<Fact>,
     ) {
-        let message = Envelope { from: self.own.info.replica(), body, members, facts };
+        let (from, address) = (self.own.info.replica(), self.own.info.address);
+        let message = Envelope { from, address, body, members, facts };
         self.actions.push(Action::Send { to, message });
     }
 
     fn receive(&mut self, envelope: Envelope) {
-        let Envelope { from, body, members, facts } = envelope;
+        let Envelope { from, address, body, members, facts } = envelope;
         // A table of others is known to others: only what changes an entry spreads on.
         let is_table = matches!(body, MemberMessage::SyncChunk(_));
         for record in members {
@@ -294,6 +295,11 @@
                 self.actions.push(Action::FactChanged(fact));
             }
         }
+        // It knows an earlier life of this daemon, which knew it. Where all seeds began anew at the
+        // same moment, nobody else can tell of the daemons that went on.
+        if from.daemon != self.own.info.daemon && self.members.get(from.daemon).is_none() {
+            self.compare_at(address, Vec::new());
+        }
         match body {
             MemberMessage::Ping { sequence, to, on_behalf_of } => {
                 self.answer_ping(from.daemon, sequence, to, on_behalf_of);
@@ -331,12 +337,23 @@
             self.merge_own(&record);
             return;
         }
+        let is_new_life = self.begins_a_life(&record);
         if self.members.merge(&record, self.now) {
             self.queue.push(Subject::Member(record.info.daemon));
+            if is_new_life {
+                self.greet(record.info.daemon);
+            }
             self.actions.push(Action::MemberChanged(record));
         }
     }
 
+    /// Whether a statement is the first one on a member's present life.
+    fn begins_a_life(&self, record: &MemberRecord) -> bool {
+        let held = self.members.get(record.info.daemon).map(|member| member.record.info.replica());
+        let is_later = held.is_none_or(|held| held.incarnation < record.info.incarnation);
+        is_later && record.health == Health::Alive
+    }
+
     /// Takes in a statement on an unknown member without spreading it.
     fn learn_record(&mut self, record: MemberRecord) {
         if record.info.daemon == self.own.info.daemon {
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -3,6 +3,8 @@
 //! In agreement a comparison costs two lists of hashes; it repairs what gossip lost, brings a new
 //! daemon up to date, and finds the dead who were only cut off.
 
+use std::net::SocketAddr;
+
 use dahlia_types::DaemonId;
 use rand::Rng;
 
@@ -14,6 +16,10 @@
 /// Buckets of members and of facts; one bit each in a [`SyncChunk`].
 const BUCKETS: usize = 64;
 
+/// Daemons that compare with a new member of their own accord, on average. The chance that none
+/// does is about `exp(-4)`, 2 in 100; then its own comparisons with others that began are left.
+const GREETERS: f64 = 4.0;
+
 /// How often a dead member is tried instead of a present one.
 const DEAD_SHARE: f64 = 0.25;
 
@@ -96,33 +102,50 @@
 impl Membership {
     /// Starts a comparison with a random member, a dead one, or a seed.
     pub(super) fn start_sync(&mut self) {
-        let digest = digest(&self.own, &self.members, &self.facts);
-        let body = MemberMessage::SyncRequest(digest);
-        let own = vec![self.own.clone()];
         let region = self.own.info.region.clone();
         let share = self.settings.cross_region_share;
         let dead = self.members.choose_dead(&mut self.random);
         let dead = dead.filter(|_| self.random.random_bool(DEAD_SHARE));
         let present = self.members.choose(1, &region, share, &mut self.random).first().copied();
-        if let Some(member) = dead.or(present).and_then(|daemon| self.members.get(daemon)) {
-            let to = member.record.info.address;
-            // Tells a member that it is held for dead, so that it objects.
-            let mut records = own;
-            if member.record.health != Health::Alive {
-                records.push(member.record.clone());
-            }
-            self.send_to_address(to, body, records, Vec::new());
+        if let Some(daemon) = dead.or(present) {
+            self.compare_with(daemon);
             return;
         }
         // Nobody is known yet: every seed is asked, and again soon.
         for seed in self.seeds.clone() {
             if seed != self.own.info.address {
-                self.send_to_address(seed, body.clone(), own.clone(), Vec::new());
+                self.compare_at(seed, Vec::new());
             }
         }
         self.next_sync = self.now + self.settings.gossip_interval();
     }
 
+    /// Compares with one member.
+    fn compare_with(&mut self, daemon: DaemonId) {
+        let Some(member) = self.members.get(daemon) else { return };
+        let to = member.record.info.address;
+        // Tells a member that it is held for dead, so that it objects.
+        let is_doubted = member.record.health != Health::Alive;
+        let doubt = is_doubted.then(|| member.record.clone());
+        self.compare_at(to, doubt.into_iter().collect());
+    }
+
+    /// Compares with whoever listens at an address, which learns of this daemon thereby.
+    pub(super) fn compare_at(&mut self, to: SocketAddr, mut records: Vec<MemberRecord>) {
+        records.insert(0, self.own.clone());
+        let digest = digest(&self.own, &self.members, &self.facts);
+        self.send_to_address(to, MemberMessage::SyncRequest(digest), records, Vec::new());
+    }
+
+    /// Some daemons compare with one that is new. It asks its seeds itself, but when these began
+    /// at the same moment they know only each other, and believe that they are all.
+    pub(super) fn greet(&mut self, newcomer: DaemonId) {
+        let others = self.members.present_count().max(1) as f64;
+        if self.random.random_bool((GREETERS / others).min(1.0)) {
+            self.compare_with(newcomer);
+        }
+    }
+
     pub(super) fn answer_sync(&mut self, from: DaemonId, other: &SyncDigest) {
         let own = digest(&self.own, &self.members, &self.facts);
         let members = differing(&own.members, &other.members);
