--- a/crates/backends/src/settings.rs
+++ b/crates/backends/src/settings.rs
@@ -10,10 +10,6 @@
     /// A server may have this many times the mean load of its service before a program that
     /// prefers it goes elsewhere (consistent hashing with bounded loads, Mirrokni and others 2018).
     pub load_bound: f64,
-    /// The share of a server's slots that this daemon's attempts may always take before a program
-    /// that prefers it goes elsewhere. Where many daemons share a service, each has so few attempts
-    /// that their mean says nothing, and leaving a server means to read the prompt again.
-    pub affinity_floor: f64,
     /// Attempts of this daemon that one server may have, as a multiple of its slots.
     pub most_per_slot: f64,
     /// What a server in another zone must be less loaded to be chosen, in shares of its slots.
@@ -45,7 +41,6 @@
     fn default() -> Self {
         Self {
             load_bound: 1.5,
-            affinity_floor: 0.25,
             most_per_slot: 2.0,
             zone_penalty: 0.4,
             refused_pause_ms: 100,
@@ -69,7 +64,6 @@
     /// The first field with a value that is not allowed.
     pub fn check(&self) -> Result<(), InvalidSetting> {
         check_range("backends.load_bound", self.load_bound, 1.0, 100.0)?;
-        check_range("backends.affinity_floor", self.affinity_floor, 0.0, 1.0)?;
         check_range("backends.most_per_slot", self.most_per_slot, 0.1, 1_000.0)?;
         check_range("backends.zone_penalty", self.zone_penalty, 0.0, 10.0)?;
         check_range("backends.refused_pause_ms", self.refused_pause_ms, 1, 60_000)?;
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -179,7 +179,7 @@
         // A server that failed of late, or is slow, is better than none.
         let candidates = if sound.is_empty() { usable } else { sound };
         let (server, way) = match ask.affinity {
-            Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings)?,
+            Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings.load_bound)?,
             None => {
                 let server = by_load(&candidates, &self.zone, settings.zone_penalty, draw)?;
                 (server, ChoiceWay::Load)
@@ -248,16 +248,15 @@
     candidates: &[&'a Server],
     hash: u64,
     preferred: Option<&BackendId>,
-    settings: &BackendSettings,
+    load_bound: f64,
 ) -> Option<(&'a Server, ChoiceWay)> {
     let total: u32 = candidates.iter().map(|server| server.in_flight).sum();
     let slots: u32 = candidates.iter().map(|server| server.record.slots).sum();
     let mean = f64::from(total + 1) / f64::from(slots.max(1));
     // One attempt is always within the bound: else an idle service would spread every program.
     let within = |server: &&&Server| {
-        let slots = f64::from(server.record.slots);
-        let floor = (slots * settings.affinity_floor).max(1.0);
-        f64::from(server.in_flight) < (mean * settings.load_bound * slots).max(floor)
+        let bound = (mean * load_bound * f64::from(server.record.slots)).max(1.0);
+        f64::from(server.in_flight) < bound
     };
     let is_preferred = |server: &&&Server| Some(&server.record.id) == preferred;
     let kept = candidates.iter().find(|server| is_preferred(server) && within(server));
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -87,23 +87,6 @@
     assert!((1..=3).contains(&at_home), "six attempts over three servers: {chosen:?}");
 }
 
-#[test]
-fn a_program_stays_with_its_server_while_this_daemon_has_few_attempts_anywhere() {
-    const MANY_SLOTS: u32 = 12;
-    let names = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"];
-    let mut backends = table(&[]);
-    for name in names {
-        backends.put(BackendRecord { slots: MANY_SLOTS, ..record(name, "hall-a") }, START);
-    }
-    let service = service();
-    let home = BackendId("b".to_owned());
-    let ask = Ask { affinity: Some(1), preferred: Some(&home), ..ask(&service, &[]) };
-    let chosen: Vec<BackendId> =
-        (0..4).filter_map(|_| used(backends.choose(&ask, START))).collect();
-    let at_home = chosen.iter().filter(|id| **id == home).count();
-    assert_eq!(at_home, 3, "a quarter of twelve slots: {chosen:?}");
-}
-
 #[test]
 fn a_server_that_leaves_gets_no_new_work_whoever_says_so() {
     let service = service();
