Log how it was found out whether a server has ended

A server that falls and rises goes on to take connections and resets what is sent. So it counts as alive, and max_attempts 1 forbids another. Not mended: asking its health page would tell, at the price of a probe and with the risk of a server that resets connections beyond its limit.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -54,7 +54,17 @@
 pub(crate) async fn is_refused(server: SocketAddr, settings: &RelaySettings) -> bool {
     let patience = Duration::from_millis(settings.connect_timeout_ms);
     let tried = timeout(patience, TcpStream::connect(server)).await;
-    matches!(tried, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    let kind = match &tried {
+        Ok(Ok(_)) => None,
+        Ok(Err(error)) => Some(error.kind()),
+        Err(_) => Some(io::ErrorKind::TimedOut),
+    };
+    log::info!(
+        target: "relay",
+        server:% = server, outcome:? = kind;
+        "Asked whether a server has ended."
+    );
+    kind == Some(io::ErrorKind::ConnectionRefused)
 }
 
 /// One connection to a server, with at most one request on it.
