A changed document is compared with a few members at once

Cause: routes and servers spread between daemons by the comparison every 5 s (30 s by default), so a daemon that cannot read the metadata store hears of a change seconds late, and a teller that dies within that time takes the news along.

Change: whoever has news of a document compares with gossip_fanout members at the next round of gossip. Who knows it already says nothing: a comparison in agreement is one message of two lists of hashes. Weighed: gossip of the document itself, which would send everybody what everybody has.

--- a/crates/replication/src/membership/facts.rs
+++ b/crates/replication/src/membership/facts.rs
@@ -28,7 +28,8 @@
     /// Anything else, by a number that the driver assigns.
     Other(u32),
     /// A document that every daemon reads elsewhere as a rule, by a number that the driver assigns.
-    /// Spread by comparison only: gossip would send everybody what everybody has.
+    /// Spread by comparison, with a few members as soon as it changes: gossip would send everybody
+    /// what everybody has.
     Document(u32),
 }
 
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -73,6 +73,8 @@
     pub(super) next_probe: Timestamp,
     pub(super) next_gossip: Timestamp,
     pub(super) next_sync: Timestamp,
+    /// A document has changed, and nobody was told of it.
+    has_document_news: bool,
     /// Time to the sync after the next one; grows from a gossip interval to the full interval.
     sync_pause: Duration,
     pub(super) actions: Vec<Action>,
@@ -104,6 +106,7 @@
             next_probe: now,
             next_gossip: now,
             next_sync: now,
+            has_document_news: false,
             settings,
             actions: Vec::new(),
         };
@@ -137,7 +140,8 @@
         if let Some(at) = self.probe.as_ref().and_then(|probe| probe.indirect_at) {
             next = next.min(at);
         }
-        if self.queue.is_empty() { next } else { next.min(self.next_gossip) }
+        let has_news = self.has_document_news || !self.queue.is_empty();
+        if has_news { next.min(self.next_gossip) } else { next }
     }
 
     /// The own description.
@@ -211,6 +215,7 @@
         if self.now >= self.next_gossip {
             self.next_gossip = self.now + self.settings.gossip_interval();
             self.gossip();
+            self.spread_documents();
         }
         if self.now >= self.next_sync {
             self.next_sync = self.now + self.sync_pause;
@@ -234,6 +239,20 @@
         }
     }
 
+    /// Compares with some members after a document has changed. Those that know it already, as a
+    /// rule everybody, say nothing; a document itself is too large for gossip.
+    fn spread_documents(&mut self) {
+        if !std::mem::take(&mut self.has_document_news) {
+            return;
+        }
+        let fanout = self.settings.gossip_fanout;
+        let share = self.settings.cross_region_share;
+        let region = self.own.info.region.clone();
+        for daemon in self.members.choose(fanout, &region, share, &mut self.random) {
+            self.compare_with(daemon);
+        }
+    }
+
     /// News for one message, within the budget.
     fn news(&mut self) -> News {
         let room = self.budget.room(self.now).saturating_sub(ENVELOPE_BYTES);
@@ -328,6 +347,7 @@
         if is_news && is_gossiped {
             self.queue.push(Subject::Fact(key));
         }
+        self.has_document_news |= is_news && !is_gossiped;
         is_news
     }
 
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -121,7 +121,7 @@
     }
 
     /// Compares with one member.
-    fn compare_with(&mut self, daemon: DaemonId) {
+    pub(super) fn compare_with(&mut self, daemon: DaemonId) {
         let Some(member) = self.members.get(daemon) else { return };
         let to = member.record.info.address;
         // Tells a member that it is held for dead, so that it objects.
--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -236,6 +236,23 @@
     assert!(swarm.run_until_holds(SECOND.times(60), all).is_some());
 }
 
+/// Comparisons are 30 s apart here, and who tells of the document dies soon after.
+#[test]
+fn a_new_document_soon_reaches_most_although_its_teller_dies() {
+    const LEAST_REACHED: usize = 18;
+    for seed in 0..20 {
+        let mut swarm = complete_by_default(ONE_REGION, seed);
+        swarm.run_for(SECOND.times(60));
+        let key = FactKey::Document(1);
+        assert!(swarm.publish(1, key.clone(), 4, 4_000));
+        swarm.run_for(Duration::from_millis(400));
+        swarm.kill(DaemonId(1));
+        let most = |swarm: &Swarm| swarm.knowing(&key, 4) >= LEAST_REACHED;
+        let took = swarm.run_until_holds(SECOND.times(2), most);
+        assert!(took.is_some(), "seed {seed}: {} know it", swarm.knowing(&key, 4));
+    }
+}
+
 #[test]
 fn a_daemon_that_kept_its_disk_is_alive_for_all_at_once_in_its_next_life() {
     for seed in 0..10 {
