Stores keep routes and servers on their disks and share them after a restart

Change: durable::documents keeps the newest copy of each document in two files written in turn (a loss of power leaves the copy before); daemon::kept_documents shares them at the start, which spreads them by the comparison that a changed document sets off. Newer versions of anybody always win; torn and foreign files are named in the log and passed over. A copy has no age limit: an old list costs attempts at servers that are gone (Expect-Instance keeps other servers' requests apart), which beats none.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `failure_reports` | failures of back ends, told to other daemons and heard from them |
 //! | `first_document` | the configuration that a new system starts with |
+//! | `kept_documents` | copies of shared documents under the data folder |
 //! | `layout_store` | where the first layout of groups is kept |
 //! | `ledger_breaker` | tells silent ledgers from those that answer |
 //! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
@@ -37,6 +38,7 @@
 mod gateway;
 mod group_log;
 mod handshake;
+pub mod kept_documents;
 pub mod layout_store;
 pub mod ledger_breaker;
 pub mod ledger_client;
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -4,6 +4,7 @@
 //! | module | job |
 //! |---|---|
 //! | `disk` | the few file operations used; tests put one in place that loses power |
+//! | `documents` | copies of documents that lie elsewhere as a rule |
 //! | `error` | why the log could not be used |
 //! | `frame` | the checksummed unit that is written and synced at once |
 //! | `segment` | names and headers of the log's files, reading one back |
@@ -19,6 +20,7 @@
 //! and a segment is removed only after the removal of the one before it was synced.
 
 mod disk;
+mod documents;
 mod error;
 mod frame;
 mod log;
@@ -28,6 +30,7 @@
 mod settings;
 
 pub use disk::{Disk, FolderDisk};
+pub use documents::{BadCopy, KeptDocument, KeptDocuments, OpenedDocuments};
 pub use error::{LogError, Step};
 pub use frame::{FORMAT_VERSION, Frame, FrameError, encode_frame, read_frames};
 pub use log::{DurableLog, Opened};
