--- /dev/null
+++ b/crates/durable/examples/opening.rs
@@ -0,0 +1,83 @@
+//! Measures how long a log takes to open by what was written to it: changes of 60 bytes, as the
+//! ledgers of programs without kept turns write them, to eight groups in turn.
+//!
+//! `cargo run --release -p dahlia-durable --example opening -- FOLDER`
+
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+
+use bytes::Bytes;
+use dahlia_durable::{DurableLog, DurableSettings, FolderDisk, Opened};
+use dahlia_replication::group::{
+    DurableChange, DurableReplica, DurableUpdate, EntryData, HardState, LogEntry, Members, Snapshot,
+};
+use dahlia_types::{GroupId, Incarnation, LogIndex, Term};
+
+/// Bytes of changes written before the log is opened anew.
+const SIZES: [u64; 3] = [1_000_000, 10_000_000, 100_000_000];
+const GROUPS: u32 = 8;
+const PAYLOAD: usize = 60;
+/// Bytes that one change takes in the log, about.
+const CHANGE: u64 = 100;
+/// State of a group: some hundred programs.
+const STATE: usize = 28_000;
+/// Changes that are made durable by one sync.
+const BATCH: u64 = 64;
+
+fn main() {
+    let folder = std::env::args().nth(1).map_or_else(std::env::temp_dir, PathBuf::from);
+    for size in SIZES {
+        measure(&folder.join(format!("opening-{size}")), size);
+    }
+}
+
+fn measure(folder: &Path, size: u64) {
+    let mut log = open(folder).log;
+    let images: Vec<DurableChange> = (0..GROUPS).map(|group| image(group, 0)).collect();
+    log.append(&images).expect("room");
+    let mut next = 0;
+    while next * CHANGE < size {
+        let changes: Vec<DurableChange> = (next..next + BATCH).map(update).collect();
+        next += BATCH;
+        log.append(&changes).expect("room");
+        for group in log.wanted_images() {
+            let applied = next / u64::from(GROUPS);
+            log.append(&[image(group.0, applied)]).expect("room");
+        }
+    }
+    let bytes = log.bytes();
+    drop(log);
+    let began = Instant::now();
+    let opened = open(folder);
+    let took = began.elapsed();
+    let entries: usize = opened.replicas.iter().map(|replica| replica.entries.len()).sum();
+    println!("{size} bytes of changes: {bytes} in the log, {entries} entries, open in {took:?}");
+    std::fs::remove_dir_all(folder).expect("the folder is ours");
+}
+
+fn open(folder: &Path) -> Opened {
+    let disk = FolderDisk::open(folder).expect("a folder");
+    let opened = DurableLog::open(Box::new(disk), DurableSettings::default(), Incarnation(1));
+    opened.expect("it opens")
+}
+
+fn image(group: u32, index: u64) -> DurableChange {
+    let base = Snapshot {
+        index: LogIndex(index),
+        term: Term(u64::from(index > 0)),
+        members: Members::default(),
+        data: Bytes::from(vec![1; STATE]),
+    };
+    let hard_state = HardState::default();
+    let image = DurableReplica { group: GroupId(group), hard_state, base, entries: Vec::new() };
+    DurableChange::Image(Box::new(image))
+}
+
+fn update(number: u64) -> DurableChange {
+    let group = GroupId((number % u64::from(GROUPS)) as u32);
+    let index = LogIndex(number / u64::from(GROUPS) + 1);
+    let data = EntryData::Command(Bytes::from(vec![number as u8; PAYLOAD]));
+    let entries = vec![LogEntry { index, term: Term(1), data }];
+    let update = DurableUpdate { entries_from: Some(index), entries, ..DurableUpdate::default() };
+    DurableChange::Update { group, update }
+}
