Ledger commands go by way of another daemon while the direct way is silent

A repeated command is the first one to a ledger, so it counts once.

Weighed: a gateway that turns itself away by its readiness: clients' open connections stay with it, and with half of a zone away the platform uses all again.

--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -32,10 +32,11 @@
         let likely = self.owner_hint(group).filter(|daemon| *daemon != own);
         let suspect = likely.filter(|daemon| self.router.is_suspect(*daemon, now));
         let first = likely.filter(|_| suspect.is_none());
-        if let Some(suspect) = suspect
-            && self.router.asks_suspect(id, now)
-        {
-            self.send_request(id, request.clone(), suspect);
+        if let Some(suspect) = suspect {
+            self.router.ask_for_help_now(id, now);
+            if self.router.asks_suspect(id, now) {
+                self.send_request(id, request.clone(), suspect);
+            }
         }
         let target = first.or_else(|| self.member_besides(group, suspect, tries, now));
         match target {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
 //! | `ledger` | requests to ledgers of caller-named programs |
+//! | `helpers` | commands to ledgers by way of another daemon |
 //! | `bootstrap` | the first layout of groups |
 //! | `history` | old turns on store daemons' disks |
 //! | `members` | which daemons are there, and upkeep of groups' members |
@@ -36,6 +37,7 @@
 mod engines;
 mod event;
 mod group;
+mod helpers;
 pub mod history;
 mod key_value;
 mod ledger;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -318,6 +318,9 @@
                 self.serve(ReplyTo::Peer { address: reply_to, id }, request, now);
             }
             PeerMessage::Response { id, response } => self.response(from, id, response, now),
+            PeerMessage::PassOn { id, request, reply_to } => {
+                self.take_for_other(ReplyTo::Peer { address: reply_to, id }, request, now);
+            }
         }
     }
 
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -65,6 +65,7 @@
                 self.actions.push(Action::Send { to, message });
             }
         }
+        self.ask_helpers(now);
     }
 
     fn target(&self, group: GroupId, tries: u32) -> Option<DaemonId> {
@@ -104,25 +105,33 @@
             return;
         }
         if let Some(routed) = self.router.finish(id) {
-            self.router.set_hint(routed.request.group(), from.daemon);
-            self.actions.push(Action::Respond { id, response });
+            self.note_answered_by(from.daemon, &routed, now);
+            self.give_answer(routed.reply_to, response);
         }
     }
 
-    /// Answers whoever asked.
-    pub(crate) fn reply(&mut self, to: ReplyTo, response: Response) {
-        match to {
+    /// Gives the answer to a request that was on its way to whoever waits for it.
+    fn give_answer(&mut self, reply_to: ReplyTo, response: Response) {
+        match reply_to {
             ReplyTo::Peer { address, id } => {
                 let message = PeerMessage::Response { id, response };
                 self.actions.push(Action::Send { to: address, message });
             }
+            ReplyTo::Here(id) => self.actions.push(Action::Respond { id, response }),
+        }
+    }
+
+    /// Answers whoever asked.
+    pub(crate) fn reply(&mut self, to: ReplyTo, response: Response) {
+        match to {
+            ReplyTo::Peer { .. } => self.give_answer(to, response),
             ReplyTo::Here(id) => {
-                // A request of this daemon stays on its way until an owner has answered.
+                // A request stays on its way from here until an owner has answered.
                 if matches!(response, Response::NotOwner { .. }) {
                     return;
                 }
-                if self.router.finish(id).is_some() {
-                    self.actions.push(Action::Respond { id, response });
+                if let Some(routed) = self.router.finish(id) {
+                    self.give_answer(routed.reply_to, response);
                 }
             }
         }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -13,7 +13,7 @@
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// Largest frame in bytes; a longer one ends the connection.
 pub const LARGEST_FRAME: usize = 16 * 1024 * 1024;
@@ -113,4 +113,14 @@
         /// The answer.
         response: Response,
     },
+    /// A request to the owner of a group that the asker does not reach: the receiver puts it to the
+    /// owner by its own direct way, and passes the answer on as a [`Self::Response`].
+    PassOn {
+        /// The asker's name for it.
+        id: RequestId,
+        /// The request: a command to a ledger.
+        request: Request,
+        /// Where the answer goes.
+        reply_to: SocketAddr,
+    },
 }
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -21,6 +21,8 @@
 const STRANGER: u32 = 9;
 /// The gateway, which holds no group.
 pub const GATEWAY: u32 = 4;
+/// Gateways that know each other and the stores, beside the first.
+pub const OTHER_GATEWAYS: [u32; 2] = [5, 6];
 /// The daemons that hold the group.
 pub const STORES: [u32; 3] = [1, 2, 3];
 /// The only group.
@@ -56,6 +58,8 @@
     pub groups: u32,
     pub requests: u32,
     pub responses: u32,
+    /// Requests by way of another daemon.
+    pub passed_on: u32,
 }
 
 impl Cluster {
@@ -73,22 +77,37 @@
             messages: Messages::default(),
         };
         for daemon in STORES.into_iter().chain([GATEWAY]) {
-            cluster.nodes.insert(daemon, Node::new(settings(daemon, &group), START));
-            cluster.push(START + Duration(u64::from(daemon) * 3_700), daemon, Delivery::Tick);
+            cluster.add(daemon, &group);
         }
         cluster
     }
 
+    /// Nodes with further gateways that all know each other.
+    pub fn started_with_other_gateways(group: GroupSettings) -> Self {
+        let mut cluster = Self::starting(group.clone());
+        OTHER_GATEWAYS.into_iter().for_each(|daemon| cluster.add(daemon, &group));
+        cluster.run_until(Duration::from_secs(30), |cluster| {
+            cluster.owner().is_some() && cluster.knows_all()
+        });
+        cluster
+    }
+
+    fn add(&mut self, daemon: u32, group: &GroupSettings) {
+        self.nodes.insert(daemon, Node::new(settings(daemon, group), START));
+        self.push(START + Duration(u64::from(daemon) * 3_700), daemon, Delivery::Tick);
+    }
+
+    fn knows_all(&self) -> bool {
+        let members = self.nodes.len();
+        let mut nodes = self.nodes.values();
+        nodes.all(|node| node.daemons().len() == members && !node.group_ids().is_empty())
+    }
+
     /// Nodes that have their layout, an owner of the group, and each other.
     pub fn started(group: GroupSettings) -> Self {
         let mut cluster = Self::starting(group);
-        let knows_all = |cluster: &Self| {
-            let members = cluster.nodes.len();
-            let mut nodes = cluster.nodes.values();
-            nodes.all(|node| node.daemons().len() == members && !node.group_ids().is_empty())
-        };
         cluster.run_until(Duration::from_secs(30), |cluster| {
-            cluster.owner().is_some() && knows_all(cluster)
+            cluster.owner().is_some() && cluster.knows_all()
         });
         cluster
     }
@@ -149,6 +168,16 @@
         }
     }
 
+    /// Cuts the way from one daemon to another.
+    pub fn cut_one_way(&mut self, from: u32, to: u32) {
+        self.cut.insert((from, to));
+    }
+
+    /// Mends all cuts.
+    pub fn mend(&mut self) {
+        self.cut.clear();
+    }
+
     /// Loses the next answers to requests.
     pub fn lose_responses(&mut self, count: u32) {
         self.lost_responses = count;
@@ -245,6 +274,7 @@
             PeerMessage::Groups(_) => self.messages.groups += 1,
             PeerMessage::Request { .. } => self.messages.requests += 1,
             PeerMessage::Response { .. } => self.messages.responses += 1,
+            PeerMessage::PassOn { .. } => self.messages.passed_on += 1,
             _ => {}
         }
         if to == STRANGER && matches!(message, PeerMessage::Response { .. }) {
--- a/crates/node/tests/ledger.rs
+++ b/crates/node/tests/ledger.rs
@@ -2,7 +2,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, GATEWAY, LINK, STORES, replica, settings};
+use cluster::{Cluster, GATEWAY, LINK, OTHER_GATEWAYS, STORES, replica, settings};
 use dahlia_ledger::{
     CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, ProgramName, TurnEnd, TurnId,
     TurnInput, TurnRefusal,
@@ -216,3 +216,82 @@
     assert!(!cluster.gateway_knows_the_group(), "the answer came before the news");
     assert!(took <= Duration::from_millis(60), "{took:?}");
 }
+
+struct CutCase {
+    name: &'static str,
+    /// Ways that are cut, from and to.
+    cuts: fn(owner: u32) -> Vec<(u32, u32)>,
+}
+
+/// A gateway that does not reach the owner puts its commands by way of one that does.
+#[test]
+fn commands_go_by_way_of_another_gateway_while_the_direct_way_is_silent() {
+    /// A silent way is noticed, and one helper that is cut off as well is passed over.
+    const FIRST_ANSWER: Duration = Duration::from_millis(320);
+    /// Later commands know of the silence: two links more than the direct way, and ticks between.
+    const LATER_ANSWER: Duration = Duration::from_millis(60);
+    let cases = [
+        CutCase {
+            name: "all stores, both ways",
+            cuts: |_| {
+                STORES.iter().flat_map(|store| [(GATEWAY, *store), (*store, GATEWAY)]).collect()
+            },
+        },
+        CutCase {
+            name: "all stores, answers only",
+            cuts: |_| STORES.iter().map(|store| (*store, GATEWAY)).collect(),
+        },
+        CutCase {
+            name: "all stores, commands only",
+            cuts: |_| STORES.iter().map(|store| (GATEWAY, *store)).collect(),
+        },
+        CutCase { name: "the owner alone", cuts: |owner| vec![(GATEWAY, owner), (owner, GATEWAY)] },
+        CutCase {
+            name: "one helper is cut off as well",
+            cuts: |_| {
+                let cut_off = [GATEWAY, OTHER_GATEWAYS[0]];
+                let ways = cut_off.iter().flat_map(|one| STORES.map(|store| (*one, store)));
+                ways.flat_map(|(one, store)| [(one, store), (store, one)]).collect()
+            },
+        },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::started_with_other_gateways(GroupSettings::default());
+        opened(cluster.insist(&open("first", None, 1)));
+        let owner = cluster.owner().expect("an owner");
+        for (from, to) in (case.cuts)(owner) {
+            cluster.cut_one_way(from, to);
+        }
+        for (number, limit) in [(0, FIRST_ANSWER), (1, LATER_ANSWER), (2, LATER_ANSWER)] {
+            let id = cluster.ask(open(&format!("turn-{number}"), None, 10));
+            let (response, took) = cluster.answer(id);
+            let is_opened = matches!(response, Response::Ledger(LedgerReply::Opened(_)));
+            assert!(is_opened, "{}: {response:?}", case.name);
+            assert!(took <= limit, "{}: command {number} took {took:?}", case.name);
+            assert_eq!(cluster.insist(&close(&format!("turn-{number}"), 10)), LedgerReply::Closed);
+        }
+        // A command that reached the owner twice is charged once: 31 of 100 are spent.
+        opened(cluster.insist(&open("last", None, 69)));
+        assert_eq!(cluster.insist(&open("beyond", None, 1)), spent(100), "{}", case.name);
+        cluster.mend();
+        cluster.pass(Duration::from_secs(3));
+        let before = cluster.messages.passed_on;
+        let id = cluster.ask(close("last", 0));
+        assert!(cluster.answer(id).1 <= LATER_ANSWER, "{}", case.name);
+        assert_eq!(cluster.messages.passed_on, before, "{}: the direct way again", case.name);
+    }
+}
+
+/// Without an owner nobody can help: a group that elects one is not asked four times as often.
+#[test]
+fn helpers_are_few_while_a_group_has_no_owner() {
+    let mut cluster = Cluster::started_with_other_gateways(GroupSettings::default());
+    opened(cluster.insist(&open("first", None, 1)));
+    let owner = cluster.owner().expect("an owner");
+    cluster.kill(owner);
+    let before = cluster.messages.passed_on;
+    let reply = cluster.insist(&open("second", None, 10));
+    assert!(matches!(reply, LedgerReply::Opened(_)), "{reply:?}");
+    let helpers = cluster.messages.passed_on - before;
+    assert!(helpers <= 3, "{helpers} helpers for one command");
+}
