Sessions stay with their server, and programs with the same long prompt go to few servers

Cause: a gateway has a few attempts at each server, so one more is above 1.5 times its mean: about a fifth of the turns left the server that held their prompt, and their own history was read again.

Change: a program stays with its server below keep_bound (3) times the mean of loads averaged over load_span_ms (500). A program without one goes to the least loaded of the first servers by rendezvous hashing of its shared part, four times as many as that part's share of the requests fills, two at least; only where shared parts outweigh the rest of the prompt, else by program as before.

--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -9,14 +9,24 @@
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a ServiceName,
-    /// Hash of what should stay together, e.g. of a program; none when nothing should.
-    pub affinity: Option<u64>,
+    /// What the request should stay together with; none when nothing.
+    pub affinity: Option<Affinity>,
     /// A server that is known to hold what the request needs.
     pub preferred: Option<&'a BackendId>,
     /// Servers that the request was sent to before.
     pub tried: &'a [BackendId],
 }
 
+/// What requests should stay together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Affinity {
+    /// Those of one program or session, by a hash of its name: one server holds what they need.
+    Program(u64),
+    /// Those whose prompts begin with the same parts, by a hash of the last of them. A few servers
+    /// hold these, as many as their share of the load needs.
+    SharedPrompt(u64),
+}
+
 /// By what a server was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChoiceWay {
@@ -24,6 +34,8 @@
     Preferred,
     /// All daemons prefer it for this affinity.
     Affinity,
+    /// It is the least loaded of those that all daemons prefer for these parts of a prompt.
+    SharedPrompt,
     /// Those preferred have far more than the mean load: it is the least loaded.
     LeastLoaded,
     /// Nothing ties the request to a server: it is the least loaded, its zone considered.
@@ -36,6 +48,7 @@
         match self {
             Self::Preferred => "preferred",
             Self::Affinity => "affinity",
+            Self::SharedPrompt => "shared-prompt",
             Self::LeastLoaded => "least-loaded",
             Self::Load => "load",
         }
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -12,19 +12,25 @@
 //! | `choice` | what is asked, and what comes out |
 //! | `table` | all servers, and the choice among them |
 //! | `server` | one server: this daemon's attempts there, its failures |
+//! | `loads` | servers compared by how much of this daemon's load they carry |
 //! | `latency` | how long a server takes to answer |
 //! | `rendezvous` | a rank of servers that all daemons agree on |
+//! | `shares` | which shares of the load fall to which shared prompts |
+//! | `smoothed` | a count averaged over time |
 //! | `settings` | settings of the choice |
 
 mod choice;
 mod latency;
+mod loads;
 mod record;
 mod rendezvous;
 mod server;
 mod settings;
+mod shares;
+mod smoothed;
 mod table;
 
-pub use choice::{Ask, AttemptEnd, Choice, ChoiceBasis, ChoiceWay};
+pub use choice::{Affinity, Ask, AttemptEnd, Choice, ChoiceBasis, ChoiceWay};
 pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
 pub use settings::BackendSettings;
 pub use table::{Backends, FailureListener};
--- /dev/null
+++ b/crates/backends/src/loads.rs
@@ -0,0 +1,89 @@
+//! Servers that take a request now, compared by how much of this daemon's load they carry.
+
+use std::cmp::Reverse;
+
+use dahlia_types::Timestamp;
+
+use crate::rendezvous::weight;
+use crate::server::Server;
+use crate::{BackendId, BackendSettings, ChoiceWay};
+
+/// A choice and by what it was made.
+type Chosen<'a> = Option<(&'a Server, ChoiceWay)>;
+
+/// The candidates for one request.
+pub(crate) struct Loads<'a> {
+    pub(crate) candidates: Vec<&'a Server>,
+    settings: &'a BackendSettings,
+    now: Timestamp,
+    /// Attempts of this daemon for each slot, averaged over time and over all candidates.
+    usual_mean: f64,
+}
+
+impl<'a> Loads<'a> {
+    pub(crate) fn new(
+        candidates: Vec<&'a Server>,
+        settings: &'a BackendSettings,
+        now: Timestamp,
+    ) -> Self {
+        let attempts = candidates.iter().map(|server| server.usual_attempts(settings, now));
+        let usual_mean = attempts.sum::<f64>() / f64::from(slots(&candidates));
+        Self { candidates, settings, now, usual_mean }
+    }
+
+    /// The server that holds what the request needs. What it holds is lost by leaving it, and
+    /// reading it elsewhere takes that server's time as well: only a load far above the mean is
+    /// worse.
+    pub(crate) fn kept(&self, preferred: &BackendId) -> Option<&'a Server> {
+        let mut candidates = self.candidates.iter();
+        let kept = candidates.find(|server| server.record.id == *preferred)?;
+        let most = self.usual_mean * self.settings.keep_bound;
+        // One attempt more or less is no load.
+        let is_little = kept.in_flight == 0;
+        (is_little || self.usual(kept) <= most).then_some(kept)
+    }
+
+    /// The first by rendezvous hashing of those whose load is not far above the mean, else the
+    /// least loaded.
+    pub(crate) fn by_program(&self, program: u64) -> Chosen<'a> {
+        let total: u32 = self.candidates.iter().map(|server| server.in_flight).sum();
+        let mean = f64::from(total + 1) / f64::from(slots(&self.candidates));
+        // One attempt is always within the bound: else an idle service would spread every program.
+        let within = |server: &&&Server| {
+            let bound = mean * self.settings.load_bound * f64::from(server.record.slots);
+            f64::from(server.in_flight) < bound.max(1.0)
+        };
+        let ranked = self.candidates.iter().filter(within);
+        let first = ranked.max_by_key(|server| weight(program, &server.record.id));
+        let first = first.map(|server| (*server, ChoiceWay::Affinity));
+        first.or_else(|| self.least_loaded())
+    }
+
+    /// The least loaded of the first few by rendezvous hashing, as many as the share of the load
+    /// that the prompt has needs.
+    pub(crate) fn by_prompt(&self, prompt: u64, share: f64) -> Chosen<'a> {
+        let wanted = share * self.candidates.len() as f64 * self.settings.prompt_spread;
+        let wanted = (wanted.ceil() as usize).max(self.settings.least_prompt_servers as usize);
+        let mut ranked = self.candidates.clone();
+        ranked.sort_by_cached_key(|server| Reverse(weight(prompt, &server.record.id)));
+        let first = ranked.iter().take(wanted);
+        let least = first.min_by(|left, right| self.usual(left).total_cmp(&self.usual(right)));
+        least.map(|server| (*server, ChoiceWay::SharedPrompt))
+    }
+
+    fn least_loaded(&self) -> Chosen<'a> {
+        let servers = self.candidates.iter();
+        let least = servers.min_by(|left, right| left.load().total_cmp(&right.load()));
+        least.map(|server| (*server, ChoiceWay::LeastLoaded))
+    }
+
+    /// Attempts of this daemon for each slot of a server, averaged over time.
+    fn usual(&self, server: &Server) -> f64 {
+        server.usual_attempts(self.settings, self.now) / f64::from(server.record.slots.max(1))
+    }
+}
+
+fn slots(servers: &[&Server]) -> u32 {
+    let slots: u32 = servers.iter().map(|server| server.record.slots).sum();
+    slots.max(1)
+}
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -3,6 +3,7 @@
 use dahlia_types::{Duration, Timestamp};
 
 use crate::latency::Latency;
+use crate::smoothed::SmoothedCount;
 use crate::{AttemptEnd, BackendRecord, BackendSettings, BackendState};
 
 /// Doublings of the pause after which it no longer grows; bounds the shift.
@@ -16,6 +17,8 @@
     pub record: BackendRecord,
     /// Attempts of this daemon that have not ended.
     pub in_flight: u32,
+    /// The same, averaged over the time before.
+    usual: SmoothedCount,
     /// It said itself that it leaves, or that another server has its address.
     said_leaving: bool,
     /// It is left alone until then.
@@ -33,6 +36,7 @@
         Self {
             record,
             in_flight: 0,
+            usual: SmoothedCount::default(),
             said_leaving: false,
             paused_until: Timestamp::ZERO,
             unreachable_in_a_row: 0,
@@ -73,6 +77,11 @@
         f64::from(self.in_flight) / f64::from(self.record.slots.max(1))
     }
 
+    /// Attempts of this daemon, averaged over the time before.
+    pub(crate) fn usual_attempts(&self, settings: &BackendSettings, now: Timestamp) -> f64 {
+        self.usual.at(self.in_flight, settings, now)
+    }
+
     /// Its mean time to an answer, once there are samples enough.
     pub(crate) fn latency(&self, settings: &BackendSettings) -> Option<Duration> {
         self.latency.mean(settings)
@@ -91,6 +100,7 @@
     }
 
     pub(crate) fn begin(&mut self, settings: &BackendSettings, now: Timestamp) {
+        self.usual.note(self.in_flight, settings, now);
         self.in_flight += 1;
         if now >= self.try_again_at {
             self.try_again_at = now + Duration::from_millis(settings.slow_retry_ms);
@@ -119,6 +129,7 @@
     }
 
     pub(crate) fn end(&mut self, end: AttemptEnd, settings: &BackendSettings, now: Timestamp) {
+        self.usual.note(self.in_flight, settings, now);
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             AttemptEnd::Answered => self.unreachable_in_a_row = 0,
--- a/crates/backends/src/settings.rs
+++ b/crates/backends/src/settings.rs
@@ -10,6 +10,15 @@
     /// A server may have this many times the mean load of its service before a program that
     /// prefers it goes elsewhere (consistent hashing with bounded loads, Mirrokni and others 2018).
     pub load_bound: f64,
+    /// The same for a program that has a server which holds its prompt.
+    pub keep_bound: f64,
+    /// Servers that read the same shared prompt, as a multiple of those that its share of the
+    /// load fills: among more of them the least loaded one is less loaded.
+    pub prompt_spread: f64,
+    /// The least number of them.
+    pub least_prompt_servers: u32,
+    /// Milliseconds over which loads are averaged.
+    pub load_span_ms: u64,
     /// Attempts of this daemon that one server may have, as a multiple of its slots.
     pub most_per_slot: f64,
     /// What a server in another zone must be less loaded to be chosen, in shares of its slots.
@@ -41,6 +50,10 @@
     fn default() -> Self {
         Self {
             load_bound: 1.5,
+            keep_bound: 3.0,
+            load_span_ms: 500,
+            prompt_spread: 4.0,
+            least_prompt_servers: 2,
             most_per_slot: 2.0,
             zone_penalty: 0.4,
             refused_pause_ms: 100,
@@ -64,6 +77,10 @@
     /// The first field with a value that is not allowed.
     pub fn check(&self) -> Result<(), InvalidSetting> {
         check_range("backends.load_bound", self.load_bound, 1.0, 100.0)?;
+        check_range("backends.keep_bound", self.keep_bound, 1.0, 100.0)?;
+        check_range("backends.prompt_spread", self.prompt_spread, 1.0, 1_000.0)?;
+        check_range("backends.least_prompt_servers", self.least_prompt_servers, 1, 1_000)?;
+        check_range("backends.load_span_ms", self.load_span_ms, 1, 60_000)?;
         check_range("backends.most_per_slot", self.most_per_slot, 0.1, 1_000.0)?;
         check_range("backends.zone_penalty", self.zone_penalty, 0.0, 10.0)?;
         check_range("backends.refused_pause_ms", self.refused_pause_ms, 1, 60_000)?;
--- /dev/null
+++ b/crates/backends/src/smoothed.rs
@@ -0,0 +1,33 @@
+//! A count averaged over time.
+//!
+//! With many daemons each has few attempts at a server, and one more or less at a moment says
+//! little. Their average over a second says how much of the load is this daemon's; when all
+//! daemons keep their averages even, so is their sum.
+
+use dahlia_types::Timestamp;
+
+use crate::BackendSettings;
+
+/// An exponentially weighted average over the time before.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct SmoothedCount {
+    mean: f64,
+    /// Up to when it is averaged.
+    until: Timestamp,
+}
+
+impl SmoothedCount {
+    /// Takes in that the count was `count` since the last call.
+    pub(crate) fn note(&mut self, count: u32, settings: &BackendSettings, now: Timestamp) {
+        self.mean = self.at(count, settings, now);
+        self.until = now;
+    }
+
+    /// The average now, when the count was `count` since the last call of [`Self::note`].
+    pub(crate) fn at(&self, count: u32, settings: &BackendSettings, now: Timestamp) -> f64 {
+        let passed = now.since(self.until).as_secs_f64();
+        let span = settings.load_span_ms as f64 / 1_000.0;
+        let kept = (-passed / span).exp();
+        self.mean * kept + f64::from(count) * (1.0 - kept)
+    }
+}
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -7,10 +7,12 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::loads::Loads;
 use crate::rendezvous::weight;
 use crate::server::Server;
+use crate::shares::PromptShares;
 use crate::{
-    Ask, AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice,
+    Affinity, Ask, AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice,
     ChoiceBasis, ChoiceWay, ServiceName,
 };
 
@@ -30,6 +32,7 @@
     services: BTreeMap<ServiceName, BTreeMap<BackendId, Server>>,
     /// Where each server is listed, so that ends of attempts find it.
     listed: BTreeMap<BackendId, ServiceName>,
+    shares: PromptShares,
     on_failure: Option<FailureListener>,
 }
 
@@ -48,6 +51,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             services: BTreeMap::new(),
             listed: BTreeMap::new(),
+            shares: PromptShares::default(),
             on_failure: None,
         }
     }
@@ -167,6 +171,10 @@
 
     fn pick(&mut self, ask: &Ask<'_>, now: Timestamp) -> Option<(BackendId, ChoiceBasis)> {
         let draw = self.random.random();
+        let share = match ask.affinity {
+            Some(Affinity::SharedPrompt(prompt)) => self.shares.note(prompt, now),
+            _ => 0.0,
+        };
         let servers = self.services.get(ask.service)?;
         let usable: Vec<&Server> = self.usable(servers, ask, now).collect();
         let settings = &self.settings;
@@ -178,10 +186,14 @@
         let counts = (servers.len(), usable.len(), sound.len());
         // A server that failed of late, or is slow, is better than none.
         let candidates = if sound.is_empty() { usable } else { sound };
-        let (server, way) = match ask.affinity {
-            Some(hash) => by_affinity(&candidates, hash, ask.preferred, settings.load_bound)?,
-            None => {
-                let server = by_load(&candidates, &self.zone, settings.zone_penalty, draw)?;
+        let loads = Loads::new(candidates, settings, now);
+        let kept = ask.preferred.and_then(|preferred| loads.kept(preferred));
+        let (server, way) = match (ask.affinity, kept) {
+            (Some(_), Some(kept)) => (kept, ChoiceWay::Preferred),
+            (Some(Affinity::Program(program)), None) => loads.by_program(program)?,
+            (Some(Affinity::SharedPrompt(prompt)), None) => loads.by_prompt(prompt, share)?,
+            (None, _) => {
+                let server = by_load(&loads.candidates, &self.zone, settings.zone_penalty, draw)?;
                 (server, ChoiceWay::Load)
             }
         };
@@ -242,37 +254,6 @@
     Some(bound.max(Duration::from_millis(settings.slow_floor_ms)))
 }
 
-/// The preferred server, else the first by rendezvous hashing, of those whose load is not far
-/// above the mean.
-fn by_affinity<'a>(
-    candidates: &[&'a Server],
-    hash: u64,
-    preferred: Option<&BackendId>,
-    load_bound: f64,
-) -> Option<(&'a Server, ChoiceWay)> {
-    let total: u32 = candidates.iter().map(|server| server.in_flight).sum();
-    let slots: u32 = candidates.iter().map(|server| server.record.slots).sum();
-    let mean = f64::from(total + 1) / f64::from(slots.max(1));
-    // One attempt is always within the bound: else an idle service would spread every program.
-    let within = |server: &&&Server| {
-        let bound = (mean * load_bound * f64::from(server.record.slots)).max(1.0);
-        f64::from(server.in_flight) < bound
-    };
-    let is_preferred = |server: &&&Server| Some(&server.record.id) == preferred;
-    let kept = candidates.iter().find(|server| is_preferred(server) && within(server));
-    let kept = kept.map(|server| (*server, ChoiceWay::Preferred));
-    let ranked = || {
-        let ranked = candidates.iter().filter(within);
-        let first = ranked.max_by_key(|server| weight(hash, &server.record.id));
-        first.map(|server| (*server, ChoiceWay::Affinity))
-    };
-    let least = || {
-        let least = candidates.iter().min_by(|left, right| left.load().total_cmp(&right.load()));
-        least.map(|server| (*server, ChoiceWay::LeastLoaded))
-    };
-    kept.or_else(ranked).or_else(least)
-}
-
 /// The least loaded server; one of another zone must be clearly less loaded.
 fn by_load<'a>(
     candidates: &[&'a Server],
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use dahlia_backends::{Ask, AttemptEnd, BackendAddress, BackendId, Choice};
+use dahlia_backends::{Affinity, Ask, AttemptEnd, BackendAddress, BackendId, Choice};
 use dahlia_types::Duration;
 use tokio::time::Instant;
 
@@ -13,7 +13,7 @@
 use crate::decisions::RequestLog;
 use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
 use crate::outgoing::Outgoing;
-use crate::prompt_parts::last_shared_part;
+use crate::prompt_parts::SharedParts;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
 use crate::request::RequestHead;
@@ -193,16 +193,23 @@
         }
     }
 
-    /// Requests of one program stay together on routes that are better served so; others go where
-    /// the parts of their prompt may be kept.
-    fn affinity(&self) -> Option<u64> {
+    /// On routes that are better served so, requests go where what they need is kept. Where the
+    /// parts of a prompt that others share outweigh the rest, programs with the same parts go
+    /// together, so that few servers read these; else each program stays together.
+    fn affinity(&self) -> Option<Affinity> {
         if !self.route().is_sticky {
             return None;
         }
         let names = &self.shared.headers;
         let program = self.head.text(&names.program);
-        let shared = || self.head.text(&names.prompt_parts).and_then(last_shared_part);
-        program.or_else(shared).map(|text| key_of(text.as_bytes()))
+        let shared = self.head.text(&names.prompt_parts).and_then(SharedParts::parse);
+        let hash = |text: &str| key_of(text.as_bytes());
+        match (shared, program) {
+            (Some(shared), _) if shared.outweigh => Some(Affinity::SharedPrompt(hash(shared.last))),
+            (_, Some(program)) => Some(Affinity::Program(hash(program))),
+            (Some(shared), None) => Some(Affinity::Program(hash(shared.last))),
+            (None, None) => None,
+        }
     }
 
     fn sent(&mut self) {
--- a/crates/relay/src/prompt_parts.rs
+++ b/crates/relay/src/prompt_parts.rs
@@ -1,15 +1,29 @@
-//! The parts of a prompt, as callers list them.
+//! The parts of a prompt, as callers list them: `id:tokens`, in order, separated by commas.
 
-/// The identifier of the last part that other requests may share: the last but one, since the last
-/// belongs to the request or its session. The parts before it are the same wherever it stands. A
-/// prompt of one part has that one.
-pub(crate) fn last_shared_part(parts: &str) -> Option<&str> {
-    let mut from_last = parts.rsplit(',').map(identifier).filter(|part| !part.is_empty());
-    let own = from_last.next();
-    from_last.next().or(own)
+/// The parts of a prompt that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SharedParts<'a> {
+    /// The identifier of the last of them. The parts before it are the same wherever it stands.
+    pub(crate) last: &'a str,
+    /// Whether they are the larger part of the prompt.
+    pub(crate) outweigh: bool,
 }
 
-/// The identifier in `id:tokens`.
-fn identifier(part: &str) -> &str {
-    part.split(':').next().unwrap_or_default().trim()
+impl<'a> SharedParts<'a> {
+    /// All parts but the last, which belongs to the request or its session. A prompt of one part
+    /// has that one.
+    pub(crate) fn parse(parts: &'a str) -> Option<Self> {
+        let named = parts.split(',').map(parse_part).filter(|(id, _)| !id.is_empty());
+        let named: Vec<(&str, u64)> = named.collect();
+        let (own, shared) = named.split_last()?;
+        let last = shared.last().unwrap_or(own).0;
+        let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+        Some(Self { last, outweigh: shared_tokens > own.1 })
+    }
+}
+
+/// A part without a number of tokens weighs nothing.
+fn parse_part(part: &str) -> (&str, u64) {
+    let (id, tokens) = part.split_once(':').unwrap_or((part, ""));
+    (id.trim(), tokens.trim().parse().unwrap_or(0))
 }
