A server that falls silent is given up after a connection to it hangs

Cause: a server without power was noticed by 1.5 s of unacknowledged bytes or by keep-alive probes in whole seconds; then its request ended with 502 after 1.8 s, or its stream waited until discovery dropped the server after 3.1 to 3.6 s, since a connection that hangs did not say that it had ended and routes allow one server a request. Callers leave after 3.2 to 4 s.

Change: while a request waits that another server may run, and nothing came from its server on any connection for 0.4 s (silence_ms), one new connection is tried. If it hangs for connect_timeout_ms (0.3 s), the server is out of reach: its connections go, it does not count against max_attempts, and the request goes on elsewhere, a stream behind its last event. One that takes or refuses connections is left to work. One request at a time tries; a server that sends anything at all is never tried. Requests that run once wait as before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,6 +10,7 @@
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, Response, StatusCode, response};
 use hyper::body::Incoming;
+use tokio::select;
 use tokio::time::{self, Instant, timeout};
 
 use crate::connection::{SendError, ServerConnection};
@@ -81,7 +82,15 @@
         let Connected { mut connection, rested } = connected;
         let began = Instant::now();
         guard.sending();
-        match connection.send(self.outgoing.request()).await {
+        let answer = select! {
+            biased;
+            answer = connection.send(self.outgoing.request()) => answer,
+            () = guard.watch.silence() => {
+                guard.fail(AttemptEnd::Unreachable, "the server fell silent before its answer");
+                return Ok(Sent::Broken);
+            }
+        };
+        match answer {
             Ok(answer) => Ok(self.judge(connection, answer, guard).await),
             Err(SendError::NotSent) => Err(guard),
             Err(error @ SendError::NoAnswer { .. }) => {
@@ -101,6 +110,7 @@
         answer: Response<Incoming>,
         mut guard: AttemptGuard,
     ) -> Sent {
+        guard.watch.heard();
         let (parts, body) = answer.into_parts();
         if !self.is_ours(&parts) {
             guard.fail(AttemptEnd::Broken, "the answer belongs to another attempt");
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -49,24 +49,6 @@
     NoAnswer { source: hyper::Error },
 }
 
-/// Whether nobody listens any more where a server was: a connection is refused. Silence and
-/// other failures do not say that it has ended.
-pub(crate) async fn is_refused(server: SocketAddr, settings: &RelaySettings) -> bool {
-    let patience = Duration::from_millis(settings.connect_timeout_ms);
-    let tried = timeout(patience, TcpStream::connect(server)).await;
-    let kind = match &tried {
-        Ok(Ok(_)) => None,
-        Ok(Err(error)) => Some(error.kind()),
-        Err(_) => Some(io::ErrorKind::TimedOut),
-    };
-    log::info!(
-        target: "relay",
-        server:% = server, outcome:? = kind;
-        "Asked whether a server has ended."
-    );
-    kind == Some(io::ErrorKind::ConnectionRefused)
-}
-
 /// One connection to a server, with at most one request on it.
 pub(crate) struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,7 +8,6 @@
 use tokio::time::Instant;
 
 use crate::attempt::{Sending, Sent, connect};
-use crate::connection::is_refused;
 use crate::counters::count;
 use crate::decisions::RequestLog;
 use crate::live::{AttemptGuard, BrokenAnswer, LiveAnswer};
@@ -18,6 +17,7 @@
 use crate::relay::Shared;
 use crate::request::RequestHead;
 use crate::router::{Matched, key_of};
+use crate::silence::{Reachability, reachability};
 use crate::turn::Turn;
 use crate::{Repeatability, Route, TurnLedger, level};
 
@@ -127,7 +127,8 @@
     pub(crate) async fn live_answer(&mut self) -> Result<Box<LiveAnswer>, Refusal> {
         loop {
             let server = self.choose()?;
-            let guard = AttemptGuard::new(&self.shared, server.id.clone(), self.log.clone());
+            let may_run_again = self.may_run_again();
+            let guard = AttemptGuard::new(&self.shared, &server, may_run_again, self.log.clone());
             count(&self.shared.counters.attempts);
             let sent = self.send_to(&server, guard).await;
             self.tried.push(server.id.clone());
@@ -258,13 +259,13 @@
         Err(Refusal::AnswerLost)
     }
 
-    /// Whether another server may run it. A server that has ended runs nothing any more, so that
-    /// it does not count; it is looked for only when the answer depends on it.
+    /// Whether another server may run it. A server that has ended, or is cut off, does not count; it
+    /// is looked for only when the answer depends on it.
     async fn is_below_most(&mut self) -> bool {
         let most = self.route().max_attempts as usize;
         let mut checked = 0;
         while self.counted.len() >= most && checked < self.counted.len() {
-            if self.has_ended(&self.counted[checked]).await {
+            if self.is_out_of_reach(&self.counted[checked]).await {
                 self.counted.swap_remove(checked);
             } else {
                 checked += 1;
@@ -273,12 +274,15 @@
         self.counted.len() < most
     }
 
-    async fn has_ended(&self, server: &BackendAddress) -> bool {
+    async fn is_out_of_reach(&self, server: &BackendAddress) -> bool {
         let is_gone = {
             let backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
             backends.is_gone(&server.id)
         };
-        is_gone || is_refused(server.address, &self.shared.settings).await
+        if is_gone || self.shared.heard.is_silent(&server.id) {
+            return true;
+        }
+        reachability(server.address, &self.shared.settings).await != Reachability::Alive
     }
 
     /// A stream that cannot be resumed runs once at most, whatever else its route says.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 //! | `urgency` | how urgent a request is to servers |
 //! | `outgoing`, `live` | a request as one server gets it, and its answer while it arrives |
 //! | `connection`, `pool` | connections to servers, and the idle ones |
+//! | `silence` | servers that fall silent |
 //! | `rest_limit` | how long a connection may have rested for a request that runs once |
 //! | `events` | server-sent events cut out of a stream |
 //! | `settings`, `counters`, `metrics` | settings, and what is counted and timed |
@@ -56,6 +57,7 @@
 mod routes;
 mod server;
 mod settings;
+mod silence;
 mod turn;
 mod urgency;
 
--- a/crates/relay/src/live.rs
+++ b/crates/relay/src/live.rs
@@ -3,16 +3,18 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use dahlia_backends::{AttemptEnd, BackendId, Backends};
+use dahlia_backends::{AttemptEnd, BackendAddress, BackendId, Backends};
 use dahlia_types::Timestamp;
 use http::response;
 use hyper::body::Incoming;
 use snafu::Snafu;
+use tokio::select;
 
 use crate::connection::ServerConnection;
 use crate::decisions::RequestLog;
 use crate::pool::{Keeping, Pool};
 use crate::relay::{Clock, Shared};
+use crate::silence::SilenceWatch;
 
 /// The answer was not whole, or was none, or was another request's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -28,14 +30,23 @@
     log: RequestLog,
     /// When the attempt was sent; none before, and once its answer has begun.
     waits_since: Option<Timestamp>,
+    /// Notices that the server falls silent.
+    pub(crate) watch: SilenceWatch,
 }
 
 impl AttemptGuard {
-    pub(crate) fn new<L>(shared: &Shared<L>, server: BackendId, log: RequestLog) -> Self {
+    /// An attempt at `server`. `may_run_again` says whether another server may run its request.
+    pub(crate) fn new<L>(
+        shared: &Shared<L>,
+        server: &BackendAddress,
+        may_run_again: bool,
+        log: RequestLog,
+    ) -> Self {
         Self {
+            watch: SilenceWatch::new(&shared.heard, server, &shared.settings, may_run_again),
             backends: Arc::clone(&shared.backends),
             clock: Arc::clone(&shared.clock),
-            server,
+            server: server.id.clone(),
             end: AttemptEnd::Cancelled,
             log,
             waits_since: None,
@@ -122,8 +133,20 @@
     /// The body broke off. The connection is closed then.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         let connection = self.connection.as_mut()?;
-        match connection.next_data(&mut self.body).await {
-            Some(Ok(piece)) => Some(Ok(piece)),
+        let data = select! {
+            biased;
+            data = connection.next_data(&mut self.body) => data,
+            () = self.guard.watch.silence() => {
+                self.connection = None;
+                self.guard.fail(AttemptEnd::Unreachable, "the server fell silent in its answer");
+                return Some(Err(BrokenAnswer));
+            }
+        };
+        match data {
+            Some(Ok(piece)) => {
+                self.guard.watch.heard();
+                Some(Ok(piece))
+            }
             Some(Err(error)) => {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, &error.to_string());
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::metrics::RelayMetrics;
 use crate::pool::Pool;
 use crate::router::Routing;
+use crate::silence::Heard;
 use crate::{CallerLimits, HeaderNames, RelaySettings, RouteTable, TurnLedger, server};
 
 /// Tells the daemon's time, for [`Backends`] and the ledger.
@@ -19,7 +20,7 @@
 
 /// What all requests share.
 pub(crate) struct Shared<L> {
-    pub(crate) settings: RelaySettings,
+    pub(crate) settings: Arc<RelaySettings>,
     pub(crate) headers: HeaderNames,
     pub(crate) clock: Clock,
     pub(crate) ledger: L,
@@ -27,6 +28,7 @@
     pub(crate) counters: Arc<Counters>,
     pub(crate) metrics: Arc<RelayMetrics>,
     pub(crate) pool: Arc<Pool>,
+    pub(crate) heard: Arc<Heard>,
     pub(crate) drain: watch::Sender<bool>,
     refusing: AtomicBool,
     routing: RwLock<Option<Arc<Routing>>>,
@@ -73,7 +75,7 @@
         backends: Arc<Mutex<Backends>>,
     ) -> Self {
         let shared = Shared {
-            settings,
+            settings: Arc::new(settings),
             headers,
             clock,
             ledger,
@@ -81,6 +83,7 @@
             counters: Arc::default(),
             metrics: Arc::new(RelayMetrics::new()),
             pool: Arc::new(Pool::new()),
+            heard: Arc::default(),
             drain: watch::Sender::new(false),
             refusing: AtomicBool::new(false),
             routing: RwLock::new(None),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -17,6 +17,10 @@
     pub probe_interval_s: u64,
     /// Unanswered probes until a connection counts as dead.
     pub most_probes: u32,
+    /// Milliseconds without a sign of a server after which a new connection to it is tried, while
+    /// a request waits that another server may run; 0 never. Longer than the pauses of streams
+    /// that callers accept, so that a server that works is seldom asked.
+    pub silence_ms: u64,
     /// Daemons that share a server's connections: idle ones are kept up to this part of them.
     pub connection_sharers: u32,
     /// Milliseconds that an idle connection is kept when the server does not say how long.
@@ -43,6 +47,7 @@
             unacknowledged_timeout_ms: 1_500,
             probe_interval_s: 1,
             most_probes: 2,
+            silence_ms: 400,
             connection_sharers: 8,
             idle_connection_ms: 4_000,
             idle_margin_ms: 1_000,
@@ -71,6 +76,7 @@
         )?;
         check_range("relay.probe_interval_s", self.probe_interval_s, 1, 3_600)?;
         check_range("relay.most_probes", self.most_probes, 1, 100)?;
+        check_range("relay.silence_ms", self.silence_ms, 0, 60_000)?;
         check_range("relay.connection_sharers", self.connection_sharers, 1, 100_000)?;
         check_range("relay.idle_connection_ms", self.idle_connection_ms, 0, 3_600_000)?;
         check_range("relay.idle_margin_ms", self.idle_margin_ms, 0, 60_000)?;
--- a/crates/relay/tests/common/stand_in.rs
+++ b/crates/relay/tests/common/stand_in.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -42,6 +42,8 @@
     Reset,
     /// Stops listening, and resets.
     Die,
+    /// Says nothing more, and takes no new connection: they hang.
+    FallSilent,
 }
 
 type Script = dyn Fn(&Got) -> Vec<Step> + Send + Sync;
@@ -53,6 +55,7 @@
     pub address: SocketAddr,
     got: Arc<Mutex<Vec<Got>>>,
     closed: Arc<Mutex<usize>>,
+    connections: Arc<Mutex<usize>>,
     released: Arc<watch::Sender<bool>>,
     accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
@@ -65,6 +68,7 @@
             address: listener.local_addr().expect("its address"),
             got: Arc::default(),
             closed: Arc::default(),
+            connections: Arc::default(),
             released: Arc::new(watch::Sender::new(false)),
             accepting: Arc::default(),
         };
@@ -74,6 +78,7 @@
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(accepting.clone().serve(connection, stream, Arc::clone(&script)));
                 connection += 1;
+                *accepting.connections.lock().expect("whole") += 1;
             }
         });
         *server.accepting.lock().expect("whole") = Some(task);
@@ -85,6 +90,11 @@
         self.got.lock().expect("whole").clone()
     }
 
+    /// Connections that the relay opened so far.
+    pub fn connections(&self) -> usize {
+        *self.connections.lock().expect("whole")
+    }
+
     /// Connections that the relay closed so far.
     pub fn closed(&self) -> usize {
         *self.closed.lock().expect("whole")
@@ -127,6 +137,15 @@
                 let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
                 false
             }
+            Step::FallSilent => {
+                let task = self.accepting.lock().expect("whole").take().expect("it listens");
+                task.abort();
+                let _ = task.await;
+                let _full = FullListener::at(self.address);
+                let mut released = self.released.subscribe();
+                let _ = released.wait_for(|released| *released).await;
+                false
+            }
             Step::Reset => {
                 let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
                 false
@@ -135,6 +154,29 @@
     }
 }
 
+/// A listener whose queue is full: the system drops what asks for a connection.
+struct FullListener {
+    _listener: Socket,
+    _waiting: Vec<Socket>,
+}
+
+impl FullListener {
+    fn at(address: SocketAddr) -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.set_reuse_address(true).expect("the option exists");
+        listener.bind(&address.into()).expect("the address is free again");
+        listener.listen(0).expect("it listens");
+        // A queue of length 0 takes one connection; more of them make sure that it is full.
+        let connect = |_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            socket.set_nonblocking(true).expect("the option exists");
+            let _ = socket.connect(&address.into());
+            socket
+        };
+        Self { _listener: listener, _waiting: (0..4).map(connect).collect() }
+    }
+}
+
 async fn read_request(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -5,7 +5,7 @@
 use common::caller::{Caller, call, post};
 use common::stand_in::{Got, StandIn, Step, answer, chunk, event, last_chunk, shed, stream_head};
 use common::{Bed, once, resumable, table, until};
-use dahlia_relay::Route;
+use dahlia_relay::{RelaySettings, Route};
 use dahlia_types::Duration;
 
 fn whole_stream(got: &Got, events: std::ops::Range<u32>) -> Vec<Step> {
@@ -198,3 +198,54 @@
     assert_eq!(bed.relay.in_progress(), 0);
     drop(caller);
 }
+
+struct SilentCase {
+    name: &'static str,
+    first: fn(&Got) -> Vec<Step>,
+    /// The events that the caller gets.
+    events: std::ops::Range<u32>,
+}
+
+/// A server loses its power, or is cut off: its connections say nothing, and new ones hang.
+#[tokio::test]
+async fn a_request_goes_on_elsewhere_when_its_server_falls_silent() {
+    let only = || Route { max_attempts: 1, ..resumable() };
+    let cases = [
+        SilentCase {
+            name: "in its answer",
+            first: |got| vec![stream_head(got), chunk(&text(1..3)), Step::FallSilent],
+            events: 1..5,
+        },
+        SilentCase { name: "before its answer", first: |_| vec![Step::FallSilent], events: 3..5 },
+    ];
+    for case in cases {
+        let then = |got: &Got| whole_stream(got, 3..5);
+        let (reply, got, _bed) = broken_then(only(), case.first, then).await;
+        assert_eq!((reply.status, reply.is_whole), (200, true), "{}", case.name);
+        assert_eq!(reply.body, text(case.events), "{}", case.name);
+        assert_eq!(got.len(), 2, "{}", case.name);
+    }
+}
+
+/// A server that only thinks takes connections: it is left to work.
+#[tokio::test]
+async fn a_quiet_server_that_lives_keeps_its_request() {
+    let server = StandIn::new("s-1", |got| {
+        vec![stream_head(got), chunk(&text(1..2)), Step::Wait, chunk(&text(2..3)), last_chunk()]
+    })
+    .await;
+    let other = StandIn::new("s-2", |got| whole_stream(got, 1..3)).await;
+    let settings = RelaySettings { silence_ms: 20, ..RelaySettings::default() };
+    let table = table(vec![resumable()]);
+    let bed = Bed::with_settings(settings, Some(table), &[&server]).await;
+    let mut caller = Caller::new(bed.address).await;
+    caller.send(&post("t", "", "")).await;
+    assert_eq!(caller.head().await.status, 200);
+    assert_eq!(caller.chunk().await, Some(text(1..2)));
+    bed.add("s-2", other.address);
+    // The request's own connection is the first; others are tried while the server is quiet.
+    until("two connections were tried", || server.connections() >= 3).await;
+    server.release();
+    assert_eq!(caller.chunk().await, Some(text(2..3)));
+    assert!(other.got().is_empty(), "it is not sent twice");
+}
