The adapters to outside services get a name of their own; the core's handle a file of its own

Two folders were named platform: crates/platform (adapters to engines, key-value service, weight store, tools) is crates/adapters now, crate dahlia-adapters; platform/ stays the users' platform. Moved and renamed only; no behaviour changed.

--- a/crates/platform/tests/bad_peers.rs
+++ b/crates/adapters/tests/bad_peers.rs
@@ -4,8 +4,8 @@
 
 use std::net::SocketAddr;
 
-use dahlia_platform::engine::{GenerateEvent, GenerateLine, GenerateRequest, Stop};
-use dahlia_platform::{
+use dahlia_adapters::engine::{GenerateEvent, GenerateLine, GenerateRequest, Stop};
+use dahlia_adapters::{
     Certainty, ClientSettings, EngineClient, EngineEndpoint, EngineError, KeyValueClient,
     KeyValueError, TransportError,
 };
--- a/crates/platform/tests/wire.rs
+++ b/crates/adapters/tests/wire.rs
@@ -1,11 +1,11 @@
 //! The wire forms, and the settings' checks, as text.
 
-use dahlia_platform::ClientSettings;
-use dahlia_platform::engine::{
+use dahlia_adapters::ClientSettings;
+use dahlia_adapters::engine::{
     AttemptState, EngineOrder, EngineRefusal, FencedOrder, GenerateEvent, GenerateLine,
     GenerateRequest, ReleaseRequest, ReleaseScope, Stop,
 };
-use dahlia_platform::key_value::{CompareAndSwapRequest, KeyValueRefusal, LeaseId, Version};
+use dahlia_adapters::key_value::{CompareAndSwapRequest, KeyValueRefusal, LeaseId, Version};
 use dahlia_types::{
     Attempt, AttemptId, Duration, Generation, Incarnation, Message, ModelId, Role, TenantId, Term,
     Tokens, Usage,
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -6,17 +6,17 @@
 
 use std::time::Duration;
 
-use dahlia_node::request::{AttemptEnd, NotRunCause};
-use dahlia_node::{Event, StartAttempt};
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     AttemptState, EngineRefusal, EventStream, GenerateEvent, GenerateRequest, Stop,
 };
-use dahlia_platform::{Certainty, EngineClient, EngineError};
+use dahlia_adapters::{Certainty, EngineClient, EngineError};
+use dahlia_node::request::{AttemptEnd, NotRunCause};
+use dahlia_node::{Event, StartAttempt};
 use dahlia_types::{AttemptId, Usage};
 use tokio::time::{Instant, sleep};
 
 use crate::answers::AnswerBoard;
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 
 /// Pause between enquiries at an engine that does not answer.
--- a/crates/daemon/src/chunk_store.rs
+++ b/crates/daemon/src/chunk_store.rs
@@ -10,7 +10,7 @@
 use dahlia_store::{ChunkStore, FolderDisk, StoreError, StoreSettings};
 use snafu::{ResultExt, Snafu};
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 
 /// The part of the data folder that holds chunks.
--- a/crates/daemon/src/configuration_key.rs
+++ b/crates/daemon/src/configuration_key.rs
@@ -1,12 +1,12 @@
 //! The node's steps with the configuration's key in the key-value service.
 
+use dahlia_adapters::key_value::{Version, Versioned, WatchEvent};
+use dahlia_adapters::{Certainty, KeyValueClient, KeyValueError};
 use dahlia_configuration::{CONFIGURATION_KEY, ServiceRecord, ServiceUnavailable, SwapFailure};
 use dahlia_node::{Event, KeyValueEvent, KeyValueStep};
-use dahlia_platform::key_value::{Version, Versioned, WatchEvent};
-use dahlia_platform::{Certainty, KeyValueClient, KeyValueError};
 use tokio::task::AbortHandle;
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 
 /// Carries out steps, each in a task of its own. One watch at most is open.
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -3,21 +3,21 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use dahlia_configuration::{self as configuration, EngineState, FencedOrder, OrderKind};
-use dahlia_node::request::ReleaseEnd;
-use dahlia_node::{EngineAddress, EngineReport, Event, ReleaseOrder, StartAttempt};
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     AfterHold, EngineOrder, EngineRole, HoldRequest, LoadReport, ModelState, ReleaseRequest,
     ReleaseScope,
 };
-use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError};
+use dahlia_adapters::{ClientSettings, EngineClient, EngineEndpoint, EngineError};
+use dahlia_configuration::{self as configuration, EngineState, FencedOrder, OrderKind};
+use dahlia_node::request::ReleaseEnd;
+use dahlia_node::{EngineAddress, EngineReport, Event, ReleaseOrder, StartAttempt};
 use dahlia_types::{AttemptId, CallId, Duration as Length, EngineId, ProgramId, Term, Zone};
 use tokio::task::AbortHandle;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::answers::AnswerBoard;
 use crate::attempt::AttemptTask;
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 
 /// How often each engine's load is read.
@@ -261,7 +261,7 @@
     }
 }
 
-fn platform_order(order: &FencedOrder) -> dahlia_platform::engine::FencedOrder {
+fn platform_order(order: &FencedOrder) -> dahlia_adapters::engine::FencedOrder {
     let kind = match &order.kind {
         OrderKind::Load(model) => EngineOrder::LoadModel(model.clone()),
         OrderKind::Unload(model) => EngineOrder::UnloadModel(model.clone()),
@@ -272,7 +272,7 @@
             EngineOrder::SetRole(EngineRole::Draining)
         }
     };
-    dahlia_platform::engine::FencedOrder { generation: order.generation, order: kind }
+    dahlia_adapters::engine::FencedOrder { generation: order.generation, order: kind }
 }
 
 fn translate(load: LoadReport, zone: &Zone) -> EngineReport {
--- a/crates/daemon/src/failure_reports.rs
+++ b/crates/daemon/src/failure_reports.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 
 /// Failures of one back end are gathered for so long before others are told.
 const GATHER_TIME: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -14,7 +14,7 @@
 use super::Gateway;
 use super::source::AnswerSource;
 use crate::answers::AnswerBoard;
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::handshake::Identity;
 use crate::logging::part;
 use crate::serve_answers;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -38,7 +38,7 @@
 use tokio::time::timeout;
 
 use crate::answers::AnswerBoard;
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::handshake::Identity;
 use crate::metrics::Metrics;
 
--- a/crates/daemon/src/kept_documents.rs
+++ b/crates/daemon/src/kept_documents.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 
 /// The part of the data folder that holds documents.
--- a/crates/daemon/src/layout_store.rs
+++ b/crates/daemon/src/layout_store.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 
+use dahlia_adapters::KeyValueClient;
 use dahlia_node::LAYOUT_KEY;
-use dahlia_platform::KeyValueClient;
 use futures::future::BoxFuture;
 use snafu::Snafu;
 
--- a/crates/daemon/src/ledger_client.rs
+++ b/crates/daemon/src/ledger_client.rs
@@ -12,7 +12,7 @@
 use futures::future::join_all;
 use tokio::time::{self, Instant, timeout};
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::ledger_breaker::{Admission, LedgerBreaker, LedgerBreakerSettings};
 
 /// The ledgers of all groups, by way of this daemon's node. Cheap to clone.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! | `cli` | flags and signals |
 //! | `assembly` | starts everything and stops it in order |
 //! | `core` | the task that drives the node |
+//! | `core_handle` | how all other parts talk to that task |
 //! | `gateway` | callers' HTTP |
 //! | `operators` | operators' RPC |
 //! | `peers`, `frames`, `datagrams`, `handshake` | connections between daemons |
@@ -30,6 +31,7 @@
 pub mod clock;
 mod configuration_key;
 pub mod core;
+pub mod core_handle;
 mod datagrams;
 mod engines;
 pub mod failure_reports;
--- a/crates/daemon/src/machine_list.rs
+++ b/crates/daemon/src/machine_list.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dahlia_adapters::machines::{Machine, MachineKind, MachineList, MachineState};
+use dahlia_adapters::{ClientSettings, MachineListClient};
 use dahlia_node::{EngineAddress, Event, ListedEngine, MachineListing};
-use dahlia_platform::machines::{Machine, MachineKind, MachineList, MachineState};
-use dahlia_platform::{ClientSettings, MachineListClient};
 use dahlia_types::EngineId;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 
 /// How often the list is read. It lags by itself; engines that leave also say so themselves.
--- a/crates/daemon/src/metrics_server.rs
+++ b/crates/daemon/src/metrics_server.rs
@@ -9,7 +9,7 @@
 use salvo::prelude::{Response, Router, Server, handler};
 use tokio::net::TcpSocket;
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::logging::part;
 use crate::metrics::Metrics;
 
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -20,7 +20,7 @@
 use tonic::transport::Server;
 use tonic::{Request, Status};
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 
 /// What every operators' service needs.
 #[derive(Clone)]
--- a/crates/daemon/src/platform_state.rs
+++ b/crates/daemon/src/platform_state.rs
@@ -2,7 +2,7 @@
 
 use dahlia_node::{Event, LayoutStep};
 
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::layout_store::{LayoutStore, LayoutStoreError, SharedLayoutStore};
 use crate::logging::part;
 
--- a/crates/daemon/src/serve_answers.rs
+++ b/crates/daemon/src/serve_answers.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use crate::answers::{Answer, AnswerBoard};
-use crate::core::CoreHandle;
+use crate::core_handle::CoreHandle;
 use crate::frames::{FrameError, FrameStream};
 use crate::logging::part;
 
--- a/crates/daemon/tests/configuration/engines.rs
+++ b/crates/daemon/tests/configuration/engines.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use dahlia_adapters::engine::{EngineOrder, ModelState};
+use dahlia_adapters::machines::MachineState;
+use dahlia_adapters::{ClientSettings, EngineClient, EngineEndpoint};
 use dahlia_configuration::Document;
-use dahlia_platform::engine::{EngineOrder, ModelState};
-use dahlia_platform::machines::MachineState;
-use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
 use dahlia_standins::engine::{EngineFaults, EngineObservation};
 use dahlia_types::{AttemptId, ModelId, Timestamp};
 use futures::future::join_all;
--- a/crates/daemon/tests/configuration/support.rs
+++ b/crates/daemon/tests/configuration/support.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dahlia_adapters::machines::{Machine, MachineKind, MachineState};
 use dahlia_api::headers;
 use dahlia_api::operators::configuration_client::ConfigurationClient;
 use dahlia_api::operators::machines_client::MachinesClient;
@@ -17,7 +18,6 @@
 };
 use dahlia_daemon::assembly;
 use dahlia_daemon::settings::Settings;
-use dahlia_platform::machines::{Machine, MachineKind, MachineState};
 use dahlia_standins::engine::EngineObservation;
 use dahlia_standins::key_value::KeyValueFaults;
 use dahlia_standins::machines::MachineChange;
--- a/crates/daemon/tests/hostile_input.rs
+++ b/crates/daemon/tests/hostile_input.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dahlia_adapters::engine::GenerateLine;
 use dahlia_api::RequestLimits;
 use dahlia_api::chat::ChatRequest;
 use dahlia_api::validation::{CallHeaders, validate};
 use dahlia_daemon::frames::{decode, encode};
 use dahlia_daemon::settings::Settings;
 use dahlia_node::wire::{AnswerFrame, Hello, PROTOCOL_VERSION, PeerMessage, Purpose, ReadAnswer};
-use dahlia_platform::engine::GenerateLine;
 use dahlia_types::{AttemptId, DaemonId, Incarnation, ProgramId, TenantId};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/crates/daemon/tests/ledger_client.rs
+++ b/crates/daemon/tests/ledger_client.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use dahlia_api::{ApiError, ErrorKind};
-use dahlia_daemon::core::{CoreMessage, channel};
+use dahlia_daemon::core_handle::{CoreMessage, channel};
 use dahlia_daemon::ledger_breaker::LedgerBreakerSettings;
 use dahlia_daemon::ledger_client::LedgerClient;
 use dahlia_ledger::{
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use dahlia_adapters::{ClientSettings, EngineClient, EngineEndpoint};
 use dahlia_api::RequestLimits;
 use dahlia_daemon::logging::LogSettings;
 use dahlia_daemon::settings::{
@@ -13,7 +14,6 @@
 use dahlia_durable::DurableSettings;
 use dahlia_node::HistorySettings;
 use dahlia_placement::{PlacementSettings, PolicyKind};
-use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint};
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
--- a/crates/replay/src/world/attempt.rs
+++ b/crates/replay/src/world/attempt.rs
@@ -3,9 +3,9 @@
 //!
 //! Mirrors `dahlia-daemon`'s `attempt` module, whose task waits where this state machine returns.
 
+use dahlia_adapters::engine::{AttemptState, Stop};
 use dahlia_node::request::{AttemptEnd, NotRunCause};
 use dahlia_node::{Event as NodeEvent, StartAttempt};
-use dahlia_platform::engine::{AttemptState, Stop};
 use dahlia_types::{AttemptId, DaemonId, Duration, Timestamp, Usage};
 
 use super::World;
--- a/crates/replay/src/world/calls.rs
+++ b/crates/replay/src/world/calls.rs
@@ -1,8 +1,8 @@
 //! Requests to engines and their replies, over connections that break.
 
+use dahlia_adapters::engine::AttemptState;
 use dahlia_node::request::ReleaseEnd;
 use dahlia_node::{EngineReport, Event as NodeEvent, ReleaseOrder, StartAttempt};
-use dahlia_platform::engine::AttemptState;
 use dahlia_types::{AttemptId, Bytes, DaemonId, Duration, Incarnation, ProgramId, Term, Timestamp};
 use rand::Rng;
 
--- a/crates/replay/src/world/engine_requests.rs
+++ b/crates/replay/src/world/engine_requests.rs
@@ -1,11 +1,11 @@
 //! What engines do about requests, and what they answer.
 
+use dahlia_adapters::engine::{AttemptState, Stop};
 use dahlia_engine_model::{
     AfterHold, Cancel, EngineCommand, EngineRefusal, EngineReply, Fence, Hold, Priority, Release,
     Submit,
 };
 use dahlia_node::StartAttempt;
-use dahlia_platform::engine::{AttemptState, Stop};
 use dahlia_standins::engine::{AnswerText, answer_length, count_message};
 use dahlia_types::{AttemptId, Bytes, Message, Role, Term};
 
--- a/crates/replay/src/world/streams.rs
+++ b/crates/replay/src/world/streams.rs
@@ -1,7 +1,7 @@
 //! What an engine remembers and tells of attempts.
 
+use dahlia_adapters::engine::{AttemptState, Stop};
 use dahlia_engine_model::{AttemptStatus, EngineEvent, Segment};
-use dahlia_platform::engine::{AttemptState, Stop};
 use dahlia_standins::engine::{AnswerText, answer_length, count_message};
 use dahlia_types::{AttemptId, Message, Role, Tokens, Usage};
 
--- a/crates/standins/src/engine/convert.rs
+++ b/crates/standins/src/engine/convert.rs
@@ -1,10 +1,10 @@
 //! Between the wire's types and the engine model's.
 
-use dahlia_engine_model as model;
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     AfterHold, CacheChange, CacheEvent, CacheImage, EngineOrder, EngineRefusal, EngineRole,
     FencedOrder, ImageSegment,
 };
+use dahlia_engine_model as model;
 use dahlia_types::{Duration, EngineId, Incarnation};
 
 pub(super) fn refusal(refusal: model::EngineRefusal, retry_after: Duration) -> EngineRefusal {
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -7,12 +7,12 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use dahlia_engine_model as model;
-use dahlia_engine_model::{EngineCommand, EngineModel, EngineReply};
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     AttemptState, CancelRequest, EngineOrder, EngineRefusal, ExportRequest, FenceRequest,
     FencedOrder, HoldRequest, ImportRequest, ReleaseConfirmed, ReleaseRequest, ReleaseScope,
 };
+use dahlia_engine_model as model;
+use dahlia_engine_model::{EngineCommand, EngineModel, EngineReply};
 use dahlia_types::{
     AttemptId, Bytes, Duration, Generation, Incarnation, ModelId, ProgramId, Timestamp, Tokens,
 };
--- a/crates/standins/src/engine/core/events.rs
+++ b/crates/standins/src/engine/core/events.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
+use dahlia_adapters::engine::Stop;
 use dahlia_engine_model::{AttemptStatus, EngineEvent};
-use dahlia_platform::engine::Stop;
 use dahlia_types::{AttemptId, ProgramId, Tokens, Usage};
 
 use super::{Core, Waiter};
--- a/crates/standins/src/engine/core/intake.rs
+++ b/crates/standins/src/engine/core/intake.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use dahlia_adapters::engine::{AttemptState, EngineRefusal, GenerateRequest, Stop};
 use dahlia_engine_model as model;
 use dahlia_engine_model::EngineCommand;
-use dahlia_platform::engine::{AttemptState, EngineRefusal, GenerateRequest, Stop};
 use dahlia_types::{AttemptId, Role, Timestamp, Tokens};
 
 use super::{Core, Subscription};
--- a/crates/standins/src/engine/handlers.rs
+++ b/crates/standins/src/engine/handlers.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     AttemptEnquiry, CacheEvents, CacheEventsRequest, CacheImported, CancelRequest, EngineRefusal,
     ExportRequest, FenceRequest, Fenced, FencedOrder, GenerateRequest, HoldRequest, ImportRequest,
     OrderAccepted, ReleaseRequest, ReportRequest, ResumeRequest, paths,
--- a/crates/standins/src/engine/loading.rs
+++ b/crates/standins/src/engine/loading.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahlia_platform::engine::EngineRefusal;
-use dahlia_platform::weights::WeightRefusal;
-use dahlia_platform::{ClientSettings, PeerError, WeightStoreClient};
+use dahlia_adapters::engine::EngineRefusal;
+use dahlia_adapters::weights::WeightRefusal;
+use dahlia_adapters::{ClientSettings, PeerError, WeightStoreClient};
 use dahlia_types::{Generation, ModelId};
 
 use super::service::Service;
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -1,4 +1,4 @@
-//! The stand-in of a model engine: the engine model behind the wire forms of `dahlia-platform`,
+//! The stand-in of a model engine: the engine model behind the wire forms of `dahlia-adapters`,
 //! driven by the wall clock.
 
 mod answer;
--- a/crates/standins/src/engine/observation.rs
+++ b/crates/standins/src/engine/observation.rs
@@ -1,7 +1,7 @@
 //! What an engine saw: the outside evidence on what ran.
 
-use dahlia_platform::attempt_text;
-use dahlia_platform::engine::{EngineOrder, ReleaseScope, Stop};
+use dahlia_adapters::attempt_text;
+use dahlia_adapters::engine::{EngineOrder, ReleaseScope, Stop};
 use dahlia_types::{
     AttemptId, Bytes, Generation, Incarnation, ModelId, ProgramId, TenantId, Term, Tokens, Usage,
 };
--- a/crates/standins/src/engine/openai.rs
+++ b/crates/standins/src/engine/openai.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::sync::Arc;
 
-use dahlia_platform::engine::{EngineRefusal, GenerateEvent, GenerateRequest, Stop};
+use dahlia_adapters::engine::{EngineRefusal, GenerateEvent, GenerateRequest, Stop};
 use dahlia_types::{
     Attempt, AttemptId, CallId, ChainId, GroupId, Message, ModelId, ProgramId, TenantId, Term,
     Tokens, Usage,
--- a/crates/standins/src/engine/records.rs
+++ b/crates/standins/src/engine/records.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use dahlia_platform::engine::{AttemptState, Stop};
+use dahlia_adapters::engine::{AttemptState, Stop};
 use dahlia_types::{AttemptId, CallId, ChainId, ProgramId, Tokens, Usage};
 use tokio::sync::watch;
 
--- a/crates/standins/src/engine/reports.rs
+++ b/crates/standins/src/engine/reports.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use dahlia_platform::engine::{CacheEvent, LoadReport};
+use dahlia_adapters::engine::{CacheEvent, LoadReport};
 
 use super::EngineFaults;
 
--- a/crates/standins/src/engine/service.rs
+++ b/crates/standins/src/engine/service.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     EngineRefusal, GenerateRequest, Inventory, InventoryEntry, LoadReport, ModelState, ModelStatus,
 };
 use dahlia_types::{Incarnation, Timestamp};
--- a/crates/standins/src/engine/streaming.rs
+++ b/crates/standins/src/engine/streaming.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahlia_platform::engine::{GenerateEvent, GenerateLine};
+use dahlia_adapters::engine::{GenerateEvent, GenerateLine};
 use dahlia_types::Tokens;
 use futures::StreamExt;
 use futures::stream::BoxStream;
--- a/crates/standins/src/key_value/handlers.rs
+++ b/crates/standins/src/key_value/handlers.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dahlia_platform::key_value::{
+use dahlia_adapters::key_value::{
     AttachRequest, CompareAndSwapRequest, DeleteRequest, Done, GetAnswer, GetRequest,
     KeyValueRefusal, LeaseAnswer, LeaseGrantRequest, LeaseRequest, ListRequest, SwapAnswer,
     Version, WatchRequest, paths,
--- a/crates/standins/src/key_value/service.rs
+++ b/crates/standins/src/key_value/service.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
-use dahlia_platform::key_value::{KeyValueRefusal, LeaseId, Revision, Version};
+use dahlia_adapters::key_value::{KeyValueRefusal, LeaseId, Revision, Version};
 use dahlia_types::{Duration, Timestamp};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
--- a/crates/standins/src/key_value/store.rs
+++ b/crates/standins/src/key_value/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use dahlia_platform::key_value::{
+use dahlia_adapters::key_value::{
     KeyValue, KeyValueRefusal, LeaseId, ListAnswer, Revision, Version, Versioned, WatchEvent,
 };
 use dahlia_types::{Duration, Timestamp};
--- a/crates/standins/src/key_value/watch.rs
+++ b/crates/standins/src/key_value/watch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahlia_platform::key_value::{KeyValueRefusal, Revision, WatchEvent, WatchRequest};
+use dahlia_adapters::key_value::{KeyValueRefusal, Revision, WatchEvent, WatchRequest};
 use futures::StreamExt;
 use futures::stream::BoxStream;
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the platform's services for tests and the demo, as libraries and as separate
 //! processes.
 //!
-//! Each service speaks the wire forms of `dahlia-platform`. With control switched on, faults are
+//! Each service speaks the wire forms of `dahlia-adapters`. With control switched on, faults are
 //! set by `POST /control/faults` (the whole set at once) and what the service saw is read by
 //! `POST /control/observations`: promises are judged by what engines, tools and the store saw.
 
--- a/crates/standins/src/machines.rs
+++ b/crates/standins/src/machines.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use dahlia_platform::machines::{
+use dahlia_adapters::machines::{
     ListMachinesRequest, Machine, MachineList, MachineListRefusal, paths,
 };
 use dahlia_types::{InvalidSetting, check_range};
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahlia_platform::ErrorBody;
+use dahlia_adapters::ErrorBody;
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use salvo::http::{ReqBody, ResBody, StatusCode, header};
--- a/crates/standins/src/tool/handlers.rs
+++ b/crates/standins/src/tool/handlers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dahlia_platform::tool::{
+use dahlia_adapters::tool::{
     InvokeEvent, InvokeLine, InvokeRequest, ToolCancel, ToolEnquiry, ToolRefusal, paths,
 };
 use dahlia_types::AttemptId;
--- a/crates/standins/src/tool/service.rs
+++ b/crates/standins/src/tool/service.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use dahlia_platform::attempt_text;
-use dahlia_platform::tool::{InvokeRequest, ToolCancel, ToolRefusal, ToolState};
+use dahlia_adapters::attempt_text;
+use dahlia_adapters::tool::{InvokeRequest, ToolCancel, ToolRefusal, ToolState};
 use dahlia_types::{AttemptId, ProgramId, TenantId, Term};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use dahlia_platform::weights::{
+use dahlia_adapters::weights::{
     DescribeRequest, FetchEvent, FetchRequest, WeightDescription, WeightRefusal, paths,
 };
 use dahlia_types::{Bytes, EngineId, InvalidSetting, ModelId, Timestamp, check_range};
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use dahlia_platform::engine::{
+use dahlia_adapters::engine::{
     AfterHold, AttemptState, EngineOrder, EngineRefusal, EngineRole, ExportRequest, FencedOrder,
     GenerateEvent, HoldRequest, ImportRequest, ReleaseRequest, ReleaseScope, Stop,
 };
-use dahlia_platform::{Certainty, EngineClient, EngineError};
+use dahlia_adapters::{Certainty, EngineClient, EngineError};
 use dahlia_standins::engine::{AnswerText, EngineObservation, answer_length, count_message};
 use dahlia_types::{
     CallId, ChainId, Duration, Generation, Incarnation, Message, ModelId, Role, Term, Tokens,
--- a/crates/standins/tests/engine_faults.rs
+++ b/crates/standins/tests/engine_faults.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use dahlia_platform::engine::{AttemptState, CacheEvent, EngineRefusal, GenerateEvent, Stop};
-use dahlia_platform::{Certainty, ClientSettings, EngineClient, EngineError, TransportError};
+use dahlia_adapters::engine::{AttemptState, CacheEvent, EngineRefusal, GenerateEvent, Stop};
+use dahlia_adapters::{Certainty, ClientSettings, EngineClient, EngineError, TransportError};
 use dahlia_standins::control::Nothing;
 use dahlia_standins::engine::{AnswerText, EngineFaults, EngineObservation, StreamCut};
 use dahlia_types::{Incarnation, Term, Tokens};
--- a/crates/standins/tests/key_value.rs
+++ b/crates/standins/tests/key_value.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use dahlia_platform::key_value::{Revision, Version, WatchEvent, WatchStream};
-use dahlia_platform::{Certainty, KeyValueClient, KeyValueError};
+use dahlia_adapters::key_value::{Revision, Version, WatchEvent, WatchStream};
+use dahlia_adapters::{Certainty, KeyValueClient, KeyValueError};
 use dahlia_standins::control::{Nothing, Observations, ObservationsRequest};
 use dahlia_standins::key_value::{KeyValueFaults, KeyValueObservation, Outage};
 use dahlia_types::Duration;
--- a/crates/standins/tests/other_services.rs
+++ b/crates/standins/tests/other_services.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use dahlia_platform::engine::{EngineOrder, FencedOrder, ModelState};
-use dahlia_platform::machines::{Machine, MachineKind, MachineState};
-use dahlia_platform::tool::{InvokeRequest, ToolRefusal, ToolState};
-use dahlia_platform::weights::WeightRefusal;
-use dahlia_platform::{
+use dahlia_adapters::engine::{EngineOrder, FencedOrder, ModelState};
+use dahlia_adapters::machines::{Machine, MachineKind, MachineState};
+use dahlia_adapters::tool::{InvokeRequest, ToolRefusal, ToolState};
+use dahlia_adapters::weights::WeightRefusal;
+use dahlia_adapters::{
     Certainty, ClientSettings, MachineListClient, PeerError, ToolClient, WeightStoreClient,
 };
 use dahlia_standins::control::{Nothing, Observations, ObservationsRequest};
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
 
-use dahlia_platform::KeyValueClient;
+use dahlia_adapters::KeyValueClient;
 use dahlia_standins::{ControlClient, ControlError, ServerSettings};
 use serde_json::{Value, json};
 use support::{engine, key_value, patient, within};
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahlia_platform::engine::{EventStream, GenerateEvent, GenerateRequest, Stop};
-use dahlia_platform::{ClientSettings, EngineClient, EngineEndpoint, EngineError, KeyValueClient};
+use dahlia_adapters::engine::{EventStream, GenerateEvent, GenerateRequest, Stop};
+use dahlia_adapters::{ClientSettings, EngineClient, EngineEndpoint, EngineError, KeyValueClient};
 use dahlia_standins::control::Observations;
 use dahlia_standins::engine::{EngineFaults, EngineObservation, count_prompt};
 use dahlia_standins::{
