--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -156,8 +156,7 @@
         true
     }
 
-    /// Requests for which a helper is to be asked now, with those asked before. Marks the next one
-    /// as due after a pause.
+    /// Requests for which a helper is to be asked now. A further one is due after a pause.
     pub(crate) fn take_helpless(&mut self, now: Timestamp) -> Vec<(RequestId, Request)> {
         let mut helpless = Vec::new();
         for (id, routed) in &mut self.requests {
