Stores keep where the others listen and make themselves known there after a restart

Nobody knows any other address: 56 gateways hear of a daemon that holds groups at 38.4 to 38.5 s, leaders are elected at 38.4 to 38.8, turns are opened at their usual rate from 38.8 on. On the small sites the seeds are all the stores, and gateways ask them five times a second. Ruled out: the logs' opening (6 of 9 stores open by 38.1 s), routes (in force at 38.0 to 38.2 s). Change: stores keep the addresses of known daemons beside the kept documents (looked at every 2 s), and at a start greet each, up to six times in 1.5 s, until it is heard from; a greeting is one record, and only who has not heard of the sender compares with it. A recovered replica asks for votes again soon when a voter becomes reachable: its first request went nowhere, and the next one came 150 ms and more later. Tests: swarm without seeds, with and without kept addresses (20 seeds; without them nobody finds anybody in 10 s); addresses that never answer are given up; a recovered voter asks again.

--- a/crates/daemon/src/kept_documents.rs
+++ b/crates/daemon/src/kept_documents.rs
@@ -2,7 +2,8 @@
 //!
 //! When all daemons end while the outside source of the documents is away, nobody could tell the
 //! next lives which routes and servers there are. A daemon with a disk keeps the newest it has
-//! seen, and shares it again at its start. A newer version of anybody always wins.
+//! seen, and shares it again at its start. A newer version of anybody always wins. Beside them it
+//! keeps where the others listen.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -17,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::core_handle::CoreHandle;
+use crate::kept_addresses::{self, KeptAddresses};
 use crate::logging::part;
 
 /// The part of the data folder that holds documents.
@@ -57,7 +59,12 @@
     for error in bad {
         log::warn!(target: part::STORE, cause:% = error; "A kept document is passed over.");
     }
+    let mut addresses = KeptAddresses::new(core.clone());
     for KeptDocument { number, version, bytes } in found {
+        if number == kept_addresses::NUMBER {
+            addresses.recall(&SharedDocument { number, version, bytes }).await;
+            continue;
+        }
         log::info!(
             target: part::STORE,
             number = number, version = version, bytes = bytes.len();
@@ -65,12 +72,21 @@
         );
         core.event(Event::Share(SharedDocument { number, version, bytes })).await;
     }
-    tokio::spawn(keep(kept, documents));
+    tokio::spawn(keep(kept, documents, addresses));
     Ok(())
 }
 
-async fn keep(mut kept: KeptDocuments, mut documents: UnboundedReceiver<SharedDocument>) {
-    while let Some(first) = documents.recv().await {
+async fn keep(
+    mut kept: KeptDocuments,
+    mut documents: UnboundedReceiver<SharedDocument>,
+    mut addresses: KeptAddresses,
+) {
+    loop {
+        let next = tokio::select! {
+            document = documents.recv() => document,
+            list = addresses.changed() => Some(list),
+        };
+        let Some(first) = next else { return };
         sleep(GATHER_TIME).await;
         let mut newest = BTreeMap::from([(first.number, first)]);
         while let Ok(next) = documents.try_recv() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `configuration_key` | the configuration at the key-value service |
 //! | `failure_reports` | failures of back ends, told to other daemons and heard from them |
 //! | `first_document` | the configuration that a new system starts with |
+//! | `kept_addresses` | where other daemons listen, kept for the next start |
 //! | `kept_documents` | copies of shared documents under the data folder |
 //! | `layout_store` | where the first layout of groups is kept |
 //! | `ledger_breaker` | tells silent ledgers from those that answer |
@@ -40,6 +41,7 @@
 mod gateway;
 mod group_log;
 mod handshake;
+mod kept_addresses;
 pub mod kept_documents;
 pub mod layout_store;
 pub mod ledger_breaker;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -116,6 +116,8 @@
     StoreEnded(Box<StoreResult>),
     /// Further addresses of daemons to start from, used while no other daemon is known.
     Seeds(Vec<SocketAddr>),
+    /// Addresses of daemons that an earlier life of this one knew: it makes itself known there.
+    Recalled(Vec<SocketAddr>),
     /// What may be lost at once has changed.
     Tolerance(LossTolerance),
     /// This daemon has read a document that others may need from it.
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -82,8 +82,11 @@
     }
 
     /// A voter whose daemon lost its memory or its disk is replaced without waiting for the next
-    /// regular look.
+    /// regular look, and one that can be reached now is asked for its vote.
     fn note_life(&mut self, info: &MemberInfo, now: Timestamp) {
+        for group in self.groups.values_mut() {
+            group.replica.peer_found(info.replica(), now);
+        }
         let is_earlier = |replica: ReplicaId| {
             replica.daemon == info.daemon && replica.incarnation < info.incarnation
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -180,6 +180,7 @@
             Event::Layout(step) => self.layout(step, now),
             Event::StoreEnded(result) => self.store_ended(*result),
             Event::Seeds(addresses) => self.membership.add_seeds(addresses),
+            Event::Recalled(addresses) => self.membership.recall(addresses),
             Event::Tolerance(tolerance) => self.change_tolerance(tolerance, now),
             Event::Share(document) => self.share(document),
             Event::BackendFailed(failure) => self.report_backend_failure(&failure),
--- a/crates/replication/src/group/recovery.rs
+++ b/crates/replication/src/group/recovery.rs
@@ -140,15 +140,25 @@
         }
     }
 
+    /// Draws the wait until the next pre-vote anew, as at the start; never makes it longer.
+    pub(super) fn ask_again_soon(&mut self) {
+        let wait = self.first_recovery_wait();
+        self.election_deadline = self.election_deadline.min(self.now + wait);
+    }
+
+    /// Of those that ask at one moment one gives way; the draw makes that rare.
+    fn first_recovery_wait(&mut self) -> Duration {
+        let longest = self.settings.heartbeat_interval().0;
+        Duration(self.random.random_range(longest / 8..=longest / 2))
+    }
+
     /// After a loss of power of all machines no leader is left to wait for. A pre-vote costs a
     /// group that has a leader nothing, so a recovered replica asks at once, and again with
     /// growing pauses: the others may not be back, or their votes wait for slow syncs.
     pub(super) fn recovery_wait(&mut self) -> Duration {
-        let longest = self.settings.heartbeat_interval().0;
-        // Of those that ask at one moment one gives way; the draw makes that rare.
-        let first = self.random.random_range(longest / 8..=longest / 2);
+        let first = self.first_recovery_wait();
         let pauses = self.recovery_asks.min(MOST_RECOVERY_PAUSES);
         self.recovery_asks += 1;
-        Duration(first + pauses * longest)
+        Duration(first.0 + self.settings.heartbeat_interval().times(pauses).0)
     }
 }
--- a/crates/replication/src/group/replica.rs
+++ b/crates/replication/src/group/replica.rs
@@ -286,6 +286,16 @@
         }
     }
 
+    /// The address of a voter has become known. A recovered replica that asked before could not
+    /// reach it, so it asks again soon instead of waiting out the pause.
+    pub fn peer_found(&mut self, peer: ReplicaId, now: Timestamp) {
+        self.advance(now);
+        let is_asking = self.is_recovering && self.leader.is_none();
+        if is_asking && self.members().voters.contains(&peer) {
+            self.ask_again_soon();
+        }
+    }
+
     /// What the driver must do since the last call, in order.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         if self.role == Role::Leader {
--- a/crates/replication/src/membership/mod.rs
+++ b/crates/replication/src/membership/mod.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod members;
 mod message;
+mod recall;
 mod settings;
 mod state;
 mod sync;
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -11,6 +11,7 @@
 use super::facts::Facts;
 use super::gossip::{Budget, Known, Limits, News, Queue, Subject};
 use super::members::Members;
+use super::recall::Recalled;
 use super::{
     Envelope, Fact, FactKey, Health, Member, MemberInfo, MemberMessage, MemberRecord, MemberState,
     MembershipSettings,
@@ -69,6 +70,7 @@
     pub(super) queue: Queue,
     pub(super) budget: Budget,
     pub(super) probe: Option<Probe>,
+    pub(super) recalled: Recalled,
     pub(super) next_sequence: u32,
     pub(super) next_probe: Timestamp,
     pub(super) next_gossip: Timestamp,
@@ -102,6 +104,7 @@
             queue: Queue::default(),
             budget,
             probe: None,
+            recalled: Recalled::default(),
             next_sequence: 0,
             next_probe: now,
             next_gossip: now,
@@ -137,7 +140,8 @@
     /// When the next tick has something to do, unless a message comes first.
     pub fn next_deadline(&self) -> Timestamp {
         let mut next = self.next_probe.min(self.next_sync);
-        if let Some(at) = self.probe.as_ref().and_then(|probe| probe.indirect_at) {
+        let indirect_at = self.probe.as_ref().and_then(|probe| probe.indirect_at);
+        for at in indirect_at.into_iter().chain(self.recalled.next_round()) {
             next = next.min(at);
         }
         let has_news = self.has_document_news || !self.queue.is_empty();
@@ -212,6 +216,7 @@
             self.end_probe_interval();
         }
         self.probe_indirectly();
+        self.greet_recalled();
         if self.now >= self.next_gossip {
             self.next_gossip = self.now + self.settings.gossip_interval();
             self.gossip();
@@ -300,6 +305,7 @@
 
     fn receive(&mut self, envelope: Envelope) {
         let Envelope { from, address, body, members, facts } = envelope;
+        self.recalled.heard_from(&address);
         // A table of others is known to others: only what changes an entry spreads on.
         let is_table = matches!(body, MemberMessage::SyncChunk(_));
         for record in members {
--- a/crates/replication/tests/durable.rs
+++ b/crates/replication/tests/durable.rs
@@ -310,3 +310,36 @@
         assert_eq!(leaders, 1, "seed {seed}");
     }
 }
+
+/// Milliseconds from the moment a recovered replica hears where a voter is to its next pre-vote.
+/// What it asked before reached nobody.
+fn time_to_next_request(is_told: bool, seed: u64) -> u64 {
+    let mut replica = Replica::recover(id(1), kept_by_a_voter(), settings(), seed, at(0));
+    let first = replica.next_deadline();
+    replica.tick(first);
+    assert!(!sent(std::slice::from_mut(&mut replica)).is_empty(), "the first requests");
+    let found = first + Duration::from_millis(5);
+    if is_told {
+        replica.peer_found(id(2), found);
+    }
+    replica.next_deadline().since(found).as_millis()
+}
+
+#[test]
+fn a_recovered_voter_asks_again_soon_when_another_one_can_be_reached() {
+    let heartbeat = settings().heartbeat_interval_ms;
+    for seed in 0..50 {
+        let (told, untold) = (time_to_next_request(true, seed), time_to_next_request(false, seed));
+        assert!(told <= heartbeat / 2, "seed {seed}: {told}");
+        assert!(untold >= heartbeat, "seed {seed}: {untold}");
+    }
+}
+
+#[test]
+fn a_voter_that_knows_a_leader_does_not_ask_because_another_one_is_found() {
+    let mut replica = Replica::recover(id(1), kept_by_a_voter(), settings(), 1, at(0));
+    replica.step(message(2, 4, append(4, 0, 0, &[])), at(1));
+    let before = replica.next_deadline();
+    replica.peer_found(id(3), at(2));
+    assert_eq!(replica.next_deadline(), before);
+}
--- a/crates/replication/tests/membership.rs
+++ b/crates/replication/tests/membership.rs
@@ -332,3 +332,48 @@
         assert!(*longest <= most_ms, "{} daemons: {took:?}", shape.daemons);
     }
 }
+
+/// Everybody begins anew but for the seeds, which stay away. Some daemons kept where the others
+/// listen. Gives how long it takes until those that run know each other.
+fn restart_without_seeds(keepers: &[u32], seed: u64) -> Option<Duration> {
+    let mut swarm = complete_by_default(ONE_REGION, seed);
+    swarm.loss = 0.02;
+    for seed in 1..=3 {
+        swarm.kill(DaemonId(seed));
+    }
+    for daemon in 4..=ONE_REGION.daemons {
+        swarm.start(DaemonId(daemon));
+    }
+    keepers.iter().for_each(|keeper| swarm.recall_all(DaemonId(*keeper)));
+    swarm.run_until_holds(SECOND.times(10), Swarm::is_complete)
+}
+
+#[test]
+fn daemons_that_kept_addresses_bring_all_together_while_the_seeds_are_away() {
+    for seed in 0..20 {
+        // Daemons begin to run within a second of each other.
+        let took = restart_without_seeds(&[4, 5, 6, 7, 8, 9], seed);
+        assert!(took.is_some_and(|took| took <= SECOND.times(4)), "seed {seed}: {took:?}");
+    }
+}
+
+#[test]
+fn without_kept_addresses_nobody_finds_anybody_before_a_seed_is_back() {
+    assert_eq!(restart_without_seeds(&[], 1), None);
+}
+
+/// A daemon that begins anew while all others run on makes itself known once or twice, not
+/// forever: an address that never answers is given up.
+#[test]
+fn recalled_addresses_that_never_answer_are_given_up() {
+    let mut swarm = complete_by_default(ONE_REGION, 7);
+    (1..=23).for_each(|daemon| swarm.kill(DaemonId(daemon)));
+    swarm.start(DaemonId(24));
+    swarm.recall_all(DaemonId(24));
+    swarm.run_for(SECOND.times(4));
+    let before = swarm.node(24).messages_sent;
+    swarm.run_for(SECOND.times(1));
+    // Only its three seeds are still asked, five times a second.
+    let sent = swarm.node(24).messages_sent - before;
+    assert!(sent <= 18, "{sent}");
+}
--- a/crates/replication/tests/support/swarm.rs
+++ b/crates/replication/tests/support/swarm.rs
@@ -127,6 +127,12 @@
         self.schedule(self.now + jitter, Step::Tick(daemon));
     }
 
+    /// Gives a daemon the addresses of all, as an earlier life of it may have kept them.
+    pub fn recall_all(&mut self, daemon: DaemonId) {
+        let all: Vec<SocketAddr> = self.nodes.keys().map(|daemon| address(*daemon)).collect();
+        self.node_mut(daemon.0).membership.recall(all);
+    }
+
     pub fn kill(&mut self, daemon: DaemonId) {
         self.nodes.get_mut(&daemon).expect("daemon exists").is_running = false;
     }
