Shares of prompts are guessed low until many requests speak for more

Cause: each gateway guesses a shared prompt's share of the load from its own requests of 5 s, some forty, and sends to as many servers as the guess needs. The servers that read a prompt are the union over all gateways, so the highest guess counts; the first request of a gateway guessed 1. In a test with 57 daemons, 45 servers and 16 prompts 28 servers read each prompt where 11 were meant. Change: 20 other requests are assumed, the span is 20 s; where all chosen servers are far above the mean, the next one is used, so that a guess that is too low does not make them hot. Test: 19.5 servers for each prompt.

--- a/crates/backends/src/loads.rs
+++ b/crates/backends/src/loads.rs
@@ -37,10 +37,13 @@
     pub(crate) fn kept(&self, preferred: &BackendId) -> Option<&'a Server> {
         let mut candidates = self.candidates.iter();
         let kept = candidates.find(|server| server.record.id == *preferred)?;
+        self.is_within(kept).then_some(kept)
+    }
+
+    /// Whether a server's load is not far above the mean. One attempt more or less is no load.
+    fn is_within(&self, server: &Server) -> bool {
         let most = self.usual_mean * self.settings.keep_bound;
-        // One attempt more or less is no load.
-        let is_little = kept.in_flight == 0;
-        (is_little || self.usual(kept) <= most).then_some(kept)
+        server.in_flight == 0 || self.usual(server) <= most
     }
 
     /// The first by rendezvous hashing of those whose load is not far above the mean, else the
@@ -60,15 +63,21 @@
     }
 
     /// The least loaded of the first few by rendezvous hashing, as many as the share of the load
-    /// that the prompt has needs.
+    /// that the prompt has needs. Where all of these have far more than the mean load, the share was
+    /// guessed too low: the next one that has not is used.
     pub(crate) fn by_prompt(&self, prompt: u64, share: f64) -> Chosen<'a> {
         let wanted = share * self.candidates.len() as f64 * self.settings.prompt_spread;
         let wanted = (wanted.ceil() as usize).max(self.settings.least_prompt_servers as usize);
         let mut ranked = self.candidates.clone();
         ranked.sort_by_cached_key(|server| Reverse(weight(prompt, &server.record.id)));
-        let first = ranked.iter().take(wanted);
-        let least = first.min_by(|left, right| self.usual(left).total_cmp(&self.usual(right)));
-        least.map(|server| (*server, ChoiceWay::SharedPrompt))
+        let (first, others) = ranked.split_at(wanted.min(ranked.len()));
+        let by_usual =
+            |left: &&&Server, right: &&&Server| self.usual(left).total_cmp(&self.usual(right));
+        let least = first.iter().min_by(by_usual)?;
+        let further = || others.iter().find(|server| self.is_within(server));
+        let chosen = Some(least).filter(|least| self.is_within(least)).or_else(further);
+        let chosen = chosen.unwrap_or(least);
+        Some((*chosen, ChoiceWay::SharedPrompt))
     }
 
     fn least_loaded(&self) -> Chosen<'a> {
--- a/crates/backends/src/shares.rs
+++ b/crates/backends/src/shares.rs
@@ -1,14 +1,20 @@
 //! Which shares of the load fall to which shared prompts, as this daemon sees it.
 //!
-//! Callers come to daemons at random, so each daemon sees about the same shares as all together.
+//! Callers come to daemons at random, so each daemon sees about the same shares as all together, but
+//! guesses them from the few requests that it takes. A prompt has the servers of the highest guess,
+//! since each daemon that guesses high sends requests to further ones; so guesses are kept low until
+//! many requests speak for more.
 
 use std::collections::BTreeMap;
 
 use dahlia_types::Timestamp;
 
-/// Seconds in which a request's weight fades to 1/e: some hundred requests on a busy daemon, and
-/// a prompt that becomes popular soon has its servers.
-const SPAN_S: f64 = 5.0;
+/// Seconds in which a request's weight fades to 1/e: two hundred requests on a daemon that takes ten
+/// in a second, with which the guess of a sixteenth is off by a third.
+const SPAN_S: f64 = 20.0;
+/// Requests with other prompts that every guess begins with. The first request of a daemon would
+/// else say that its prompt is all of the load.
+const ASSUMED_OTHERS: f64 = 20.0;
 /// Prompts that are counted; beyond, the lightest is forgotten. Far more than can be kept warm.
 const MOST_PROMPTS: usize = 1_024;
 
@@ -46,7 +52,7 @@
         count.add(now);
         let total = self.total.get_or_insert(none);
         total.add(now);
-        count.now(now) / total.now(now)
+        count.now(now) / (total.now(now) + ASSUMED_OTHERS)
     }
 
     fn forget_lightest(&mut self, now: Timestamp) {
