--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,7 +4,8 @@
 //! |---|---|
 //! | `settings` | the settings file, checked as a whole |
 //! | `cli` | flags and signals |
-//! | `assembly` | starts everything and stops it in order |
+//! | `assembly` | starts a whole daemon and stops it in order |
+//! | `control` | starts the parts that control the system |
 //! | `core` | the task that drives the node |
 //! | `core_handle` | how all other parts talk to that task |
 //! | `gateway` | callers' HTTP |
@@ -21,7 +22,9 @@
 //! | `layout_store` | where the first layout of groups is kept |
 //! | `ledger_breaker` | tells silent ledgers from those that answer |
 //! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
+//! | `listeners` | sockets that a daemon listens on |
 //! | `machine_list` | reads the platform's list of machines |
+//! | `node_settings` | what a node is told of the settings |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
@@ -31,6 +34,7 @@
 pub mod cli;
 pub mod clock;
 mod configuration_key;
+pub mod control;
 pub mod core;
 pub mod core_handle;
 mod datagrams;
@@ -46,10 +50,12 @@
 pub mod layout_store;
 pub mod ledger_breaker;
 pub mod ledger_client;
+pub mod listeners;
 pub mod logging;
 mod machine_list;
 pub mod metrics;
 pub mod metrics_server;
+mod node_settings;
 mod operators;
 pub mod peers;
 mod platform_state;
--- /dev/null
+++ b/crates/daemon/src/node_settings.rs
@@ -0,0 +1,57 @@
+//! What a node is told of the daemon's settings.
+
+use std::net::SocketAddr;
+
+use dahlia_node::{NodeFaults, NodeSettings};
+use dahlia_program::ProgramLimits;
+use dahlia_replication::group::GroupSettings;
+use dahlia_replication::maintenance::MaintenanceSettings;
+use dahlia_types::{Duration, ReplicaId};
+
+use crate::clock::Clock;
+use crate::first_document::first_document;
+use crate::settings::Settings;
+
+/// The settings of the node of a process that is `own` and is reached at `address`.
+pub(crate) fn node_settings(
+    settings: &Settings,
+    own: ReplicaId,
+    address: SocketAddr,
+    clock: Clock,
+) -> NodeSettings {
+    let is_durable = settings.daemon.data_folder.is_some();
+    let maintenance = MaintenanceSettings {
+        voters: settings.tolerance.wanted_voters(),
+        keeps_lost_voters: is_durable,
+        ..settings.maintenance.clone()
+    };
+    NodeSettings {
+        own,
+        zone: settings.daemon.zone.clone(),
+        region: settings.daemon.region.clone(),
+        address,
+        seeds: settings.daemon.seeds.clone(),
+        group_count: settings.layout.groups,
+        tolerance: settings.tolerance,
+        bootstrap_daemons: settings.layout.bootstrap_daemons,
+        holds_groups: settings.daemon.holds_groups,
+        life: 0,
+        group: GroupSettings { is_durable, ..settings.groups.clone() },
+        has_store: settings.daemon.data_folder.is_some(),
+        history: settings.history.clone(),
+        membership: settings.membership.clone(),
+        maintenance,
+        limits: ProgramLimits::default(),
+        placement: settings.placement.clone(),
+        policy: settings.policy,
+        attempts_per_call: settings.calls.attempts,
+        attempt_limit: Duration::from_millis(settings.calls.attempt_limit_ms),
+        keep_records: Duration::from_millis(settings.calls.keep_records_ms),
+        configuration: settings.configuration.clone(),
+        follows_configuration: true,
+        first_document: first_document(&settings.platform.engines),
+        // Of the process, not of its replicas: their identifiers may outlive it.
+        seed: clock.incarnation().0 ^ (u64::from(own.daemon.0) << 40),
+        faults: NodeFaults::default(),
+    }
+}
--- a/crates/daemon/tests/durable_groups.rs
+++ b/crates/daemon/tests/durable_groups.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahlia_daemon::assembly::{ControlParts, start_control};
+use dahlia_daemon::control::{ControlParts, start_control};
 use dahlia_daemon::settings::Settings;
 use dahlia_node::Event;
 use dahlia_node::request::{Request, Response};
--- a/crates/daemon/tests/earlier_clock.rs
+++ b/crates/daemon/tests/earlier_clock.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dahlia_daemon::assembly::{ControlParts, StartError, Surroundings, start_control_in};
+use dahlia_daemon::control::{ControlParts, StartError, Surroundings, start_control_in};
 use dahlia_daemon::core::SharedSenders;
 use dahlia_daemon::settings::Settings;
 use dahlia_types::{DaemonId, Incarnation};
