--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `demo` | `rehearse demo` |
 //! | `load`, `direct` | `rehearse load` |
 //! | `compare` | `rehearse compare` |
+//! | `logs` | `rehearse logs` |
 //! | `latency`, `process_usage` | what a run measured |
 
 pub mod caller;
@@ -20,6 +21,7 @@
 mod error;
 mod latency;
 pub mod load;
+pub mod logs;
 pub mod operator;
 mod process_usage;
 pub mod processes;
--- /dev/null
+++ b/crates/rehearsal/src/logs/line.rs
@@ -0,0 +1,105 @@
+//! One line of a log, taken apart again.
+
+/// Digits of seconds since 1970, from 1973 to the year 5138. Torn lines may have other numbers.
+const SECONDS_DIGITS: std::ops::RangeInclusive<usize> = 9..=11;
+
+/// What is known of a line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LogLine {
+    /// Seconds since 1970 by the clock of the process that wrote it.
+    pub at: f64,
+    /// The part of the program.
+    pub part: String,
+    /// The sentence, with its full stop.
+    pub sentence: String,
+    fields: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Reads a line as crate `logging` writes it. What stands before its time, such as a machine's
+    /// name, is passed over. None when it is no such line, or a torn one.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut words = text.split_whitespace().peekable();
+        let at = loop {
+            let word = words.next()?;
+            if is_time(word) && words.peek().is_some_and(|next| is_level(next)) {
+                break word;
+            }
+        };
+        let part = words.nth(1)?.strip_suffix(':')?;
+        let (_, message) = text.split_once(&format!(" {part}: "))?;
+        let (sentence, fields) = split_fields(message);
+        Some(Self {
+            at: at.parse().ok()?,
+            part: part.to_owned(),
+            sentence: sentence.trim_end().to_owned(),
+            fields,
+        })
+    }
+
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let found = self.fields.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Whether a word is a time in seconds with three decimals, since 1970.
+fn is_time(word: &str) -> bool {
+    let Some((seconds, millis)) = word.split_once('.') else { return false };
+    let is_number = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
+    SECONDS_DIGITS.contains(&seconds.len())
+        && millis.len() == 3
+        && is_number(seconds)
+        && is_number(millis)
+}
+
+fn is_level(word: &str) -> bool {
+    ["ERROR", "WARN", "INFO", "DEBUG", "TRACE"].contains(&word)
+}
+
+/// Splits the sentence from the fields behind it. Values with blanks stand in quotes.
+fn split_fields(text: &str) -> (&str, Vec<(String, String)>) {
+    let mut fields = Vec::new();
+    let mut end = text.len();
+    let mut rest = text.trim_end();
+    while let Some((before, key, value)) = last_field(rest) {
+        fields.insert(0, (key.to_owned(), value));
+        end = before.len();
+        rest = before.trim_end();
+    }
+    (&text[..end], fields)
+}
+
+/// The last field of a text, and what stands before it.
+fn last_field(text: &str) -> Option<(&str, &str, String)> {
+    let equals = match text.strip_suffix('"') {
+        Some(unclosed) => unclosed.rfind("=\"")?,
+        None => text.rfind('=')?,
+    };
+    let begin = text[..equals].rfind(' ')? + 1;
+    let (key, value) = (&text[begin..equals], &text[equals + 1..]);
+    let is_key = |byte: u8| byte.is_ascii_lowercase() || byte == b'_';
+    if key.is_empty() || !key.bytes().all(is_key) {
+        return None;
+    }
+    let is_quoted = value.len() >= 2 && value.starts_with('"');
+    if !is_quoted && value.contains(' ') {
+        return None;
+    }
+    let plain = if is_quoted { &value[1..value.len() - 1] } else { value };
+    Some((&text[..begin], key, unescaped(plain)))
+}
+
+/// A quoted value as it was before it was written with Rust's escapes for quotes and backslashes.
+fn unescaped(value: &str) -> String {
+    let mut plain = String::with_capacity(value.len());
+    let mut chars = value.chars();
+    while let Some(c) = chars.next() {
+        match c {
+            '\\' => plain.extend(chars.next()),
+            other => plain.push(other),
+        }
+    }
+    plain
+}
--- /dev/null
+++ b/crates/rehearsal/src/logs/mod.rs
@@ -0,0 +1,108 @@
+//! The command `rehearse logs`: from many processes' logs to what became of requests.
+//!
+//! | module | job |
+//! |---|---|
+//! | `line` | one line taken apart |
+//! | `requests` | lines put together to requests |
+//! | `report` | a table over time, and causes |
+
+mod line;
+mod report;
+mod requests;
+
+use std::fs;
+use std::io::{self, Write};
+use std::path::PathBuf;
+
+use dahlia_types::{InvalidSetting, check_range};
+use gumdrop::Options;
+use snafu::{ResultExt, Snafu};
+
+pub use line::LogLine;
+pub use report::report;
+pub use requests::{LoggedRequest, LoggedRequests, RequestEnd};
+
+/// Flags of the command.
+#[derive(Debug, Options)]
+pub struct LogFlags {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "log files, of gateways and of daemons that hold groups")]
+    files: Vec<PathBuf>,
+    #[options(help = "show only the lines of this request, in order of time", meta = "ID")]
+    request: Option<String>,
+    #[options(help = "seconds of one row of the table", meta = "S", default = "2.0")]
+    window: f64,
+}
+
+/// Why logs could not be shown.
+#[derive(Debug, Snafu)]
+pub enum LogsError {
+    /// A file could not be read.
+    #[snafu(display("reading {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A flag is out of its bounds.
+    #[snafu(display("{source}"))]
+    Invalid {
+        /// The flag, its value and what is allowed.
+        source: InvalidSetting,
+    },
+    /// The output could not be written.
+    #[snafu(display("writing the table: {source}"))]
+    Write {
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Reads the logs and prints what was asked for.
+///
+/// # Errors
+/// [`LogsError`]
+pub fn run(flags: &LogFlags) -> Result<(), LogsError> {
+    check_range("--window", flags.window, 0.01, 86_400.0).context(InvalidSnafu)?;
+    let mut texts = Vec::new();
+    for path in &flags.files {
+        let bytes = fs::read(path).context(ReadSnafu { path })?;
+        // Logs of several processes in one file may have torn lines.
+        texts.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let lines = texts.iter().flat_map(|text| text.lines());
+    let shown = match &flags.request {
+        Some(request) => lines_of(lines, request),
+        None => table(lines, flags.window),
+    };
+    // Whoever reads may close the pipe: that is no failure of this command.
+    match io::stdout().write_all(shown.as_bytes()) {
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        written => written.context(WriteSnafu),
+    }
+}
+
+/// The lines of one request, in order of time.
+pub fn lines_of<'a>(lines: impl Iterator<Item = &'a str>, request: &str) -> String {
+    let mut found: Vec<(f64, &str)> = Vec::new();
+    for text in lines {
+        if let Some(line) =
+            LogLine::parse(text).filter(|line| line.field("request") == Some(request))
+        {
+            found.push((line.at, text));
+        }
+    }
+    found.sort_by(|(left, _), (right, _)| left.total_cmp(right));
+    found.into_iter().map(|(_, text)| format!("{}\n", text.trim())).collect()
+}
+
+/// The table of all requests.
+pub fn table<'a>(lines: impl Iterator<Item = &'a str>, window_s: f64) -> String {
+    let mut lines: Vec<LogLine> = lines.filter_map(LogLine::parse).collect();
+    lines.sort_by(|left, right| left.at.total_cmp(&right.at));
+    let mut requests = LoggedRequests::default();
+    lines.iter().for_each(|line| requests.add(line));
+    report(&requests, window_s)
+}
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,10 +1,12 @@
 //! The binary `rehearse`.
 
+use std::fmt::Display;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use dahlia_rehearsal::compare::{self, CompareFlags};
 use dahlia_rehearsal::load::{self, LoadOptions};
+use dahlia_rehearsal::logs::{self, LogFlags};
 use dahlia_rehearsal::{RehearsalError, demo, processes};
 use dahlia_replay::{ReplayOptions, run_folder};
 use gumdrop::Options;
@@ -25,6 +27,8 @@
     Load(LoadOptions),
     #[options(help = "compare placement policies and baselines in virtual time")]
     Compare(CompareFlags),
+    #[options(help = "show from logs what became of requests, and why")]
+    Logs(LogFlags),
     #[options(help = "replay traces and judge them against the promises")]
     Replay(ReplayOptions),
     #[options(help = "run one daemon, as the binary dahlialadder does")]
@@ -55,13 +59,8 @@
                 ExitCode::from(2)
             }
         },
-        Some(Command::Compare(flags)) => match compare::run(flags) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("rehearse: {error}");
-                ExitCode::FAILURE
-            }
-        },
+        Some(Command::Compare(flags)) => exit_code(compare::run(flags)),
+        Some(Command::Logs(flags)) => exit_code(logs::run(&flags)),
         Some(Command::Daemon(arguments)) => dahlia_daemon::cli::run(&arguments),
         Some(Command::Standin(arguments)) => dahlia_standins::cli::run(&arguments),
         None => {
@@ -80,7 +79,11 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(task) {
+    exit_code(runtime.block_on(task))
+}
+
+fn exit_code<E: Display>(result: Result<(), E>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("rehearse: {error}");
