--- a/crates/node/tests/tolerance.rs
+++ b/crates/node/tests/tolerance.rs
@@ -58,3 +58,23 @@
         }
     }
 }
+
+/// What the users' strictest deployment allows from a successor's start until the machine that it
+/// replaces stops counting as lost (`sync_s`): then the next one may be lost.
+const SHORTEST_SYNC_BOUND: Duration = Duration::from_secs(4);
+
+#[test]
+fn a_store_that_is_gone_for_good_is_replaced_before_it_stops_counting_as_lost() {
+    for seed in 0..8 {
+        let mut stores = Stores::started_with(&[1, 2, 3], LossTolerance::of_machines(1), seed);
+        stores.wait_until_whole(Duration::from_secs(10));
+        // One machine after the other is removed, and another one comes at another address.
+        for (lost, successor) in [(1, 4), (2, 5), (3, 6)] {
+            stores.lose_disk(lost);
+            stores.pass(Duration::from_secs(1));
+            stores.start(successor);
+            stores.wait_until_held(3 * GROUPS as usize, SHORTEST_SYNC_BOUND);
+            stores.pass(SYNC_BOUND);
+        }
+    }
+}
