A silent voter is replaced by a store that has room, without membership's verdict

Change: a voter that the leader has not heard for 1.5 s, while a live daemon holds less than its even share of replicas (a successor holds nothing), is exchanged: learner, caught up, removal, promotion. The vote stays until the learner is caught up, so entries are on as many voters as before. Upkeep looks every 200 ms while an exchange is under way. Failure detection is as before.

Two table tests of the decision.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -19,8 +19,8 @@
 
 /// How often a leader looks after the members of its group.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// How often it looks while the group lacks voters or a member has begun another life: until it
-/// is whole again, the next death may stop it.
+/// How often it looks while the group lacks voters, exchanges one, or a member has begun another
+/// life: until it is whole again, the next death may stop it.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A daemon as operators see it.
@@ -217,10 +217,14 @@
             // know too few after a start, and one that is to be emptied stays until it is replaced.
             let least = status.members.voters.len().min(wanted);
             group.maintenance.set_voters(voters.max(least));
-            if status.members.voters.len() < voters {
+            let is_exchanging = !status.members.learners.is_empty();
+            if status.members.voters.len() < voters || is_exchanging {
                 self.next_upkeep = now + REPAIR_INTERVAL;
             }
             let step = group.maintenance.next(&status, &view, &mut self.balance_pace, now);
+            if matches!(step, Some(MaintenanceStep::Change(_))) {
+                self.next_upkeep = now + REPAIR_INTERVAL;
+            }
             let refused = match step {
                 None => continue,
                 Some(MaintenanceStep::Change(change)) => {
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -22,6 +22,8 @@
 /// From the question about the layout to its answer.
 const LAYOUT_ANSWER: Duration = Duration::from_millis(4);
 const START: Timestamp = Timestamp(3_600_000_000);
+/// Daemons that all others ask at the first start.
+const FIRST_SEEDS: [u32; 3] = [1, 2, 3];
 /// How long the groups have to be laid out and led.
 const FIRST_LAYOUT_LIMIT: Duration = Duration::from_secs(15);
 
@@ -75,11 +77,20 @@
         let life = self.lives.entry(daemon).or_insert(0);
         *life += 1;
         let own = replica(daemon, *life);
-        let settings = settings(own, self.tolerance, self.seed);
+        let settings = settings(own, self.tolerance, self.seed, self.seeds());
         self.nodes.insert(daemon, Node::new(settings, self.now));
         self.push(self.now + Duration(u64::from(daemon) * 3_700), own, Delivery::Tick);
     }
 
+    /// Where a daemon that starts now asks for the others: at the first three that run, as the
+    /// platform tells of machines that are there; at the first start at those that come first.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        if self.layout.is_none() {
+            return FIRST_SEEDS.map(address).to_vec();
+        }
+        self.nodes.keys().take(FIRST_SEEDS.len()).copied().map(address).collect()
+    }
+
     /// Ends a daemon, and all that it kept.
     pub fn lose_disk(&mut self, daemon: u32) {
         self.nodes.remove(&daemon);
@@ -211,10 +222,15 @@
     ReplicaId { daemon: DaemonId(daemon), incarnation: Incarnation(life) }
 }
 
-fn settings(own: ReplicaId, tolerance: LossTolerance, seed: u64) -> NodeSettings {
+fn settings(
+    own: ReplicaId,
+    tolerance: LossTolerance,
+    seed: u64,
+    seeds: Vec<SocketAddr>,
+) -> NodeSettings {
     NodeSettings {
         zone: Zone::new(format!("zone-{}", own.daemon.0 % 4)),
-        seeds: vec![address(1), address(2), address(3)],
+        seeds,
         group_count: GROUPS,
         tolerance,
         seed: seed * 1_000 + u64::from(own.daemon.0),
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -7,7 +7,9 @@
 //!    A voter that is gone for certain, because its daemon runs in a later life, is therefore
 //!    removed at once. A lost one, which may be cut off and come back, stays until a learner is
 //!    caught up, unless its removal raises the number; then the next death is survived before
-//!    any learner has caught up.
+//!    any learner has caught up. One that is only silent, while another daemon has room for it,
+//!    always stays that long: each acknowledged entry is on as many voters after the exchange as
+//!    before, whatever the silent one still holds.
 //! 2. Promoting a learner keeps the number (odd `n`) or raises it (even `n`), but its commit
 //!    depends on the learner when another voter is dead. So the dead voter goes first: then the
 //!    voters that were there already can commit the promotion without the learner.
@@ -47,6 +49,10 @@
     pub dead_grace_ms: u64,
     /// Milliseconds of silence towards the leader after which any member is lost.
     pub silent_grace_ms: u64,
+    /// Milliseconds of silence towards the leader after which a voter is replaced, whatever
+    /// membership holds of it, where a daemon with less than its even share of replicas can take
+    /// its place.
+    pub replace_grace_ms: u64,
     /// Least milliseconds between two hand-overs for balance by one daemon, over all its groups.
     pub balance_interval_ms: u64,
 }
@@ -59,6 +65,9 @@
             standby_learners: 0,
             dead_grace_ms: 3_000,
             silent_grace_ms: 60_000,
+            // Ten heartbeats. Membership takes 7 to 8.5 s for its verdict, and a removed machine
+            // may stop counting as lost 4 s after its successor's start.
+            replace_grace_ms: 1_500,
             balance_interval_ms: 1_000,
         }
     }
@@ -75,6 +84,7 @@
         check_range("maintenance.dead_grace_ms", self.dead_grace_ms, 100, 3_600_000)?;
         let shortest = self.dead_grace_ms;
         check_range("maintenance.silent_grace_ms", self.silent_grace_ms, shortest, 86_400_000)?;
+        check_range("maintenance.replace_grace_ms", self.replace_grace_ms, 100, 86_400_000)?;
         check_range("maintenance.balance_interval_ms", self.balance_interval_ms, 100, 86_400_000)
     }
 
@@ -85,6 +95,10 @@
     fn silent_grace(&self) -> Duration {
         Duration::from_millis(self.silent_grace_ms)
     }
+
+    fn replace_grace(&self) -> Duration {
+        Duration::from_millis(self.replace_grace_ms)
+    }
 }
 
 /// What the driver should ask of the replica.
--- a/crates/replication/src/maintenance/candidates.rs
+++ b/crates/replication/src/maintenance/candidates.rs
@@ -4,7 +4,7 @@
 
 use dahlia_types::{DaemonId, GroupId, Region, ReplicaId, Zone};
 
-use super::view::{ClusterView, DaemonView, Liveness};
+use super::view::{ClusterView, DaemonView};
 
 /// The voters that stay, and where they are.
 pub(super) struct Placement<'a> {
@@ -61,8 +61,7 @@
         let mut best = None;
         for (daemon, view) in &self.view.daemons {
             let replica = ReplicaId { daemon: *daemon, incarnation: view.incarnation };
-            let is_free = view.liveness == Liveness::Live && !is_member(&replica);
-            if !is_free || !self.may_hold(view) {
+            if !view.is_free() || is_member(&replica) || !self.may_hold(view) {
                 continue;
             }
             let rank = (
@@ -78,9 +77,9 @@
         best.map(|(_, replica)| replica)
     }
 
-    /// A daemon that holds groups; one of another region only while the home region keeps a majority.
+    /// One of another region only while the home region keeps a majority.
     fn may_hold(&self, daemon: &DaemonView) -> bool {
-        daemon.holds_groups && (self.is_home(daemon) || self.home_voters() > self.target / 2)
+        self.is_home(daemon) || self.home_voters() > self.target / 2
     }
 
     /// Whether a vote there, in exchange for one in the fullest zone, spreads the group better.
--- a/crates/replication/src/maintenance/plan.rs
+++ b/crates/replication/src/maintenance/plan.rs
@@ -21,6 +21,8 @@
     Gone,
     /// Neither the leader nor, if it is lost early, membership has heard of it for long.
     Lost,
+    /// The leader has not heard of it of late, and another daemon can take its place.
+    Replaceable,
 }
 
 /// The members sorted by how they stand.
@@ -32,6 +34,7 @@
     leaving: Vec<ReplicaId>,
     gone: Vec<ReplicaId>,
     lost: Vec<ReplicaId>,
+    replaceable: Vec<ReplicaId>,
     healthy_learners: Vec<ReplicaId>,
     bad_learners: Vec<ReplicaId>,
 }
@@ -51,6 +54,7 @@
             leaving: Vec::new(),
             gone: Vec::new(),
             lost: Vec::new(),
+            replaceable: Vec::new(),
             healthy_learners: Vec::new(),
             bad_learners: Vec::new(),
         };
@@ -60,6 +64,7 @@
                 Standing::Leaving => &mut plan.leaving,
                 Standing::Gone => &mut plan.gone,
                 Standing::Lost => &mut plan.lost,
+                Standing::Replaceable => &mut plan.replaceable,
             };
             side.push(*voter);
         }
@@ -89,9 +94,27 @@
         if silence >= grace {
             return Standing::Lost;
         }
+        if silence >= self.settings.replace_grace() && self.has_successor() {
+            return Standing::Replaceable;
+        }
         if is_leaving { Standing::Leaving } else { Standing::Healthy }
     }
 
+    /// Whether another daemon has room for a replica of this group, or is being given one. One that
+    /// was started in the place of a removed machine holds nothing yet. Groups give it their
+    /// replicas one after the other, so less than the even share says that it has room.
+    fn has_successor(&self) -> bool {
+        let members = &self.status.members;
+        if !members.learners.is_empty() {
+            return true;
+        }
+        let share = self.view.even_share();
+        self.view.daemons.iter().any(|(daemon, view)| {
+            let is_member = members.all().any(|member| member.daemon == *daemon);
+            view.is_free() && view.replicas < share && !is_member
+        })
+    }
+
     /// The next step for the members.
     pub fn next(&self) -> Option<MaintenanceStep> {
         self.hand_over_when_leaving()
@@ -125,11 +148,14 @@
             || self.status.peers.get(&member).is_some_and(|peer| peer.in_contact)
     }
 
-    /// Removes a voter that is gone, or a lost one where keeping it is of no more use.
+    /// Removes a voter that is gone, or a lost or silent one where keeping it is of no more use.
     fn remove_dead(&self) -> Option<MemberChange> {
-        let dead = self.gone.first().or(self.lost.first()).copied()?;
+        let first = self.gone.first().or(self.lost.first()).or(self.replaceable.first());
+        let dead = first.copied()?;
         let is_useless = !self.gone.is_empty()
-            || (!self.settings.keeps_lost_voters && self.rest_survives_more())
+            || (!self.settings.keeps_lost_voters
+                && !self.lost.is_empty()
+                && self.rest_survives_more())
             || self.has_ready_learner()
             || !self.lacks_voters();
         is_useless.then_some(MemberChange::Remove(dead))
--- a/crates/replication/src/maintenance/view.rs
+++ b/crates/replication/src/maintenance/view.rs
@@ -39,6 +39,13 @@
     pub leaderships: u32,
 }
 
+impl DaemonView {
+    /// Whether a replica may be placed on it now.
+    pub(super) fn is_free(&self) -> bool {
+        self.liveness == Liveness::Live && self.holds_groups
+    }
+}
+
 /// All daemons known.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct ClusterView {
@@ -77,6 +84,14 @@
         }
     }
 
+    /// Replicas that each daemon which may take one would have if all had equally many, rounded
+    /// down; 1 at least, so that one without replicas always has room.
+    pub(super) fn even_share(&self) -> u32 {
+        let replicas: u32 = self.daemons.values().map(|daemon| daemon.replicas).sum();
+        let free = self.daemons.values().filter(|daemon| daemon.is_free()).count();
+        (replicas / (free as u32).max(1)).max(1)
+    }
+
     /// The daemon's present replica identifier.
     pub fn replica(&self, daemon: DaemonId) -> Option<ReplicaId> {
         let incarnation = self.daemons.get(&daemon)?.incarnation;
--- a/crates/replication/tests/maintenance.rs
+++ b/crates/replication/tests/maintenance.rs
@@ -184,6 +184,83 @@
     assert!(matches!(situation.next_change(), Some(MemberChange::AddLearner(_))));
 }
 
+#[test]
+fn a_silent_voter_is_replaced_early_only_where_another_daemon_has_room() {
+    struct Case {
+        name: &'static str,
+        silence: Duration,
+        hinder: fn(&mut Situation),
+        is_replaced: bool,
+    }
+    let two_seconds = Duration::from_secs(2);
+    let cases = [
+        Case {
+            name: "a daemon holds nothing",
+            silence: two_seconds,
+            hinder: |situation| situation.daemon(7).replicas = 0,
+            is_replaced: true,
+        },
+        Case {
+            name: "silent for a second only",
+            silence: Duration::from_secs(1),
+            hinder: |situation| situation.daemon(7).replicas = 0,
+            is_replaced: false,
+        },
+        Case {
+            name: "all hold their share",
+            silence: two_seconds,
+            hinder: |_| {},
+            is_replaced: false,
+        },
+        Case {
+            name: "the one that holds nothing may be dead",
+            silence: two_seconds,
+            hinder: |situation| {
+                situation.daemon(7).replicas = 0;
+                situation.daemon(7).liveness = Liveness::Doubtful;
+            },
+            is_replaced: false,
+        },
+        Case {
+            name: "the one that holds nothing is to hold nothing",
+            silence: two_seconds,
+            hinder: |situation| {
+                situation.daemon(7).replicas = 0;
+                situation.daemon(7).holds_groups = false;
+            },
+            is_replaced: false,
+        },
+    ];
+    for Case { name, silence, hinder, is_replaced } in cases {
+        let mut situation = Situation::new(&[1, 2, 3]);
+        situation.heard(id(3), silence, false);
+        hinder(&mut situation);
+        let expected = is_replaced.then(|| MemberChange::AddLearner(id(7)));
+        assert_eq!(situation.next_change(), expected, "{name}");
+    }
+}
+
+#[test]
+fn a_silent_voter_keeps_its_vote_until_a_learner_is_caught_up() {
+    for keeps_lost_voters in [false, true] {
+        let mut situation = Situation::new(&[1, 2, 3, 4, 5]);
+        situation.settings.keeps_lost_voters = keeps_lost_voters;
+        situation.daemon(8).replicas = 0;
+        // Without them the rest would survive more deaths; but both may only be paused.
+        situation.heard(id(4), Duration::from_secs(2), false);
+        situation.heard(id(5), Duration::from_secs(2), false);
+        assert_eq!(situation.next_change(), Some(MemberChange::AddLearner(id(8))));
+        situation.learner(8, false);
+        assert_eq!(situation.next(), None);
+        situation.learner(8, true);
+        assert_eq!(situation.next_change(), Some(MemberChange::Remove(id(4))));
+        // It answers again before that is done: it stays, and the learner goes.
+        situation.heard(id(4), Duration::ZERO, true);
+        situation.heard(id(5), Duration::ZERO, true);
+        assert_eq!(situation.next_change(), Some(MemberChange::Remove(id(8))));
+    }
+}
+
 #[test]
 fn the_list_of_machines_alone_removes_nobody() {
     let mut situation = Situation::new(&[1, 2, 3]);
