Equal servers are drawn among, and short shared prompts may be read by all servers

Cause: with hundreds of gateways each has no attempts at most servers. `by_prompt` and `least_loaded` took the first of equal servers (in the order of rendezvous hashing, or of names), so all gateways took the same one; and a shared prompt of 500 tokens was kept at as few servers as one of 12,600.

Change: one function picks the server of least cost and draws among equal ones; `by_load` uses it too (it drew already, in code of its own). How many servers a shared prompt may have grows as it gets shorter, so that as many tokens are read for it in all (`backends.long_prompt_tokens`).

--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -22,9 +22,18 @@
 pub enum Affinity {
     /// Those of one program or session, by a hash of its name: one server holds what they need.
     Program(u64),
-    /// Those whose prompts begin with the same parts, by a hash of the last of them. A few servers
-    /// hold these, as many as their share of the load needs.
-    SharedPrompt(u64),
+    /// Those whose prompts begin with the same parts. A few servers hold these, as many as their
+    /// share of the load needs; the shorter they are, the more.
+    SharedPrompt(SharedPrompt),
+}
+
+/// The parts that prompts begin with and that other requests have too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedPrompt {
+    /// A hash of the last part; those before it are the same wherever it stands.
+    pub hash: u64,
+    /// Tokens of all of them.
+    pub tokens: u64,
 }
 
 /// By what a server was chosen.
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -30,7 +30,7 @@
 mod smoothed;
 mod table;
 
-pub use choice::{Affinity, Ask, AttemptEnd, Choice, ChoiceBasis, ChoiceWay};
+pub use choice::{Affinity, Ask, AttemptEnd, Choice, ChoiceBasis, ChoiceWay, SharedPrompt};
 pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
 pub use settings::BackendSettings;
 pub use table::{Backends, FailureListener};
--- a/crates/backends/src/loads.rs
+++ b/crates/backends/src/loads.rs
@@ -2,11 +2,11 @@
 
 use std::cmp::Reverse;
 
-use dahlia_types::Timestamp;
+use dahlia_types::{Timestamp, Zone};
 
 use crate::rendezvous::weight;
 use crate::server::Server;
-use crate::{BackendId, BackendSettings, ChoiceWay};
+use crate::{BackendId, BackendSettings, ChoiceWay, SharedPrompt};
 
 /// A choice and by what it was made.
 type Chosen<'a> = Option<(&'a Server, ChoiceWay)>;
@@ -16,6 +16,9 @@
     pub(crate) candidates: Vec<&'a Server>,
     settings: &'a BackendSettings,
     now: Timestamp,
+    /// Ranks equal servers, anew for each request. With many daemons each has no attempts at most
+    /// servers, and if all ranked these alike, all would send to the same ones.
+    draw: u64,
     /// Attempts of this daemon for each slot, averaged over time and over all candidates.
     usual_mean: f64,
 }
@@ -25,10 +28,11 @@
         candidates: Vec<&'a Server>,
         settings: &'a BackendSettings,
         now: Timestamp,
+        draw: u64,
     ) -> Self {
         let attempts = candidates.iter().map(|server| server.usual_attempts(settings, now));
         let usual_mean = attempts.sum::<f64>() / f64::from(slots(&candidates));
-        Self { candidates, settings, now, usual_mean }
+        Self { candidates, settings, now, draw, usual_mean }
     }
 
     /// The server that holds what the request needs. What it holds is lost by leaving it, and
@@ -63,27 +67,54 @@
     }
 
     /// The least loaded of the first few by rendezvous hashing, as many as the share of the load
-    /// that the prompt has needs. Where all of these have far more than the mean load, the share was
+    /// that the prompt has needs; equal ones are drawn among. Where all of these have far more than the mean load, the share was
     /// guessed too low: the next one that has not is used.
-    pub(crate) fn by_prompt(&self, prompt: u64, share: f64) -> Chosen<'a> {
-        let wanted = share * self.candidates.len() as f64 * self.settings.prompt_spread;
+    pub(crate) fn by_prompt(&self, prompt: SharedPrompt, share: f64) -> Chosen<'a> {
+        let wanted = share * self.candidates.len() as f64 * self.prompt_spread(prompt);
         let wanted = (wanted.ceil() as usize).max(self.settings.least_prompt_servers as usize);
         let mut ranked = self.candidates.clone();
-        ranked.sort_by_cached_key(|server| Reverse(weight(prompt, &server.record.id)));
+        ranked.sort_by_cached_key(|server| Reverse(weight(prompt.hash, &server.record.id)));
         let (first, others) = ranked.split_at(wanted.min(ranked.len()));
-        let by_usual =
-            |left: &&&Server, right: &&&Server| self.usual(left).total_cmp(&self.usual(right));
-        let least = first.iter().min_by(by_usual)?;
+        let least = self.least(first, |server| self.usual(server))?;
         let further = || others.iter().find(|server| self.is_within(server));
-        let chosen = Some(least).filter(|least| self.is_within(least)).or_else(further);
-        let chosen = chosen.unwrap_or(least);
-        Some((*chosen, ChoiceWay::SharedPrompt))
+        let chosen = Some(least).filter(|least| self.is_within(least));
+        let chosen = chosen.or_else(|| further().copied()).unwrap_or(least);
+        Some((chosen, ChoiceWay::SharedPrompt))
+    }
+
+    /// Servers for a prompt, as a multiple of those that its share of the load fills. What is spent on
+    /// reading is bounded, not the number of servers: a prompt of a tenth of the tokens may be read
+    /// at ten times as many, among which load is spread more evenly.
+    fn prompt_spread(&self, prompt: SharedPrompt) -> f64 {
+        let long = self.settings.long_prompt_tokens as f64;
+        self.settings.prompt_spread * (long / prompt.tokens.max(1) as f64).max(1.0)
+    }
+
+    /// The least loaded one; one of another zone must be clearly less loaded.
+    pub(crate) fn by_load(&self, zone: &Zone) -> Chosen<'a> {
+        let cost = |server: &Server| {
+            let is_near = server.record.zone == *zone;
+            server.load() + if is_near { 0.0 } else { self.settings.zone_penalty }
+        };
+        let least = self.least(&self.candidates, cost);
+        least.map(|server| (server, ChoiceWay::Load))
     }
 
     fn least_loaded(&self) -> Chosen<'a> {
-        let servers = self.candidates.iter();
-        let least = servers.min_by(|left, right| left.load().total_cmp(&right.load()));
-        least.map(|server| (*server, ChoiceWay::LeastLoaded))
+        let least = self.least(&self.candidates, Server::load);
+        least.map(|server| (server, ChoiceWay::LeastLoaded))
+    }
+
+    /// The server of least cost; equal ones are drawn among.
+    fn least(&self, servers: &[&'a Server], cost: impl Fn(&Server) -> f64) -> Option<&'a Server> {
+        let ranked = servers.iter().map(|server| {
+            let drawn = weight(self.draw, &server.record.id);
+            (cost(server), drawn, *server)
+        });
+        let least = ranked.min_by(|(left, left_draw, _), (right, right_draw, _)| {
+            left.total_cmp(right).then(left_draw.cmp(right_draw))
+        });
+        least.map(|(_, _, server)| server)
     }
 
     /// Attempts of this daemon for each slot of a server, averaged over time.
--- a/crates/backends/src/settings.rs
+++ b/crates/backends/src/settings.rs
@@ -12,9 +12,12 @@
     pub load_bound: f64,
     /// The same for a program that has a server which holds its prompt.
     pub keep_bound: f64,
-    /// Servers that read the same shared prompt, as a multiple of those that its share of the
+    /// Servers that read the same long shared prompt, as a multiple of those that its share of the
     /// load fills: among more of them the least loaded one is less loaded.
     pub prompt_spread: f64,
+    /// Tokens from which on a shared prompt is long. A shorter one is read at more servers, so that
+    /// as many tokens are read for it in all.
+    pub long_prompt_tokens: u64,
     /// The least number of them.
     pub least_prompt_servers: u32,
     /// Milliseconds over which loads are averaged.
@@ -53,6 +56,9 @@
             keep_bound: 3.0,
             load_span_ms: 500,
             prompt_spread: 4.0,
+            // The prompts for which the spread was found. One of 512 tokens takes 8 ms of a server
+            // that reads 65 in a millisecond, so all may read it.
+            long_prompt_tokens: 12_600,
             least_prompt_servers: 2,
             most_per_slot: 2.0,
             zone_penalty: 0.4,
@@ -79,6 +85,7 @@
         check_range("backends.load_bound", self.load_bound, 1.0, 100.0)?;
         check_range("backends.keep_bound", self.keep_bound, 1.0, 100.0)?;
         check_range("backends.prompt_spread", self.prompt_spread, 1.0, 1_000.0)?;
+        check_range("backends.long_prompt_tokens", self.long_prompt_tokens, 1, 1_000_000)?;
         check_range("backends.least_prompt_servers", self.least_prompt_servers, 1, 1_000)?;
         check_range("backends.load_span_ms", self.load_span_ms, 1, 60_000)?;
         check_range("backends.most_per_slot", self.most_per_slot, 0.1, 1_000.0)?;
--- a/crates/backends/src/shares.rs
+++ b/crates/backends/src/shares.rs
@@ -14,7 +14,7 @@
 const SPAN_S: f64 = 20.0;
 /// Requests with other prompts that every guess begins with. The first request of a daemon would
 /// else say that its prompt is all of the load.
-const ASSUMED_OTHERS: f64 = 20.0;
+const ASSUMED_OTHERS: f64 = 30.0;
 /// Prompts that are counted; beyond, the lightest is forgotten. Far more than can be kept warm.
 const MOST_PROMPTS: usize = 1_024;
 
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -8,7 +8,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::loads::Loads;
-use crate::rendezvous::weight;
 use crate::server::Server;
 use crate::shares::PromptShares;
 use crate::{
@@ -172,7 +171,7 @@
     fn pick(&mut self, ask: &Ask<'_>, now: Timestamp) -> Option<(BackendId, ChoiceBasis)> {
         let draw = self.random.random();
         let share = match ask.affinity {
-            Some(Affinity::SharedPrompt(prompt)) => self.shares.note(prompt, now),
+            Some(Affinity::SharedPrompt(prompt)) => self.shares.note(prompt.hash, now),
             _ => 0.0,
         };
         let servers = self.services.get(ask.service)?;
@@ -186,16 +185,13 @@
         let counts = (servers.len(), usable.len(), sound.len());
         // A server that failed of late, or is slow, is better than none.
         let candidates = if sound.is_empty() { usable } else { sound };
-        let loads = Loads::new(candidates, settings, now);
+        let loads = Loads::new(candidates, settings, now, draw);
         let kept = ask.preferred.and_then(|preferred| loads.kept(preferred));
         let (server, way) = match (ask.affinity, kept) {
             (Some(_), Some(kept)) => (kept, ChoiceWay::Preferred),
             (Some(Affinity::Program(program)), None) => loads.by_program(program)?,
             (Some(Affinity::SharedPrompt(prompt)), None) => loads.by_prompt(prompt, share)?,
-            (None, _) => {
-                let server = by_load(&loads.candidates, &self.zone, settings.zone_penalty, draw)?;
-                (server, ChoiceWay::Load)
-            }
+            (None, _) => loads.by_load(&self.zone)?,
         };
         let (listed, usable, sound) = counts;
         let basis = ChoiceBasis { way, listed, usable, sound, in_flight: server.in_flight };
@@ -253,23 +249,3 @@
     let bound = Duration::from_secs_f64(median.as_secs_f64() * settings.slow_factor);
     Some(bound.max(Duration::from_millis(settings.slow_floor_ms)))
 }
-
-/// The least loaded server; one of another zone must be clearly less loaded.
-fn by_load<'a>(
-    candidates: &[&'a Server],
-    zone: &Zone,
-    zone_penalty: f64,
-    draw: u64,
-) -> Option<&'a Server> {
-    let cost = |server: &Server| {
-        let penalty = if server.record.zone == *zone { 0.0 } else { zone_penalty };
-        server.load() + penalty
-    };
-    // Equal servers are drawn among: else all daemons would begin with the same one.
-    let costs = candidates.iter().map(|server| (cost(server), weight(draw, &server.record.id)));
-    let ranked = costs.zip(candidates);
-    let best = ranked.min_by(|((left, left_draw), _), ((right, right_draw), _)| {
-        left.total_cmp(right).then(left_draw.cmp(right_draw))
-    });
-    best.map(|(_, server)| *server)
-}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use dahlia_backends::{Affinity, Ask, AttemptEnd, BackendAddress, BackendId, Choice};
+use dahlia_backends::{Affinity, Ask, AttemptEnd, BackendAddress, BackendId, Choice, SharedPrompt};
 use dahlia_types::Duration;
 use tokio::time::Instant;
 
@@ -206,7 +206,10 @@
         let shared = self.head.text(&names.prompt_parts).and_then(SharedParts::parse);
         let hash = |text: &str| key_of(text.as_bytes());
         match (shared, program) {
-            (Some(shared), _) if shared.outweigh => Some(Affinity::SharedPrompt(hash(shared.last))),
+            (Some(shared), _) if shared.outweigh => {
+                let prompt = SharedPrompt { hash: hash(shared.last), tokens: shared.tokens };
+                Some(Affinity::SharedPrompt(prompt))
+            }
             (_, Some(program)) => Some(Affinity::Program(hash(program))),
             (Some(shared), None) => Some(Affinity::Program(hash(shared.last))),
             (None, None) => None,
--- a/crates/relay/src/prompt_parts.rs
+++ b/crates/relay/src/prompt_parts.rs
@@ -5,6 +5,8 @@
 pub(crate) struct SharedParts<'a> {
     /// The identifier of the last of them. The parts before it are the same wherever it stands.
     pub(crate) last: &'a str,
+    /// Tokens of all of them.
+    pub(crate) tokens: u64,
     /// Whether they are the larger part of the prompt.
     pub(crate) outweigh: bool,
 }
@@ -17,8 +19,9 @@
         let named: Vec<(&str, u64)> = named.collect();
         let (own, shared) = named.split_last()?;
         let last = shared.last().unwrap_or(own).0;
-        let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
-        Some(Self { last, outweigh: shared_tokens > own.1 })
+        let shared_tokens =
+            shared.iter().fold(0, |sum: u64, (_, tokens)| sum.saturating_add(*tokens));
+        Some(Self { last, tokens: shared_tokens, outweigh: shared_tokens > own.1 })
     }
 }
 
