One gateway of a zone reads the metadata store for the others

Ruled out: reads that may be old at a tenth of the price (a watch must make up for them), longer waits alone (an event ends the wait).

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -8,7 +8,7 @@
 use dahlia_configuration::{Record, Verdict};
 use dahlia_node::request::{RequestId, Response};
 use dahlia_node::wire::PeerMessage;
-use dahlia_node::{Action, BackendFailure, Event, Node, SharedDocument};
+use dahlia_node::{Action, BackendFailure, Event, FeedOrder, Node, SharedDocument};
 use dahlia_replication::group::DurableChange;
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -35,12 +35,18 @@
     pub documents: mpsc::UnboundedSender<SharedDocument>,
     /// Failures of back ends.
     pub failures: mpsc::UnboundedSender<BackendFailure>,
+    /// What to do about the outside source that daemons share.
+    pub feed: mpsc::UnboundedSender<FeedOrder>,
 }
 
 impl SharedSenders {
     /// For a daemon that has no use for any of it.
     pub fn ignored() -> Self {
-        Self { documents: mpsc::unbounded_channel().0, failures: mpsc::unbounded_channel().0 }
+        Self {
+            documents: mpsc::unbounded_channel().0,
+            failures: mpsc::unbounded_channel().0,
+            feed: mpsc::unbounded_channel().0,
+        }
     }
 }
 
@@ -251,6 +257,10 @@
                 // A daemon that reads no documents has dropped the receiver.
                 let _ = self.parts.shared.documents.send(document);
             }
+            Action::Feed(order) => {
+                // A daemon that follows no source has dropped the receiver.
+                let _ = self.parts.shared.feed.send(order);
+            }
             Action::BackendFailureHeard(failure) => {
                 // A daemon that passes no requests on has dropped the receiver.
                 let _ = self.parts.shared.failures.send(failure);
--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -40,6 +40,7 @@
         has_store: settings.daemon.data_folder.is_some(),
         history: settings.history.clone(),
         membership: settings.membership.clone(),
+        feed: settings.feed.clone(),
         maintenance,
         limits: ProgramLimits::default(),
         placement: settings.placement.clone(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,7 +7,7 @@
 
 use dahlia_api::RequestLimits;
 use dahlia_durable::DurableSettings;
-use dahlia_node::HistorySettings;
+use dahlia_node::{FeedSettings, HistorySettings};
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
 use dahlia_replication::membership::MembershipSettings;
@@ -59,6 +59,9 @@
     /// Timing and bounds of membership.
     #[serde(default)]
     pub membership: MembershipSettings,
+    /// Sharing what few daemons read of an outside source; absent where none is followed.
+    #[serde(default)]
+    pub feed: Option<FeedSettings>,
     /// Upkeep of groups' members. `voters` and `keeps_lost_voters` are worked out.
     #[serde(default)]
     pub maintenance: MaintenanceSettings,
@@ -279,6 +282,7 @@
         self.store.check()?;
         self.durable.check()?;
         self.membership.check()?;
+        self.feed.as_ref().map_or(Ok(()), FeedSettings::check)?;
         self.maintenance.check()?;
         self.ledger_breaker.check()?;
         self.calls.check()?;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -15,6 +15,7 @@
 use crate::bootstrap::LayoutStep;
 use crate::engine_sources::{EngineAddress, MachineListing};
 use crate::engines::EngineReport;
+use crate::feed::{FeedOrder, SourceReport};
 use crate::history::{StoreOrder, StoreResult};
 use crate::key_value::{KeyValueEvent, KeyValueStep};
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
@@ -122,6 +123,8 @@
     Tolerance(LossTolerance),
     /// This daemon has read a document that others may need from it.
     Share(SharedDocument),
+    /// This daemon has read the outside source that daemons share.
+    SourceRead(SourceReport),
     /// Attempts of this daemon at a back end failed: others are told.
     BackendFailed(BackendFailure),
     /// The driver wants a group recorded as a whole, to drop its earlier changes.
@@ -228,6 +231,8 @@
     Layout(LayoutStep),
     /// Another daemon shared a newer version of a document.
     Shared(SharedDocument),
+    /// Read the outside source that daemons share, or take in what another one read of it.
+    Feed(FeedOrder),
     /// Another daemon saw attempts at a back end fail.
     BackendFailureHeard(BackendFailure),
     /// Carry out an operation on this daemon's store.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `helpers` | commands to ledgers by way of another daemon |
 //! | `bootstrap` | the first layout of groups |
 //! | `history` | old turns on store daemons' disks |
+//! | `feed` | sharing what few daemons read of an outside source |
 //! | `members` | which daemons are there, and upkeep of groups' members |
 //! | `engines` | what is known of engines |
 //! | `engine_sources` | which engines there are, and which leave |
@@ -36,6 +37,7 @@
 mod engine_sources;
 mod engines;
 mod event;
+pub mod feed;
 mod group;
 mod helpers;
 pub mod history;
@@ -63,6 +65,7 @@
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, BackendFailure, Event, ReleaseOrder, SharedDocument, StartAttempt};
+pub use feed::{FeedMessage, FeedOrder, FeedSettings, SourceReading, SourceReport};
 pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
 pub use members::DaemonView;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 use crate::configuration::Configuration;
 use crate::engine_sources::EngineSources;
 use crate::engines::EngineTable;
+use crate::feed::Feed;
 use crate::group::Group;
 use crate::history::History;
 use crate::orders::Orders;
@@ -57,6 +58,8 @@
     /// Messages that need not wait for a sync.
     pub(crate) unsynced: Coalescer,
     pub(crate) draining: bool,
+    /// None where no outside source is followed.
+    pub(crate) feed: Option<Feed>,
     /// Reports of failed back ends that this life has made.
     pub(crate) failure_reports: u64,
 }
@@ -122,8 +125,11 @@
         let voter_target = VoterTarget { voters, shortfalls: Vec::new() };
         let scheduler = Scheduler::new(settings.placement.clone(), settings.policy, settings.seed);
         let balance_pace = BalancePace::new(&settings.maintenance, now);
+        let feed = settings.feed.clone();
+        let feed = feed.map(|feed| Feed::new(feed, settings.own.daemon, settings.address));
         let mut node = Self {
             membership,
+            feed,
             scheduler,
             engines: EngineTable::new(settings.zone.clone()),
             history: History::default(),
@@ -183,6 +189,7 @@
             Event::Recalled(addresses) => self.membership.recall(addresses),
             Event::Tolerance(tolerance) => self.change_tolerance(tolerance, now),
             Event::Share(document) => self.share(document),
+            Event::SourceRead(report) => self.source_read(report, now),
             Event::BackendFailed(failure) => self.report_backend_failure(&failure),
             Event::ImageWanted(group) => self.record_image(group),
             Event::Retire => self.retire_daemon(now),
@@ -286,6 +293,7 @@
         self.configuration_tick(now);
         self.read_layout(now);
         self.upkeep(now);
+        self.feed_tick(now);
         for group in self.groups.values_mut() {
             if group.replica.next_deadline() <= now {
                 group.replica.tick(now);
@@ -322,6 +330,7 @@
             PeerMessage::PassOn { id, request, reply_to } => {
                 self.take_for_other(ReplyTo::Peer { address: reply_to, id }, request, now);
             }
+            PeerMessage::Feed(message) => self.feed_message(from.daemon, message, now),
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -10,6 +10,7 @@
 use dahlia_replication::tolerance::LossTolerance;
 use dahlia_types::{Duration, GroupId, Region, ReplicaId, Zone};
 
+use crate::feed::FeedSettings;
 use crate::history::HistorySettings;
 
 /// What a node is told at its start.
@@ -40,6 +41,8 @@
     pub group: GroupSettings,
     /// Timing and bounds of membership.
     pub membership: MembershipSettings,
+    /// Sharing what few daemons read of an outside source; none where this one does not follow it.
+    pub feed: Option<FeedSettings>,
     /// Upkeep of groups' members.
     pub maintenance: MaintenanceSettings,
     /// Whether this daemon has a store for bulk history.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -9,11 +9,12 @@
 use dahlia_types::{CallId, DaemonId, Incarnation, TenantId};
 use serde::{Deserialize, Serialize};
 
+use crate::feed::FeedMessage;
 use crate::history::ChunkMessage;
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// Largest frame in bytes; a longer one ends the connection.
 pub const LARGEST_FRAME: usize = 16 * 1024 * 1024;
@@ -123,4 +124,6 @@
         /// Where the answer goes.
         reply_to: SocketAddr,
     },
+    /// Of what few daemons read of an outside source.
+    Feed(FeedMessage),
 }
--- a/crates/node/tests/plain_settings/mod.rs
+++ b/crates/node/tests/plain_settings/mod.rs
@@ -41,6 +41,7 @@
         life: 0,
         group: GroupSettings::default(),
         membership: MembershipSettings::default(),
+        feed: None,
         maintenance: MaintenanceSettings::default(),
         has_store: false,
         history: HistorySettings::default(),
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -407,6 +407,7 @@
         store: StoreSettings::default(),
         durable: DurableSettings::default(),
         membership: MembershipSettings::default(),
+        feed: None,
         maintenance: MaintenanceSettings::default(),
         calls: CallsSettings::default(),
         policy: plan.policy,
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -109,7 +109,11 @@
                 self.seen.note(self.now, seen);
             }
             // Engines here serve one model throughout, and no virtual daemon has a disk.
-            Action::Order(_) | Action::Store(_) | Action::Persist(_) | Action::Shared(_) => {}
+            Action::Order(_)
+            | Action::Store(_)
+            | Action::Persist(_)
+            | Action::Shared(_)
+            | Action::Feed(_) => {}
             Action::BackendFailureHeard(_) => {}
             Action::Stop { .. } => self.kill_daemon(id, Duration::ZERO),
         }
--- a/crates/replay/src/world/settings.rs
+++ b/crates/replay/src/world/settings.rs
@@ -87,6 +87,7 @@
         life: 0,
         group: group_settings(switches),
         membership: MembershipSettings::default(),
+        feed: None,
         maintenance: MaintenanceSettings {
             voters: deployment.replicas as usize,
             ..MaintenanceSettings::default()
