--- a/crates/node/src/bootstrap.rs
+++ b/crates/node/src/bootstrap.rs
@@ -2,8 +2,9 @@
 //!
 //! Every daemon reads the key until it is there. The daemon that sees enough live members and
 //! no layout writes one. Enough are as many as the declared losses need; where fewer come, the
-//! groups are laid out on those that are there, and get further voters when others join. Whoever loses the race reads the winner's. A daemon bootstraps a replica
-//! only if the layout names it in exactly its present incarnation.
+//! groups are laid out on those that are there, and get further voters when others join. Whoever
+//! loses the race reads the winner's. A daemon bootstraps a replica only if the layout names it in
+//! exactly its present incarnation.
 
 use dahlia_replication::directory::{GroupDescription, initial_layout};
 use dahlia_replication::group::Replica;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,8 +21,9 @@
 //! | `helpers` | commands to ledgers by way of another daemon |
 //! | `bootstrap` | the first layout of groups |
 //! | `history` | old turns on store daemons' disks |
-//! | `feed` | sharing what few daemons read of an outside source |
-//! | `members` | which daemons are there, and upkeep of groups' members |
+//! | `feed`, `source` | sharing what few daemons read of an outside source: decisions, and this node's part |
+//! | `members` | which daemons are there, and where groups are |
+//! | `upkeep` | replicas that are gone or leave are replaced |
 //! | `engines` | what is known of engines |
 //! | `engine_sources` | which engines there are, and which leave |
 //! | `configuration` | the operators' configuration in force, and changes of it |
@@ -55,6 +56,8 @@
 mod retirement;
 mod routing;
 mod settings;
+mod source;
+mod upkeep;
 mod view;
 pub mod wire;
 
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -1,29 +1,20 @@
-//! Which daemons are there, where groups are, and the upkeep of groups' members.
+//! Which daemons are there, and where groups are.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use dahlia_replication::directory::GroupDescription;
-use dahlia_replication::maintenance::{ClusterView, MaintenanceStep};
 use dahlia_replication::membership::{
     Action as MembershipAction, Event as MembershipEvent, Fact, FactKey, Health, Member,
     MemberInfo, MemberRecord, MemberState,
 };
-use dahlia_replication::tolerance::{HolderCounts, LossTolerance};
-use dahlia_types::{DaemonId, Duration, Generation, GroupId, ReplicaId, Timestamp};
+use dahlia_types::{DaemonId, Generation, GroupId, ReplicaId, Timestamp};
 
-use crate::feed::{Feed, FeedAction, FeedMessage, SourceReport};
 use crate::group::Group;
 use crate::node::Node;
 use crate::wire::PeerMessage;
 use crate::{Action, BackendFailure, SharedDocument};
 
-/// How often a leader looks after the members of its group.
-const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// How often it looks while the group lacks voters, exchanges one, or a member has begun another
-/// life: until it is whole again, the next death may stop it.
-const REPAIR_INTERVAL: Duration = Duration::from_millis(200);
-
 /// A daemon as operators see it.
 #[derive(Debug, Clone)]
 pub struct DaemonView {
@@ -123,55 +114,6 @@
         }
     }
 
-    /// Chooses anew who reads the outside source, and decides whether this daemon does.
-    pub(crate) fn feed_tick(&mut self, now: Timestamp) {
-        if self.feed.as_ref().is_none_or(|feed| !feed.is_review_due(now)) {
-            return self.with_feed(|feed| feed.tick(now));
-        }
-        let zone = &self.settings.zone;
-        // Daemons without groups follow the source; those with groups have no use for it.
-        let shares = |info: &MemberInfo| !info.holds_groups && info.zone == *zone;
-        let members = self.live_members();
-        let sharing: Vec<(DaemonId, SocketAddr)> = members
-            .iter()
-            .filter(|info| shares(info))
-            .map(|info| (info.daemon, info.address))
-            .collect();
-        self.with_feed(|feed| {
-            feed.review(&sharing, now);
-            feed.tick(now);
-        });
-    }
-
-    pub(crate) fn source_read(&mut self, report: SourceReport, now: Timestamp) {
-        self.with_feed(|feed| feed.read(report, now));
-    }
-
-    pub(crate) fn feed_message(&mut self, from: DaemonId, message: FeedMessage, now: Timestamp) {
-        self.with_feed(|feed| {
-            match message {
-                FeedMessage::Subscribe { known, reply_to } => {
-                    feed.subscribed(from, known, reply_to, now);
-                }
-                FeedMessage::Report(report) => feed.reported(report, now),
-            }
-            feed.tick(now);
-        });
-    }
-
-    fn with_feed(&mut self, change: impl FnOnce(&mut Feed)) {
-        let Some(feed) = &mut self.feed else { return };
-        change(feed);
-        for action in feed.take_actions() {
-            self.actions.push(match action {
-                FeedAction::Order(order) => Action::Feed(order),
-                FeedAction::Send { to, message } => {
-                    Action::Send { to, message: PeerMessage::Feed(message) }
-                }
-            });
-        }
-    }
-
     /// Where a daemon listens.
     pub(crate) fn address(&self, daemon: DaemonId) -> Option<SocketAddr> {
         if daemon == self.settings.own.daemon {
@@ -247,86 +189,6 @@
         self.directory.merge(description);
     }
 
-    /// Replaces members of groups that are gone, one step at a time.
-    pub(crate) fn upkeep(&mut self, now: Timestamp) {
-        if now < self.next_upkeep {
-            return;
-        }
-        self.next_upkeep = now + UPKEEP_INTERVAL;
-        if !self.groups.values().any(|group| group.is_serving()) {
-            return;
-        }
-        let members = self.membership.members();
-        self.renew_voter_target(&members);
-        let voters = self.voter_target.voters;
-        let wanted = self.settings.tolerance.wanted_voters();
-        let view = ClusterView::new(&members, &self.directory);
-        for group in self.groups.values_mut().filter(|group| group.is_serving()) {
-            let status = group.replica.status();
-            // A lack of daemons is no reason to do with fewer voters than there are: membership may
-            // know too few after a start, and one that is to be emptied stays until it is replaced.
-            let least = status.members.voters.len().min(wanted);
-            group.maintenance.set_voters(voters.max(least));
-            let is_exchanging = !status.members.learners.is_empty();
-            if status.members.voters.len() < voters || is_exchanging {
-                self.next_upkeep = now + REPAIR_INTERVAL;
-            }
-            let step = group.maintenance.next(&status, &view, &mut self.balance_pace, now);
-            if matches!(step, Some(MaintenanceStep::Change(_))) {
-                self.next_upkeep = now + REPAIR_INTERVAL;
-            }
-            let refused = match step {
-                None => continue,
-                Some(MaintenanceStep::Change(change)) => {
-                    let name = group.replica.group();
-                    log::info!(target: "groups", group:% = name, change:? = change; "Members change.");
-                    group.replica.change_members(change).err().map(|error| error.to_string())
-                }
-                Some(MaintenanceStep::Transfer(to)) => {
-                    let name = group.replica.group();
-                    log::info!(target: "groups", group:% = name, to:% = to; "Leadership handed over.");
-                    group.replica.transfer_leadership(to).err().map(|error| error.to_string())
-                }
-            };
-            // A refused step is asked for again: nothing is remembered of it.
-            if let Some(error) = refused {
-                log::debug!(target: "groups", "{}: {error}.", group.replica.group());
-            }
-            self.dirty.insert(group.replica.group());
-        }
-    }
-
-    /// Takes over what may be lost at once; groups get or give up voters one at a time.
-    pub(crate) fn change_tolerance(&mut self, tolerance: LossTolerance, now: Timestamp) {
-        if self.settings.tolerance == tolerance {
-            return;
-        }
-        log::info!(target: "groups", "Losses to be borne at once are now {tolerance:?}.");
-        self.settings.tolerance = tolerance;
-        self.next_upkeep = self.next_upkeep.min(now);
-    }
-
-    /// Works out the voters of each group anew, and says when a declared loss cannot be borne.
-    fn renew_voter_target(&mut self, members: &[Member]) {
-        let target = self.settings.tolerance.target(&HolderCounts::of_members(members));
-        if target.shortfalls != self.voter_target.shortfalls {
-            for shortfall in &target.shortfalls {
-                log::warn!(target: "groups", "{shortfall}.");
-            }
-        }
-        self.voter_target = target;
-    }
-
-    /// Whether a group has all its voters, none of them in an earlier life of its daemon.
-    pub(crate) fn is_whole(&self, group: &Group) -> bool {
-        let voters = &group.replica.members().voters;
-        let is_present = |voter: &ReplicaId| {
-            let member = self.membership.member(voter.daemon);
-            member.is_none_or(|member| member.record.info.replica() == *voter)
-        };
-        voters.len() >= self.voter_target.voters && voters.iter().all(is_present)
-    }
-
     /// Says to all that this daemon is about to stop.
     pub(crate) fn announce_leaving(&mut self) {
         self.membership.set_state(MemberState::Leaving);
