Limits of tenants over all gateways: decision logic and a model of a fleet

Cause: routed requests knew no limits. Ruled out: counting through the log of the replica group (a commit for each request).

--- /dev/null
+++ b/crates/limits/src/gateway.rs
@@ -0,0 +1,308 @@
+//! A gateway's part: admits, reports what it admitted, and asks while permits are scarce.
+
+use std::collections::BTreeMap;
+
+use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, TenantId, Timestamp};
+
+use crate::bucket::Bucket;
+use crate::{KnownLimit, LimitReply, LimitSettings, ProgramKey, RateLimit, Report, Usage, Verdict};
+
+/// Requests that are not reported at once whatever the limit: a report each would cost as much as
+/// asking.
+const LEAST_UNREPORTED: f64 = 2.0;
+/// Time over which a gateway's own usual requests are averaged.
+const USUAL_TIME_S: f64 = 4.0;
+/// A tenant that sent nothing here for so long is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+/// What a gateway that decides alone tells callers when its own bucket does not say.
+const ALONE_RETRY: Duration = Duration::from_millis(500);
+
+/// What to do with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may pass. It is in the next report, which is due now if it says so.
+    Pass {
+        /// Whether to report at once.
+        report_now: bool,
+    },
+    /// The keeper decides.
+    Ask,
+    /// It may not pass.
+    Refuse {
+        /// When it is worth coming back.
+        retry_after: Duration,
+    },
+}
+
+/// A gateway's view of all limits.
+#[derive(Debug)]
+pub struct LimitGateway {
+    settings: LimitSettings,
+    own: DaemonId,
+    life: Incarnation,
+    /// Gateways that share the limits, this one included.
+    sharers: u32,
+    keepers: BTreeMap<GroupId, Keeper>,
+}
+
+/// What is known of one keeper and its tenants.
+#[derive(Debug, Default)]
+struct Keeper {
+    tenants: BTreeMap<TenantId, Held>,
+    /// The report that has no answer yet.
+    unanswered: Option<Report>,
+    /// Whether it is on its way.
+    is_under_way: bool,
+    /// Since when nothing was answered.
+    silent_since: Option<Timestamp>,
+    last_number: u64,
+}
+
+#[derive(Debug)]
+struct Held {
+    limit: KnownLimit,
+    admitted: Vec<Option<ProgramKey>>,
+    unused: Vec<Option<ProgramKey>>,
+    scarce_until: Timestamp,
+    usual: Usual,
+    /// In use while the keeper is silent.
+    alone: Option<Bucket>,
+    used_at: Timestamp,
+}
+
+/// Requests a second, averaged.
+#[derive(Debug, Default)]
+struct Usual {
+    per_second: f64,
+    at: Timestamp,
+}
+
+impl Usual {
+    fn note(&mut self, now: Timestamp) {
+        self.per_second = self.at(now) + 1.0 / USUAL_TIME_S;
+        self.at = now;
+    }
+
+    fn at(&self, now: Timestamp) -> f64 {
+        let passed = now.since(self.at).as_secs_f64();
+        self.per_second * (-passed / USUAL_TIME_S).exp()
+    }
+}
+
+impl Held {
+    fn new(limit: KnownLimit, now: Timestamp) -> Self {
+        Self {
+            limit,
+            admitted: Vec::new(),
+            unused: Vec::new(),
+            scarce_until: Timestamp::ZERO,
+            usual: Usual::default(),
+            alone: None,
+            used_at: now,
+        }
+    }
+
+    fn has_news(&self) -> bool {
+        !self.admitted.is_empty() || !self.unused.is_empty()
+    }
+
+    fn admit(&mut self, program: Option<ProgramKey>, now: Timestamp) {
+        self.admitted.push(program);
+        self.usual.note(now);
+    }
+}
+
+impl LimitGateway {
+    /// A gateway that has admitted nothing.
+    pub fn new(settings: LimitSettings, own: DaemonId, life: Incarnation) -> Self {
+        Self { settings, own, life, sharers: 1, keepers: BTreeMap::new() }
+    }
+
+    /// How many gateways share the limits, for the time when the keeper is silent.
+    pub fn set_sharers(&mut self, sharers: u32) {
+        self.sharers = sharers.max(1);
+    }
+
+    /// Decides a request.
+    pub fn admit(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        program: Option<ProgramKey>,
+        now: Timestamp,
+    ) -> Admission {
+        if self.is_silent(keeper, now) {
+            return self.admit_alone(keeper, tenant, limit, program, now);
+        }
+        let report_share = self.settings.report_share;
+        let held = self.held(keeper, tenant, limit, now);
+        if now < held.scarce_until {
+            return Admission::Ask;
+        }
+        held.admit(program, now);
+        let most_unreported = (report_share * limit.limit.per_second()).max(LEAST_UNREPORTED);
+        Admission::Pass { report_now: held.admitted.len() as f64 >= most_unreported }
+    }
+
+    /// Decides a request without the keeper: as many pass as usual here, and a little more. What all
+    /// gateways let pass so stays near what they did before.
+    pub fn admit_alone(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        program: Option<ProgramKey>,
+        now: Timestamp,
+    ) -> Admission {
+        let (factor, sharers) = (self.settings.silent_factor, self.sharers);
+        let held = self.held(keeper, tenant, limit, now);
+        let usual = held.usual.at(now);
+        let bucket = held.alone.get_or_insert_with(|| {
+            let per_second = limit.limit.per_second();
+            let share = (usual * factor).max(per_second / f64::from(sharers)).min(per_second);
+            let own = RateLimit::new(share, share).ok().flatten().unwrap_or(limit.limit);
+            Bucket::new(own, 1.0, now)
+        });
+        if bucket.level(now) < 1.0 {
+            let retry_after = bucket.time_until(1.0, now).max(ALONE_RETRY);
+            return Admission::Refuse { retry_after };
+        }
+        bucket.take(1.0, now);
+        held.admit(program, now);
+        Admission::Pass { report_now: false }
+    }
+
+    /// A keeper answered a question. It has counted a request that it lets pass.
+    pub fn answered(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        verdict: Verdict,
+        is_scarce: bool,
+        now: Timestamp,
+    ) -> Admission {
+        let scarce_time = self.settings.scarce_time();
+        let known = self.keepers.get_mut(&keeper).and_then(|keeper| keeper.tenants.get_mut(tenant));
+        if let Some(held) = known {
+            held.alone = None;
+            held.scarce_until = if is_scarce { now + scarce_time } else { Timestamp::ZERO };
+            if verdict == Verdict::Pass {
+                held.usual.note(now);
+            }
+        }
+        match verdict {
+            Verdict::Pass => Admission::Pass { report_now: false },
+            Verdict::Wait { retry_after } => Admission::Refuse { retry_after },
+        }
+    }
+
+    /// A request that was let pass has not run and never will: its permit goes back. Gives whether
+    /// to report at once, since others wait for permits.
+    pub fn give_back(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        program: Option<ProgramKey>,
+        now: Timestamp,
+    ) -> bool {
+        let known = self.keepers.get_mut(&keeper).and_then(|keeper| keeper.tenants.get_mut(tenant));
+        let Some(held) = known else { return false };
+        held.unused.push(program);
+        now < held.scarce_until
+    }
+
+    /// The reports that are due: to each keeper what is new, or what it has not answered.
+    pub fn reports(&mut self, now: Timestamp) -> Vec<(GroupId, Report)> {
+        let keepers: Vec<GroupId> = self.keepers.keys().copied().collect();
+        keepers.into_iter().filter_map(|keeper| Some((keeper, self.report(keeper, now)?))).collect()
+    }
+
+    /// The report that is due to one keeper.
+    pub fn report(&mut self, keeper: GroupId, now: Timestamp) -> Option<Report> {
+        let (from, life) = (self.own, self.life);
+        let known = self.keepers.get_mut(&keeper)?;
+        if known.is_under_way {
+            return None;
+        }
+        if known.unanswered.is_none() {
+            let usage = take_usage(&mut known.tenants, now);
+            if usage.is_empty() {
+                return None;
+            }
+            known.last_number += 1;
+            known.unanswered = Some(Report { from, life, number: known.last_number, usage });
+        }
+        known.is_under_way = true;
+        known.silent_since.get_or_insert(now);
+        known.unanswered.clone()
+    }
+
+    /// A report had no answer: it is due again, under the same number.
+    pub fn unanswered(&mut self, keeper: GroupId) {
+        if let Some(known) = self.keepers.get_mut(&keeper) {
+            known.is_under_way = false;
+        }
+    }
+
+    /// A keeper has counted a report.
+    pub fn counted(&mut self, keeper: GroupId, number: u64, reply: &LimitReply, now: Timestamp) {
+        let scarce_time = self.settings.scarce_time();
+        let Some(known) = self.keepers.get_mut(&keeper) else { return };
+        known.silent_since = None;
+        known.is_under_way = false;
+        known.unanswered.take_if(|report| report.number <= number);
+        let LimitReply::Counted { scarce } = reply else { return };
+        known.tenants.values_mut().for_each(|held| held.alone = None);
+        for tenant in scarce {
+            if let Some(held) = known.tenants.get_mut(tenant) {
+                held.scarce_until = now + scarce_time;
+            }
+        }
+    }
+
+    /// Whether a keeper has said nothing for too long to go by.
+    pub fn is_silent(&self, keeper: GroupId, now: Timestamp) -> bool {
+        let since = self.keepers.get(&keeper).and_then(|keeper| keeper.silent_since);
+        since.is_some_and(|since| now.since(since) >= self.settings.silence())
+    }
+
+    /// Milliseconds between reports, for the driver's timer.
+    pub fn report_interval(&self) -> Duration {
+        self.settings.report_interval()
+    }
+
+    fn held(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        now: Timestamp,
+    ) -> &mut Held {
+        let tenants = &mut self.keepers.entry(keeper).or_default().tenants;
+        if !tenants.contains_key(tenant) {
+            tenants.insert(tenant.clone(), Held::new(limit, now));
+        }
+        let held = tenants.get_mut(tenant).expect("it was put there");
+        held.used_at = now;
+        if held.limit.generation < limit.generation {
+            held.limit = limit;
+            held.alone = None;
+        }
+        held
+    }
+}
+
+/// What is not reported yet. Tenants that sent nothing for long are forgotten.
+fn take_usage(tenants: &mut BTreeMap<TenantId, Held>, now: Timestamp) -> Vec<Usage> {
+    tenants.retain(|_, held| held.has_news() || now.since(held.used_at) < FORGOTTEN_AFTER);
+    let with_news = tenants.iter_mut().filter(|(_, held)| held.has_news());
+    with_news
+        .map(|(tenant, held)| Usage {
+            tenant: tenant.clone(),
+            limit: held.limit,
+            requests: std::mem::take(&mut held.admitted),
+            unused: std::mem::take(&mut held.unused),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,36 @@
+//! A tenant's rate limit, kept by all gateways together. No I/O: `(state, event, now)` in, a verdict
+//! or a message out.
+//!
+//! Each tenant has a *keeper*: one daemon that counts the tenant's requests over the whole system in a
+//! token bucket. While the bucket is well filled, gateways admit without asking and report what they
+//! admitted a few times a second, so a request waits for nobody. What the keeper does not know of yet
+//! is bounded by the time between reports (the idea of bounded ignorance: Krishnakumar and Bernstein,
+//! "Bounded Ignorance", ACM TODS 19(4), 1994). Once the bucket is less than three quarters full, the
+//! keeper says so in its answers, and gateways ask before they admit.
+//!
+//! The keeper knows the programs under way. Where the limit leaves too little for all, it lets as many
+//! programs begin as it can serve to their end: a program that loses its seventh turn has wasted six.
+//!
+//! | module | job |
+//! |---|---|
+//! | `rate` | a limit, checked |
+//! | `bucket` | a token bucket that may go below zero |
+//! | `message` | what gateways and keepers say to each other |
+//! | `keeper` | counts a tenant's requests and decides what is asked |
+//! | `programs` | programs under way, and what a program needs |
+//! | `gateway` | admits, reports and asks |
+//! | `settings` | times and shares, and where they come from |
+
+mod bucket;
+mod gateway;
+mod keeper;
+mod message;
+mod programs;
+mod rate;
+mod settings;
+
+pub use gateway::{Admission, LimitGateway};
+pub use keeper::LimitKeeper;
+pub use message::{KnownLimit, LimitCommand, LimitReply, ProgramKey, Report, Usage, Verdict};
+pub use rate::{InvalidRate, RateLimit};
+pub use settings::LimitSettings;
--- /dev/null
+++ b/crates/limits/src/message.rs
@@ -0,0 +1,91 @@
+//! What gateways and keepers say to each other.
+
+use dahlia_types::{DaemonId, Duration, Incarnation, TenantId};
+use serde::{Deserialize, Serialize};
+
+use crate::RateLimit;
+
+/// A tenant's limit as a gateway knows it. A keeper goes by the newest that it was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLimit {
+    /// The generation of the configuration that says so.
+    pub generation: u64,
+    /// The limit.
+    pub limit: RateLimit,
+}
+
+/// A digest of a program's name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ProgramKey(pub u64);
+
+/// Requests of one tenant that a gateway admitted without asking.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// Its limit.
+    pub limit: KnownLimit,
+    /// One entry a request: its program, if it has one.
+    pub requests: Vec<Option<ProgramKey>>,
+    /// Earlier requests, asked for or reported, that no server has run or will run, in the same way.
+    pub unused: Vec<Option<ProgramKey>>,
+}
+
+/// What a gateway admitted since its last report to a keeper.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The gateway.
+    pub from: DaemonId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Rises with each report of this life to this keeper. A report that comes twice counts once.
+    pub number: u64,
+    /// By tenant.
+    pub usage: Vec<Usage>,
+}
+
+/// What is put to a keeper.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LimitCommand {
+    /// Count what was admitted.
+    Report(Report),
+    /// Whether one more request may pass.
+    Ask {
+        /// The tenant.
+        tenant: TenantId,
+        /// Its limit.
+        limit: KnownLimit,
+        /// The request's program.
+        program: Option<ProgramKey>,
+    },
+}
+
+/// What a keeper says of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It may pass, and is counted.
+    Pass,
+    /// It may not.
+    Wait {
+        /// When there will be room for it.
+        retry_after: Duration,
+    },
+}
+
+/// A keeper's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LimitReply {
+    /// The report is counted.
+    Counted {
+        /// Tenants of the report of which permits are scarce: ask before each request.
+        scarce: Vec<TenantId>,
+    },
+    /// The answer to a question.
+    Answer {
+        /// The verdict.
+        verdict: Verdict,
+        /// Whether permits are still scarce.
+        is_scarce: bool,
+    },
+}
--- /dev/null
+++ b/crates/limits/tests/fleet/mod.rs
@@ -0,0 +1,405 @@
+//! Many gateways, one keeper and callers' programs in virtual time.
+//!
+//! A message takes a millisecond one way. Programs begin at random moments, each at a gateway of its
+//! own, and send their requests one after the other; a request that is refused comes back when it was
+//! told to, a few times at most, and then its program fails.
+#![allow(dead_code)] // Each test file uses its own part.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use dahlia_limits::{
+    Admission, KnownLimit, LimitCommand, LimitGateway, LimitKeeper, LimitReply, LimitSettings,
+    ProgramKey, RateLimit, Report, Verdict,
+};
+use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, TenantId, Timestamp};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const KEEPER: GroupId = GroupId(0);
+/// One way between two daemons.
+const HOP: Duration = Duration::from_millis(1);
+/// How long callers of a program that was refused go on trying.
+const TRIES: u32 = 3;
+
+/// How a gateway decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// Reports, and asks only while permits are scarce.
+    Report,
+    /// Asks before each request.
+    Ask,
+    /// Keeps to an equal share of the limit, without a word to anybody.
+    Share,
+}
+
+/// Programs of a tenant that begin in a time.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    pub from_s: f64,
+    pub until_s: f64,
+    pub programs_per_s: f64,
+    /// Requests of a program, and milliseconds between two.
+    pub requests: u32,
+    pub gap_ms: u64,
+}
+
+/// A time in which the keeper is out of reach of some gateways.
+#[derive(Debug, Clone, Copy)]
+pub struct Cut {
+    pub from_s: f64,
+    pub until_s: f64,
+    /// The share of gateways.
+    pub share: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub seed: u64,
+    pub gateways: u32,
+    pub way: Way,
+    pub settings: LimitSettings,
+    pub limit: RateLimit,
+    pub loads: Vec<Load>,
+    pub cuts: Vec<Cut>,
+    /// When another keeper takes over, which knows nothing.
+    pub new_keepers_s: Vec<f64>,
+    /// Another limit from a moment on.
+    pub change: Option<(f64, RateLimit)>,
+}
+
+impl Plan {
+    pub fn new(seed: u64, per_second: f64, loads: Vec<Load>) -> Self {
+        Self {
+            seed,
+            gateways: 73,
+            way: Way::Report,
+            settings: LimitSettings::default(),
+            limit: limit(per_second, per_second),
+            loads,
+            cuts: Vec::new(),
+            new_keepers_s: Vec::new(),
+            change: None,
+        }
+    }
+}
+
+pub fn limit(per_second: f64, burst: f64) -> RateLimit {
+    RateLimit::new(per_second, burst).expect("a limit").expect("some")
+}
+
+/// What came of a run.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Microseconds at which each request passed.
+    pub passed: Vec<u64>,
+    pub refused: usize,
+    /// First tries of refused requests that came back when told to, and how many of them passed.
+    pub came_back: usize,
+    pub passed_then: usize,
+    pub programs: usize,
+    /// Programs all of whose requests passed.
+    pub whole: usize,
+    pub messages: usize,
+    /// Requests that waited for the keeper.
+    pub asked: usize,
+}
+
+impl Outcome {
+    /// The most requests that passed in any time of so long.
+    pub fn most_in(&self, window_s: f64) -> usize {
+        let window = (window_s * 1e6) as u64;
+        let ends = self.passed.iter().enumerate();
+        ends.map(|(last, at)| {
+            let first = self.passed.partition_point(|earlier| earlier + window < *at);
+            last + 1 - first
+        })
+        .max()
+        .unwrap_or(0)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Request {
+    program: u64,
+    number: u32,
+    tries: u32,
+    gateway: usize,
+    came_back: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Arrives(Request),
+    AskArrives(Request),
+    Answer(Request, bool, u64, bool),
+    AskTimesOut(Request),
+    Flush(usize),
+    ReportArrives(usize, usize),
+    Counted(usize, u64, bool),
+    ReportLost(usize),
+    NewKeeper,
+}
+
+struct Program {
+    requests: u32,
+    gap: Duration,
+}
+
+pub struct Fleet {
+    plan: Plan,
+    tenant: TenantId,
+    keeper: LimitKeeper,
+    gateways: Vec<LimitGateway>,
+    shares: Vec<(f64, Timestamp)>,
+    reports: Vec<Report>,
+    programs: Vec<Program>,
+    agenda: BinaryHeap<Reverse<(Timestamp, u64, Happening)>>,
+    answered: std::collections::BTreeSet<Request>,
+    steps: u64,
+    now: Timestamp,
+    outcome: Outcome,
+}
+
+fn at(seconds: f64) -> Timestamp {
+    Timestamp((seconds * 1e6) as u64)
+}
+
+impl Fleet {
+    pub fn run(plan: Plan) -> Outcome {
+        let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+        let gateway = |number| {
+            let settings = plan.settings.clone();
+            let mut gateway = LimitGateway::new(settings, DaemonId(number), Incarnation(1));
+            gateway.set_sharers(plan.gateways);
+            gateway
+        };
+        let mut fleet = Self {
+            tenant: TenantId::new("oak"),
+            // A keeper that has been there for long.
+            keeper: LimitKeeper::new(
+                LimitSettings { first_share: 1.0, ..plan.settings.clone() },
+                Timestamp::ZERO,
+            ),
+            gateways: (0..plan.gateways).map(gateway).collect(),
+            shares: vec![(f64::INFINITY, Timestamp::ZERO); plan.gateways as usize],
+            reports: Vec::new(),
+            programs: Vec::new(),
+            agenda: BinaryHeap::new(),
+            answered: Default::default(),
+            steps: 0,
+            now: Timestamp::ZERO,
+            outcome: Outcome::default(),
+            plan,
+        };
+        fleet.plan_ahead(&mut rng);
+        while let Some(Reverse((now, _, happening))) = fleet.agenda.pop() {
+            fleet.now = now;
+            fleet.step(happening);
+        }
+        fleet.outcome
+    }
+
+    fn plan_ahead(&mut self, rng: &mut ChaCha8Rng) {
+        let loads = self.plan.loads.clone();
+        for load in loads {
+            let mut time = load.from_s;
+            loop {
+                time -= rng.random::<f64>().max(1e-12).ln() / load.programs_per_s;
+                if time >= load.until_s {
+                    break;
+                }
+                let program = self.programs.len() as u64;
+                let requests = rng.random_range(load.requests.div_ceil(2)..=load.requests * 3 / 2);
+                let gap = Duration::from_millis(load.gap_ms);
+                self.programs.push(Program { requests, gap });
+                let gateway = rng.random_range(0..self.gateways.len());
+                let request = Request { program, number: 0, tries: 0, gateway, came_back: false };
+                self.put(at(time), Happening::Arrives(request));
+            }
+        }
+        self.outcome.programs = self.programs.len();
+        let interval = self.gateways[0].report_interval().as_micros();
+        let end = self.plan.loads.iter().map(|load| load.until_s).fold(0.0, f64::max) + 10.0;
+        for gateway in 0..self.gateways.len() {
+            let mut due = rng.random_range(0..interval);
+            while due < (end * 1e6) as u64 {
+                self.put(Timestamp(due), Happening::Flush(gateway));
+                due += interval;
+            }
+        }
+        for moment in self.plan.new_keepers_s.clone() {
+            self.put(at(moment), Happening::NewKeeper);
+        }
+    }
+
+    fn put(&mut self, moment: Timestamp, happening: Happening) {
+        self.steps += 1;
+        self.agenda.push(Reverse((moment, self.steps, happening)));
+    }
+
+    fn known(&self) -> KnownLimit {
+        match self.plan.change {
+            Some((moment, limit)) if self.now >= at(moment) => KnownLimit { generation: 2, limit },
+            _ => KnownLimit { generation: 1, limit: self.plan.limit },
+        }
+    }
+
+    fn is_cut(&self, gateway: usize) -> bool {
+        let place = gateway as f64 / self.gateways.len() as f64;
+        let cuts = self.plan.cuts.iter();
+        cuts.filter(|cut| at(cut.from_s) <= self.now && self.now < at(cut.until_s))
+            .any(|cut| place < cut.share)
+    }
+
+    fn step(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrives(request) => self.arrives(request),
+            Happening::AskArrives(request) => {
+                let (tenant, limit) = (self.tenant.clone(), self.known());
+                let program = Some(ProgramKey(request.program));
+                let ask = LimitCommand::Ask { tenant, limit, program };
+                let LimitReply::Answer { verdict, is_scarce } = self.keeper.serve(ask, self.now)
+                else {
+                    panic!("a question has an answer");
+                };
+                self.outcome.messages += 1;
+                let (passes, wait) = match verdict {
+                    Verdict::Pass => (true, 0),
+                    Verdict::Wait { retry_after } => (false, retry_after.as_micros()),
+                };
+                self.put(self.now + HOP, Happening::Answer(request, passes, wait, is_scarce));
+            }
+            Happening::Answer(request, passes, wait, is_scarce) => {
+                self.answered.insert(request);
+                let verdict = match passes {
+                    true => Verdict::Pass,
+                    false => Verdict::Wait { retry_after: Duration::from_micros(wait) },
+                };
+                let gateway = &mut self.gateways[request.gateway];
+                let decided = gateway.answered(KEEPER, &self.tenant, verdict, is_scarce, self.now);
+                self.decided(request, decided);
+            }
+            Happening::AskTimesOut(request) => {
+                if !self.answered.contains(&request) {
+                    let (limit, program) = (self.known(), Some(ProgramKey(request.program)));
+                    let gateway = &mut self.gateways[request.gateway];
+                    let decided =
+                        gateway.admit_alone(KEEPER, &self.tenant, limit, program, self.now);
+                    self.decided(request, decided);
+                }
+            }
+            Happening::Flush(gateway) => {
+                for (_, report) in self.gateways[gateway].reports(self.now) {
+                    self.outcome.messages += 1;
+                    self.reports.push(report);
+                    let number = self.reports.len() - 1;
+                    if self.is_cut(gateway) {
+                        // The node gives a request up after 3.5 s.
+                        let given_up = self.now + Duration::from_millis(3_500);
+                        self.put(given_up, Happening::ReportLost(gateway));
+                    } else {
+                        self.put(self.now + HOP, Happening::ReportArrives(gateway, number));
+                    }
+                }
+            }
+            Happening::ReportArrives(gateway, number) => {
+                let report = self.reports[number].clone();
+                let counted = report.number;
+                let reply = self.keeper.serve(LimitCommand::Report(report), self.now);
+                let LimitReply::Counted { scarce } = reply else { panic!("it is counted") };
+                self.outcome.messages += 1;
+                let counted = Happening::Counted(gateway, counted, !scarce.is_empty());
+                self.put(self.now + HOP, counted);
+            }
+            Happening::Counted(gateway, number, is_scarce) => {
+                let scarce = if is_scarce { vec![self.tenant.clone()] } else { Vec::new() };
+                let reply = LimitReply::Counted { scarce };
+                self.gateways[gateway].counted(KEEPER, number, &reply, self.now);
+            }
+            Happening::ReportLost(gateway) => self.gateways[gateway].unanswered(KEEPER),
+            Happening::NewKeeper => {
+                self.keeper = LimitKeeper::new(self.plan.settings.clone(), self.now);
+            }
+        }
+    }
+
+    fn arrives(&mut self, request: Request) {
+        let (limit, program) = (self.known(), Some(ProgramKey(request.program)));
+        let now = self.now;
+        let gateway = &mut self.gateways[request.gateway];
+        let decided = match self.plan.way {
+            Way::Report => gateway.admit(KEEPER, &self.tenant, limit, program, now),
+            Way::Ask => Admission::Ask,
+            Way::Share => self.admit_by_share(request.gateway),
+        };
+        self.decided(request, decided);
+    }
+
+    fn admit_by_share(&mut self, gateway: usize) -> Admission {
+        let limit = self.known().limit;
+        let sharers = f64::from(self.plan.gateways);
+        let (level, since) = &mut self.shares[gateway];
+        let passed = self.now.since(*since).as_secs_f64();
+        let burst = (limit.burst() / sharers).max(1.0);
+        *level = (*level + passed * limit.per_second() / sharers).min(burst);
+        *since = self.now;
+        if *level < 1.0 {
+            let missing = (1.0 - *level) * sharers / limit.per_second();
+            return Admission::Refuse { retry_after: Duration::from_secs_f64(missing) };
+        }
+        *level -= 1.0;
+        Admission::Pass { report_now: false }
+    }
+
+    fn decided(&mut self, request: Request, decided: Admission) {
+        match decided {
+            Admission::Ask => {
+                self.outcome.asked += 1;
+                self.outcome.messages += 1;
+                if self.is_cut(request.gateway) {
+                    let timeout = Duration::from_millis(self.plan.settings.answer_timeout_ms);
+                    self.put(self.now + timeout, Happening::AskTimesOut(request));
+                } else {
+                    self.put(self.now + HOP, Happening::AskArrives(request));
+                }
+            }
+            Admission::Pass { report_now } => {
+                if report_now {
+                    self.put(self.now, Happening::Flush(request.gateway));
+                }
+                self.passed(request);
+            }
+            Admission::Refuse { retry_after } => self.refused(request, retry_after),
+        }
+    }
+
+    fn passed(&mut self, request: Request) {
+        self.outcome.passed.push(self.now.0);
+        self.outcome.passed_then += usize::from(request.came_back && request.tries == 1);
+        let program = &self.programs[request.program as usize];
+        let number = request.number + 1;
+        if number == program.requests {
+            self.outcome.whole += 1;
+            return;
+        }
+        let next = Request { number, tries: 0, came_back: false, ..request };
+        self.put(self.now + program.gap, Happening::Arrives(next));
+    }
+
+    fn refused(&mut self, request: Request, retry_after: Duration) {
+        self.outcome.refused += 1;
+        // Callers honour a time up to a third of what they have left, four seconds at first.
+        let longest = Duration::from_millis(1_300);
+        if request.tries == 0 && retry_after <= Duration::from_millis(1_000) {
+            self.outcome.came_back += 1;
+        }
+        if request.tries + 1 >= TRIES {
+            return;
+        }
+        let came_back = retry_after <= Duration::from_millis(1_000);
+        let again = Request { tries: request.tries + 1, came_back, ..request };
+        self.put(self.now + retry_after.min(longest), Happening::Arrives(again));
+    }
+}
--- /dev/null
+++ b/crates/limits/tests/keeper.rs
@@ -0,0 +1,151 @@
+//! What a keeper counts, by single commands.
+
+use dahlia_limits::{
+    KnownLimit, LimitCommand, LimitKeeper, LimitReply, LimitSettings, ProgramKey, RateLimit,
+    Report, Usage, Verdict,
+};
+use dahlia_types::{DaemonId, Duration, Incarnation, TenantId, Timestamp};
+
+const START: Timestamp = Timestamp(1_000_000_000);
+
+fn limit(generation: u64, per_second: f64, burst: f64) -> KnownLimit {
+    let limit = RateLimit::new(per_second, burst).expect("a limit").expect("some");
+    KnownLimit { generation, limit }
+}
+
+fn oak() -> TenantId {
+    TenantId::new("oak")
+}
+
+/// A keeper that has been there for long enough to take buckets for full.
+fn keeper() -> LimitKeeper {
+    LimitKeeper::new(LimitSettings::default(), Timestamp(0))
+}
+
+fn report(number: u64, limit: KnownLimit, requests: usize, unused: usize) -> LimitCommand {
+    let program = Some(ProgramKey(7));
+    let usage = Usage {
+        tenant: oak(),
+        limit,
+        requests: vec![program; requests],
+        unused: vec![program; unused],
+    };
+    let usage = vec![usage];
+    LimitCommand::Report(Report { from: DaemonId(1), life: Incarnation(1), number, usage })
+}
+
+fn ask(limit: KnownLimit, program: Option<u64>) -> LimitCommand {
+    LimitCommand::Ask { tenant: oak(), limit, program: program.map(ProgramKey) }
+}
+
+fn verdict(keeper: &mut LimitKeeper, command: LimitCommand, now: Timestamp) -> Verdict {
+    match keeper.serve(command, now) {
+        LimitReply::Answer { verdict, .. } => verdict,
+        other => panic!("expected a verdict, found {other:?}"),
+    }
+}
+
+fn level(keeper: &mut LimitKeeper, now: Timestamp) -> f64 {
+    keeper.level(&oak(), now).expect("it is known")
+}
+
+#[test]
+fn a_report_that_comes_twice_counts_once() {
+    let (mut keeper, limit) = (keeper(), limit(1, 10.0, 100.0));
+    keeper.serve(report(1, limit, 30, 0), START);
+    keeper.serve(report(1, limit, 30, 0), START);
+    assert_eq!(level(&mut keeper, START), 70.0);
+    keeper.serve(report(2, limit, 5, 0), START);
+    keeper.serve(report(1, limit, 30, 0), START);
+    assert_eq!(level(&mut keeper, START), 65.0, "an old one that was held up counts no more");
+    let mut next_life = report(1, limit, 5, 0);
+    if let LimitCommand::Report(report) = &mut next_life {
+        report.life = Incarnation(2);
+    }
+    keeper.serve(next_life, START);
+    assert_eq!(level(&mut keeper, START), 60.0, "a new life counts from one again");
+}
+
+#[test]
+fn permits_come_back_up_to_the_burst_and_are_scarce_below_three_quarters() {
+    let (mut keeper, limit) = (keeper(), limit(1, 10.0, 100.0));
+    let scarce = |reply| match reply {
+        LimitReply::Counted { scarce } => scarce,
+        other => panic!("expected a count, found {other:?}"),
+    };
+    assert!(scarce(keeper.serve(report(1, limit, 25, 0), START)).is_empty());
+    assert_eq!(scarce(keeper.serve(report(2, limit, 1, 0), START)), [oak()]);
+    keeper.serve(report(3, limit, 0, 6), START);
+    assert_eq!(level(&mut keeper, START), 80.0);
+    assert_eq!(level(&mut keeper, START + Duration::from_secs(60)), 100.0);
+}
+
+#[test]
+fn the_newest_limit_counts_whoever_names_it() {
+    let mut keeper = keeper();
+    keeper.serve(report(1, limit(3, 10.0, 100.0), 10, 0), START);
+    keeper.serve(report(2, limit(4, 10.0, 20.0), 0, 1), START);
+    assert_eq!(level(&mut keeper, START), 20.0, "a lower burst holds at once");
+    keeper.serve(report(3, limit(3, 10.0, 100.0), 1, 0), START);
+    let later = START + Duration::from_secs(60);
+    assert_eq!(level(&mut keeper, later), 20.0, "an older limit says nothing");
+}
+
+#[test]
+fn a_new_keeper_takes_half_a_burst_to_be_there() {
+    let mut keeper = LimitKeeper::new(LimitSettings::default(), START);
+    let limit = limit(1, 10.0, 100.0);
+    assert_eq!(verdict(&mut keeper, ask(limit, None), START), Verdict::Pass);
+    assert_eq!(level(&mut keeper, START), 49.0);
+}
+
+#[test]
+fn a_program_that_was_told_a_time_passes_then_and_others_do_not_take_its_permit() {
+    let (mut keeper, limit) = (keeper(), limit(1, 10.0, 10.0));
+    keeper.serve(report(1, limit, 10, 0), START);
+    // Program 7 is under way by the report; it was told to come when the first permit is there.
+    let told = verdict(&mut keeper, ask(limit, Some(7)), START);
+    assert_eq!(told, Verdict::Wait { retry_after: Duration::from_millis(100) });
+    let later = START + Duration::from_millis(100);
+    let without_program = verdict(&mut keeper, ask(limit, None), later);
+    assert!(matches!(without_program, Verdict::Wait { .. }), "the permit is set aside");
+    assert_eq!(verdict(&mut keeper, ask(limit, Some(7)), later), Verdict::Pass);
+}
+
+#[test]
+fn who_comes_before_its_time_is_told_the_same_time_again() {
+    let (mut keeper, limit) = (keeper(), limit(1, 10.0, 10.0));
+    keeper.serve(report(1, limit, 14, 0), START);
+    let told = verdict(&mut keeper, ask(limit, Some(7)), START);
+    assert_eq!(told, Verdict::Wait { retry_after: Duration::from_millis(500) });
+    let early = START + Duration::from_millis(200);
+    let again = verdict(&mut keeper, ask(limit, Some(7)), early);
+    assert_eq!(again, Verdict::Wait { retry_after: Duration::from_millis(300) });
+}
+
+#[test]
+fn a_permit_that_nobody_comes_for_is_free_again() {
+    let (mut keeper, limit) = (keeper(), limit(1, 10.0, 10.0));
+    keeper.serve(report(1, limit, 10, 0), START);
+    verdict(&mut keeper, ask(limit, Some(7)), START);
+    assert_eq!(level(&mut keeper, START), -1.0);
+    let later = START + Duration::from_secs(1);
+    // Ten permits came, one was set aside and came back, one is taken now.
+    assert_eq!(verdict(&mut keeper, ask(limit, None), later), Verdict::Pass);
+    assert_eq!(level(&mut keeper, later), 9.0);
+}
+
+#[test]
+fn limits_that_cannot_be_kept_are_named() {
+    for (rate, burst, field) in [
+        (-1.0, 1.0, "rate"),
+        (f64::NAN, 1.0, "rate"),
+        (f64::INFINITY, 1.0, "rate"),
+        (1.0, -0.5, "burst"),
+        (1.0, f64::NAN, "burst"),
+    ] {
+        let error = RateLimit::new(rate, burst).expect_err("it is no limit");
+        assert!(error.to_string().starts_with(field), "{error}");
+    }
+    assert_eq!(RateLimit::new(0.0, 5.0).expect("no limit"), None);
+}
