--- a/crates/daemon/src/gateway/chat.rs
+++ b/crates/daemon/src/gateway/chat.rs
@@ -117,6 +117,7 @@
         OwnerResponse::Program(_) => "program",
         OwnerResponse::Programs(_) => "programs",
         OwnerResponse::Ledger(_) => "ledger",
+        OwnerResponse::Limits(_) => "limits",
         OwnerResponse::NotOwner { .. } => "not owner",
         OwnerResponse::Failed(error) => return error.clone(),
     };
--- /dev/null
+++ b/crates/daemon/src/group_services.rs
@@ -0,0 +1,43 @@
+//! What a relay needs of the owners of replica groups, in one place.
+
+use dahlia_ledger::{LedgerCommand, LedgerReply};
+use dahlia_limits::{KnownLimit, ProgramKey};
+use dahlia_relay::{LedgerUnavailable, LimitReached, TenantLimits, TurnLedger};
+use dahlia_types::{Duration, TenantId};
+
+use crate::ledger_client::LedgerClient;
+use crate::limit_client::LimitClient;
+
+/// Ledgers of turns, and keepers of limits. Cheap to clone.
+#[derive(Clone)]
+pub struct GroupServices {
+    /// Ledgers of turns.
+    pub ledger: LedgerClient,
+    /// Keepers of limits.
+    pub limits: LimitClient,
+}
+
+impl TurnLedger for GroupServices {
+    async fn ask(
+        &self,
+        command: LedgerCommand,
+        patience: Duration,
+    ) -> Result<LedgerReply, LedgerUnavailable> {
+        self.ledger.ask(command, patience).await
+    }
+}
+
+impl TenantLimits for GroupServices {
+    async fn admit(
+        &self,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        program: Option<ProgramKey>,
+    ) -> Result<(), LimitReached> {
+        self.limits.admit(tenant, limit, program).await
+    }
+
+    fn give_back(&self, tenant: &TenantId, program: Option<ProgramKey>) {
+        self.limits.give_back(tenant, program);
+    }
+}
--- a/crates/daemon/src/ledger_client.rs
+++ b/crates/daemon/src/ledger_client.rs
@@ -62,7 +62,7 @@
         let turn = command.turn().cloned();
         let asked = Instant::now();
         let reply = self.ask_admitted(group, command, until).await;
-        let request = turn.as_ref().map_or("-", |turn| turn.0.as_str());
+        let request = turn.as_ref().map_or("-", |turn| turn.name());
         let took_ms = asked.elapsed().as_millis() as u64;
         match &reply {
             Ok(reply) => log::info!(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,8 @@
 //! | `layout_store` | where the first layout of groups is kept |
 //! | `ledger_breaker` | tells silent ledgers from those that answer |
 //! | `ledger_client` | puts a relay's commands to ledgers in replica groups |
+//! | `limit_client` | puts a relay's requests to the keepers of tenants' rate limits |
+//! | `group_services` | both of these, as a relay takes them |
 //! | `listeners` | sockets that a daemon listens on |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `node_settings` | what a node is told of the settings |
@@ -44,12 +46,14 @@
 pub mod frames;
 mod gateway;
 mod group_log;
+pub mod group_services;
 mod handshake;
 mod kept_addresses;
 pub mod kept_documents;
 pub mod layout_store;
 pub mod ledger_breaker;
 pub mod ledger_client;
+pub mod limit_client;
 pub mod listeners;
 pub mod logging;
 mod machine_list;
--- /dev/null
+++ b/crates/daemon/src/limit_client.rs
@@ -0,0 +1,178 @@
+//! Puts a relay's requests to the keepers of tenants' rate limits: the owners of replica groups.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dahlia_ledger::group_of_tenant;
+use dahlia_limits::{
+    Admission, KnownLimit, LimitCommand, LimitGateway, LimitReply, LimitSettings, ProgramKey,
+    Report,
+};
+use dahlia_node::request::{Request, Response};
+use dahlia_relay::{LimitReached, TenantLimits};
+use dahlia_types::{Duration, GroupId, TenantId};
+use tokio::time::{self, Instant, sleep, timeout};
+
+use crate::clock::Clock;
+use crate::core_handle::CoreHandle;
+
+/// How often it is asked how many daemons there are.
+const SHARERS_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// The keepers of all limits, by way of this daemon's node. Cheap to clone.
+#[derive(Clone)]
+pub struct LimitClient {
+    core: CoreHandle,
+    clock: Clock,
+    groups: u32,
+    answer_timeout: time::Duration,
+    gateway: Arc<Mutex<LimitGateway>>,
+}
+
+impl LimitClient {
+    /// A client of a system of `groups` groups. [`Self::run`] must be driven beside it.
+    pub fn new(core: CoreHandle, clock: Clock, groups: u32, settings: LimitSettings) -> Self {
+        let answer_timeout = time::Duration::from_millis(settings.answer_timeout_ms);
+        let own = core.own();
+        let gateway = LimitGateway::new(settings, own.daemon, own.incarnation);
+        let gateway = Arc::new(Mutex::new(gateway));
+        Self { core, clock, groups, answer_timeout, gateway }
+    }
+
+    /// Reports to keepers what was admitted, for as long as the process runs.
+    pub async fn run(self) {
+        let interval = self.gateway().report_interval();
+        let interval = time::Duration::from_micros(interval.as_micros());
+        let mut sharers_due = Instant::now();
+        loop {
+            sleep(interval).await;
+            if Instant::now() >= sharers_due {
+                sharers_due = Instant::now() + SHARERS_INTERVAL;
+                let daemons = self.core.status().await.live_daemons;
+                self.gateway().set_sharers(daemons as u32);
+            }
+            let reports = self.gateway().reports(self.clock.now());
+            for (keeper, report) in reports {
+                self.send(keeper, report);
+            }
+        }
+    }
+
+    /// Reports to one keeper at once.
+    fn report_now(&self, keeper: GroupId) {
+        let report = self.gateway().report(keeper, self.clock.now());
+        if let Some(report) = report {
+            self.send(keeper, report);
+        }
+    }
+
+    fn send(&self, keeper: GroupId, report: Report) {
+        let client = self.clone();
+        tokio::spawn(async move { client.report(keeper, report).await });
+    }
+
+    async fn report(&self, keeper: GroupId, report: Report) {
+        let number = report.number;
+        let command = LimitCommand::Report(report);
+        let was_silent = self.gateway().is_silent(keeper, self.clock.now());
+        match self.ask(keeper, command).await {
+            Ok(reply) => {
+                if was_silent {
+                    log::info!(target: "limits", group:% = keeper; "A keeper of limits is back.");
+                }
+                self.gateway().counted(keeper, number, &reply, self.clock.now());
+            }
+            Err(cause) => {
+                log::warn!(
+                    target: "limits",
+                    group:% = keeper, report = number, cause = cause.as_str();
+                    "A report of admitted requests had no answer."
+                );
+                self.gateway().unanswered(keeper);
+            }
+        }
+    }
+
+    async fn ask(&self, keeper: GroupId, command: LimitCommand) -> Result<LimitReply, String> {
+        match self.core.request(Request::Limits { group: keeper, command }).await {
+            Response::Limits(reply) => Ok(reply),
+            Response::Failed(error) => Err(error.to_string()),
+            other => Err(format!("the keeper answered {other:?}")),
+        }
+    }
+
+    /// The keeper's verdict, or this gateway's own when there is none in time.
+    async fn verdict(
+        &self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        program: Option<ProgramKey>,
+    ) -> Admission {
+        let command = LimitCommand::Ask { tenant: tenant.clone(), limit, program };
+        let answer = timeout(self.answer_timeout, self.ask(keeper, command)).await;
+        let now = self.clock.now();
+        let mut gateway = self.gateway();
+        let cause = match answer {
+            Ok(Ok(LimitReply::Answer { verdict, is_scarce })) => {
+                return gateway.answered(keeper, tenant, verdict, is_scarce, now);
+            }
+            Ok(Ok(other)) => format!("it answered {other:?}"),
+            Ok(Err(cause)) => cause,
+            Err(_) => "no answer in time".to_owned(),
+        };
+        let admission = gateway.admit_alone(keeper, tenant, limit, program, now);
+        log::warn!(
+            target: "limits",
+            tenant = tenant.as_str(), group:% = keeper, cause = cause.as_str(),
+            admission:? = admission;
+            "A limit is kept without its keeper."
+        );
+        admission
+    }
+
+    fn gateway(&self) -> MutexGuard<'_, LimitGateway> {
+        self.gateway.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TenantLimits for LimitClient {
+    async fn admit(
+        &self,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        program: Option<ProgramKey>,
+    ) -> Result<(), LimitReached> {
+        let keeper = group_of_tenant(tenant, self.groups);
+        let first = self.gateway().admit(keeper, tenant, limit, program, self.clock.now());
+        let admission = match first {
+            Admission::Ask => self.verdict(keeper, tenant, limit, program).await,
+            decided => decided,
+        };
+        match admission {
+            Admission::Pass { report_now } => {
+                if report_now {
+                    self.report_now(keeper);
+                }
+                Ok(())
+            }
+            Admission::Refuse { retry_after } => Err(reached(tenant, retry_after)),
+            Admission::Ask => Err(reached(tenant, Duration::from_millis(0))),
+        }
+    }
+
+    fn give_back(&self, tenant: &TenantId, program: Option<ProgramKey>) {
+        let keeper = group_of_tenant(tenant, self.groups);
+        if self.gateway().give_back(keeper, tenant, program, self.clock.now()) {
+            self.report_now(keeper);
+        }
+    }
+}
+
+fn reached(tenant: &TenantId, retry_after: Duration) -> LimitReached {
+    log::info!(
+        target: "limits",
+        tenant = tenant.as_str(), retry_after_ms = retry_after.as_millis();
+        "A tenant's limit is reached."
+    );
+    LimitReached { retry_after }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -7,6 +7,7 @@
 
 use dahlia_api::RequestLimits;
 use dahlia_durable::DurableSettings;
+use dahlia_limits::LimitSettings;
 use dahlia_node::{FeedSettings, HistorySettings};
 use dahlia_replication::group::GroupSettings;
 use dahlia_replication::maintenance::MaintenanceSettings;
@@ -62,6 +63,9 @@
     /// Sharing what few daemons read of an outside source; absent where none is followed.
     #[serde(default)]
     pub feed: Option<FeedSettings>,
+    /// Keeping tenants' rate limits over all gateways.
+    #[serde(default)]
+    pub rate_limits: LimitSettings,
     /// Upkeep of groups' members. `voters` and `keeps_lost_voters` are worked out.
     #[serde(default)]
     pub maintenance: MaintenanceSettings,
@@ -283,6 +287,7 @@
         self.durable.check()?;
         self.membership.check()?;
         self.feed.as_ref().map_or(Ok(()), FeedSettings::check)?;
+        self.rate_limits.check()?;
         self.maintenance.check()?;
         self.ledger_breaker.check()?;
         self.calls.check()?;
--- a/crates/daemon/tests/ledger_client.rs
+++ b/crates/daemon/tests/ledger_client.rs
@@ -46,7 +46,7 @@
 
 /// A program whose ledger is in `group`.
 fn program_in(group: u32) -> ProgramName {
-    let names = (0..).map(|number| ProgramName(format!("program-{number}")));
+    let names = (0..).map(|number| ProgramName::new(None, &format!("program-{number}")));
     let mut fitting = names.filter(|name| group_of(name, GROUPS) == GroupId(group));
     fitting.next().expect("every group has programs")
 }
@@ -54,11 +54,11 @@
 fn open(program: &ProgramName, turn: &str, previous: Option<&str>) -> LedgerCommand {
     LedgerCommand::Open(OpenTurn {
         program: program.clone(),
-        turn: TurnId(turn.into()),
+        turn: TurnId::new(None, turn),
         budget: None,
         max_generated: Tokens(1),
         input: Some(TurnInput {
-            previous: previous.map(|previous| TurnId(previous.into())),
+            previous: previous.map(|previous| TurnId::new(None, previous)),
             new_input: b"in".to_vec(),
             retention: Duration::from_secs(60),
         }),
@@ -69,7 +69,7 @@
 async fn end_whole(client: &LedgerClient, program: &ProgramName, turn: &str) {
     let output = b"out".to_vec();
     let end = TurnEnd::Whole { generated: Tokens(1), output, served_by: "server".into() };
-    let (program, turn) = (program.clone(), TurnId(turn.into()));
+    let (program, turn) = (program.clone(), TurnId::new(None, turn));
     let close = CloseTurn { program, turn, end, at: Timestamp::ZERO };
     let reply = client.ask(LedgerCommand::Close(close), PATIENCE).await;
     assert_eq!(reply, Ok(LedgerReply::Closed));
@@ -81,7 +81,7 @@
     let (earlier, later) = (program_in(0), program_in(3));
     client.ask(open(&earlier, "one", None), PATIENCE).await.expect("opened");
     let early = client.ask(open(&later, "two", Some("one")), PATIENCE).await;
-    let previous = TurnId("one".into());
+    let previous = TurnId::new(None, "one");
     assert_eq!(early, Ok(LedgerReply::Refused(TurnRefusal::NotEnded { previous })));
     end_whole(&client, &earlier, "one").await;
     for _ in 0..2 {
@@ -99,7 +99,7 @@
 
 #[tokio::test]
 async fn there_is_no_such_turn_only_when_every_group_says_so() {
-    let previous = TurnId("unknown".into());
+    let previous = TurnId::new(None, "unknown");
     let nobody = LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous });
     let command = open(&program_in(0), "one", Some("unknown"));
     assert_eq!(client(None).ask(command.clone(), PATIENCE).await, Ok(nobody));
@@ -164,7 +164,7 @@
     let program = program_in(0);
     client.ask(open(&program, "one", None), PATIENCE).await.expect_err("silent");
     let end = TurnEnd::NotRun;
-    let turn = TurnId("one".into());
+    let turn = TurnId::new(None, "one");
     let close = CloseTurn { program: program.clone(), turn, end, at: Timestamp::ZERO };
     let closing = client.ask(LedgerCommand::Close(close), PATIENCE);
     let answering = async {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `turn` | what is held of one turn |
 //! | `clock` | time from the stamps of owners whose clocks disagree |
 //! | `limits` | what a ledger may hold at most |
+//! | `name` | names of programs and turns, with their tenant |
 //! | `group` | which replica group holds a program |
 //! | `text` | texts in their encoded form |
 
@@ -26,15 +27,17 @@
 mod ledger;
 mod limits;
 mod message;
+mod name;
 mod open;
 mod text;
 mod transfer;
 mod turn;
 
-pub use group::group_of;
+pub use group::{group_of, group_of_tenant};
 pub use ledger::{Ledger, LedgerSize, ProgramCharge};
 pub use limits::LedgerLimits;
 pub use message::{
-    CloseTurn, ImportTurn, KeptChain, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn,
-    ProgramName, TurnEnd, TurnId, TurnInput, TurnRefusal,
+    CloseTurn, ImportTurn, KeptChain, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, TurnEnd,
+    TurnInput, TurnRefusal,
 };
+pub use name::{ProgramName, TurnId};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,31 +1,9 @@
 //! What is asked of a ledger, and its answers.
 
-use std::fmt;
-
 use dahlia_types::{Duration, Timestamp, Tokens};
 use serde::{Deserialize, Serialize};
 
-/// A caller's name for a program; unique in the system, at most 128 bytes.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ProgramName(pub String);
-
-impl fmt::Display for ProgramName {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
-
-/// A caller's name for one try of one turn; unique in the system, at most 128 bytes.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct TurnId(pub String);
-
-impl fmt::Display for TurnId {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
+use crate::{ProgramName, TurnId};
 
 /// The input of a turn whose text is kept, so that later turns bring only what is new.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/ledger/src/open.rs
+++ b/crates/ledger/src/open.rs
@@ -8,7 +8,7 @@
 use crate::turn::{OpenInput, OpenTurnState, Phase, Turn};
 use crate::{Ledger, OpenTurn, OpenedTurn, TurnId, TurnInput, TurnRefusal};
 
-/// Most bytes of a program's or a turn's name.
+/// Most bytes of a program's or a turn's name, its tenant's apart.
 const NAME_BYTES: usize = 128;
 /// A turn that nobody settles in this time counts as broken. Longer than any request lives.
 const OPEN_LIMIT: Duration = Duration::from_secs(300);
@@ -66,7 +66,7 @@
     }
 
     fn check_limits(&self, command: &OpenTurn) -> Result<(), TurnRefusal> {
-        let longest = command.program.0.len().max(command.turn.0.len());
+        let longest = command.program.name().len().max(command.turn.name().len());
         check(Limit::NameBytes, longest as u64, NAME_BYTES as u64)?;
         let is_new = !self.programs.contains_key(&command.program);
         let programs = self.programs.len() as u64 + u64::from(is_new);
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -39,7 +39,7 @@
     }
 
     pub fn close(&mut self, program: &str, turn: &str, end: TurnEnd) {
-        let (program, turn) = (ProgramName(program.into()), TurnId(turn.into()));
+        let (program, turn) = (ProgramName::new(None, program), TurnId::new(None, turn));
         let close = CloseTurn { program, turn, end, at: self.now };
         assert_eq!(self.apply(LedgerCommand::Close(close)), LedgerReply::Closed);
     }
@@ -61,7 +61,7 @@
 
     /// Tokens spent and reserved.
     pub fn used(&self, program: &str) -> Option<(u64, u64)> {
-        let charge = self.ledger.charge(&ProgramName(program.into()))?;
+        let charge = self.ledger.charge(&ProgramName::new(None, program))?;
         Some((charge.spent.0, charge.reserved.0))
     }
 }
@@ -69,8 +69,8 @@
 /// A turn that nothing is kept of.
 pub fn plain(program: &str, turn: &str, budget: u64, most: u64) -> OpenTurn {
     OpenTurn {
-        program: ProgramName(program.into()),
-        turn: TurnId(turn.into()),
+        program: ProgramName::new(None, program),
+        turn: TurnId::new(None, turn),
         budget: Some(Tokens(budget)),
         max_generated: Tokens(most),
         input: None,
@@ -81,7 +81,7 @@
 /// A turn whose text is kept, of a program that has budget enough.
 pub fn kept(program: &str, turn: &str, previous: Option<&str>, new_input: &str) -> OpenTurn {
     let input = TurnInput {
-        previous: previous.map(|previous| TurnId(previous.into())),
+        previous: previous.map(|previous| TurnId::new(None, previous)),
         new_input: new_input.into(),
         retention: RETENTION,
     };
@@ -94,5 +94,5 @@
 }
 
 pub fn no_such_turn(turn: &str) -> TurnRefusal {
-    TurnRefusal::NoSuchTurn { previous: TurnId(turn.into()) }
+    TurnRefusal::NoSuchTurn { previous: TurnId::new(None, turn) }
 }
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -116,7 +116,7 @@
     };
     assert_eq!(follow(&mut bench, "x", "unknown"), Err(no_such_turn("unknown")));
     bench.open(kept("p", "a", None, "input")).expect("opened");
-    let not_ended = TurnRefusal::NotEnded { previous: TurnId("a".into()) };
+    let not_ended = TurnRefusal::NotEnded { previous: TurnId::new(None, "a") };
     assert_eq!(follow(&mut bench, "x", "a"), Err(not_ended));
     bench.close("p", "a", TurnEnd::Broken);
     assert_eq!(follow(&mut bench, "x", "a"), Err(no_such_turn("a")));
@@ -233,20 +233,20 @@
     let (mut here, mut there) = (bench(), bench());
     here.turn("p", "a", None, ["1", "2"]);
     here.turn("p", "b", Some("a"), ["3", "4"]);
-    let (turn, at) = (TurnId("b".into()), Timestamp::ZERO);
+    let (turn, at) = (TurnId::new(None, "b"), Timestamp::ZERO);
     let chain = match here.apply(LedgerCommand::Read { turn: turn.clone(), at }) {
         LedgerReply::Chain(chain) => chain,
         other => panic!("expected a chain, found {other:?}"),
     };
     assert!(chain.retention >= RETENTION);
-    let program = ProgramName("q".into());
+    let program = ProgramName::new(None, "q");
     let import = LedgerCommand::Import(ImportTurn { program, turn: turn.clone(), chain, at });
     assert_eq!(there.apply(import.clone()), LedgerReply::Imported);
     assert_eq!(there.apply(import), LedgerReply::Imported);
     let opened = there.open(kept("q", "c", Some("b"), "5")).expect("held here now");
     assert_eq!(opened.history, b"1234");
     assert_eq!(opened.last_served_by.as_deref(), Some("server"));
-    let unknown = LedgerCommand::Read { turn: TurnId("x".into()), at };
+    let unknown = LedgerCommand::Read { turn: TurnId::new(None, "x"), at };
     assert_eq!(here.apply(unknown), LedgerReply::Refused(no_such_turn("x")));
 }
 
@@ -264,7 +264,7 @@
 
 #[test]
 fn every_build_finds_a_program_in_the_same_group() {
-    let group = |name: &str, groups| group_of(&ProgramName(name.into()), groups);
+    let group = |name: &str, groups| group_of(&ProgramName::new(None, name), groups);
     let found: Vec<GroupId> =
         ["", "3fa81c", "program"].iter().map(|name| group(name, 16)).collect();
     // FNV-1a of the empty text is its offset basis, 0xcbf29ce484222325.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `requests` | requests of operators and gateways, at the owner |
 //! | `routing` | the way of a request to its owner |
 //! | `ledger` | requests to ledgers of caller-named programs |
+//! | `limits` | the owner of a group as the keeper of rate limits |
 //! | `helpers` | commands to ledgers by way of another daemon |
 //! | `bootstrap` | the first layout of groups |
 //! | `history` | old turns on store daemons' disks |
@@ -44,6 +45,7 @@
 pub mod history;
 mod key_value;
 mod ledger;
+mod limits;
 mod members;
 mod node;
 mod orders;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 use crate::feed::Feed;
 use crate::group::Group;
 use crate::history::History;
+use crate::limits::LimitKeepers;
 use crate::orders::Orders;
 use crate::request::NotRunCause;
 use crate::routing::{ReplyTo, Router};
@@ -36,6 +37,7 @@
     /// Which replicas hold each group, as far as known here.
     pub(crate) directory: Directory,
     pub(crate) router: Router,
+    pub(crate) limit_keepers: LimitKeepers,
     pub(crate) scheduler: Scheduler,
     pub(crate) engines: EngineTable,
     pub(crate) history: History,
@@ -142,6 +144,7 @@
             groups: BTreeMap::new(),
             directory: Directory::new(),
             router: Router::default(),
+            limit_keepers: LimitKeepers::default(),
             actions: Vec::new(),
             dirty: BTreeSet::new(),
             next_upkeep: Timestamp::ZERO,
@@ -310,6 +313,7 @@
         self.ask_due_chunks(now);
         self.check_copies(now);
         self.propose_deferred(now);
+        self.review_limit_keepers(now);
         self.route_due(now);
     }
 
--- a/crates/node/src/outputs.rs
+++ b/crates/node/src/outputs.rs
@@ -15,8 +15,8 @@
     let Some(turn) = command.turn() else { return };
     log::info!(
         target: "ledger",
-        request = turn.0.as_str(),
-        program = command.program().map_or("-", |program| program.0.as_str()),
+        request = turn.name(),
+        program = command.program().map_or("-", |program| program.name()),
         group:% = id,
         command = command.name(),
         outcome = reply.name(),
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -5,6 +5,7 @@
 
 use dahlia_api::{ApiError, CallRequest, ErrorKind};
 use dahlia_ledger::{LedgerCommand, LedgerReply};
+use dahlia_limits::{LimitCommand, LimitReply};
 use dahlia_program::{CallOutcome, NotRunReason, ProgramSpecification, Refusal};
 use dahlia_types::{
     AttemptId, Bytes, CallId, DaemonId, EngineId, GroupId, Incarnation, ProgramId, TenantId, Term,
@@ -81,6 +82,13 @@
         /// The command. The owner stamps it with its own time; the asker's is ignored.
         command: LedgerCommand,
     },
+    /// Put a command to the keeper of tenants' rate limits. Nothing of it is durable.
+    Limits {
+        /// The group whose owner is the keeper.
+        group: GroupId,
+        /// The command.
+        command: LimitCommand,
+    },
 }
 
 impl Request {
@@ -93,7 +101,9 @@
             | Self::Show { program, .. }
             | Self::RaiseBudget { program, .. }
             | Self::Close { program, .. } => program.group,
-            Self::List { group, .. } | Self::Ledger { group, .. } => *group,
+            Self::List { group, .. } | Self::Ledger { group, .. } | Self::Limits { group, .. } => {
+                *group
+            }
         }
     }
 
@@ -104,7 +114,7 @@
 
     /// Whether a caller's turn waits for the answer, and would rather be refused than wait long.
     pub fn is_urgent(&self) -> bool {
-        matches!(self, Self::Ledger { .. })
+        matches!(self, Self::Ledger { .. } | Self::Limits { .. })
     }
 }
 
@@ -131,6 +141,8 @@
     Programs(Vec<ProgramView>),
     /// What a ledger says, its refusals included.
     Ledger(LedgerReply),
+    /// What a keeper of rate limits says.
+    Limits(LimitReply),
     /// This daemon does not own the group; nothing was done.
     NotOwner {
         /// Who may own it.
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -172,6 +172,7 @@
             }
             Request::Close { program, tenant } => self.close(to, program, tenant.as_ref(), now),
             Request::Ledger { command, .. } => self.serve_ledger(to, group, command, now),
+            Request::Limits { command, .. } => self.serve_limits(to, group, command, now),
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use dahlia_limits::LimitSettings;
 use dahlia_placement::{PlacementSettings, PolicyKind};
 use dahlia_program::{GroupState, ProgramLimits};
 use dahlia_replication::group::GroupSettings;
@@ -43,6 +44,8 @@
     pub membership: MembershipSettings,
     /// Sharing what few daemons read of an outside source; none where this one does not follow it.
     pub feed: Option<FeedSettings>,
+    /// Keeping tenants' rate limits.
+    pub rate_limits: LimitSettings,
     /// Upkeep of groups' members.
     pub maintenance: MaintenanceSettings,
     /// Whether this daemon has a store for bulk history.
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -14,7 +14,7 @@
 use crate::request::{Request, RequestId, Response};
 
 /// Version of this protocol. A daemon refuses a peer with another one by name.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// Largest frame in bytes; a longer one ends the connection.
 pub const LARGEST_FRAME: usize = 16 * 1024 * 1024;
--- a/crates/node/tests/ledger.rs
+++ b/crates/node/tests/ledger.rs
@@ -20,17 +20,17 @@
 const FOUR_LINKS: Duration = Duration::from_micros(4 * LINK.as_micros());
 
 fn program() -> ProgramName {
-    ProgramName("program".into())
+    ProgramName::new(None, "program")
 }
 
 fn open(turn: &str, previous: Option<&str>, most: u64) -> LedgerCommand {
     LedgerCommand::Open(OpenTurn {
         program: program(),
-        turn: TurnId(turn.into()),
+        turn: TurnId::new(None, turn),
         budget: Some(Tokens(BUDGET)),
         max_generated: Tokens(most),
         input: Some(TurnInput {
-            previous: previous.map(|previous| TurnId(previous.into())),
+            previous: previous.map(|previous| TurnId::new(None, previous)),
             new_input: format!("<{turn}").into_bytes(),
             retention: RETENTION,
         }),
@@ -42,7 +42,7 @@
     let output = format!("{turn}>").into_bytes();
     let served_by = "server".to_owned();
     let end = TurnEnd::Whole { generated: Tokens(generated), output, served_by };
-    let turn = TurnId(turn.into());
+    let turn = TurnId::new(None, turn);
     LedgerCommand::Close(CloseTurn { program: program(), turn, end, at: Timestamp::ZERO })
 }
 
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -31,7 +31,7 @@
     pub requests: u64,
     /// Answers of servers handed on, whatever their status.
     pub answered: u64,
-    /// Requests refused unrun with a time to come back (503).
+    /// Requests refused unrun with a time to come back (503, 429).
     pub refused: u64,
     /// Requests that were not proper or not allowed (other 4xx).
     pub rejected: u64,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -168,6 +168,7 @@
             body: &self.body,
             expected_instance: &server.id,
             priority: level(self.matched.rank(), self.head.program_time_left),
+            tenant: self.matched.tenant().map(|tenant| &tenant.name),
             last_event: self.last_event.as_ref(),
             deadline: self.deadline,
         };
@@ -234,7 +235,7 @@
         }
     }
 
-    fn may_have_run(&self) -> bool {
+    pub(crate) fn may_have_run(&self) -> bool {
         self.is_sent || self.lost_answers > 0
     }
 
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -33,4 +33,21 @@
     pub priority: HeaderName,
     /// The last event that the reader has.
     pub last_event: HeaderName,
+    /// Relay to server: whose request it is.
+    pub tenant: HeaderName,
+    /// The scheme under which callers send their key in `Authorization`.
+    pub key_scheme: &'static str,
+    /// Names the object that a request concerns, among a caller's cookies.
+    pub object_cookie: &'static str,
+    /// Further headers that only the relay or those behind it may set: a caller's are dropped.
+    pub not_for_callers: Vec<HeaderName>,
+}
+
+impl HeaderNames {
+    /// The headers that a server trusts: whatever a caller sends under these names is dropped
+    /// before anything reads it.
+    pub(crate) fn reserved(&self) -> impl Iterator<Item = &HeaderName> {
+        let own = [&self.deadline, &self.expected_instance, &self.priority, &self.tenant];
+        own.into_iter().chain(&self.not_for_callers)
+    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,7 +5,8 @@
 //! a deployment's own and come in as [`HeaderNames`].
 //!
 //! The way of a request, one file a step: `server` takes the connection, `request` checks the head
-//! and reads the body, `router` finds route and service, `turn` opens the turn, `exchange` loops
+//! and reads the body, `router` finds route and service, `tenant` finds whose it is and whether it is
+//! within its limit, `turn` opens the turn, `exchange` loops
 //! over servers, `attempt` sends to one of them, `answer` hands its answer on, and `refusal` says
 //! what the caller gets when there is none.
 //!
@@ -18,10 +19,10 @@
 //! | `routes` | routes, services and limits in force |
 //! | `headers` | names of the headers that a deployment uses |
 //! | `hop` | headers that concern one connection only |
-//! | `ledger` | what the relay asks of the ledger |
+//! | `ledger`, `limits` | what the relay asks of the ledger, and of the keepers of limits |
 //! | `relay` | what all requests share |
 //! | `server`, `caller`, `body` | callers' connections, their time limits, bodies of answers |
-//! | `request`, `router`, `turn`, `exchange`, `attempt`, `answer`, `refusal` | the steps above |
+//! | `request`, `router`, `tenant`, `turn`, `exchange`, `attempt`, `answer`, `refusal` | the steps above |
 //! | `prompt_parts` | which part of a prompt is shared |
 //! | `urgency` | how urgent a request is to servers |
 //! | `outgoing`, `live` | a request as one server gets it, and its answer while it arrives |
@@ -44,6 +45,7 @@
 mod headers;
 mod hop;
 mod ledger;
+mod limits;
 mod live;
 mod metrics;
 mod outgoing;
@@ -58,6 +60,7 @@
 mod server;
 mod settings;
 mod silence;
+mod tenant;
 mod turn;
 mod urgency;
 
@@ -65,9 +68,11 @@
 pub use events::{Event, EventReader};
 pub use headers::HeaderNames;
 pub use ledger::{LedgerUnavailable, TurnLedger};
+pub use limits::{LimitReached, TenantLimits};
 pub use relay::{Clock, Relay};
 pub use routes::{
-    CallerLimits, EngineSpecification, Repeatability, Route, RouteTable, Service, WeightedService,
+    CallerLimits, EngineSpecification, Repeatability, Route, RouteTable, Service, Tenant,
+    WeightedService,
 };
 pub use settings::RelaySettings;
 pub use urgency::{RankPlace, level};
--- /dev/null
+++ b/crates/relay/src/limits.rs
@@ -0,0 +1,34 @@
+//! What the relay asks of the keepers of tenants' rate limits. The daemon answers by the owners of
+//! replica groups.
+
+use std::future::Future;
+
+use dahlia_limits::{KnownLimit, ProgramKey};
+use dahlia_types::{Duration, TenantId};
+use snafu::Snafu;
+
+/// A tenant sends more than it may. The request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("the tenant's limit is reached"))]
+pub struct LimitReached {
+    /// When there will be room for it.
+    pub retry_after: Duration,
+}
+
+/// The limits of all tenants, over all gateways together.
+pub trait TenantLimits: Clone + Send + Sync + 'static {
+    /// Counts one more request of a tenant. It waits for a keeper only while the limit is near, and
+    /// a fraction of a second at most.
+    ///
+    /// # Errors
+    /// [`LimitReached`]; then it is not counted.
+    fn admit(
+        &self,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        program: Option<ProgramKey>,
+    ) -> impl Future<Output = Result<(), LimitReached>> + Send;
+
+    /// A request that was counted has not run and never will.
+    fn give_back(&self, tenant: &TenantId, program: Option<ProgramKey>);
+}
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use dahlia_backends::BackendId;
+use dahlia_types::TenantId;
 use http::{HeaderValue, Request, Version};
 use http_body_util::Full;
 use tokio::time::Instant;
@@ -17,6 +18,8 @@
     pub(crate) body: &'a Bytes,
     pub(crate) expected_instance: &'a BackendId,
     pub(crate) priority: u32,
+    /// Whose request it is, where callers have a key.
+    pub(crate) tenant: Option<&'a TenantId>,
     /// Identifier of the last event that the caller has, when this goes on behind it.
     pub(crate) last_event: Option<&'a Bytes>,
     pub(crate) deadline: Instant,
@@ -34,6 +37,11 @@
         *headers = self.head.headers.clone();
         headers.insert(self.names.deadline.clone(), HeaderValue::from(left.as_millis() as u64));
         headers.insert(self.names.priority.clone(), self.priority.into());
+        if let Some(tenant) = self.tenant
+            && let Ok(tenant) = HeaderValue::from_str(tenant.as_str())
+        {
+            headers.insert(self.names.tenant.clone(), tenant);
+        }
         if let Ok(server) = HeaderValue::from_str(&self.expected_instance.0) {
             headers.insert(self.names.expected_instance.clone(), server);
         }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -1,11 +1,11 @@
 //! The one map from why the relay ends a request itself to status and headers.
 //!
-//! 503, 408 and 402 promise that the request has not run and never will; 502 and 504 promise
+//! 503, 429, 408 and 402 promise that the request has not run and never will; 502 and 504 promise
 //! nothing. A refusal is answered at once, never held back.
 
 use bytes::Bytes;
 use dahlia_types::Duration;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use snafu::Snafu;
 
@@ -20,6 +20,10 @@
     NoConfiguration { retry_after: Duration },
     #[snafu(display("no route takes this host and path"))]
     NoRoute,
+    #[snafu(display("no tenant has this key"))]
+    UnknownKey { scheme: &'static str },
+    #[snafu(display("the tenant's limit is reached"))]
+    LimitReached { retry_after: Duration },
     #[snafu(display("the request is not proper: {what}"))]
     NotProper { what: &'static str },
     #[snafu(display("the head is too large"))]
@@ -54,6 +58,8 @@
             | Self::Stopping { .. }
             | Self::LedgerUnavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::UnknownKey { .. } => StatusCode::UNAUTHORIZED,
+            Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotProper { .. } => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -69,6 +75,8 @@
         match self {
             Self::NoConfiguration { .. } => "no-configuration",
             Self::NoRoute => "no-route",
+            Self::UnknownKey { .. } => "unknown-key",
+            Self::LimitReached { .. } => "limit-reached",
             Self::NotProper { .. } => "not-proper",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
@@ -87,6 +95,7 @@
         match self {
             Self::NoConfiguration { retry_after }
             | Self::Busy { retry_after }
+            | Self::LimitReached { retry_after }
             | Self::Stopping { retry_after }
             | Self::LedgerUnavailable { retry_after } => Some(*retry_after),
             _ => None,
@@ -108,6 +117,9 @@
         if let Some(wait) = self.retry_after() {
             headers.insert(RETRY_AFTER, seconds(wait));
         }
+        if let Self::UnknownKey { scheme } = self {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(scheme));
+        }
         if self.leaves_request_unread() {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -116,7 +128,7 @@
 
     fn count(&self, counters: &Counters) {
         let counter = match self.status() {
-            StatusCode::SERVICE_UNAVAILABLE => &counters.refused,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => &counters.refused,
             StatusCode::BAD_GATEWAY => &counters.failed,
             StatusCode::GATEWAY_TIMEOUT => &counters.timed_out,
             _ => &counters.rejected,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -13,7 +13,9 @@
 use crate::pool::Pool;
 use crate::router::Routing;
 use crate::silence::Heard;
-use crate::{CallerLimits, HeaderNames, RelaySettings, RouteTable, TurnLedger, server};
+use crate::{
+    CallerLimits, HeaderNames, RelaySettings, RouteTable, TenantLimits, TurnLedger, server,
+};
 
 /// Tells the daemon's time, for [`Backends`] and the ledger.
 pub type Clock = Arc<dyn Fn() -> Timestamp + Send + Sync>;
@@ -65,7 +67,7 @@
     }
 }
 
-impl<L: TurnLedger> Relay<L> {
+impl<L: TurnLedger + TenantLimits> Relay<L> {
     /// A relay without routes: it refuses every request until [`Relay::set_routes`].
     pub fn new(
         settings: RelaySettings,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 use dahlia_ledger::{ProgramName, TurnId};
-use dahlia_types::Tokens;
-use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use dahlia_types::{KeyDigest, TenantId, Tokens};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version, request};
 use http_body_util::BodyExt;
@@ -32,6 +32,8 @@
     pub(crate) patience: Option<Duration>,
     /// Time until its program should be over, when it says so.
     pub(crate) program_time_left: Option<dahlia_types::Duration>,
+    /// What it sends to show whose it is.
+    authorization: Option<HeaderValue>,
 }
 
 impl RequestHead {
@@ -53,13 +55,15 @@
         let program_time_left =
             program_time_left.map(|left| dahlia_types::Duration::from_secs_f64(left.as_secs_f64()));
         let headers = &mut parts.headers;
+        // Read before anything is taken out: a caller may name any header in `Connection`.
+        let authorization = authorization(headers);
         hop::strip(headers);
         // The body is read whole here, which is all that the expectation asks for; its length is
         // set anew when it is sent.
         for name in [&EXPECT, &CONTENT_LENGTH] {
             headers.remove(name);
         }
-        for name in [&names.deadline, &names.expected_instance, &names.priority] {
+        for name in names.reserved() {
             headers.remove(name);
         }
         Ok(Self {
@@ -70,9 +74,25 @@
             attempt,
             patience,
             program_time_left,
+            authorization,
         })
     }
 
+    /// The digest of the caller's key; none without one, or with more than one.
+    pub(crate) fn key(&self, names: &HeaderNames) -> Option<KeyDigest> {
+        let value = self.authorization.as_ref()?.as_bytes();
+        let (scheme, key) = value.split_at_checked(names.key_scheme.len())?;
+        let is_key = scheme.eq_ignore_ascii_case(names.key_scheme.as_bytes());
+        let key = key.strip_prefix(b" ").filter(|_| is_key)?.trim_ascii();
+        (!key.is_empty()).then(|| KeyDigest::of(key))
+    }
+
+    /// Takes the caller's key out: from now on nothing passes it on.
+    pub(crate) fn drop_key(&mut self) {
+        self.authorization = None;
+        self.headers.remove(AUTHORIZATION);
+    }
+
     /// The value of a header as text, when it has one that is not empty.
     pub(crate) fn text(&self, name: &HeaderName) -> Option<&str> {
         let text = self.headers.get(name)?.to_str().ok()?.trim();
@@ -89,14 +109,22 @@
         }
     }
 
-    pub(crate) fn program(&self, names: &HeaderNames) -> Result<Option<ProgramName>, Refusal> {
+    pub(crate) fn program(
+        &self,
+        names: &HeaderNames,
+        tenant: Option<&TenantId>,
+    ) -> Result<Option<ProgramName>, Refusal> {
         let name = self.identifier(&names.program)?;
-        Ok(name.map(|name| ProgramName(name.to_owned())))
+        Ok(name.map(|name| ProgramName::new(tenant, name)))
     }
 
-    pub(crate) fn previous_turn(&self, names: &HeaderNames) -> Result<Option<TurnId>, Refusal> {
+    pub(crate) fn previous_turn(
+        &self,
+        names: &HeaderNames,
+        tenant: Option<&TenantId>,
+    ) -> Result<Option<TurnId>, Refusal> {
         let turn = self.identifier(&names.previous_turn)?;
-        Ok(turn.map(|turn| TurnId(turn.to_owned())))
+        Ok(turn.map(|turn| TurnId::new(tenant, turn)))
     }
 
     pub(crate) fn budget(&self, names: &HeaderNames) -> Result<Option<Tokens>, Refusal> {
@@ -119,6 +147,15 @@
     target + lines.sum::<usize>()
 }
 
+/// The one value of `Authorization`, marked so that nothing prints it.
+fn authorization(headers: &mut HeaderMap) -> Option<HeaderValue> {
+    let is_key = |(name, _): &(&HeaderName, &mut HeaderValue)| **name == AUTHORIZATION;
+    headers.iter_mut().filter(is_key).for_each(|(_, value)| value.set_sensitive(true));
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (first, second) = (values.next(), values.next());
+    first.filter(|_| second.is_none()).cloned()
+}
+
 fn host(parts: &request::Parts) -> Result<String, Refusal> {
     if let Some(host) = parts.uri.host() {
         return Ok(host.to_ascii_lowercase());
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -1,12 +1,13 @@
 //! Step 2: the route of a request and, where a route is split, the service.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hasher};
 use std::sync::Arc;
 
 use dahlia_backends::ServiceName;
+use dahlia_types::KeyDigest;
 
-use crate::{RankPlace, Route, RouteTable, Service, WeightedService};
+use crate::{RankPlace, Route, RouteTable, Service, Tenant, WeightedService};
 
 /// Routes in force, arranged for look-up.
 #[derive(Debug)]
@@ -15,8 +16,31 @@
     /// Positions of each host's routes, the longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
     services: HashMap<ServiceName, usize>,
-    /// The place of each route's rank.
-    ranks: Vec<RankPlace>,
+    /// Positions of tenants by the digests of their keys.
+    tenants_by_key: HashMap<KeyDigest, usize>,
+    /// The places of all ranks that a request may have.
+    ranks: BTreeMap<Rank, RankPlace>,
+}
+
+/// A request's rank: its tenant's where it has one, then its route's.
+type Rank = (u32, u32);
+
+fn rank(route: &Route, tenant: Option<&Tenant>) -> Rank {
+    let tenant = tenant.and_then(|tenant| tenant.priority);
+    (tenant.unwrap_or(route.priority), route.priority)
+}
+
+/// The ranks of all routes for all tenants.
+fn ranks(table: &RouteTable) -> BTreeSet<Rank> {
+    let priorities: BTreeSet<Option<u32>> = match &table.tenants {
+        Some(tenants) => tenants.iter().map(|tenant| tenant.priority).collect(),
+        None => BTreeSet::from([None]),
+    };
+    let for_tenants = |route: &Route| -> Vec<Rank> {
+        let with = |tenant: &Option<u32>| (tenant.unwrap_or(route.priority), route.priority);
+        priorities.iter().map(with).collect()
+    };
+    table.routes.iter().flat_map(for_tenants).collect()
 }
 
 impl Routing {
@@ -33,9 +57,19 @@
         let services = table.services.iter().enumerate();
         let services =
             services.map(|(position, service)| (service.name.clone(), position)).collect();
-        let ranks = || table.routes.iter().map(|route| route.priority);
-        let ranks = ranks().map(|rank| RankPlace::new(rank, ranks())).collect();
-        Self { table, by_host, services, ranks }
+        let tenants = table.tenants.iter().flatten().enumerate();
+        let keys = tenants
+            .flat_map(|(position, tenant)| tenant.keys.iter().map(move |key| (*key, position)));
+        let tenants_by_key = keys.collect();
+        let ranks = ranks(&table);
+        let place = |rank: &Rank| (*rank, RankPlace::new(*rank, ranks.iter().copied()));
+        let ranks = ranks.iter().map(place).collect();
+        Self { table, by_host, services, tenants_by_key, ranks }
+    }
+
+    /// Whether callers need a key where their route does not say otherwise.
+    pub(crate) fn has_tenants(&self) -> bool {
+        self.table.tenants.is_some()
     }
 
     pub(crate) fn table(&self) -> &RouteTable {
@@ -49,7 +83,7 @@
             .iter()
             .find(|&&position| path.starts_with(&self.table.routes[position].path_prefix))?;
         let target = share_of(&self.table.routes[route].targets, key)?;
-        Some(Matched { routing: Arc::clone(self), route, target })
+        Some(Matched { routing: Arc::clone(self), route, target, tenant: None })
     }
 }
 
@@ -59,6 +93,7 @@
     routing: Arc<Routing>,
     route: usize,
     target: usize,
+    tenant: Option<usize>,
 }
 
 impl Matched {
@@ -66,8 +101,29 @@
         &self.routing.table.routes[self.route]
     }
 
+    /// Finds the tenant that a key belongs to. Gives whether there is one.
+    pub(crate) fn find_tenant(&mut self, key: KeyDigest) -> bool {
+        self.tenant = self.routing.tenants_by_key.get(&key).copied();
+        self.tenant.is_some()
+    }
+
+    /// Whose request it is, where callers have a key.
+    pub(crate) fn tenant(&self) -> Option<&Tenant> {
+        self.routing.table.tenants.as_ref()?.get(self.tenant?)
+    }
+
+    /// Whether callers need a key where their route does not say otherwise.
+    pub(crate) fn has_tenants(&self) -> bool {
+        self.routing.has_tenants()
+    }
+
     pub(crate) fn rank(&self) -> RankPlace {
-        self.routing.ranks[self.route]
+        let rank = rank(self.route(), self.tenant());
+        let place = self.routing.ranks.get(&rank);
+        // A route that needs no key may have a rank that no tenant has.
+        place.copied().unwrap_or_else(|| {
+            RankPlace::new(rank, self.routing.ranks.keys().copied().chain([rank]))
+        })
     }
 
     pub(crate) fn service_name(&self) -> &ServiceName {
--- a/crates/relay/src/routes.rs
+++ b/crates/relay/src/routes.rs
@@ -1,7 +1,8 @@
 //! Routes, services and limits in force: the operators' configuration of the relay.
 
 use dahlia_backends::ServiceName;
-use dahlia_types::{Duration, Tokens};
+use dahlia_limits::RateLimit;
+use dahlia_types::{Duration, KeyDigest, TenantId, Tokens};
 use serde::{Deserialize, Serialize};
 
 /// One generation of the configuration, whole.
@@ -15,6 +16,22 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Who may send requests; none where callers need no key.
+    pub tenants: Option<Vec<Tenant>>,
+}
+
+/// A customer of the operator, known by its keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Tenant {
+    /// Its name, unique, without control characters.
+    pub name: TenantId,
+    /// Digests of its keys. No other tenant has one of them.
+    pub keys: Vec<KeyDigest>,
+    /// Rank of its requests, which goes before that of their routes, 0 first; none leaves the rank
+    /// to the route.
+    pub priority: Option<u32>,
+    /// How many requests it may send; none for any number.
+    pub limit: Option<RateLimit>,
 }
 
 /// Whether a request may run more than once.
@@ -62,6 +79,8 @@
     pub max_attempts: u32,
     /// Rank among routes, 0 first.
     pub priority: u32,
+    /// Whether requests need no key of a tenant.
+    pub is_open: bool,
     /// Whether requests of one program are better served where the last one was.
     pub is_sticky: bool,
     /// Whether the system keeps the text of turns, so that callers bring only what is new.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -17,7 +17,6 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 
-use crate::TurnLedger;
 use crate::answer::hand_on;
 use crate::body::AnswerBody;
 use crate::caller::{CallerState, CallerStream, RestCheck};
@@ -28,6 +27,8 @@
 use crate::relay::Shared;
 use crate::request::{RequestHead, read_body};
 use crate::router::{Matched, key_of};
+use crate::tenant::{Permit, identify};
+use crate::{TenantLimits, TurnLedger};
 
 /// Pause after the system refused to hand out a connection, e.g. for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -38,7 +39,10 @@
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
 /// Takes connections until the future is dropped. Beyond the most, they wait in the listener.
-pub(crate) async fn accept<L: TurnLedger>(shared: &Arc<Shared<L>>, listener: TcpListener) {
+pub(crate) async fn accept<L: TurnLedger + TenantLimits>(
+    shared: &Arc<Shared<L>>,
+    listener: TcpListener,
+) {
     let places = Arc::new(Semaphore::new(shared.settings.most_connections));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
@@ -58,7 +62,10 @@
     }
 }
 
-async fn serve_connection<L: TurnLedger>(shared: &Arc<Shared<L>>, stream: TcpStream) {
+async fn serve_connection<L: TurnLedger + TenantLimits>(
+    shared: &Arc<Shared<L>>,
+    stream: TcpStream,
+) {
     count(&shared.counters.connections);
     let _open = GaugeGuard::new(&shared.counters, Gauge::OpenConnections);
     let _ = stream.set_nodelay(true);
@@ -109,7 +116,7 @@
 }
 
 /// Answers one request, whatever comes of it.
-async fn handle<L: TurnLedger>(
+async fn handle<L: TurnLedger + TenantLimits>(
     shared: &Arc<Shared<L>>,
     state: &CallerState,
     request: Request<Incoming>,
@@ -132,7 +139,7 @@
     Ok(answer)
 }
 
-async fn serve<L: TurnLedger>(
+async fn serve<L: TurnLedger + TenantLimits>(
     shared: &Arc<Shared<L>>,
     state: &CallerState,
     request: Request<Incoming>,
@@ -142,7 +149,7 @@
     let arrived = Instant::now();
     let limits = shared.limits();
     let (parts, body) = request.into_parts();
-    let head = RequestHead::parse(parts, &shared.headers, &limits)?;
+    let mut head = RequestHead::parse(parts, &shared.headers, &limits)?;
     log.name(&head);
     leaving.began(log.clone());
     let body = read_body(body, &limits).await?;
@@ -150,17 +157,24 @@
         let retry_after = dahlia_types::Duration::from_millis(shared.settings.retry_after_ms);
         return Err(Refusal::Stopping { retry_after });
     }
-    let matched = matched(shared, &head)?;
+    let mut matched = matched(shared, &head)?;
+    identify(shared, &mut matched, &mut head)?;
     let deadline = arrived + time_to_answer(&matched, &head);
     state.answer_due(deadline);
     log.routed(&matched, head.text(&shared.headers.program), deadline);
+    let permit = Permit::take(shared, &matched, &head).await?;
     let method = head.method.clone();
     let mut exchange =
         Exchange::new(Arc::clone(shared), matched, head, body, deadline, log.clone());
-    match timeout_at(deadline, open_and_answer(&mut exchange)).await {
-        Ok(answer) => Ok(hand_on(exchange, answer?, &method)),
-        Err(_) => Err(exchange.out_of_time()),
+    let refusal = match timeout_at(deadline, open_and_answer(&mut exchange)).await {
+        Ok(Ok(answer)) => return Ok(hand_on(exchange, answer, &method)),
+        Ok(Err(refusal)) => refusal,
+        Err(_) => exchange.out_of_time(),
+    };
+    if let Some(permit) = permit.filter(|_| !exchange.may_have_run()) {
+        permit.give_back(shared);
     }
+    Err(refusal)
 }
 
 async fn open_and_answer<L: TurnLedger>(exchange: &mut Exchange<L>) -> Result<Answer, Refusal> {
--- /dev/null
+++ b/crates/relay/src/tenant.rs
@@ -0,0 +1,72 @@
+//! Step 3: whose request it is, and whether its tenant may send one more.
+//!
+//! A caller shows its tenant by a key. The key goes no further than here: servers, ledgers and
+//! keepers of limits are told the tenant's name.
+
+use dahlia_ledger::ProgramName;
+use dahlia_limits::{KnownLimit, ProgramKey};
+use dahlia_types::TenantId;
+
+use crate::refusal::Refusal;
+use crate::relay::Shared;
+use crate::request::RequestHead;
+use crate::router::{Matched, key_of};
+use crate::{LimitReached, TenantLimits};
+
+/// Finds the tenant of a request, and takes the key out of its head.
+///
+/// # Errors
+/// The route needs a key, and no tenant has the caller's.
+pub(crate) fn identify<L>(
+    shared: &Shared<L>,
+    matched: &mut Matched,
+    head: &mut RequestHead,
+) -> Result<(), Refusal> {
+    if !matched.has_tenants() {
+        return Ok(());
+    }
+    let key = head.key(&shared.headers);
+    head.drop_key();
+    let is_known = key.is_some_and(|key| matched.find_tenant(key));
+    if is_known || matched.route().is_open {
+        return Ok(());
+    }
+    Err(Refusal::UnknownKey { scheme: shared.headers.key_scheme })
+}
+
+/// One request of a tenant with a limit, which counts until it is given back.
+pub(crate) struct Permit {
+    tenant: TenantId,
+    program: Option<ProgramKey>,
+}
+
+impl Permit {
+    /// Takes a permit, where the request's tenant has a limit.
+    ///
+    /// # Errors
+    /// The tenant sends more than it may.
+    pub(crate) async fn take<L: TenantLimits>(
+        shared: &Shared<L>,
+        matched: &Matched,
+        head: &RequestHead,
+    ) -> Result<Option<Self>, Refusal> {
+        let Some(tenant) = matched.tenant() else { return Ok(None) };
+        let Some(limit) = tenant.limit else { return Ok(None) };
+        let known = KnownLimit { generation: matched.generation(), limit };
+        let program = head.program(&shared.headers, Some(&tenant.name))?;
+        let program = program.as_ref().map(program_key);
+        match shared.ledger.admit(&tenant.name, known, program).await {
+            Ok(()) => Ok(Some(Self { tenant: tenant.name.clone(), program })),
+            Err(LimitReached { retry_after }) => Err(Refusal::LimitReached { retry_after }),
+        }
+    }
+
+    /// The request has not run and never will.
+    pub(crate) fn give_back<L: TenantLimits>(self, shared: &Shared<L>) {
+        shared.ledger.give_back(&self.tenant, self.program);
+    }
+}
+
+fn program_key(program: &ProgramName) -> ProgramKey {
+    ProgramKey(key_of(program.name().as_bytes()))
+}
--- a/crates/relay/src/turn.rs
+++ b/crates/relay/src/turn.rs
@@ -161,7 +161,7 @@
             if let Err(error) = offer(&shared, &command).await {
                 log::warn!(
                     target: "relay",
-                    request = command.turn.0.as_str(),
+                    request = command.turn.name(),
                     cause:% = error;
                     "The end of the turn is not recorded."
                 );
@@ -211,10 +211,11 @@
     body: &Bytes,
 ) -> Result<Option<OpenTurn>, Refusal> {
     let (route, names) = (matched.route(), &shared.headers);
+    let tenant = matched.tenant().map(|tenant| &tenant.name);
     if !route.is_stream {
         return Ok(None);
     }
-    let Some(program) = head.program(names)? else {
+    let Some(program) = head.program(names, tenant)? else {
         return match route.retains_turns {
             true => Err(Refusal::NotProper { what: "a turn must name its program" }),
             false => Ok(None),
@@ -233,7 +234,7 @@
     let input = route.retains_turns.then_some(());
     let input = match input {
         Some(()) => Some(TurnInput {
-            previous: head.previous_turn(names)?,
+            previous: head.previous_turn(names, tenant)?,
             new_input: body.to_vec(),
             retention: route.retention,
         }),
@@ -241,7 +242,7 @@
     };
     Ok(Some(OpenTurn {
         program,
-        turn: TurnId(turn.to_owned()),
+        turn: TurnId::new(tenant, turn),
         budget,
         max_generated: max_generated.unwrap_or_default(),
         input,
--- a/crates/relay/src/urgency.rs
+++ b/crates/relay/src/urgency.rs
@@ -19,8 +19,8 @@
 
 impl RankPlace {
     /// The place of a rank among others, itself included.
-    pub fn new(rank: u32, ranks: impl Iterator<Item = u32>) -> Self {
-        let mut ranks: Vec<u32> = ranks.collect();
+    pub fn new<R: Ord>(rank: R, ranks: impl Iterator<Item = R>) -> Self {
+        let mut ranks: Vec<R> = ranks.collect();
         ranks.sort_unstable();
         ranks.dedup();
         let before = ranks.partition_point(|other| *other < rank) as u32;
--- a/crates/relay/tests/common/ledger.rs
+++ b/crates/relay/tests/common/ledger.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex};
 
 use dahlia_ledger::{CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, TurnEnd};
-use dahlia_relay::{LedgerUnavailable, TurnLedger};
-use dahlia_types::Duration;
+use dahlia_limits::{KnownLimit, ProgramKey};
+use dahlia_relay::{LedgerUnavailable, LimitReached, TenantLimits, TurnLedger};
+use dahlia_types::{Duration, TenantId};
 use tokio::sync::watch;
 
 type Reply = Result<LedgerReply, LedgerUnavailable>;
@@ -18,6 +19,9 @@
     closes: Arc<Mutex<VecDeque<Reply>>>,
     answers_opens: Arc<watch::Sender<bool>>,
     answers_closes: Arc<watch::Sender<bool>>,
+    admissions: Arc<Mutex<Vec<(TenantId, KnownLimit)>>>,
+    given_back: Arc<Mutex<Vec<TenantId>>>,
+    limits: Arc<Mutex<VecDeque<LimitReached>>>,
 }
 
 impl Default for TestLedger {
@@ -28,6 +32,9 @@
             closes: Arc::default(),
             answers_opens: Arc::new(watch::Sender::new(true)),
             answers_closes: Arc::new(watch::Sender::new(true)),
+            admissions: Arc::default(),
+            given_back: Arc::default(),
+            limits: Arc::default(),
         }
     }
 }
@@ -69,6 +76,21 @@
         closes.collect()
     }
 
+    /// The next request of a tenant with a limit is beyond it.
+    pub fn next_limit(&self, retry_after: Duration) {
+        self.limits.lock().expect("whole").push_back(LimitReached { retry_after });
+    }
+
+    /// Requests that were counted against a limit.
+    pub fn admissions(&self) -> Vec<(TenantId, KnownLimit)> {
+        self.admissions.lock().expect("whole").clone()
+    }
+
+    /// Counted requests that did not run.
+    pub fn given_back(&self) -> Vec<TenantId> {
+        self.given_back.lock().expect("whole").clone()
+    }
+
     pub fn ends(&self) -> Vec<TurnEnd> {
         self.closed().into_iter().map(|close| close.end).collect()
     }
@@ -94,3 +116,22 @@
         told.unwrap_or(Ok(LedgerReply::Closed))
     }
 }
+
+impl TenantLimits for TestLedger {
+    async fn admit(
+        &self,
+        tenant: &TenantId,
+        limit: KnownLimit,
+        _program: Option<ProgramKey>,
+    ) -> Result<(), LimitReached> {
+        if let Some(reached) = self.limits.lock().expect("whole").pop_front() {
+            return Err(reached);
+        }
+        self.admissions.lock().expect("whole").push((tenant.clone(), limit));
+        Ok(())
+    }
+
+    fn give_back(&self, tenant: &TenantId, _program: Option<ProgramKey>) {
+        self.given_back.lock().expect("whole").push(tenant.clone());
+    }
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -45,6 +45,10 @@
         previous_turn: name("x-previous"),
         priority: name("x-priority"),
         last_event: name("x-last-event"),
+        tenant: name("x-tenant"),
+        key_scheme: "Key",
+        object_cookie: "object",
+        not_for_callers: vec![name("x-hold"), name("x-memory")],
     }
 }
 
@@ -63,6 +67,7 @@
         gap_objective: None,
         max_attempts: 3,
         priority: 2,
+        is_open: false,
         is_sticky: false,
         retains_turns: false,
         retention: Duration::from_secs(60),
--- a/crates/relay/tests/turns.rs
+++ b/crates/relay/tests/turns.rs
@@ -42,10 +42,13 @@
     assert!(reply.is_whole);
     assert_eq!(server.got()[0].body, "input one\na\nb\ninput two");
     let open = bed.ledger.opened().remove(0);
-    assert_eq!((open.program, open.turn), (ProgramName("p-1".into()), TurnId("t-1".into())));
+    assert_eq!(
+        (open.program, open.turn),
+        (ProgramName::new(None, "p-1"), TurnId::new(None, "t-1"))
+    );
     assert_eq!((open.budget, open.max_generated), (Some(Tokens(500)), Tokens(80)));
     let input = open.input.expect("kept");
-    assert_eq!(input.previous, Some(TurnId("t-0".into())));
+    assert_eq!(input.previous, Some(TurnId::new(None, "t-0")));
     assert_eq!(input.new_input, b"input two");
     assert_eq!(input.retention, Duration::from_secs(60));
     assert_eq!(bed.ledger.ends(), [whole("a\nb\n")]);
@@ -118,7 +121,7 @@
 #[tokio::test]
 async fn what_the_ledger_refuses_is_not_sent() {
     let budget_spent = TurnRefusal::BudgetSpent { budget: Tokens(500), used: Tokens(480) };
-    let no_such_turn = TurnRefusal::NoSuchTurn { previous: TurnId("t-0".into()) };
+    let no_such_turn = TurnRefusal::NoSuchTurn { previous: TurnId::new(None, "t-0") };
     let limit_reached = TurnRefusal::LimitReached { limit: "turns".into() };
     let cases = [(budget_spent, 402), (no_such_turn, 404), (limit_reached, 503)];
     let server = StandIn::new("s-1", stream).await;
--- a/crates/replay/src/world/gateway.rs
+++ b/crates/replay/src/world/gateway.rs
@@ -106,7 +106,9 @@
             Response::Program(_) | Response::Programs(_) => {
                 self.last_to_caller(id, name, CallerMessage::Done { connection: name });
             }
-            Response::Ledger(_) => unreachable!("callers of this world have no ledger"),
+            Response::Ledger(_) | Response::Limits(_) => {
+                unreachable!("callers of this world have no ledger and no rate limits")
+            }
             Response::NotOwner { .. } => {
                 let error = ApiError::new(ErrorKind::Internal, "the owner answered \"not owner\"");
                 self.last_to_caller(id, name, CallerMessage::Failed { connection: name, error });
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod credential;
 mod epochs;
 mod identifiers;
+mod key_digest;
 mod settings;
 mod switches;
 mod time;
@@ -19,6 +20,7 @@
     AttemptId, CallId, ChainId, ChunkKey, DaemonId, EngineId, GroupId, IdempotencyKey, ModelId,
     ParseIdError, ProgramId, Region, ReplicaId, TenantId, Zone,
 };
+pub use key_digest::KeyDigest;
 pub use settings::{InvalidSetting, check_range};
 pub use switches::Switches;
 pub use time::{Duration, Timestamp};
