--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -1,4 +1,5 @@
 //! A few nodes in virtual time, with links that can be cut and messages that can be lost.
+#![allow(dead_code)] // Each test file uses its own part.
 
 #[path = "../plain_settings/mod.rs"]
 mod plain_settings;
