First turns go to near servers while these answer as soon, by what programs share where the ledger knows the rest

Change: a prompt that any server may read is read in the own zone, unless near servers answered later of late than far ones (one choice in eight looks at all); a near server is too loaded against other near ones; of programs whose turns the ledger holds, first turns go by the shared prompt.

--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `table` | all servers, and the choice among them |
 //! | `server` | one server: this daemon's attempts there, its failures |
 //! | `loads` | servers compared by how much of this daemon's load they carry |
+//! | `nearness` | whether servers of the own zone answer as soon as others |
 //! | `latency` | how long a server takes to answer |
 //! | `rendezvous` | a rank of servers that all daemons agree on |
 //! | `shares` | which shares of the load fall to which shared prompts |
@@ -22,6 +23,7 @@
 mod choice;
 mod latency;
 mod loads;
+mod nearness;
 mod record;
 mod rendezvous;
 mod server;
--- a/crates/backends/src/loads.rs
+++ b/crates/backends/src/loads.rs
@@ -21,6 +21,23 @@
     draw: u64,
     /// Attempts of this daemon for each slot, averaged over time and over all candidates.
     usual_mean: f64,
+    /// The own zone, where its servers go before others.
+    near: Option<Near<'a>>,
+}
+
+/// The servers that go before others.
+#[derive(Clone, Copy)]
+pub(crate) struct Near<'a> {
+    pub(crate) zone: &'a Zone,
+    /// The mean over them: they carry more of this daemon's load than others, and one of them is
+    /// too loaded only against the rest of them.
+    usual_mean: f64,
+}
+
+impl Near<'_> {
+    fn has(&self, server: &Server) -> bool {
+        server.record.zone == *self.zone
+    }
 }
 
 impl<'a> Loads<'a> {
@@ -30,9 +47,16 @@
         now: Timestamp,
         draw: u64,
     ) -> Self {
-        let attempts = candidates.iter().map(|server| server.usual_attempts(settings, now));
-        let usual_mean = attempts.sum::<f64>() / f64::from(slots(&candidates));
-        Self { candidates, settings, now, draw, usual_mean }
+        let usual_mean = usual_mean(candidates.iter().copied(), settings, now);
+        Self { candidates, settings, now, draw, usual_mean, near: None }
+    }
+
+    /// The same, where servers of a zone go before others.
+    pub(crate) fn with_near(mut self, zone: &'a Zone) -> Self {
+        let near = self.candidates.iter().copied().filter(|server| server.record.zone == *zone);
+        let usual_mean = usual_mean(near, self.settings, self.now);
+        self.near = Some(Near { zone, usual_mean });
+        self
     }
 
     /// The server that holds what the request needs. What it holds is lost by leaving it, and
@@ -46,7 +70,9 @@
 
     /// Whether a server's load is not far above the mean. One attempt more or less is no load.
     fn is_within(&self, server: &Server) -> bool {
-        let most = self.usual_mean * self.settings.keep_bound;
+        let near = self.near.filter(|near| near.has(server));
+        let mean = near.map_or(self.usual_mean, |near| near.usual_mean.max(self.usual_mean));
+        let most = mean * self.settings.keep_bound;
         server.in_flight == 0 || self.usual(server) <= most
     }
 
@@ -75,6 +101,14 @@
         let mut ranked = self.candidates.clone();
         ranked.sort_by_cached_key(|server| Reverse(weight(prompt.hash, &server.record.id)));
         let (first, others) = ranked.split_at(wanted.min(ranked.len()));
+        // A prompt that any server may read is read near.
+        let near = self.near.filter(|_| others.is_empty());
+        let near: Vec<&Server> = first
+            .iter()
+            .copied()
+            .filter(|server| near.is_some_and(|near| near.has(server)))
+            .collect();
+        let first = if near.is_empty() { first } else { &near };
         let least = self.least(first, |server| self.usual(server))?;
         let further = || others.iter().find(|server| self.is_within(server));
         let chosen = Some(least).filter(|least| self.is_within(least));
@@ -123,6 +157,19 @@
     }
 }
 
+/// Attempts of this daemon for each slot of some servers, averaged over time.
+fn usual_mean<'a>(
+    servers: impl Iterator<Item = &'a Server>,
+    settings: &BackendSettings,
+    now: Timestamp,
+) -> f64 {
+    let of_one = |server: &Server| (server.usual_attempts(settings, now), server.record.slots);
+    let add =
+        |(attempts, slots): (f64, u32), (more, more_slots)| (attempts + more, slots + more_slots);
+    let (attempts, slots) = servers.map(of_one).fold((0.0, 0), add);
+    attempts / f64::from(slots.max(1))
+}
+
 fn slots(servers: &[&Server]) -> u32 {
     let slots: u32 = servers.iter().map(|server| server.record.slots).sum();
     slots.max(1)
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::loads::Loads;
+use crate::nearness::Nearness;
 use crate::server::Server;
 use crate::shares::PromptShares;
 use crate::{
@@ -29,6 +30,7 @@
     zone: Zone,
     random: ChaCha8Rng,
     services: BTreeMap<ServiceName, BTreeMap<BackendId, Server>>,
+    nearness: BTreeMap<ServiceName, Nearness>,
     /// Where each server is listed, so that ends of attempts find it.
     listed: BTreeMap<BackendId, ServiceName>,
     shares: PromptShares,
@@ -49,6 +51,7 @@
             zone: own_zone,
             random: ChaCha8Rng::seed_from_u64(seed),
             services: BTreeMap::new(),
+            nearness: BTreeMap::new(),
             listed: BTreeMap::new(),
             shares: PromptShares::default(),
             on_failure: None,
@@ -140,9 +143,11 @@
 
     /// Takes in how long a server took until its answer began.
     pub fn answered_in(&mut self, id: &BackendId, time: Duration, now: Timestamp) {
-        if let Some((server, settings)) = self.server_mut(id) {
-            server.answered_in(time, settings, now);
-        }
+        let Some((server, settings)) = self.server_mut(id) else { return };
+        server.answered_in(time, settings, now);
+        let (service, zone) = (server.record.service.clone(), server.record.zone.clone());
+        let is_near = zone == self.zone;
+        self.nearness.entry(service).or_default().answered_in(is_near, time, now);
     }
 
     /// Takes in that an attempt ended without an answer after this time.
@@ -186,6 +191,11 @@
         // A server that failed of late, or is slow, is better than none.
         let candidates = if sound.is_empty() { usable } else { sound };
         let loads = Loads::new(candidates, settings, now, draw);
+        let nearness = self.nearness.get(ask.service).copied().unwrap_or_default();
+        let loads = match nearness.prefers_near(draw, now) {
+            true => loads.with_near(&self.zone),
+            false => loads,
+        };
         let kept = ask.preferred.and_then(|preferred| loads.kept(preferred));
         let (server, way) = match (ask.affinity, kept) {
             (Some(_), Some(kept)) => (kept, ChoiceWay::Preferred),
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -192,3 +192,23 @@
     until("the line", || lines_of("leaves").iter().any(|line| line.sentence == "The caller left."))
         .await;
 }
+
+#[tokio::test]
+async fn a_first_turn_goes_by_what_its_program_shares_when_the_ledger_tells_the_server_of_the_next()
+{
+    record_logs();
+    let server = StandIn::new("s-1", ok).await;
+    let sticky = |route: Route| Route { is_sticky: true, ..route };
+    let plain = Route { path_prefix: "/plain/".into(), ..sticky(resumable()) };
+    let bed = Bed::new(Some(table(vec![sticky(turns()), plain])), &[&server]).await;
+    for (request, path, way) in
+        [("way-kept", "/a/", "shared-prompt"), ("way-plain", "/plain/", "affinity")]
+    {
+        // The own part is the longer one.
+        let lines = "X-Program: p-1\r\nX-Parts: shared:5,own:9\r\n";
+        call(bed.address, &post(request, lines, "").replacen("/a/", path, 1)).await;
+        let lines = lines_of(request);
+        let chosen = lines.iter().find(|line| line.sentence == "Server chosen.").expect("one was");
+        assert_eq!(chosen.field("way"), Some(way), "{request}");
+    }
+}
