Calls that concern an object go to one near server

Change: a sticky route that is no stream sends a call to the near server that all gateways of the zone prefer for the object, while near servers answer as soon as far ones and unless its load is far above the mean.

--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -22,6 +22,8 @@
 pub enum Affinity {
     /// Those of one program or session, by a hash of its name: one server holds what they need.
     Program(u64),
+    /// Those that concern one object, by a hash of its name: a server that has seen it works faster.
+    Object(u64),
     /// Those whose prompts begin with the same parts. A few servers hold these, as many as their
     /// share of the load needs; the shorter they are, the more.
     SharedPrompt(SharedPrompt),
--- a/crates/backends/src/loads.rs
+++ b/crates/backends/src/loads.rs
@@ -92,6 +92,19 @@
         first.or_else(|| self.least_loaded())
     }
 
+    /// The near server that all daemons of this zone prefer for an object, unless its load is far
+    /// above the mean. What it saves is a part of its own work, which a way to another zone or a queue
+    /// outweighs: else the choice is as if the object were not known.
+    pub(crate) fn by_object(&self, object: u64, zone: &Zone) -> Chosen<'a> {
+        let near = self
+            .near
+            .into_iter()
+            .flat_map(|near| self.candidates.iter().filter(move |server| near.has(server)));
+        let first = near.max_by_key(|server| weight(object, &server.record.id));
+        let first = first.filter(|server| self.is_within(server));
+        first.map(|server| (*server, ChoiceWay::Affinity)).or_else(|| self.by_load(zone))
+    }
+
     /// The least loaded of the first few by rendezvous hashing, as many as the share of the load
     /// that the prompt has needs; equal ones are drawn among. Where all of these have far more than the mean load, the share was
     /// guessed too low: the next one that has not is used.
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -200,6 +200,7 @@
         let (server, way) = match (ask.affinity, kept) {
             (Some(_), Some(kept)) => (kept, ChoiceWay::Preferred),
             (Some(Affinity::Program(program)), None) => loads.by_program(program)?,
+            (Some(Affinity::Object(object)), None) => loads.by_object(object, &self.zone)?,
             (Some(Affinity::SharedPrompt(prompt)), None) => loads.by_prompt(prompt, share)?,
             (None, _) => loads.by_load(&self.zone)?,
         };
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -366,3 +366,31 @@
     }
     assert_eq!(tellings.try_iter().collect::<Vec<_>>(), vec![grey.clone(), grey]);
 }
+
+#[test]
+fn calls_for_an_object_go_to_one_near_server_unless_it_is_far_too_loaded() {
+    let servers = [("a", "hall-a"), ("b", "hall-a"), ("c", "hall-a"), ("d", "hall-b")];
+    let service = service();
+    let choose = |backends: &mut Backends, object| {
+        let ask = Ask { affinity: Some(Affinity::Object(object)), ..ask(&service, &[]) };
+        used(backends.choose(&ask, START)).expect("one takes it")
+    };
+    let mut one = table(&servers);
+    let mut other = Backends::new(BackendSettings::default(), Zone::new("hall-a"), 99);
+    for (name, zone) in servers {
+        other.put(record(name, zone), START);
+    }
+    let mut differ = 0;
+    for object in 0..200 {
+        let (first, second) = (choose(&mut one, object), choose(&mut other, object));
+        differ += u32::from(first != second);
+        one.end(&first, AttemptEnd::Answered, START);
+        other.end(&second, AttemptEnd::Answered, START);
+    }
+    // One choice in eight of each looks at far servers, too, and goes by load.
+    assert!(differ <= 200 / 3, "{differ} of 200 objects at different servers");
+    let mut backends = table(&servers);
+    let all: Vec<BackendId> = (0..8).map(|_| choose(&mut backends, 1)).collect();
+    let busiest = all.iter().filter(|id| **id == all[0]).count();
+    assert!(busiest < 8, "all eight at once went to one server of four slots: {all:?}");
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -197,19 +197,23 @@
 
     /// On routes that are better served so, requests go where what they need is kept. Where the
     /// parts of a prompt that others share outweigh the rest, programs with the same parts go
-    /// together, so that few servers read these; else each program stays together. Of a program
-    /// whose turns the ledger holds, the ledger tells the server, and only its first turn goes by
-    /// what it shares.
+    /// together, so that few servers read these; else each program stays together. What is no
+    /// stream goes by the object that it concerns, where its caller names one.
     fn affinity(&self) -> Option<Affinity> {
         if !self.route().is_sticky {
             return None;
         }
         let names = &self.shared.headers;
         let hash = |text: &str| key_of(text.as_bytes());
+        if !self.route().is_stream
+            && let Some(object) = self.head.object(names)
+        {
+            return Some(Affinity::Object(hash(object)));
+        }
         let program = self.head.text(&names.program);
         let shared = self.head.text(&names.prompt_parts).and_then(SharedParts::parse);
         match (shared, program) {
-            (Some(shared), _) if shared.outweigh || self.turn.is_some() => {
+            (Some(shared), _) if shared.outweigh => {
                 let prompt = SharedPrompt { hash: hash(shared.last), tokens: shared.tokens };
                 Some(Affinity::SharedPrompt(prompt))
             }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use dahlia_ledger::{ProgramName, TurnId};
 use dahlia_types::{KeyDigest, TenantId, Tokens};
-use http::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, COOKIE, EXPECT, HOST};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Version, request};
 use http_body_util::BodyExt;
@@ -78,6 +78,16 @@
         })
     }
 
+    /// The object that the request concerns, by a cookie.
+    pub(crate) fn object(&self, names: &HeaderNames) -> Option<&str> {
+        let cookies = self.headers.get_all(COOKIE).iter();
+        let cookies = cookies.filter_map(|value| value.to_str().ok());
+        let pairs = cookies.flat_map(|value| value.split(';'));
+        let mut pairs = pairs.filter_map(|pair| pair.trim().split_once('='));
+        let (_, object) = pairs.find(|(name, _)| *name == names.object_cookie)?;
+        Some(object).filter(|object| !object.is_empty())
+    }
+
     /// The digest of the caller's key; none without one, or with more than one.
     pub(crate) fn key(&self, names: &HeaderNames) -> Option<KeyDigest> {
         let value = self.authorization.as_ref()?.as_bytes();
