--- a/crates/limits/src/gateway.rs
+++ b/crates/limits/src/gateway.rs
@@ -19,6 +19,9 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 /// Seconds of its own usual requests that a gateway that decides alone lets pass at once.
 const ALONE_BURST_S: f64 = 0.2;
+/// Requests that were admitted longer ago are not reported any more: no window of a few seconds holds
+/// them, and a keeper that comes back after an outage would take their permits from those of now.
+const TOO_OLD_TO_COUNT: Duration = Duration::from_secs(5);
 /// What a gateway that decides alone tells callers when its own bucket does not say.
 const ALONE_RETRY: Duration = Duration::from_millis(500);
 
@@ -56,8 +59,8 @@
 #[derive(Debug, Default)]
 struct Keeper {
     tenants: BTreeMap<TenantId, Held>,
-    /// The report that has no answer yet.
-    unanswered: Option<Report>,
+    /// The report that has no answer yet, and when it was made.
+    unanswered: Option<(Report, Timestamp)>,
     /// Whether it is on its way.
     is_under_way: bool,
     /// Since when nothing was answered.
@@ -68,7 +71,7 @@
 #[derive(Debug)]
 struct Held {
     limit: KnownLimit,
-    admitted: Vec<Option<ProgramKey>>,
+    admitted: Vec<(Timestamp, Option<ProgramKey>)>,
     waited: Vec<Waited>,
     unused: Vec<Option<ProgramKey>>,
     scarce_until: Timestamp,
@@ -115,8 +118,15 @@
         !self.admitted.is_empty() || !self.waited.is_empty() || !self.unused.is_empty()
     }
 
+    /// What is to be reported of the requests that passed unasked.
+    fn take_admitted(&mut self, now: Timestamp) -> Vec<Option<ProgramKey>> {
+        let admitted = std::mem::take(&mut self.admitted).into_iter();
+        let counts = |(at, _): &(Timestamp, _)| now.since(*at) < TOO_OLD_TO_COUNT;
+        admitted.filter(counts).map(|(_, program)| program).collect()
+    }
+
     fn admit(&mut self, program: Option<ProgramKey>, now: Timestamp) {
-        self.admitted.push(program);
+        self.admitted.push((now, program));
         self.usual.note(now);
     }
 }
@@ -245,17 +255,19 @@
         if known.is_under_way {
             return None;
         }
+        known.unanswered.take_if(|(_, made)| now.since(*made) >= TOO_OLD_TO_COUNT);
         if known.unanswered.is_none() {
             let usage = take_usage(&mut known.tenants, now);
             if usage.is_empty() {
                 return None;
             }
             known.last_number += 1;
-            known.unanswered = Some(Report { from, life, number: known.last_number, usage });
+            let report = Report { from, life, number: known.last_number, usage };
+            known.unanswered = Some((report, now));
         }
         known.is_under_way = true;
         known.silent_since.get_or_insert(now);
-        known.unanswered.clone()
+        known.unanswered.as_ref().map(|(report, _)| report.clone())
     }
 
     /// A report had no answer: it is due again, under the same number.
@@ -271,7 +283,7 @@
         let Some(known) = self.keepers.get_mut(&keeper) else { return };
         known.silent_since = None;
         known.is_under_way = false;
-        known.unanswered.take_if(|report| report.number <= number);
+        known.unanswered.take_if(|(report, _)| report.number <= number);
         let LimitReply::Counted { scarce } = reply else { return };
         known.tenants.values_mut().for_each(|held| held.alone = None);
         for tenant in scarce {
@@ -321,7 +333,7 @@
         .map(|(tenant, held)| Usage {
             tenant: tenant.clone(),
             limit: held.limit,
-            requests: std::mem::take(&mut held.admitted),
+            requests: held.take_admitted(now),
             waited: std::mem::take(&mut held.waited),
             unused: std::mem::take(&mut held.unused),
         })
--- /dev/null
+++ b/crates/limits/tests/gateway.rs
@@ -0,0 +1,124 @@
+//! What a gateway admits, reports and forgets, by single events.
+
+use dahlia_limits::{
+    Admission, KnownLimit, LimitGateway, LimitReply, LimitSettings, ProgramKey, RateLimit, Report,
+    Verdict,
+};
+use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, TenantId, Timestamp};
+
+const START: Timestamp = Timestamp(1_000_000_000);
+const KEEPER: GroupId = GroupId(3);
+
+fn gateway() -> LimitGateway {
+    LimitGateway::new(LimitSettings::default(), DaemonId(1), Incarnation(1))
+}
+
+fn oak() -> TenantId {
+    TenantId::new("oak")
+}
+
+fn known(generation: u64) -> KnownLimit {
+    let limit = RateLimit::new(400.0, 400.0).expect("a limit").expect("some");
+    KnownLimit { generation, limit }
+}
+
+fn admit(gateway: &mut LimitGateway, now: Timestamp) -> Admission {
+    gateway.admit(KEEPER, &oak(), known(1), Some(ProgramKey(7)), now)
+}
+
+fn counted(scarce: bool) -> LimitReply {
+    LimitReply::Counted { scarce: if scarce { vec![oak()] } else { Vec::new() } }
+}
+
+/// Requests in a report.
+fn requests(report: &Report) -> usize {
+    report.usage.iter().map(|usage| usage.requests.len()).sum()
+}
+
+#[test]
+fn requests_pass_unasked_until_permits_are_scarce_and_again_when_they_are_not() {
+    let mut gateway = gateway();
+    assert_eq!(admit(&mut gateway, START), Admission::Pass { report_now: false });
+    let report = gateway.report(KEEPER, START).expect("one was admitted");
+    gateway.counted(KEEPER, report.number, &counted(true), START);
+    assert_eq!(admit(&mut gateway, START), Admission::Ask);
+    let pass = Verdict::Pass { after: Duration::ZERO };
+    gateway.answered(KEEPER, &oak(), pass, false, START);
+    assert_eq!(admit(&mut gateway, START), Admission::Pass { report_now: false });
+}
+
+#[test]
+fn a_hundredth_of_the_rate_unreported_is_reported_at_once() {
+    let mut gateway = gateway();
+    for _ in 0..3 {
+        assert_eq!(admit(&mut gateway, START), Admission::Pass { report_now: false });
+    }
+    assert_eq!(admit(&mut gateway, START), Admission::Pass { report_now: true });
+}
+
+#[test]
+fn a_report_without_an_answer_comes_again_under_its_number_and_is_never_sent_twice_at_once() {
+    let mut gateway = gateway();
+    admit(&mut gateway, START);
+    let first = gateway.report(KEEPER, START).expect("one was admitted");
+    admit(&mut gateway, START);
+    assert_eq!(gateway.report(KEEPER, START), None, "the first is on its way");
+    gateway.unanswered(KEEPER);
+    assert_eq!(gateway.report(KEEPER, START).as_ref(), Some(&first));
+    gateway.counted(KEEPER, first.number, &counted(false), START);
+    let second = gateway.report(KEEPER, START).expect("the second request");
+    assert_eq!((requests(&second), second.number), (1, first.number + 1));
+}
+
+#[test]
+fn what_was_admitted_long_ago_is_not_reported_any_more() {
+    let mut gateway = gateway();
+    admit(&mut gateway, START);
+    gateway.report(KEEPER, START).expect("one was admitted");
+    admit(&mut gateway, START + Duration::from_secs(1));
+    let later = START + Duration::from_millis(5_500);
+    gateway.unanswered(KEEPER);
+    admit(&mut gateway, later);
+    let report = gateway.report(KEEPER, later).expect("two of five and a half seconds");
+    assert_eq!(requests(&report), 2, "the first is too old");
+    gateway.counted(KEEPER, report.number, &counted(false), later);
+    admit(&mut gateway, later);
+    let much_later = later + Duration::from_secs(5);
+    let left = gateway.report(KEEPER, much_later);
+    assert_eq!(left.map_or(0, |report| requests(&report)), 0, "nothing is new enough");
+}
+
+#[test]
+fn without_a_keeper_a_gateway_goes_on_at_its_usual_rate() {
+    let mut gateway = gateway();
+    gateway.set_sharers(73);
+    // Ten a second, reported in vain from the start on.
+    let passed = |gateway: &mut LimitGateway, from: u64, until: u64, per_second: u64| {
+        let mut passed = 0;
+        for request in 0..(until - from) * per_second {
+            let now = START + Duration::from_millis(from * 1_000 + request * 1_000 / per_second);
+            gateway.report(KEEPER, now);
+            gateway.unanswered(KEEPER);
+            passed += u32::from(matches!(admit(gateway, now), Admission::Pass { .. }));
+        }
+        passed
+    };
+    passed(&mut gateway, 0, 2, 10);
+    assert!(gateway.is_silent(KEEPER, START + Duration::from_secs(3)));
+    let usual = passed(&mut gateway, 3, 13, 10);
+    assert!(usual >= 50, "{usual} of 100 requests as usual");
+    let many = passed(&mut gateway, 13, 23, 100);
+    assert!(many <= 150, "{many} of 1,000 requests at ten times the usual");
+}
+
+#[test]
+fn a_permit_that_is_given_back_is_reported_at_once_while_others_wait_for_it() {
+    let mut gateway = gateway();
+    let program = Some(ProgramKey(7));
+    admit(&mut gateway, START);
+    assert!(!gateway.give_back(KEEPER, &oak(), program, START));
+    let report = gateway.report(KEEPER, START).expect("both");
+    assert_eq!(report.usage[0].unused, [program]);
+    gateway.counted(KEEPER, report.number, &counted(true), START);
+    assert!(gateway.give_back(KEEPER, &oak(), program, START));
+}
