--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,16 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dahlia_adapters::{ClientSettings, KeyValueClient};
 use dahlia_configuration::Record;
 use dahlia_durable::Opened;
+use dahlia_node::wire::MessageKind;
 use dahlia_node::{Node, RecoverError};
 use dahlia_replication::group::DurableReplica;
 use dahlia_types::{Incarnation, PeerKey, ReplicaId};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use crate::answers::AnswerBoard;
 use crate::chunk_store::{OpenError, StoreTasks};
@@ -26,14 +29,18 @@
 use crate::handshake::Identity;
 use crate::layout_store::SharedLayoutStore;
 use crate::listeners;
+use crate::logging::part;
 use crate::machine_list;
 use crate::metrics::Metrics;
 use crate::node_settings::node_settings;
-use crate::peers::{self, Incoming, PeerSender, Traffic};
+use crate::peers::{self, Incoming, PeerSender};
 use crate::platform_state::PlatformState;
 use crate::serve_answers::{self, AnswerSink};
 use crate::settings::Settings;
+use crate::traffic::Traffic;
 
+/// Time between lines on what was sent: one line in fifteen seconds costs nothing.
+const TRAFFIC_INTERVAL: Duration = Duration::from_secs(15);
 /// Messages of peers that may wait for the node.
 const PEER_INBOX: usize = 8_192;
 
@@ -86,7 +93,6 @@
     /// Where other daemons connect.
     pub peer_address: SocketAddr,
     traffic: Arc<Traffic>,
-    datagrams: DatagramSender,
     pub(crate) identity: Identity,
     pub(crate) board: AnswerBoard,
     /// What the daemon counts.
@@ -99,7 +105,7 @@
 impl ControlParts {
     /// Bytes sent to other daemons, without headers of TCP, UDP and IP.
     pub fn bytes_sent(&self) -> u64 {
-        self.traffic.bytes() + self.datagrams.bytes()
+        self.traffic.bytes()
     }
 
     /// Waits until the node's task has ended by itself: another life of this daemon has taken its
@@ -172,9 +178,12 @@
     let (incoming, peers_inbox) = mpsc::channel(PEER_INBOX);
     let board = AnswerBoard::default();
     let (publisher, in_force) = watch::channel(None);
-    let datagrams = DatagramSender::new(identity.clone(), socket.clone());
-    let peers = PeerSender::new(identity.clone(), incoming.clone(), datagrams.clone());
-    let traffic = peers.traffic();
+    let traffic = Arc::new(Traffic::new().context(MetricsSnafu)?);
+    for collector in traffic.collectors() {
+        metrics.registry().register(collector).context(MetricsSnafu)?;
+    }
+    let datagrams = DatagramSender::new(identity.clone(), socket.clone(), traffic.clone());
+    let peers = PeerSender::new(identity.clone(), incoming.clone(), datagrams, traffic.clone());
     let parts = CoreParts {
         peers,
         engines: EngineTasks::new(core.clone(), board.clone()),
@@ -195,6 +204,7 @@
         tokio::spawn(peers::listen(peer_listener, identity.clone(), incoming.clone())),
         tokio::spawn(datagrams::receive(socket, identity.clone(), incoming)),
         tokio::spawn(take_incoming(peers_inbox, core.clone(), board.clone())),
+        tokio::spawn(log_traffic(traffic.clone())),
     ];
     if let Some(machines) = settings.platform.machines {
         tasks.push(tokio::spawn(machine_list::follow(machines, core.clone())));
@@ -204,7 +214,6 @@
         clock,
         peer_address,
         traffic,
-        datagrams,
         identity,
         board,
         metrics,
@@ -254,6 +263,26 @@
     })
 }
 
+/// Tells now and then what was sent to other daemons, for whoever has only the logs.
+async fn log_traffic(traffic: Arc<Traffic>) {
+    loop {
+        sleep(TRAFFIC_INTERVAL).await;
+        let of = |kind| traffic.readings().find(|reading| reading.kind == kind);
+        let bytes = |kind| of(kind).map_or(0, |reading| reading.bytes);
+        log::info!(
+            target: part::PEERS,
+            groups = bytes(MessageKind::Groups),
+            membership = bytes(MessageKind::Membership),
+            documents = bytes(MessageKind::Documents),
+            requests = bytes(MessageKind::Requests),
+            responses = bytes(MessageKind::Responses),
+            feed = bytes(MessageKind::Feed),
+            all = traffic.bytes();
+            "Bytes sent to other daemons."
+        );
+    }
+}
+
 async fn take_incoming(mut inbox: mpsc::Receiver<Incoming>, core: CoreHandle, board: AnswerBoard) {
     while let Some(incoming) = inbox.recv().await {
         match incoming {
--- a/crates/daemon/src/datagrams.rs
+++ b/crates/daemon/src/datagrams.rs
@@ -7,7 +7,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use dahlia_node::wire::PeerMessage;
 use dahlia_types::{DaemonId, Incarnation, ReplicaId};
@@ -18,6 +17,7 @@
 use crate::handshake::Identity;
 use crate::logging::part;
 use crate::peers::Incoming;
+use crate::traffic::Traffic;
 
 /// Largest datagram: fits into an Ethernet frame with the headers of UDP and IPv6.
 const LARGEST_DATAGRAM: usize = 1_400;
@@ -38,13 +38,13 @@
 pub struct DatagramSender {
     identity: Identity,
     socket: Arc<UdpSocket>,
-    bytes: Arc<AtomicU64>,
+    traffic: Arc<Traffic>,
 }
 
 impl DatagramSender {
     /// Sends from `socket`.
-    pub fn new(identity: Identity, socket: Arc<UdpSocket>) -> Self {
-        Self { identity, socket, bytes: Arc::default() }
+    pub fn new(identity: Identity, socket: Arc<UdpSocket>, traffic: Arc<Traffic>) -> Self {
+        Self { identity, socket, traffic }
     }
 
     /// Sends a message if it fits. Returns whether it did; it may still be lost on the way.
@@ -56,7 +56,7 @@
             return false;
         }
         match self.socket.try_send_to(&bytes, peer) {
-            Ok(sent) => drop(self.bytes.fetch_add(sent as u64, Ordering::Relaxed)),
+            Ok(sent) => self.traffic.count(message.kind(), sent),
             Err(error) => {
                 log::debug!(target: part::PEERS, "No datagram to {peer}: {error}.");
             }
@@ -64,11 +64,6 @@
         true
     }
 
-    /// Bytes sent so far, without headers of UDP and IP.
-    pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
-    }
-
     fn encode(&self, message: &PeerMessage) -> Option<Vec<u8>> {
         let config = bincode::config::standard();
         let message = bincode::serde::encode_to_vec(message, config).ok()?;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `listeners` | sockets that a daemon listens on |
 //! | `machine_list` | reads the platform's list of machines |
 //! | `node_settings` | what a node is told of the settings |
+//! | `traffic` | what was sent to other daemons, by kind |
 //! | `answers`, `serve_answers` | text of answers, and its readers |
 
 mod answers;
@@ -66,3 +67,4 @@
 pub mod reconnect;
 mod serve_answers;
 pub mod settings;
+pub mod traffic;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,7 +3,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,6 +18,7 @@
 use crate::handshake::Identity;
 use crate::logging::part;
 use crate::reconnect::ReconnectPauses;
+use crate::traffic::Traffic;
 
 /// Messages that may wait for one peer; later ones are dropped.
 const QUEUE_PER_PEER: usize = 4_096;
@@ -47,30 +47,6 @@
     },
 }
 
-/// What a daemon has sent to others, without headers of TCP and IP.
-#[derive(Debug, Default)]
-pub struct Traffic {
-    bytes: AtomicU64,
-    frames: AtomicU64,
-}
-
-impl Traffic {
-    fn count(&self, bytes: usize) {
-        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
-        self.frames.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Bytes of all frames.
-    pub fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
-    }
-
-    /// Number of frames.
-    pub fn frames(&self) -> u64 {
-        self.frames.load(Ordering::Relaxed)
-    }
-}
-
 /// Sends messages to other daemons. Cheap to clone.
 #[derive(Clone)]
 pub struct PeerSender {
@@ -88,13 +64,9 @@
         identity: Identity,
         lost: mpsc::Sender<Incoming>,
         datagrams: DatagramSender,
+        traffic: Arc<Traffic>,
     ) -> Self {
-        Self { identity, lost, traffic: Arc::default(), datagrams, queues: Arc::default() }
-    }
-
-    /// What was sent so far.
-    pub fn traffic(&self) -> Arc<Traffic> {
-        self.traffic.clone()
+        Self { identity, lost, traffic, datagrams, queues: Arc::default() }
     }
 
     /// Sends a message to the daemon at `peer`; drops it when the queue is full.
@@ -194,7 +166,7 @@
 ) -> Result<(), FrameError> {
     let mut next = Some(first);
     while let Some(message) = next {
-        traffic.count(frames.feed(&message).await?);
+        traffic.count(message.kind(), frames.feed(&message).await?);
         next = waiting.try_recv().ok();
     }
     frames.flush().await
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -123,6 +123,9 @@
     Tolerance(LossTolerance),
     /// This daemon has read a document that others may need from it.
     Share(SharedDocument),
+    /// The same of a document that others have by the same way as this daemon: it is kept for those that
+    /// ask, and nobody is told.
+    Hold(SharedDocument),
     /// This daemon has read the outside source that daemons share.
     SourceRead(SourceReport),
     /// Attempts of this daemon at a back end failed: others are told.
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -1,5 +1,5 @@
-//! How many daemons keep up with an outside source of which each call costs: one daemon of a zone
-//! reads it, and reports what it read to the others of its zone.
+//! How many daemons keep up with an outside source of which each call costs: one daemon of a zone, or a
+//! few of a large one, reads it and reports what it read to the others of its zone.
 //!
 //! What makes that safe is the time as of which a report holds. A report says that nothing else has
 //! changed up to a revision, and how long ago the call began that found so. A daemon without a
@@ -17,10 +17,13 @@
 use serde::{Deserialize, Serialize};
 
 /// Bytes of one report; a longer one is sent without its contents, so that each daemon reads for
-/// itself. At 30 Mbit/s fifty copies of the longest take half a second.
-const LONGEST_REPORT: usize = 32 * 1024;
-/// Bytes of earlier reports that are kept for daemons that missed one or come new.
-const KEPT_BYTES: usize = 64 * 1024;
+/// itself. At 30 Mbit/s copies of the longest for all subscribers of a reader take 1.3 s.
+const LONGEST_REPORT: usize = 96 * 1024;
+/// Daemons to each reader of a zone: what a reader sends grows with them, and its link does not.
+const DAEMONS_PER_READER: usize = 50;
+/// Bytes of earlier reports that are kept for daemons that missed one or come new: some seven seconds
+/// of 230 changes a second, a release of a third of 10,000 servers.
+const KEPT_BYTES: usize = 512 * 1024;
 /// Renewals that a subscriber may miss.
 const MISSED_RENEWALS: u64 = 3;
 /// How long a reader is passed over that has reported nothing fresh.
@@ -199,12 +202,7 @@
         self.next_review = now + self.settings.renewal();
         self.subscribers.retain(|_, subscriber| now < subscriber.until);
         self.passed_over.retain(|_, until| now < *until);
-        let best = sharing.iter().filter(|(daemon, _)| !self.passed_over.contains_key(daemon));
-        let best = best.min_by_key(|(daemon, _)| rank(*daemon));
-        let is_shared = sharing.len() >= self.settings.fewest_sharing;
-        let Some((daemon, address)) =
-            best.copied().filter(|(daemon, _)| is_shared && *daemon != self.own)
-        else {
+        let Some((daemon, address)) = self.choose_reader(sharing) else {
             self.reader = None;
             return;
         };
@@ -215,6 +213,27 @@
         self.actions.push(FeedAction::Send { to: address, message });
     }
 
+    /// Who is to report to this daemon: one of the first of its zone, in an order that all agree on, as
+    /// many as the zone's size needs. None when this daemon is one of them, or when too few share.
+    fn choose_reader(&self, sharing: &[(DaemonId, SocketAddr)]) -> Option<(DaemonId, SocketAddr)> {
+        if sharing.len() < self.settings.fewest_sharing {
+            return None;
+        }
+        let mut readers: Vec<(DaemonId, SocketAddr)> = sharing
+            .iter()
+            .filter(|(daemon, _)| !self.passed_over.contains_key(daemon))
+            .copied()
+            .collect();
+        readers.sort_by_key(|(daemon, _)| rank(*daemon));
+        readers.truncate(sharing.len().div_ceil(DAEMONS_PER_READER));
+        if readers.iter().any(|(daemon, _)| *daemon == self.own) {
+            return None;
+        }
+        // The high bits of a product are the well mixed ones.
+        let own = (rank(self.own) >> 32) as usize;
+        readers.get(own.checked_rem(readers.len())?).copied()
+    }
+
     /// Decides anew whether to read.
     pub fn tick(&mut self, now: Timestamp) {
         self.pass_over_silent(now);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `bootstrap` | the first layout of groups |
 //! | `history` | old turns on store daemons' disks |
 //! | `feed`, `source` | sharing what few daemons read of an outside source: decisions, and this node's part |
+//! | `line_limit` | how many lines of one kind reach the log |
 //! | `members` | which daemons are there, and where groups are |
 //! | `upkeep` | replicas that are gone or leave are replaced |
 //! | `engines` | what is known of engines |
@@ -46,6 +47,7 @@
 mod key_value;
 mod ledger;
 mod limits;
+mod line_limit;
 mod members;
 mod node;
 mod orders;
@@ -73,6 +75,7 @@
 pub use feed::{FeedMessage, FeedOrder, FeedSettings, SourceReading, SourceReport};
 pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueStep};
+pub use line_limit::LineLimit;
 pub use members::DaemonView;
 pub use node::{Node, NodeStatus};
 pub use settings::{NodeFaults, NodeSettings};
--- a/platform/src/line_limit.rs
+++ b/crates/node/src/line_limit.rs
@@ -8,21 +8,33 @@
 const SPAN: Duration = Duration::from_secs(60);
 
 /// Counts lines of one kind.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone)]
 pub struct LineLimit {
+    most: u32,
     since: Timestamp,
     written: u32,
     passed_over: u64,
 }
 
+impl Default for LineLimit {
+    fn default() -> Self {
+        Self::new(MOST_LINES)
+    }
+}
+
 impl LineLimit {
+    /// Allows `most` lines a minute.
+    pub fn new(most: u32) -> Self {
+        Self { most, since: Timestamp::ZERO, written: 0, passed_over: 0 }
+    }
+
     /// Whether a line may be written now. Gives how many were not since the last one.
     pub fn allow(&mut self, now: Timestamp) -> Option<u64> {
         if now.since(self.since) >= SPAN {
             self.since = now;
             self.written = 0;
         }
-        if self.written >= MOST_LINES {
+        if self.written >= self.most {
             self.passed_over += 1;
             return None;
         }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -15,6 +15,9 @@
 use crate::wire::PeerMessage;
 use crate::{Action, BackendFailure, SharedDocument};
 
+/// Lines a minute on members that come, change and go; beyond, only their number is told.
+pub(crate) const MOST_MEMBER_LINES: u32 = 300;
+
 /// A daemon as operators see it.
 #[derive(Debug, Clone)]
 pub struct DaemonView {
@@ -36,14 +39,17 @@
                     self.actions.push(Action::Send { to, message });
                 }
                 MembershipAction::MemberChanged(record) => {
-                    log::info!(
-                        target: "members",
-                        daemon:% = record.info.replica(),
-                        state:? = record.info.state,
-                        health:? = record.health,
-                        version = record.version;
-                        "A member changed."
-                    );
+                    if let Some(passed_over) = self.member_lines.allow(now) {
+                        log::info!(
+                            target: "members",
+                            daemon:% = record.info.replica(),
+                            state:? = record.info.state,
+                            health:? = record.health,
+                            version = record.version,
+                            lines_passed_over = passed_over;
+                            "A member changed."
+                        );
+                    }
                     self.note_life(&record.info, now);
                 }
                 MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
@@ -61,6 +67,12 @@
         self.membership.publish(FactKey::Document(number), version, bytes);
     }
 
+    /// Keeps a document that others have by the same way.
+    pub(crate) fn hold_document(&mut self, document: SharedDocument) {
+        let SharedDocument { number, version, bytes } = document;
+        self.membership.hold(FactKey::Document(number), version, bytes);
+    }
+
     /// Tells others of attempts at a back end that failed here.
     pub(crate) fn report_backend_failure(&mut self, failure: &BackendFailure) {
         // A later life of this daemon begins above all versions of this one.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,6 +23,8 @@
 use crate::group::Group;
 use crate::history::History;
 use crate::limits::LimitKeepers;
+use crate::line_limit::LineLimit;
+use crate::members::MOST_MEMBER_LINES;
 use crate::orders::Orders;
 use crate::request::NotRunCause;
 use crate::routing::{ReplyTo, Router};
@@ -64,6 +66,7 @@
     pub(crate) feed: Option<Feed>,
     /// Reports of failed back ends that this life has made.
     pub(crate) failure_reports: u64,
+    pub(crate) member_lines: LineLimit,
 }
 
 /// What a node says of itself.
@@ -155,6 +158,7 @@
             unsynced: Coalescer::new(),
             draining: false,
             failure_reports: 0,
+            member_lines: LineLimit::new(MOST_MEMBER_LINES),
         };
         if node.settings.has_store {
             node.publish_store();
@@ -192,6 +196,7 @@
             Event::Recalled(addresses) => self.membership.recall(addresses),
             Event::Tolerance(tolerance) => self.change_tolerance(tolerance, now),
             Event::Share(document) => self.share(document),
+            Event::Hold(document) => self.hold_document(document),
             Event::SourceRead(report) => self.source_read(report, now),
             Event::BackendFailed(failure) => self.report_backend_failure(&failure),
             Event::ImageWanted(group) => self.record_image(group),
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -127,3 +127,68 @@
     /// Of what few daemons read of an outside source.
     Feed(FeedMessage),
 }
+
+/// What a message is about, as its bytes are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageKind {
+    /// Replica groups.
+    Groups,
+    /// The operators' configuration.
+    Configuration,
+    /// Probes and news of members, and comparisons.
+    Membership,
+    /// Documents that daemons give each other.
+    Documents,
+    /// Bulk history.
+    Chunks,
+    /// Requests to owners of groups.
+    Requests,
+    /// Answers to these.
+    Responses,
+    /// What few daemons read of an outside source.
+    Feed,
+}
+
+impl MessageKind {
+    /// All of them, in the order of their declaration.
+    pub const ALL: [Self; 8] = [
+        Self::Groups,
+        Self::Configuration,
+        Self::Membership,
+        Self::Documents,
+        Self::Chunks,
+        Self::Requests,
+        Self::Responses,
+        Self::Feed,
+    ];
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Groups => "groups",
+            Self::Configuration => "configuration",
+            Self::Membership => "membership",
+            Self::Documents => "documents",
+            Self::Chunks => "chunks",
+            Self::Requests => "requests",
+            Self::Responses => "responses",
+            Self::Feed => "feed",
+        }
+    }
+}
+
+impl PeerMessage {
+    /// What it is about.
+    pub fn kind(&self) -> MessageKind {
+        match self {
+            Self::Groups(_) => MessageKind::Groups,
+            Self::Configuration(_) => MessageKind::Configuration,
+            Self::Membership(envelope) if envelope.has_documents() => MessageKind::Documents,
+            Self::Membership(_) => MessageKind::Membership,
+            Self::Chunks(_) => MessageKind::Chunks,
+            Self::Request { .. } | Self::PassOn { .. } => MessageKind::Requests,
+            Self::Response { .. } => MessageKind::Responses,
+            Self::Feed(_) => MessageKind::Feed,
+        }
+    }
+}
--- a/crates/replication/src/membership/facts.rs
+++ b/crates/replication/src/membership/facts.rs
@@ -6,6 +6,8 @@
 use dahlia_types::{DaemonId, Duration, EngineId, GroupId, Timestamp};
 use serde::{Deserialize, Serialize};
 
+use super::buckets::Buckets;
+
 /// What a fact is about.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum FactKey {
@@ -79,6 +81,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Facts {
     held: BTreeMap<FactKey, Held>,
+    /// Of those that are compared with other members.
+    hashes: Buckets,
 }
 
 impl Facts {
@@ -91,10 +95,20 @@
         if known.is_none() && self.held.len() >= max_facts {
             return false;
         }
+        if !fact.key.is_load() {
+            if let Some(held) = known {
+                self.hashes.toggle_fact(&held.fact);
+            }
+            self.hashes.toggle_fact(&fact);
+        }
         self.held.insert(fact.key.clone(), Held { fact, since: now });
         true
     }
 
+    pub fn hashes(&self) -> &Buckets {
+        &self.hashes
+    }
+
     pub fn get(&self, key: &FactKey) -> Option<&Fact> {
         self.held.get(key).map(|held| &held.fact)
     }
--- a/crates/replication/src/membership/members.rs
+++ b/crates/replication/src/membership/members.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use dahlia_types::{DaemonId, Duration, Region, Timestamp};
+use dahlia_types::{DaemonId, Duration, Region, Timestamp, Zone};
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
+use super::buckets::Buckets;
 use super::{Health, Member, MemberRecord};
 
 /// Fewer members than this in the own region are not enough to detect failures there.
@@ -16,6 +17,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Members {
     table: BTreeMap<DaemonId, Member>,
+    /// Of what is held of them.
+    hashes: Buckets,
     probe_order: Vec<DaemonId>,
 }
 
@@ -28,6 +31,14 @@
         self.table.values()
     }
 
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    pub fn hashes(&self) -> &Buckets {
+        &self.hashes
+    }
+
     /// Members that are not dead.
     pub fn present(&self) -> impl Iterator<Item = &Member> {
         self.table.values().filter(|member| member.record.health != Health::Dead)
@@ -53,6 +64,10 @@
                 && member.record.info.incarnation == record.info.incarnation
         });
         let since = same_health.map_or(now, |member| member.since);
+        if let Some(member) = known {
+            self.hashes.toggle_member(&member.record);
+        }
+        self.hashes.toggle_member(record);
         self.table.insert(record.info.daemon, Member { record: record.clone(), since });
         true
     }
@@ -128,6 +143,17 @@
         chosen
     }
 
+    /// How many present members a zone has.
+    pub fn count_of(&self, zone: &Zone) -> usize {
+        self.present().filter(|member| member.record.info.zone == *zone).count()
+    }
+
+    /// Up to `count` different present members of a zone.
+    pub fn choose_of(&self, zone: &Zone, count: usize, random: &mut ChaCha8Rng) -> Vec<DaemonId> {
+        let there = self.present().filter(|member| member.record.info.zone == *zone);
+        there.map(|member| member.record.info.daemon).choose_multiple(random, count)
+    }
+
     /// A dead member that may have come back behind a healed cut.
     pub fn choose_dead(&self, random: &mut ChaCha8Rng) -> Option<DaemonId> {
         let dead = self.table.values().filter(|member| member.record.health == Health::Dead);
--- a/crates/replication/src/membership/message.rs
+++ b/crates/replication/src/membership/message.rs
@@ -5,7 +5,7 @@
 use dahlia_types::{DaemonId, ReplicaId};
 use serde::{Deserialize, Serialize};
 
-use super::{Fact, MemberRecord};
+use super::{Fact, FactKey, MemberRecord};
 
 /// A message with the news that fit beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +22,13 @@
     pub facts: Vec<Fact>,
 }
 
+impl Envelope {
+    /// Whether it carries documents.
+    pub fn has_documents(&self) -> bool {
+        self.facts.iter().any(|fact| matches!(fact.key, FactKey::Document(_)))
+    }
+}
+
 /// What a message says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberMessage {
--- a/crates/replication/src/membership/mod.rs
+++ b/crates/replication/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //! Each region detects its own failures; across regions go only a share of the gossip and of
 //! the comparisons. A region that is cut off is therefore not declared dead by the others.
 
+mod buckets;
 mod detector;
 mod facts;
 mod gossip;
--- a/crates/replication/src/membership/settings.rs
+++ b/crates/replication/src/membership/settings.rs
@@ -33,8 +33,14 @@
     /// Milliseconds between comparisons with a random member. A daemon that starts compares
     /// more often at first.
     pub sync_interval_ms: u64,
-    /// Most bytes of one message that answers a comparison.
+    /// Bytes per second that answers to comparisons may use. Twice as many may go at once: the tables of
+    /// some 1,700 members, to a daemon that starts.
+    pub sync_bytes_per_second: u64,
+    /// Most bytes of one message that answers a comparison. With its envelope it fits into a datagram: a
+    /// connection to each member that ever compared would be thousands.
     pub sync_chunk_bytes: usize,
+    /// Share of comparisons that goes to any zone, where the own one has enough members.
+    pub cross_zone_share: f64,
     /// Share of gossip and of comparisons that goes to another region.
     pub cross_region_share: f64,
     /// Milliseconds that the dead are remembered.
@@ -63,7 +69,9 @@
             gossip_bytes_per_second: 1_400,
             max_message_bytes: 1_200,
             sync_interval_ms: 30_000,
-            sync_chunk_bytes: 8 * 1024,
+            sync_bytes_per_second: 64 * 1024,
+            sync_chunk_bytes: 1_200,
+            cross_zone_share: 0.2,
             cross_region_share: 0.05,
             forget_dead_after_ms: 3_600_000,
             load_fact_lifetime_ms: 30_000,
@@ -94,6 +102,9 @@
         let smallest = self.max_fact_bytes + 400;
         check_range("membership.max_message_bytes", self.max_message_bytes, smallest, 60_000)?;
         check_range("membership.sync_interval_ms", self.sync_interval_ms, 100, 3_600_000)?;
+        let rate = self.sync_bytes_per_second;
+        check_range("membership.sync_bytes_per_second", rate, 1_000, 1 << 30)?;
+        check_range("membership.cross_zone_share", self.cross_zone_share, 0.0, 1.0)?;
         check_range("membership.sync_chunk_bytes", self.sync_chunk_bytes, smallest, 1 << 20)?;
         check_range("membership.cross_region_share", self.cross_region_share, 0.0, 1.0)?;
         let forget = self.forget_dead_after_ms;
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -12,6 +12,7 @@
 use super::gossip::{Budget, Known, Limits, News, Queue, Subject};
 use super::members::Members;
 use super::recall::Recalled;
+use super::sync::MANY_NEWS;
 use super::{
     Envelope, Fact, FactKey, Health, Member, MemberInfo, MemberMessage, MemberRecord, MemberState,
     MembershipSettings,
@@ -69,6 +70,8 @@
     pub(super) facts: Facts,
     pub(super) queue: Queue,
     pub(super) budget: Budget,
+    /// Of answers to comparisons.
+    pub(super) sync_budget: Budget,
     pub(super) probe: Option<Probe>,
     pub(super) recalled: Recalled,
     pub(super) next_sequence: u32,
@@ -92,6 +95,7 @@
         now: Timestamp,
     ) -> Self {
         let budget = Budget::new(settings.gossip_bytes_per_second, now);
+        let sync_budget = Budget::new(settings.sync_bytes_per_second, now);
         let seed = seed ^ (u64::from(own.daemon.0) << 32) ^ own.incarnation.0;
         let mut membership = Self {
             own: MemberRecord { info: own, version: 0, health: Health::Alive },
@@ -103,6 +107,7 @@
             facts: Facts::default(),
             queue: Queue::default(),
             budget,
+            sync_budget,
             probe: None,
             recalled: Recalled::default(),
             next_sequence: 0,
@@ -201,6 +206,14 @@
         self.merge_fact(fact)
     }
 
+    /// Takes in a document that others get by the same way as this daemon: it is there for comparisons,
+    /// and nobody is told at once.
+    pub fn hold(&mut self, key: FactKey, version: u64, bytes: Vec<u8>) {
+        let has_document_news = self.has_document_news;
+        self.publish(key, version, bytes);
+        self.has_document_news = has_document_news;
+    }
+
     /// The newest known version of a fact.
     pub fn fact(&self, key: &FactKey) -> Option<&Fact> {
         self.facts.get(key)
@@ -250,10 +263,7 @@
         if !std::mem::take(&mut self.has_document_news) {
             return;
         }
-        let fanout = self.settings.gossip_fanout;
-        let share = self.settings.cross_region_share;
-        let region = self.own.info.region.clone();
-        for daemon in self.members.choose(fanout, &region, share, &mut self.random) {
+        for daemon in self.choose_compared(self.settings.gossip_fanout) {
             self.compare_with(daemon);
         }
     }
@@ -308,6 +318,7 @@
         self.recalled.heard_from(&address);
         // A table of others is known to others: only what changes an entry spreads on.
         let is_table = matches!(body, MemberMessage::SyncChunk(_));
+        let known_before = self.members.len();
         for record in members {
             if is_table && self.members.get(record.info.daemon).is_none() {
                 self.learn_record(record);
@@ -315,14 +326,19 @@
                 self.merge_record(record);
             }
         }
+        if is_table && self.members.len() >= known_before + MANY_NEWS {
+            // What one member can tell in one answer is bounded: there is more to learn.
+            self.next_sync = self.next_sync.min(self.now + self.settings.gossip_interval());
+        }
         for fact in facts {
-            if self.merge_fact(fact.clone()) {
-                self.actions.push(Action::FactChanged(fact));
-            }
+            self.take_fact(from.daemon, fact);
         }
         // It knows an earlier life of this daemon, which knew it. Where all seeds began anew at the
         // same moment, nobody else can tell of the daemons that went on.
-        if from.daemon != self.own.info.daemon && self.members.get(from.daemon).is_none() {
+        // An answer to a comparison is no sign of that, and comes in many messages.
+        let is_unknown =
+            from.daemon != self.own.info.daemon && self.members.get(from.daemon).is_none();
+        if is_unknown && !is_table {
             self.compare_at(address, Vec::new());
         }
         match body {
@@ -341,6 +357,15 @@
         }
     }
 
+    fn take_fact(&mut self, from: DaemonId, fact: Fact) {
+        let held = self.facts.get(&fact.key).map(|held| held.version);
+        if matches!(fact.key, FactKey::Document(_)) && held > Some(fact.version) {
+            self.answer_old_document(from, &fact.key);
+        } else if self.merge_fact(fact.clone()) {
+            self.actions.push(Action::FactChanged(fact));
+        }
+    }
+
     fn merge_fact(&mut self, fact: Fact) -> bool {
         let key = fact.key.clone();
         let is_gossiped = key.is_gossiped();
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -7,15 +7,12 @@
 
 use dahlia_types::DaemonId;
 use rand::Rng;
+use rand::seq::SliceRandom;
 
-use super::facts::Facts;
-use super::members::Members;
+use super::buckets::{differing, fact_bucket, has_bit, member_bucket};
 use super::state::Membership;
 use super::{Fact, FactKey, Health, MemberMessage, MemberRecord, SyncChunk, SyncDigest};
 
-/// Buckets of members and of facts; one bit each in a [`SyncChunk`].
-const BUCKETS: usize = 64;
-
 /// Daemons that compare with a new member of their own accord, on average. The chance that none
 /// does is about `exp(-4)`, 2 in 100; then its own comparisons with others that began are left.
 const GREETERS: f64 = 4.0;
@@ -23,90 +20,22 @@
 /// How often a dead member is tried instead of a present one.
 const DEAD_SHARE: f64 = 0.25;
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+/// Members of the own zone from which on comparisons mostly stay there.
+const FEWEST_OF_ZONE: usize = 8;
 
-/// FNV-1a over words, with a final mix so that all bits count.
-fn hash(words: &[u64]) -> u64 {
-    let mut state = FNV_OFFSET;
-    for word in words {
-        for byte in word.to_le_bytes() {
-            state = (state ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-        }
-    }
-    state ^ (state >> 32)
-}
+/// Bytes of an answer beyond the budget: a message of a dozen records, of which those that hold groups
+/// are first. Whoever asks knows whom else to ask then.
+const LEAST_ANSWER: usize = 1_000;
 
-fn member_bucket(daemon: DaemonId) -> usize {
-    daemon.0 as usize % BUCKETS
-}
-
-fn fact_words(key: &FactKey) -> [u64; 2] {
-    match key {
-        FactKey::Configuration => [0, 0],
-        FactKey::Group(group) => [1, u64::from(group.0)],
-        FactKey::DaemonLoad(daemon) => [2, u64::from(daemon.0)],
-        FactKey::Other(number) => [3, u64::from(*number)],
-        FactKey::Document(number) => [5, u64::from(*number)],
-        FactKey::EngineLoad(engine) => [4, hash_of_text(engine.as_str())],
-        FactKey::BackendFailure { backend, reporter } => {
-            [6, hash_of_text(backend) ^ u64::from(reporter.0)]
-        }
-    }
-}
-
-fn hash_of_text(text: &str) -> u64 {
-    hash(&text.bytes().map(u64::from).collect::<Vec<u64>>())
-}
-
-fn fact_bucket(key: &FactKey) -> usize {
-    hash(&fact_words(key)) as usize % BUCKETS
-}
-
-fn digest(own: &MemberRecord, members: &Members, facts: &Facts) -> SyncDigest {
-    let mut member_hashes = vec![0_u32; BUCKETS];
-    let others = members.iter().map(|member| &member.record);
-    for record in others.chain([own]) {
-        // The dead are left out: some daemons have forgotten them and some have not.
-        if record.health == Health::Dead {
-            continue;
-        }
-        let info = &record.info;
-        let health = record.health as u64;
-        let words = [u64::from(info.daemon.0), info.incarnation.0, record.version.into(), health];
-        // Exclusive or does not depend on order.
-        member_hashes[member_bucket(info.daemon)] ^= hash(&words) as u32;
-    }
-    let mut fact_hashes = vec![0_u32; BUCKETS];
-    for fact in facts.lasting() {
-        let [kind, number] = fact_words(&fact.key);
-        fact_hashes[fact_bucket(&fact.key)] ^= hash(&[kind, number, fact.version]) as u32;
-    }
-    SyncDigest { members: member_hashes, facts: fact_hashes }
-}
-
-fn differing(own: &[u32], other: &[u32]) -> u64 {
-    let mut bits = 0;
-    for bucket in 0..BUCKETS {
-        if own.get(bucket) != other.get(bucket) {
-            bits |= 1 << bucket;
-        }
-    }
-    bits
-}
-
-fn has_bit(bits: u64, bucket: usize) -> bool {
-    bits & (1 << bucket) != 0
-}
+/// News in one answer from which on the next comparison is not put off: there is more to learn.
+pub(super) const MANY_NEWS: usize = 8;
 
 impl Membership {
     /// Starts a comparison with a random member, a dead one, or a seed.
     pub(super) fn start_sync(&mut self) {
-        let region = self.own.info.region.clone();
-        let share = self.settings.cross_region_share;
         let dead = self.members.choose_dead(&mut self.random);
         let dead = dead.filter(|_| self.random.random_bool(DEAD_SHARE));
-        let present = self.members.choose(1, &region, share, &mut self.random).first().copied();
+        let present = self.choose_compared(1).first().copied();
         if let Some(daemon) = dead.or(present) {
             self.compare_with(daemon);
             return;
@@ -120,6 +49,18 @@
         self.next_sync = self.now + self.settings.gossip_interval();
     }
 
+    /// Members to compare with, mostly of the own zone where it has enough of them: tables are what
+    /// daemons send each other most of, and bytes between zones cost.
+    pub(super) fn choose_compared(&mut self, count: usize) -> Vec<DaemonId> {
+        let own = &self.own.info;
+        let stays = !self.random.random_bool(self.settings.cross_zone_share);
+        if stays && self.members.count_of(&own.zone) >= FEWEST_OF_ZONE {
+            return self.members.choose_of(&own.zone, count, &mut self.random);
+        }
+        let share = self.settings.cross_region_share;
+        self.members.choose(count, &own.region, share, &mut self.random)
+    }
+
     /// Compares with one member.
     pub(super) fn compare_with(&mut self, daemon: DaemonId) {
         let Some(member) = self.members.get(daemon) else { return };
@@ -133,10 +74,16 @@
     /// Compares with whoever listens at an address, which learns of this daemon thereby.
     pub(super) fn compare_at(&mut self, to: SocketAddr, mut records: Vec<MemberRecord>) {
         records.insert(0, self.own.clone());
-        let digest = digest(&self.own, &self.members, &self.facts);
+        let digest = self.digest();
         self.send_to_address(to, MemberMessage::SyncRequest(digest), records, Vec::new());
     }
 
+    fn digest(&self) -> SyncDigest {
+        let mut members = self.members.hashes().clone();
+        members.toggle_member(&self.own);
+        SyncDigest { members: members.to_vec(), facts: self.facts.hashes().to_vec() }
+    }
+
     /// Some daemons compare with one that is new. It asks its seeds itself, but when these began
     /// at the same moment they know only each other, and believe that they are all.
     pub(super) fn greet(&mut self, newcomer: DaemonId) {
@@ -147,69 +94,139 @@
     }
 
     pub(super) fn answer_sync(&mut self, from: DaemonId, other: &SyncDigest) {
-        let own = digest(&self.own, &self.members, &self.facts);
-        let members = differing(&own.members, &other.members);
-        let facts = differing(&own.facts, &other.facts);
-        if members == 0 && facts == 0 {
-            return;
+        let own = self.digest();
+        let wanted = Wanted {
+            members: differing(&own.members, &other.members),
+            facts: differing(&own.facts, &other.facts),
+            documents: self.lacking_documents(&own, other),
+        };
+        if wanted.members != 0 || wanted.facts != 0 {
+            self.send_buckets(from, wanted, true);
         }
-        self.send_buckets(from, members, facts, true);
     }
 
     pub(super) fn take_sync_chunk(&mut self, from: DaemonId, chunk: SyncChunk) {
-        if chunk.wanted_members != 0 || chunk.wanted_facts != 0 {
-            self.send_buckets(from, chunk.wanted_members, chunk.wanted_facts, false);
+        let SyncChunk { wanted_members, wanted_facts } = chunk;
+        if wanted_members != 0 || wanted_facts != 0 {
+            let wanted =
+                Wanted { members: wanted_members, facts: wanted_facts, documents: wanted_facts };
+            self.send_buckets(from, wanted, false);
         }
     }
 
-    /// Sends everything in some buckets, in messages of bounded size.
-    fn send_buckets(&mut self, to: DaemonId, members: u64, facts: u64, wants_return: bool) {
+    /// Gives a newer document to whoever sent an older one.
+    pub(super) fn answer_old_document(&mut self, to: DaemonId, key: &FactKey) {
+        let Some(fact) = self.facts.get(key).cloned() else { return };
         let Some(address) = self.members.get(to).map(|member| member.record.info.address) else {
             return;
         };
-        let chunks = self.chunks(members, facts);
-        for (position, (records, facts_sent)) in chunks.into_iter().enumerate() {
-            let is_asking = wants_return && position == 0;
-            let chunk = SyncChunk {
-                wanted_members: if is_asking { members } else { 0 },
-                wanted_facts: if is_asking { facts } else { 0 },
+        self.sync_budget.spend(fact.wire_bytes());
+        let chunk = SyncChunk { wanted_members: 0, wanted_facts: 0 };
+        self.send_to_address(address, MemberMessage::SyncChunk(chunk), Vec::new(), vec![fact]);
+    }
+
+    /// Buckets whose documents the other one certainly, or possibly, has in no version. Where it has
+    /// one, hashes do not tell whose is newer, and the other one is asked for its own first: documents
+    /// are long, and as a rule whoever asks has news.
+    fn lacking_documents(&self, own: &SyncDigest, other: &SyncDigest) -> u64 {
+        let differing = differing(&own.facts, &other.facts);
+        let mut lacking = 0;
+        for fact in self.facts.lasting().filter(|fact| is_document(fact)) {
+            let bucket = fact_bucket(&fact.key);
+            let has_none = other.facts.get(bucket).is_none_or(|hash| *hash == 0);
+            let is_alone = || {
+                let mut there = self.facts.lasting();
+                !there.any(|it| it.key != fact.key && fact_bucket(&it.key) == bucket)
             };
-            self.send_to_address(address, MemberMessage::SyncChunk(chunk), records, facts_sent);
+            if has_bit(differing, bucket) && (has_none || !is_alone()) {
+                lacking |= 1 << bucket;
+            }
         }
+        lacking
     }
 
-    fn chunks(&self, members: u64, facts: u64) -> Vec<Chunk> {
+    /// Sends what is in some buckets, in messages of bounded size, as far as the budget goes: where
+    /// all daemons start at once, hundreds ask the same few for all that these know. An answer that is
+    /// not whole says enough for the next comparison, with another member.
+    fn send_buckets(&mut self, to: DaemonId, wanted: Wanted, wants_return: bool) {
+        let Some(asker) = self.members.get(to).map(|member| member.record.info.clone()) else {
+            return;
+        };
+        let room = self.sync_budget.room(self.now).max(LEAST_ANSWER);
         let mut chunks = Chunks::new(self.settings.sync_chunk_bytes);
-        let others = self.members.iter().map(|member| &member.record);
-        for record in others.chain([&self.own]) {
-            if has_bit(members, member_bucket(record.info.daemon)) {
-                chunks.with_room(record.wire_bytes()).0.push(record.clone());
+        // Whoever asked a seed knows its address only.
+        chunks.with_room(self.own.wire_bytes()).0.push(self.own.clone());
+        for fact in self.facts.lasting().filter(|fact| !is_document(fact)) {
+            if has_bit(wanted.facts, fact_bucket(&fact.key)) {
+                chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
+            }
+        }
+        let mut records = self.records_in(wanted.members);
+        records.shuffle(&mut self.random);
+        // Who holds groups is needed first, then who is near.
+        records.sort_by_key(|record| (!record.info.holds_groups, record.info.zone != asker.zone));
+        for record in records {
+            if chunks.sent + record.wire_bytes() > room {
+                break;
             }
+            chunks.with_room(record.wire_bytes()).0.push(record);
         }
-        for fact in self.facts.lasting() {
-            if has_bit(facts, fact_bucket(&fact.key)) {
+        for fact in self.facts.lasting().filter(|fact| is_document(fact)) {
+            // One that is longer than all of the budget goes when anything is left of it.
+            if has_bit(wanted.documents, fact_bucket(&fact.key)) && chunks.sent < room {
                 chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
             }
         }
-        chunks.full.push(chunks.last);
-        chunks.full
+        self.sync_budget.spend(chunks.sent);
+        for (position, (records, facts)) in chunks.finish().into_iter().enumerate() {
+            let is_asking = wants_return && position == 0;
+            let chunk = SyncChunk {
+                wanted_members: if is_asking { wanted.members } else { 0 },
+                wanted_facts: if is_asking { wanted.facts } else { 0 },
+            };
+            self.send_to_address(asker.address, MemberMessage::SyncChunk(chunk), records, facts);
+        }
+    }
+
+    fn records_in(&self, buckets: u64) -> Vec<MemberRecord> {
+        let others = self.members.iter().map(|member| &member.record);
+        others
+            .filter(|record| has_bit(buckets, member_bucket(record.info.daemon)))
+            .cloned()
+            .collect()
     }
 }
 
+fn is_document(fact: &Fact) -> bool {
+    matches!(fact.key, FactKey::Document(_))
+}
+
+/// Buckets of which somebody is to get something, by bit.
+#[derive(Debug, Clone, Copy)]
+struct Wanted {
+    members: u64,
+    facts: u64,
+    /// Of the facts' buckets those whose documents are sent too.
+    documents: u64,
+}
+
 /// Records and facts of one message.
 type Chunk = (Vec<MemberRecord>, Vec<Fact>);
 
 /// Fills messages up to a limit of bytes.
 struct Chunks {
     limit: usize,
+    /// Bytes of the last message.
     used: usize,
+    /// Bytes of all.
+    sent: usize,
     full: Vec<Chunk>,
     last: Chunk,
 }
 
 impl Chunks {
     fn new(limit: usize) -> Self {
-        Self { limit, used: 0, full: Vec::new(), last: Chunk::default() }
+        Self { limit, used: 0, sent: 0, full: Vec::new(), last: Chunk::default() }
     }
 
     /// The message that takes the next `bytes`.
@@ -219,6 +236,12 @@
             self.used = 0;
         }
         self.used += bytes;
+        self.sent += bytes;
         &mut self.last
     }
+
+    fn finish(mut self) -> Vec<Chunk> {
+        self.full.push(self.last);
+        self.full
+    }
 }
--- a/crates/replication/tests/support/swarm.rs
+++ b/crates/replication/tests/support/swarm.rs
@@ -44,6 +44,8 @@
     pub loss: f64,
     pub cuts: BTreeSet<(DaemonId, DaemonId)>,
     pub largest_message: usize,
+    /// Bytes sent to daemons of other zones.
+    pub far_bytes: u64,
     /// Daemons that began to suspect another one.
     pub suspicions: u64,
     /// Whether messages are kept beside being sent.
@@ -65,6 +67,7 @@
             loss: 0.0,
             cuts: BTreeSet::new(),
             largest_message: 0,
+            far_bytes: 0,
             suspicions: 0,
             keep_messages: false,
             kept: Vec::new(),
@@ -245,6 +248,12 @@
             self.kept.push(message.clone());
         }
         let to = daemon_at(to);
+        let zone = |daemon: &DaemonId| {
+            self.nodes.get(daemon).map(|node| node.membership.own().zone.clone())
+        };
+        if zone(&from) != zone(&to) {
+            self.far_bytes += bytes as u64;
+        }
         if self.cuts.contains(&(from, to)) || self.random.random_bool(self.loss) {
             return;
         }
