--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -12,7 +12,7 @@
 use dahlia_replication::group::DurableChange;
 use dahlia_types::{GroupId, Incarnation, ReplicaId};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, sleep_until};
 
 use crate::chunk_store::StoreTasks;
 use crate::clock::Clock;
@@ -123,12 +123,15 @@
     /// Runs until every handle is gone, the disk failed, or another life of this daemon has taken
     /// its place; gives that life.
     pub async fn run(mut self) -> Option<Incarnation> {
-        let mut ticks = interval(Duration::from_micros(Node::TICK.as_micros()));
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked = Instant::now();
         while !self.stopped {
+            let pause = Duration::from_micros(self.node.tick_interval().as_micros());
             tokio::select! {
                 biased;
-                _ = ticks.tick() => self.handle(Event::Tick),
+                () = sleep_until(ticked + pause) => {
+                    self.handle(Event::Tick);
+                    ticked = Instant::now();
+                }
                 message = self.inbox.recv() => {
                     let message = message?;
                     self.take(message);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -126,6 +126,9 @@
     /// The same of a document that others have by the same way as this daemon: it is kept for those that
     /// ask, and nobody is told.
     Hold(SharedDocument),
+    /// The source that this daemon reads does not answer: the documents are wanted that daemons with
+    /// groups keep of it.
+    DocumentsWanted,
     /// This daemon has read the outside source that daemons share.
     SourceRead(SourceReport),
     /// Attempts of this daemon at a back end failed: others are told.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -65,6 +65,8 @@
 mod view;
 pub mod wire;
 
+pub use dahlia_replication::membership::FIRST_KEPT_DOCUMENT;
+
 pub use answer::{AnswerReader, Followed, StartPosition, Taken};
 pub use bootstrap::{LAYOUT_KEY, LayoutStep};
 pub use configuration::ConfigurationView;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -104,8 +104,19 @@
 }
 
 impl Node {
-    /// How often the driver sends [`Event::Tick`].
+    /// How often the driver sends [`Event::Tick`], at least.
     pub const TICK: Duration = Duration::from_millis(20);
+    /// The same while nothing is under way: what is left then are probes, gossip and subscriptions, which
+    /// are due every 200 ms and more. A gateway that takes two requests a second is idle most of the time,
+    /// and each wake-up costs.
+    const IDLE_TICK: Duration = Duration::from_millis(100);
+
+    /// How long after the last tick the next one is wanted.
+    pub fn tick_interval(&self) -> Duration {
+        let has_work = !self.router.is_empty() || !self.groups.is_empty() || self.draining;
+        let follows = self.settings.follows_configuration;
+        if has_work || follows { Self::TICK } else { Self::IDLE_TICK }
+    }
 
     /// A node that knows nothing but its settings.
     pub fn new(settings: NodeSettings, now: Timestamp) -> Self {
@@ -197,6 +208,7 @@
             Event::Tolerance(tolerance) => self.change_tolerance(tolerance, now),
             Event::Share(document) => self.share(document),
             Event::Hold(document) => self.hold_document(document),
+            Event::DocumentsWanted => self.membership.want_kept(),
             Event::SourceRead(report) => self.source_read(report, now),
             Event::BackendFailed(failure) => self.report_backend_failure(&failure),
             Event::ImageWanted(group) => self.record_image(group),
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -350,6 +350,11 @@
         self.hints.retain(|_, owner| *owner != daemon);
     }
 
+    /// Whether no request is under way.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
     /// Requests without an answer.
     pub(crate) fn len(&self) -> usize {
         self.requests.len()
--- a/crates/replication/src/membership/buckets.rs
+++ b/crates/replication/src/membership/buckets.rs
@@ -43,6 +43,13 @@
         self.0[fact_bucket(&fact.key)] ^= hash(&[kind, number, fact.version]) as u32;
     }
 
+    /// Adds the facts of another set, which has none in common with this one.
+    pub(super) fn join(&mut self, other: &Self) {
+        for (own, other) in self.0.iter_mut().zip(other.0) {
+            *own ^= other;
+        }
+    }
+
     pub(super) fn to_vec(&self) -> Vec<u32> {
         self.0.to_vec()
     }
--- a/crates/replication/src/membership/facts.rs
+++ b/crates/replication/src/membership/facts.rs
@@ -35,7 +35,16 @@
     Document(u32),
 }
 
+/// Documents with a number from here on are kept by daemons that hold groups only: they are long, they
+/// change often, and others get them by a better way. Whoever lacks them asks.
+pub const FIRST_KEPT_DOCUMENT: u32 = 1 << 16;
+
 impl FactKey {
+    /// Whether it is a document that only daemons with groups keep.
+    pub fn is_kept(&self) -> bool {
+        matches!(self, Self::Document(number) if *number >= FIRST_KEPT_DOCUMENT)
+    }
+
     /// Whether the fact is soon replaced: such facts spread by gossip only.
     pub fn is_load(&self) -> bool {
         matches!(self, Self::EngineLoad(_) | Self::DaemonLoad(_) | Self::BackendFailure { .. })
@@ -81,8 +90,10 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Facts {
     held: BTreeMap<FactKey, Held>,
-    /// Of those that are compared with other members.
+    /// Of those that are compared with every other member.
     hashes: Buckets,
+    /// Of the documents that daemons with groups keep.
+    kept_hashes: Buckets,
 }
 
 impl Facts {
@@ -96,17 +107,24 @@
             return false;
         }
         if !fact.key.is_load() {
+            let is_kept = fact.key.is_kept();
+            let hashes = if is_kept { &mut self.kept_hashes } else { &mut self.hashes };
             if let Some(held) = known {
-                self.hashes.toggle_fact(&held.fact);
+                hashes.toggle_fact(&held.fact);
             }
-            self.hashes.toggle_fact(&fact);
+            hashes.toggle_fact(&fact);
         }
         self.held.insert(fact.key.clone(), Held { fact, since: now });
         true
     }
 
-    pub fn hashes(&self) -> &Buckets {
-        &self.hashes
+    /// Of the facts that are compared: with every member, or among daemons that hold groups.
+    pub fn hashes(&self, with_kept: bool) -> Buckets {
+        let mut hashes = self.hashes.clone();
+        if with_kept {
+            hashes.join(&self.kept_hashes);
+        }
+        hashes
     }
 
     pub fn get(&self, key: &FactKey) -> Option<&Fact> {
@@ -117,9 +135,9 @@
         self.held.values().map(|held| &held.fact)
     }
 
-    /// Facts that are compared with other members.
-    pub fn lasting(&self) -> impl Iterator<Item = &Fact> {
-        self.iter().filter(|fact| !fact.key.is_load())
+    /// Facts that are compared: with every member, or among daemons that hold groups.
+    pub fn lasting(&self, with_kept: bool) -> impl Iterator<Item = &Fact> {
+        self.iter().filter(move |fact| !fact.key.is_load() && (with_kept || !fact.key.is_kept()))
     }
 
     /// Drops load facts that were not renewed.
--- a/crates/replication/src/membership/message.rs
+++ b/crates/replication/src/membership/message.rs
@@ -70,7 +70,8 @@
 pub struct SyncDigest {
     /// One hash for each bucket of members.
     pub members: Vec<u32>,
-    /// One hash for each bucket of facts.
+    /// One hash for each bucket of facts. One more value behind them says that the documents are among
+    /// them that only daemons with groups keep.
     pub facts: Vec<u32>,
 }
 
@@ -79,6 +80,7 @@
 pub struct SyncChunk {
     /// Buckets of members, by bit, that the receiver should send in return.
     pub wanted_members: u64,
-    /// Buckets of facts, by bit, that the receiver should send in return.
+    /// Buckets of facts, by bit, that the receiver should send in return. All of them, without a
+    /// comparison before, ask for the documents that only daemons with groups keep.
     pub wanted_facts: u64,
 }
--- a/crates/replication/src/membership/mod.rs
+++ b/crates/replication/src/membership/mod.rs
@@ -20,7 +20,7 @@
 mod sync;
 mod types;
 
-pub use facts::{Fact, FactKey};
+pub use facts::{FIRST_KEPT_DOCUMENT, Fact, FactKey};
 pub use message::{Envelope, MemberMessage, SyncChunk, SyncDigest};
 pub use settings::MembershipSettings;
 pub use state::{Action, Event, Membership};
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -1,5 +1,6 @@
 //! Membership of one daemon: its state and public interface.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -55,6 +56,9 @@
 const LIFE_BITS: u32 = 16;
 /// A daemon started more often than this waits for an objection, as after a suspicion.
 const MOST_LIVES: u32 = (1 << (u32::BITS - LIFE_BITS)) - 1;
+/// Rounds of gossip after a start in which unknown seeds are asked: two seconds, in which machines that
+/// lost power together are back.
+const SEED_ROUNDS: u32 = 10;
 /// Bytes of an envelope without news, at most.
 const ENVELOPE_BYTES: usize = 64;
 
@@ -63,6 +67,8 @@
 pub struct Membership {
     pub(super) own: MemberRecord,
     pub(super) seeds: Vec<SocketAddr>,
+    /// Rounds of gossip in which seeds that are not known yet are still asked.
+    seed_rounds: u32,
     pub(super) settings: MembershipSettings,
     pub(super) random: ChaCha8Rng,
     pub(super) now: Timestamp,
@@ -80,6 +86,12 @@
     pub(super) next_sync: Timestamp,
     /// A document has changed, and nobody was told of it.
     has_document_news: bool,
+    /// The same of a kept one, at a daemon that holds groups.
+    has_kept_news: bool,
+    /// Numbers of kept documents that this daemon made, and that it handed to nobody yet.
+    pub(super) kept_news: BTreeSet<u32>,
+    /// The kept documents are wanted here, and nobody was asked for them yet.
+    wants_kept: bool,
     /// Time to the sync after the next one; grows from a gossip interval to the full interval.
     sync_pause: Duration,
     pub(super) actions: Vec<Action>,
@@ -100,6 +112,7 @@
         let mut membership = Self {
             own: MemberRecord { info: own, version: 0, health: Health::Alive },
             seeds,
+            seed_rounds: SEED_ROUNDS,
             random: ChaCha8Rng::seed_from_u64(seed),
             now,
             sync_pause: settings.gossip_interval(),
@@ -115,6 +128,9 @@
             next_gossip: now,
             next_sync: now,
             has_document_news: false,
+            has_kept_news: false,
+            kept_news: BTreeSet::new(),
+            wants_kept: false,
             settings,
             actions: Vec::new(),
         };
@@ -149,7 +165,9 @@
         for at in indirect_at.into_iter().chain(self.recalled.next_round()) {
             next = next.min(at);
         }
-        let has_news = self.has_document_news || !self.queue.is_empty();
+        let has_kept_news = self.has_kept_news || self.wants_kept || !self.kept_news.is_empty();
+        let has_news = self.has_document_news || has_kept_news || !self.queue.is_empty();
+        let has_news = has_news || self.seed_rounds > 0;
         if has_news { next.min(self.next_gossip) } else { next }
     }
 
@@ -196,14 +214,28 @@
                 self.seeds.push(address);
             }
         }
+        self.seed_rounds = SEED_ROUNDS;
         self.next_sync = self.now;
     }
 
     /// Makes a fact known to all. Returns whether it is newer than what is known, and small
     /// enough; otherwise nothing happens.
     pub fn publish(&mut self, key: FactKey, version: u64, bytes: Vec<u8>) -> bool {
-        let fact = Fact { key, version, bytes: Bytes::from(bytes) };
-        self.merge_fact(fact)
+        let fact = Fact { key: key.clone(), version, bytes: Bytes::from(bytes) };
+        let is_news = self.merge_fact(fact);
+        if let FactKey::Document(number) = key
+            && is_news
+            && key.is_kept()
+            && !self.own.info.holds_groups
+        {
+            self.kept_news.insert(number);
+        }
+        is_news
+    }
+
+    /// Asks for the documents that only daemons with groups keep, as soon as one of these is known.
+    pub fn want_kept(&mut self) {
+        self.wants_kept = true;
     }
 
     /// Takes in a document that others get by the same way as this daemon: it is there for comparisons,
@@ -233,7 +265,10 @@
         if self.now >= self.next_gossip {
             self.next_gossip = self.now + self.settings.gossip_interval();
             self.gossip();
+            self.ask_unknown_seeds();
             self.spread_documents();
+            self.hand_in_kept();
+            self.wants_kept &= !(self.wants_kept && self.ask_for_kept());
         }
         if self.now >= self.next_sync {
             self.next_sync = self.now + self.sync_pause;
@@ -257,13 +292,37 @@
         }
     }
 
+    /// Asks the seeds that are not known yet, also when others are: where all begin at the same moment, the
+    /// first one heard of may know as little as this daemon, and the seeds hear of everybody.
+    fn ask_unknown_seeds(&mut self) {
+        if self.seed_rounds == 0 {
+            return;
+        }
+        self.seed_rounds -= 1;
+        let is_known = |seed: &SocketAddr| {
+            let mut present = self.members.present();
+            *seed == self.own.info.address
+                || present.any(|member| member.record.info.address == *seed)
+        };
+        let unknown: Vec<SocketAddr> =
+            self.seeds.iter().filter(|seed| !is_known(seed)).copied().collect();
+        for seed in unknown {
+            self.compare_at(seed, Vec::new());
+        }
+    }
+
     /// Compares with some members after a document has changed. Those that know it already, as a
     /// rule everybody, say nothing; a document itself is too large for gossip.
     fn spread_documents(&mut self) {
-        if !std::mem::take(&mut self.has_document_news) {
-            return;
+        let fanout = self.settings.gossip_fanout;
+        let mut told = Vec::new();
+        if std::mem::take(&mut self.has_document_news) {
+            told = self.choose_compared(fanout);
+        }
+        if std::mem::take(&mut self.has_kept_news) {
+            told.extend(self.choose_holders(fanout));
         }
-        for daemon in self.choose_compared(self.settings.gossip_fanout) {
+        for daemon in told {
             self.compare_with(daemon);
         }
     }
@@ -368,7 +427,7 @@
 
     fn merge_fact(&mut self, fact: Fact) -> bool {
         let key = fact.key.clone();
-        let is_gossiped = key.is_gossiped();
+        let (is_gossiped, is_kept) = (key.is_gossiped(), key.is_kept());
         let settings = &self.settings;
         let limit = if is_gossiped { settings.max_fact_bytes } else { settings.max_document_bytes };
         if fact.bytes.len() > limit {
@@ -378,7 +437,8 @@
         if is_news && is_gossiped {
             self.queue.push(Subject::Fact(key));
         }
-        self.has_document_news |= is_news && !is_gossiped;
+        self.has_document_news |= is_news && !is_gossiped && !is_kept;
+        self.has_kept_news |= is_news && is_kept && self.own.info.holds_groups;
         is_news
     }
 
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
-use super::buckets::{differing, fact_bucket, has_bit, member_bucket};
+use super::buckets::{BUCKETS, differing, fact_bucket, has_bit, member_bucket};
 use super::state::Membership;
 use super::{Fact, FactKey, Health, MemberMessage, MemberRecord, SyncChunk, SyncDigest};
 
@@ -23,6 +23,19 @@
 /// Members of the own zone from which on comparisons mostly stay there.
 const FEWEST_OF_ZONE: usize = 8;
 
+/// Stands behind the hashes of facts when kept documents are among them.
+const WITH_KEPT: u32 = 1;
+
+/// Daemons with groups that are handed a kept document by whoever made it. They pass it on; a second one
+/// is for the case that the first dies with it.
+const KEPT_COPIES: usize = 2;
+
+/// How often a daemon with groups compares with another such one, instead of with any member.
+const HOLDER_SHARE: f64 = 0.5;
+
+/// Daemons with groups of the own zone from which on these go before others.
+const FEWEST_NEAR_HOLDERS: usize = 4;
+
 /// Bytes of an answer beyond the budget: a message of a dozen records, of which those that hold groups
 /// are first. Whoever asks knows whom else to ask then.
 const LEAST_ANSWER: usize = 1_000;
@@ -52,6 +65,13 @@
     /// Members to compare with, mostly of the own zone where it has enough of them: tables are what
     /// daemons send each other most of, and bytes between zones cost.
     pub(super) fn choose_compared(&mut self, count: usize) -> Vec<DaemonId> {
+        let keeps = self.own.info.holds_groups && self.random.random_bool(HOLDER_SHARE);
+        if keeps {
+            let holders = self.choose_holders(count);
+            if !holders.is_empty() {
+                return holders;
+            }
+        }
         let own = &self.own.info;
         let stays = !self.random.random_bool(self.settings.cross_zone_share);
         if stays && self.members.count_of(&own.zone) >= FEWEST_OF_ZONE {
@@ -68,20 +88,29 @@
         // Tells a member that it is held for dead, so that it objects.
         let is_doubted = member.record.health != Health::Alive;
         let doubt = is_doubted.then(|| member.record.clone());
-        self.compare_at(to, doubt.into_iter().collect());
+        let with_kept = self.own.info.holds_groups && member.record.info.holds_groups;
+        self.ask_to_compare(to, doubt.into_iter().collect(), with_kept);
     }
 
     /// Compares with whoever listens at an address, which learns of this daemon thereby.
-    pub(super) fn compare_at(&mut self, to: SocketAddr, mut records: Vec<MemberRecord>) {
+    pub(super) fn compare_at(&mut self, to: SocketAddr, records: Vec<MemberRecord>) {
+        self.ask_to_compare(to, records, false);
+    }
+
+    fn ask_to_compare(&mut self, to: SocketAddr, mut records: Vec<MemberRecord>, with_kept: bool) {
         records.insert(0, self.own.clone());
-        let digest = self.digest();
+        let digest = self.digest(with_kept);
         self.send_to_address(to, MemberMessage::SyncRequest(digest), records, Vec::new());
     }
 
-    fn digest(&self) -> SyncDigest {
+    fn digest(&self, with_kept: bool) -> SyncDigest {
         let mut members = self.members.hashes().clone();
         members.toggle_member(&self.own);
-        SyncDigest { members: members.to_vec(), facts: self.facts.hashes().to_vec() }
+        let mut facts = self.facts.hashes(with_kept).to_vec();
+        if with_kept {
+            facts.push(WITH_KEPT);
+        }
+        SyncDigest { members: members.to_vec(), facts }
     }
 
     /// Some daemons compare with one that is new. It asks its seeds itself, but when these began
@@ -94,11 +123,13 @@
     }
 
     pub(super) fn answer_sync(&mut self, from: DaemonId, other: &SyncDigest) {
-        let own = self.digest();
+        let with_kept = self.own.info.holds_groups && other.facts.len() > BUCKETS;
+        let own = self.digest(with_kept);
         let wanted = Wanted {
             members: differing(&own.members, &other.members),
             facts: differing(&own.facts, &other.facts),
-            documents: self.lacking_documents(&own, other),
+            documents: self.lacking_documents(&own, other, with_kept),
+            with_kept,
         };
         if wanted.members != 0 || wanted.facts != 0 {
             self.send_buckets(from, wanted, true);
@@ -108,12 +139,73 @@
     pub(super) fn take_sync_chunk(&mut self, from: DaemonId, chunk: SyncChunk) {
         let SyncChunk { wanted_members, wanted_facts } = chunk;
         if wanted_members != 0 || wanted_facts != 0 {
-            let wanted =
-                Wanted { members: wanted_members, facts: wanted_facts, documents: wanted_facts };
+            let asker = self.members.get(from);
+            let asker_keeps = asker.is_some_and(|asker| asker.record.info.holds_groups);
+            let wanted = Wanted {
+                members: wanted_members,
+                facts: wanted_facts,
+                documents: wanted_facts,
+                with_kept: wanted_facts == u64::MAX || asker_keeps,
+            };
             self.send_buckets(from, wanted, false);
         }
     }
 
+    /// Asks a daemon that holds groups, a near one if there is one, for the documents that only these
+    /// keep. Returns whether one is known.
+    pub(super) fn ask_for_kept(&mut self) -> bool {
+        let Some(holder) = self.choose_holders(1).first().copied() else { return false };
+        let chunk = SyncChunk { wanted_members: 0, wanted_facts: u64::MAX };
+        self.send_chunk(holder, chunk, Vec::new());
+        true
+    }
+
+    /// Gives kept documents that are new here to some daemons that hold groups, which pass them on.
+    pub(super) fn hand_in_kept(&mut self) {
+        let news = std::mem::take(&mut self.kept_news);
+        let facts: Vec<Fact> = news
+            .iter()
+            .filter_map(|number| self.facts.get(&FactKey::Document(*number)))
+            .cloned()
+            .collect();
+        if facts.is_empty() {
+            return;
+        }
+        let holders = self.choose_holders(KEPT_COPIES);
+        if holders.is_empty() {
+            self.kept_news = news;
+        }
+        for holder in holders {
+            let chunk = SyncChunk { wanted_members: 0, wanted_facts: 0 };
+            self.send_chunk(holder, chunk, facts.clone());
+        }
+    }
+
+    fn send_chunk(&mut self, to: DaemonId, chunk: SyncChunk, facts: Vec<Fact>) {
+        let Some(address) = self.members.get(to).map(|member| member.record.info.address) else {
+            return;
+        };
+        let records = vec![self.own.clone()];
+        self.send_to_address(address, MemberMessage::SyncChunk(chunk), records, facts);
+    }
+
+    /// Present members that hold groups, mostly those of the own zone first, where it has some.
+    pub(super) fn choose_holders(&mut self, count: usize) -> Vec<DaemonId> {
+        let zone = self.own.info.zone.clone();
+        let holders = self.members.present().filter(|member| member.record.info.holds_groups);
+        let mut holders: Vec<(bool, DaemonId)> = holders
+            .map(|member| &member.record.info)
+            .map(|info| (info.zone != zone, info.daemon))
+            .collect();
+        holders.shuffle(&mut self.random);
+        let near = holders.iter().filter(|(is_far, _)| !is_far).count();
+        let leaves = self.random.random_bool(self.settings.cross_zone_share);
+        if near >= FEWEST_NEAR_HOLDERS && !leaves {
+            holders.sort_by_key(|(is_far, _)| *is_far);
+        }
+        holders.into_iter().take(count).map(|(_, daemon)| daemon).collect()
+    }
+
     /// Gives a newer document to whoever sent an older one.
     pub(super) fn answer_old_document(&mut self, to: DaemonId, key: &FactKey) {
         let Some(fact) = self.facts.get(key).cloned() else { return };
@@ -125,24 +217,22 @@
         self.send_to_address(address, MemberMessage::SyncChunk(chunk), Vec::new(), vec![fact]);
     }
 
-    /// Buckets whose documents the other one certainly, or possibly, has in no version. Where it has
-    /// one, hashes do not tell whose is newer, and the other one is asked for its own first: documents
-    /// are long, and as a rule whoever asks has news.
-    fn lacking_documents(&self, own: &SyncDigest, other: &SyncDigest) -> u64 {
+    /// Buckets whose documents the other one has in no version: what it has there is nothing, or what is
+    /// here but for the documents. Where it may have an older or a newer one, hashes do not tell, and it is
+    /// asked for its own first: documents are long, and as a rule whoever asks has news.
+    fn lacking_documents(&self, own: &SyncDigest, other: &SyncDigest, with_kept: bool) -> u64 {
+        let mut without = self.facts.hashes(with_kept);
+        let documents: Vec<&Fact> =
+            self.facts.lasting(with_kept).filter(|fact| is_document(fact)).collect();
+        documents.iter().for_each(|document| without.toggle_fact(document));
+        let without = without.to_vec();
         let differing = differing(&own.facts, &other.facts);
-        let mut lacking = 0;
-        for fact in self.facts.lasting().filter(|fact| is_document(fact)) {
-            let bucket = fact_bucket(&fact.key);
-            let has_none = other.facts.get(bucket).is_none_or(|hash| *hash == 0);
-            let is_alone = || {
-                let mut there = self.facts.lasting();
-                !there.any(|it| it.key != fact.key && fact_bucket(&it.key) == bucket)
-            };
-            if has_bit(differing, bucket) && (has_none || !is_alone()) {
-                lacking |= 1 << bucket;
-            }
-        }
-        lacking
+        let lacks = |bucket: usize| {
+            let there = other.facts.get(bucket).copied().unwrap_or_default();
+            has_bit(differing, bucket) && (there == 0 || there == without[bucket])
+        };
+        let buckets = documents.iter().map(|document| fact_bucket(&document.key));
+        buckets.filter(|bucket| lacks(*bucket)).fold(0, |bits, bucket| bits | 1 << bucket)
     }
 
     /// Sends what is in some buckets, in messages of bounded size, as far as the budget goes: where
@@ -156,7 +246,7 @@
         let mut chunks = Chunks::new(self.settings.sync_chunk_bytes);
         // Whoever asked a seed knows its address only.
         chunks.with_room(self.own.wire_bytes()).0.push(self.own.clone());
-        for fact in self.facts.lasting().filter(|fact| !is_document(fact)) {
+        for fact in self.facts.lasting(false).filter(|fact| !is_document(fact)) {
             if has_bit(wanted.facts, fact_bucket(&fact.key)) {
                 chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
             }
@@ -171,13 +261,19 @@
             }
             chunks.with_room(record.wire_bytes()).0.push(record);
         }
-        for fact in self.facts.lasting().filter(|fact| is_document(fact)) {
+        for fact in self.facts.lasting(false).filter(|fact| is_document(fact)) {
             // One that is longer than all of the budget goes when anything is left of it.
             if has_bit(wanted.documents, fact_bucket(&fact.key)) && chunks.sent < room {
                 chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
             }
         }
         self.sync_budget.spend(chunks.sent);
+        // Few ask for these, and who holds groups has the link for them.
+        for fact in self.facts.lasting(wanted.with_kept).filter(|fact| fact.key.is_kept()) {
+            if has_bit(wanted.documents, fact_bucket(&fact.key)) {
+                chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
+            }
+        }
         for (position, (records, facts)) in chunks.finish().into_iter().enumerate() {
             let is_asking = wants_return && position == 0;
             let chunk = SyncChunk {
@@ -208,6 +304,8 @@
     facts: u64,
     /// Of the facts' buckets those whose documents are sent too.
     documents: u64,
+    /// Whether also those that only daemons with groups keep.
+    with_kept: bool,
 }
 
 /// Records and facts of one message.
