--- a/crates/replication/src/membership/detector.rs
+++ b/crates/replication/src/membership/detector.rs
@@ -29,7 +29,6 @@
             self.suspect(probe.target);
         }
         self.declare_dead();
-        self.hear_about_suspects();
         self.members
             .forget_dead(Duration::from_millis(self.settings.forget_dead_after_ms), self.now);
         self.facts.expire(Duration::from_millis(self.settings.load_fact_lifetime_ms), self.now);
@@ -126,19 +125,6 @@
         }
     }
 
-    /// A suspect that is soon to be held for dead may have objected, and gossip misses some: another member
-    /// may have heard. One comparison for all suspects, whatever their number.
-    fn hear_about_suspects(&mut self) {
-        let half = Duration::from_micros(self.suspicion_timeout().as_micros() / 2);
-        if self.members.overdue_suspects(half, self.now).is_empty() {
-            return;
-        }
-        let region = self.own.info.region.clone();
-        for daemon in self.members.choose(1, &region, 0.0, &mut self.random) {
-            self.compare_with(daemon);
-        }
-    }
-
     fn declare_dead(&mut self) {
         for suspect in self.members.overdue_suspects(self.suspicion_timeout(), self.now) {
             self.merge_record(MemberRecord { health: Health::Dead, ..suspect });
--- a/crates/replication/src/membership/settings.rs
+++ b/crates/replication/src/membership/settings.rs
@@ -64,7 +64,7 @@
             suspicion_factor: 4,
             gossip_interval_ms: 200,
             gossip_fanout: 3,
-            extra_transmissions: 3,
+            extra_transmissions: 5,
             load_transmissions: 3,
             gossip_bytes_per_second: 1_400,
             max_message_bytes: 1_200,
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -317,7 +317,10 @@
         let fanout = self.settings.gossip_fanout;
         let mut told = Vec::new();
         if std::mem::take(&mut self.has_document_news) {
-            told = self.choose_compared(fanout);
+            // Of any zone: whoever is told tells on.
+            let region = self.own.info.region.clone();
+            let share = self.settings.cross_region_share;
+            told = self.members.choose(fanout, &region, share, &mut self.random);
         }
         if std::mem::take(&mut self.has_kept_news) {
             told.extend(self.choose_holders(fanout));
--- a/crates/replication/src/membership/sync.rs
+++ b/crates/replication/src/membership/sync.rs
@@ -242,7 +242,8 @@
         let Some(asker) = self.members.get(to).map(|member| member.record.info.clone()) else {
             return;
         };
-        let room = self.sync_budget.room(self.now).max(LEAST_ANSWER);
+        let budget = self.sync_budget.room(self.now);
+        let room = budget.max(LEAST_ANSWER);
         let mut chunks = Chunks::new(self.settings.sync_chunk_bytes);
         // Whoever asked a seed knows its address only.
         chunks.with_room(self.own.wire_bytes()).0.push(self.own.clone());
@@ -263,7 +264,7 @@
         }
         for fact in self.facts.lasting(false).filter(|fact| is_document(fact)) {
             // One that is longer than all of the budget goes when anything is left of it.
-            if has_bit(wanted.documents, fact_bucket(&fact.key)) && chunks.sent < room {
+            if has_bit(wanted.documents, fact_bucket(&fact.key)) && chunks.sent < budget {
                 chunks.with_room(fact.wire_bytes()).1.push(fact.clone());
             }
         }
