--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -5,7 +5,8 @@
 //! changed up to a revision, and how long ago the call began that found so. A daemon without a
 //! report that is fresh enough reads the source by itself until it has one again; so a reader that
 //! died, hangs, was cut off or is fed old answers costs the others no more than that bound. Only
-//! what a daemon has read itself is reported on, so that no report goes round.
+//! what a daemon has read itself is sent on as it comes, so that no report goes round; what it was
+//! told it keeps, for those that come to it when it reads for others.
 //!
 //! Revisions decide what is news, never the order of arrival. A report that begins later than what
 //! is known here leaves a gap: then the source is read.
@@ -113,6 +114,9 @@
     Read(SourceReading),
     /// Take in what another daemon read. It follows on what is known here.
     Take(SourceReport),
+    /// Read what changed up to now, at once: what another daemon reports begins later than what is known
+    /// here ends, and so will all that it reports.
+    CatchUp,
 }
 
 /// What the node should do for the feed.
@@ -165,9 +169,11 @@
     reader: Option<Reader>,
     passed_over: BTreeMap<DaemonId, Timestamp>,
     subscribers: BTreeMap<DaemonId, Subscriber>,
-    /// Own reports of late, the newest last.
+    /// Reports of late, its own and others', the newest last.
     kept: VecDeque<Kept>,
     ordered: SourceReading,
+    /// Until then the driver is not told again to catch up.
+    next_catch_up: Timestamp,
     next_review: Timestamp,
     actions: Vec<FeedAction>,
 }
@@ -186,6 +192,7 @@
             subscribers: BTreeMap::new(),
             kept: VecDeque::new(),
             ordered: SourceReading::ForItself,
+            next_catch_up: Timestamp::ZERO,
             next_review: Timestamp::ZERO,
             actions: Vec::new(),
         }
@@ -277,14 +284,26 @@
         }
         if report.after > self.known {
             self.reported_as_of = None;
+            self.catch_up(now);
             return;
         }
         self.known = report.at;
         let as_of = now - report.age;
         self.reported_as_of = self.reported_as_of.max(Some(as_of));
+        // For those that subscribe here next, when this daemon has become their reader.
+        self.keep(report.clone(), now);
         self.actions.push(FeedAction::Order(FeedOrder::Take(report)));
     }
 
+    /// A source may count changes that nobody is told of. Then a read that waits for news lasts, and what
+    /// others report meanwhile never follows on what is known here.
+    fn catch_up(&mut self, now: Timestamp) {
+        if now >= self.next_catch_up {
+            self.next_catch_up = now + self.settings.freshness();
+            self.actions.push(FeedAction::Order(FeedOrder::CatchUp));
+        }
+    }
+
     /// This daemon has read the source.
     pub fn read(&mut self, mut report: SourceReport, now: Timestamp) {
         self.known = self.known.max(report.at);
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -20,6 +20,8 @@
 const DETECTION: Duration = Duration::from_secs(8);
 /// Within which a change must be known, as the large deployments of the users demand.
 const DEMANDED: Duration = Duration::from_millis(4_000);
+/// The source counts 5,000 changes a second that nobody is told of.
+const REVISION_MICROS: u64 = 200;
 const SETTLED: Duration = Duration::from_secs(8);
 
 fn settings() -> FeedSettings {
@@ -54,6 +56,7 @@
     fault: Fault,
     reading: SourceReading,
     known: u64,
+    is_behind: bool,
     call: Option<Call>,
     /// Messages that came while it was frozen, or were held up.
     waiting: Vec<(u32, FeedMessage)>,
@@ -72,6 +75,8 @@
     under_way: Vec<(Timestamp, u32, SocketAddr, FeedMessage)>,
     /// The longest that a sound daemon did not know of a change.
     longest: Duration,
+    /// Time that daemons read for themselves, in all.
+    alone: Duration,
     /// To whom each daemon has reported.
     reported_to: BTreeMap<u32, BTreeSet<SocketAddr>>,
 }
@@ -83,6 +88,7 @@
             fault: Fault::None,
             reading: SourceReading::ForItself,
             known: 0,
+            is_behind: false,
             call: None,
             waiting: Vec::new(),
             held_up: Vec::new(),
@@ -95,14 +101,26 @@
             dead: Vec::new(),
             under_way: Vec::new(),
             longest: Duration::ZERO,
+            alone: Duration::ZERO,
             reported_to: BTreeMap::new(),
         };
         zone.pass(SETTLED, None);
         zone.calls = 0;
         zone.longest = Duration::ZERO;
+        zone.alone = Duration::ZERO;
         zone
     }
 
+    /// The source's revision: it rises all the time, by changes that nobody is told of.
+    fn revision(&self, at: Timestamp) -> u64 {
+        at.0 / REVISION_MICROS
+    }
+
+    /// Changes later than a revision, by their moments.
+    fn changes_after(&self, known: u64) -> usize {
+        self.changes.iter().filter(|at| self.revision(**at) > known).count()
+    }
+
     /// Lets time pass; the source changes every `interval`.
     fn pass(&mut self, length: Duration, interval: Option<Duration>) {
         let end = self.now + length;
@@ -146,6 +164,13 @@
         reads.map(|(number, _)| *number)
     }
 
+    /// All daemons that read for others and run.
+    fn sound_readers(&self) -> impl Iterator<Item = u32> {
+        let sound = self.daemons.iter().filter(|(_, daemon)| daemon.fault == Fault::None);
+        let readers = sound.filter(|(_, daemon)| daemon.reading == SourceReading::ForOthers);
+        readers.map(|(number, _)| *number)
+    }
+
     fn sharing(&self) -> Vec<(DaemonId, SocketAddr)> {
         let known = self.daemons.keys().filter(|number| !self.dead.contains(number));
         known.map(|number| (DaemonId(*number), address(*number))).collect()
@@ -167,21 +192,23 @@
 
     /// Calls the source, and takes in its answer.
     fn read(&mut self, number: u32) {
-        let (now, revision) = (self.now, self.changes.len() as u64);
+        let (now, revision) = (self.now, self.revision(self.now));
+        let news = self.changes_after(self.daemons[&number].known);
         let daemon = self.daemon(number);
         if let Some(call) = &daemon.call {
-            let is_over = revision > daemon.known || now.since(call.began) >= call.wait;
+            let is_over = news > 0 || now.since(call.began) >= call.wait;
             if daemon.fault == Fault::CutFromSource || !is_over {
                 return;
             }
             let (after, age) = (daemon.known, now.since(call.began));
             daemon.call = None;
             daemon.known = revision;
-            let contents = vec![0; (revision - after) as usize];
+            let contents = vec![0; news];
             daemon.feed.read(SourceReport { after, at: revision, age, contents }, now);
             return self.carry_out(number);
         }
         let wait = match daemon.reading {
+            _ if std::mem::take(&mut daemon.is_behind) => Duration::ZERO,
             SourceReading::Paused => return,
             SourceReading::ForItself => LONG_WAIT,
             SourceReading::ForOthers => SHORT_WAIT,
@@ -203,6 +230,10 @@
                     assert!(report.after <= daemon.known, "daemon {number} would miss changes");
                     daemon.known = daemon.known.max(report.at);
                 }
+                FeedAction::Order(FeedOrder::CatchUp) => {
+                    daemon.is_behind = true;
+                    daemon.call = None;
+                }
                 FeedAction::Send { to, message } if daemon.fault == Fault::HeldUp => {
                     daemon.held_up.push((to, message));
                 }
@@ -249,10 +280,14 @@
     }
 
     fn measure(&mut self) {
+        let reads_alone = |daemon: &&Daemon| {
+            daemon.fault == Fault::None && daemon.reading == SourceReading::ForItself
+        };
+        let alone = self.daemons.values().filter(reads_alone).count() as u64;
+        self.alone = Duration(self.alone.0 + STEP.times(alone).0);
         let sound = self.daemons.values().filter(|daemon| daemon.fault == Fault::None);
-        // Revisions begin at 1: the first that a daemon does not know is at the place of the last
-        // that it knows.
-        let oldest = sound.filter_map(|daemon| self.changes.get(daemon.known as usize)).min();
+        let first_unknown = |known: u64| self.changes.iter().find(|at| self.revision(**at) > known);
+        let oldest = sound.filter_map(|daemon| first_unknown(daemon.known)).min();
         let age = oldest.map_or(Duration::ZERO, |oldest| self.now.since(*oldest));
         self.longest = self.longest.max(age);
     }
@@ -333,6 +368,35 @@
     }
 }
 
+/// Readers end one after the other, and nothing else happens: their followers must find the next one
+/// without reading by themselves for long. In a source that counts changes which nobody is told of, what a
+/// new reader reports begins later than what its followers know ends.
+#[test]
+fn followers_go_over_to_the_next_reader_at_the_cost_of_a_call_or_two() {
+    const DAEMONS: u32 = 166;
+    const READERS: f64 = 4.0;
+    let mut zone = Zone::new(DAEMONS);
+    let mut ended = 0;
+    for _ in 0..6 {
+        // The last one of their order among them: who takes its place has read for nobody before.
+        let readers: Vec<u32> = zone.sound_readers().collect();
+        let reader = readers[ended as usize % readers.len()];
+        zone.strike(reader, Fault::Dead);
+        ended += 1;
+        zone.pass(DETECTION, None);
+        zone.dead.push(reader);
+        zone.pass(Duration::from_secs(4), None);
+    }
+    // A reader that ends has a fourth of them.
+    let followers = f64::from(DAEMONS) / READERS;
+    let alone = zone.alone.as_secs_f64() / f64::from(ended) / followers;
+    println!("each follower reads for itself for {alone:.2} s for each reader that ended");
+    // Until the next report of a reader that asks every 0.6 s: half of that.
+    assert!(alone <= 0.3, "{alone:.2} s");
+    let paused = zone.daemons.values().filter(|daemon| daemon.reading == SourceReading::Paused);
+    assert!(paused.count() as f64 >= f64::from(DAEMONS - ended) - 2.0 * READERS);
+}
+
 #[test]
 fn a_daemon_that_was_frozen_catches_up_in_time() {
     let mut zone = Zone::new(43);
