--- /dev/null
+++ b/crates/node/tests/wire_forms.rs
@@ -0,0 +1,374 @@
+//! The bytes of what daemons say to each other and write into their logs. While machines are upgraded one
+//! after the other, daemons of two builds serve together: a build must read what the one before writes,
+//! and write what that one reads.
+//!
+//! `wire_forms/6.txt` holds a sample of each kind as the build with protocol version 6 writes it, a name and
+//! hexadecimal bytes a line. It was written by the first build that has to be upgraded from, and is never
+//! written anew: a form that changes needs a version of its own, and a file beside this one.
+
+use std::collections::BTreeMap;
+use std::fmt::{Debug, Write};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use dahlia_ledger::{
+    CloseTurn, KeptChain, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, ProgramName, TurnEnd,
+    TurnId, TurnInput, TurnRefusal,
+};
+use dahlia_limits::{
+    KeeperTerm, KnownLimit, LimitCommand, LimitReply, ProgramKey, RateLimit, Report, Usage, Verdict,
+};
+use dahlia_node::feed::{FeedMessage, SourceReport};
+use dahlia_node::request::{Request, RequestId, Response};
+use dahlia_node::wire::{Hello, PROTOCOL_VERSION, PeerMessage, Purpose};
+use dahlia_program::Command;
+use dahlia_replication::group::{
+    Append, AppendResponse, AppendResult, Beat, BeatRun, EntryData, GroupBody, GroupMessage,
+    LogEntry, Members, PeerBatch, SnapshotChunk, SnapshotResponse, VoteRequest,
+};
+use dahlia_replication::membership::{
+    Envelope, Fact, FactKey, Health, MemberInfo, MemberMessage, MemberRecord, MemberState,
+    SyncChunk, SyncDigest,
+};
+use dahlia_types::{
+    DaemonId, Duration, GroupId, Incarnation, LogIndex, Region, ReplicaId, TenantId, Term,
+    Timestamp, Tokens, Zone,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+const GOLDEN: &str = include_str!("wire_forms/6.txt");
+const CONFIG: bincode::config::Configuration = bincode::config::standard();
+
+fn golden() -> BTreeMap<&'static str, &'static str> {
+    GOLDEN.lines().filter_map(|line| line.split_once(' ')).collect()
+}
+
+/// Checks samples, and gathers what they look like now.
+#[derive(Default)]
+struct Checker {
+    found: String,
+    wrong: Vec<String>,
+}
+
+impl Checker {
+    fn check<T: Serialize + DeserializeOwned + PartialEq + Debug>(
+        &mut self,
+        name: &str,
+        sample: T,
+    ) {
+        let bytes = bincode::serde::encode_to_vec(&sample, CONFIG).expect("samples can be encoded");
+        let mut hex = String::new();
+        bytes.iter().for_each(|byte| write!(hex, "{byte:02x}").expect("texts take all"));
+        writeln!(self.found, "{name} {hex}").expect("texts take all");
+        let Some(held) = golden().get(name).copied() else {
+            return self.wrong.push(format!("{name}: no sample is held"));
+        };
+        if held != hex {
+            self.wrong.push(format!("{name}: written {hex}, held {held}"));
+        }
+        let held: Vec<u8> = (0..held.len() / 2)
+            .map(|place| u8::from_str_radix(&held[2 * place..2 * place + 2], 16).expect("hex"))
+            .collect();
+        let read = bincode::serde::decode_from_slice::<T, _>(&held, CONFIG).ok();
+        if read.is_none_or(|(read, _)| read != sample) {
+            self.wrong.push(format!("{name}: what is held is read as something else"));
+        }
+    }
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 38], 8144))
+}
+
+fn replica(daemon: u32) -> ReplicaId {
+    ReplicaId { daemon: DaemonId(daemon), incarnation: Incarnation(1_800_000_000_123) }
+}
+
+fn record(health: Health) -> MemberRecord {
+    let info = MemberInfo {
+        daemon: DaemonId(3_310_598_380),
+        incarnation: Incarnation(1_800_000_000_123),
+        address: address(),
+        zone: Zone::new("hall-a"),
+        region: Region::new("gulf-south"),
+        state: MemberState::Live,
+        holds_groups: true,
+    };
+    MemberRecord { info, version: 65_537, health }
+}
+
+fn envelope(body: MemberMessage, facts: Vec<Fact>) -> PeerMessage {
+    let members = vec![record(Health::Alive), record(Health::Suspect), record(Health::Dead)];
+    let (from, address) = (replica(7), address());
+    PeerMessage::Membership(Box::new(Envelope { from, address, body, members, facts }))
+}
+
+fn fact(key: FactKey) -> Fact {
+    Fact { key, version: 1 << 40, bytes: Bytes::from_static(b"any bytes") }
+}
+
+fn program() -> ProgramName {
+    ProgramName::new(Some(&TenantId::new("bayou")), "3fa81c")
+}
+
+fn turn(name: &str) -> TurnId {
+    TurnId::new(Some(&TenantId::new("bayou")), name)
+}
+
+fn open() -> LedgerCommand {
+    LedgerCommand::Open(OpenTurn {
+        program: program(),
+        turn: turn("e5b2907c14da6f38"),
+        budget: Some(Tokens(2_304)),
+        max_generated: Tokens(288),
+        input: Some(TurnInput {
+            previous: Some(turn("40c8f1a7b3e9265d")),
+            new_input: b"Fault 0x31 on input two.".to_vec(),
+            retention: Duration::from_secs(60),
+        }),
+        at: Timestamp(1_000_001),
+    })
+}
+
+fn close(end: TurnEnd) -> LedgerCommand {
+    let (program, turn, at) = (program(), turn("e5b2907c14da6f38"), Timestamp(2_000_002));
+    LedgerCommand::Close(CloseTurn { program, turn, end, at })
+}
+
+fn chain() -> KeptChain {
+    let served_by = "i-7f3a91c2@1800000000000".to_owned();
+    KeptChain { text: b"kept".to_vec(), served_by, retention: Duration::from_secs(60) }
+}
+
+fn request(command: LedgerCommand) -> PeerMessage {
+    let request = Request::Ledger { group: GroupId(5), command };
+    PeerMessage::Request { id: RequestId(77), request, reply_to: address() }
+}
+
+fn response(reply: LedgerReply) -> PeerMessage {
+    PeerMessage::Response { id: RequestId(77), response: Response::Ledger(reply) }
+}
+
+fn groups(body: GroupBody) -> PeerMessage {
+    let (from, to) = (replica(7), replica(8));
+    let message = GroupMessage { group: GroupId(5), from, to, term: Term(9), body };
+    let beat = Beat {
+        group: GroupId(6),
+        term: Term(4),
+        session: LogIndex(2),
+        committed: Some(LogIndex(300)),
+    };
+    let run = BeatRun { from, to, sent: Timestamp(5_000_000), beats: vec![beat] };
+    PeerMessage::Groups(PeerBatch { runs: vec![run], messages: vec![message] })
+}
+
+fn members() -> Members {
+    Members { voters: [replica(7), replica(8)].into(), learners: [replica(9)].into() }
+}
+
+fn check_membership(checker: &mut Checker) {
+    let ping =
+        MemberMessage::Ping { sequence: 300, to: replica(8), on_behalf_of: Some(DaemonId(9)) };
+    let ack = MemberMessage::Ack { sequence: 300, answering: replica(8), on_behalf_of: None };
+    let request = MemberMessage::PingRequest { sequence: 300, target: replica(8) };
+    let digest = SyncDigest { members: vec![1, 70_000], facts: vec![0, u32::MAX] };
+    let chunk = SyncChunk { wanted_members: 5, wanted_facts: 1 << 63 };
+    let facts = vec![
+        fact(FactKey::Configuration),
+        fact(FactKey::Group(GroupId(5))),
+        fact(FactKey::DaemonLoad(DaemonId(7))),
+        fact(FactKey::BackendFailure { backend: "i-1@5".to_owned(), reporter: DaemonId(7) }),
+        fact(FactKey::Other(3)),
+        fact(FactKey::Document(1)),
+    ];
+    checker.check("membership-ping", envelope(ping, Vec::new()));
+    checker.check("membership-ack", envelope(ack, Vec::new()));
+    checker.check("membership-ping-request", envelope(request, Vec::new()));
+    checker.check("membership-gossip", envelope(MemberMessage::Gossip, facts));
+    checker.check("membership-sync-request", envelope(MemberMessage::SyncRequest(digest), vec![]));
+    checker.check("membership-sync-chunk", envelope(MemberMessage::SyncChunk(chunk), vec![]));
+}
+
+fn check_groups(checker: &mut Checker) {
+    let entry = |index, data| LogEntry { index: LogIndex(index), term: Term(9), data };
+    let append = Append {
+        session: LogIndex(2),
+        sent: Timestamp(5_000_000),
+        previous_index: LogIndex(299),
+        previous_term: Term(8),
+        committed: LogIndex(298),
+        entries: vec![
+            entry(300, EntryData::NoOp),
+            entry(301, EntryData::Command(Bytes::from_static(b"command"))),
+            entry(302, EntryData::Members(members())),
+        ],
+    };
+    let vote = VoteRequest { last_index: LogIndex(300), last_term: Term(8), transfer: true };
+    let answer = |result| AppendResponse { session: LogIndex(2), sent: Timestamp(5), result };
+    let rejected = AppendResult::Rejected { previous_index: LogIndex(299), hint: LogIndex(250) };
+    let chunk = SnapshotChunk {
+        session: LogIndex(2),
+        sent: Timestamp(5),
+        index: LogIndex(300),
+        last_term: Term(8),
+        members: members(),
+        total: 4_096,
+        offset: 1_024,
+        data: Bytes::from_static(b"part"),
+    };
+    let received = SnapshotResponse {
+        session: LogIndex(2),
+        sent: Timestamp(5),
+        index: LogIndex(300),
+        received: 1_028,
+    };
+    let matched = AppendResult::Matched { index: LogIndex(302) };
+    let bodies = [
+        ("groups-pre-vote", GroupBody::PreVote(vote)),
+        ("groups-pre-vote-response", GroupBody::PreVoteResponse { granted: true }),
+        ("groups-vote", GroupBody::Vote(vote)),
+        ("groups-vote-response", GroupBody::VoteResponse { granted: false }),
+        ("groups-append", GroupBody::Append(append)),
+        ("groups-append-matched", GroupBody::AppendResponse(answer(matched))),
+        ("groups-append-rejected", GroupBody::AppendResponse(answer(rejected))),
+        ("groups-snapshot-chunk", GroupBody::SnapshotChunk(chunk)),
+        ("groups-snapshot-response", GroupBody::SnapshotResponse(received)),
+        ("groups-timeout-now", GroupBody::TimeoutNow),
+        ("groups-removed", GroupBody::Removed { index: LogIndex(300) }),
+    ];
+    for (name, body) in bodies {
+        checker.check(name, groups(body));
+    }
+}
+
+fn check_ledger(checker: &mut Checker) {
+    let whole = TurnEnd::Whole {
+        generated: Tokens(63),
+        output: b"Done.\n".to_vec(),
+        served_by: "i-7f3a91c2@1800000000000".to_owned(),
+    };
+    let read = LedgerCommand::ReadFor {
+        turn: turn("40c8f1a7b3e9265d"),
+        program: program(),
+        at: Timestamp(3),
+    };
+    checker.check("ledger-open", request(open()));
+    checker.check("ledger-close-whole", request(close(whole.clone())));
+    checker.check("ledger-close-not-run", request(close(TurnEnd::NotRun)));
+    checker.check("ledger-close-broken", request(close(TurnEnd::Broken)));
+    checker.check("ledger-read-for", request(read));
+    let request = Request::Ledger { group: GroupId(5), command: open() };
+    let passed_on = PeerMessage::PassOn { id: RequestId(78), request, reply_to: address() };
+    checker.check("ledger-passed-on", passed_on);
+    let opened = OpenedTurn { history: b"kept".to_vec(), last_served_by: Some("i-1@5".into()) };
+    let previous = turn("40c8f1a7b3e9265d");
+    let spent = TurnRefusal::BudgetSpent { budget: Tokens(10), used: Tokens(9) };
+    let replies = [
+        ("reply-opened", LedgerReply::Opened(opened)),
+        ("reply-budget-spent", LedgerReply::Refused(spent)),
+        (
+            "reply-no-such-turn",
+            LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous: previous.clone() }),
+        ),
+        ("reply-not-ended", LedgerReply::Refused(TurnRefusal::NotEnded { previous })),
+        ("reply-already-ended", LedgerReply::Refused(TurnRefusal::AlreadyEnded)),
+        ("reply-closed", LedgerReply::Closed),
+        ("reply-chain", LedgerReply::Chain(chain())),
+    ];
+    for (name, reply) in replies {
+        checker.check(name, response(reply));
+    }
+    let not_owner = Response::NotOwner { hint: Some(DaemonId(7)) };
+    let not_owner = PeerMessage::Response { id: RequestId(77), response: not_owner };
+    checker.check("reply-not-owner", not_owner);
+    // As entries of a group's log, on the disks of stores too.
+    checker.check("log-open", Command::Ledger(open()));
+    checker.check("log-close", Command::Ledger(close(whole)));
+    checker.check("log-expire", Command::Ledger(LedgerCommand::Expire { now: Timestamp(9) }));
+}
+
+fn check_limits(checker: &mut Checker) {
+    let limit = RateLimit::new(12.5, 20.0).expect("a limit can be kept").expect("there is one");
+    let limit = KnownLimit { generation: 4, limit };
+    let tenant = TenantId::new("bayou");
+    let usage = Usage {
+        tenant: tenant.clone(),
+        limit,
+        requests: vec![Some(ProgramKey(9)), None],
+        waited: Vec::new(),
+        unused: vec![None],
+        earlier: Vec::new(),
+    };
+    let report = Report {
+        from: DaemonId(7),
+        life: Incarnation(1_800_000_000_123),
+        number: 3,
+        usage: vec![usage],
+    };
+    let ask = LimitCommand::Ask {
+        tenant: tenant.clone(),
+        limit,
+        program: Some(ProgramKey(9)),
+        most_wait: Duration::from_millis(150),
+    };
+    for (name, command) in [("limits-report", LimitCommand::Report(report)), ("limits-ask", ask)] {
+        let request = Request::Limits { group: GroupId(5), command };
+        let message = PeerMessage::Request { id: RequestId(79), request, reply_to: address() };
+        checker.check(name, message);
+    }
+    let keeper = KeeperTerm(9);
+    let verdict = Verdict::Refuse { retry_after: Duration::from_millis(300) };
+    let replies = [
+        ("limits-counted", LimitReply::Counted { scarce: vec![tenant], keeper }),
+        ("limits-answer", LimitReply::Answer { verdict, is_scarce: true, keeper }),
+    ];
+    for (name, reply) in replies {
+        let response = Response::Limits(reply);
+        checker.check(name, PeerMessage::Response { id: RequestId(79), response });
+    }
+}
+
+fn check_feed(checker: &mut Checker) {
+    let report = SourceReport {
+        after: 1 << 33,
+        at: (1 << 33) + 7,
+        age: Duration::from_millis(250),
+        contents: b"changes".to_vec(),
+    };
+    let subscribe = FeedMessage::Subscribe { known: 1 << 33, reply_to: address() };
+    checker.check("feed-subscribe", PeerMessage::Feed(subscribe));
+    checker.check("feed-report", PeerMessage::Feed(FeedMessage::Report(report)));
+}
+
+#[test]
+fn builds_that_serve_together_read_each_other() {
+    let mut checker = Checker::default();
+    let hello = Hello {
+        version: 6,
+        daemon: DaemonId(3_310_598_380),
+        incarnation: Incarnation(1_800_000_000_123),
+        proof: [0xab; 32],
+        purpose: Purpose::Messages,
+    };
+    checker.check("hello", hello);
+    check_membership(&mut checker);
+    check_groups(&mut checker);
+    check_ledger(&mut checker);
+    check_limits(&mut checker);
+    check_feed(&mut checker);
+    let held = golden().len();
+    let found = checker.found.lines().count();
+    assert!(
+        checker.wrong.is_empty() && held == found,
+        "{held} held, {found} checked\n{}\nas found:\n{}",
+        checker.wrong.join("\n"),
+        checker.found
+    );
+}
+
+/// A peer with another version is refused by name, so a new version needs a bridge first.
+#[test]
+fn the_version_is_the_one_whose_samples_are_held() {
+    assert_eq!(PROTOCOL_VERSION, 6);
+}
