--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -56,6 +56,9 @@
 const LIFE_BITS: u32 = 16;
 /// A daemon started more often than this waits for an objection, as after a suspicion.
 const MOST_LIVES: u32 = (1 << (u32::BITS - LIFE_BITS)) - 1;
+/// Time between two rounds in which a daemon tells others that it has newer kept documents: some readers of
+/// the same source each make them anew, and each round hands on the newest of them.
+const KEPT_SPREAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Rounds of gossip after a start in which unknown seeds are asked: two seconds, in which machines that
 /// lost power together are back.
 const SEED_ROUNDS: u32 = 10;
@@ -88,6 +91,8 @@
     has_document_news: bool,
     /// The same of a kept one, at a daemon that holds groups.
     has_kept_news: bool,
+    /// From then on others may be told of it.
+    next_kept_spread: Timestamp,
     /// Numbers of kept documents that this daemon made, and that it handed to nobody yet.
     pub(super) kept_news: BTreeSet<u32>,
     /// The kept documents are wanted here, and nobody was asked for them yet.
@@ -129,6 +134,7 @@
             next_sync: now,
             has_document_news: false,
             has_kept_news: false,
+            next_kept_spread: Timestamp::ZERO,
             kept_news: BTreeSet::new(),
             wants_kept: false,
             settings,
@@ -322,7 +328,9 @@
             let share = self.settings.cross_region_share;
             told = self.members.choose(fanout, &region, share, &mut self.random);
         }
-        if std::mem::take(&mut self.has_kept_news) {
+        if self.has_kept_news && self.now >= self.next_kept_spread {
+            self.has_kept_news = false;
+            self.next_kept_spread = self.now + KEPT_SPREAD_INTERVAL;
             told.extend(self.choose_holders(fanout));
         }
         for daemon in told {
@@ -422,7 +430,11 @@
     fn take_fact(&mut self, from: DaemonId, fact: Fact) {
         let held = self.facts.get(&fact.key).map(|held| held.version);
         if matches!(fact.key, FactKey::Document(_)) && held > Some(fact.version) {
-            self.answer_old_document(from, &fact.key);
+            // Who makes kept documents reads them elsewhere, and will be as far in a moment.
+            let keeps = |member: &Member| member.record.info.holds_groups;
+            if !fact.key.is_kept() || self.members.get(from).is_some_and(keeps) {
+                self.answer_old_document(from, &fact.key);
+            }
         } else if self.merge_fact(fact.clone()) {
             self.actions.push(Action::FactChanged(fact));
         }
