--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -164,6 +164,8 @@
     own_address: SocketAddr,
     /// All changes up to here are known.
     known: u64,
+    /// When this daemon last had an answer of the source.
+    read_at: Option<Timestamp>,
     /// As of then nothing later had happened, by what others reported.
     reported_as_of: Option<Timestamp>,
     reader: Option<Reader>,
@@ -186,6 +188,7 @@
             own,
             own_address,
             known: 0,
+            read_at: None,
             reported_as_of: None,
             reader: None,
             passed_over: BTreeMap::new(),
@@ -209,7 +212,8 @@
         self.next_review = now + self.settings.renewal();
         self.subscribers.retain(|_, subscriber| now < subscriber.until);
         self.passed_over.retain(|_, until| now < *until);
-        let Some((daemon, address)) = self.choose_reader(sharing) else {
+        let is_serving = self.is_serving(now);
+        let Some((daemon, address)) = self.choose_reader(sharing).filter(|_| !is_serving) else {
             self.reader = None;
             return;
         };
@@ -278,8 +282,8 @@
 
     /// Another daemon reported.
     pub fn reported(&mut self, report: SourceReport, now: Timestamp) {
-        // One that is behind says nothing of what came after.
-        if report.at < self.known {
+        // One that is behind says nothing of what came after; and others go by what this daemon reads.
+        if report.at < self.known || self.is_serving(now) {
             return;
         }
         if report.after > self.known {
@@ -307,6 +311,7 @@
     /// This daemon has read the source.
     pub fn read(&mut self, mut report: SourceReport, now: Timestamp) {
         self.known = self.known.max(report.at);
+        self.read_at = Some(now);
         if report.contents.len() > LONGEST_REPORT {
             report.contents.clear();
             report.after = report.at;
@@ -342,6 +347,14 @@
         self.actions.push(FeedAction::Send { to, message: FeedMessage::Report(report) });
     }
 
+    /// Whether others go by what this daemon reads of the source, and it does read it. What it is told by
+    /// others meanwhile would be missing in what it reports.
+    fn is_serving(&self, now: Timestamp) -> bool {
+        let freshness = self.settings.freshness();
+        let reads = self.read_at.is_some_and(|read_at| now.since(read_at) <= freshness);
+        reads && self.current_subscribers(now).next().is_some()
+    }
+
     fn current_subscribers(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
         let current = self.subscribers.values().filter(move |subscriber| now < subscriber.until);
         current.map(|subscriber| subscriber.address)
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -397,6 +397,26 @@
     assert!(paused.count() as f64 >= f64::from(DAEMONS - ended) - 2.0 * READERS);
 }
 
+/// Two views of who is there make a daemon a reader of some and a follower of another. What it is told it
+/// does not report on: its followers would miss it, and find a gap before each of its own reports.
+#[test]
+fn a_reader_that_is_reported_to_leaves_its_followers_no_gap() {
+    let now = START;
+    let report = |after, at| SourceReport { after, at, age: Duration::ZERO, contents: vec![1] };
+    let mut reader = Feed::new(settings(), DaemonId(1), address(1));
+    reader.read(report(90, 100), now);
+    reader.subscribed(DaemonId(2), 100, address(2), now);
+    reader.take_actions();
+    reader.reported(report(100, 150), now);
+    let takes = |action: &FeedAction| matches!(action, FeedAction::Order(FeedOrder::Take(_)));
+    assert!(!reader.take_actions().iter().any(takes), "its own next read begins at 100");
+    reader.read(report(100, 160), now);
+    let sent = reader.take_actions();
+    let to_follower =
+        FeedAction::Send { to: address(2), message: FeedMessage::Report(report(100, 160)) };
+    assert_eq!(sent, [to_follower]);
+}
+
 #[test]
 fn a_daemon_that_was_frozen_catches_up_in_time() {
     let mut zone = Zone::new(43);
