Limits: what gateways may use unheard is set aside until they have reported

Cause: permits that both sides of the cut counted on. Gateways that had last been told that permits are not scarce use their part of what was free, which the keeper did not set aside; until the cut was noticed it set aside nothing; and behind the cut programs went on and further ones began beyond the gateway's own part.

Change: module unheard (what is set aside, and until when); own windows admit programs beside what others that began there still need; silent zones count as out of reach before their members are suspected.

Why it works: the free part of a gateway is given to nobody else until it has reported since permits became scarce or is known to be within reach, so no permit counts on both sides.

--- a/crates/limits/src/keeper.rs
+++ b/crates/limits/src/keeper.rs
@@ -28,16 +28,25 @@
     since: Timestamp,
     tenants: BTreeMap<TenantId, Kept>,
     /// The last report of each gateway.
-    reports: HashMap<DaemonId, (Incarnation, u64)>,
+    reports: HashMap<DaemonId, LastReport>,
+    /// Gateways that there are, heard or not.
+    gateways: usize,
     memories: Memories,
     /// The share of gateways that are out of reach, and since when.
-    unheard: Option<(f64, Timestamp)>,
+    lost: Option<(f64, Timestamp)>,
     /// Since when all are there again.
     all_heard_since: Option<Timestamp>,
     needs: Needs,
     next_sweep: Timestamp,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct LastReport {
+    life: Incarnation,
+    number: u64,
+    heard_at: Timestamp,
+}
+
 impl LimitKeeper {
     /// A keeper from now on. It knows of no request before.
     pub fn new(settings: LimitSettings, term: KeeperTerm, now: Timestamp) -> Self {
@@ -49,7 +58,8 @@
             tenants: BTreeMap::new(),
             reports: HashMap::new(),
             memories,
-            unheard: None,
+            gateways: 0,
+            lost: None,
             all_heard_since: None,
             needs: Needs::default(),
             next_sweep: now,
@@ -67,18 +77,23 @@
         }
     }
 
+    /// How many gateways there are, whether they are heard or not.
+    pub fn set_gateways(&mut self, gateways: usize) {
+        self.gateways = gateways;
+    }
+
     /// Which share of the gateways is out of reach. They go on with what passed at each of them before,
     /// so that much is left to them.
     pub fn set_unheard(&mut self, share: f64, now: Timestamp) {
         if share <= 0.0 {
             // Until they have told what passed there.
             let since = *self.all_heard_since.get_or_insert(now);
-            self.unheard.take_if(|_| now.since(since) >= TOLD_AFTER);
+            self.lost.take_if(|_| now.since(since) >= TOLD_AFTER);
             return;
         }
         self.all_heard_since = None;
-        let since = self.unheard.map_or(now, |(_, since)| since);
-        self.unheard = Some((share, since));
+        let since = self.lost.map_or(now, |(_, since)| since);
+        self.lost = Some((share, since));
     }
 
     /// Permits of a tenant now, for operators and tests; none when it sent nothing of late.
@@ -87,11 +102,11 @@
     }
 
     fn count(&mut self, report: Report, now: Timestamp) -> LimitReply {
-        let last = self.reports.get(&report.from);
-        let is_repeated =
-            last.is_some_and(|(life, number)| *life == report.life && *number >= report.number);
+        let Report { from, life, number, .. } = report;
+        let last = self.reports.get(&from);
+        let is_repeated = last.is_some_and(|last| last.life == life && last.number >= number);
         if !is_repeated {
-            self.reports.insert(report.from, (report.life, report.number));
+            self.reports.insert(from, LastReport { life, number, heard_at: now });
             self.memories.note(&report, now);
         }
         let mut scarce = Vec::new();
@@ -113,7 +128,7 @@
         let kept = kept.or_insert_with(|| Kept::new(&self.settings, usage.limit, self.since, now));
         kept.learn_limit(usage.limit, now);
         kept.set_forgotten(self.memories.forgotten(now));
-        kept.set_unheard(self.unheard);
+        kept.set_lost(self.lost);
         let others = usage.waited.into_iter().filter(|waited| waited.counted_by != term);
         let others = others.map(|waited| waited.program);
         let passed: Vec<Option<ProgramKey>> = usage.requests.into_iter().chain(others).collect();
@@ -134,7 +149,9 @@
         let kept = kept.or_insert_with(|| Kept::new(&self.settings, limit, self.since, now));
         kept.learn_limit(limit, now);
         kept.set_forgotten(self.memories.forgotten(now));
-        kept.set_unheard(self.unheard);
+        kept.set_lost(self.lost);
+        let untold_since = untold_since(&self.reports, self.gateways);
+        kept.set_untold(&self.settings, self.gateways, untold_since, now);
         kept.forget_ended(&self.settings, &mut self.needs, now);
         let is_scarce = kept.is_scarce(&self.settings, &self.needs, now);
         let is_scarce = is_scarce || kept.is_catching_up(now);
@@ -165,3 +182,14 @@
         self.tenants.retain(|_, kept| kept.was_used_within(FORGOTTEN_AFTER, now));
     }
 }
+
+/// The share of gateways that have not reported since a moment.
+fn untold_since(
+    reports: &HashMap<DaemonId, LastReport>,
+    gateways: usize,
+) -> impl Fn(Timestamp) -> f64 {
+    move |since| {
+        let told = reports.values().filter(|last| last.heard_at >= since).count();
+        gateways.saturating_sub(told) as f64 / gateways.max(1) as f64
+    }
+}
--- a/crates/limits/src/kept.rs
+++ b/crates/limits/src/kept.rs
@@ -110,8 +110,28 @@
     }
 
     /// So large a share of gateways is out of reach since a moment.
-    pub(crate) fn set_unheard(&mut self, unheard: Option<(f64, Timestamp)>) {
-        self.permits.set_unheard(unheard);
+    pub(crate) fn set_lost(&mut self, lost: Option<(f64, Timestamp)>) {
+        if let Some(unheard) = self.permits.unheard() {
+            unheard.set_lost(lost);
+        }
+    }
+
+    /// Gateways that have not reported since permits became scarce go by their part of what was free before.
+    pub(crate) fn set_untold(
+        &mut self,
+        settings: &LimitSettings,
+        gateways: usize,
+        untold_since: impl Fn(Timestamp) -> f64,
+        now: Timestamp,
+    ) {
+        let (limit, Some(tolerance)) = (self.permits.limit(), settings.tolerance()) else { return };
+        let Permits::Window(window) = &mut self.permits else { return };
+        let free = tolerance.allowance(limit) * settings.scarce_window_share;
+        window.unheard().set_free_each((free + tolerance.spare(limit)) / gateways.max(1) as f64);
+        if let Some((since, told_at)) = window.unheard().scarce_of_late(now) {
+            let may_run_out = window.may_run_out(told_at, now);
+            window.unheard().set_untold(untold_since(since), may_run_out);
+        }
     }
 
     /// Keepers before this one counted requests.
@@ -166,7 +186,12 @@
             return level < self.permits.limit().burst() * settings.scarce_share;
         }
         let share = most * settings.scarce_window_share;
-        level < share || level - self.programs.needed(needs, settings.program_rest(), now) < share
+        let needed = self.programs.needed(needs, settings.program_rest(), now);
+        let is_scarce = level < share || level - needed < share;
+        if let Some(unheard) = self.permits.unheard() {
+            unheard.note_scarcity(is_scarce, now);
+        }
+        is_scarce
     }
 
     /// When there is a permit. Requests that wait have theirs already, so they are counted in.
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `message` | what gateways and keepers say to each other |
 //! | `keeper` | counts a tenant's requests and decides what is asked |
 //! | `kept` | one tenant's limit at its keeper: which request may pass when |
+//! | `unheard` | what gateways may let pass that the keeper does not hear of |
 //! | `programs` | programs under way, and what a program needs |
 //! | `gateway` | admits, reports and asks |
 //! | `own` | what it lets pass without the keeper |
@@ -41,6 +42,7 @@
 mod rate;
 mod settings;
 mod tolerance;
+mod unheard;
 mod window;
 
 pub use gateway::{Admission, Answered, LimitGateway};
--- a/crates/limits/src/own.rs
+++ b/crates/limits/src/own.rs
@@ -10,7 +10,7 @@
 use crate::ProgramKey;
 
 /// Requests of a program where none has been seen.
-const FIRST_NEED: f64 = 4.0;
+pub(crate) const FIRST_NEED: f64 = 4.0;
 /// How far beyond the others a program may go without the keeper's word: one that loops is stopped.
 const MOST_OF_NEED: f64 = 4.0;
 
@@ -63,8 +63,8 @@
     }
 
     /// When one more may pass without the keeper. A program begins where there is room for as many
-    /// requests as others had here; one that is under way goes on, since the keeper has set aside what
-    /// it still needs.
+    /// requests as others had here, beside what those still need that began without the keeper; one that
+    /// was under way before goes on.
     pub(crate) fn time_until_room(
         &mut self,
         program: Option<ProgramKey>,
@@ -80,7 +80,7 @@
             return Duration::ZERO;
         }
         let begins = program.is_some_and(|program| self.requests_of(program) == 0);
-        let wanted = if begins { self.need(None) } else { 1.0 };
+        let wanted = if begins { self.need(None) + self.promised() } else { 1.0 };
         let beyond = self.passed.len() as f64 + wanted - self.most;
         if beyond <= 0.0 {
             return Duration::ZERO;
@@ -94,14 +94,29 @@
         !self.passed.is_empty()
     }
 
-    /// Whether a program is under way, and no longer than others by far.
+    /// Whether a program was under way when the keeper was heard, and is no longer than others by far. The
+    /// keeper has set aside what such a program still needs.
     fn goes_on(&self, program: Option<ProgramKey>) -> bool {
         let Some(program) = program else { return false };
         if self.is_scarce {
             return false;
         }
-        let seen = self.requests_of(program);
-        seen > 0 && seen as f64 <= self.need(Some(program)) * MOST_OF_NEED
+        let began = self.passed.iter().find(|(_, seen)| *seen == Some(program));
+        let was_heard_of = began.is_some_and(|(at, _)| *at <= self.heard_at);
+        let seen = self.requests_of(program) as f64;
+        was_heard_of && seen <= self.need(Some(program)) * MOST_OF_NEED
+    }
+
+    /// What programs that began without the keeper still need: it has set nothing aside for them.
+    fn promised(&self) -> f64 {
+        let mut begun: BTreeMap<ProgramKey, (Timestamp, u32)> = BTreeMap::new();
+        for (at, program) in &self.passed {
+            let Some(program) = program else { continue };
+            begun.entry(*program).or_insert((*at, 0)).1 += 1;
+        }
+        let need = self.need(None);
+        let since = begun.into_values().filter(|(began, _)| *began > self.heard_at);
+        since.map(|(_, seen)| (need - f64::from(seen)).max(0.0)).sum()
     }
 
     fn requests_of(&self, program: ProgramKey) -> usize {
--- a/crates/limits/src/permits.rs
+++ b/crates/limits/src/permits.rs
@@ -4,6 +4,7 @@
 
 use crate::bucket::Bucket;
 use crate::memory::Forgotten;
+use crate::unheard::Unheard;
 use crate::window::Window;
 use crate::{LimitSettings, RateLimit};
 
@@ -92,10 +93,11 @@
         }
     }
 
-    /// So large a share of gateways is out of reach since a moment.
-    pub(crate) fn set_unheard(&mut self, unheard: Option<(f64, Timestamp)>) {
-        if let Self::Window(window) = self {
-            window.set_unheard(unheard);
+    /// What is known of gateways that are not heard. A bucket does not go by it.
+    pub(crate) fn unheard(&mut self) -> Option<&mut Unheard> {
+        match self {
+            Self::Bucket(_) => None,
+            Self::Window(window) => Some(window.unheard()),
         }
     }
 
--- a/crates/limits/src/window.rs
+++ b/crates/limits/src/window.rs
@@ -9,6 +9,7 @@
 use dahlia_types::{Duration, Timestamp};
 
 use crate::memory::Forgotten;
+use crate::unheard::Unheard;
 use crate::{RateLimit, Tolerance};
 
 /// Parts of a window that requests are counted by. A permit comes back at most one part late: a
@@ -18,8 +19,8 @@
 /// times a second, and at once to a keeper that it has not known.
 pub(crate) const TOLD_AFTER: Duration = Duration::from_millis(1_000);
 
-/// The time after which it is noticed that a gateway is out of reach.
-const NOTICED_AFTER: Duration = Duration::from_millis(1_000);
+/// The time over which the present rate of requests is taken.
+const OF_LATE: Duration = Duration::from_millis(500);
 
 /// Seconds of requests at the limit's rate that callers may ask for at once when a keeper begins: those that
 /// came while there was none ask together. A larger value lets a tenant far beyond its limit use it twice.
@@ -38,8 +39,7 @@
     forgotten: Option<Forgotten>,
     /// Requests asked for since the keeper began, with those that refused programs would have sent.
     asked: f64,
-    /// The share of requests that gateways out of reach may let pass, and since when.
-    unheard: Option<(f64, Timestamp)>,
+    unheard: Unheard,
 }
 
 impl Window {
@@ -53,7 +53,7 @@
             count: 0.0,
             forgotten: None,
             asked: 0.0,
-            unheard: None,
+            unheard: Unheard::default(),
         }
     }
 
@@ -85,18 +85,25 @@
         self.asked += requests;
     }
 
-    /// So large a share of gateways is out of reach since a moment.
-    pub(crate) fn set_unheard(&mut self, unheard: Option<(f64, Timestamp)>) {
-        self.unheard = unheard;
+    /// What is known of gateways that are not heard.
+    pub(crate) fn unheard(&mut self) -> &mut Unheard {
+        &mut self.unheard
     }
 
-    /// Permits for gateways that are out of reach. They go on with what they had in the window before,
-    /// which is in the count at first and leaves it over a window's time.
+    /// Whether all permits are used by a moment if as many requests pass as of late.
+    pub(crate) fn may_run_out(&mut self, by: Timestamp, now: Timestamp) -> bool {
+        self.forget(now);
+        let from = Timestamp(now.0.saturating_sub(OF_LATE.as_micros()));
+        let of_late: f64 = self.parts.range(self.part_of(from)..).map(|(_, permits)| permits).sum();
+        let expected = of_late * by.since(now).as_secs_f64() / OF_LATE.as_secs_f64();
+        self.allowance() - self.count < expected
+    }
+
+    /// Permits that gateways may use unheard.
     fn unheard_permits(&self, now: Timestamp) -> f64 {
-        let Some((share, since)) = self.unheard else { return 0.0 };
-        let unheard_for = (now + NOTICED_AFTER).since(since);
-        let part = unheard_for.as_secs_f64() / self.tolerance.window.as_secs_f64();
-        share * part.min(1.0) * self.allowance()
+        let counted_until =
+            |at| self.parts.range(..=self.part_of(at)).map(|(_, permits)| permits).sum();
+        self.unheard.permits(self.allowance(), self.tolerance.window, counted_until, now)
     }
 
     /// Permits at this moment; negative when more was let pass than the limit allows.
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -318,6 +318,7 @@
             outcome: Outcome::default(),
             plan,
         };
+        fleet.keeper.as_mut().expect("it is there").set_gateways(fleet.plan.gateways as usize);
         fleet.plan_ahead(&mut rng);
         while let Some(Reverse((now, _, happening))) = fleet.agenda.pop() {
             fleet.now = now;
@@ -565,7 +566,9 @@
             Happening::NewKeeper => {
                 self.term += 1;
                 let settings = self.plan.settings.clone();
-                self.keeper = Some(LimitKeeper::new(settings, KeeperTerm(self.term), self.now));
+                let mut keeper = LimitKeeper::new(settings, KeeperTerm(self.term), self.now);
+                keeper.set_gateways(self.plan.gateways as usize);
+                self.keeper = Some(keeper);
             }
         }
     }
--- a/crates/limits/tests/window_faults.rs
+++ b/crates/limits/tests/window_faults.rs
@@ -43,15 +43,19 @@
 
 /// The runs of a fault in which some window holds more than is tolerated.
 fn beyond(name: &str, plan: impl Fn(u64, f64) -> Plan) -> Vec<String> {
-    let runs = RATES.into_iter().flat_map(|rate| (0..SEEDS).map(move |seed| (rate, seed)));
-    let most = |(rate, seed): (f64, u64)| {
+    RATES.into_iter().flat_map(|rate| beyond_at(name, rate, &plan)).collect()
+}
+
+/// The same at one rate.
+fn beyond_at(name: &str, rate: f64, plan: &impl Fn(u64, f64) -> Plan) -> Vec<String> {
+    let most = |seed| {
         let outcome: Outcome = Fleet::run(plan(seed, rate));
         let most = outcome.most_in(WINDOW_S);
         let allowed = allowed(rate);
         (most as f64 > allowed)
             .then(|| format!("{name}, {rate} a second, seed {seed}: {most} of {allowed}"))
     };
-    runs.filter_map(most).collect()
+    (0..SEEDS).filter_map(most).collect()
 }
 
 fn new_keeper(gap_s: f64) -> impl Fn(u64, f64) -> Plan {
@@ -163,6 +167,28 @@
     assert_eq!(beyond("hot in a cut", cut_while_hot(5.0)), Vec::<String>::new());
 }
 
+/// Shortly before and after the tenant turns hot.
+const MOMENTS_OF_CUTS_S: [f64; 4] = [5.4, 5.9, 6.3, 6.6];
+
+fn beyond_around_a_turn_to_hot(rate: f64) -> Vec<String> {
+    let cuts = MOMENTS_OF_CUTS_S.into_iter();
+    cuts.flat_map(|from_s| beyond_at(&format!("cut at {from_s} s"), rate, &cut_while_hot(from_s)))
+        .collect()
+}
+
+/// Gateways behind the cut go by what was free before, while those outside already ask for it.
+#[test]
+fn a_cut_at_any_moment_of_a_turn_to_hot_costs_no_window() {
+    let found = RATES[1..].iter().flat_map(|rate| beyond_around_a_turn_to_hot(*rate));
+    assert_eq!(found.collect::<Vec<String>>(), Vec::<String>::new());
+}
+
+/// A tenant of few requests has more of them behind the cut than the share of gateways there.
+#[test]
+fn a_cut_at_any_moment_costs_no_window_of_a_small_tenant() {
+    assert_eq!(beyond_around_a_turn_to_hot(RATES[0]), Vec::<String>::new());
+}
+
 /// Rates at which a hundredth of programs or more fails in vain, and the shares.
 fn in_vain_beyond(plan: impl Fn(u64, f64) -> Plan) -> Vec<(f64, f64)> {
     let share =
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -54,7 +54,11 @@
         };
         let gateways = members.iter().filter(is_gateway).count();
         let is_unheard = |member: &&Member| {
-            member.record.health != Health::Alive && now.since(member.since) < LEFT_FOR
+            match member.record.health {
+                // A zone falls silent before its members are suspected.
+                Health::Alive => self.is_silent_zone(&member.record.info.zone),
+                Health::Suspect | Health::Dead => now.since(member.since) < LEFT_FOR,
+            }
         };
         let unheard = members.iter().filter(is_gateway).filter(is_unheard).count();
         let share = unheard as f64 / gateways.max(1) as f64;
@@ -68,6 +72,7 @@
         }
         keepers.unheard = share;
         for (_, keeper) in keepers.by_group.values_mut() {
+            keeper.set_gateways(gateways);
             keeper.set_unheard(share, now);
         }
     }
--- a/crates/node/src/reach.rs
+++ b/crates/node/src/reach.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Whether nobody of a zone answers.
+    pub(crate) fn is_silent_zone(&self, zone: &Zone) -> bool {
+        self.zone_liveness.as_ref().is_some_and(|zone_liveness| zone_liveness.is_silent(zone))
+    }
+
     /// Whether nobody of a daemon's zone answers.
     pub(crate) fn is_in_silent_zone(&self, daemon: DaemonId) -> bool {
         let zone_liveness = self.zone_liveness.as_ref();
