--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -29,6 +29,8 @@
 
 /// Messages taken before the node's timers get their turn.
 const BATCH: usize = 256;
+/// A tick that comes later than this is logged, with what kept it.
+const LATE_TICK: Duration = Duration::from_secs(1);
 
 /// Where goes what other daemons shared with this one.
 #[derive(Clone)]
@@ -131,24 +133,31 @@
     /// its place; gives that life.
     pub async fn run(mut self) -> Option<Incarnation> {
         let mut ticked = Instant::now();
+        let mut spent = Spent::default();
         while !self.stopped {
             let pause = Duration::from_micros(self.node.tick_interval().as_micros());
             tokio::select! {
                 biased;
                 () = sleep_until(ticked + pause) => {
+                    log_late_tick(ticked.elapsed().saturating_sub(pause), &spent);
+                    spent = Spent::default();
                     self.handle(Event::Tick);
                     ticked = Instant::now();
                 }
                 message = self.inbox.recv() => {
                     let message = message?;
+                    let began = Instant::now();
                     self.take(message);
                     self.take_batch();
+                    spent.handling += began.elapsed();
                 }
             }
             if let Some(group) = self.wanted_images.pop() {
                 self.handle(Event::ImageWanted(group));
             }
+            let began = Instant::now();
             self.finish_batch().await;
+            spent.syncing += began.elapsed();
         }
         if let Some(by) = self.superseded_by {
             self.parts.groups.begin_anew(by).await;
@@ -336,6 +345,26 @@
     }
 }
 
+/// Where the time between two ticks went, as far as this task knows. The rest it spent without a processor,
+/// or stopped.
+#[derive(Default)]
+struct Spent {
+    handling: Duration,
+    syncing: Duration,
+}
+
+fn log_late_tick(late: Duration, spent: &Spent) {
+    if late >= LATE_TICK {
+        log::warn!(
+            target: part::CORE,
+            late_ms = late.as_millis() as u64,
+            handling_ms = spent.handling.as_millis() as u64,
+            syncing_ms = spent.syncing.as_millis() as u64;
+            "The node's timer was late."
+        );
+    }
+}
+
 /// Passes a message of another daemon on to the node.
 pub async fn deliver(core: &CoreHandle, from: ReplicaId, message: PeerMessage) {
     log::trace!(target: part::PEERS, "Message of {from}.");
--- a/crates/daemon/src/group_log.rs
+++ b/crates/daemon/src/group_log.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dahlia_durable::{Disk, DurableLog, DurableSettings, FolderDisk, Identity, LogError, Opened};
 use dahlia_replication::group::DurableChange;
@@ -16,6 +16,8 @@
 
 /// The part of the data folder that holds groups.
 const FOLDER: &str = "groups";
+/// A batch that waits longer for a thread to write it is logged.
+const SLOW_START: Duration = Duration::from_secs(1);
 /// How often a full disk is tried again.
 const FULL_RETRY: Duration = Duration::from_millis(200);
 
@@ -107,7 +109,9 @@
         let mut is_full = false;
         loop {
             let result;
-            (work, result) = spawn_blocking(|| work.run()).await.map_err(|_| SyncError::Lost)?;
+            let queued_at = Instant::now();
+            (work, result) =
+                spawn_blocking(move || work.run(queued_at)).await.map_err(|_| SyncError::Lost)?;
             match result {
                 Ok(wanted) => {
                     if is_full {
@@ -151,7 +155,15 @@
 }
 
 impl Work {
-    fn run(mut self) -> (Self, Result<Vec<GroupId>, LogError>) {
+    fn run(mut self, queued_at: Instant) -> (Self, Result<Vec<GroupId>, LogError>) {
+        let waited = queued_at.elapsed();
+        if waited >= SLOW_START {
+            log::warn!(
+                target: part::STORE,
+                waited_ms = waited.as_millis() as u64;
+                "A batch waited long for a thread to write it."
+            );
+        }
         let result = self.log.append(&self.changes).map(|()| self.log.wanted_images());
         (self, result)
     }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -6,6 +6,8 @@
 pub mod part {
     /// Start, stop and assembly.
     pub const DAEMON: &str = "daemon";
+    /// The task that drives the node.
+    pub const CORE: &str = "core";
     /// Callers' HTTP.
     pub const GATEWAY: &str = "gateway";
     /// Operators' RPC.
--- a/crates/durable/src/disk.rs
+++ b/crates/durable/src/disk.rs
@@ -3,6 +3,10 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// A step on the disk that takes longer is logged.
+const SLOW_STEP: Duration = Duration::from_secs(1);
 
 /// Files of one flat folder. Each operation is one durable step: a test may lose power after any.
 pub trait Disk: Send {
@@ -118,11 +122,19 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.written(name)?.write_all(bytes)
+        let file = self.written(name)?;
+        timed("write", name, || file.write_all(bytes))
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.written(name)?.sync_data()
+        #[cfg(feature = "fault-points")]
+        let folder = self.folder.clone();
+        let file = self.written(name)?;
+        timed("sync", name, || {
+            #[cfg(feature = "fault-points")]
+            crate::fault_points::wait_while_stalled(&folder);
+            file.sync_data()
+        })
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
@@ -139,6 +151,21 @@
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
-        File::open(&self.folder)?.sync_all()
+        timed("sync of names", "", || File::open(&self.folder)?.sync_all())
+    }
+}
+
+/// Carries out one step, and logs it if it was slow: a daemon says nothing meanwhile.
+fn timed<T>(step: &str, file: &str, run: impl FnOnce() -> io::Result<T>) -> io::Result<T> {
+    let began = Instant::now();
+    let result = run();
+    let took = began.elapsed();
+    if took >= SLOW_STEP {
+        ::log::warn!(
+            target: "store",
+            step = step, file = file, took_ms = took.as_millis() as u64;
+            "A step on the disk was slow."
+        );
     }
+    result
 }
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `segment` | names and headers of the log's files, reading one back |
 //! | `open` | reading all segments back |
 //! | `replay` | from segments to replicas |
+//! | `fault_points` | faults that tests bring about from outside |
 //! | `log` | opening, appending, dropping what newer images cover |
 //!
 //! # What is relied on
@@ -22,6 +23,8 @@
 mod disk;
 mod documents;
 mod error;
+#[cfg(feature = "fault-points")]
+pub mod fault_points;
 mod frame;
 mod log;
 mod open;
