--- a/crates/backends/tests/uneven.rs
+++ b/crates/backends/tests/uneven.rs
@@ -11,7 +11,7 @@
 
 use turns::{Outcome, Policy, Scenario, run};
 
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 3] = [1, 2, 3];
 
 /// The mean over some seeds.
 fn mean(scenario: Scenario, of: impl Fn(&Outcome) -> f64) -> f64 {
@@ -23,45 +23,66 @@
     mean(scenario, Outcome::in_time)
 }
 
+/// The least part of the programs late by own attempts that the expected end brings in time.
+const SAVED: f64 = 0.5;
+
 struct Case {
     name: &'static str,
     scenario: Scenario,
-    /// The least part of the programs late by own attempts that the expected end brings in time: a half
-    /// while there is room, and some where there is little.
-    saved: f64,
 }
 
-fn cases() -> [Case; 4] {
+fn cases() -> [Case; 6] {
     let steady = Scenario::default();
+    let lost = Scenario { waves: true, lost: true, ..steady };
+    let little_memory = Scenario { memory: 30_000, ..steady };
     [
-        Case { name: "speeds and spells", scenario: steady, saved: 0.5 },
-        Case {
-            name: "waves",
-            scenario: Scenario { waves: true, load: 0.45, ..steady },
-            saved: 0.5,
-        },
-        Case {
-            name: "a third lost",
-            scenario: Scenario { waves: true, lost: true, load: 0.25, ..steady },
-            saved: 0.3,
-        },
-        Case {
-            name: "little memory",
-            scenario: Scenario { memory: 30_000, load: 0.28, ..steady },
-            saved: 0.3,
-        },
+        Case { name: "speeds and spells", scenario: steady },
+        Case { name: "waves", scenario: Scenario { waves: true, load: 0.45, ..steady } },
+        Case { name: "a third lost", scenario: Scenario { load: 0.25, ..lost } },
+        Case { name: "a third lost at load", scenario: lost },
+        Case { name: "little memory", scenario: Scenario { load: 0.28, ..little_memory } },
+        Case { name: "little memory at load", scenario: little_memory },
     ]
 }
 
+/// Half of the late programs of a case are brought in time.
+fn assert_saved(name: &str) {
+    let case = cases().into_iter().find(|case| case.name == name).expect("a case of the table");
+    let late = |policy| 1.0 - in_time(Scenario { policy, ..case.scenario });
+    let (today, shared, oracle) =
+        (late(Policy::Today), late(Policy::SharedView), late(Policy::Oracle));
+    println!("{name}: late today {today:.3}, by a shared view {shared:.3}, oracle {oracle:.3}");
+    assert!(shared <= today * (1.0 - SAVED), "{name}: late {today} before, {shared} now");
+}
+
 #[test]
 fn programs_end_in_time_at_uneven_servers() {
-    for Case { name, scenario, saved } in cases() {
-        let late = |policy| 1.0 - in_time(Scenario { policy, ..scenario });
-        let (today, shared, oracle) =
-            (late(Policy::Today), late(Policy::SharedView), late(Policy::Oracle));
-        println!("{name}: late today {today:.3}, by a shared view {shared:.3}, oracle {oracle:.3}");
-        assert!(shared <= today * (1.0 - saved), "{name}: late {today} before, {shared} now");
-    }
+    assert_saved("speeds and spells");
+}
+
+#[test]
+fn programs_end_in_time_in_waves() {
+    assert_saved("waves");
+}
+
+#[test]
+fn programs_end_in_time_after_a_third_is_lost() {
+    assert_saved("a third lost");
+}
+
+#[test]
+fn programs_end_in_time_after_a_third_is_lost_at_load() {
+    assert_saved("a third lost at load");
+}
+
+#[test]
+fn programs_end_in_time_with_little_memory() {
+    assert_saved("little memory");
+}
+
+#[test]
+fn programs_end_in_time_with_little_memory_at_load() {
+    assert_saved("little memory at load");
 }
 
 #[test]
--- a/crates/limits/tests/keeper.rs
+++ b/crates/limits/tests/keeper.rs
@@ -188,6 +188,13 @@
     assert!(all > 60.0 && all - forgotten >= still_there, "{all} and {forgotten}");
 }
 
+/// A window may have been used up just before the gateway ended, by a tenant that asks for little after it.
+#[test]
+fn what_a_gateway_has_forgotten_counts_whole_until_a_window_has_passed() {
+    let (all, forgotten) = (level_after(&[]), level_after(&[(500, 0)]));
+    assert!(all > 60.0 && forgotten < 20.0, "{all} and {forgotten}");
+}
+
 /// Older builds tell of times in which permits only went back.
 #[test]
 fn an_entry_of_none_beside_older_requests_is_nothing_forgotten() {
--- a/crates/limits/tests/window_faults.rs
+++ b/crates/limits/tests/window_faults.rs
@@ -131,6 +131,18 @@
     }
 }
 
+/// The tenant is far beyond its limit until the stop, and at its usual after it.
+#[test]
+fn a_window_that_was_used_up_just_before_a_stop_holds_no_more_after_it() {
+    let used_up = |seed, rate| {
+        let at_s = 7.0 + seed as f64 * 0.4;
+        let mut plan = usual(seed, rate);
+        plan.loads.push(load(at_s - 1.5, at_s, rate, 6.5 / 1.6));
+        Plan { stop: stop(at_s, 0.3, 1.0), ..plan }
+    };
+    assert_eq!(beyond("used up before a stop", used_up), Vec::<String>::new());
+}
+
 /// A keeper that begins just then hears of what passed from the others.
 #[test]
 fn one_gateway_that_forgets_beside_a_new_keeper_costs_its_tenants_nothing() {
@@ -203,6 +215,19 @@
     assert_eq!(in_vain_beyond(gone), []);
 }
 
+/// The same for as long as all stores may be down.
+#[test]
+fn without_a_keeper_for_long_under_a_hundredth_of_programs_fails_in_vain() {
+    let gone = |gap_s| {
+        move |seed, rate| {
+            let loads = vec![load(0.0, 100.0, rate, 1.0 / 1.6)];
+            Plan { new_keepers_s: vec![(8.0, gap_s)], loads, ..usual(seed, rate) }
+        }
+    };
+    let found = [30.0, 85.0].map(|gap_s| in_vain_beyond(gone(gap_s)));
+    assert_eq!(found, [vec![], vec![]]);
+}
+
 /// Tenants at their usual, a quarter of whose gateways reaches no keeper.
 #[test]
 fn behind_a_cut_under_a_hundredth_of_programs_fails_in_vain() {
@@ -248,7 +273,7 @@
 
 /// Programs that fail beside those that the limit leaves no room for, known all ahead.
 fn in_vain(outcome: &Outcome, rate: f64) -> f64 {
-    let best = fleet::oracle::earns(&outcome.offered, allowed(rate) * 0.9);
+    let best = fleet::oracle::earns(&outcome.offered, allowed(rate));
     let owed = (outcome.programs as f64 - best).max(0.0);
     (outcome.programs as f64 - outcome.whole as f64 - owed).max(0.0) / outcome.programs as f64
 }
--- a/crates/node/tests/load_sharing.rs
+++ b/crates/node/tests/load_sharing.rs
@@ -26,9 +26,6 @@
 const FORGOTTEN: Duration = ms(1_250);
 /// Silence is found after the same time; then what others told the next one must come together.
 const OLDEST_AFTER_A_FAILURE: Duration = ms(1_500);
-/// What others know of a daemon that goes over is as old as it may be at that moment, the daemon finds the
-/// silence after the expiry and a step, and what it tells then takes as long as ever.
-const OLDEST_WHEN_TRIED_AGAIN: Duration = ms(420 + 1_000 + 50 + 420);
 /// A gateway that finds its choice silent finds the next one silent too.
 const OLDEST_AFTER_TWO_FAILURES: Duration = ms(2_700);
 /// By when all is as before.
@@ -127,7 +124,7 @@
     region.strike(aggregator, Fault::Older);
     region.forget_ages();
     region.pass(Duration::from_secs(70));
-    assert!(region.oldest().in_region <= OLDEST_WHEN_TRIED_AGAIN, "{:?}", region.oldest());
+    assert!(region.oldest().in_region <= OLDEST_AFTER_A_FAILURE, "{:?}", region.oldest());
     for daemon in region.sound() {
         assert!(region.believed(daemon, SHARED_ITEM).in_flight <= 24, "{daemon}");
     }
