Relay: log each send after the first, why a server counts, and sums of repeats by service and cause

For one request the log now names each server it was sent to, what came of it, whether it counts against max_attempts and on what evidence, and the deadline of each repeat; metrics sum up first sends, repeats by cause, withheld repeats and excluded servers by service. Before, a further send after a refusal could not be told from one after a lost answer, and nothing said that a server was left out of the count. 'rehearse logs' sums up repeats by service and cause. No decision changes.

BrokenAnswer and SendOutcome::AnswerLost carry why the answer is lost.

--- a/crates/rehearsal/src/logs/report.rs
+++ b/crates/rehearsal/src/logs/report.rs
@@ -81,9 +81,32 @@
     for (cause, count) in causes {
         writeln!(text, "{count:7}  {cause}").expect("writing to a string does not fail");
     }
+    append_repeats(requests, &mut text);
     text
 }
 
+/// Appends how often requests were sent again, by service and cause.
+fn append_repeats(requests: &LoggedRequests, text: &mut String) {
+    let mut first_sends: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut repeats: BTreeMap<(&str, &str), u32> = BTreeMap::new();
+    for request in requests.iter().filter(|request| request.sent_at.is_some()) {
+        let service = request.service.as_deref().unwrap_or("unknown");
+        *first_sends.entry(service).or_default() += 1;
+        for cause in &request.repeat_causes {
+            *repeats.entry((service, cause)).or_default() += 1;
+        }
+    }
+    if repeats.is_empty() {
+        return;
+    }
+    text.push_str("\nsent again, by service and cause:\n");
+    for ((service, cause), count) in repeats {
+        let first = first_sends.get(service).copied().unwrap_or_default();
+        writeln!(text, "{count:7}  {service}: {cause} (of {first} first sends)")
+            .expect("writing to a string does not fail");
+    }
+}
+
 /// The cause why a request has no complete answer; `None` when it has one.
 fn cause(request: &LoggedRequest) -> Option<String> {
     match &request.outcome {
--- a/crates/rehearsal/src/logs/requests.rs
+++ b/crates/rehearsal/src/logs/requests.rs
@@ -29,10 +29,14 @@
     pub accepted_at: f64,
     /// When its caller stops waiting for it.
     pub deadline: f64,
+    /// The service that its route leads to.
+    pub service: Option<String>,
     /// The server that it was sent to last.
     pub server: Option<String>,
     /// When it was first sent to a server.
     pub sent_at: Option<f64>,
+    /// What came of each send that was followed by another, in order.
+    pub repeat_causes: Vec<String>,
     /// When its answer began.
     pub answer_began_at: Option<f64>,
     /// When and how it ended; `None` while it is open.
@@ -67,15 +71,15 @@
             self.latest_by_id.insert(name.to_owned(), self.requests.len());
             let deadline_ms = line.field("deadline_ms").and_then(|text| text.parse::<f64>().ok());
             let deadline = line.timestamp + deadline_ms.unwrap_or_default() / 1_000.0;
-            let (server, sent_at, answer_began_at, outcome) = (None, None, None, None);
-            let accepted_at = line.timestamp;
             self.requests.push(LoggedRequest {
-                accepted_at,
+                accepted_at: line.timestamp,
                 deadline,
-                server,
-                sent_at,
-                answer_began_at,
-                outcome,
+                service: line.field("service").map(str::to_owned),
+                server: None,
+                sent_at: None,
+                repeat_causes: Vec::new(),
+                answer_began_at: None,
+                outcome: None,
             });
             return;
         }
@@ -90,6 +94,7 @@
                 request.server = line.field("server").map(str::to_owned);
                 request.sent_at.get_or_insert(line.timestamp);
             }
+            "Sent again." => request.repeat_causes.push(cause()),
             "Stream began." => request.answer_began_at = Some(line.timestamp),
             "Answered." => {
                 request.answer_began_at.get_or_insert(line.timestamp);
--- a/crates/rehearsal/tests/logs.rs
+++ b/crates/rehearsal/tests/logs.rs
@@ -93,6 +93,22 @@
     }
 }
 
+/// Without the sums, nobody could tell repeats after lost answers from sends after refusals.
+#[test]
+fn table_sums_up_repeats_by_service_and_cause() {
+    let repeats = "
+1785492901.100 WARN  relay: Sent again. request=a1 server=i-3 service=s cause=disconnected deadline_ms=900
+1785492901.110 WARN  relay: Sent again. request=b2 server=i-3 service=s cause=not-run deadline_ms=900
+1785492901.120 WARN  relay: Sent again. request=b2 server=i-4 service=s cause=disconnected deadline_ms=890
+";
+    let text = request_table(LINES.lines().chain(repeats.lines()), 2.0);
+    for row in ["2  s: disconnected (of 3 first sends)", "1  s: not-run (of 3 first sends)"] {
+        assert!(text.contains(row), "{row} is not in\n{text}");
+    }
+    let text = request_table(LINES.lines(), 2.0);
+    assert!(!text.contains("sent again"), "{text}");
+}
+
 #[test]
 fn table_of_logs_without_requests_is_a_message() {
     assert_eq!(request_table(["nothing"].into_iter(), 2.0), "no requests in these logs\n");
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::outgoing::OutgoingRequest;
 use crate::pool::{Connected, KeepAlive};
 use crate::relay::Shared;
+use crate::repeats::LossCause;
 use crate::server_response::{AttemptGuard, ServerResponse};
 use crate::{Service, TurnLedger};
 
@@ -38,7 +39,7 @@
         retry_after: Option<Duration>,
     },
     /// The request may have run, and its answer is lost.
-    AnswerLost,
+    AnswerLost(LossCause),
 }
 
 /// A request that is ready to be sent to one server.
@@ -88,9 +89,9 @@
             biased;
             answer = connection.send(self.outgoing.build()) => answer,
             loss = guard.watch.wait_until_lost() => {
-                let cause = format!("{} before its answer", loss.cause());
+                let cause = format!("{} before its answer", loss.describe());
                 guard.fail(AttemptEnd::Unreachable, &cause);
-                return Ok(SendOutcome::AnswerLost);
+                return Ok(SendOutcome::AnswerLost(loss));
             }
         };
         match answer {
@@ -103,7 +104,7 @@
                 let end =
                     if is_dropped_connection { AttemptEnd::Dropped } else { AttemptEnd::Broken };
                 guard.fail(end, &error.to_string());
-                Ok(SendOutcome::AnswerLost)
+                Ok(SendOutcome::AnswerLost(error.loss_cause()))
             }
         }
     }
@@ -118,7 +119,7 @@
         let (parts, body) = answer.into_parts();
         if !self.belongs_to_attempt(&parts) {
             guard.fail(AttemptEnd::Broken, "the answer belongs to another attempt");
-            return SendOutcome::AnswerLost;
+            return SendOutcome::AnswerLost(LossCause::InvalidAnswer);
         }
         let kind = classify(&parts, &self.shared.headers.not_run);
         let keep_alive = KeepAlive::new(&parts.headers, self.service, &self.shared.settings);
@@ -143,7 +144,7 @@
             }
             AnswerKind::UnprovenRefusal => {
                 response.fail(AttemptEnd::Broken, "a promise that the server does not keep");
-                SendOutcome::AnswerLost
+                SendOutcome::AnswerLost(LossCause::InvalidAnswer)
             }
         }
     }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Duration, timeout};
 
 use crate::RelaySettings;
+use crate::repeats::LossCause;
 
 /// Bytes of an answer, the head at least, that are read before they are needed. What a slow caller
 /// has not taken waits at the server.
@@ -53,6 +54,24 @@
     NoAnswer { source: hyper::Error },
 }
 
+impl SendError {
+    /// Why the answer to what was sent is lost.
+    pub(crate) fn loss_cause(&self) -> LossCause {
+        match self {
+            Self::NoAnswer { source } => loss_cause(source),
+            Self::NotSent => LossCause::Disconnected,
+        }
+    }
+}
+
+/// Why an answer is lost after an error of its connection.
+pub(crate) fn loss_cause(error: &hyper::Error) -> LossCause {
+    match error.is_parse() {
+        true => LossCause::InvalidAnswer,
+        false => LossCause::Disconnected,
+    }
+}
+
 /// One connection to a server, with at most one request on it.
 pub(crate) struct ServerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::prompt_parts::SharedPromptParts;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
+use crate::repeats::{ExclusionReason, LossCause, PossibleRun, RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::request_log::RequestLog;
 use crate::router::{RouteMatch, hash_key};
@@ -53,7 +54,9 @@
     lost_answers: u32,
     /// Servers among these that count against the route's attempt limit; those that have ended
     /// since do not.
-    counted_servers: Vec<BackendAddress>,
+    counted_runs: Vec<PossibleRun>,
+    /// Why the next send is a repeat; none before the first send.
+    repeat_cause: Option<RepeatCause>,
     /// The server of the last attempt.
     current: Option<BackendAddress>,
     /// Number of servers that did not run it.
@@ -98,7 +101,8 @@
             preferred: None,
             tried: Vec::new(),
             lost_answers: 0,
-            counted_servers: Vec::new(),
+            counted_runs: Vec::new(),
+            repeat_cause: None,
             current: None,
             refusals: 0,
             is_sent: false,
@@ -145,9 +149,9 @@
         let max_bytes = self.shared.settings.most_answer_bytes;
         loop {
             let mut response = self.send_until_response().await?;
-            if self.route().is_stream && response.parts.status.is_success() {
+            let cause = if self.route().is_stream && response.parts.status.is_success() {
                 match response.next().await {
-                    Some(Err(BrokenAnswer)) => {}
+                    Some(Err(BrokenAnswer { cause })) => cause,
                     Some(Ok(first)) => return Ok(Answer::Stream { response, first: Some(first) }),
                     None => return Ok(Answer::Stream { response, first: None }),
                 }
@@ -157,12 +161,12 @@
                     Err(ReadWholeError::NoMemory { .. }) => {
                         return Err(Refusal::AnswerLost);
                     }
-                    Err(ReadWholeError::Broken { .. }) => {}
+                    Err(ReadWholeError::Broken { source }) => source.cause,
                 }
-            }
+            };
             // The connection must close before another server gets the request.
             drop(response);
-            self.handle_answer_lost().await?;
+            self.handle_answer_lost(cause).await?;
         }
     }
 
@@ -176,12 +180,13 @@
             let guard = AttemptGuard::new(&self.shared, &chosen, may_run_again, log, slot);
             let server = chosen.server;
             count(&self.shared.counters.attempts);
+            self.log.sent(&server.id, self.repeat_cause, self.deadline);
             let outcome = self.send_within_memory_limit(&server, guard).await;
             self.tried.push(server.id.clone());
             self.current = Some(server);
             match outcome {
                 SendOutcome::Responding(response) => return Ok(response),
-                SendOutcome::AnswerLost => self.handle_answer_lost().await?,
+                SendOutcome::AnswerLost(cause) => self.handle_answer_lost(cause).await?,
                 SendOutcome::NotRun { retry_after } => self.handle_not_run(retry_after)?,
             }
         }
@@ -368,6 +373,7 @@
     fn handle_not_run(&mut self, retry_after: Option<Duration>) -> Result<(), Refusal> {
         self.mark_not_run();
         self.refusals += 1;
+        self.repeat_cause = Some(RepeatCause::NotRun);
         if self.refusals < self.shared.settings.most_refusals {
             return Ok(());
         }
@@ -379,14 +385,29 @@
     ///
     /// # Errors
     /// No other server may run it.
-    pub(crate) async fn handle_answer_lost(&mut self) -> Result<(), Refusal> {
+    pub(crate) async fn handle_answer_lost(&mut self, cause: LossCause) -> Result<(), Refusal> {
         self.is_sent = false;
         self.lost_answers += 1;
-        self.counted_servers.extend(self.current.take());
-        if self.may_run_again() && self.is_below_max_attempts().await {
-            return Ok(());
+        self.repeat_cause = Some(RepeatCause::Lost(cause));
+        let last_run = self.current.take().map(|server| PossibleRun { server, cause });
+        self.counted_runs.extend(last_run.clone());
+        let decision = self.may_repeat().await;
+        if let Some(run) = &last_run {
+            let counted = self.counted_runs.len();
+            self.log.answer_lost(run, counted, self.route().max_attempts, decision.err());
+        }
+        decision.map_err(|_| Refusal::AnswerLost)
+    }
+
+    /// Whether another server may get the request, whose last answer is lost.
+    async fn may_repeat(&mut self) -> Result<(), WithheldReason> {
+        if !self.may_run_again() {
+            return Err(WithheldReason::RunsOnce);
+        }
+        match self.is_below_max_attempts().await {
+            true => Ok(()),
+            false => Err(WithheldReason::AttemptLimit),
         }
-        Err(Refusal::AnswerLost)
     }
 
     /// Whether another server may run it. Servers that have ended or cannot be reached do not
@@ -394,25 +415,35 @@
     async fn is_below_max_attempts(&mut self) -> bool {
         let max = self.route().max_attempts as usize;
         let mut checked = 0;
-        while self.counted_servers.len() >= max && checked < self.counted_servers.len() {
-            if self.is_unreachable(&self.counted_servers[checked]).await {
-                self.counted_servers.swap_remove(checked);
-            } else {
-                checked += 1;
+        while self.counted_runs.len() >= max && checked < self.counted_runs.len() {
+            match self.exclusion_reason(&self.counted_runs[checked].server).await {
+                Some(reason) => {
+                    let excluded = self.counted_runs.swap_remove(checked);
+                    self.log.run_excluded(&excluded.server.id, reason);
+                }
+                None => checked += 1,
             }
         }
-        self.counted_servers.len() < max
+        self.counted_runs.len() < max
     }
 
-    async fn is_unreachable(&self, server: &BackendAddress) -> bool {
+    /// Why a server that may have run the request does not count; none if it counts.
+    async fn exclusion_reason(&self, server: &BackendAddress) -> Option<ExclusionReason> {
         let is_gone = {
             let backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
             backends.is_leaving_or_gone(&server.id)
         };
-        if is_gone || self.shared.liveness.is_unresponsive(&server.id) {
-            return true;
+        if is_gone {
+            return Some(ExclusionReason::LeavingOrUnlisted);
+        }
+        if self.shared.liveness.is_unresponsive(&server.id) {
+            return Some(ExclusionReason::Unresponsive);
+        }
+        match probe_reachability(server.address, &self.shared.settings).await {
+            Reachability::Alive => None,
+            Reachability::Refused => Some(ExclusionReason::Refused),
+            Reachability::Silent => Some(ExclusionReason::ProbeTimeout),
         }
-        probe_reachability(server.address, &self.shared.settings).await != Reachability::Alive
     }
 
     /// Whether the request may run on more than one server. A stream that cannot be resumed runs at
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout};
 
 use crate::RelaySettings;
+use crate::repeats::LossCause;
 
 /// How often a request checks the result of a probe that another request makes.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -152,25 +153,6 @@
     }
 }
 
-/// Why a request stops waiting for its server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum LossCause {
-    /// The server does not respond.
-    Unresponsive,
-    /// The server has restarted.
-    Restarted,
-}
-
-impl LossCause {
-    /// The cause as logs have it.
-    pub(crate) fn cause(self) -> &'static str {
-        match self {
-            Self::Unresponsive => "the server fell silent",
-            Self::Restarted => "the server has started again",
-        }
-    }
-}
-
 /// Watches one server for a request that waits for it.
 #[derive(Debug, Clone)]
 pub(crate) struct LivenessWatch {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,7 @@
 use tokio::time::Duration;
 
 use crate::CounterReadings;
+use crate::repeats::{ExclusionReason, RepeatCause, WithheldReason};
 
 /// Upper bounds of histogram buckets in seconds, from a lookup of a few milliseconds to a long
 /// stream.
@@ -26,6 +27,10 @@
     sends: IntCounterVec,
     sent_bytes: IntCounterVec,
     attempt_failures: IntCounterVec,
+    first_sends: IntCounterVec,
+    repeats: IntCounterVec,
+    withheld_repeats: IntCounterVec,
+    excluded_runs: IntCounterVec,
     refusals: IntCounterVec,
     head_seconds: HistogramVec,
     whole_seconds: HistogramVec,
@@ -45,6 +50,10 @@
         let counters = |name: &str, help: &str, label: &str| {
             IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant names are valid")
         };
+        let by_service = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &["service", label])
+                .expect("constant names are valid")
+        };
         let histograms = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(BUCKET_BOUNDS_SECONDS.to_vec());
             HistogramVec::new(options, &["service"]).expect("constant names are valid")
@@ -83,6 +92,26 @@
                 "Sends that brought no answer, by their end.",
                 "end",
             ),
+            first_sends: counters(
+                "dahlialadder_relay_first_sends_total",
+                "Requests that were sent to a server, by service.",
+                "service",
+            ),
+            repeats: by_service(
+                "dahlialadder_relay_repeats_total",
+                "Further sends of requests, by what came of the send before.",
+                "cause",
+            ),
+            withheld_repeats: by_service(
+                "dahlialadder_relay_withheld_repeats_total",
+                "Requests with a lost answer that were not sent again.",
+                "reason",
+            ),
+            excluded_runs: by_service(
+                "dahlialadder_relay_excluded_runs_total",
+                "Servers that may have run a request and did not count against its limit.",
+                "reason",
+            ),
             refusals: counters(
                 "dahlialadder_relay_refusals_total",
                 "Requests that the relay ended itself, by cause.",
@@ -117,13 +146,17 @@
     /// # Errors
     /// One of the names is registered already.
     pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 14] = [
+        let collectors: [Box<dyn Collector>; 18] = [
             Box::new(self.events.clone()),
             Box::new(self.gauges.clone()),
             Box::new(self.choices.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.sent_bytes.clone()),
             Box::new(self.attempt_failures.clone()),
+            Box::new(self.first_sends.clone()),
+            Box::new(self.repeats.clone()),
+            Box::new(self.withheld_repeats.clone()),
+            Box::new(self.excluded_runs.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.head_seconds.clone()),
             Box::new(self.whole_seconds.clone()),
@@ -199,6 +232,22 @@
         self.attempt_failures.with_label_values(&[end.name()]).inc();
     }
 
+    pub(crate) fn count_first_send(&self, service: &ServiceName) {
+        self.first_sends.with_label_values(&[service.0.as_str()]).inc();
+    }
+
+    pub(crate) fn count_repeat(&self, service: &ServiceName, cause: RepeatCause) {
+        self.repeats.with_label_values(&[service.0.as_str(), cause.name()]).inc();
+    }
+
+    pub(crate) fn count_withheld_repeat(&self, service: &ServiceName, reason: WithheldReason) {
+        self.withheld_repeats.with_label_values(&[service.0.as_str(), reason.name()]).inc();
+    }
+
+    pub(crate) fn count_excluded_run(&self, service: &ServiceName, reason: ExclusionReason) {
+        self.excluded_runs.with_label_values(&[service.0.as_str(), reason.name()]).inc();
+    }
+
     pub(crate) fn count_refusal(&self, cause: &str) {
         self.refusals.with_label_values(&[cause]).inc();
     }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -15,6 +15,7 @@
 
 use crate::metrics::RelayMetrics;
 use crate::refusal::Refusal;
+use crate::repeats::{ExclusionReason, PossibleRun, RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::router::RouteMatch;
 
@@ -186,6 +187,68 @@
         );
     }
 
+    /// The request is sent to a server: for the first time, or again because of `repeat`. The
+    /// server gets the time left until `deadline`.
+    pub(crate) fn sent(&self, server: &BackendId, repeat: Option<RepeatCause>, deadline: Instant) {
+        let Some(service) = &self.service else { return };
+        let Some(cause) = repeat else {
+            self.metrics.count_first_send(service);
+            return;
+        };
+        self.metrics.count_repeat(service, cause);
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            server:% = server,
+            service = service.0.as_str(),
+            cause = cause.name(),
+            deadline_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+            age_ms = self.age_ms();
+            "Sent again."
+        );
+    }
+
+    /// The answer of a server that may have run the request is lost. `counted` servers count
+    /// against the route's limit, this one included if it counts. `withheld` says why no other
+    /// server gets the request.
+    pub(crate) fn answer_lost(
+        &self,
+        run: &PossibleRun,
+        counted: usize,
+        max_attempts: u32,
+        withheld: Option<WithheldReason>,
+    ) {
+        if let (Some(service), Some(reason)) = (&self.service, withheld) {
+            self.metrics.count_withheld_repeat(service, reason);
+        }
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            server:% = run.server.id,
+            cause = run.cause.name(),
+            counted = counted,
+            most = max_attempts,
+            withheld = withheld.map_or(MISSING, WithheldReason::name),
+            age_ms = self.age_ms();
+            "An answer is lost."
+        );
+    }
+
+    /// A server that may have run the request does not count against the route's limit.
+    pub(crate) fn run_excluded(&self, server: &BackendId, reason: ExclusionReason) {
+        if let Some(service) = &self.service {
+            self.metrics.count_excluded_run(service, reason);
+        }
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            server:% = server,
+            reason = reason.name(),
+            age_ms = self.age_ms();
+            "A server does not count against the attempt limit."
+        );
+    }
+
     /// A complete answer of a server is forwarded.
     pub(crate) fn answered(&self, server: &BackendId, status: StatusCode, bytes: usize) {
         self.answer_began();
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -12,18 +12,21 @@
 use snafu::Snafu;
 use tokio::select;
 
-use crate::connection::ServerConnection;
+use crate::connection::{ServerConnection, loss_cause};
 use crate::liveness::LivenessWatch;
 use crate::memory::{BodyBuffer, CallerQuota, ReservationError, ReservedBody};
 use crate::pool::{KeepAlive, Pool};
 use crate::relay::{Clock, Shared};
+use crate::repeats::LossCause;
 use crate::request_log::RequestLog;
 use crate::wait_queues::SlotGuard;
 
 /// The answer was incomplete, missing, or belonged to another request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 #[snafu(display("the server's answer was not whole"))]
-pub(crate) struct BrokenAnswer;
+pub(crate) struct BrokenAnswer {
+    pub(crate) cause: LossCause,
+}
 
 /// Why an answer could not be read completely.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
@@ -206,9 +209,9 @@
             data = connection.next_data(&mut self.body) => data,
             loss = self.guard.watch.wait_until_lost() => {
                 self.connection = None;
-                let cause = format!("{} in its answer", loss.cause());
+                let cause = format!("{} in its answer", loss.describe());
                 self.guard.fail(AttemptEnd::Unreachable, &cause);
-                return Some(Err(BrokenAnswer));
+                return Some(Err(BrokenAnswer { cause: loss }));
             }
         };
         match data {
@@ -219,7 +222,7 @@
             Some(Err(error)) => {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, &error.to_string());
-                Some(Err(BrokenAnswer))
+                Some(Err(BrokenAnswer { cause: loss_cause(&error) }))
             }
             None => {
                 self.return_connection();
@@ -250,7 +253,7 @@
             if buffer.len() + piece.len() > limit {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, "the answer is too long");
-                return Err(BrokenAnswer.into());
+                return Err(BrokenAnswer { cause: LossCause::InvalidAnswer }.into());
             }
             if let Err(error) = buffer.push_when_available(&piece).await {
                 self.connection = None;
--- a/crates/relay/tests/request_log.rs
+++ b/crates/relay/tests/request_log.rs
@@ -127,7 +127,13 @@
             route: at_most_once_route,
             script: Some(|_| vec![Step::Reset]),
             status: 502,
-            sentences: &["Taken.", "Server chosen.", "An attempt failed.", "Refused."],
+            sentences: &[
+                "Taken.",
+                "Server chosen.",
+                "An attempt failed.",
+                "An answer is lost.",
+                "Refused.",
+            ],
             last: &[("cause", "the answer was lost"), ("status", "502")],
             metric: "dahlialadder_relay_attempt_failures_total{end=\"broken\"} 1",
         },
@@ -174,6 +180,48 @@
     assert!(failed.field("cause").is_some_and(|cause| !cause.is_empty()), "{failed:?}");
 }
 
+/// For one request, the log tells each server it was sent to, what came of it, and whether it counts
+/// against the attempt limit; the metrics sum this up by service.
+#[tokio::test]
+async fn each_repeat_and_what_counts_against_the_limit_is_logged_and_summed_up() {
+    install_recorder();
+    let mut servers = Vec::new();
+    for id in ["s-1", "s-2", "s-3"] {
+        servers.push(ScriptedServer::new(id, |_| vec![Step::Reset]).await);
+    }
+    let references: Vec<&ScriptedServer> = servers.iter().collect();
+    let two_servers = Route { max_attempts: 2, ..repeatable_route() };
+    let gateway = TestGateway::new(Some(route_table(vec![two_servers])), &references).await;
+    let registry = prometheus::Registry::new();
+    gateway.relay.register_metrics(&registry).expect("metric names are valid");
+    assert_eq!(call(gateway.address, &post("repeats", "", "x")).await.status, 502);
+    let lines = lines_of("repeats");
+    let fields = |sentence: &str, names: &[&str]| -> Vec<Vec<Option<String>>> {
+        let lines = lines.iter().filter(|line| line.sentence == sentence);
+        let field = |line: &LoggedLine, name: &&str| line.field(name).map(str::to_owned);
+        lines.map(|line| names.iter().map(|name| field(line, name)).collect()).collect()
+    };
+    let some = |texts: [&str; 4]| texts.map(|text| Some(text.to_owned())).to_vec();
+    assert_eq!(
+        fields("An answer is lost.", &["cause", "counted", "most", "withheld"]),
+        [some(["disconnected", "1", "2", "-"]), some(["disconnected", "2", "2", "attempt-limit"])]
+    );
+    let sent_again = fields("Sent again.", &["service", "cause", "server", "deadline_ms"]);
+    assert_eq!(sent_again.len(), 1);
+    assert_eq!(sent_again[0][..2], some(["service", "disconnected", "", ""])[..2]);
+    assert!(sent_again[0].iter().all(Option::is_some), "{sent_again:?}");
+    gateway.relay.refresh_metrics();
+    let text = prometheus::TextEncoder::new().encode_to_string(&registry.gather());
+    let text = text.expect("valid UTF-8");
+    for metric in [
+        "dahlialadder_relay_first_sends_total{service=\"service\"} 1",
+        "dahlialadder_relay_repeats_total{cause=\"disconnected\",service=\"service\"} 1",
+        "dahlialadder_relay_withheld_repeats_total{reason=\"attempt-limit\",service=\"service\"} 1",
+    ] {
+        assert!(text.contains(metric), "{metric}: {text}");
+    }
+}
+
 #[tokio::test]
 async fn a_turn_that_the_ledger_does_not_open_is_refused_and_the_cause_logged() {
     install_recorder();
