--- a/crates/relay/tests/common/scripted_server.rs
+++ b/crates/relay/tests/common/scripted_server.rs
@@ -44,6 +44,8 @@
     StopAndReset,
     /// Sends nothing more and accepts no new connections, so that they hang.
     StopResponding,
+    /// Accepts no new connections, so that they hang, and goes on with the next step.
+    StopAccepting,
 }
 
 type Script = dyn Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync;
@@ -58,6 +60,8 @@
     connections: Arc<Mutex<usize>>,
     released: Arc<watch::Sender<bool>>,
     accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
+    /// Keeps new connections hanging after [`Step::StopAccepting`].
+    full_listener: Arc<Mutex<Option<FullListener>>>,
 }
 
 impl ScriptedServer {
@@ -74,6 +78,7 @@
             connections: Arc::default(),
             released: Arc::new(watch::Sender::new(false)),
             accepting: Arc::default(),
+            full_listener: Arc::default(),
         };
         let (accepting, script) = (server.clone(), Arc::new(script) as Arc<Script>);
         let task = tokio::spawn(async move {
@@ -134,37 +139,36 @@
             }
             Step::Close => false,
             Step::StopAndReset => {
-                let task = self
-                    .accepting
-                    .lock()
-                    .expect("the lock is not poisoned")
-                    .take()
-                    .expect("the server is listening");
-                task.abort();
-                let _ = task.await;
+                self.stop_listening().await;
                 let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
                 false
             }
             Step::StopResponding => {
-                let task = self
-                    .accepting
-                    .lock()
-                    .expect("the lock is not poisoned")
-                    .take()
-                    .expect("the server is listening");
-                task.abort();
-                let _ = task.await;
+                self.stop_listening().await;
                 let _full = FullListener::at(self.address);
                 let mut released = self.released.subscribe();
                 let _ = released.wait_for(|released| *released).await;
                 false
             }
+            Step::StopAccepting => {
+                self.stop_listening().await;
+                let full = FullListener::at(self.address);
+                *self.full_listener.lock().expect("the lock is not poisoned") = Some(full);
+                true
+            }
             Step::Reset => {
                 let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
                 false
             }
         }
     }
+
+    async fn stop_listening(&self) {
+        let task = self.accepting.lock().expect("the lock is not poisoned").take();
+        let task = task.expect("the server is listening");
+        task.abort();
+        let _ = task.await;
+    }
 }
 
 /// A listener whose queue is full, so that the system drops further connection requests.
