--- a/crates/relay/tests/common/scripted_server.rs
+++ b/crates/relay/tests/common/scripted_server.rs
@@ -48,6 +48,9 @@
     StopAccepting,
 }
 
+/// The most connections that wait until the server accepts them.
+const LISTEN_QUEUE: i32 = 128;
+
 type Script = dyn Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync;
 
 /// A scripted server.
@@ -55,6 +58,7 @@
 pub struct ScriptedServer {
     pub id: String,
     pub address: SocketAddr,
+    script: Arc<Script>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     closed: Arc<Mutex<usize>>,
     connections: Arc<Mutex<usize>>,
@@ -73,6 +77,7 @@
         let server = Self {
             id: id.into(),
             address: listener.local_addr().expect("the local address"),
+            script: Arc::new(script),
             requests: Arc::default(),
             closed: Arc::default(),
             connections: Arc::default(),
@@ -80,16 +85,7 @@
             accepting: Arc::default(),
             full_listener: Arc::default(),
         };
-        let (accepting, script) = (server.clone(), Arc::new(script) as Arc<Script>);
-        let task = tokio::spawn(async move {
-            let mut connection = 0;
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(accepting.clone().serve(connection, stream, Arc::clone(&script)));
-                connection += 1;
-                *accepting.connections.lock().expect("the lock is not poisoned") += 1;
-            }
-        });
-        *server.accepting.lock().expect("the lock is not poisoned") = Some(task);
+        server.accept_from(listener);
         server
     }
 
@@ -112,11 +108,11 @@
         self.released.send_replace(true);
     }
 
-    async fn serve(self, connection: usize, mut stream: TcpStream, script: Arc<Script>) {
+    async fn serve(self, connection: usize, mut stream: TcpStream) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer, connection).await {
             self.requests.lock().expect("the lock is not poisoned").push(request.clone());
-            for step in script(&request) {
+            for step in (self.script)(&request) {
                 if !self.act(&mut stream, step).await {
                     return;
                 }
@@ -163,6 +159,33 @@
         }
     }
 
+    /// Accepts new connections again after [`Step::StopAccepting`].
+    pub async fn resume_accepting(&self) {
+        *self.full_listener.lock().expect("the lock is not poisoned") = None;
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.set_reuse_address(true).expect("the socket option is supported");
+        listener.set_nonblocking(true).expect("the socket option is supported");
+        listener.bind(&self.address.into()).expect("the address can be bound again");
+        listener.listen(LISTEN_QUEUE).expect("the socket can listen");
+        self.accept_from(TcpListener::from_std(listener.into()).expect("a listener"));
+    }
+
+    fn accept_from(&self, listener: TcpListener) {
+        let server = self.clone();
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let connection = {
+                    let mut connections =
+                        server.connections.lock().expect("the lock is not poisoned");
+                    *connections += 1;
+                    *connections - 1
+                };
+                tokio::spawn(server.clone().serve(connection, stream));
+            }
+        });
+        *self.accepting.lock().expect("the lock is not poisoned") = Some(task);
+    }
+
     async fn stop_listening(&self) {
         let task = self.accepting.lock().expect("the lock is not poisoned").take();
         let task = task.expect("the server is listening");
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -11,7 +11,8 @@
     ReceivedRequest, ScriptedServer, Step, answer_ok, chunk, event, last_chunk, stream_head,
 };
 use common::{
-    TestGateway, repeatable_route, resumable_stream_route, route_table, service_name, wait_until,
+    HANG_TIMEOUT, TestGateway, repeatable_route, resumable_stream_route, route_table, service_name,
+    wait_until,
 };
 use dahlia_backends::{BackendId, BackendRecord, BackendState};
 use dahlia_relay::{RelaySettings, Route};
@@ -144,6 +145,37 @@
     }
 }
 
+/// Guards against a server that stays given up: once a probe of it had timed out, every later request
+/// was abandoned as soon as it was sent, so nothing that came from the server could be noticed.
+#[tokio::test]
+async fn a_server_that_did_not_respond_for_a_while_is_used_again() {
+    const REQUESTS: usize = 10;
+    let server = ScriptedServer::new("s-1", |request| match request.attempt() {
+        "t-0" => [vec![Step::StopAccepting, Step::WaitForRelease], answer_ok(request)].concat(),
+        _ => answer_ok(request),
+    })
+    .await;
+    let gateway = gateway_with(repeatable_route(), std::slice::from_ref(&server)).await;
+    let first = call(gateway.address, &post("t-0", "X-Deadline: 500\r\n", "x")).await;
+    assert!([502, 504].contains(&first.status), "the server does not respond: {first:?}");
+    server.release();
+    server.resume_accepting().await;
+    let address = gateway.address;
+    let is_served = async || call(address, &post("t-1", "", "x")).await.status == 200;
+    let served_again = timeout(HANG_TIMEOUT, async {
+        while !is_served().await {
+            sleep(StdDuration::from_millis(20)).await;
+        }
+    });
+    assert!(served_again.await.is_ok(), "the server responds again and is not used");
+    let runs_before = server.requests().len();
+    for number in 0..REQUESTS {
+        let reply = call(gateway.address, &post(&format!("u-{number}"), "", "x")).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(server.requests().len(), runs_before + REQUESTS);
+}
+
 /// The caller of a server that has ended for certain still gets its answer from another one.
 #[tokio::test]
 async fn a_server_that_has_restarted_does_not_count_against_the_limit() {
