Relay: a server that did not respond for a while gets requests again

Callers saw requests run on several servers although the first one lived: after one probe of a server had timed out, every later request there was abandoned as soon as its bytes had left, sent again elsewhere, and the server was left out of the count. Cause: the mark 'unresponsive' ended only when something came from the server, and the requests that could have brought it were abandoned at once, with their connections. A pause of 0.7 s was enough, for the life of the gateway.

Now a request waits for its own silence before it gives its server up, and while a server is marked nothing is sent on open connections to it: a request opens a new one, at most every 500 ms and one at a time, which is a probe; else it goes to another server without having run here. Whatever comes from a server, for any request, clears the mark; before, only answers to requests that may be repeated did.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,9 +14,10 @@
 use tokio::select;
 use tokio::time::{self, Instant, timeout};
 
-use crate::connection::{SendError, ServerConnection};
+use crate::connection::{OpenError, SendError, ServerConnection};
 use crate::counters::count;
 use crate::idle_limit::Reset;
+use crate::liveness::{Reachability, UsableConnections};
 use crate::outgoing::OutgoingRequest;
 use crate::pool::{Connected, KeepAlive};
 use crate::relay::Shared;
@@ -49,7 +50,8 @@
     pub(crate) outgoing: OutgoingRequest<'a>,
 }
 
-/// Returns an idle connection or a new one, or none if the server cannot be reached.
+/// Returns an idle connection or a new one, or none if the server cannot be reached or does not
+/// respond.
 /// `tolerates_loss` says whether the request may be sent on a connection that the server may
 /// already have dropped.
 pub(crate) async fn connect<L>(
@@ -57,10 +59,19 @@
     server: &BackendAddress,
     tolerates_loss: bool,
 ) -> Option<Connected> {
-    if let Some(idle) = shared.pool.take(&server.id, tolerates_loss) {
-        return Some(idle);
+    let probe = match shared.liveness.usable_connections(&server.id) {
+        UsableConnections::All => match shared.pool.take(&server.id, tolerates_loss) {
+            Some(idle) => return Some(idle),
+            None => None,
+        },
+        UsableConnections::New(probe) => Some(probe),
+        UsableConnections::None => return None,
+    };
+    let opened = ServerConnection::open(server.address, &shared.settings).await;
+    if let Some(probe) = probe {
+        probe.finish(reachability(&opened));
     }
-    match ServerConnection::open(server.address, &shared.settings).await {
+    match opened {
         Ok(connection) => {
             count(&shared.counters.connections_to_servers);
             Some(Connected { connection, idle_for: None })
@@ -72,6 +83,14 @@
     }
 }
 
+/// What the result of opening a connection says of the server.
+fn reachability(opened: &Result<ServerConnection, OpenError>) -> Reachability {
+    match opened {
+        Err(OpenError::Timeout { .. }) => Reachability::Silent,
+        Ok(_) | Err(OpenError::Connect { .. } | OpenError::Start { .. }) => Reachability::Alive,
+    }
+}
+
 impl<L: TurnLedger> PreparedRequest<'_, L> {
     /// Sends the request and waits for the head of its answer.
     ///
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -3,7 +3,8 @@
 //! A server may send nothing for a long time while it works, so a pause alone proves nothing. If
 //! nothing came from a server on any connection for a while, the relay opens a probe connection to
 //! it. A running server accepts or refuses the connection at once; an unresponsive one does
-//! neither. Only then are the server's requests abandoned, if another server may run them.
+//! neither. Only then are the server's requests abandoned, if another server may run them. Further
+//! requests reach it only over a new connection, which shows whether it responds again.
 //!
 //! A server that has restarted accepts the probe connection too, but has lost its earlier requests.
 //! Once a later incarnation of a server is known, requests at earlier ones are abandoned.
@@ -26,6 +27,9 @@
 /// How often a waiting request checks whether its server has restarted: short compared with the
 /// time that callers wait, long compared with most answers.
 const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an unresponsive server gets no request after a probe timed out. Then the next request to
+/// it opens a new connection, which is the next probe.
+const REPROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of tracked servers from which on servers without recent contact are forgotten.
 const PRUNE_ABOVE_SERVERS: usize = 1_024;
 /// Time without contact after which a server may be forgotten.
@@ -71,15 +75,15 @@
 struct ServerState {
     /// When something last came from the server.
     last_contact: Instant,
-    /// Whether a probe since then timed out.
-    is_unresponsive: bool,
+    /// When the last probe since then timed out; none if no probe did.
+    silent_at: Option<Instant>,
     /// Whether a probe connection is being opened.
     is_probing: bool,
 }
 
 impl ServerState {
     fn new(last_contact: Instant) -> Self {
-        Self { last_contact, is_unresponsive: false, is_probing: false }
+        Self { last_contact, silent_at: None, is_probing: false }
     }
 }
 
@@ -94,7 +98,7 @@
         let mut servers = self.lock();
         if let Some(state) = servers.get_mut(server) {
             state.last_contact = now;
-            state.is_unresponsive = false;
+            state.silent_at = None;
             return;
         }
         if servers.len() >= PRUNE_ABOVE_SERVERS {
@@ -107,7 +111,20 @@
 
     /// Whether a probe of the server timed out and nothing came from it since.
     pub(crate) fn is_unresponsive(&self, server: &BackendId) -> bool {
-        self.lock().get(server).is_some_and(|state| state.is_unresponsive)
+        self.lock().get(server).is_some_and(|state| state.silent_at.is_some())
+    }
+
+    /// Returns which connections a request to the server may use. While the server does not
+    /// respond, requests must not leave on open connections: they may run without an answer.
+    pub(crate) fn usable_connections(self: &Arc<Self>, server: &BackendId) -> UsableConnections {
+        let mut servers = self.lock();
+        let Some(state) = servers.get_mut(server) else { return UsableConnections::All };
+        let Some(silent_at) = state.silent_at else { return UsableConnections::All };
+        if state.is_probing || silent_at.elapsed() < REPROBE_INTERVAL {
+            return UsableConnections::None;
+        }
+        state.is_probing = true;
+        UsableConnections::New(Probe { liveness: Arc::clone(self), server: server.clone() })
     }
 
     fn state(&self, server: &BackendId, since: Instant) -> ServerState {
@@ -124,8 +141,18 @@
     }
 }
 
+/// The connections that a request to a server may use.
+pub(crate) enum UsableConnections {
+    /// Open and new ones.
+    All,
+    /// A new one, which is also a probe of the server.
+    New(Probe),
+    /// None: a probe timed out a moment ago, or is being made.
+    None,
+}
+
 /// A probe in progress. It also ends when its request is dropped.
-struct Probe {
+pub(crate) struct Probe {
     liveness: Arc<ServerLiveness>,
     server: BackendId,
 }
@@ -139,14 +166,14 @@
 }
 
 impl Probe {
-    fn finish(self, result: Reachability) {
+    pub(crate) fn finish(self, result: Reachability) {
         match result {
             Reachability::Alive | Reachability::Refused => {
                 self.liveness.record_contact(&self.server)
             }
             Reachability::Silent => {
                 if let Some(state) = self.liveness.lock().get_mut(&self.server) {
-                    state.is_unresponsive = true;
+                    state.silent_at = Some(Instant::now());
                 }
             }
         }
@@ -184,7 +211,7 @@
 
     /// Records that something came from the server.
     pub(crate) fn record_contact(&self) {
-        if self.is_enabled {
+        if self.settings.silence_ms > 0 {
             self.liveness.record_contact(&self.server.id);
         }
     }
@@ -225,13 +252,13 @@
             // Contact before this wait began does not shorten the wait: the server was running
             // then.
             let probe_at = state.last_contact.max(wait_started) + silence_limit;
-            if state.is_unresponsive {
-                return;
-            }
             if Instant::now() < probe_at {
                 sleep_until(probe_at).await;
                 continue;
             }
+            if state.silent_at.is_some() {
+                return;
+            }
             match self.liveness.begin_probe(&self.server.id) {
                 Some(probe) => {
                     let result = probe_reachability(self.server.address, &self.settings).await;
