Relay: a server counts against max_attempts unless it has certainly ended or is cut off

Cause: a server that may have run a request was left out of the count if it was leaving or not listed (it serves on; an entry also lapses while the store is away), had not answered a probe connection within 300 ms (paused, overloaded, listen queue full), or had restarted.

Now two things prove that a server is lost: it ended the request's connection, may not be leaving, and its address refuses a connection; or its system acknowledged nothing until the connection timed out, which the system of a paused process never does. A request leaves a server that does not respond only if another one may get it; else it waits for the answer or the end of its connection.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -3,6 +3,7 @@
 //! hyper's connection is driven by the task that waits for its answer, not by a task of its own.
 //! That saves two wake-ups per request, and the connection closes when the caller disconnects.
 
+use std::error::Error;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -66,10 +67,18 @@
 
 /// Why an answer is lost after an error of its connection.
 pub(crate) fn loss_cause(error: &hyper::Error) -> LossCause {
-    match error.is_parse() {
-        true => LossCause::InvalidAnswer,
-        false => LossCause::Disconnected,
+    if error.is_parse() {
+        return LossCause::InvalidAnswer;
     }
+    match io_error_kind(error) {
+        Some(io::ErrorKind::TimedOut) => LossCause::ConnectionTimeout,
+        _ => LossCause::Disconnected,
+    }
+}
+
+fn io_error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
+    let source = error.source()?.downcast_ref::<io::Error>()?;
+    Some(source.kind())
 }
 
 /// One connection to a server, with at most one request on it.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::prompt_parts::SharedPromptParts;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
-use crate::repeats::{ExclusionReason, LossCause, PossibleRun, RepeatCause, WithheldReason};
+use crate::repeats::{LossCause, PossibleRun, RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::request_log::RequestLog;
 use crate::router::{RouteMatch, hash_key};
@@ -174,10 +174,10 @@
     pub(crate) async fn send_until_response(&mut self) -> Result<Box<ServerResponse>, Refusal> {
         loop {
             let chosen = self.acquire_server().await?;
-            let may_run_again = self.may_run_again();
+            let may_move_on = self.may_move_on();
             let slot = SlotGuard::new(&self.shared.queues, self.matched.service_name());
             let log = self.log.clone();
-            let guard = AttemptGuard::new(&self.shared, &chosen, may_run_again, log, slot);
+            let guard = AttemptGuard::new(&self.shared, &chosen, may_move_on, log, slot);
             let server = chosen.server;
             count(&self.shared.counters.attempts);
             self.log.sent(&server.id, self.repeat_cause, self.deadline);
@@ -210,7 +210,7 @@
     /// Sends the request to one server, on the first of its connections that is still open.
     async fn send_to(&mut self, server: &BackendAddress, mut guard: AttemptGuard) -> SendOutcome {
         // Another server can replace one lost answer. A second loss must be avoided.
-        let tolerates_loss = self.may_run_again() && self.lost_answers == 0;
+        let tolerates_loss = self.may_move_on() && self.lost_answers == 0;
         while let Some(connected) = connect(&self.shared, server, tolerates_loss).await {
             let is_new = connected.idle_for.is_none();
             self.mark_sent();
@@ -410,42 +410,46 @@
         }
     }
 
-    /// Whether another server may run it. Servers that have ended or cannot be reached do not
-    /// count; they are probed only if the answer depends on it.
+    /// Whether another server may run it. Servers that have certainly ended or are cut off do not
+    /// count; this is checked only if the answer depends on it.
     async fn is_below_max_attempts(&mut self) -> bool {
         let max = self.route().max_attempts as usize;
         let mut checked = 0;
         while self.counted_runs.len() >= max && checked < self.counted_runs.len() {
-            match self.exclusion_reason(&self.counted_runs[checked].server).await {
-                Some(reason) => {
-                    let excluded = self.counted_runs.swap_remove(checked);
-                    self.log.run_excluded(&excluded.server.id, reason);
-                }
-                None => checked += 1,
+            if self.has_ended(&self.counted_runs[checked]).await {
+                let ended = self.counted_runs.swap_remove(checked);
+                self.log.run_excluded(&ended.server.id);
+            } else {
+                checked += 1;
             }
         }
         self.counted_runs.len() < max
     }
 
-    /// Why a server that may have run the request does not count; none if it counts.
-    async fn exclusion_reason(&self, server: &BackendAddress) -> Option<ExclusionReason> {
-        let is_gone = {
-            let backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
-            backends.is_leaving_or_gone(&server.id)
-        };
-        if is_gone {
-            return Some(ExclusionReason::LeavingOrUnlisted);
-        }
-        if self.shared.liveness.is_unresponsive(&server.id) {
-            return Some(ExclusionReason::Unresponsive);
-        }
-        match probe_reachability(server.address, &self.shared.settings).await {
-            Reachability::Alive => None,
-            Reachability::Refused => Some(ExclusionReason::Refused),
-            Reachability::Silent => Some(ExclusionReason::ProbeTimeout),
+    /// Whether a server that may have run the request has certainly ended or is cut off: its system
+    /// acknowledged nothing until the connection timed out, or it ended the connection and nothing
+    /// listens at its address. Nothing less is a proof. A server that leaves or is not listed serves
+    /// on, and one that accepts no connection may be paused or overloaded, but its system still
+    /// acknowledges. What was sent to an earlier incarnation may run at the later one.
+    async fn has_ended(&self, run: &PossibleRun) -> bool {
+        match run.cause {
+            LossCause::ConnectionTimeout => true,
+            // A server that leaves may stop listening and still work on what it has.
+            LossCause::Disconnected if !self.may_be_leaving(&run.server.id) => {
+                let address = run.server.address;
+                let reachability = probe_reachability(address, &self.shared.settings).await;
+                reachability == Reachability::Refused
+            }
+            _ => false,
         }
     }
 
+    /// Whether a server may be about to end, and has not ended as far as is known.
+    fn may_be_leaving(&self, server: &BackendId) -> bool {
+        let backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
+        backends.is_leaving_or_gone(server) && !backends.has_later_incarnation(server)
+    }
+
     /// Whether the request may run on more than one server. A stream that cannot be resumed runs at
     /// most once, whatever its route says.
     fn may_run_again(&self) -> bool {
@@ -456,6 +460,11 @@
         }
     }
 
+    /// Whether another server may get the request if the next one loses its answer.
+    fn may_move_on(&self) -> bool {
+        self.may_run_again() && self.counted_runs.len() + 1 < self.route().max_attempts as usize
+    }
+
     pub(crate) fn refusal_without_server(&self, retry_after: Duration) -> Refusal {
         if self.may_have_run() {
             return Refusal::AnswerLost;
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -109,11 +109,6 @@
         servers.insert(server.clone(), ServerState::new(now));
     }
 
-    /// Whether a probe of the server timed out and nothing came from it since.
-    pub(crate) fn is_unresponsive(&self, server: &BackendId) -> bool {
-        self.lock().get(server).is_some_and(|state| state.silent_at.is_some())
-    }
-
     /// Returns which connections a request to the server may use. While the server does not
     /// respond, requests must not leave on open connections: they may run without an answer.
     pub(crate) fn usable_connections(self: &Arc<Self>, server: &BackendId) -> UsableConnections {
@@ -187,8 +182,8 @@
     backends: Arc<Mutex<Backends>>,
     server: BackendAddress,
     settings: Arc<RelaySettings>,
-    /// Whether probes are made: only if another server may run the request. Otherwise the request
-    /// waits for the end of its connection.
+    /// Whether the request leaves a server that does not respond: only if another server may get it.
+    /// Otherwise it waits for its answer or for the end of its connection.
     is_enabled: bool,
 }
 
@@ -198,14 +193,14 @@
         backends: &Arc<Mutex<Backends>>,
         server: &BackendAddress,
         settings: &Arc<RelaySettings>,
-        may_run_again: bool,
+        may_move_on: bool,
     ) -> Self {
         Self {
             liveness: Arc::clone(liveness),
             backends: Arc::clone(backends),
             server: server.clone(),
             settings: Arc::clone(settings),
-            is_enabled: may_run_again && settings.silence_ms > 0,
+            is_enabled: may_move_on && settings.silence_ms > 0,
         }
     }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,7 +11,7 @@
 use tokio::time::Duration;
 
 use crate::CounterReadings;
-use crate::repeats::{ExclusionReason, RepeatCause, WithheldReason};
+use crate::repeats::{RepeatCause, WithheldReason};
 
 /// Upper bounds of histogram buckets in seconds, from a lookup of a few milliseconds to a long
 /// stream.
@@ -107,10 +107,10 @@
                 "Requests with a lost answer that were not sent again.",
                 "reason",
             ),
-            excluded_runs: by_service(
+            excluded_runs: counters(
                 "dahlialadder_relay_excluded_runs_total",
-                "Servers that may have run a request and did not count against its limit.",
-                "reason",
+                "Servers that may have run a request and are certainly lost, by service.",
+                "service",
             ),
             refusals: counters(
                 "dahlialadder_relay_refusals_total",
@@ -244,8 +244,8 @@
         self.withheld_repeats.with_label_values(&[service.0.as_str(), reason.name()]).inc();
     }
 
-    pub(crate) fn count_excluded_run(&self, service: &ServiceName, reason: ExclusionReason) {
-        self.excluded_runs.with_label_values(&[service.0.as_str(), reason.name()]).inc();
+    pub(crate) fn count_excluded_run(&self, service: &ServiceName) {
+        self.excluded_runs.with_label_values(&[service.0.as_str()]).inc();
     }
 
     pub(crate) fn count_refusal(&self, cause: &str) {
--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -7,6 +7,8 @@
 pub(crate) enum LossCause {
     /// The server's end of the connection closed or was reset before the whole answer came.
     Disconnected,
+    /// The system of the server acknowledged nothing until the connection timed out.
+    ConnectionTimeout,
     /// What came is no whole answer to this request.
     InvalidAnswer,
     /// The server does not respond.
@@ -20,6 +22,7 @@
     pub(crate) fn describe(self) -> &'static str {
         match self {
             Self::Disconnected => "the connection ended",
+            Self::ConnectionTimeout => "the connection timed out",
             Self::InvalidAnswer => "the answer is not valid",
             Self::Unresponsive => "the server fell silent",
             Self::Restarted => "the server has started again",
@@ -30,6 +33,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Disconnected => "disconnected",
+            Self::ConnectionTimeout => "connection-timeout",
             Self::InvalidAnswer => "invalid-answer",
             Self::Unresponsive => "unresponsive",
             Self::Restarted => "restarted",
@@ -56,31 +60,6 @@
     }
 }
 
-/// Why a server that may have run a request does not count against the limit of its route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ExclusionReason {
-    /// Discovery or the server itself reports that it leaves, or discovery does not list it.
-    LeavingOrUnlisted,
-    /// A probe connection timed out, and nothing came from the server since.
-    Unresponsive,
-    /// A probe connection was refused.
-    Refused,
-    /// A probe connection timed out now.
-    ProbeTimeout,
-}
-
-impl ExclusionReason {
-    /// The reason in metrics and logs.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::LeavingOrUnlisted => "leaving-or-unlisted",
-            Self::Unresponsive => "unresponsive",
-            Self::Refused => "refused",
-            Self::ProbeTimeout => "probe-timeout",
-        }
-    }
-}
-
 /// Why a request whose answer is lost is not sent to a further server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum WithheldReason {
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -15,7 +15,7 @@
 
 use crate::metrics::RelayMetrics;
 use crate::refusal::Refusal;
-use crate::repeats::{ExclusionReason, PossibleRun, RepeatCause, WithheldReason};
+use crate::repeats::{PossibleRun, RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::router::RouteMatch;
 
@@ -234,18 +234,18 @@
         );
     }
 
-    /// A server that may have run the request does not count against the route's limit.
-    pub(crate) fn run_excluded(&self, server: &BackendId, reason: ExclusionReason) {
+    /// A server that may have run the request has ended or is cut off, so that it does not count
+    /// against the route's limit.
+    pub(crate) fn run_excluded(&self, server: &BackendId) {
         if let Some(service) = &self.service {
-            self.metrics.count_excluded_run(service, reason);
+            self.metrics.count_excluded_run(service);
         }
         log::warn!(
             target: "relay",
             request = self.request(),
             server:% = server,
-            reason = reason.name(),
             age_ms = self.age_ms();
-            "A server does not count against the attempt limit."
+            "A server is lost and does not count against the attempt limit."
         );
     }
 
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -70,12 +70,12 @@
 }
 
 impl AttemptGuard {
-    /// Starts an attempt at the chosen server. `may_run_again` says whether another server may run
-    /// its request.
+    /// Starts an attempt at the chosen server. `may_move_on` says whether another server may get its
+    /// request while this one does not respond.
     pub(crate) fn new<L>(
         shared: &Shared<L>,
         chosen: &ChosenServer,
-        may_run_again: bool,
+        may_move_on: bool,
         log: RequestLog,
         slot: SlotGuard,
     ) -> Self {
@@ -86,7 +86,7 @@
                 &shared.backends,
                 server,
                 &shared.settings,
-                may_run_again,
+                may_move_on,
             ),
             backends: Arc::clone(&shared.backends),
             clock: Arc::clone(&shared.clock),
