Relay: bound the repeats of a service to a share of its first sends

Callers of a service whose servers lose answers multiplied its load: 100 requests on a route with three servers made 200 repeats, and all requests that waited at a silent server went on at the same moment (two tests, red before, green now). Cause: each request by itself was allowed max_attempts servers, whatever the others did, on each of the gateways.

It needs no word of other gateways, so it holds over all of them under any timing. What is withheld is a 502 at once. A request leaves a server that does not respond only with a repeat in hand.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -17,7 +17,7 @@
 use crate::exchange::{Answer, Exchange};
 use crate::hop_by_hop;
 use crate::memory::{MemoryReservation, ReservationError};
-use crate::repeats::LossCause;
+use crate::repeats::{Loss, LossCause};
 use crate::request_log::DisconnectGuard;
 use crate::server_response::{BrokenAnswer, ServerResponse};
 use crate::token_intervals::TokenIntervals;
@@ -200,8 +200,8 @@
                     }
                     self.unparsed = Some(piece);
                 }
-                Some(Err(BrokenAnswer { cause })) => {
-                    if !self.resume(cause).await {
+                Some(Err(BrokenAnswer { loss })) => {
+                    if !self.resume(loss).await {
                         return NextPiece::Broken;
                     }
                 }
@@ -294,14 +294,13 @@
 
     /// Resumes the stream at another server after the last complete event. The caller keeps the
     /// first head.
-    async fn resume(&mut self, cause: LossCause) -> bool {
+    async fn resume(&mut self, mut loss: Loss) -> bool {
         self.response = None;
         if let Some(events) = &mut self.events {
             events.take_remainder();
         }
         self.reservation = self.exchange.caller.empty_reservation();
-        let mut cause = cause;
-        while self.exchange.handle_answer_lost(cause).await.is_ok() {
+        while self.exchange.handle_answer_lost(loss).await.is_ok() {
             let Ok(mut response) = self.exchange.send_until_response().await else { return false };
             if response.parts.status.is_success() {
                 self.exchange.log.stream_resumed(response.server());
@@ -314,7 +313,7 @@
                 return true;
             }
             response.set_end(AttemptEnd::Answered);
-            cause = LossCause::InvalidAnswer;
+            loss = LossCause::InvalidAnswer.into();
         }
         false
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::outgoing::OutgoingRequest;
 use crate::pool::{Connected, KeepAlive};
 use crate::relay::Shared;
-use crate::repeats::LossCause;
+use crate::repeats::{Loss, LossCause};
 use crate::server_response::{AttemptGuard, ServerResponse};
 use crate::{Service, TurnLedger};
 
@@ -40,7 +40,7 @@
         retry_after: Option<Duration>,
     },
     /// The request may have run, and its answer is lost.
-    AnswerLost(LossCause),
+    AnswerLost(Loss),
 }
 
 /// A request that is ready to be sent to one server.
@@ -108,7 +108,7 @@
             biased;
             answer = connection.send(self.outgoing.build()) => answer,
             loss = guard.watch.wait_until_lost() => {
-                let cause = format!("{} before its answer", loss.describe());
+                let cause = format!("{} before its answer", loss.cause.describe());
                 guard.fail(AttemptEnd::Unreachable, &cause);
                 return Ok(SendOutcome::AnswerLost(loss));
             }
@@ -123,7 +123,7 @@
                 let end =
                     if is_dropped_connection { AttemptEnd::Dropped } else { AttemptEnd::Broken };
                 guard.fail(end, &error.to_string());
-                Ok(SendOutcome::AnswerLost(error.loss_cause()))
+                Ok(SendOutcome::AnswerLost(error.loss_cause().into()))
             }
         }
     }
@@ -138,7 +138,7 @@
         let (parts, body) = answer.into_parts();
         if !self.belongs_to_attempt(&parts) {
             guard.fail(AttemptEnd::Broken, "the answer belongs to another attempt");
-            return SendOutcome::AnswerLost(LossCause::InvalidAnswer);
+            return SendOutcome::AnswerLost(LossCause::InvalidAnswer.into());
         }
         let kind = classify(&parts, &self.shared.headers.not_run);
         let keep_alive = KeepAlive::new(&parts.headers, self.service, &self.shared.settings);
@@ -163,7 +163,7 @@
             }
             AnswerKind::UnprovenRefusal => {
                 response.fail(AttemptEnd::Broken, "a promise that the server does not keep");
-                SendOutcome::AnswerLost(LossCause::InvalidAnswer)
+                SendOutcome::AnswerLost(LossCause::InvalidAnswer.into())
             }
         }
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -19,7 +19,8 @@
 use crate::prompt_parts::SharedPromptParts;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
-use crate::repeats::{LossCause, PossibleRun, RepeatCause, WithheldReason};
+use crate::repeat_budget::{RepeatPermit, ServiceBudget};
+use crate::repeats::{Loss, LossCause, PossibleRun, RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::request_log::RequestLog;
 use crate::router::{RouteMatch, hash_key};
@@ -57,6 +58,8 @@
     counted_runs: Vec<PossibleRun>,
     /// Why the next send is a repeat; none before the first send.
     repeat_cause: Option<RepeatCause>,
+    /// The repeat that is reserved for the next send.
+    permit: Option<RepeatPermit>,
     /// The server of the last attempt.
     current: Option<BackendAddress>,
     /// Number of servers that did not run it.
@@ -103,6 +106,7 @@
             lost_answers: 0,
             counted_runs: Vec::new(),
             repeat_cause: None,
+            permit: None,
             current: None,
             refusals: 0,
             is_sent: false,
@@ -149,9 +153,9 @@
         let max_bytes = self.shared.settings.most_answer_bytes;
         loop {
             let mut response = self.send_until_response().await?;
-            let cause = if self.route().is_stream && response.parts.status.is_success() {
+            let loss = if self.route().is_stream && response.parts.status.is_success() {
                 match response.next().await {
-                    Some(Err(BrokenAnswer { cause })) => cause,
+                    Some(Err(BrokenAnswer { loss })) => loss,
                     Some(Ok(first)) => return Ok(Answer::Stream { response, first: Some(first) }),
                     None => return Ok(Answer::Stream { response, first: None }),
                 }
@@ -161,12 +165,12 @@
                     Err(ReadWholeError::NoMemory { .. }) => {
                         return Err(Refusal::AnswerLost);
                     }
-                    Err(ReadWholeError::Broken { source }) => source.cause,
+                    Err(ReadWholeError::Broken { source }) => source.loss,
                 }
             };
             // The connection must close before another server gets the request.
             drop(response);
-            self.handle_answer_lost(cause).await?;
+            self.handle_answer_lost(loss).await?;
         }
     }
 
@@ -174,10 +178,11 @@
     pub(crate) async fn send_until_response(&mut self) -> Result<Box<ServerResponse>, Refusal> {
         loop {
             let chosen = self.acquire_server().await?;
-            let may_move_on = self.may_move_on();
+            let repeats = self.may_move_on().then(|| self.service_budget());
+            self.record_send();
             let slot = SlotGuard::new(&self.shared.queues, self.matched.service_name());
             let log = self.log.clone();
-            let guard = AttemptGuard::new(&self.shared, &chosen, may_move_on, log, slot);
+            let guard = AttemptGuard::new(&self.shared, &chosen, repeats, log, slot);
             let server = chosen.server;
             count(&self.shared.counters.attempts);
             self.log.sent(&server.id, self.repeat_cause, self.deadline);
@@ -186,7 +191,7 @@
             self.current = Some(server);
             match outcome {
                 SendOutcome::Responding(response) => return Ok(response),
-                SendOutcome::AnswerLost(cause) => self.handle_answer_lost(cause).await?,
+                SendOutcome::AnswerLost(loss) => self.handle_answer_lost(loss).await?,
                 SendOutcome::NotRun { retry_after } => self.handle_not_run(retry_after)?,
             }
         }
@@ -209,8 +214,10 @@
 
     /// Sends the request to one server, on the first of its connections that is still open.
     async fn send_to(&mut self, server: &BackendAddress, mut guard: AttemptGuard) -> SendOutcome {
-        // Another server can replace one lost answer. A second loss must be avoided.
-        let tolerates_loss = self.may_move_on() && self.lost_answers == 0;
+        // Another server can replace one lost answer while repeats are left. A second loss must be
+        // avoided.
+        let tolerates_loss =
+            self.may_move_on() && self.lost_answers == 0 && self.service_budget().has_repeat();
         while let Some(connected) = connect(&self.shared, server, tolerates_loss).await {
             let is_new = connected.idle_for.is_none();
             self.mark_sent();
@@ -385,29 +392,35 @@
     ///
     /// # Errors
     /// No other server may run it.
-    pub(crate) async fn handle_answer_lost(&mut self, cause: LossCause) -> Result<(), Refusal> {
+    pub(crate) async fn handle_answer_lost(&mut self, loss: Loss) -> Result<(), Refusal> {
+        let Loss { cause, permit } = loss;
         self.is_sent = false;
         self.lost_answers += 1;
         self.repeat_cause = Some(RepeatCause::Lost(cause));
         let last_run = self.current.take().map(|server| PossibleRun { server, cause });
         self.counted_runs.extend(last_run.clone());
-        let decision = self.may_repeat().await;
+        let decision = self.reserve_repeat(permit).await;
         if let Some(run) = &last_run {
             let counted = self.counted_runs.len();
-            self.log.answer_lost(run, counted, self.route().max_attempts, decision.err());
+            let withheld = decision.as_ref().err().copied();
+            self.log.answer_lost(run, counted, self.route().max_attempts, withheld);
         }
-        decision.map_err(|_| Refusal::AnswerLost)
+        self.permit = Some(decision.map_err(|_| Refusal::AnswerLost)?);
+        Ok(())
     }
 
-    /// Whether another server may get the request, whose last answer is lost.
-    async fn may_repeat(&mut self) -> Result<(), WithheldReason> {
+    /// Reserves a repeat of the request, whose last answer is lost, unless `permit` is one.
+    async fn reserve_repeat(
+        &mut self,
+        permit: Option<RepeatPermit>,
+    ) -> Result<RepeatPermit, WithheldReason> {
         if !self.may_run_again() {
             return Err(WithheldReason::RunsOnce);
         }
-        match self.is_below_max_attempts().await {
-            true => Ok(()),
-            false => Err(WithheldReason::AttemptLimit),
+        if !self.is_below_max_attempts().await {
+            return Err(WithheldReason::AttemptLimit);
         }
+        permit.or_else(|| self.service_budget().reserve()).ok_or(WithheldReason::Budget)
     }
 
     /// Whether another server may run it. Servers that have certainly ended or are cut off do not
@@ -460,6 +473,19 @@
         }
     }
 
+    fn service_budget(&self) -> ServiceBudget {
+        self.shared.repeats.of_service(self.matched.service_name())
+    }
+
+    /// Notes a send: a first one allows a share of a repeat, a repeat uses its permit.
+    fn record_send(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            permit.spend();
+        } else if self.is_first_attempt() && self.may_run_again() {
+            self.service_budget().record_first_send();
+        }
+    }
+
     /// Whether another server may get the request if the next one loses its answer.
     fn may_move_on(&self) -> bool {
         self.may_run_again() && self.counted_runs.len() + 1 < self.route().max_attempts as usize
--- a/crates/relay/src/idle_limit.rs
+++ b/crates/relay/src/idle_limit.rs
@@ -4,7 +4,7 @@
 //! A server may silently drop idle connections. A request that is then sent on one is reset, and
 //! whether it ran is unknown. After such a reset the relay is cautious for a while: requests that
 //! must not run twice use only connections that were idle for a moment, or new ones. Other requests
-//! risk nothing, since another server may run them. Without I/O: times are passed in.
+//! risk nothing while their service has repeats left, since another server may run them. Without I/O: times are passed in.
 
 use tokio::time::{Duration, Instant};
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,7 +33,7 @@
 //! | `outgoing`, `server_response` | a request as one server receives it, and its answer while it arrives |
 //! | `connection`, `pool` | connections to servers, and the idle ones among them |
 //! | `liveness` | servers that stop responding |
-//! | `repeats` | why a request is sent to a further server, and which servers count against its limit |
+//! | `repeats`, `repeat_budget` | why a request is sent to a further server, and how often a service gets repeats |
 //! | `idle_limit` | how long a connection may be idle before a request that runs once uses it |
 //! | `events` | server-sent events parsed from a stream |
 //! | `token_intervals` | how fast a stream's tokens arrive |
@@ -63,6 +63,7 @@
 mod prompt_parts;
 mod refusal;
 mod relay;
+mod repeat_budget;
 mod repeats;
 mod request;
 mod request_log;
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -20,13 +20,17 @@
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout};
 
 use crate::RelaySettings;
-use crate::repeats::LossCause;
+use crate::repeat_budget::{RepeatPermit, ServiceBudget};
+use crate::repeats::{Loss, LossCause};
 
 /// How often a request checks the result of a probe that another request makes.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// How often a waiting request checks whether its server has restarted: short compared with the
 /// time that callers wait, long compared with most answers.
 const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often a request at an unresponsive server checks whether it may be repeated, or whether
+/// something came from the server.
+const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// How long an unresponsive server gets no request after a probe timed out. Then the next request to
 /// it opens a new connection, which is the next probe.
 const REPROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -182,9 +186,9 @@
     backends: Arc<Mutex<Backends>>,
     server: BackendAddress,
     settings: Arc<RelaySettings>,
-    /// Whether the request leaves a server that does not respond: only if another server may get it.
-    /// Otherwise it waits for its answer or for the end of its connection.
-    is_enabled: bool,
+    /// The repeats for which the request may leave a server that does not respond. Without one it
+    /// waits for its answer or for the end of its connection.
+    repeats: Option<ServiceBudget>,
 }
 
 impl LivenessWatch {
@@ -193,14 +197,14 @@
         backends: &Arc<Mutex<Backends>>,
         server: &BackendAddress,
         settings: &Arc<RelaySettings>,
-        may_move_on: bool,
+        repeats: Option<ServiceBudget>,
     ) -> Self {
         Self {
             liveness: Arc::clone(liveness),
             backends: Arc::clone(backends),
             server: server.clone(),
             settings: Arc::clone(settings),
-            is_enabled: may_move_on && settings.silence_ms > 0,
+            repeats: repeats.filter(|_| settings.silence_ms > 0),
         }
     }
 
@@ -212,11 +216,13 @@
     }
 
     /// Returns when the server's answer cannot come any more, or should not be waited for.
-    pub(crate) async fn wait_until_lost(&self) -> LossCause {
+    pub(crate) async fn wait_until_lost(&self) -> Loss {
         select! {
             biased;
-            () = self.wait_until_unresponsive() => LossCause::Unresponsive,
-            () = self.wait_until_restarted() => LossCause::Restarted,
+            permit = self.wait_until_unresponsive() => {
+                Loss { cause: LossCause::Unresponsive, permit: Some(permit) }
+            }
+            () = self.wait_until_restarted() => LossCause::Restarted.into(),
         }
     }
 
@@ -235,11 +241,9 @@
         }
     }
 
-    /// Returns when the server is found unresponsive.
-    async fn wait_until_unresponsive(&self) {
-        if !self.is_enabled {
-            return std::future::pending().await;
-        }
+    /// Returns when the server is found unresponsive and a repeat is reserved.
+    async fn wait_until_unresponsive(&self) -> RepeatPermit {
+        let Some(repeats) = &self.repeats else { return std::future::pending().await };
         let silence_limit = Duration::from_millis(self.settings.silence_ms);
         let wait_started = Instant::now();
         loop {
@@ -252,7 +256,11 @@
                 continue;
             }
             if state.silent_at.is_some() {
-                return;
+                if let Some(permit) = repeats.reserve() {
+                    return permit;
+                }
+                sleep(PERMIT_POLL_INTERVAL).await;
+                continue;
             }
             match self.liveness.begin_probe(&self.server.id) {
                 Some(probe) => {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::memory::MemoryQuota;
 use crate::metrics::RelayMetrics;
 use crate::pool::Pool;
+use crate::repeat_budget::RepeatBudgets;
 use crate::router::RouteIndex;
 use crate::wait_queues::WaitQueues;
 use crate::{
@@ -36,6 +37,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) liveness: Arc<ServerLiveness>,
     pub(crate) memory: Arc<MemoryQuota>,
+    pub(crate) repeats: Arc<RepeatBudgets>,
     pub(crate) programs: ActivePrograms,
     pub(crate) queues: Arc<WaitQueues>,
     pub(crate) drain: watch::Sender<bool>,
@@ -97,6 +99,7 @@
             pool: Arc::new(Pool::new()),
             liveness: Arc::default(),
             memory: MemoryQuota::new(&settings),
+            repeats: RepeatBudgets::new(&settings),
             programs: ActivePrograms::default(),
             drain: watch::Sender::new(false),
             refuses_requests: AtomicBool::new(false),
--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -2,6 +2,8 @@
 
 use dahlia_backends::BackendAddress;
 
+use crate::repeat_budget::RepeatPermit;
+
 /// Why the answer of a server is lost although the server may have run the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LossCause {
@@ -41,6 +43,20 @@
     }
 }
 
+/// The answer of a server that may have run a request is lost.
+#[derive(Debug)]
+pub(crate) struct Loss {
+    pub(crate) cause: LossCause,
+    /// The repeat for which the request left its server, if it left a server that does not respond.
+    pub(crate) permit: Option<RepeatPermit>,
+}
+
+impl From<LossCause> for Loss {
+    fn from(cause: LossCause) -> Self {
+        Self { cause, permit: None }
+    }
+}
+
 /// Why a request is sent to a further server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RepeatCause {
@@ -67,6 +83,8 @@
     RunsOnce,
     /// As many servers may have run it as its route allows.
     AttemptLimit,
+    /// Its service has had too many repeats of late.
+    Budget,
 }
 
 impl WithheldReason {
@@ -75,6 +93,7 @@
         match self {
             Self::RunsOnce => "runs-once",
             Self::AttemptLimit => "attempt-limit",
+            Self::Budget => "budget",
         }
     }
 }
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -17,19 +17,20 @@
 use crate::memory::{BodyBuffer, CallerQuota, ReservationError, ReservedBody};
 use crate::pool::{KeepAlive, Pool};
 use crate::relay::{Clock, Shared};
-use crate::repeats::LossCause;
+use crate::repeat_budget::ServiceBudget;
+use crate::repeats::{Loss, LossCause};
 use crate::request_log::RequestLog;
 use crate::wait_queues::SlotGuard;
 
 /// The answer was incomplete, missing, or belonged to another request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[derive(Debug, Snafu)]
 #[snafu(display("the server's answer was not whole"))]
 pub(crate) struct BrokenAnswer {
-    pub(crate) cause: LossCause,
+    pub(crate) loss: Loss,
 }
 
 /// Why an answer could not be read completely.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[derive(Debug, Snafu)]
 pub(crate) enum ReadWholeError {
     #[snafu(transparent)]
     Broken { source: BrokenAnswer },
@@ -70,12 +71,12 @@
 }
 
 impl AttemptGuard {
-    /// Starts an attempt at the chosen server. `may_move_on` says whether another server may get its
-    /// request while this one does not respond.
+    /// Starts an attempt at the chosen server. `repeats` are those for which its request may leave
+    /// the server while it does not respond; none if no other server may get it.
     pub(crate) fn new<L>(
         shared: &Shared<L>,
         chosen: &ChosenServer,
-        may_move_on: bool,
+        repeats: Option<ServiceBudget>,
         log: RequestLog,
         slot: SlotGuard,
     ) -> Self {
@@ -86,7 +87,7 @@
                 &shared.backends,
                 server,
                 &shared.settings,
-                may_move_on,
+                repeats,
             ),
             backends: Arc::clone(&shared.backends),
             clock: Arc::clone(&shared.clock),
@@ -209,9 +210,9 @@
             data = connection.next_data(&mut self.body) => data,
             loss = self.guard.watch.wait_until_lost() => {
                 self.connection = None;
-                let cause = format!("{} in its answer", loss.describe());
+                let cause = format!("{} in its answer", loss.cause.describe());
                 self.guard.fail(AttemptEnd::Unreachable, &cause);
-                return Some(Err(BrokenAnswer { cause: loss }));
+                return Some(Err(BrokenAnswer { loss }));
             }
         };
         match data {
@@ -222,7 +223,7 @@
             Some(Err(error)) => {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, &error.to_string());
-                Some(Err(BrokenAnswer { cause: loss_cause(&error) }))
+                Some(Err(BrokenAnswer { loss: loss_cause(&error).into() }))
             }
             None => {
                 self.return_connection();
@@ -253,7 +254,7 @@
             if buffer.len() + piece.len() > limit {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, "the answer is too long");
-                return Err(BrokenAnswer { cause: LossCause::InvalidAnswer }.into());
+                return Err(BrokenAnswer { loss: LossCause::InvalidAnswer.into() }.into());
             }
             if let Err(error) = buffer.push_when_available(&piece).await {
                 self.connection = None;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -32,6 +32,13 @@
     pub idle_margin_ms: u64,
     /// Servers that may refuse one request without running it, before the caller is told to retry.
     pub most_refusals: u32,
+    /// Repeats after a lost answer that each first send of a request that may be repeated allows
+    /// its service.
+    pub repeats_per_first_send: f64,
+    /// Repeats that each service may get before any first send.
+    pub initial_repeats: f64,
+    /// The most repeats that first sends save up for a service.
+    pub most_saved_repeats: f64,
     /// Milliseconds after which a caller may retry, if nothing better is known.
     pub retry_after_ms: u64,
     /// Bytes of the longest answer that is not a stream, and of the longest event of a stream.
@@ -78,6 +85,9 @@
             idle_connection_ms: 4_000,
             idle_margin_ms: 1_000,
             most_refusals: 3,
+            repeats_per_first_send: 0.1,
+            initial_repeats: 2.0,
+            most_saved_repeats: 10.0,
             retry_after_ms: 100,
             most_answer_bytes: 16 * 1024 * 1024,
             memory_mb: None,
@@ -115,6 +125,10 @@
         check_range("relay.idle_connection_ms", self.idle_connection_ms, 0, 3_600_000)?;
         check_range("relay.idle_margin_ms", self.idle_margin_ms, 0, 60_000)?;
         check_range("relay.most_refusals", self.most_refusals, 1, 1_000)?;
+        check_range("relay.repeats_per_first_send", self.repeats_per_first_send, 0.0, 10.0)?;
+        check_range("relay.most_saved_repeats", self.most_saved_repeats, 0.0, 1e6)?;
+        let most_saved = self.most_saved_repeats;
+        check_range("relay.initial_repeats", self.initial_repeats, 0.0, most_saved)?;
         check_range("relay.retry_after_ms", self.retry_after_ms, 1, 60_000)?;
         check_range("relay.most_answer_bytes", self.most_answer_bytes, 1_024, 1 << 32)?;
         if let Some(memory_mb) = self.memory_mb {
