--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -217,7 +217,7 @@
         // Another server can replace one lost answer while repeats are left. A second loss must be
         // avoided.
         let tolerates_loss =
-            self.may_move_on() && self.lost_answers == 0 && self.service_budget().has_repeat();
+            self.may_run_again() && self.lost_answers == 0 && self.service_budget().has_repeat();
         while let Some(connected) = connect(&self.shared, server, tolerates_loss).await {
             let is_new = connected.idle_for.is_none();
             self.mark_sent();
