--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -102,5 +102,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PossibleRun {
     pub(crate) server: BackendAddress,
+    /// Why its answer is lost.
     pub(crate) cause: LossCause,
 }
