Relay: requests with one server make probes again, though they wait

With the mend of max_attempts, requests whose route allows one server no longer opened probe connections, so servers that were cut off were not marked and further requests left on open connections to them, each for 1.5 s. They probe as before now, and wait for their answer or the end of their connection.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -182,7 +182,8 @@
             self.record_send();
             let slot = SlotGuard::new(&self.shared.queues, self.matched.service_name());
             let log = self.log.clone();
-            let guard = AttemptGuard::new(&self.shared, &chosen, repeats, log, slot);
+            let may_run_again = self.may_run_again();
+            let guard = AttemptGuard::new(&self.shared, &chosen, may_run_again, repeats, log, slot);
             let server = chosen.server;
             count(&self.shared.counters.attempts);
             self.log.sent(&server.id, self.repeat_cause, self.deadline);
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -186,6 +186,9 @@
     backends: Arc<Mutex<Backends>>,
     server: BackendAddress,
     settings: Arc<RelaySettings>,
+    /// Whether the request makes probes, which also keep further requests away from a server that
+    /// does not respond.
+    makes_probes: bool,
     /// The repeats for which the request may leave a server that does not respond. Without one it
     /// waits for its answer or for the end of its connection.
     repeats: Option<ServiceBudget>,
@@ -197,6 +200,7 @@
         backends: &Arc<Mutex<Backends>>,
         server: &BackendAddress,
         settings: &Arc<RelaySettings>,
+        may_run_again: bool,
         repeats: Option<ServiceBudget>,
     ) -> Self {
         Self {
@@ -204,7 +208,8 @@
             backends: Arc::clone(backends),
             server: server.clone(),
             settings: Arc::clone(settings),
-            repeats: repeats.filter(|_| settings.silence_ms > 0),
+            makes_probes: may_run_again && settings.silence_ms > 0,
+            repeats,
         }
     }
 
@@ -243,7 +248,9 @@
 
     /// Returns when the server is found unresponsive and a repeat is reserved.
     async fn wait_until_unresponsive(&self) -> RepeatPermit {
-        let Some(repeats) = &self.repeats else { return std::future::pending().await };
+        if !self.makes_probes {
+            return std::future::pending().await;
+        }
         let silence_limit = Duration::from_millis(self.settings.silence_ms);
         let wait_started = Instant::now();
         loop {
@@ -256,7 +263,7 @@
                 continue;
             }
             if state.silent_at.is_some() {
-                if let Some(permit) = repeats.reserve() {
+                if let Some(permit) = self.repeats.as_ref().and_then(ServiceBudget::reserve) {
                     return permit;
                 }
                 sleep(PERMIT_POLL_INTERVAL).await;
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -71,11 +71,13 @@
 }
 
 impl AttemptGuard {
-    /// Starts an attempt at the chosen server. `repeats` are those for which its request may leave
-    /// the server while it does not respond; none if no other server may get it.
+    /// Starts an attempt at the chosen server. `may_run_again` says whether its request may run more
+    /// than once. `repeats` are those for which it may leave the server while it does not respond;
+    /// none if no other server may get it.
     pub(crate) fn new<L>(
         shared: &Shared<L>,
         chosen: &ChosenServer,
+        may_run_again: bool,
         repeats: Option<ServiceBudget>,
         log: RequestLog,
         slot: SlotGuard,
@@ -87,6 +89,7 @@
                 &shared.backends,
                 server,
                 &shared.settings,
+                may_run_again,
                 repeats,
             ),
             backends: Arc::clone(&shared.backends),
