Store: read the chunks behind a header that was written twice

Their records are intact behind the second one, but a start took it for a torn record and cut them off. A search for further records behind damage was weighed and left out: the text of a turn could then pass for a record of another program.

--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -71,7 +71,7 @@
             return Ok(scan);
         }
     }
-    scan.intact_bytes = SEGMENT_HEADER_BYTES as u64;
+    scan.intact_bytes = first_record_offset(disk, name, length)?;
     while let Some(record) = next_record(disk, name, scan.intact_bytes, length)? {
         scan.intact_bytes += RECORD_HEADER_BYTES as u64 + u64::from(record.length);
         scan.records.push(record);
@@ -80,6 +80,17 @@
     Ok(scan)
 }
 
+/// Returns where the records begin. Earlier builds could write the header of a segment twice.
+fn first_record_offset(disk: &dyn Disk, name: &str, length: u64) -> io::Result<u64> {
+    let header_bytes = SEGMENT_HEADER_BYTES as u64;
+    if length < 2 * header_bytes {
+        return Ok(header_bytes);
+    }
+    let repeated = disk.read(name, header_bytes, SEGMENT_HEADER_BYTES)?;
+    let is_repeated = decode_segment_version(&repeated) == Some(crate::FORMAT_VERSION);
+    Ok(if is_repeated { 2 * header_bytes } else { header_bytes })
+}
+
 fn next_record(
     disk: &dyn Disk,
     name: &str,
--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -88,6 +88,28 @@
     assert_eq!(open(disk).get(&key(1, 1)).expect("the store can be read"), Some(data(1)));
 }
 
+/// Guards against the loss of chunks that earlier builds wrote behind a second header. Their offsets were
+/// wrong in the process that wrote them, but the records are intact.
+#[test]
+fn chunks_behind_a_repeated_header_are_read() {
+    let disk = MemoryDisk::default();
+    let mut store = open(disk.clone());
+    for chunk in [1, 2] {
+        store.put(key(1, chunk), &data(chunk)).expect("the disk works");
+    }
+    drop(store);
+    disk.with_state(|state| {
+        let file = state.files.values_mut().next().expect("one segment");
+        let header = file[..12].to_vec();
+        file.splice(..0, header);
+    });
+    let mut reopened = open(disk);
+    for chunk in [1, 2] {
+        let found = reopened.get(&key(1, chunk)).expect("the store can be read");
+        assert_eq!(found, Some(data(chunk)));
+    }
+}
+
 /// Guards against files that pile up on a disk that stays full.
 #[test]
 fn refused_chunks_leave_no_files() {
