Store: compaction ends at a chunk that cannot be read

Callers saw: nothing yet; a read that failed once during a compaction cost the chunk, which the store went on calling stored.

Cause: compaction skipped a chunk whatever error its read returned, and then removed the segment, against its own doc comment.

Change: a read error ends the compaction and the segment stays; only a damaged chunk is left behind, with a log line. A chunk whose bytes are gone is damaged, too, so that it can be written again.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -227,16 +227,20 @@
     /// Reads a chunk. None if it is not stored.
     ///
     /// # Errors
-    /// [`StoreError::Damaged`] if its checksum is invalid, which also removes it from the index, or
-    /// [`StoreError::File`].
+    /// [`StoreError::Damaged`] if its checksum is invalid or its bytes are not in the file, which also
+    /// removes it from the index, or [`StoreError::File`].
     pub fn get(&mut self, key: &ChunkKey) -> Result<Option<Vec<u8>>, StoreError> {
         let Some(location) = self.index.get(key).copied() else {
             return Ok(None);
         };
         let file = file_name(location.segment);
         let length = RECORD_HEADER_BYTES + location.length as usize;
-        let record = self.disk.read(&file, location.offset, length);
-        let mut record = record.context(FileSnafu { operation: "reading", file: &file })?;
+        let read = self.disk.read(&file, location.offset, length);
+        if read.as_ref().is_err_and(is_missing) {
+            self.forget(key);
+            return DamagedSnafu { file, offset: location.offset }.fail();
+        }
+        let mut record = read.context(FileSnafu { operation: "reading", file: &file })?;
         let header = decode_header(&record).filter(|header| is_intact(header, &record));
         if header.is_none_or(|header| header.key != *key) {
             self.forget(key);
@@ -294,8 +298,15 @@
         let keys: Vec<ChunkKey> =
             self.index.iter().filter(|(_, at)| is_in_segment(at)).map(|(key, _)| *key).collect();
         for key in keys {
-            let Ok(Some(data)) = self.get(&key) else {
-                continue;
+            let data = match self.get(&key) {
+                Ok(Some(data)) => data,
+                Ok(None) => continue,
+                Err(error @ StoreError::Damaged { .. }) => {
+                    log::warn!(target: "store", "A chunk is lost here. {error}.");
+                    continue;
+                }
+                // The chunk may be intact, so its segment must stay.
+                Err(error) => return Err(error),
             };
             let offset = self.append(&encode_record(RecordKind::Chunk, &key, &data))?;
             let record =
@@ -391,6 +402,11 @@
     }
 }
 
+/// Whether a read failed because the bytes are not there, so that another try cannot find them.
+fn is_missing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::UnexpectedEof)
+}
+
 fn record_bytes(length: u32) -> u64 {
     RECORD_HEADER_BYTES as u64 + u64::from(length)
 }
--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -74,6 +74,29 @@
     }
 }
 
+/// Guards against a compaction that went on after a chunk could not be read, and then removed its segment.
+#[test]
+fn compaction_loses_no_chunk_that_cannot_be_read_at_the_moment() {
+    for skipped in 0..4 {
+        let disk = FaultDisk::default();
+        let mut store = open(disk.clone());
+        for chunk in 0..8 {
+            store.put(key(1, chunk), &data(chunk)).expect("the disk works");
+        }
+        for chunk in [0, 1] {
+            store.remove(&key(1, chunk)).expect("the disk works");
+        }
+        disk.fail_after(skipped, Fault::NoEffect);
+        let compacted = store.compact();
+        assert!(compacted.is_err(), "skipped {skipped}: {compacted:?}");
+        for chunk in 2..8 {
+            let found = store.get(&key(1, chunk)).expect("the disk works again");
+            assert_eq!(found, Some(data(chunk)), "skipped {skipped}");
+        }
+        assert!(store.compact().expect("the disk works again"));
+    }
+}
+
 /// Guards against a chunk that was acknowledged as stored while an unfinished removal of it was left in the
 /// file. The next start applied the removal.
 #[test]
@@ -110,6 +133,22 @@
     }
 }
 
+/// Guards against a chunk whose bytes are gone and that the store keeps on calling stored, so that it is neither
+/// written again nor copied from another store.
+#[test]
+fn a_chunk_whose_file_is_gone_can_be_stored_again() {
+    let disk = MemoryDisk::default();
+    let mut store = open(disk.clone());
+    for chunk in 0..6 {
+        store.put(key(1, chunk), &data(chunk)).expect("the disk works");
+    }
+    disk.with_state(|state| state.files.remove("segment-000000000001.chunks"));
+    store.get(&key(1, 0)).expect_err("the file is gone");
+    assert!(!store.contains(&key(1, 0)));
+    store.put(key(1, 0), &data(0)).expect("the disk works");
+    assert_eq!(store.get(&key(1, 0)).expect("it was stored again"), Some(data(0)));
+}
+
 /// Guards against files that pile up on a disk that stays full.
 #[test]
 fn refused_chunks_leave_no_files() {
