Store: the names of files are durable before chunks are acknowledged

Callers would see: a power loss takes a whole segment of acknowledged chunks, or brings back removed ones. Seen with simulated disks only.

Cause: the folder was synced only by the call that created the file; if that sync failed, the next call found the file and went on. Removals were never synced, nor was the folder's own name. A removal that was reported as failed also ended all later compactions, since the file was not found.

Change: the folder is synced whenever a file is opened for appending, after each removal and at the start; a missing file counts as removed. The feature fault-points lets syncs of names fail in tests.

--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -30,16 +30,17 @@
     /// An I/O error, after which any part of the bytes may be in the file.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
 
-    /// Truncates a file.
+    /// Truncates a file and makes what is left of it durable.
     ///
     /// # Errors
     /// An I/O error.
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
 
-    /// Removes a file.
+    /// Removes a file durably. A file that is missing counts as removed, because an earlier call may have
+    /// failed after its removal.
     ///
     /// # Errors
-    /// An I/O error.
+    /// An I/O error, after which the file may or may not exist.
     fn remove(&mut self, name: &str) -> io::Result<()>;
 }
 
@@ -56,6 +57,11 @@
     /// An I/O error when it cannot be created.
     pub fn open(folder: &Path) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
+        // The names of the folder and of the files in it must survive a power loss, whoever made them.
+        if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+            File::open(parent)?.sync_all()?;
+        }
+        sync_folder(folder)?;
         Ok(Self { folder: folder.to_owned(), open_file: None })
     }
 
@@ -63,17 +69,14 @@
         self.folder.join(name)
     }
 
-    /// Returns the file to append to, which stays open until another one is file_for_appending to.
+    /// Returns the file to append to, which stays open until another one is appended to.
     fn file_for_appending(&mut self, name: &str) -> io::Result<&mut File> {
         let is_open = self.open_file.as_ref().is_some_and(|(open_name, _)| open_name == name);
         if !is_open {
-            let path = self.path(name);
-            let is_new = !path.exists();
-            let file = OpenOptions::new().create(true).append(true).open(path)?;
-            if is_new {
-                // Without this a crash can lose the file's name, and with it the synced contents.
-                File::open(&self.folder)?.sync_all()?;
-            }
+            let file = OpenOptions::new().create(true).append(true).open(self.path(name))?;
+            // Without this a crash can lose the file's name, and with it the synced contents. An earlier call may
+            // have created the file and failed here, so that its existence does not show that its name is durable.
+            sync_folder(&self.folder)?;
             self.open_file = Some((name.to_owned(), file));
         }
         match &mut self.open_file {
@@ -121,6 +124,16 @@
         if self.open_file.as_ref().is_some_and(|(open_name, _)| open_name == name) {
             self.open_file = None;
         }
-        fs::remove_file(self.path(name))
+        match fs::remove_file(self.path(name)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => sync_folder(&self.folder),
+        }
     }
 }
+
+/// Makes the creation and removal of files in a folder durable.
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    #[cfg(feature = "fault-points")]
+    crate::fault_points::check_names(folder)?;
+    File::open(folder)?.sync_all()
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,8 +14,11 @@
 //! | `segment` | names of the segments' files, and the scan that reads one back |
 //! | `store` | the chunks of one folder |
 //! | `settings` | limits of a store |
+//! | `fault_points` | faults that tests inject from outside, with the feature `fault-points` |
 
 mod disk;
+#[cfg(feature = "fault-points")]
+pub mod fault_points;
 mod record;
 mod segment;
 mod settings;
--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -3,9 +3,12 @@
 
 mod common;
 
+use std::fs;
+
 use common::fault_disk::{Fault, FaultDisk, PowerLoss};
 use common::{MemoryDisk, key};
-use dahlia_store::{ChunkStore, Disk, StoreError, StoreSettings};
+use dahlia_store::fault_points::names_failure_file;
+use dahlia_store::{ChunkStore, Disk, FolderDisk, StoreError, StoreSettings};
 
 /// Four records of 100 bytes of data fit into a segment.
 fn settings() -> StoreSettings {
@@ -97,6 +100,43 @@
     }
 }
 
+/// Guards against segments that can never be compacted, because their file is gone and its removal was
+/// reported as failed.
+#[test]
+fn compaction_goes_on_after_a_removal_that_was_reported_as_failed() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let folder = folder.path().join("chunks");
+    let mut store = open(FolderDisk::open(&folder).expect("the folder can be opened"));
+    for chunk in 0..8 {
+        store.put(key(1, chunk), &data(chunk)).expect("the disk works");
+    }
+    for chunk in 0..4 {
+        store.remove(&key(1, chunk)).expect("the disk works");
+    }
+    let failure = names_failure_file(&folder);
+    fs::write(&failure, "").expect("the file can be created");
+    store.compact().expect_err("the removal of the file was not made durable");
+    fs::remove_file(&failure).expect("the file can be removed");
+    assert!(store.compact().expect("the disk works again"));
+}
+
+/// Guards against a segment whose name was never made durable, because the sync of the folder failed after the
+/// file had been created. A power loss can take such a file with all of its chunks.
+#[test]
+fn a_file_is_appended_to_only_once_its_name_is_durable() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let folder = folder.path().join("chunks");
+    let mut disk = FolderDisk::open(&folder).expect("the folder can be opened");
+    let failure = names_failure_file(&folder);
+    fs::write(&failure, "").expect("the file can be created");
+    for attempt in 0..2 {
+        let appended = disk.append("segment", &[1]);
+        assert!(appended.is_err(), "attempt {attempt}: the name is not durable");
+    }
+    fs::remove_file(&failure).expect("the file can be removed");
+    disk.append("segment", &[1]).expect("the disk works again");
+}
+
 /// Guards against a chunk that was acknowledged as stored while an unfinished removal of it was left in the
 /// file. The next start applied the removal.
 #[test]
