Store: chunks found at the start are durable before they are acknowledged

Callers would see: a power loss takes chunks that the restarted store had acknowledged. Seen with a simulated disk only.

Cause: a process that ends between a write and its sync leaves a record that its successor reads. The successor acknowledged such a chunk without a write. The durable log syncs its last segment at the start for this reason; the chunk store did not.

Change: the last segment is cut to its intact records and synced also where nothing is torn. Only the last one can hold unsynced records, because a segment is left only after a sync of it or after a failed write is undone.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -160,8 +160,10 @@
         if let Some(version) = scan.unsupported_version {
             return UnsupportedFormatSnafu { file, version }.fail();
         }
-        if is_last && scan.damaged_bytes > 0 {
+        if is_last {
             recovery.torn_bytes = scan.damaged_bytes;
+            // Also without a torn end: an earlier process may have ended before it synced its last record, and
+            // chunks that are found here are acknowledged.
             let truncated = self.disk.truncate(&file, scan.intact_bytes);
             truncated
                 .context(FileSnafu { operation: "cutting off the torn end of", file: &file })?;
--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -151,6 +151,21 @@
     assert_eq!(open(disk).get(&key(1, 1)).expect("the store can be read"), Some(data(1)));
 }
 
+/// Guards against a chunk that an ended process had not synced and that its successor acknowledged as stored.
+#[test]
+fn a_chunk_found_at_the_start_is_durable_before_it_is_acknowledged() {
+    let disk = FaultDisk::default();
+    let mut store = open(disk.clone());
+    store.put(key(1, 0), &data(0)).expect("the disk works");
+    disk.fail_after(0, Fault::NotSynced);
+    disk.fail_after(1, Fault::NoEffect);
+    store.put(key(1, 1), &data(1)).expect_err("the chunk was not made durable");
+    let mut successor = open(disk.clone());
+    successor.put(key(1, 1), &data(1)).expect("the disk works again");
+    disk.lose_power(PowerLoss::DropsAll);
+    assert_eq!(open(disk).get(&key(1, 1)).expect("the store can be read"), Some(data(1)));
+}
+
 /// Guards against the loss of chunks that earlier builds wrote behind a second header. Their offsets were
 /// wrong in the process that wrote them, but the records are intact.
 #[test]
