--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -3,12 +3,16 @@
 
 mod common;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 
 use common::fault_disk::{Fault, FaultDisk, PowerLoss};
 use common::{MemoryDisk, key};
 use dahlia_store::fault_points::names_failure_file;
 use dahlia_store::{ChunkStore, Disk, FolderDisk, StoreError, StoreSettings};
+use dahlia_types::ChunkKey;
+use proptest::collection::vec;
+use proptest::prelude::*;
 
 /// Four records of 100 bytes of data fit into a segment.
 fn settings() -> StoreSettings {
@@ -216,3 +220,163 @@
     }
     assert_eq!(disk.names(), ["segment-000000000001.chunks"]);
 }
+
+/// A change of the store, or an end of its process.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Put(u8),
+    Remove(u8),
+    Compact,
+    Read(u8),
+    Restart,
+    PowerLoss(PowerLoss),
+}
+
+/// A step, and the faults of its operations: how many operations come before, and what fails.
+type FaultyStep = (Step, Vec<(u64, Fault)>);
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let chunk = 0..12_u8;
+    prop_oneof![
+        8 => chunk.clone().prop_map(Step::Put),
+        4 => chunk.clone().prop_map(Step::Remove),
+        2 => Just(Step::Compact),
+        1 => chunk.prop_map(Step::Read),
+        1 => Just(Step::Restart),
+        1 => any_power_loss().prop_map(Step::PowerLoss),
+    ]
+}
+
+fn any_power_loss() -> impl Strategy<Value = PowerLoss> {
+    prop_oneof![
+        Just(PowerLoss::DropsAll),
+        (0..200_usize).prop_map(|bytes| PowerLoss::KeepsPart { bytes }),
+        Just(PowerLoss::KeepsAll),
+    ]
+}
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        Just(Fault::NoEffect),
+        (0..200_usize).prop_map(|bytes| Fault::Partial { bytes }),
+        Just(Fault::NotSynced),
+        (0..200_usize).prop_map(|bytes| Fault::Full { bytes }),
+    ]
+}
+
+fn any_faulty_step() -> impl Strategy<Value = FaultyStep> {
+    let faults = prop_oneof![
+        2 => Just(Vec::new()),
+        2 => vec((0..3_u64, any_fault()), 1..4),
+    ];
+    (any_step(), faults)
+}
+
+/// The chunks as a caller knows them from the results.
+#[derive(Debug, Default)]
+struct Known {
+    stored: BTreeSet<ChunkKey>,
+    /// Chunks whose put or removal failed after the last change that succeeded. Until then, the next start may
+    /// find the failed change done.
+    uncertain: BTreeMap<ChunkKey, u8>,
+}
+
+impl Known {
+    /// Applies the result of a change of one chunk.
+    fn record(&mut self, chunk: u8, changed: Result<bool, StoreError>) {
+        let key = key(1, chunk);
+        match changed {
+            Ok(is_stored) => {
+                self.uncertain.clear();
+                if is_stored {
+                    self.stored.insert(key);
+                } else {
+                    self.stored.remove(&key);
+                }
+            }
+            Err(_) => drop(self.uncertain.insert(key, chunk)),
+        }
+    }
+
+    /// Takes over what a store has found at its start.
+    fn resolve(&mut self, store: &ChunkStore) {
+        for key in std::mem::take(&mut self.uncertain).into_keys() {
+            if store.contains(&key) {
+                self.stored.insert(key);
+            } else {
+                self.stored.remove(&key);
+            }
+        }
+    }
+
+    fn check(&self, store: &mut ChunkStore) -> Result<(), TestCaseError> {
+        for chunk in 0..12 {
+            let key = key(1, chunk);
+            if self.uncertain.contains_key(&key) {
+                continue;
+            }
+            let expected = self.stored.contains(&key).then(|| data(chunk));
+            let found = store.get(&key).map_err(|error| error.to_string());
+            prop_assert_eq!(found, Ok(expected), "chunk {}", chunk);
+        }
+        Ok(())
+    }
+}
+
+/// Opens the store, again after each failure.
+fn reopen(disk: &FaultDisk) -> ChunkStore {
+    loop {
+        if let Ok((store, _)) = ChunkStore::open(Box::new(disk.clone()), settings()) {
+            return store;
+        }
+    }
+}
+
+fn check_steps(steps: Vec<FaultyStep>) -> Result<(), TestCaseError> {
+    let disk = FaultDisk::default();
+    let mut store = open(disk.clone());
+    let mut known = Known::default();
+    for (step, faults) in steps {
+        faults.into_iter().for_each(|(skipped, fault)| disk.fail_after(skipped, fault));
+        match step {
+            Step::Put(chunk) => {
+                let put = store.put(key(1, chunk), &data(chunk));
+                known.record(chunk, put.map(|()| true));
+            }
+            Step::Remove(chunk) => {
+                let removed = store.remove(&key(1, chunk));
+                known.record(chunk, removed.map(|_| false));
+            }
+            Step::Compact => drop(store.compact()),
+            Step::Read(chunk) => drop(store.get(&key(1, chunk))),
+            Step::Restart => {
+                store = reopen(&disk);
+                known.resolve(&store);
+            }
+            Step::PowerLoss(loss) => {
+                disk.lose_power(loss);
+                store = reopen(&disk);
+                known.resolve(&store);
+            }
+        }
+        disk.clear_faults();
+        known.check(&mut store)?;
+    }
+    disk.lose_power(PowerLoss::DropsAll);
+    store = reopen(&disk);
+    known.resolve(&store);
+    known.check(&mut store)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against any sequence of failed operations after which an acknowledged change is not what a
+    /// reader finds.
+    #[test]
+    fn acknowledged_changes_hold_over_any_failed_operations(
+        steps in vec(any_faulty_step(), 1..60)
+    ) {
+        check_steps(steps)?;
+    }
+}
