Rehearsal: pass over log lines before the line with a daemon's addresses

Seen once beside five builds: two tests of processes.rs failed because a daemon's first log line was taken for its addresses. Logs and addresses share an output, and a thread of its own writes the logs. Ruled out: a daemon that did not start (the message shows its log). For killed_tool_leaves_no_process the cause is likely, not shown.

--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -443,7 +443,7 @@
     text.split_whitespace().map(str::to_owned).collect()
 }
 
-/// Parses the address after `label` in the first line that a process prints.
+/// Parses the address after `label` in the line with which a process announces that it is ready.
 fn parse_address(name: &str, line: &str, label: &str) -> Result<SocketAddr, RehearsalError> {
     let found =
         line.split_once(label).and_then(|(_, rest)| rest.split_whitespace().next()?.parse().ok());
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -9,16 +9,19 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use snafu::ResultExt;
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, ChildStdin, Command};
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::RehearsalError;
 use crate::error::{FileSnafu, ProcessSnafu};
 
-/// How long a process may take to print its first line.
-const FIRST_LINE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a process may take to announce that it is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// How the lines begin with which processes announce their addresses. Log lines may come before them, since a
+/// thread of its own writes these to the same output.
+const READY_LINE_PREFIXES: [&str; 2] = ["ready ", "listening "];
 
 /// Environment variable of processes started by this tool: they exit when their standard input
 /// closes.
@@ -61,11 +64,11 @@
 }
 
 impl ChildProcess {
-    /// Starts the child binary with `arguments` and waits for the first line it prints.
-    /// Its log goes to `<folder>/<name>.log`.
+    /// Starts the child binary with `arguments`, waits until it announces that it is ready and returns that
+    /// line. What it writes to standard error goes to `<folder>/<name>.log`.
     ///
     /// # Errors
-    /// [`RehearsalError`] when it cannot be started or prints nothing in time.
+    /// [`RehearsalError`] when it cannot be started or is not ready in time.
     pub async fn start(
         name: &str,
         arguments: &[String],
@@ -91,7 +94,7 @@
             return Err(process.not_ready("its output is not readable"));
         };
         let mut lines = BufReader::new(output).lines();
-        match timeout(FIRST_LINE_TIMEOUT, lines.next_line()).await {
+        match timeout(READY_TIMEOUT, read_ready_line(&mut lines)).await {
             Ok(Ok(Some(line))) => {
                 // Later output is always read, so that the process does not block on a full pipe.
                 tokio::spawn(async move {
@@ -107,7 +110,7 @@
                 Err(process.not_ready(&format!("it ended: {}", log.trim())))
             }
             Ok(Err(source)) => Err(source).context(ProcessSnafu { step: "reading", name }),
-            Err(_) => Err(process.not_ready("it printed nothing in time")),
+            Err(_) => Err(process.not_ready("it did not announce its addresses in time")),
         }
     }
 
@@ -170,3 +173,13 @@
         RehearsalError::NotReady { name: self.name.clone(), reason: reason.to_owned() }
     }
 }
+
+/// Reads lines until one announces that the process is ready. None if the output ends before.
+async fn read_ready_line(lines: &mut Lines<BufReader<ChildStdout>>) -> io::Result<Option<String>> {
+    while let Some(line) = lines.next_line().await? {
+        if READY_LINE_PREFIXES.iter().any(|prefix| line.starts_with(prefix)) {
+            return Ok(Some(line));
+        }
+    }
+    Ok(None)
+}
