Daemon: failed and refused operations of the chunk store are answered

Requesters waited for a timeout although the refusal was known: a failed put or get had no answer, a request that found the queue full was dropped. Both are answered with Missing, whose form is unchanged.

--- a/crates/daemon/src/chunk_store.rs
+++ b/crates/daemon/src/chunk_store.rs
@@ -74,23 +74,39 @@
         Ok(Self { requests: Some(requests) })
     }
 
-    /// Queues a request. It is dropped when the queue is full; its requester then uses another store.
-    pub fn send(&self, request: StoreRequest) {
-        let queued =
-            self.requests.as_ref().is_some_and(|requests| requests.try_send(request).is_ok());
-        if !queued {
-            log::warn!(target: part::STORE, "Dropped an order. The queue is full.");
-        }
+    /// Queues a request. If the queue is full or there is no store, returns the result to report instead, so that
+    /// the requester uses another store without waiting for a timeout.
+    #[must_use]
+    pub fn send(&self, request: StoreRequest) -> Option<StoreResult> {
+        let Some(requests) = &self.requests else {
+            log::warn!(target: part::STORE, "Refused an operation. This daemon has no store.");
+            return Some(refusal(request));
+        };
+        let request = match requests.try_send(request) {
+            Ok(()) => return None,
+            Err(blocking::TrySendError::Full(request)) => {
+                log::warn!(target: part::STORE, "Refused an operation. The queue is full.");
+                request
+            }
+            Err(blocking::TrySendError::Disconnected(request)) => {
+                log::error!(target: part::STORE, "Refused an operation. The store's thread has ended.");
+                request
+            }
+        };
+        Some(refusal(request))
     }
 }
 
+/// The result of an operation that was not performed.
+fn refusal(request: StoreRequest) -> StoreResult {
+    StoreResult { requester: request.requester, answer: failure_answer(&request.operation) }
+}
+
 fn run(mut store: ChunkStore, receiver: &blocking::Receiver<StoreRequest>, core: &CoreHandle) {
     loop {
         match receiver.recv_timeout(IDLE_BEFORE_COMPACTION) {
             Ok(request) => {
-                let requester = request.requester;
-                let answer = perform(&mut store, request.operation);
-                let result = StoreResult { requester, answer };
+                let result = perform(&mut store, request);
                 core.send_event_blocking(Event::StoreEnded(Box::new(result)));
             }
             Err(blocking::RecvTimeoutError::Timeout) => {
@@ -103,28 +119,48 @@
     }
 }
 
-fn perform(store: &mut ChunkStore, operation: StoreOperation) -> Option<ChunkMessage> {
-    let result = match operation {
+/// Performs an operation. A failed one is logged and reported to the requester.
+pub fn perform(store: &mut ChunkStore, request: StoreRequest) -> StoreResult {
+    let StoreRequest { requester, operation } = request;
+    let answer_to_failure = failure_answer(&operation);
+    let answer = perform_operation(store, operation).unwrap_or_else(|error| {
+        log::warn!(target: part::STORE, "An operation failed. {error}.");
+        answer_to_failure
+    });
+    StoreResult { requester, answer }
+}
+
+/// What the requester of a failed operation is told: a chunk that was not stored or cannot be read is missing
+/// here. None for operations whose requesters await nothing.
+fn failure_answer(operation: &StoreOperation) -> Option<ChunkMessage> {
+    match operation {
+        StoreOperation::Put { key, .. } | StoreOperation::Get { key } => {
+            Some(ChunkMessage::Missing { key: *key })
+        }
+        StoreOperation::Check { .. } | StoreOperation::Forget { .. } => None,
+    }
+}
+
+fn perform_operation(
+    store: &mut ChunkStore,
+    operation: StoreOperation,
+) -> Result<Option<ChunkMessage>, StoreError> {
+    match operation {
         StoreOperation::Put { key, bytes } => {
-            store.put(key, &bytes).map(|()| Some(ChunkMessage::Stored { key }))
+            store.put(key, &bytes)?;
+            Ok(Some(ChunkMessage::Stored { key }))
         }
-        StoreOperation::Get { key } => store.get(&key).map(|found| {
-            Some(match found {
-                Some(bytes) => ChunkMessage::Found { key, bytes },
-                None => ChunkMessage::Missing { key },
-            })
-        }),
+        StoreOperation::Get { key } => Ok(Some(match store.get(&key)? {
+            Some(bytes) => ChunkMessage::Found { key, bytes },
+            None => ChunkMessage::Missing { key },
+        })),
         StoreOperation::Check { keys } => {
             let lacking: Vec<_> = keys.into_iter().filter(|key| !store.contains(key)).collect();
             let any = !lacking.is_empty();
             Ok(any.then_some(ChunkMessage::MissingKeys { keys: lacking }))
         }
         StoreOperation::Forget { program } => forget(store, program).map(|()| None),
-    };
-    result.unwrap_or_else(|error| {
-        log::warn!(target: part::STORE, "An operation failed. {error}.");
-        None
-    })
+    }
 }
 
 fn forget(store: &mut ChunkStore, program: dahlia_types::ProgramId) -> Result<(), StoreError> {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -294,7 +294,11 @@
                 self.parts.metrics.record_reachability(&reachability);
                 self.parts.reachability.send_replace(reachability);
             }
-            Action::Store(order) => self.parts.store.send(*order),
+            Action::Store(order) => {
+                if let Some(refusal) = self.parts.store.send(*order) {
+                    self.handle(Event::StoreEnded(Box::new(refusal)));
+                }
+            }
             Action::Stop { superseded_by } => {
                 self.stopped = true;
                 self.superseded_by = Some(superseded_by);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,7 +35,7 @@
 mod answers;
 pub mod assembly;
 mod attempt;
-mod chunk_store;
+pub mod chunk_store;
 pub mod cli;
 pub mod clock;
 mod configuration_client;
