History: a chunk that a store refuses goes to the next store

While one of three stores refused chunks, turns whose chunks it should have held stayed in the replicas' memory: a move waited five seconds and began again with the same stores. The owner now asks the next store by rank when one refuses; if none is left, the move ends after its time as before.

--- a/crates/node/src/history/message.rs
+++ b/crates/node/src/history/message.rs
@@ -30,7 +30,8 @@
         /// Its bytes.
         bytes: Vec<u8>,
     },
-    /// Response: the chunk is missing or damaged here.
+    /// Response: the chunk is missing, damaged or unreadable here. Also the response to a refused
+    /// [`ChunkMessage::Put`].
     Missing {
         /// The chunk.
         key: ChunkKey,
@@ -93,6 +94,6 @@
 pub struct StoreResult {
     /// The daemon that requested the operation.
     pub requester: ReplicaId,
-    /// The response to send; none if the operation failed, so that the requester tries another daemon.
+    /// The response to send; none if the requester awaits none.
     pub answer: Option<ChunkMessage>,
 }
--- a/crates/node/src/history/moving.rs
+++ b/crates/node/src/history/moving.rs
@@ -23,7 +23,12 @@
 #[derive(Debug)]
 struct PendingMove {
     command: MoveTurnToStore,
+    bytes: Vec<u8>,
     unconfirmed_holders: BTreeSet<DaemonId>,
+    /// Store daemons that refused the chunk.
+    refused_by: BTreeSet<DaemonId>,
+    /// All store daemons that were asked to store the chunk.
+    asked: BTreeSet<DaemonId>,
     deadline: Timestamp,
 }
 
@@ -61,9 +66,13 @@
             let key = ChunkKey { program: candidate.program, digest: chunk.digest };
             let targets = holders(&key, &stores, self.settings.history.copies);
             let MoveCandidate { program, chain, turn, .. } = candidate;
+            let asked: BTreeSet<DaemonId> = targets.iter().copied().collect();
             let pending_move = PendingMove {
                 command: MoveTurnToStore { program, chain, turn, chunk },
-                unconfirmed_holders: targets.iter().copied().collect(),
+                bytes: bytes.clone(),
+                unconfirmed_holders: asked.clone(),
+                refused_by: BTreeSet::new(),
+                asked,
                 deadline: now + MOVE_TIMEOUT,
             };
             self.history.pending_moves.turns.insert(key, pending_move);
@@ -88,6 +97,31 @@
         candidates.filter(is_new).take(max_turns).collect()
     }
 
+    /// Handles a store daemon's refusal to store a chunk: the next one by rank is asked. If none is left, the
+    /// turn stays in memory and the move is retried after its deadline.
+    pub(super) fn move_to_next_store(&mut self, refused_by: DaemonId, key: ChunkKey) {
+        let copies = self.settings.history.copies;
+        let mut stores = self.store_daemons();
+        let Some(pending_move) = self.history.pending_moves.turns.get_mut(&key) else {
+            return;
+        };
+        if !pending_move.unconfirmed_holders.contains(&refused_by) {
+            return;
+        }
+        pending_move.refused_by.insert(refused_by);
+        stores.retain(|store| !pending_move.refused_by.contains(&store.daemon));
+        let targets = holders(&key, &stores, copies);
+        let Some(next) = targets.into_iter().find(|target| !pending_move.asked.contains(target))
+        else {
+            return;
+        };
+        pending_move.unconfirmed_holders.remove(&refused_by);
+        pending_move.unconfirmed_holders.insert(next);
+        pending_move.asked.insert(next);
+        let bytes = pending_move.bytes.clone();
+        self.send_chunk(next, ChunkMessage::Put { key, bytes });
+    }
+
     /// Handles a store daemon's confirmation that a chunk is durable.
     pub(super) fn chunk_stored(&mut self, from: DaemonId, key: ChunkKey, now: Timestamp) {
         let Some(pending_move) = self.history.pending_moves.turns.get_mut(&key) else {
--- a/crates/node/src/history/serving.rs
+++ b/crates/node/src/history/serving.rs
@@ -33,7 +33,10 @@
                 self.forward_chunk(key, &bytes);
                 self.chunk_found(key, &bytes, now);
             }
-            ChunkMessage::Missing { key } => self.chunk_missing(key, now),
+            ChunkMessage::Missing { key } => {
+                self.move_to_next_store(from.daemon, key);
+                self.chunk_missing(key, now);
+            }
             ChunkMessage::MissingKeys { keys } => self.copy_missing_chunks(from.daemon, keys, now),
         }
     }
--- a/crates/rehearsal/tests/processes.rs
+++ b/crates/rehearsal/tests/processes.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::fs;
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
+use dahlia_node::HistorySettings;
 use dahlia_rehearsal::RehearsalError;
 use dahlia_rehearsal::caller::{Answer, Caller, Turn};
 use dahlia_rehearsal::cluster::{Cluster, ClusterPlan};
@@ -12,7 +14,8 @@
 use dahlia_rehearsal::processes::{self, ChildProcess};
 use dahlia_standins::ControlClient;
 use dahlia_standins::engine::EngineObservation;
-use dahlia_types::ProgramId;
+use dahlia_store::{ChunkStore, FolderDisk, StoreSettings};
+use dahlia_types::{ChunkKey, ProgramId};
 use tempfile::TempDir;
 use tokio::process::Command;
 use tokio::task::JoinHandle;
@@ -35,19 +38,29 @@
 struct Rehearsal {
     cluster: Cluster,
     operator: OperatorClient,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Rehearsal {
     async fn start() -> Self {
+        Self::start_with_history(ClusterPlan::bayou_current().history).await
+    }
+
+    /// Starts a cluster that moves each turn but the newest one to store daemons.
+    async fn start_with_moved_turns() -> Self {
+        Self::start_with_history(HistorySettings { inline_bytes: 0, ..HistorySettings::default() })
+            .await
+    }
+
+    async fn start_with_history(history: HistorySettings) -> Self {
         processes::set_child_program(REHEARSE);
         let folder = TempDir::new().expect("a folder");
-        let plan = ClusterPlan { speed: 1.0, ..ClusterPlan::bayou_current() };
+        let plan = ClusterPlan { speed: 1.0, history, ..ClusterPlan::bayou_current() };
         let cluster = Cluster::start(plan, folder.path()).await.expect("the cluster starts");
         cluster.wait_until_ready().await.expect("the cluster is ready");
         let operator =
             OperatorClient::connect(&cluster.operator_addresses()).await.expect("a daemon answers");
-        Self { cluster, operator, _folder: folder }
+        Self { cluster, operator, folder }
     }
 
     /// Creates a program. Returns it and the index of the daemon that owns it.
@@ -230,6 +243,99 @@
     assert_eq!(rehearsal.count_started(&program).await, 1);
 }
 
+/// Turns of a program whose history is moved to store daemons.
+const TURNS: u32 = 10;
+/// Tokens of their answers: enough for the number of the turn, so that no two turns have the same text.
+const SHORT_ANSWER_TOKENS: u64 = 32;
+/// The only daemon without a data folder.
+const WITHOUT_STORE: usize = 3;
+
+impl Rehearsal {
+    /// Creates a program that the daemon without a data folder owns, and runs turns of it.
+    async fn run_turns(&mut self) -> String {
+        let own = self.cluster.daemons[WITHOUT_STORE].operators_address;
+        self.operator = OperatorClient::connect(&[own]).await.expect("the daemon answers");
+        let (program, owner) = self.create_program().await;
+        assert_eq!(owner, WITHOUT_STORE, "a daemon takes new programs itself");
+        for number in 1..=TURNS {
+            wait_for_answer(self.send_short_turn(&program, number)).await;
+        }
+        program
+    }
+
+    fn send_short_turn(&self, program: &str, number: u32) -> AnswerTask {
+        self.send_turn_of_length(program, number, 0, SHORT_ANSWER_TOKENS)
+    }
+
+    fn chunks_folder(&self, daemon: usize) -> PathBuf {
+        self.folder.path().join(format!("data-d{}", daemon + 1)).join("chunks")
+    }
+
+    /// Returns the chunks in the files of a daemon.
+    fn stored_chunks(&self, daemon: usize) -> BTreeSet<ChunkKey> {
+        let copy = TempDir::new().expect("a folder");
+        for file in fs::read_dir(self.chunks_folder(daemon)).expect("the folder can be read") {
+            let file = file.expect("the folder can be read");
+            fs::copy(file.path(), copy.path().join(file.file_name())).expect("can be copied");
+        }
+        let disk = FolderDisk::open(copy.path()).expect("the folder can be opened");
+        let opened = ChunkStore::open(Box::new(disk), StoreSettings::default());
+        opened.expect("the store can be read").0.keys(|_| true).into_iter().collect()
+    }
+
+    /// Waits until the chunks of all turns but the newest one have been stored by `daemons` together, each
+    /// `copies` times.
+    async fn wait_until_stored(&self, daemons: &[usize], copies: usize) {
+        let since = Instant::now();
+        loop {
+            let stored: Vec<_> = daemons.iter().map(|daemon| self.stored_chunks(*daemon)).collect();
+            let all: BTreeSet<ChunkKey> = stored.iter().flatten().copied().collect();
+            let has_copies =
+                |key: &ChunkKey| stored.iter().filter(|keys| keys.contains(key)).count() >= copies;
+            if all.len() + 1 == TURNS as usize && all.iter().all(has_copies) {
+                return;
+            }
+            assert!(since.elapsed() < EVENT_TIMEOUT, "only {stored:?}");
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Kills the owner, whose successor knows no turn that was moved, and runs the next turn.
+    async fn continue_at_the_next_owner(&mut self, program: &str) {
+        let name = self.cluster.daemons[WITHOUT_STORE].name.clone();
+        self.cluster.kill_daemon(&name).await.expect("is killed");
+        let next = wait_for_answer(self.send_short_turn(program, TURNS + 1)).await;
+        let start = format!("[{program}/0/{} ", TURNS + 1);
+        assert!(next.text.starts_with(&start), "{}", next.text);
+    }
+}
+
+/// Guards against programs that cannot go on after a store daemon has lost chunks that it had acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_whose_chunks_one_store_lost_is_read_from_another_copy() {
+    let mut rehearsal = Rehearsal::start_with_moved_turns().await;
+    let program = rehearsal.run_turns().await;
+    rehearsal.wait_until_stored(&[0, 1, 2], 2).await;
+    for file in fs::read_dir(rehearsal.chunks_folder(0)).expect("the folder can be read") {
+        let path = file.expect("the folder can be read").path();
+        let damaged =
+            fs::read(&path).expect("the segment can be read").into_iter().map(|byte| !byte);
+        fs::write(&path, damaged.collect::<Vec<u8>>()).expect("the segment can be written");
+    }
+    rehearsal.continue_at_the_next_owner(&program).await;
+}
+
+/// Guards against turns that stay in the replicas' memory for as long as one store daemon refuses chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn turns_are_moved_to_other_stores_while_one_refuses_chunks() {
+    let mut rehearsal = Rehearsal::start_with_moved_turns().await;
+    // Without its folder the store cannot append to any file.
+    fs::remove_dir_all(rehearsal.chunks_folder(0)).expect("the folder can be removed");
+    let program = rehearsal.run_turns().await;
+    rehearsal.wait_until_stored(&[1, 2], 2).await;
+    rehearsal.continue_at_the_next_owner(&program).await;
+}
+
 /// Whether the daemon reports that it is ready. One that does not answer is not ready.
 async fn is_ready(gateway: std::net::SocketAddr) -> bool {
     let answer = reqwest::get(format!("http://{gateway}/readyz")).await;
