Durable: a copy of a document that is found at the start is synced

Callers would see: after an end of a store's process and a power loss soon after it, a start without other daemons finds no routes, or older ones. Seen with a simulated disk only.

Cause: a process that ends between write and sync leaves a copy that the next one takes for the current one; its next write then empties the file of the durable copy before it. Ruled out: the write itself (the other side stays until it is synced).

Change: opening syncs the newest copy of each document and the folder.

--- a/crates/durable/src/documents.rs
+++ b/crates/durable/src/documents.rs
@@ -105,11 +105,13 @@
 }
 
 impl DocumentCopies {
-    /// Reads all copies in a folder.
+    /// Reads all copies in a folder and makes the newest ones durable. A process that ended between a write
+    /// and its sync leaves a copy that a power loss can still erase, and the next one overwrites the copy before
+    /// it.
     ///
     /// # Errors
-    /// [`LogError`] if the folder or a file in it cannot be read.
-    pub fn open(disk: Box<dyn Disk>) -> Result<OpenedCopies, LogError> {
+    /// [`LogError`] if the folder or a file in it cannot be read or synced.
+    pub fn open(mut disk: Box<dyn Disk>) -> Result<OpenedCopies, LogError> {
         let names =
             disk.list().map_err(|source| LogError::io(DiskOperation::List, "documents", source))?;
         let mut newest: BTreeMap<u32, (Side, DocumentCopy)> = BTreeMap::new();
@@ -129,6 +131,9 @@
                 Err(error) => invalid.push(error),
             }
         }
+        for (number, (side, _)) in &newest {
+            sync_copy(disk.as_mut(), &file_name(*number, *side))?;
+        }
         let location =
             |side: Side, copy: &DocumentCopy| CopyLocation { side, version: copy.version };
         let locations =
@@ -163,6 +168,12 @@
     }
 }
 
+/// Makes a copy and its name durable.
+fn sync_copy(disk: &mut dyn Disk, name: &str) -> Result<(), LogError> {
+    let synced = disk.sync(name).and_then(|()| disk.sync_folder());
+    synced.map_err(|source| LogError::io(DiskOperation::Sync, name, source))
+}
+
 fn file_name(number: u32, side: Side) -> String {
     let side = if side == Side::A { "a" } else { "b" };
     format!("{PREFIX}{number}.{side}")
--- a/crates/durable/tests/documents.rs
+++ b/crates/durable/tests/documents.rs
@@ -55,6 +55,33 @@
     }
 }
 
+/// Guards against a copy that an ended process had not synced: the next process found it, overwrote the copy
+/// before it, and a power loss took both.
+#[test]
+fn a_copy_found_at_the_start_survives_a_power_loss_during_the_next_write() {
+    let source = MemoryDisk::new(1);
+    let mut copies = open(&source).copies;
+    copies.save(&document(1, 3)).unwrap();
+    let unsynced = source.handle().read("document-1.a").unwrap();
+    for seed in 0..200 {
+        let disk = MemoryDisk::new(seed);
+        let mut copies = open(&disk).copies;
+        copies.save(&document(1, 1)).unwrap();
+        copies.save(&document(1, 2)).unwrap();
+        let mut handle = disk.handle();
+        handle.create("document-1.a").unwrap();
+        handle.append("document-1.a", &unsynced).unwrap();
+        disk.restart_process();
+        let OpenedCopies { mut copies, newest, .. } = open(&disk);
+        assert_eq!(newest, vec![document(1, 3)], "seed {seed}");
+        disk.lose_power_after(seed % 5);
+        let _ = copies.save(&document(1, 4));
+        disk.lose_power();
+        let version = open(&disk).newest.first().map_or(0, |found| found.version);
+        assert!(version >= 3, "seed {seed}: only version {version} is left");
+    }
+}
+
 struct InvalidFileCase {
     name: &'static str,
     file: &'static str,
