--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
 /// The files of one flat folder. Tests substitute a disk that tears writes and becomes full.
@@ -36,6 +37,17 @@
     /// An I/O error, after which the file may have either length.
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
 
+    /// Writes again the bytes that a file already holds from its start, so that the next truncation makes them
+    /// durable even if an earlier sync failed. Durable bytes stay durable. A disk that keeps what a failed sync
+    /// did not cover does nothing.
+    ///
+    /// # Errors
+    /// An I/O error.
+    fn rewrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let _ = (name, bytes);
+        Ok(())
+    }
+
     /// Removes a file durably. A file that is missing counts as removed, because an earlier call may have
     /// failed after its removal.
     ///
@@ -128,6 +140,10 @@
         file.sync_all()
     }
 
+    fn rewrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        OpenOptions::new().write(true).open(self.path(name))?.write_all_at(bytes, 0)
+    }
+
     fn remove(&mut self, name: &str) -> io::Result<()> {
         if self.open_file.as_ref().is_some_and(|(open_name, _)| open_name == name) {
             self.open_file = None;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -169,11 +169,7 @@
         }
         if is_last {
             recovery.torn_bytes = scan.damaged_bytes;
-            // Also without a torn end: an earlier process may have ended before it synced its last record, and
-            // chunks that are found here are acknowledged.
-            let truncated = self.disk.truncate(&file, scan.intact_bytes);
-            truncated
-                .context(FileSnafu { operation: "cutting off the torn end of", file: &file })?;
+            self.make_durable(&file, scan.intact_bytes)?;
         } else {
             recovery.damaged_bytes += scan.damaged_bytes;
         }
@@ -186,6 +182,18 @@
         Ok(())
     }
 
+    /// Cuts a segment to its intact records and makes them durable, because the chunks that are found there are
+    /// acknowledged. An earlier process may have ended before it synced its last record, or after a sync that failed:
+    /// another sync does not cover what that one dropped, so the bytes are written again.
+    fn make_durable(&mut self, file: &str, intact_bytes: u64) -> Result<(), StoreError> {
+        let bytes = self.disk.read(file, 0, intact_bytes as usize);
+        let bytes = bytes.context(FileSnafu { operation: "reading", file })?;
+        let rewritten = self.disk.rewrite(file, &bytes);
+        rewritten.context(FileSnafu { operation: "rewriting", file })?;
+        let truncated = self.disk.truncate(file, intact_bytes);
+        truncated.context(FileSnafu { operation: "cutting off the torn end of", file })
+    }
+
     fn index_record(&mut self, segment: SegmentNumber, record: &RecordLocation) {
         self.forget(&record.key);
         self.damaged.remove(&record.key);
--- a/crates/store/tests/common/fault_disk.rs
+++ b/crates/store/tests/common/fault_disk.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 
 use dahlia_store::Disk;
@@ -18,7 +19,8 @@
         /// Bytes that are written.
         bytes: usize,
     },
-    /// The whole effect is visible, but making it durable failed.
+    /// The whole effect is visible, but making it durable failed. What a write left in the file is not made
+    /// durable by a later operation, as where the kernel drops pages that it could not write.
     NotSynced,
     /// The disk is full after this many bytes of a write; other operations have no effect.
     Full {
@@ -47,6 +49,8 @@
     visible: BTreeMap<String, Vec<u8>>,
     /// What certainly survives a power loss.
     durable: BTreeMap<String, Vec<u8>>,
+    /// The parts of files that a failed sync dropped: they are read, but no sync covers them.
+    dropped: BTreeMap<String, Range<usize>>,
     /// The faults of coming operations, by the number of the operation.
     faults: BTreeMap<u64, Fault>,
     operations: u64,
@@ -61,10 +65,15 @@
     }
 
     fn make_durable(&mut self, name: &str) {
-        match self.visible.get(name) {
-            Some(bytes) => drop(self.durable.insert(name.to_owned(), bytes.clone())),
-            None => drop(self.durable.remove(name)),
+        let Some(visible) = self.visible.get(name) else {
+            self.durable.remove(name);
+            return;
+        };
+        let mut bytes = visible.clone();
+        if let Some(dropped) = self.dropped.get(name) {
+            bytes[dropped.clone()].fill(0);
         }
+        self.durable.insert(name.to_owned(), bytes);
     }
 }
 
@@ -102,6 +111,7 @@
             });
             let after: BTreeMap<String, Vec<u8>> = after.collect();
             state.durable.clone_from(&after);
+            state.dropped.clear();
             state.visible = after;
         });
     }
@@ -179,7 +189,11 @@
                 Some(Fault::NotSynced) | None => bytes.len(),
             };
             let file = state.visible.entry(name.to_owned()).or_default();
+            let length_before = file.len();
             file.extend(&bytes[..written]);
+            if fault == Some(Fault::NotSynced) {
+                state.dropped.insert(name.to_owned(), length_before..file.len());
+            }
             match fault {
                 None => {
                     state.make_durable(name);
@@ -199,6 +213,10 @@
             }
             let file = state.visible.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
             file.truncate(length as usize);
+            let length = file.len();
+            if let Some(dropped) = state.dropped.get_mut(name) {
+                *dropped = dropped.start.min(length)..dropped.end.min(length);
+            }
             if fault.is_some() {
                 return Err(injected());
             }
@@ -215,6 +233,7 @@
             }
             // A missing file counts as removed: an earlier call may have removed it without making that durable.
             state.visible.remove(name);
+            state.dropped.remove(name);
             if fault.is_some() {
                 return Err(injected());
             }
@@ -223,6 +242,17 @@
         })
     }
 
+    fn rewrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.with_state(|state| {
+            if state.next_fault().is_some() {
+                return Err(injected());
+            }
+            assert!(state.visible[name].starts_with(bytes), "other bytes are written");
+            state.dropped.remove(name);
+            Ok(())
+        })
+    }
+
     fn sync_names(&mut self) -> io::Result<()> {
         self.with_state(|state| {
             if state.next_fault().is_some() {
--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -161,7 +161,7 @@
     assert_eq!(open(disk).get(&key(1, 1)).expect("the store can be read"), Some(data(1)));
 }
 
-/// Guards against a chunk that an ended process had not synced and that its successor acknowledged as stored.
+/// Guards against a chunk that an ended process had not synced, or whose sync had failed, and that its successor acknowledged as stored.
 #[test]
 fn a_chunk_found_at_the_start_is_durable_before_it_is_acknowledged() {
     let disk = FaultDisk::default();
