Durable: opening writes the last segment again, so that a power loss cannot take what a failed sync dropped

Seen: in a model of the disk, a store whose sync failed ended and was restarted; after a later power loss its log did not open ("invalid segment header" or "is damaged from byte N on and a later segment exists"). On a machine the store would not start again until its disk is replaced, and its replicas count as lost.

Cause: after a failed fsync the kernel may mark the pages clean that it could not write. The next process reads the frame or header from the page cache, syncs with success, numbers its own segment after it, and a power loss then takes it.

Ruled out: that the last frame of a process that goes on is at risk.

Fix: opening writes the bytes of the last segment again at the same place before it syncs them. Durable bytes are only replaced by the same bytes, so a power loss meanwhile loses nothing. The format is unchanged. Opening writes up to `segment_bytes` and a frame more.

The simulated disk lets one operation fail before, midway or after its effect, and drops what a failed sync did not cover.

--- a/crates/durable/src/disk.rs
+++ b/crates/durable/src/disk.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -34,10 +35,20 @@
     /// An I/O error, after which any part of the bytes may be in the file.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
 
-    /// Makes all bytes of a file durable.
+    /// Writes again the bytes that a file already holds from its start, so that the next
+    /// [`Self::sync`] covers them even if an earlier one failed. Durable bytes stay durable.
     ///
     /// # Errors
-    /// An I/O error, after which it is unknown which bytes are durable.
+    /// An I/O error.
+    fn rewrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes durable what was written to a file since the last sync, whether that one succeeded or
+    /// failed.
+    ///
+    /// # Errors
+    /// An I/O error, after which it is unknown which bytes are durable. The kernel may have dropped
+    /// what it could not write, although it can still be read, and the next sync then succeeds
+    /// without it.
     fn sync(&mut self, name: &str) -> io::Result<()>;
 
     /// Truncates a file durably.
@@ -126,6 +137,12 @@
         run_timed("write", name, || file.write_all(bytes))
     }
 
+    fn rewrite(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        // The open file only appends, at whatever offset.
+        let file = OpenOptions::new().write(true).open(self.path(name))?;
+        run_timed("rewrite", name, || file.write_all_at(bytes, 0))
+    }
+
     fn sync(&mut self, name: &str) -> io::Result<()> {
         #[cfg(feature = "fault-points")]
         let folder = self.folder.clone();
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -16,7 +16,9 @@
 //! # Assumptions about the disk
 //!
 //! After a power loss, each file holds what its last sync covered; any part of what was written
-//! later may be there too. A new file or a removed name is durable once the folder is synced. The
+//! later may be there too. After a failed sync the kernel may drop what it could not write: it is
+//! still read, and the next sync succeeds without it. A new file or a removed name is durable once
+//! the folder is synced; names that a failed sync did not cover are covered by the next one. The
 //! log therefore makes one write and one sync for each frame, so that only the last frame of the
 //! last segment can be torn. It removes a segment only after the removal of the one before it was
 //! synced.
--- a/crates/durable/src/open.rs
+++ b/crates/durable/src/open.rs
@@ -41,15 +41,20 @@
         ensure!(number == expected, MissingSegmentSnafu { name: file_name(expected) });
         read_segment(disk, number, number == last, &mut contents)?;
     }
-    sync_last_segment(disk, last)?;
+    make_last_segment_durable(disk, last)?;
     Ok(contents)
 }
 
-/// Makes the frames of the last segment durable. A process that died between a write and its sync
-/// leaves frames that a power loss can still erase. Later frames depend on them, so they must be
-/// durable before anything is appended.
-fn sync_last_segment(disk: &mut dyn Disk, last: u64) -> Result<(), LogError> {
+/// Makes the last segment durable. A process that ended between a write and its sync, or after a
+/// failed sync, leaves bytes that can be read and that a power loss can still erase. Later frames and
+/// segments depend on them. After a failed sync another one does not cover them, so they are written
+/// again.
+fn make_last_segment_durable(disk: &mut dyn Disk, last: u64) -> Result<(), LogError> {
     let name = file_name(last);
+    let bytes =
+        disk.read(&name).map_err(|source| LogError::io(DiskOperation::Read, &name, source))?;
+    let rewritten = disk.rewrite(&name, &bytes);
+    rewritten.map_err(|source| LogError::io(DiskOperation::Write, &name, source))?;
     disk.sync(&name).map_err(|source| LogError::io(DiskOperation::Sync, &name, source))
 }
 
--- /dev/null
+++ b/crates/durable/tests/failed_operations.rs
@@ -0,0 +1,41 @@
+//! The log after one failed disk operation, each test for a failure that was found.
+
+mod support;
+
+use std::io::ErrorKind;
+
+use dahlia_durable::{DurableLog, LogError, OpenedLog};
+use dahlia_types::Incarnation;
+use support::disk::{FailedOperation, FailurePoint, MemoryDisk};
+use support::{image, settings, update};
+
+/// Each seed draws what a failed sync and a power loss leave.
+const SEEDS: u64 = 100;
+
+fn open(disk: &MemoryDisk) -> Result<OpenedLog, LogError> {
+    DurableLog::open(disk.handle(), settings(), Incarnation(7))
+}
+
+fn fail_operation(disk: &MemoryDisk, operations_before: u64, point: FailurePoint) {
+    let error = ErrorKind::Other;
+    disk.fail_operation(Some(FailedOperation { operations_before, point, error }));
+}
+
+/// Guards against a log that does not open. A failed sync had dropped a frame or a header that the
+/// next process still read and built on; the power loss then took it.
+#[test]
+fn what_was_read_after_a_failed_sync_survives_a_power_loss() {
+    for seed in 0..SEEDS {
+        let disk = MemoryDisk::new(seed);
+        let mut log = open(&disk).unwrap().log;
+        log.append(&[image(1, 0, 10)]).unwrap();
+        // The first operation writes the frame, the second one syncs it.
+        fail_operation(&disk, 1, FailurePoint::Midway);
+        assert!(log.append(&[update(1, 1, 20)]).is_err());
+        drop(log);
+        let read = open(&disk).unwrap().replicas;
+        disk.lose_power();
+        let opened = open(&disk).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+        assert_eq!(opened.replicas, read, "seed {seed}");
+    }
+}
