Durable: a segment whose start failed is started again before anything is appended

Seen: `advance_incarnation` failed after the header of the next segment was written, appends went on in the segment before it, and the log did not open again ("segment-.groups has an invalid segment header").

Cause: the header names the sequence number of its first frame, which the segment before it then used too. Nothing said that the log must not be used after that call. The daemon does not: it drops the log after the call, so none of its callers met this. A start that fails within `append` is repeated by the next append, since the segment stays full.

Fix: the log remembers that a start failed, and `append` starts that segment again with the current identity and sequence number. The doc of `advance_incarnation` says which incarnation the next process has.

`appends_after_a_failed_advance_of_the_incarnation_are_read_back` failed before and passes.

--- a/crates/durable/src/log.rs
+++ b/crates/durable/src/log.rs
@@ -33,6 +33,9 @@
     images: BTreeMap<GroupId, ImageLocation>,
     /// Whether a failed write may have left bytes after the synced ones.
     needs_truncation: bool,
+    /// Whether the file of the next segment may exist, because its start failed. Nothing may be
+    /// written to the current segment then: the file's header would contradict it.
+    has_unfinished_segment: bool,
 }
 
 /// An opened log and the replicas read from it.
@@ -68,6 +71,7 @@
             next_sequence: contents.next_sequence,
             images,
             needs_truncation: false,
+            has_unfinished_segment: false,
         };
         log.start_segment(current_segment)?;
         log.remove_obsolete_segments();
@@ -111,7 +115,8 @@
     pub fn append(&mut self, changes: &[DurableChange]) -> Result<(), LogError> {
         let frame = encode_frame(self.next_sequence, changes).context(EncodeSnafu)?;
         self.truncate_failed_write()?;
-        if self.current_segment_bytes() >= self.settings.segment_bytes {
+        let is_current_full = self.current_segment_bytes() >= self.settings.segment_bytes;
+        if is_current_full || self.has_unfinished_segment {
             self.start_segment(self.current_segment + 1)?;
         }
         self.write_frame(&frame)?;
@@ -133,7 +138,8 @@
     /// restart.
     ///
     /// # Errors
-    /// [`LogError`], in which case the identity is unchanged.
+    /// [`LogError`], in which case this process keeps its identity and can append. The next one has
+    /// either incarnation if nothing was appended, and otherwise this process's.
     pub fn advance_incarnation(&mut self, after: Incarnation) -> Result<bool, LogError> {
         let is_older = self.identity.incarnation <= after;
         if !self.images.is_empty() || !is_older {
@@ -193,12 +199,14 @@
         let header =
             Header { number, first_sequence: self.next_sequence, identity: self.identity }.encode();
         let disk = self.disk.as_mut();
+        self.has_unfinished_segment = true;
         let created = disk
             .create(&name)
             .and_then(|()| disk.append(&name, &header))
             .and_then(|()| disk.sync(&name))
             .and_then(|()| disk.sync_folder());
         created.map_err(|source| LogError::io(DiskOperation::Create, &name, source))?;
+        self.has_unfinished_segment = false;
         self.segments.insert(number, header.len() as u64);
         self.current_segment = number;
         Ok(())
--- a/crates/durable/tests/failed_operations.rs
+++ b/crates/durable/tests/failed_operations.rs
@@ -11,6 +11,7 @@
 
 /// Each seed draws what a failed sync and a power loss leave.
 const SEEDS: u64 = 100;
+const POINTS: [FailurePoint; 3] = [FailurePoint::Before, FailurePoint::Midway, FailurePoint::After];
 
 fn open(disk: &MemoryDisk) -> Result<OpenedLog, LogError> {
     DurableLog::open(disk.handle(), settings(), Incarnation(7))
@@ -39,3 +40,21 @@
         assert_eq!(opened.replicas, read, "seed {seed}");
     }
 }
+
+/// Guards against a log that does not open. The start of a segment had failed after its header was
+/// written, and appends went on in the segment before it.
+#[test]
+fn appends_after_a_failed_advance_of_the_incarnation_are_read_back() {
+    for (operations, point) in (0..4).flat_map(|before| POINTS.map(|point| (before, point))) {
+        let disk = MemoryDisk::new(1);
+        let mut log = open(&disk).unwrap().log;
+        fail_operation(&disk, operations, point);
+        assert!(log.advance_incarnation(Incarnation(20)).is_err());
+        log.append(&[image(1, 0, 10)]).unwrap();
+        drop(log);
+        let opened = open(&disk)
+            .unwrap_or_else(|error| panic!("{operations} operations, {point:?}: {error}"));
+        assert_eq!(opened.replicas.len(), 1);
+        assert_eq!(opened.log.identity().incarnation, Incarnation(7));
+    }
+}
