Durable: advancing the incarnation truncates a failed write first

Seen: the first append of a log failed, `advance_incarnation` failed after it had created the next segment's file, and the log did not open again ("segment-.groups is damaged from byte 44 on and a later segment exists").

Cause: `append` truncates the bytes of a failed write before it starts a segment, `advance_incarnation` did not. Where it succeeds the segment before is removed, which hides the fault. The daemon drops its log after a failed append, so none of its callers met this.

`a_failed_advance_after_a_failed_append_leaves_a_log_that_opens` failed before and passes.

--- a/crates/durable/src/log.rs
+++ b/crates/durable/src/log.rs
@@ -145,6 +145,8 @@
         if !self.images.is_empty() || !is_older {
             return Ok(false);
         }
+        // A segment that another one follows must end with its synced bytes.
+        self.truncate_failed_write()?;
         let previous = self.identity;
         self.identity = LogIdentity { incarnation: Incarnation(after.0 + 1), start_count: 0 };
         if let Err(error) = self.start_segment(self.current_segment + 1) {
--- a/crates/durable/tests/failed_operations.rs
+++ b/crates/durable/tests/failed_operations.rs
@@ -58,3 +58,20 @@
         assert_eq!(opened.log.identity().incarnation, Incarnation(7));
     }
 }
+
+/// Guards against a log that does not open. The segment of a failed append still had its bytes when
+/// the next segment was started.
+#[test]
+fn a_failed_advance_after_a_failed_append_leaves_a_log_that_opens() {
+    for (operations, point) in (0..6).flat_map(|before| POINTS.map(|point| (before, point))) {
+        let disk = MemoryDisk::new(1);
+        let mut log = open(&disk).unwrap().log;
+        fail_operation(&disk, 0, FailurePoint::Midway);
+        assert!(log.append(&[image(1, 0, 10)]).is_err());
+        fail_operation(&disk, operations, point);
+        // It succeeds if the failed operation only removes the segment before.
+        let _ = log.advance_incarnation(Incarnation(20));
+        drop(log);
+        open(&disk).unwrap_or_else(|error| panic!("{operations} operations, {point:?}: {error}"));
+    }
+}
