Durable: a torn end that comes back in an older segment does not matter

Seen: opening truncated a torn end, the sync of the truncation failed, the next opening went on; after a power loss the log did not open ("segment-.groups is damaged from byte 84 on and a later segment exists").

Cause: the truncation could be read though it was not durable, so the second opening saw no torn end and created the next segment. The power loss brought the end back, now in a segment that is not the last one.

Fix: reading uses the frames of a segment up to the first sequence number of the next one, and ignores what follows them. Sequence numbers have no gaps, so a segment that lost a frame is still an error: `a_flipped_byte_in_an_older_segment_is_an_error` is unchanged and passes. Only the last valid segment is truncated, after everything else was read.

--- a/crates/durable/src/error.rs
+++ b/crates/durable/src/error.rs
@@ -67,7 +67,7 @@
         /// The file.
         name: String,
     },
-    /// A segment ends with a damaged frame although a later segment exists.
+    /// A segment lacks frames that the next segment follows, and ends with a damaged one.
     #[snafu(display("{name} is damaged from byte {offset} on and a later segment exists"))]
     DamagedEnd {
         /// The file.
--- a/crates/durable/src/open.rs
+++ b/crates/durable/src/open.rs
@@ -24,57 +24,90 @@
     pub(crate) segments: BTreeMap<u64, u64>,
     pub(crate) next_sequence: u64,
     pub(crate) identity: Option<LogIdentity>,
+    /// Whether bytes follow the last intact frame of the last segment.
+    has_torn_end: bool,
 }
 
-/// Reads all segments and truncates a torn end that a power loss left.
+/// The bytes of one segment's file.
+struct SegmentFile {
+    number: u64,
+    name: String,
+    bytes: Vec<u8>,
+}
+
+/// Reads all segments and truncates a torn end of the last one that a power loss left.
 ///
 /// # Errors
-/// [`LogError`] when anything but the end of the last segment is damaged.
+/// [`LogError`] when anything else is damaged.
 pub(crate) fn read_segments(disk: &mut dyn Disk) -> Result<LogContents, LogError> {
+    let mut numbers = segment_numbers(disk)?.into_iter();
+    let mut contents = LogContents::default();
+    let mut next = read_next_file(disk, &mut numbers)?;
+    while let Some(segment) = next {
+        next = read_next_file(disk, &mut numbers)?;
+        read_segment(&segment, next.as_ref(), &mut contents)?;
+    }
+    let Some((last, length)) = contents.segments.last_key_value() else { return Ok(contents) };
+    let name = file_name(*last);
+    if contents.has_torn_end {
+        truncate_segment(disk, &name, *length)?;
+    }
+    make_durable(disk, &name)?;
+    Ok(contents)
+}
+
+/// The numbers of all segments in order, without a gap.
+fn segment_numbers(disk: &dyn Disk) -> Result<Vec<u64>, LogError> {
     let names =
         disk.list().map_err(|source| LogError::io(DiskOperation::List, "the folder", source))?;
     let mut numbers: Vec<u64> = names.iter().filter_map(|name| parse_file_name(name)).collect();
     numbers.sort_unstable();
-    let mut contents = LogContents::default();
-    let Some(last) = numbers.last().copied() else { return Ok(contents) };
-    for (number, expected) in numbers.iter().copied().zip(numbers[0]..) {
+    let first = numbers.first().copied().unwrap_or(0);
+    for (number, expected) in numbers.iter().copied().zip(first..) {
         ensure!(number == expected, MissingSegmentSnafu { name: file_name(expected) });
-        read_segment(disk, number, number == last, &mut contents)?;
     }
-    make_last_segment_durable(disk, last)?;
-    Ok(contents)
+    Ok(numbers)
+}
+
+fn read_next_file(
+    disk: &dyn Disk,
+    numbers: &mut impl Iterator<Item = u64>,
+) -> Result<Option<SegmentFile>, LogError> {
+    let Some(number) = numbers.next() else { return Ok(None) };
+    let name = file_name(number);
+    let bytes = read_file(disk, &name)?;
+    Ok(Some(SegmentFile { number, name, bytes }))
+}
+
+fn read_file(disk: &dyn Disk, name: &str) -> Result<Vec<u8>, LogError> {
+    disk.read(name).map_err(|source| LogError::io(DiskOperation::Read, name, source))
 }
 
 /// Makes the last segment durable. A process that ended between a write and its sync, or after a
 /// failed sync, leaves bytes that can be read and that a power loss can still erase. Later frames and
 /// segments depend on them. After a failed sync another one does not cover them, so they are written
 /// again.
-fn make_last_segment_durable(disk: &mut dyn Disk, last: u64) -> Result<(), LogError> {
-    let name = file_name(last);
-    let bytes =
-        disk.read(&name).map_err(|source| LogError::io(DiskOperation::Read, &name, source))?;
-    let rewritten = disk.rewrite(&name, &bytes);
-    rewritten.map_err(|source| LogError::io(DiskOperation::Write, &name, source))?;
-    disk.sync(&name).map_err(|source| LogError::io(DiskOperation::Sync, &name, source))
+fn make_durable(disk: &mut dyn Disk, name: &str) -> Result<(), LogError> {
+    let bytes = read_file(disk, name)?;
+    let rewritten = disk.rewrite(name, &bytes);
+    rewritten.map_err(|source| LogError::io(DiskOperation::Write, name, source))?;
+    disk.sync(name).map_err(|source| LogError::io(DiskOperation::Sync, name, source))
 }
 
 fn read_segment(
-    disk: &mut dyn Disk,
-    number: u64,
-    is_last: bool,
+    segment: &SegmentFile,
+    next: Option<&SegmentFile>,
     contents: &mut LogContents,
 ) -> Result<(), LogError> {
-    let name = file_name(number);
-    let bytes =
-        disk.read(&name).map_err(|source| LogError::io(DiskOperation::Read, &name, source))?;
-    let header = match Header::decode(&bytes) {
+    let SegmentFile { number, name, bytes } = segment;
+    let header = match Header::decode(bytes) {
         Ok(header) => header,
         Err(InvalidHeader::UnsupportedVersion(version)) => {
             return UnsupportedVersionSnafu { name, version }.fail();
         }
         Err(InvalidHeader::Damaged) => {
             ensure!(
-                is_last && is_unsynced_segment(&bytes, number, contents),
+                next.is_none() && is_unsynced_segment(bytes, *number, contents),
                 InvalidHeaderSnafu { name }
             );
             // The file may stay: the next segment gets the same number and overwrites it.
@@ -87,19 +120,25 @@
     // `DurableLog::advance_incarnation`.
     let is_ordered =
         contents.identity.is_none_or(|known| known.incarnation <= header.identity.incarnation);
-    ensure!(header.number == number && is_contiguous && is_ordered, InvalidHeaderSnafu { name });
+    ensure!(header.number == *number && is_contiguous && is_ordered, InvalidHeaderSnafu { name });
     let read = read_frames(&bytes[HEADER_BYTES..], header.first_sequence);
-    let (frames, frame_bytes) = read.context(DamagedSnafu { name: &name })?;
-    let length = HEADER_BYTES + frame_bytes;
-    if length < bytes.len() {
-        ensure!(is_last, DamagedEndSnafu { name, offset: length });
-        truncate_segment(disk, &name, length as u64)?;
-    }
+    let (mut frames, _) = read.context(DamagedSnafu { name })?;
+    let end =
+        next.and_then(|next| Header::decode(&next.bytes).ok()).map(|next| next.first_sequence);
+    // What follows the frames before the next segment was cut off before that segment was created.
+    // A power loss can undo the cut if its sync failed.
+    frames.retain(|frame| end.is_none_or(|end| frame.sequence < end));
+    let length = HEADER_BYTES + frames.iter().map(|frame| frame.bytes).sum::<usize>();
+    let next_sequence = header.first_sequence + frames.len() as u64;
+    let is_torn = length < bytes.len();
+    let is_complete = end.is_none_or(|end| next_sequence == end);
+    ensure!(is_complete || !is_torn, DamagedEndSnafu { name, offset: length });
+    contents.has_torn_end = is_torn && end.is_none();
     contents.identity = Some(header.identity);
-    contents.next_sequence = header.first_sequence + frames.len() as u64;
-    contents.segments.insert(number, length as u64);
+    contents.next_sequence = next_sequence;
+    contents.segments.insert(*number, length as u64);
     for change in frames.into_iter().flat_map(|frame| frame.records) {
-        contents.replay.apply(change, number).context(ReplaySnafu { name: &name })?;
+        contents.replay.apply(change, *number).context(ReplaySnafu { name })?;
     }
     Ok(())
 }
--- a/crates/durable/tests/failed_operations.rs
+++ b/crates/durable/tests/failed_operations.rs
@@ -75,3 +75,27 @@
         open(&disk).unwrap_or_else(|error| panic!("{operations} operations, {point:?}: {error}"));
     }
 }
+
+/// Guards against a log that does not open. A power loss had brought back the torn end of a segment
+/// whose truncation was read although its sync had failed.
+#[test]
+fn a_torn_end_that_comes_back_in_an_older_segment_is_ignored() {
+    for seed in 0..SEEDS {
+        let disk = MemoryDisk::new(seed);
+        let mut log = open(&disk).unwrap().log;
+        log.append(&[image(1, 0, 10)]).unwrap();
+        fail_operation(&disk, 1, FailurePoint::Before);
+        assert!(log.append(&[update(1, 1, 20)]).is_err());
+        drop(log);
+        disk.lose_power();
+        // The first operation truncates the torn end, if there is one.
+        fail_operation(&disk, 0, FailurePoint::Midway);
+        assert!(open(&disk).is_err());
+        let mut log = open(&disk).unwrap().log;
+        log.append(&[image(2, 0, 10)]).unwrap();
+        drop(log);
+        disk.lose_power();
+        let opened = open(&disk).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+        assert_eq!(opened.replicas.len(), 2, "seed {seed}");
+    }
+}
