--- a/crates/durable/src/open.rs
+++ b/crates/durable/src/open.rs
@@ -53,6 +53,9 @@
         truncate_segment(disk, &name, *length)?;
     }
     make_durable(disk, &name)?;
+    // The next segment's name must not outlive the names before it.
+    let synced = disk.sync_folder();
+    synced.map_err(|source| LogError::io(DiskOperation::Sync, "the folder", source))?;
     Ok(contents)
 }
 
--- a/crates/durable/tests/failed_operations.rs
+++ b/crates/durable/tests/failed_operations.rs
@@ -99,3 +99,22 @@
         assert_eq!(opened.replicas.len(), 2, "seed {seed}");
     }
 }
+
+/// Guards against a missing segment. The name of an unfinished segment was not durable when the next
+/// one was created after it, and only the later name survived a power loss.
+#[test]
+fn a_power_loss_while_opening_after_an_unfinished_start_leaves_no_gap() {
+    let cases = (0..SEEDS).flat_map(|seed| (0..8).map(move |operations| (seed, operations)));
+    for (seed, operations) in cases {
+        let disk = MemoryDisk::new(seed);
+        let mut log = open(&disk).unwrap().log;
+        // The operations create a file, write and sync its header, and sync the folder.
+        fail_operation(&disk, 3, FailurePoint::Before);
+        assert!(log.advance_incarnation(Incarnation(20)).is_err());
+        drop(log);
+        disk.lose_power_after(operations);
+        let _ = open(&disk);
+        disk.lose_power();
+        open(&disk).unwrap_or_else(|error| panic!("seed {seed}, {operations} operations: {error}"));
+    }
+}
