Soak: disks fill up, and single writes and syncs fail

The soak stalled disks and lost them, but no write or sync of a process that goes on ever failed. New fault points, files next to the folder as for stalls: a full disk while the file exists, the next write fails after a part of it, the next sync fails. The checks are unchanged.

--- a/crates/durable/src/disk.rs
+++ b/crates/durable/src/disk.rs
@@ -133,7 +133,11 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        #[cfg(feature = "fault-points")]
+        let folder = self.folder.clone();
         let file = self.file_for_writing(name)?;
+        #[cfg(feature = "fault-points")]
+        crate::fault_points::check_write(&folder, file, bytes)?;
         run_timed("write", name, || file.write_all(bytes))
     }
 
@@ -150,6 +154,8 @@
         run_timed("sync", name, || {
             #[cfg(feature = "fault-points")]
             crate::fault_points::wait_while_stalled(&folder);
+            #[cfg(feature = "fault-points")]
+            crate::fault_points::check_sync(&folder)?;
             file.sync_data()
         })
     }
