Membership: tell an earlier incarnation at another address of the later one

Callers saw: nothing by themselves, but two processes that act as one daemon.

Cause: daemons answer, probe and gossip at the address that they know, the later process's. Nothing reaches the earlier one any more, so neither does the record that makes it stop.

Ruled out: that the earlier one fell silent; it goes on probing, and its messages were handled as the later one's.

Change: whoever gets a message of an earlier incarnation from an address that is not the known one sends the later incarnation's record there. A process that is told of a later incarnation at another address, not known as dead, ends; it doesn't start its parts again as it does after its own clock was set back. Otherwise the two would replace each other without end.

Open: a gateway that ends in this way cuts the requests that it has.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -109,8 +109,8 @@
     }
 
     /// Waits until the node's task ends by itself, because another incarnation of this daemon has
-    /// superseded it or its disk failed. Returns the other incarnation. The parts should then be started
-    /// again with that incarnation as the previous one.
+    /// superseded it or its disk failed. Returns the other incarnation if the parts should be started again
+    /// with it as the previous one.
     pub async fn wait_until_ended(&mut self) -> Option<Incarnation> {
         (&mut self.core_task).await.ok().flatten()
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -101,7 +101,7 @@
     /// Groups for which the log needs a new image. Each batch records one.
     groups_needing_image: Vec<GroupId>,
     stopped: bool,
-    superseded_by: Option<Incarnation>,
+    restart_after: Option<Incarnation>,
 }
 
 impl Core {
@@ -125,12 +125,12 @@
             batch: Batch::default(),
             groups_needing_image: Vec::new(),
             stopped: false,
-            superseded_by: None,
+            restart_after: None,
         }
     }
 
     /// Runs until every handle is dropped, the disk fails, or a newer incarnation of this daemon
-    /// supersedes it. Returns that incarnation.
+    /// supersedes it. Returns that incarnation if the process may start again after it.
     pub async fn run(mut self) -> Option<Incarnation> {
         let mut ticked = Instant::now();
         let mut timings = TickTimings::default();
@@ -159,10 +159,10 @@
             self.finish_batch().await;
             timings.syncing += began.elapsed();
         }
-        if let Some(by) = self.superseded_by {
-            self.parts.groups.advance_incarnation(by).await;
+        if let Some(previous) = self.restart_after {
+            self.parts.groups.advance_incarnation(previous).await;
         }
-        self.superseded_by
+        self.restart_after
     }
 
     /// Makes the changes of the batch durable with one sync, then performs the actions that waited
@@ -295,9 +295,9 @@
                 self.parts.reachability.send_replace(reachability);
             }
             Action::Store(order) => self.parts.store.send(*order),
-            Action::Stop { superseded_by } => {
+            Action::Stop { restart_after } => {
                 self.stopped = true;
-                self.superseded_by = Some(superseded_by);
+                self.restart_after = restart_after;
             }
             // `handle` has processed both already.
             Action::Persist(_) | Action::SendUnsynced { .. } => {}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -260,8 +260,9 @@
     Store(Box<StoreRequest>),
     /// Stop the process because a later incarnation of this daemon replaces it.
     Stop {
-        /// That incarnation or a later one.
-        superseded_by: Incarnation,
+        /// The incarnation after which this process may start again at once: its own previous one, if its
+        /// clock was set back. None if another process runs as this daemon.
+        restart_after: Option<Incarnation>,
     },
 }
 
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -53,9 +53,14 @@
                     self.handle_member_change(&record.info, now);
                 }
                 MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
-                MembershipAction::Superseded { by } => {
-                    log::error!(target: "members", "A later incarnation of this daemon runs: {by}.");
-                    self.actions.push(Action::Stop { superseded_by: by });
+                MembershipAction::Superseded { by, is_elsewhere } => {
+                    log::error!(
+                        target: "members",
+                        incarnation:% = by, is_elsewhere = is_elsewhere;
+                        "A later incarnation of this daemon runs."
+                    );
+                    let restart_after = Some(by).filter(|_| !is_elsewhere);
+                    self.actions.push(Action::Stop { restart_after });
                 }
             }
         }
--- a/crates/replication/src/membership/state.rs
+++ b/crates/replication/src/membership/state.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use dahlia_types::{DaemonId, Duration, Incarnation, Timestamp};
+use dahlia_types::{DaemonId, Duration, Incarnation, ReplicaId, Timestamp};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -52,6 +52,9 @@
     Superseded {
         /// The later incarnation.
         by: Incarnation,
+        /// Whether it runs at another address. It is then a process of its own, and this one must not
+        /// start again.
+        is_elsewhere: bool,
     },
 }
 
@@ -367,6 +370,7 @@
     fn receive(&mut self, envelope: Envelope) {
         let Envelope { from, address, body, members, facts } = envelope;
         self.previous_peers.remove(&address);
+        self.tell_superseded(from, address);
         // Records of unknown members in a sync answer are already known to others: only records that
         // change an entry are gossiped.
         let is_sync_answer = matches!(body, MemberMessage::SyncChunk(_));
@@ -463,7 +467,9 @@
     fn merge_own_record(&mut self, record: &MemberRecord) {
         let own = self.own.info.incarnation;
         if record.info.incarnation > own {
-            self.actions.push(Action::Superseded { by: record.info.incarnation });
+            let is_elsewhere =
+                record.info.address != self.own.info.address && record.health != Health::Dead;
+            self.actions.push(Action::Superseded { by: record.info.incarnation, is_elsewhere });
             return;
         }
         let is_present_incarnation = record.info.incarnation == own;
@@ -476,6 +482,20 @@
         }
     }
 
+    /// Sends the record of a later incarnation to an earlier one at another address. Answers go to the
+    /// later one's address, so nothing else would tell it.
+    fn tell_superseded(&mut self, sender: ReplicaId, address: SocketAddr) {
+        let known = match self.members.get(sender.daemon) {
+            Some(member) => &member.record,
+            None if sender.daemon == self.own.info.daemon => &self.own,
+            None => return,
+        };
+        if known.info.incarnation > sender.incarnation && known.info.address != address {
+            let record = known.clone();
+            self.send_to_address(address, MemberMessage::Gossip, vec![record], Vec::new());
+        }
+    }
+
     /// The time within which a suspect must refute a suspicion.
     pub(super) fn suspicion_timeout(&self) -> Duration {
         self.settings.suspicion_timeout(self.members.present_count() + 1)
