Planned stop: serve what the system has accepted before the listener closes

Callers saw: a connection that was opened, a request that was sent whole, and a reset when the process of a stopping gateway ended. It happens where callers still come late, as while fewer than half of a zone's gateways are ready and the platform uses all of them.

Cause: the stop ended the process once nothing was in progress and no connection was open, with its listener still open. From that check until the listener closed the system went on accepting connections, which nobody served.

Ruled out: requests that were read; each of them was answered.

Change: once nothing is in progress the relay accepts what is queued, by the listener's own file descriptor, since tokio's may not have noticed the latest connections, and closes the listener. The process ends when these connections are answered and closed. A connection counts as open from its accept on. Closing the listener early was weighed in, because a reset promises nothing; now it closes only when nothing is left to serve, and a caller that is refused a connection knows that nothing was read.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -41,6 +41,7 @@
     pub(crate) programs: ActivePrograms,
     pub(crate) queues: Arc<WaitQueues>,
     pub(crate) drain: watch::Sender<bool>,
+    pub(crate) stops_accepting: watch::Sender<bool>,
     refuses_requests: AtomicBool,
     is_cut_off: AtomicBool,
     routing: RwLock<Option<Arc<RouteIndex>>>,
@@ -102,6 +103,7 @@
             repeats: RepeatBudgets::new(&settings),
             programs: ActivePrograms::default(),
             drain: watch::Sender::new(false),
+            stops_accepting: watch::Sender::new(false),
             refuses_requests: AtomicBool::new(false),
             is_cut_off: AtomicBool::new(false),
             routing: RwLock::new(None),
@@ -147,9 +149,10 @@
         self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Accepts callers' connections until the future is dropped; open connections outlive it. To
-    /// stop, call [`Relay::begin_drain`], wait until [`Relay::counters`] shows no request in
-    /// progress, no open connection and no unsettled turn, and drop the future.
+    /// Accepts callers' connections until [`Relay::stop_accepting`], or until the future is dropped;
+    /// open connections outlive it. To stop, call [`Relay::begin_drain`] and later
+    /// [`Relay::stop_accepting`], and wait until this future has ended and [`Relay::counters`] shows
+    /// no request in progress, no open connection and no unsettled turn.
     pub async fn serve(&self, listener: TcpListener) {
         server::accept(&self.shared, listener).await;
     }
@@ -175,6 +178,12 @@
         self.shared.refuses_requests.store(true, Ordering::Relaxed);
     }
 
+    /// Accepts the connections that callers have opened already, and no more: the listener closes,
+    /// so that further callers know at once that they have to connect elsewhere.
+    pub fn stop_accepting(&self) {
+        self.shared.stops_accepting.send_replace(true);
+    }
+
     /// Registers the relay's metrics.
     ///
     /// # Errors
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::select;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 
 use crate::answer::forward;
@@ -40,23 +40,31 @@
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-/// Accepts connections until the future is dropped. Connections beyond the limit wait in the
-/// listener's queue.
+/// Accepts connections until [`Relay::stop_accepting`](crate::Relay::stop_accepting), or until the
+/// future is dropped. Connections beyond the limit wait in the listener's queue.
 pub(crate) async fn accept<L: TurnLedger + TenantLimits>(
     shared: &Arc<Shared<L>>,
     listener: TcpListener,
+) {
+    let mut stopping = shared.stops_accepting.subscribe();
+    select! {
+        () = accept_within_limit(shared, &listener) => return,
+        _ = stopping.wait_for(|is_stopping| *is_stopping) => {}
+    }
+    if let Err(error) = accept_queued(shared, listener) {
+        log::warn!(target: "relay", "taking the last connections: {error}");
+    }
+}
+
+async fn accept_within_limit<L: TurnLedger + TenantLimits>(
+    shared: &Arc<Shared<L>>,
+    listener: &TcpListener,
 ) {
     let permits = Arc::new(Semaphore::new(shared.settings.most_connections));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let shared = Arc::clone(shared);
-                tokio::spawn(async move {
-                    serve_connection(&shared, stream).await;
-                    drop(permit);
-                });
-            }
+            Ok((stream, _)) => spawn_connection(shared, stream, Some(permit)),
             Err(error) => {
                 log::warn!(target: "relay", "taking a connection: {error}");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -65,12 +73,45 @@
     }
 }
 
-async fn serve_connection<L: TurnLedger + TenantLimits>(
+/// Accepts all connections in the listener's queue and closes the listener. Closing it resets the
+/// connections that are still queued, whose callers may have sent requests.
+fn accept_queued<L: TurnLedger + TenantLimits>(
+    shared: &Arc<Shared<L>>,
+    listener: TcpListener,
+) -> io::Result<()> {
+    // Tokio's listener may not have noticed the latest connections.
+    let listener = listener.into_std()?;
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        spawn_connection(shared, TcpStream::from_std(stream)?, None);
+    }
+}
+
+/// Serves a connection in a task of its own. It counts as open at once.
+fn spawn_connection<L: TurnLedger + TenantLimits>(
     shared: &Arc<Shared<L>>,
     stream: TcpStream,
+    permit: Option<OwnedSemaphorePermit>,
 ) {
     count(&shared.counters.connections);
-    let _open = GaugeGuard::new(&shared.counters, Gauge::OpenConnections);
+    let open = GaugeGuard::new(&shared.counters, Gauge::OpenConnections);
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        serve_connection(&shared, stream).await;
+        drop((open, permit));
+    });
+}
+
+async fn serve_connection<L: TurnLedger + TenantLimits>(
+    shared: &Arc<Shared<L>>,
+    stream: TcpStream,
+) {
     let _ = stream.set_nodelay(true);
     let limits = shared.limits();
     let idle_timeout = Duration::from_micros(limits.idle_timeout.as_micros());
--- a/crates/relay/tests/common/caller.rs
+++ b/crates/relay/tests/common/caller.rs
@@ -37,6 +37,13 @@
         Self { stream, buffer: Vec::new() }
     }
 
+    /// Uses a connection that was opened without a runtime.
+    pub fn from_std(connection: std::net::TcpStream) -> Self {
+        connection.set_nonblocking(true).expect("a socket can be non-blocking");
+        let stream = TcpStream::from_std(connection).expect("a runtime takes the socket");
+        Self { stream, buffer: Vec::new() }
+    }
+
     pub async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.expect("the relay accepts the bytes");
     }
--- a/crates/relay/tests/draining.rs
+++ b/crates/relay/tests/draining.rs
@@ -107,3 +107,23 @@
     let back = call(gateway.address, &post("v", "", "")).await;
     assert_eq!((back.status, back.header("connection")), (200, None));
 }
+
+/// A connection that the system accepts for the process has a caller that may have sent a request.
+/// Closing the listener used to reset it.
+#[tokio::test]
+async fn connections_that_wait_to_be_accepted_are_served_before_the_listener_closes() {
+    const CALLERS: usize = 20;
+    let server = ScriptedServer::new("s-1", answer_ok).await;
+    let gateway = TestGateway::new(Some(route_table(vec![repeatable_route()])), &[&server]).await;
+    // Nothing is awaited until the stop, so the relay can accept none of them before.
+    let connect = |_| std::net::TcpStream::connect(gateway.address).expect("a connection");
+    let connections: Vec<std::net::TcpStream> = (0..CALLERS).map(connect).collect();
+    gateway.relay.stop_accepting();
+    for (number, connection) in connections.into_iter().enumerate() {
+        let mut caller = Caller::from_std(connection);
+        let reply = caller.call(&post(&format!("t-{number}"), "", "")).await;
+        assert_eq!((reply.status, reply.is_whole), (200, true));
+    }
+    let refused = tokio::net::TcpStream::connect(gateway.address).await;
+    assert!(refused.is_err(), "the listener must be closed");
+}
