Relay: log which earlier turn a refused turn names

The new line names both, so that a search for the earlier turn tells whether the 404 was owed. No behaviour changes.

Test: a_turn_that_continues_an_unknown_one_is_logged_with_both_identifiers (dahlia-relay, request_log).

--- a/crates/relay/src/turn.rs
+++ b/crates/relay/src/turn.rs
@@ -95,7 +95,14 @@
         self.mark_settled();
         Err(match refusal {
             TurnRefusal::BudgetSpent { .. } => Refusal::BudgetSpent,
-            TurnRefusal::NoSuchTurn { .. } => Refusal::NoSuchTurn,
+            TurnRefusal::NoSuchTurn { previous } => {
+                log::warn!(
+                    target: "relay",
+                    request = self.turn.name(), previous = previous.name();
+                    "The previous turn is not known."
+                );
+                Refusal::NoSuchTurn
+            }
             // An earlier attempt had this identifier, and its outcome cannot be reported again.
             TurnRefusal::AlreadyEnded => Refusal::AnswerLost,
             TurnRefusal::NotEnded { .. } | TurnRefusal::LimitReached { .. } => {
--- a/crates/relay/tests/request_log.rs
+++ b/crates/relay/tests/request_log.rs
@@ -10,6 +10,7 @@
     TestGateway, at_most_once_route, repeatable_route, resumable_stream_route,
     retained_turns_route, route_table, wait_until,
 };
+use dahlia_ledger::{LedgerReply, TurnId, TurnRefusal};
 use dahlia_relay::Route;
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
@@ -238,6 +239,24 @@
     assert_eq!(lines[1].field("cause"), Some("the ledger did not answer"));
 }
 
+/// Without the earlier turn's identifier the logs cannot tell whether that turn was ever complete.
+#[tokio::test]
+async fn a_turn_that_continues_an_unknown_one_is_logged_with_both_identifiers() {
+    install_recorder();
+    let server = ScriptedServer::new("s-1", answer_ok).await;
+    let gateway =
+        TestGateway::new(Some(route_table(vec![retained_turns_route()])), &[&server]).await;
+    let previous = TurnId::new(None, "never-complete");
+    let refusal = LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous });
+    gateway.ledger.queue_open_reply(Ok(refusal));
+    let lines = "X-Program: p-1\r\nX-Tokens: 10,20\r\n";
+    let reply = call(gateway.address, &post("continues-nothing", lines, "x")).await;
+    assert_eq!(reply.status, 404);
+    let lines = lines_of("continues-nothing");
+    assert_eq!(sentences(&lines), ["Taken.", "The previous turn is not known.", "Refused."]);
+    assert_eq!(lines[1].field("previous"), Some("never-complete"));
+}
+
 #[tokio::test]
 async fn a_caller_that_disconnects_is_logged() {
     install_recorder();
