--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -41,8 +41,10 @@
     pub(crate) programs: ActivePrograms,
     pub(crate) queues: Arc<WaitQueues>,
     pub(crate) drain: watch::Sender<bool>,
+    pub(crate) stops_accepting: watch::Sender<bool>,
     refuses_requests: AtomicBool,
     is_cut_off: AtomicBool,
+    closes_after_answers: AtomicBool,
     routing: RwLock<Option<Arc<RouteIndex>>>,
 }
 
@@ -64,7 +66,9 @@
     /// Whether answers close their connections, so that callers send their next requests to another
     /// gateway.
     pub(crate) fn closes_connections(&self) -> bool {
-        *self.drain.borrow() || self.is_cut_off.load(Ordering::Relaxed)
+        *self.drain.borrow()
+            || self.is_cut_off.load(Ordering::Relaxed)
+            || self.closes_after_answers.load(Ordering::Relaxed)
     }
 }
 
@@ -102,8 +106,10 @@
             repeats: RepeatBudgets::new(&settings),
             programs: ActivePrograms::default(),
             drain: watch::Sender::new(false),
+            stops_accepting: watch::Sender::new(false),
             refuses_requests: AtomicBool::new(false),
             is_cut_off: AtomicBool::new(false),
+            closes_after_answers: AtomicBool::new(false),
             routing: RwLock::new(None),
             settings: Arc::new(settings),
         };
@@ -147,13 +153,20 @@
         self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Accepts callers' connections until the future is dropped; open connections outlive it. To
-    /// stop, call [`Relay::begin_drain`], wait until [`Relay::counters`] shows no request in
-    /// progress, no open connection and no unsettled turn, and drop the future.
+    /// Accepts callers' connections until [`Relay::stop_accepting`], or until the future is dropped;
+    /// open connections outlive it. To stop, call [`Relay::begin_drain`] and later
+    /// [`Relay::stop_accepting`], and wait until this future has ended and [`Relay::counters`] shows
+    /// no request in progress, no open connection and no unsettled turn.
     pub async fn serve(&self, listener: TcpListener) {
         server::accept(&self.shared, listener).await;
     }
 
+    /// From now on answers close their connections. Idle connections stay open, because a request may
+    /// be on its way on them: a caller that uses one soon gets an answer that closes it.
+    pub fn close_after_answers(&self) {
+        self.shared.closes_after_answers.store(true, Ordering::Relaxed);
+    }
+
     /// Starts draining: requests are still served, but answers close their connections, and idle
     /// connections close.
     pub fn begin_drain(&self) {
@@ -175,6 +188,12 @@
         self.shared.refuses_requests.store(true, Ordering::Relaxed);
     }
 
+    /// Accepts the connections that callers have opened already, and no more: the listener closes,
+    /// so that further callers know at once that they have to connect elsewhere.
+    pub fn stop_accepting(&self) {
+        self.shared.stops_accepting.send_replace(true);
+    }
+
     /// Registers the relay's metrics.
     ///
     /// # Errors
