Limits: a test that needs the reservation for gateways that have not reported

Callers saw: nothing.

Cause: programs of window_faults leave 200 ms between their requests.

So the mechanism stays.

--- a/crates/limits/tests/window_faults.rs
+++ b/crates/limits/tests/window_faults.rs
@@ -232,6 +232,32 @@
     assert_eq!(exceeded_around_overload_start(RATES[0]), Vec::<String>::new());
 }
 
+/// The milliseconds between calls of one program that are sent one right after the other.
+const BURST_GAP_MS: u64 = 20;
+
+/// An overload by programs whose calls come in bursts, with a partition of this share of the gateways.
+fn partition_with_bursts(from_s: f64, share: f64) -> impl Fn(u64, f64) -> Scenario {
+    move |seed, rate| {
+        let partition = Partition { from_s, until_s: from_s + 5.7, share };
+        let mut scenario = usual_scenario(seed, rate);
+        let bursts = load(6.0, 8.0, rate, 6.5 / 1.6);
+        scenario.loads.push(Load { gap_ms: BURST_GAP_MS, ..bursts });
+        Scenario { partitions: vec![partition], ..scenario }
+    }
+}
+
+/// Bursts use up the permits before the partition is noticed, unless the keeper reserves the share of the
+/// gateways that have not reported since permits became scarce.
+#[test]
+fn partition_around_a_start_of_bursts_exceeds_no_window() {
+    for from_s in [5.8, 5.9, 6.0, 6.1] {
+        let name = format!("bursts, partition at {from_s} s");
+        let scenario = partition_with_bursts(from_s, 0.25);
+        let found = RATES[3..].iter().flat_map(|rate| exceeded_at(&name, *rate, &scenario));
+        assert_eq!(found.collect::<Vec<String>>(), Vec::<String>::new());
+    }
+}
+
 /// Returns the rates at which at least one percent of programs fail needlessly, and the shares.
 fn needless_failures(scenario: impl Fn(u64, f64) -> Scenario) -> Vec<(f64, f64)> {
     let share = |rate| {
