Limits: a refused program stays active until its request comes back

Callers saw: when the keeper of a tenant far above its limit was lost, 1 to 21 in 100 of its programs failed after their start (0 to 1.2 s without a keeper), 20 to 39 in 100 after 2.5 s, 0 to 2 without the fault.

Cause: a keeper took a program for ended after a second without a request. A refused caller comes back after some 1.3 s, so its request was refused as the first one of a new program, for which all permits must be free.

Change: a refusal that is not of a new program keeps it active until the time that its caller was given, for a window's time at most; windows only, not token buckets. The same in a keeper's first second, in which no program is new. No message changes.

Test: refused_program_is_still_active_when_its_caller_comes_back failed before, passes ten times in a row.

--- a/crates/limits/src/programs.rs
+++ b/crates/limits/src/programs.rs
@@ -120,13 +120,26 @@
 
     /// Records a request of a program.
     pub(crate) fn record_request(&mut self, program: ProgramKey, now: Timestamp) {
+        let Some(active) = self.entry(program, now) else { return };
+        active.requests += 1;
+        active.last_request_at = now;
+    }
+
+    /// Returns a program, which is added if it is new. None if there are too many.
+    fn entry(&mut self, program: ProgramKey, now: Timestamp) -> Option<&mut ActiveProgram> {
         if self.by_key.len() >= MAX_ACTIVE_PROGRAMS && !self.by_key.contains_key(&program) {
-            return;
+            return None;
         }
         let new = ActiveProgram { requests: 0, started_at: now, last_request_at: now };
-        let active = self.by_key.entry(program).or_insert(new);
-        active.requests += 1;
-        active.last_request_at = now;
+        Some(self.by_key.entry(program).or_insert(new))
+    }
+
+    /// Records that a refused request of a program comes back at a later time. Until then the program has
+    /// not ended.
+    pub(crate) fn record_return_time(&mut self, program: ProgramKey, at: Timestamp) {
+        if let Some(active) = self.entry(program, at) {
+            active.last_request_at = active.last_request_at.max(at);
+        }
     }
 
     /// Removes programs that were idle for `idle_timeout` and adds them to the statistics. It looks
--- a/crates/limits/src/tenant_limit.rs
+++ b/crates/limits/src/tenant_limit.rs
@@ -291,6 +291,16 @@
         per_second * (duration + idle_timeout.as_secs_f64()) / stats.mean_requests()
     }
 
+    /// Keeps a program that may have started active until its refused request comes back: callers wait
+    /// longer for that than programs are otherwise idle. A caller that is told to wait for more than a
+    /// window may not come back.
+    fn await_return(&mut self, program: ProgramKey, returns_at: Timestamp, now: Timestamp) {
+        if let Permits::Window(window) = &self.permits {
+            let returns_at = returns_at.min(now + window.length());
+            self.programs.record_return_time(program, returns_at);
+        }
+    }
+
     /// Returns the time in which as many permits come back.
     fn refill_time(&self, permits: f64) -> Duration {
         Duration::from_secs_f64(permits / self.permits.limit().per_second())
@@ -345,6 +355,9 @@
         *next = time + spacing;
         if let Some(program) = program {
             self.return_times.insert(program, time);
+            if !starts_program {
+                self.await_return(program, time, now);
+            }
         }
         time.since(now)
     }
--- a/crates/limits/src/window.rs
+++ b/crates/limits/src/window.rs
@@ -68,6 +68,11 @@
         self.limit
     }
 
+    /// Returns the length of the window.
+    pub(crate) fn length(&self) -> Duration {
+        self.tolerance.window
+    }
+
     /// Returns the requests that may pass in any window.
     pub(crate) fn allowance(&self) -> f64 {
         self.tolerance.allowance(self.limit)
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -112,6 +112,8 @@
     pub max_honoured_retry: Duration,
     /// Whether gateways report to a new keeper what earlier keepers counted.
     pub reports_history: bool,
+    /// Whether requests name their programs.
+    pub names_programs: bool,
     /// When another limit takes effect, and that limit.
     pub limit_change: Option<(f64, RateLimit)>,
 }
@@ -130,6 +132,7 @@
             restart: None,
             max_honoured_retry: MAX_HONOURED_RETRY,
             reports_history: true,
+            names_programs: true,
             limit_change: None,
         }
     }
@@ -147,6 +150,8 @@
     pub refused: usize,
     /// Refusals of a program's second request or a later one.
     pub refused_after_start: usize,
+    /// Programs that fail at their second request or a later one.
+    pub stranded: usize,
     /// Refusals at a time at which the limit's own window had room.
     pub refused_with_room: usize,
     /// The sum of what programs earned.
@@ -461,6 +466,10 @@
         self.queue.push(Reverse((time, self.events, event)));
     }
 
+    fn program_key(&self, request: Request) -> Option<ProgramKey> {
+        self.scenario.names_programs.then_some(ProgramKey(request.program))
+    }
+
     fn current_limit(&self) -> VersionedLimit {
         match self.scenario.limit_change {
             Some((from_s, limit)) if self.now >= at(from_s) => {
@@ -486,7 +495,7 @@
             Event::Arrives(request) => self.handle_arrival(request),
             Event::AskArrives(request) => {
                 let (tenant, limit) = (self.tenant.clone(), self.current_limit());
-                let program = Some(ProgramKey(request.program));
+                let program = self.program_key(request);
                 let ask =
                     LimitCommand::Ask { tenant, limit, program, max_wait: MAX_HONOURED_RETRY };
                 let Some(keeper) = &mut self.keeper else {
@@ -521,9 +530,9 @@
                     true => Verdict::Pass { after: Duration::from_micros(wait) },
                     false => Verdict::Refuse { retry_after: Duration::from_micros(wait) },
                 };
+                let program = self.program_key(request);
                 let gateway = &mut self.gateways[request.gateway];
                 let answer = KeeperAnswer { verdict, is_scarce, keeper: KeeperTerm(term) };
-                let program = Some(ProgramKey(request.program));
                 let admission =
                     gateway.handle_answer(KEEPER, &self.tenant, program, answer, self.now);
                 if self.gateways[request.gateway].is_report_due(KEEPER, self.now) {
@@ -539,8 +548,7 @@
             }
             Event::AskTimesOut(request) => {
                 if self.decided.insert(request) {
-                    let (limit, program) =
-                        (self.current_limit(), Some(ProgramKey(request.program)));
+                    let (limit, program) = (self.current_limit(), self.program_key(request));
                     let gateway = &mut self.gateways[request.gateway];
                     let admission = gateway.admit_without_keeper(
                         KEEPER,
@@ -554,7 +562,7 @@
             }
             Event::Passes(request, counted_by) => {
                 if let Some(term) = counted_by {
-                    let program = Some(ProgramKey(request.program));
+                    let program = self.program_key(request);
                     let delayed = DelayedRequest { counted_by: KeeperTerm(term), program };
                     let gateway = &mut self.gateways[request.gateway];
                     gateway.record_delayed(KEEPER, &self.tenant, delayed);
@@ -629,7 +637,7 @@
     }
 
     fn handle_arrival(&mut self, request: Request) {
-        let (limit, program) = (self.current_limit(), Some(ProgramKey(request.program)));
+        let (limit, program) = (self.current_limit(), self.program_key(request));
         let now = self.now;
         let gateway = &mut self.gateways[request.gateway];
         let admission = match self.scenario.policy {
@@ -715,6 +723,7 @@
         self.outcome.refused_after_start += usize::from(request.number > 0);
         self.outcome.refused_with_room += usize::from(self.has_room());
         if request.tries + 1 >= MAX_TRIES {
+            self.outcome.stranded += usize::from(request.number > 0);
             return;
         }
         let is_timely_retry = retry_after <= self.scenario.max_honoured_retry;
--- a/crates/limits/tests/keeper.rs
+++ b/crates/limits/tests/keeper.rs
@@ -166,16 +166,52 @@
     assert_eq!(RateLimit::new(0.0, 5.0).expect("no limit"), None);
 }
 
-/// Returns the permits available two seconds after a gateway has reported these past requests to a new
-/// keeper that counts in a window: the age in milliseconds and the number of each entry.
-fn available_after(past: &[(u64, u32)]) -> f64 {
-    let settings = LimitSettings {
+fn window_settings() -> LimitSettings {
+    LimitSettings {
         window_s: 5.0,
         tolerated_excess: 0.1,
         tolerated_requests: 20.0,
         ..LimitSettings::default()
-    };
-    let mut keeper = LimitKeeper::new(settings, KeeperTerm(2), START);
+    }
+}
+
+/// Reports requests of another program than the one that the test follows.
+fn report_of_another_program(
+    sequence: u64,
+    limit: VersionedLimit,
+    requests: usize,
+) -> LimitCommand {
+    let mut command = report(sequence, limit, requests, 0);
+    if let LimitCommand::Report(report) = &mut command {
+        report.usage[0].requests.fill(Some(ProgramKey(9)));
+    }
+    command
+}
+
+/// A program that waits for its retry time was taken to have ended, and its next request was refused like
+/// the first one of another program.
+#[test]
+fn refused_program_is_still_active_when_its_caller_comes_back() {
+    let mut keeper = LimitKeeper::new(window_settings(), KeeperTerm(1), Timestamp(0));
+    let (limit, after) = (limit(1, 10.0, 10.0), |ms| START + Duration::from_millis(ms));
+    // Of the 73 permits, three come back two seconds after the program's first request.
+    keeper.serve(report_of_another_program(1, limit, 3), START);
+    assert_eq!(verdict(&mut keeper, ask(limit, Some(7)), after(3_000)), PASS_AT_ONCE);
+    keeper.serve(report_of_another_program(2, limit, 69), after(3_000));
+    // The caller comes back after 1.3 s, whatever it is told.
+    for at_ms in [3_200, 4_300] {
+        let refused = verdict(&mut keeper, ask(limit, Some(7)), after(at_ms));
+        assert!(matches!(refused, Verdict::Refuse { .. }), "after {at_ms} ms: {refused:?}");
+    }
+    assert_eq!(verdict(&mut keeper, ask(limit, Some(7)), after(5_800)), PASS_AT_ONCE);
+    let new = verdict(&mut keeper, ask(limit, Some(8)), after(5_800));
+    assert!(matches!(new, Verdict::Refuse { .. }), "there is no room for another program: {new:?}");
+}
+
+/// Returns the permits available two seconds after a gateway has reported these past requests to a new
+/// keeper that counts in a window: the age in milliseconds and the number of each entry.
+fn available_after(past: &[(u64, u32)]) -> f64 {
+    let mut keeper = LimitKeeper::new(window_settings(), KeeperTerm(2), START);
     keeper.serve(report(1, limit(1, 10.0, 10.0), 1, 0), START);
     let mut second = report(2, limit(1, 10.0, 10.0), 0, 0);
     if let LimitCommand::Report(report) = &mut second {
