Limits: tests for faults that had none, and what was learned of the small tenant beside a cut

Small tenant beside a cut, not mended.

The model has programs without names (names_programs); runs with names are unchanged.

--- a/crates/limits/tests/window_faults.rs
+++ b/crates/limits/tests/window_faults.rs
@@ -158,6 +158,17 @@
     assert_eq!(exceeded("used up before a restart", used_up), Vec::<String>::new());
 }
 
+/// The same, where calls come in bursts: the window is used up closer to the restart than an even pace would.
+#[test]
+fn restart_after_bursts_used_up_the_window_exceeds_no_window() {
+    let used_up = |seed, rate| {
+        let mut scenario = usual_scenario(seed, rate);
+        scenario.loads.push(Load { gap_ms: BURST_GAP_MS, ..load(5.5, 7.0, rate, 6.5 / 1.6) });
+        Scenario { restart: restart(7.0, 0.3, 1.0), ..scenario }
+    };
+    assert_eq!(exceeded("used up by bursts before a restart", used_up), Vec::<String>::new());
+}
+
 /// A keeper that starts just then learns from the other gateways what passed.
 #[test]
 fn restart_of_one_gateway_during_keeper_failover_refuses_hardly_more() {
@@ -232,6 +243,22 @@
     assert_eq!(exceeded_around_overload_start(RATES[0]), Vec::<String>::new());
 }
 
+/// Where each gateway's part of the permits is less than a program, the keeper reserves nothing for it, and
+/// single requests may use it behind a partition all the same.
+#[test]
+fn partition_around_overload_start_of_single_requests_exceeds_no_window() {
+    let found = RATES.into_iter().flat_map(|rate| {
+        PARTITION_STARTS_S.into_iter().flat_map(move |from_s| {
+            let scenario = move |seed, rate| Scenario {
+                names_programs: false,
+                ..partition_with_overload(from_s)(seed, rate)
+            };
+            exceeded_at(&format!("single requests, partition at {from_s} s"), rate, &scenario)
+        })
+    });
+    assert_eq!(found.collect::<Vec<String>>(), Vec::<String>::new());
+}
+
 /// The milliseconds between calls of one program that are sent one right after the other.
 const BURST_GAP_MS: u64 = 20;
 
@@ -258,6 +285,21 @@
     }
 }
 
+/// An overload that rises to 21 times the usual rate at once, with a partition of two fifths of the gateways.
+#[test]
+fn partition_around_a_steep_overload_exceeds_no_window() {
+    for from_s in [5.8, 5.9, 6.0, 6.1] {
+        let scenario = |seed, rate| {
+            let partition = Partition { from_s, until_s: from_s + 5.7, share: 0.4 };
+            let mut scenario = usual_scenario(seed, rate);
+            scenario.loads.push(Load { gap_ms: 50, ..load(6.0, 8.0, rate, 20.0 / 1.6) });
+            Scenario { partitions: vec![partition], ..scenario }
+        };
+        let name = format!("steep overload, partition at {from_s} s");
+        assert_eq!(exceeded(&name, scenario), Vec::<String>::new());
+    }
+}
+
 /// Returns the rates at which at least one percent of programs fail needlessly, and the shares.
 fn needless_failures(scenario: impl Fn(u64, f64) -> Scenario) -> Vec<(f64, f64)> {
     let share = |rate| {
