Planned stop: connections in use are closed by answers before idle ones are closed

Callers saw: a request sent on a kept connection, and the end of that connection instead of an answer, 2.3 s after the gateway was told to stop.

Cause: at 2.3 s the stop closed every idle connection at once. A request that is on its way just then is lost unread; with 31 ms between caller and gateway the time for that is long, and connections in frequent use are idle often.

The logs of all gateways show no stop that was cut short, no stream broken off and no caller that left, so no request that was read ended so.

Change: at 2.3 s answers begin to close their connections. Idle ones are closed at 2.9 s, when new requests are refused anyway. A connection in use is closed by an answer in between.

Test: connections_in_use_are_closed_by_answers_and_idle_ones_stay_open (dahlia-relay, draining), which does not compile without the change.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -44,6 +44,7 @@
     pub(crate) stops_accepting: watch::Sender<bool>,
     refuses_requests: AtomicBool,
     is_cut_off: AtomicBool,
+    closes_after_answers: AtomicBool,
     routing: RwLock<Option<Arc<RouteIndex>>>,
 }
 
@@ -65,7 +66,9 @@
     /// Whether answers close their connections, so that callers send their next requests to another
     /// gateway.
     pub(crate) fn closes_connections(&self) -> bool {
-        *self.drain.borrow() || self.is_cut_off.load(Ordering::Relaxed)
+        *self.drain.borrow()
+            || self.is_cut_off.load(Ordering::Relaxed)
+            || self.closes_after_answers.load(Ordering::Relaxed)
     }
 }
 
@@ -106,6 +109,7 @@
             stops_accepting: watch::Sender::new(false),
             refuses_requests: AtomicBool::new(false),
             is_cut_off: AtomicBool::new(false),
+            closes_after_answers: AtomicBool::new(false),
             routing: RwLock::new(None),
             settings: Arc::new(settings),
         };
@@ -157,6 +161,12 @@
         server::accept(&self.shared, listener).await;
     }
 
+    /// From now on answers close their connections. Idle connections stay open, because a request may
+    /// be on its way on them: a caller that uses one soon gets an answer that closes it.
+    pub fn close_after_answers(&self) {
+        self.shared.closes_after_answers.store(true, Ordering::Relaxed);
+    }
+
     /// Starts draining: requests are still served, but answers close their connections, and idle
     /// connections close.
     pub fn begin_drain(&self) {
--- a/crates/relay/tests/draining.rs
+++ b/crates/relay/tests/draining.rs
@@ -108,6 +108,26 @@
     assert_eq!((back.status, back.header("connection")), (200, None));
 }
 
+/// A connection that closes while it is idle loses a request that is on its way. Before idle connections
+/// close, those in use are closed by answers.
+#[tokio::test]
+async fn connections_in_use_are_closed_by_answers_and_idle_ones_stay_open() {
+    let server = ScriptedServer::new("s-1", answer_ok).await;
+    let gateway = TestGateway::new(Some(route_table(vec![repeatable_route()])), &[&server]).await;
+    let mut in_use = Caller::new(gateway.address).await;
+    let mut idle = Caller::new(gateway.address).await;
+    for caller in [&mut in_use, &mut idle] {
+        assert_eq!(caller.call(&post("t", "", "")).await.header("connection"), None);
+    }
+    gateway.relay.close_after_answers();
+    let reply = in_use.call(&post("u", "", "")).await;
+    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")));
+    assert!(in_use.is_closed().await);
+    assert_eq!(gateway.relay.counters().open_connections, 1, "the idle one stays open");
+    gateway.relay.begin_drain();
+    assert!(idle.is_closed().await);
+}
+
 /// A connection that the system accepts for the process has a caller that may have sent a request.
 /// Closing the listener used to reset it.
 #[tokio::test]
