--- a/crates/durable/src/fault_points.rs
+++ b/crates/durable/src/fault_points.rs
@@ -55,7 +55,7 @@
     if full_file(folder).exists() {
         return Err(io::Error::from(io::ErrorKind::StorageFull));
     }
-    if take(&failed_write_file(folder)) {
+    if consume_fault(&failed_write_file(folder)) {
         file.write_all(&bytes[..bytes.len() / 2])?;
         return Err(io::Error::other("a write failed by a fault point"));
     }
@@ -64,13 +64,13 @@
 
 /// Fails a sync if it is ordered to.
 pub(crate) fn check_sync(folder: &Path) -> io::Result<()> {
-    match take(&failed_sync_file(folder)) {
+    match consume_fault(&failed_sync_file(folder)) {
         true => Err(io::Error::other("a sync failed by a fault point")),
         false => Ok(()),
     }
 }
 
-/// Removes the file of a single fault. Returns whether it existed.
-fn take(file: &Path) -> bool {
+/// Removes the file of a single fault, so that it acts once. Returns whether it existed.
+fn consume_fault(file: &Path) -> bool {
     fs::remove_file(file).is_ok()
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -107,15 +107,9 @@
     segments: BTreeMap<SegmentNumber, SegmentUsage>,
     /// The segment that records are appended to. Its file exists once it has a record.
     active_segment: SegmentNumber,
-    /// A write whose effect on its file is unknown.
-    failed_write: Option<FailedWrite>,
-}
-
-/// A write that failed and has not been undone. Any part of its bytes may be in the file, and a later start would
-/// read them as records.
-#[derive(Debug, Clone, Copy)]
-struct FailedWrite {
-    segment: SegmentNumber,
+    /// The segment of a write that failed and has not been undone. Any part of its bytes may be in the file,
+    /// and a later start would read them as records.
+    failed_write: Option<SegmentNumber>,
 }
 
 impl ChunkStore {
@@ -173,8 +167,9 @@
         } else {
             recovery.damaged_bytes += scan.damaged_bytes;
         }
-        let kept_damaged_bytes = if is_last { 0 } else { scan.damaged_bytes };
-        let bytes = scan.intact_bytes + kept_damaged_bytes;
+        // Damaged bytes stay in older segments and use space.
+        let damaged_bytes = if is_last { 0 } else { scan.damaged_bytes };
+        let bytes = scan.intact_bytes + damaged_bytes;
         self.segments.insert(number, SegmentUsage { bytes, live_bytes: 0 });
         for record in scan.records {
             self.index_record(number, &record);
@@ -233,9 +228,8 @@
             return Ok(());
         }
         let used = self.usage().bytes;
-        if used + SEGMENT_HEADER_BYTES as u64 + record_bytes(data.len() as u32)
-            > self.settings.max_bytes
-        {
+        let needed = SEGMENT_HEADER_BYTES as u64 + record_bytes(data.len() as u32);
+        if used + needed > self.settings.max_bytes {
             return FullSnafu { used, limit: self.settings.max_bytes }.fail();
         }
         let offset = self.append(&encode_record(RecordKind::Chunk, &key, data))?;
@@ -416,7 +410,7 @@
             // After a failed sync, a later sync of the same file may succeed although bytes are missing.
             self.active_segment += 1;
         }
-        self.failed_write = Some(FailedWrite { segment });
+        self.failed_write = Some(segment);
         if let Err(error) = self.undo_failed_write() {
             log::warn!(target: "store", "A failed write is not undone yet. {error}.");
         }
@@ -430,7 +424,7 @@
     /// Restores the file of a failed write to its acknowledged records. Until this succeeds nothing may be
     /// acknowledged, because the next start would read what the failed write left.
     fn undo_failed_write(&mut self) -> Result<(), StoreError> {
-        let Some(FailedWrite { segment }) = self.failed_write else {
+        let Some(segment) = self.failed_write else {
             return Ok(());
         };
         let file = file_name(segment);
