Relay: tests for leaving servers that stop listening, and for unused repeats

Two mechanisms of the repeat limits were guarded by no test: taking them out failed none.

Without `may_be_leaving` in `has_ended`, three runs of tests/repeats.rs, each:

a_leaving_or_unlisted_server_that_stops_listening_counts_against_the_limit assertion `left == right` failed: leaving, one server left: (502, 3) right: (502, 1)

Each of its four cases ran on 3 servers when the others were let through.

Without the body of `Drop` of `RepeatPermit`, three runs, each:

a_reserved_repeat_that_finds_no_server_can_be_used_later left: 1 right: 3

If spent permits come back too, the same test sees 20 repeats instead of 3.

With both mechanisms, ten runs of tests/repeats.rs: 10 passed, 0 failed.

--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -78,6 +78,7 @@
 struct LossCase {
     name: &'static str,
     news: News,
+    script: Script,
     route: fn() -> Route,
     max_attempts: u32,
 }
@@ -94,13 +95,30 @@
         ("unlisted, two servers", News::Unlisted, repeatable_route, 2),
         ("leaving, two servers of a stream", News::Leaving, resumable_stream_route, 2),
     ];
+    let script: Script = |_| vec![Step::WaitForRelease, Step::Reset];
     for (name, news, route, max_attempts) in cases {
-        check_lost_answers(LossCase { name, news, route, max_attempts }).await;
+        check_lost_answers(LossCase { name, news, script, route, max_attempts }).await;
+    }
+}
+
+/// Guards against repeats beyond the limit: a server that leaves stops listening first and still works
+/// on what it has, so a refused connection does not prove that it has ended.
+#[tokio::test]
+async fn a_leaving_or_unlisted_server_that_stops_listening_counts_against_the_limit() {
+    let cases = [
+        ("leaving, one server", News::Leaving, repeatable_route as fn() -> Route, 1),
+        ("leaving, two servers", News::Leaving, repeatable_route, 2),
+        ("unlisted, one server", News::Unlisted, repeatable_route, 1),
+        ("leaving, one server of a stream", News::Leaving, resumable_stream_route, 1),
+    ];
+    let script: Script = |_| vec![Step::WaitForRelease, Step::StopAndReset];
+    for (name, news, route, max_attempts) in cases {
+        check_lost_answers(LossCase { name, news, script, route, max_attempts }).await;
     }
 }
 
 async fn check_lost_answers(case: LossCase) {
-    let servers = servers_with(|_| vec![Step::WaitForRelease, Step::Reset]).await;
+    let servers = servers_with(case.script).await;
     let route = Route { max_attempts: case.max_attempts, ..(case.route)() };
     let gateway = gateway_with(route, &servers).await;
     let mut caller = Caller::new(gateway.address).await;
@@ -216,6 +234,35 @@
     assert!(repeats > 0, "a few repeats are allowed");
 }
 
+/// Guards against reserved repeats that are lost: a repeat is reserved before its server is chosen, so
+/// one that finds no server must go back to the budget.
+#[tokio::test]
+async fn a_reserved_repeat_that_finds_no_server_can_be_used_later() {
+    const UNUSED: usize = 5;
+    const REQUESTS: usize = 10;
+    let gateway = gateway_with(repeatable_route(), &[]).await;
+    for number in 0..UNUSED {
+        let script: Script = |_| vec![Step::WaitForRelease, Step::Reset];
+        let only = ScriptedServer::new(&format!("only-{number}"), script).await;
+        gateway.add_server(&only.id, only.address);
+        let mut caller = Caller::new(gateway.address).await;
+        caller.send(&post(&format!("t-{number}"), "", "x")).await;
+        wait_until("the server has the request", || !only.requests().is_empty()).await;
+        unlist(&gateway, &only);
+        only.release();
+        assert_eq!(caller.read_reply().await.status, 502);
+    }
+    let servers = servers_with(|_| vec![Step::Reset]).await;
+    for server in &servers {
+        gateway.add_server(&server.id, server.address);
+    }
+    for number in 0..REQUESTS {
+        call(gateway.address, &post(&format!("u-{number}"), "", "x")).await;
+    }
+    // No repeat came back twice either.
+    assert_eq!(runs(&servers) - REQUESTS, most_repeats(UNUSED + REQUESTS));
+}
+
 /// A request that may have run gets no promise and no time to come back.
 fn assert_withheld_at_once(replies: &[Reply]) {
     for reply in replies {
