Relay: the count against the attempt limit is a module of its own

`counted_runs.rs` takes the servers that may have run a request and the proofs that one of them has ended. No decision and no log line changes.

`cargo test -p dahlia-relay` passes 143 tests before and after. Without `may_be_leaving` in the moved `has_ended`, the test of leaving servers that stop listening fails as before: (502, 3) instead of (502, 1).

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,15 +12,15 @@
 use tokio::time::Instant;
 
 use crate::attempt::{PreparedRequest, SendOutcome, connect};
+use crate::counted_runs::{CountedRuns, PossibleRun};
 use crate::counters::count;
-use crate::liveness::{Reachability, probe_reachability};
 use crate::memory::{CallerQuota, ReservedBody};
 use crate::outgoing::OutgoingRequest;
 use crate::prompt_parts::SharedPromptParts;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
 use crate::repeat_budget::{RepeatPermit, ServiceBudget};
-use crate::repeats::{Loss, LossCause, PossibleRun, RepeatCause, WithheldReason};
+use crate::repeats::{Loss, RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::request_log::RequestLog;
 use crate::router::{RouteMatch, hash_key};
@@ -55,7 +55,7 @@
     lost_answers: u32,
     /// Servers among these that count against the route's attempt limit; those that have ended
     /// since do not.
-    counted_runs: Vec<PossibleRun>,
+    counted_runs: CountedRuns,
     /// Why the next send is a repeat; none before the first send.
     repeat_cause: Option<RepeatCause>,
     /// The repeat that is reserved for the next send.
@@ -104,7 +104,7 @@
             preferred: None,
             tried: Vec::new(),
             lost_answers: 0,
-            counted_runs: Vec::new(),
+            counted_runs: CountedRuns::default(),
             repeat_cause: None,
             permit: None,
             current: None,
@@ -399,7 +399,9 @@
         self.lost_answers += 1;
         self.repeat_cause = Some(RepeatCause::Lost(cause));
         let last_run = self.current.take().map(|server| PossibleRun { server, cause });
-        self.counted_runs.extend(last_run.clone());
+        if let Some(run) = &last_run {
+            self.counted_runs.add(run.clone());
+        }
         let decision = self.reserve_repeat(permit).await;
         if let Some(run) = &last_run {
             let counted = self.counted_runs.len();
@@ -418,52 +420,13 @@
         if !self.may_run_again() {
             return Err(WithheldReason::RunsOnce);
         }
-        if !self.is_below_max_attempts().await {
+        let max_attempts = self.route().max_attempts;
+        if !self.counted_runs.allow_another(max_attempts, &self.shared, &self.log).await {
             return Err(WithheldReason::AttemptLimit);
         }
         permit.or_else(|| self.service_budget().reserve()).ok_or(WithheldReason::Budget)
     }
 
-    /// Whether another server may run it. Servers that have certainly ended or are cut off do not
-    /// count; this is checked only if the answer depends on it.
-    async fn is_below_max_attempts(&mut self) -> bool {
-        let max = self.route().max_attempts as usize;
-        let mut checked = 0;
-        while self.counted_runs.len() >= max && checked < self.counted_runs.len() {
-            if self.has_ended(&self.counted_runs[checked]).await {
-                let ended = self.counted_runs.swap_remove(checked);
-                self.log.run_excluded(&ended.server.id);
-            } else {
-                checked += 1;
-            }
-        }
-        self.counted_runs.len() < max
-    }
-
-    /// Whether a server that may have run the request has certainly ended or is cut off: its system
-    /// acknowledged nothing until the connection timed out, or it ended the connection and nothing
-    /// listens at its address. Nothing less is a proof. A server that leaves or is not listed serves
-    /// on, and one that accepts no connection may be paused or overloaded, but its system still
-    /// acknowledges. What was sent to an earlier incarnation may run at the later one.
-    async fn has_ended(&self, run: &PossibleRun) -> bool {
-        match run.cause {
-            LossCause::ConnectionTimeout => true,
-            // A server that leaves may stop listening and still work on what it has.
-            LossCause::Disconnected if !self.may_be_leaving(&run.server.id) => {
-                let address = run.server.address;
-                let reachability = probe_reachability(address, &self.shared.settings).await;
-                reachability == Reachability::Refused
-            }
-            _ => false,
-        }
-    }
-
-    /// Whether a server may be about to end, and has not ended as far as is known.
-    fn may_be_leaving(&self, server: &BackendId) -> bool {
-        let backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
-        backends.is_leaving_or_gone(server) && !backends.has_later_incarnation(server)
-    }
-
     /// Whether the request may run on more than one server. A stream that cannot be resumed runs at
     /// most once, whatever its route says.
     fn may_run_again(&self) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod body;
 mod caller;
 mod connection;
+mod counted_runs;
 mod counters;
 mod events;
 mod exchange;
--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -1,6 +1,4 @@
-//! Why a request is sent to a further server, and which servers count against its route's limit.
-
-use dahlia_backends::BackendAddress;
+//! Why a request is sent to a further server, or why it is not.
 
 use crate::repeat_budget::RepeatPermit;
 
@@ -97,11 +95,3 @@
         }
     }
 }
-
-/// A server that may have run a request.
-#[derive(Debug, Clone)]
-pub(crate) struct PossibleRun {
-    pub(crate) server: BackendAddress,
-    /// Why its answer is lost.
-    pub(crate) cause: LossCause,
-}
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -13,9 +13,10 @@
 use http::{HeaderValue, StatusCode};
 use tokio::time::Instant;
 
+use crate::counted_runs::PossibleRun;
 use crate::metrics::RelayMetrics;
 use crate::refusal::Refusal;
-use crate::repeats::{PossibleRun, RepeatCause, WithheldReason};
+use crate::repeats::{RepeatCause, WithheldReason};
 use crate::request::RequestHead;
 use crate::router::RouteMatch;
 
