--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::sync::{Arc, Mutex};
 
-use dahlia_store::Disk;
+use dahlia_store::{ChunkStore, Disk, StoreSettings};
 use dahlia_types::{ChunkKey, GroupId, ProgramId};
 
 /// The contents and the failures of a disk. Handles share it, so that it outlives a store.
@@ -107,3 +107,24 @@
     let program = ProgramId { group: GroupId(1), number: program };
     ChunkKey { program, digest: [chunk; 32] }
 }
+
+/// Settings with which four records of 100 bytes of data fit into a segment.
+pub fn settings_of_small_segments() -> StoreSettings {
+    StoreSettings {
+        max_bytes: 1 << 20,
+        segment_bytes: 650,
+        max_chunk_bytes: 400,
+        compact_percent: 50,
+    }
+}
+
+/// Opens a store with small segments.
+pub fn open<D: Disk + 'static>(disk: D) -> ChunkStore {
+    let opened = ChunkStore::open(Box::new(disk), settings_of_small_segments());
+    opened.expect("the disk can be read").0
+}
+
+/// The data of a chunk.
+pub fn data(chunk: u8) -> Vec<u8> {
+    vec![chunk; 100]
+}
--- a/crates/store/tests/failed_operations.rs
+++ b/crates/store/tests/failed_operations.rs
@@ -7,9 +7,9 @@
 use std::{env, fs};
 
 use common::fault_disk::{Fault, FaultDisk, PowerLoss};
-use common::{MemoryDisk, key};
+use common::{MemoryDisk, data, key, open, settings_of_small_segments};
 use dahlia_store::fault_points::names_failure_file;
-use dahlia_store::{ChunkStore, Disk, FolderDisk, StoreError, StoreSettings};
+use dahlia_store::{ChunkStore, Disk, FolderDisk, StoreError};
 use dahlia_types::ChunkKey;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -20,24 +20,6 @@
 /// The seed of the random sequences. `STORE_SEED` replaces it.
 const SEED: u64 = 1;
 
-/// Four records of 100 bytes of data fit into a segment.
-fn settings() -> StoreSettings {
-    StoreSettings {
-        max_bytes: 1 << 20,
-        segment_bytes: 650,
-        max_chunk_bytes: 400,
-        compact_percent: 50,
-    }
-}
-
-fn open<D: Disk + 'static>(disk: D) -> ChunkStore {
-    ChunkStore::open(Box::new(disk), settings()).expect("the disk can be read").0
-}
-
-fn data(chunk: u8) -> Vec<u8> {
-    vec![chunk; 100]
-}
-
 /// Guards against a segment whose header is in the file although the store does not know it. The header was
 /// written again behind the first one, and the reads of the whole segment failed.
 #[test]
@@ -328,7 +310,9 @@
 /// Opens the store, again after each failure.
 fn reopen(disk: &FaultDisk) -> ChunkStore {
     loop {
-        if let Ok((store, _)) = ChunkStore::open(Box::new(disk.clone()), settings()) {
+        if let Ok((store, _)) =
+            ChunkStore::open(Box::new(disk.clone()), settings_of_small_segments())
+        {
             return store;
         }
     }
--- a/crates/store/tests/failed_reads.rs
+++ b/crates/store/tests/failed_reads.rs
@@ -6,26 +6,8 @@
 use std::sync::{Arc, Mutex};
 
 use common::fault_disk::{Fault, FaultDisk};
-use common::{MemoryDisk, key};
-use dahlia_store::{ChunkStore, Disk, StoreSettings};
-
-/// Four records of 100 bytes of data fit into a segment.
-fn settings() -> StoreSettings {
-    StoreSettings {
-        max_bytes: 1 << 20,
-        segment_bytes: 650,
-        max_chunk_bytes: 400,
-        compact_percent: 50,
-    }
-}
-
-fn open<D: Disk + 'static>(disk: D) -> ChunkStore {
-    ChunkStore::open(Box::new(disk), settings()).expect("the disk can be read").0
-}
-
-fn data(chunk: u8) -> Vec<u8> {
-    vec![chunk; 100]
-}
+use common::{MemoryDisk, data, key, open};
+use dahlia_store::Disk;
 
 /// A disk whose next read fails with an error of a chosen kind, once.
 #[derive(Debug, Clone, Default)]
