Limits: a new keeper knows started programs, what programs need, and each caller's time holds

Cause: the next keeper knew no program, so those that never had a request pass went before everything and filled the window; it admitted by a guess of four requests where programs have ten; and a gateway without a keeper told all refused programs the same time.

Change: each question says what passed of its program; reports to a new keeper carry active programs and the means that the last keeper told, of which it takes the median; refused programs of a gateway without a keeper get a time each. A request that names an earlier turn is one of a started program. The fields follow the message in its frame, with samples: earlier builds ignore them, and a frame without them is read as before.

--- a/crates/daemon/src/group_services.rs
+++ b/crates/daemon/src/group_services.rs
@@ -1,7 +1,7 @@
 //! The clients of ledgers and of rate limits behind the traits that a relay uses.
 
 use dahlia_ledger::{LedgerCommand, LedgerReply};
-use dahlia_limits::{ProgramKey, VersionedLimit};
+use dahlia_limits::{ProgramKey, ProgramRequest, VersionedLimit};
 use dahlia_relay::{LedgerUnavailable, LimitReached, TenantLimits, TurnLedger};
 use dahlia_types::{Duration, TenantId};
 
@@ -40,10 +40,10 @@
         &self,
         tenant: &TenantId,
         limit: VersionedLimit,
-        program: Option<ProgramKey>,
+        request: Option<ProgramRequest>,
         most_wait: Duration,
     ) -> Result<(), LimitReached> {
-        self.limits.admit(tenant, limit, program, most_wait).await
+        self.limits.admit(tenant, limit, request, most_wait).await
     }
 
     fn refund(&self, tenant: &TenantId, program: Option<ProgramKey>) {
--- a/crates/daemon/src/limit_client.rs
+++ b/crates/daemon/src/limit_client.rs
@@ -6,7 +6,7 @@
 use dahlia_ledger::group_of_tenant;
 use dahlia_limits::{
     Admission, DelayedRequest, KeeperAnswer, KeeperTerm, LimitCommand, LimitGateway, LimitReply,
-    LimitSettings, ProgramKey, UsageReport, VersionedLimit,
+    LimitSettings, ProgramKey, ProgramRequest, UsageReport, VersionedLimit,
 };
 use dahlia_node::request::{Request, Response};
 use dahlia_relay::{LimitReached, TenantLimits};
@@ -134,10 +134,12 @@
         keeper: GroupId,
         tenant: &TenantId,
         limit: VersionedLimit,
-        program: Option<ProgramKey>,
+        request: Option<ProgramRequest>,
         max_wait: Duration,
     ) -> (Admission, Option<KeeperTerm>) {
-        let command = LimitCommand::Ask { tenant: tenant.clone(), limit, program, max_wait };
+        let program = request.map(|request| request.program);
+        let asked_at = self.clock.now();
+        let command = self.gateway().question(keeper, tenant, limit, request, max_wait, asked_at);
         let patience = self.gateway().answer_timeout(keeper, max_wait, self.clock.now());
         let patience = time::Duration::from_micros(patience.as_micros());
         let answer = timeout(patience, self.send_command(keeper, command)).await;
@@ -192,13 +194,14 @@
         &self,
         tenant: &TenantId,
         limit: VersionedLimit,
-        program: Option<ProgramKey>,
+        request: Option<ProgramRequest>,
         max_wait: Duration,
     ) -> Result<(), LimitReached> {
+        let program = request.map(|request| request.program);
         let keeper = group_of_tenant(tenant, self.groups);
         let first = self.gateway().admit(keeper, tenant, limit, program, self.clock.now());
         let (admission, counted_by) = match first {
-            Admission::Ask => self.ask_keeper(keeper, tenant, limit, program, max_wait).await,
+            Admission::Ask => self.ask_keeper(keeper, tenant, limit, request, max_wait).await,
             decided => (decided, None),
         };
         match admission {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -8,6 +8,7 @@
 
 use dahlia_node::LogLineLimit;
 use dahlia_node::wire::{ConnectionPurpose, PeerMessage, ReadAnswer, Transport};
+use dahlia_node::wire_extension::MessageFrame;
 use dahlia_types::ReplicaId;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -198,7 +199,8 @@
 ) -> Result<(), FrameError> {
     let mut next = Some(first);
     while let Some(message) = next {
-        traffic.count(message.kind(), frames.feed(&message).await?);
+        let kind = message.kind();
+        traffic.count(kind, frames.feed(&MessageFrame::from(message)).await?);
         next = queued.try_recv().ok();
     }
     frames.flush().await
@@ -236,8 +238,9 @@
         return;
     }
     loop {
-        match frames.receive::<PeerMessage>().await {
-            Ok(message) => {
+        match frames.receive::<MessageFrame>().await {
+            Ok(frame) => {
+                let message = frame.into_message();
                 let from = ReplicaId { daemon: hello.daemon, incarnation: hello.incarnation };
                 if inbox.send(PeerEvent::Message { from, message }).await.is_err() {
                     return;
--- a/crates/limits/src/gateway.rs
+++ b/crates/limits/src/gateway.rs
@@ -9,8 +9,9 @@
 use crate::history::RequestHistory;
 use crate::local_quota::{FreePermits, LocalQuota};
 use crate::{
-    DelayedRequest, KeeperTerm, LimitReply, LimitSettings, PastRequests, ProgramKey, RateLimit,
-    TenantUsage, Tolerance, UsageReport, Verdict, VersionedLimit,
+    ActiveProgramReport, DelayedRequest, KeeperTerm, LimitCommand, LimitReply, LimitSettings,
+    PastRequests, ProgramHandover, ProgramKey, ProgramMeans, ProgramProgress, ProgramRequest,
+    RateLimit, TenantUsage, Tolerance, UsageReport, Verdict, VersionedLimit,
 };
 
 /// Unreported requests after which a gateway reports at once, whatever the limit. Most gateways see few
@@ -108,6 +109,8 @@
     /// The keeper that has been told what others before it counted, and whether this gateway restarted.
     informed_term: Option<KeeperTerm>,
     last_answer_at: Timestamp,
+    /// What programs need, as a keeper last told.
+    means: Option<ProgramMeans>,
 }
 
 impl KeeperState {
@@ -119,6 +122,20 @@
             && self.tenants.values().any(|tenant| tenant.history.has_requests_within(window, now))
     }
 
+    /// Returns what to tell a keeper that is new to this gateway.
+    fn handover(&self, idle_timeout: Duration, now: Timestamp) -> ProgramHandover {
+        let mut programs = Vec::new();
+        for (id, tenant) in &self.tenants {
+            let active = tenant.quota.active_programs(idle_timeout, now).into_iter();
+            programs.extend(active.map(|(program, progress)| ActiveProgramReport {
+                tenant: id.clone(),
+                program,
+                progress,
+            }));
+        }
+        ProgramHandover { means: self.means, programs }
+    }
+
     /// Whether a report was sent that may still be answered.
     fn is_report_in_flight(&self, now: Timestamp) -> bool {
         self.sent_at.is_some_and(|sent_at| now.since(sent_at) < REPORT_RETRY_DELAY)
@@ -396,6 +413,38 @@
         margin.map_or(1.0, |margin| margin / f64::from(self.gateways))
     }
 
+    /// Returns the question to the keeper about a request that [`Admission::Ask`] was returned for.
+    pub fn question(
+        &self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        limit: VersionedLimit,
+        request: Option<ProgramRequest>,
+        max_wait: Duration,
+        now: Timestamp,
+    ) -> LimitCommand {
+        let progress = request.and_then(|request| self.progress(keeper, tenant, request, now));
+        let program = request.map(|request| request.program);
+        LimitCommand::Ask { tenant: tenant.clone(), limit, program, max_wait, progress }
+    }
+
+    /// Returns what passed of a program. None if requests may have passed here that this gateway does not
+    /// remember.
+    fn progress(
+        &self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        request: ProgramRequest,
+        now: Timestamp,
+    ) -> Option<ProgramProgress> {
+        self.settings.tolerance()?;
+        let state = self.keepers.get(&keeper).and_then(|keeper| keeper.tenants.get(tenant));
+        let recorded = state.and_then(|state| state.quota.progress_of(request.program, now));
+        let unrecorded = request.continues.then_some(ProgramProgress::UNRECORDED);
+        let starts = self.time_since_restart(now).is_none().then(ProgramProgress::default);
+        recorded.or(unrecorded).or(starts)
+    }
+
     /// Decides a request without the keeper. As many requests pass as usual here, and a little more, so
     /// that all gateways together stay near what they admitted before.
     pub fn admit_without_keeper(
@@ -513,7 +562,13 @@
             }
             state.informed_term = state.term;
             state.last_sequence += 1;
-            let report = UsageReport { gateway, incarnation, sequence: state.last_sequence, usage };
+            let idle_timeout = self.settings.program_idle_timeout();
+            let handover = match unknown.keeper {
+                Some(_) => state.handover(idle_timeout, now),
+                None => ProgramHandover::default(),
+            };
+            let sequence = state.last_sequence;
+            let report = UsageReport { gateway, incarnation, sequence, usage, handover };
             state.pending_report = Some((report, now));
         }
         state.sent_at = Some(now);
@@ -553,7 +608,8 @@
         state.unanswered_since = None;
         state.sent_at = None;
         let counted = state.pending_report.take_if(|(report, _)| report.sequence <= sequence);
-        let LimitReply::Counted { scarce, keeper } = reply else { return };
+        let LimitReply::Counted { scarce, keeper, means } = reply else { return };
+        state.means = means.or(state.means);
         // The first report tells everything, before the keeper's term is known.
         state.informed_term = state.informed_term.or(Some(*keeper));
         state.record_answer(*keeper, now);
--- a/crates/limits/src/keeper.rs
+++ b/crates/limits/src/keeper.rs
@@ -7,13 +7,14 @@
 
 use dahlia_types::{DaemonId, Duration, Incarnation, TenantId, Timestamp};
 
+use crate::handover::ReportedMeans;
 use crate::lost_history::RestartTracker;
 use crate::programs::ProgramStats;
 use crate::tenant_limit::TenantLimit;
 use crate::window::CATCH_UP_TIME;
 use crate::{
-    KeeperTerm, LimitCommand, LimitReply, LimitSettings, ProgramKey, TenantUsage, UsageReport,
-    Verdict, VersionedLimit,
+    ActiveProgramReport, KeeperTerm, LimitCommand, LimitReply, LimitSettings, ProgramHandover,
+    ProgramKey, ProgramProgress, TenantUsage, UsageReport, Verdict, VersionedLimit,
 };
 
 /// The time after which the state of an idle tenant is removed. By then its bucket is full, unless its limit is
@@ -37,6 +38,7 @@
     /// Since when all gateways are reachable again.
     all_reachable_since: Option<Timestamp>,
     program_stats: ProgramStats,
+    reported_means: ReportedMeans,
     next_sweep: Timestamp,
 }
 
@@ -62,6 +64,7 @@
             unreachable: None,
             all_reachable_since: None,
             program_stats: ProgramStats::default(),
+            reported_means: ReportedMeans::default(),
             next_sweep: now,
         }
     }
@@ -71,8 +74,8 @@
         self.remove_idle_tenants(now);
         match command {
             LimitCommand::Report(report) => self.count(report, now),
-            LimitCommand::Ask { tenant, limit, program, max_wait } => {
-                self.answer(tenant, limit, program, max_wait, now)
+            LimitCommand::Ask { tenant, limit, program, max_wait, progress } => {
+                self.answer(tenant, limit, program, progress, max_wait, now)
             }
         }
     }
@@ -110,6 +113,7 @@
             self.reports.insert(gateway, LastReport { incarnation, sequence, received_at: now });
             self.restarts.record(&report, now);
         }
+        let handover = report.handover;
         let mut scarce = Vec::new();
         for usage in report.usage {
             let tenant = usage.tenant.clone();
@@ -120,7 +124,26 @@
                 scarce.push(tenant);
             }
         }
-        LimitReply::Counted { scarce, keeper: self.term }
+        if !is_repeated {
+            self.take_over(gateway, handover, now);
+        }
+        LimitReply::Counted { scarce, keeper: self.term, means: self.program_stats.means() }
+    }
+
+    /// Takes over what a gateway knows of programs from before this keeper.
+    fn take_over(&mut self, gateway: DaemonId, handover: ProgramHandover, now: Timestamp) {
+        for ActiveProgramReport { tenant, program, progress } in handover.programs {
+            if let Some(tenant) = self.tenants.get_mut(&tenant) {
+                tenant.resume_program(program, progress, now);
+            }
+        }
+        let is_new = now.since(self.started_at) < CATCH_UP_TIME;
+        if let Some(means) = handover.means.filter(|_| is_new) {
+            self.reported_means.record(gateway, means);
+            if let Some(means) = self.reported_means.median() {
+                self.program_stats.inherit(means);
+            }
+        }
     }
 
     fn count_usage(&mut self, usage: TenantUsage, now: Timestamp) {
@@ -144,6 +167,7 @@
         tenant: TenantId,
         limit: VersionedLimit,
         program: Option<ProgramKey>,
+        progress: Option<ProgramProgress>,
         max_wait: Duration,
         now: Timestamp,
     ) -> LimitReply {
@@ -158,9 +182,13 @@
         tenant.expire_programs(&self.settings, &mut self.program_stats, now);
         let is_scarce = tenant.is_scarce(&self.settings, &self.program_stats, now);
         let is_scarce = is_scarce || tenant.is_catching_up(now);
-        // To a keeper that has just started, no program is new: active ones may not have sent it a
-        // request yet.
-        let knows_programs = now.since(self.started_at) >= self.settings.program_idle_timeout();
+        if let (Some(program), Some(progress)) = (program, progress) {
+            tenant.resume_program(program, progress, now);
+        }
+        // To a keeper that has just started, no program is new unless the gateway says so: active ones
+        // may not have sent it a request yet.
+        let knows_programs = progress.is_some()
+            || now.since(self.started_at) >= self.settings.program_idle_timeout();
         let limits_programs = self.settings.whole_programs && is_scarce && knows_programs;
         let turn = match program.filter(|_| limits_programs) {
             Some(program) => tenant.program_turn(program, &self.program_stats, &self.settings, now),
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -26,12 +26,15 @@
 //! | `programs` | active programs, and how many requests a program needs |
 //! | `gateway` | admits, reports and asks |
 //! | `local_quota` | what a gateway admits without the keeper |
+//! | `return_times` | when a gateway without the keeper told refused programs to come back |
+//! | `handover` | what gateways tell a keeper of programs that it has not seen |
 //! | `history` | what a gateway reports to a new keeper |
 //! | `lost_history` | what no gateway can report because of restarts |
 //! | `settings` | intervals, timeouts and shares |
 
 mod bucket;
 mod gateway;
+mod handover;
 mod history;
 mod keeper;
 mod local_quota;
@@ -41,17 +44,19 @@
 mod programs;
 mod rate;
 mod reservation;
+mod return_times;
 mod settings;
 mod tenant_limit;
 mod tolerance;
 mod window;
 
 pub use gateway::{Admission, KeeperAnswer, LimitGateway};
+pub use handover::{ActiveProgramReport, ProgramHandover, ProgramMeans, ProgramProgress};
 pub use keeper::LimitKeeper;
 pub use local_quota::UNREACHABLE_RESERVATION_TIME;
 pub use message::{
-    DelayedRequest, KeeperTerm, LimitCommand, LimitReply, PastRequests, ProgramKey, TenantUsage,
-    UsageReport, Verdict, VersionedLimit,
+    DelayedRequest, KeeperTerm, LimitCommand, LimitReply, PastRequests, ProgramKey, ProgramRequest,
+    TenantUsage, UsageReport, Verdict, VersionedLimit,
 };
 pub use rate::{InvalidRate, RateLimit};
 pub use settings::LimitSettings;
--- a/crates/limits/src/local_quota.rs
+++ b/crates/limits/src/local_quota.rs
@@ -8,7 +8,8 @@
 
 use dahlia_types::{Duration, Timestamp};
 
-use crate::ProgramKey;
+use crate::return_times::ReturnTimes;
+use crate::{ProgramKey, ProgramProgress};
 
 /// Requests of a program, assumed where none has been seen.
 pub(crate) const DEFAULT_PROGRAM_REQUESTS: f64 = 4.0;
@@ -40,6 +41,7 @@
     last_answer_at: Timestamp,
     /// Whether there may be no permits on top of the quota.
     is_scarce: bool,
+    return_times: ReturnTimes,
 }
 
 impl LocalQuota {
@@ -47,6 +49,9 @@
     pub(crate) fn record(&mut self, program: Option<ProgramKey>, window: Duration, now: Timestamp) {
         self.drop_expired(window, now);
         self.passed.push_back((now, program));
+        if let Some(program) = program {
+            self.return_times.remove(program);
+        }
     }
 
     /// Sets the quota after an answer of the keeper that leaves these permits to the gateway.
@@ -56,6 +61,7 @@
         self.max_in_window = self.passed.len() as f64 + free.during_reservation;
         self.max_after_reservation = free.after_reservation;
         self.last_answer_at = now;
+        self.return_times.clear();
     }
 
     /// Scales the quota when the tenant's limit is lowered to this part of what it was.
@@ -81,15 +87,22 @@
         if self.may_go_on(program) {
             return Duration::ZERO;
         }
-        let starts = program.is_some_and(|program| self.requests_of(program) == 0);
+        let starts = program.is_some_and(|program| {
+            self.requests_of(program) == 0 && !self.return_times.contains(program)
+        });
         let wanted =
             if starts { self.longest_program(None) + self.needed_by_new_programs() } else { 1.0 };
-        let excess = self.passed.len() as f64 + wanted - self.max_in_window;
+        let ahead = self.return_times.count_before(program, now) as f64;
+        let excess = self.passed.len() as f64 + ahead + wanted - self.max_in_window;
         if excess <= 0.0 {
             return Duration::ZERO;
         }
         let last_to_expire = self.passed.get(excess.ceil() as usize - 1);
-        last_to_expire.map_or(window, |(at, _)| (*at + window).since(now))
+        let wait = last_to_expire.map_or(window, |(at, _)| (*at + window).since(now));
+        if let Some(program) = program.filter(|_| !starts) {
+            self.return_times.assign(program, now + wait);
+        }
+        wait
     }
 
     /// Whether any requests are recorded.
@@ -124,6 +137,32 @@
         new.map(|(_, requests)| (length - f64::from(requests)).max(0.0)).sum()
     }
 
+    /// Returns what passed of a program. None if nothing did.
+    pub(crate) fn progress_of(
+        &self,
+        program: ProgramKey,
+        now: Timestamp,
+    ) -> Option<ProgramProgress> {
+        let requests = self.passed.iter().filter(|(_, other)| *other == Some(program));
+        let mut times = requests.map(|(at, _)| *at);
+        let first = times.next()?;
+        let (requests, last) = times.fold((1, first), |(requests, _), at| (requests + 1, at));
+        Some(ProgramProgress { requests, age: now.since(first), idle: now.since(last) })
+    }
+
+    /// Returns the programs that had a request pass within `idle_timeout`.
+    pub(crate) fn active_programs(
+        &self,
+        idle_timeout: Duration,
+        now: Timestamp,
+    ) -> BTreeMap<ProgramKey, ProgramProgress> {
+        let recent = self.passed.iter().rev().take_while(|(at, _)| now.since(*at) < idle_timeout);
+        recent
+            .filter_map(|(_, program)| *program)
+            .filter_map(|program| Some((program, self.progress_of(program, now)?)))
+            .collect()
+    }
+
     fn requests_of(&self, program: ProgramKey) -> usize {
         self.passed.iter().filter(|(_, other)| *other == Some(program)).count()
     }
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -3,7 +3,7 @@
 use dahlia_types::{DaemonId, Duration, Incarnation, TenantId};
 use serde::{Deserialize, Serialize};
 
-use crate::RateLimit;
+use crate::{ProgramHandover, ProgramMeans, ProgramProgress, RateLimit};
 
 /// A tenant's limit as a gateway knows it. A keeper applies the one with the highest generation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,15 @@
 #[serde(transparent)]
 pub struct ProgramKey(pub u64);
 
+/// A request of a program, as a gateway decides it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProgramRequest {
+    /// The program.
+    pub program: ProgramKey,
+    /// Whether the request names an earlier one of the program, which must have passed.
+    pub continues: bool,
+}
+
 /// Identifies a keeper by the term in which it owns its group. Each new keeper starts its own count.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -92,6 +101,9 @@
     pub sequence: u64,
     /// The usage of each tenant.
     pub usage: Vec<TenantUsage>,
+    /// What the gateway tells a keeper that is new to it. The wire format carries it beside the command.
+    #[serde(skip)]
+    pub handover: ProgramHandover,
 }
 
 /// A command to a keeper.
@@ -109,6 +121,11 @@
         program: Option<ProgramKey>,
         /// The longest time that the request may wait for its turn.
         max_wait: Duration,
+        /// What passed of the program at the gateway. None if the gateway does not know it: it restarted
+        /// recently, counts in no window, or is of a build that does not tell. The wire format carries
+        /// it beside the command.
+        #[serde(skip)]
+        progress: Option<ProgramProgress>,
     },
 }
 
@@ -136,6 +153,10 @@
         scarce: Vec<TenantId>,
         /// The keeper that counted it.
         keeper: KeeperTerm,
+        /// What programs of the keeper's tenants need, for its successor. None as long as it does not know.
+        /// The wire format carries it beside the reply.
+        #[serde(skip)]
+        means: Option<ProgramMeans>,
     },
     /// The answer to [`LimitCommand::Ask`].
     Answer {
--- a/crates/limits/src/programs.rs
+++ b/crates/limits/src/programs.rs
@@ -4,7 +4,7 @@
 
 use dahlia_types::{Duration, Timestamp};
 
-use crate::ProgramKey;
+use crate::{ProgramKey, ProgramMeans, ProgramProgress};
 
 /// Requests of a program, assumed until one has ended. Low on purpose: as long as nothing is known,
 /// programs should rather start than be refused.
@@ -92,6 +92,19 @@
         Duration::from_secs_f64(self.mean_duration_s)
     }
 
+    /// Returns the means, unless nothing is known yet.
+    pub(crate) fn means(&self) -> Option<ProgramMeans> {
+        let is_known = self.samples > 0;
+        is_known.then(|| ProgramMeans::new(self.mean_requests, self.mean_duration()))
+    }
+
+    /// Starts from the means of an earlier keeper. They weigh as much as programs that have ended here.
+    pub(crate) fn inherit(&mut self, means: ProgramMeans) {
+        self.mean_requests = means.requests();
+        self.mean_duration_s = means.duration.as_secs_f64();
+        self.samples = MEAN_SAMPLES;
+    }
+
     fn record(&mut self, ended: &ActiveProgram) {
         let duration_s = ended.last_request_at.since(ended.started_at).as_secs_f64();
         let requests = f64::from(ended.requests).min(self.mean_requests * MAX_SAMPLE_FACTOR);
@@ -134,6 +147,18 @@
         Some(self.by_key.entry(program).or_insert(new))
     }
 
+    /// Adds a program of which requests passed that were not recorded here.
+    pub(crate) fn resume(
+        &mut self,
+        program: ProgramKey,
+        progress: ProgramProgress,
+        now: Timestamp,
+    ) {
+        let Some(active) = self.entry(program, now - progress.idle) else { return };
+        active.requests = active.requests.max(progress.requests);
+        active.started_at = active.started_at.min(now - progress.age);
+    }
+
     /// Records that a refused request of a program comes back at a later time. Until then the program has
     /// not ended.
     pub(crate) fn record_return_time(&mut self, program: ProgramKey, at: Timestamp) {
--- a/crates/limits/src/tenant_limit.rs
+++ b/crates/limits/src/tenant_limit.rs
@@ -10,7 +10,7 @@
 use crate::lost_history::LostHistory;
 use crate::permits::Permits;
 use crate::programs::{ActivePrograms, ProgramStats};
-use crate::{LimitSettings, PastRequests, ProgramKey, Verdict, VersionedLimit};
+use crate::{LimitSettings, PastRequests, ProgramKey, ProgramProgress, Verdict, VersionedLimit};
 
 /// The longest retry time that a caller is given. Callers that are given a longer one do not come back
 /// at it.
@@ -170,6 +170,18 @@
         }
     }
 
+    /// Takes a program for active of which requests have passed.
+    pub(crate) fn resume_program(
+        &mut self,
+        program: ProgramKey,
+        progress: ProgramProgress,
+        now: Timestamp,
+    ) {
+        if progress.requests > 0 && matches!(self.permits, Permits::Window(_)) {
+            self.programs.resume(program, progress, now);
+        }
+    }
+
     /// Removes programs that have ended and adds them to the statistics.
     pub(crate) fn expire_programs(
         &mut self,
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -12,7 +12,8 @@
 
 use dahlia_limits::{
     Admission, DelayedRequest, KeeperAnswer, KeeperTerm, LimitCommand, LimitGateway, LimitKeeper,
-    LimitReply, LimitSettings, ProgramKey, RateLimit, UsageReport, Verdict, VersionedLimit,
+    LimitReply, LimitSettings, ProgramKey, ProgramMeans, ProgramRequest, RateLimit, UsageReport,
+    Verdict, VersionedLimit,
 };
 use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, TenantId, Timestamp};
 use rand::Rng;
@@ -221,8 +222,8 @@
     /// A gateway's report, by its index, arrives at the keeper.
     ReportArrives(usize, usize),
     /// A report is acknowledged: the gateway, the sequence number, whether permits are scarce, and the
-    /// keeper's term.
-    Acknowledged(usize, u64, bool, u64),
+    /// keeper's term and what it knows of programs.
+    Acknowledged(usize, u64, bool, u64, Option<ProgramMeans>),
     /// A gateway's report fails.
     ReportFails(usize),
     KeeperFails,
@@ -494,10 +495,15 @@
         match event {
             Event::Arrives(request) => self.handle_arrival(request),
             Event::AskArrives(request) => {
-                let (tenant, limit) = (self.tenant.clone(), self.current_limit());
-                let program = self.program_key(request);
-                let ask =
-                    LimitCommand::Ask { tenant, limit, program, max_wait: MAX_HONOURED_RETRY };
+                let (limit, program) = (self.current_limit(), self.program_key(request));
+                let ask = self.gateways[request.gateway].question(
+                    KEEPER,
+                    &self.tenant,
+                    limit,
+                    program.map(|program| ProgramRequest { program, continues: false }),
+                    MAX_HONOURED_RETRY,
+                    self.now,
+                );
                 let Some(keeper) = &mut self.keeper else {
                     // The node asks again until there is an owner, or the gateway has admission.
                     if !self.decided.contains(&request) {
@@ -597,15 +603,17 @@
                     return;
                 };
                 let reply = keeper.serve(LimitCommand::Report(report), self.now);
-                let LimitReply::Counted { scarce, keeper } = reply else { panic!("it is counted") };
+                let LimitReply::Counted { scarce, keeper, means } = reply else {
+                    panic!("it is counted")
+                };
                 self.outcome.messages += 1;
                 let acknowledgement =
-                    Event::Acknowledged(gateway, sequence, !scarce.is_empty(), keeper.0);
+                    Event::Acknowledged(gateway, sequence, !scarce.is_empty(), keeper.0, means);
                 self.schedule(self.now + ONE_WAY_DELAY, acknowledgement);
             }
-            Event::Acknowledged(gateway, sequence, is_scarce, term) => {
+            Event::Acknowledged(gateway, sequence, is_scarce, term, means) => {
                 let scarce = if is_scarce { vec![self.tenant.clone()] } else { Vec::new() };
-                let reply = LimitReply::Counted { scarce, keeper: KeeperTerm(term) };
+                let reply = LimitReply::Counted { scarce, keeper: KeeperTerm(term), means };
                 self.gateways[gateway].handle_acknowledgement(KEEPER, sequence, &reply, self.now);
                 if self.gateways[gateway].is_report_due(KEEPER, self.now) {
                     self.schedule(self.now, Event::ReportIsDue(gateway));
--- a/crates/limits/tests/gateway.rs
+++ b/crates/limits/tests/gateway.rs
@@ -28,7 +28,7 @@
 
 fn acknowledgement(is_scarce: bool) -> LimitReply {
     let scarce = if is_scarce { vec![oak()] } else { Vec::new() };
-    LimitReply::Counted { scarce, keeper: KeeperTerm(1) }
+    LimitReply::Counted { scarce, keeper: KeeperTerm(1), means: None }
 }
 
 fn pass_answer(is_scarce: bool, term: u64) -> KeeperAnswer {
--- a/crates/limits/tests/keeper.rs
+++ b/crates/limits/tests/keeper.rs
@@ -39,12 +39,13 @@
         incarnation: Incarnation(1),
         sequence,
         usage,
+        handover: dahlia_limits::ProgramHandover::default(),
     })
 }
 
 fn ask(limit: VersionedLimit, program: Option<u64>) -> LimitCommand {
     let (program, max_wait) = (program.map(ProgramKey), Duration::from_millis(600));
-    LimitCommand::Ask { tenant: oak(), limit, program, max_wait }
+    LimitCommand::Ask { tenant: oak(), limit, program, max_wait, progress: None }
 }
 
 fn verdict(keeper: &mut LimitKeeper, command: LimitCommand, now: Timestamp) -> Verdict {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 //! | `engine_sources` | tracks which engines exist and which are leaving |
 //! | `configuration` | follows and changes the operators' configuration |
 //! | `key_value` | operations on the configuration key |
+//! | `wire`, `wire_extension` | messages between daemons, and fields that they have gained |
 //! | `orders` | plans engine orders from the configuration |
 
 mod answer;
@@ -70,6 +71,7 @@
 mod upkeep;
 mod view;
 pub mod wire;
+pub mod wire_extension;
 mod zone_choice;
 pub mod zone_liveness;
 
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -4,8 +4,8 @@
 
 use cluster::{Cluster, GATEWAY, GROUP, LINK_DELAY, OTHER_GATEWAYS};
 use dahlia_limits::{
-    KeeperTerm, LimitCommand, LimitReply, ProgramKey, RateLimit, TenantUsage, UsageReport, Verdict,
-    VersionedLimit,
+    KeeperTerm, LimitCommand, LimitReply, ProgramHandover, ProgramKey, RateLimit, TenantUsage,
+    UsageReport, Verdict, VersionedLimit,
 };
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_replication::group::GroupSettings;
@@ -33,7 +33,7 @@
 
 fn permit_request() -> LimitCommand {
     let (tenant, limit) = (TenantId::new("oak"), versioned_limit());
-    LimitCommand::Ask { tenant, limit, program: None, max_wait: Duration::ZERO }
+    LimitCommand::Ask { tenant, limit, program: None, max_wait: Duration::ZERO, progress: None }
 }
 
 fn usage_report(requests: usize) -> LimitCommand {
@@ -46,7 +46,13 @@
         past: Vec::new(),
     };
     let (gateway, incarnation) = (DaemonId(GATEWAY), Incarnation(1));
-    LimitCommand::Report(UsageReport { gateway, incarnation, sequence: 1, usage: vec![usage] })
+    LimitCommand::Report(UsageReport {
+        gateway,
+        incarnation,
+        sequence: 1,
+        usage: vec![usage],
+        handover: ProgramHandover::default(),
+    })
 }
 
 /// Asks the keeper for a permit; returns the verdict, the term of the keeper and the time that it took.
--- a/crates/node/tests/wire_forms.rs
+++ b/crates/node/tests/wire_forms.rs
@@ -18,8 +18,8 @@
     TurnId, TurnInput, TurnRefusal,
 };
 use dahlia_limits::{
-    KeeperTerm, LimitCommand, LimitReply, ProgramKey, RateLimit, TenantUsage, UsageReport, Verdict,
-    VersionedLimit,
+    KeeperTerm, LimitCommand, LimitReply, ProgramHandover, ProgramKey, RateLimit, TenantUsage,
+    UsageReport, Verdict, VersionedLimit,
 };
 use dahlia_node::feed::{FeedMessage, SourceReport};
 use dahlia_node::load_sharing::{ItemLoad, LoadMessage, LoadPart, ReporterState};
@@ -317,12 +317,14 @@
         incarnation: Incarnation(1_800_000_000_123),
         sequence: 3,
         usage: vec![usage],
+        handover: ProgramHandover::default(),
     };
     let ask = LimitCommand::Ask {
         tenant: tenant.clone(),
         limit,
         program: Some(ProgramKey(9)),
         max_wait: Duration::from_millis(150),
+        progress: None,
     };
     for (name, command) in [("limits-report", LimitCommand::Report(report)), ("limits-ask", ask)] {
         let request = Request::Limits { group: GroupId(5), command };
@@ -332,7 +334,7 @@
     let keeper = KeeperTerm(9);
     let verdict = Verdict::Refuse { retry_after: Duration::from_millis(300) };
     let replies = [
-        ("limits-counted", LimitReply::Counted { scarce: vec![tenant], keeper }),
+        ("limits-counted", LimitReply::Counted { scarce: vec![tenant], keeper, means: None }),
         ("limits-answer", LimitReply::Answer { verdict, is_scarce: true, keeper }),
     ];
     for (name, reply) in replies {
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -3,7 +3,7 @@
 
 use std::future::Future;
 
-use dahlia_limits::{ProgramKey, VersionedLimit};
+use dahlia_limits::{ProgramKey, ProgramRequest, VersionedLimit};
 use dahlia_types::{Duration, TenantId};
 use snafu::Snafu;
 
@@ -26,7 +26,7 @@
         &self,
         tenant: &TenantId,
         limit: VersionedLimit,
-        program: Option<ProgramKey>,
+        program: Option<ProgramRequest>,
         max_wait: Duration,
     ) -> impl Future<Output = Result<(), LimitReached>> + Send;
 
--- a/crates/relay/src/tenant.rs
+++ b/crates/relay/src/tenant.rs
@@ -4,7 +4,7 @@
 //! keepers of limits get the tenant's name.
 
 use dahlia_ledger::ProgramName;
-use dahlia_limits::{ProgramKey, VersionedLimit};
+use dahlia_limits::{ProgramKey, ProgramRequest, VersionedLimit};
 use dahlia_types::{Duration, TenantId};
 use tokio::time::Instant;
 
@@ -62,9 +62,11 @@
         let versioned_limit = VersionedLimit { generation: matched.generation(), limit };
         let program = head.program(&shared.headers, Some(&tenant.name))?;
         let program = program.as_ref().map(program_key);
+        let continues = head.previous_turn(&shared.headers, Some(&tenant.name))?.is_some();
+        let request = program.map(|program| ProgramRequest { program, continues });
         let max_wait = deadline.saturating_duration_since(Instant::now()) / MAX_WAIT_DIVISOR;
         let max_wait = Duration::from_micros(max_wait.as_micros() as u64);
-        match shared.ledger.admit(&tenant.name, versioned_limit, program, max_wait).await {
+        match shared.ledger.admit(&tenant.name, versioned_limit, request, max_wait).await {
             Ok(()) => Ok(Some(Self { tenant: tenant.name.clone(), program })),
             Err(LimitReached { retry_after }) => Err(Refusal::LimitReached { retry_after }),
         }
--- a/crates/relay/tests/common/ledger.rs
+++ b/crates/relay/tests/common/ledger.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use dahlia_ledger::{CloseTurn, LedgerCommand, LedgerReply, OpenTurn, OpenedTurn, TurnEnd};
-use dahlia_limits::{ProgramKey, VersionedLimit};
+use dahlia_limits::{ProgramKey, ProgramRequest, VersionedLimit};
 use dahlia_relay::{LedgerUnavailable, LimitReached, TenantLimits, TurnLedger};
 use dahlia_types::{Duration, TenantId};
 use tokio::sync::watch;
@@ -129,7 +129,7 @@
         &self,
         tenant: &TenantId,
         limit: VersionedLimit,
-        _program: Option<ProgramKey>,
+        _request: Option<ProgramRequest>,
         _max_wait: Duration,
     ) -> Result<(), LimitReached> {
         if let Some(reached) = self.limits.lock().expect("the lock is not poisoned").pop_front() {
