Gateway: open requests end whole after its control parts ended

Callers saw: when another process had started as the same daemon, or a role had to start again after its own later incarnation, the gateway dropped every open request; a turn of 30 events was cut after 2. A lone daemon cut its callers' streams likewise. An order to stop between two roles was lost.

Cause: the end of the control parts was an error that ended the role with its runtime; the stop that lets requests end was reached by an order only, and signal handlers belonged to a role.

Change: a daemon without groups that is superseded goes on as a client: no member any more, it only sends ends of turns to their owners, so it cannot contradict the later process. A daemon with groups stops its node at once, and its peers' connections close. The gateway refuses new requests at once, lets open ones end within the grace and then ends, or starts its role again; the lone daemon drains.

--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -89,7 +89,7 @@
 
 impl RunningDaemon {
     /// Performs a planned stop: hands groups over, lets requests end, then closes. The settings limit how
-    /// long it takes.
+    /// long it takes. After [`Self::wait_until_ended`] there are no groups to hand over.
     pub async fn drain(mut self) {
         log::info!(target: part::DAEMON, "Planned stop.");
         let started = Instant::now();
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -151,7 +151,11 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
-        () = daemon.wait_until_ended() => return ExitCode::FAILURE,
+        () = daemon.wait_until_ended() => {
+            // An order to stop that comes meanwhile changes nothing: the settings limit the time.
+            daemon.drain().await;
+            return ExitCode::FAILURE;
+        }
     }
     // A second signal ends the drain; requests that are still open are aborted.
     tokio::select! {
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -21,7 +21,7 @@
 use crate::chunk_store::{ChunkStoreHandle, OpenError};
 use crate::clock::Clock;
 use crate::configuration_client::ConfigurationClient;
-use crate::core::{Core, CoreParts, SharedSenders, deliver};
+use crate::core::{Core, CoreParts, SharedSenders, Superseded, deliver};
 use crate::core_handle::{CoreHandle, channel};
 use crate::datagrams::{self, DatagramSender};
 use crate::engines::EngineTasks;
@@ -99,6 +99,7 @@
     pub metrics: Arc<Metrics>,
     pub(crate) in_force: watch::Receiver<Option<Arc<ConfigurationRecord>>>,
     core_task: JoinHandle<Option<Incarnation>>,
+    superseded: watch::Receiver<Option<Superseded>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -108,11 +109,24 @@
         self.traffic.total_bytes()
     }
 
-    /// Waits until the node's task ends by itself, because another incarnation of this daemon has
-    /// superseded it or its disk failed. Returns the other incarnation if the parts should be started again
-    /// with it as the previous one.
+    /// Waits until this daemon takes no more part in the system, because another incarnation of it runs or
+    /// its disk failed. Returns the other incarnation if the parts should be started again with it as the
+    /// previous one.
+    ///
+    /// A daemon without groups still records the ends of its callers' turns until [`Self::stop`]. Other
+    /// daemons' connections to one with groups are closed, so that they replace it at once.
     pub async fn wait_until_ended(&mut self) -> Option<Incarnation> {
-        (&mut self.core_task).await.ok().flatten()
+        let superseded = self.superseded.wait_for(Option::is_some).await;
+        if let Some(superseded) = superseded.ok().and_then(|superseded| *superseded) {
+            return superseded.restart_after;
+        }
+        // The core has dropped its end of the channel, so its task ends.
+        let restart_after = (&mut self.core_task).await.unwrap_or_else(|error| {
+            log::error!(target: part::CORE, cause:% = error; "The node's task failed.");
+            None
+        });
+        self.stop();
+        restart_after
     }
 
     /// Stops at once as a crash does: connections break and memory is lost.
@@ -192,6 +206,7 @@
     let datagrams = DatagramSender::new(identity.clone(), socket.clone(), traffic.clone());
     let peers =
         PeerSender::new(identity.clone(), peer_events.clone(), datagrams, traffic.clone(), clock);
+    let (superseded_sender, superseded) = watch::channel(None);
     let parts = CoreParts {
         peers,
         engines: EngineTasks::new(core.clone(), answers.clone()),
@@ -202,6 +217,7 @@
         in_force: in_force_sender,
         shared: external.shared,
         reachability: core.reachability_sender(),
+        superseded: superseded_sender,
         metrics: metrics.clone(),
     };
     let mut node_settings = node_settings(settings, replica, peer_address, clock);
@@ -228,6 +244,7 @@
         metrics,
         in_force,
         core_task,
+        superseded,
         tasks,
     })
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -77,10 +77,20 @@
     pub shared: SharedSenders,
     /// Publishes which daemons and zones this daemon reaches.
     pub reachability: watch::Sender<Reachability>,
+    /// Set once a later incarnation has replaced this daemon.
+    pub superseded: watch::Sender<Option<Superseded>>,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
 
+/// A later incarnation of this daemon has replaced it. The core only records the ends of turns.
+#[derive(Debug, Clone, Copy)]
+pub struct Superseded {
+    /// The incarnation after which the parts should be started again; none if another process runs as
+    /// this daemon.
+    pub restart_after: Option<Incarnation>,
+}
+
 /// The durable changes of one batch, and the actions that wait for their sync.
 #[derive(Default)]
 struct Batch {
@@ -299,6 +309,9 @@
                     self.handle(Event::StoreEnded(Box::new(refusal)));
                 }
             }
+            Action::Superseded { restart_after } => {
+                self.parts.superseded.send_replace(Some(Superseded { restart_after }));
+            }
             Action::Stop { restart_after } => {
                 self.stopped = true;
                 self.restart_after = restart_after;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -258,7 +258,14 @@
     ReachChanged(Reachability),
     /// Perform an operation on this daemon's store.
     Store(Box<StoreRequest>),
-    /// Stop the process because a later incarnation of this daemon replaces it.
+    /// Turn callers away and stop the process once their open requests have ended, because a later
+    /// incarnation of this daemon replaces it. Until then the node records the ends of their turns, and
+    /// does nothing else.
+    Superseded {
+        /// As in [`Action::Stop`].
+        restart_after: Option<Incarnation>,
+    },
+    /// Stop the process at once because a later incarnation of this daemon replaces it.
     Stop {
         /// The incarnation after which this process may start again at once: its own previous one, if its
         /// clock was set back. None if another process runs as this daemon.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `load_sharing`, `loads` | exchanges load reports between daemons: decisions, and their use in the node |
 //! | `zone_choice` | chooses the daemons that do a task for their whole zone |
 //! | `line_limit` | limits log lines of one kind |
+//! | `superseded` | what a daemon still does after a later process has replaced it |
 //! | `members` | tracks daemons and the locations of groups |
 //! | `upkeep` | replaces replicas that are lost or leaving |
 //! | `engines` | records engine reports |
@@ -68,6 +69,7 @@
 mod routing;
 mod settings;
 mod source;
+mod superseded;
 mod upkeep;
 mod view;
 pub mod wire;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -54,13 +54,7 @@
                 }
                 MembershipAction::FactChanged(fact) => self.fact_changed(&fact),
                 MembershipAction::Superseded { by, is_elsewhere } => {
-                    log::error!(
-                        target: "members",
-                        incarnation:% = by, is_elsewhere = is_elsewhere;
-                        "A later incarnation of this daemon runs."
-                    );
-                    let restart_after = Some(by).filter(|_| !is_elsewhere);
-                    self.actions.push(Action::Stop { restart_after });
+                    self.supersede(by, is_elsewhere);
                 }
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -67,6 +67,8 @@
     /// Batches messages that may be sent before the sync.
     pub(crate) unsynced_coalescer: Coalescer,
     pub(crate) draining: bool,
+    /// Whether a later process has replaced this daemon.
+    pub(crate) is_superseded: bool,
     /// None if no external source is followed.
     pub(crate) feed: Option<Feed>,
     /// None if this daemon does not share loads.
@@ -194,6 +196,7 @@
             coalescer: Coalescer::new(),
             unsynced_coalescer: Coalescer::new(),
             draining: false,
+            is_superseded: false,
             failure_report_count: 0,
             member_line_limit: LogLineLimit::new(MAX_MEMBER_LINES_PER_MINUTE),
         };
@@ -205,6 +208,10 @@
 
     /// Handles an event and returns the resulting actions. `now` must never decrease.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        if self.is_superseded {
+            self.handle_superseded(event, now);
+            return std::mem::take(&mut self.actions);
+        }
         match event {
             Event::Tick => self.tick(now),
             Event::Message { from, message } => self.handle_message(from, message, now),
--- a/crates/rehearsal/tests/processes.rs
+++ b/crates/rehearsal/tests/processes.rs
@@ -243,6 +243,27 @@
     assert_eq!(rehearsal.count_started(&program).await, 1);
 }
 
+/// A daemon ended at once when another process had started as the same daemon, and cut the streams of its
+/// callers, also those whose programs others own.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_a_later_process_replaces_cuts_no_stream_of_another_owner() {
+    let mut rehearsal = Rehearsal::start().await;
+    let other = rehearsal.cluster.daemons[0].operators_address;
+    rehearsal.operator = OperatorClient::connect(&[other]).await.expect("a daemon answers");
+    let (program, owner) = rehearsal.create_program().await;
+    assert_ne!(owner, WITHOUT_STORE, "a daemon takes new programs itself");
+    let asked = rehearsal.send_turn_of_length(&program, 1, WITHOUT_STORE, LONG_ANSWER_TOKENS);
+    rehearsal.wait_until_started(&program, 1).await;
+    let _later = rehearsal.cluster.start_daemon(WITHOUT_STORE).await.expect("it starts");
+    let earlier = &mut rehearsal.cluster.daemons[WITHOUT_STORE];
+    let mut process = earlier.process.take().expect("it runs");
+    let status = process.wait_for_exit(STOP_TIMEOUT).await.expect("ends within its bound");
+    assert_ne!(status.code(), Some(0), "nobody ordered it to stop");
+    let answer = wait_for_answer(asked).await;
+    assert_eq!(answer.gateways_lost, 0, "its stream was cut");
+    assert_eq!(rehearsal.count_started(&program).await, 1);
+}
+
 /// Turns of a program whose history is moved to store daemons.
 const TURNS: u32 = 10;
 /// Tokens of their answers: enough for the number of the turn, so that no two turns have the same text.
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -117,7 +117,7 @@
             Action::BackendFailureReported(_)
             | Action::LoadsReported(_)
             | Action::ReachChanged(_) => {}
-            Action::Stop { .. } => self.kill_daemon(id, Duration::ZERO),
+            Action::Stop { .. } | Action::Superseded { .. } => self.kill_daemon(id, Duration::ZERO),
         }
     }
 
