Durable: copies of documents are made durable beside a store's start, not before it

A store that starts blocked its only thread for two syncs for each kept document, while its groups and what it shares were waited for.

Change: reading and making durable are two steps. The daemon reads and shares at once, and makes the copies durable in the thread that saves them, with one sync of the folder for all. A save still makes them durable first, so the copy before is never overwritten while the one found may be lost. DocumentCopies::open does both, and its tests hold unchanged.

--- a/crates/daemon/src/document_copies.rs
+++ b/crates/daemon/src/document_copies.rs
@@ -54,7 +54,7 @@
     documents: UnboundedReceiver<SharedDocument>,
 ) -> Result<(), CopiesError> {
     let disk = FolderDisk::open(&folder.join(FOLDER)).context(FolderSnafu)?;
-    let opened = DocumentCopies::open(Box::new(disk)).context(ReadSnafu)?;
+    let opened = DocumentCopies::read(Box::new(disk)).context(ReadSnafu)?;
     let OpenedCopies { copies, newest, invalid } = opened;
     for error in invalid {
         log::warn!(target: part::STORE, cause:% = error; "A kept document is passed over.");
@@ -81,6 +81,18 @@
     mut documents: UnboundedReceiver<SharedDocument>,
     mut peers: KnownPeers,
 ) {
+    // Done beside the start: others wait for what is shared, and for the groups here.
+    let synced = spawn_blocking(move || {
+        let result = copies.make_durable();
+        (copies, result)
+    });
+    let Ok((returned, result)) = synced.await else {
+        return log_ended_writer();
+    };
+    copies = returned;
+    if let Err(error) = result {
+        log::warn!(target: part::STORE, cause:% = error; "Kept documents may not be durable.");
+    }
     loop {
         let next = tokio::select! {
             document = documents.recv() => document,
@@ -101,8 +113,7 @@
             (copies, results)
         });
         let Ok((returned, results)) = written.await else {
-            log::error!(target: part::STORE, "Documents are not kept any more: the writer ended.");
-            return;
+            return log_ended_writer();
         };
         copies = returned;
         // A disk that is full now may have space when the next document arrives.
@@ -112,6 +123,10 @@
     }
 }
 
+fn log_ended_writer() {
+    log::error!(target: part::STORE, "Documents are not kept any more: the writer ended.");
+}
+
 fn save_copy(copies: &mut DocumentCopies, document: SharedDocument) -> Result<(), LogError> {
     let SharedDocument { number, version, bytes } = document;
     copies.save(&DocumentCopy { number, version, bytes })
--- a/crates/durable/src/documents.rs
+++ b/crates/durable/src/documents.rs
@@ -92,6 +92,8 @@
 pub struct DocumentCopies {
     disk: Box<dyn Disk>,
     locations: BTreeMap<u32, CopyLocation>,
+    /// Whether the copies that were found are durable.
+    are_durable: bool,
 }
 
 /// The copies that were read when the folder was opened.
@@ -105,13 +107,22 @@
 }
 
 impl DocumentCopies {
-    /// Reads all copies in a folder and makes the newest ones durable. A process that ended between a write
-    /// and its sync, or after a failed sync, leaves a copy that a power loss can still erase, and the next process
-    /// overwrites the copy before it.
+    /// Reads all copies in a folder, and makes the newest ones durable.
     ///
     /// # Errors
     /// [`LogError`] if the folder or a file in it cannot be read or synced.
-    pub fn open(mut disk: Box<dyn Disk>) -> Result<OpenedCopies, LogError> {
+    pub fn open(disk: Box<dyn Disk>) -> Result<OpenedCopies, LogError> {
+        let mut opened = Self::read(disk)?;
+        opened.copies.make_durable()?;
+        Ok(opened)
+    }
+
+    /// Reads all copies in a folder. Until [`Self::make_durable`], a power loss may take the newest ones and
+    /// leave those before them.
+    ///
+    /// # Errors
+    /// [`LogError`] if the folder or a file in it cannot be read.
+    pub fn read(disk: Box<dyn Disk>) -> Result<OpenedCopies, LogError> {
         let names =
             disk.list().map_err(|source| LogError::io(DiskOperation::List, "documents", source))?;
         let mut newest: BTreeMap<u32, (Side, DocumentCopy)> = BTreeMap::new();
@@ -131,15 +142,37 @@
                 Err(error) => invalid.push(error),
             }
         }
-        for (number, (side, copy)) in &newest {
-            make_copy_durable(disk.as_mut(), &file_name(*number, *side), &encode(copy))?;
-        }
         let location =
             |side: Side, copy: &DocumentCopy| CopyLocation { side, version: copy.version };
         let locations =
             newest.iter().map(|(number, (side, copy))| (*number, location(*side, copy))).collect();
         let found = newest.into_values().map(|(_, copy)| copy).collect();
-        Ok(OpenedCopies { copies: Self { disk, locations }, newest: found, invalid })
+        let copies = Self { disk, locations, are_durable: false };
+        Ok(OpenedCopies { copies, newest: found, invalid })
+    }
+
+    /// Makes the copies that were found durable. A process that ended between a write and its sync, or after
+    /// a failed sync, leaves a copy that a power loss can still erase, and the next save overwrites the copy
+    /// before it. The bytes are written again, because a sync does not cover what an earlier one dropped
+    /// when it failed.
+    ///
+    /// # Errors
+    /// [`LogError`] if a file cannot be read, written or synced. The next save tries again.
+    pub fn make_durable(&mut self) -> Result<(), LogError> {
+        if self.are_durable {
+            return Ok(());
+        }
+        for (number, location) in &self.locations {
+            let name = file_name(*number, location.side);
+            let bytes = self.disk.read(&name);
+            let bytes = bytes.map_err(|source| LogError::io(DiskOperation::Read, &name, source))?;
+            let synced = self.disk.rewrite(&name, &bytes).and_then(|()| self.disk.sync(&name));
+            synced.map_err(|source| LogError::io(DiskOperation::Sync, &name, source))?;
+        }
+        let named = self.disk.sync_folder();
+        named.map_err(|source| LogError::io(DiskOperation::Sync, "the folder", source))?;
+        self.are_durable = true;
+        Ok(())
     }
 
     /// Saves a copy, unless the current copy is at least as new. The current copy stays until the
@@ -152,6 +185,7 @@
         if current.is_some_and(|current| current.version >= document.version) {
             return Ok(());
         }
+        self.make_durable()?;
         let side = current.map_or(Side::A, |current| current.side.other());
         let name = file_name(document.number, side);
         let written = self.write(&name, &encode(document));
@@ -168,14 +202,6 @@
     }
 }
 
-/// Makes a copy and its name durable. Its bytes are written again, because a sync does not cover what an earlier
-/// one dropped when it failed.
-fn make_copy_durable(disk: &mut dyn Disk, name: &str, bytes: &[u8]) -> Result<(), LogError> {
-    let synced =
-        disk.rewrite(name, bytes).and_then(|()| disk.sync(name)).and_then(|()| disk.sync_folder());
-    synced.map_err(|source| LogError::io(DiskOperation::Sync, name, source))
-}
-
 fn file_name(number: u32, side: Side) -> String {
     let side = if side == Side::A { "a" } else { "b" };
     format!("{PREFIX}{number}.{side}")
