--- a/crates/daemon/src/document_copies.rs
+++ b/crates/daemon/src/document_copies.rs
@@ -20,6 +20,7 @@
 use crate::core_handle::CoreHandle;
 use crate::known_peers::{self, KnownPeers};
 use crate::logging::part;
+use crate::slow_steps::log_while_running;
 
 /// The subfolder of the data folder that holds documents.
 const FOLDER: &str = "documents";
@@ -86,7 +87,8 @@
         let result = copies.make_durable();
         (copies, result)
     });
-    let Ok((returned, result)) = synced.await else {
+    let synced = log_while_running("making kept documents durable", synced).await;
+    let Ok((returned, result)) = synced else {
         return log_ended_writer();
     };
     copies = returned;
@@ -112,7 +114,8 @@
                 newest.into_values().map(|document| save_copy(&mut copies, document)).collect();
             (copies, results)
         });
-        let Ok((returned, results)) = written.await else {
+        let written = log_while_running("saving documents", written).await;
+        let Ok((returned, results)) = written else {
             return log_ended_writer();
         };
         copies = returned;
--- a/crates/daemon/src/group_log.rs
+++ b/crates/daemon/src/group_log.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::logging::part;
+use crate::slow_steps::log_while_running;
 
 /// The subfolder of the data folder that holds groups.
 const FOLDER: &str = "groups";
@@ -113,8 +114,9 @@
         loop {
             let result;
             let queued_at = Instant::now();
-            (task, result) =
-                spawn_blocking(move || task.run(queued_at)).await.map_err(|_| SyncError::Lost)?;
+            let running = spawn_blocking(move || task.run(queued_at));
+            let ended = log_while_running("making groups durable", running).await;
+            (task, result) = ended.map_err(|_| SyncError::Lost)?;
             match result {
                 Ok(groups_needing_image) => {
                     if is_full {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 //! | `machine_list` | reads the platform's list of machines |
 //! | `node_settings` | the node's settings, derived from the daemon's |
 //! | `turn_away` | retry delays for callers that a cut-off daemon refuses |
+//! | `slow_steps` | reports steps on the disk that take long while they run |
 //! | `traffic` | bytes and messages sent to other daemons, by kind |
 //! | `answers`, `serve_answers` | buffers of answers' text, and serving their readers |
 
@@ -70,5 +71,6 @@
 pub mod reconnect;
 mod serve_answers;
 pub mod settings;
+pub mod slow_steps;
 pub mod traffic;
 pub mod turn_away;
