--- a/crates/relay/tests/common/scripted_server.rs
+++ b/crates/relay/tests/common/scripted_server.rs
@@ -279,6 +279,14 @@
     ))
 }
 
+/// The head of a stream that has neither a length nor chunks, so that it ends with its connection.
+pub fn stream_head_without_framing(request: &ReceivedRequest) -> Step {
+    let attempt = request.attempt();
+    Step::Send(format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt: {attempt}\r\nX-Signature: s-1\r\nContent-Type: text/event-stream\r\n\r\n"
+    ))
+}
+
 pub fn chunk(text: &str) -> Step {
     Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
 }
