Relay: log how a stream was framed, and what arrived of it

"Stream ended whole." and "An attempt failed." now have its framing (length, chunks, connection), its bytes and its events; a failed attempt also has whether it stopped inside an event. EventBoundary counts them without splitting the stream, on routes without an EventReader too.

the_end_of_a_stream_is_logged_with_its_framing_and_what_arrived does not pass without the fields; a property test holds the boundary against EventReader.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -17,6 +17,7 @@
 use crate::exchange::{Answer, Exchange};
 use crate::hop_by_hop;
 use crate::memory::{MemoryReservation, ReservationError};
+use crate::received_answer::ReceivedAnswer;
 use crate::repeats::{Loss, LossCause};
 use crate::request_log::DisconnectGuard;
 use crate::server_response::{BrokenAnswer, ServerResponse};
@@ -98,6 +99,8 @@
     intervals: Option<TokenIntervals>,
     /// The server whose answer was complete.
     served_by: String,
+    /// What arrived of that answer.
+    received: Option<ReceivedAnswer>,
     /// Why the stream is broken off; none if no server can resume it.
     break_cause: Option<String>,
     disconnect: DisconnectGuard,
@@ -129,6 +132,7 @@
             is_resumed: false,
             intervals,
             served_by: String::new(),
+            received: None,
         }
     }
 
@@ -172,7 +176,7 @@
 
     fn log_end(&mut self) {
         self.disconnect.finish();
-        self.exchange.log.stream_ended(&self.served_by);
+        self.exchange.log.stream_ended(&self.served_by, self.received.as_ref());
     }
 
     fn log_break(&mut self) {
@@ -271,8 +275,9 @@
 
     /// Returns the bytes after the last event of a complete answer, which belong to it too.
     fn take_remainder(&mut self) -> Option<Bytes> {
-        if let Some(response) = self.response.take() {
+        if let Some(mut response) = self.response.take() {
             self.served_by = response.server().to_string();
+            self.received = response.take_received();
         }
         let remainder = self.events.as_mut()?.take_remainder();
         let forwarded = self.reservation.split(remainder.len());
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::liveness::{Reachability, UsableConnections};
 use crate::outgoing::OutgoingRequest;
 use crate::pool::{Connected, KeepAlive};
+use crate::received_answer::ReceivedAnswer;
 use crate::relay::Shared;
 use crate::repeats::{Loss, LossCause};
 use crate::server_response::{AttemptGuard, ServerResponse};
@@ -47,6 +48,8 @@
 pub(crate) struct PreparedRequest<'a, L> {
     pub(crate) shared: &'a Arc<Shared<L>>,
     pub(crate) service: Option<&'a Service>,
+    /// Whether a successful answer is a stream of events.
+    pub(crate) is_stream: bool,
     pub(crate) outgoing: OutgoingRequest<'a>,
 }
 
@@ -148,6 +151,8 @@
         if kind == AnswerKind::Answer && !parts.status.is_server_error() {
             guard.record_head();
         }
+        let is_stream = self.is_stream && parts.status.is_success();
+        guard.follow_answer(ReceivedAnswer::new(&parts.headers, is_stream));
         let mut response =
             ServerResponse::new(parts, body, did_not_run, connection, keep_alive, pool, guard);
         match kind {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -246,7 +246,12 @@
             last_event: self.last_event.as_ref(),
             deadline: self.deadline,
         };
-        PreparedRequest { shared: &self.shared, service: self.matched.service(), outgoing }
+        PreparedRequest {
+            shared: &self.shared,
+            service: self.matched.service(),
+            is_stream: self.route().is_stream,
+            outgoing,
+        }
     }
 
     /// Chooses a server. The choice counts as an attempt in flight.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,7 +35,8 @@
 //! | `liveness` | servers that stop responding |
 //! | `repeats`, `repeat_budget` | why a request is sent to a further server, and how often a service gets repeats |
 //! | `idle_limit` | how long a connection may be idle before a request that runs once uses it |
-//! | `events` | server-sent events parsed from a stream |
+//! | `events`, `event_boundary` | server-sent events parsed from a stream, and where they begin and end |
+//! | `received_answer` | what has arrived of a server's answer, and how the answer tells where it ends |
 //! | `token_intervals` | how fast a stream's tokens arrive |
 //! | `settings`, `counters`, `metrics` | settings, counters and Prometheus metrics |
 //! | `request_log` | log lines on a request's decisions |
@@ -48,6 +49,7 @@
 mod connection;
 mod counted_runs;
 mod counters;
+mod event_boundary;
 mod events;
 mod exchange;
 mod headers;
@@ -62,6 +64,7 @@
 mod pool;
 mod priority;
 mod prompt_parts;
+mod received_answer;
 mod refusal;
 mod relay;
 mod repeat_budget;
@@ -80,6 +83,7 @@
 mod wait_queues;
 
 pub use counters::CounterReadings;
+pub use event_boundary::EventBoundary;
 pub use events::{Event, EventReader};
 pub use headers::HeaderNames;
 pub use ledger::{LedgerUnavailable, TurnLedger};
--- /dev/null
+++ b/crates/relay/src/received_answer.rs
@@ -0,0 +1,85 @@
+//! What has arrived of a server's answer, and how the answer tells where it ends.
+
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue};
+
+use crate::event_boundary::EventBoundary;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// How an answer tells where it ends (RFC 9112, section 6.3).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// It states its length.
+    Length,
+    /// It comes in chunks, and the last one is empty.
+    Chunks,
+    /// It ends with its connection. The system also closes the connections of a process that dies, so this end does
+    /// not prove that the server was done.
+    Connection,
+}
+
+impl Framing {
+    fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Its name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
+/// The part of an answer that has arrived.
+#[derive(Debug)]
+pub(crate) struct ReceivedAnswer {
+    pub(crate) framing: Framing,
+    pub(crate) bytes: u64,
+    /// None if the answer is no event stream.
+    boundary: Option<EventBoundary>,
+}
+
+impl ReceivedAnswer {
+    /// Begins an answer with this head, which is an event stream only if its route `is_stream`.
+    pub(crate) fn new(headers: &HeaderMap, is_stream: bool) -> Self {
+        let has_events = is_stream && headers.get(CONTENT_TYPE).is_none_or(is_event_stream);
+        Self {
+            framing: Framing::of(headers),
+            bytes: 0,
+            boundary: has_events.then(EventBoundary::default),
+        }
+    }
+
+    pub(crate) fn push(&mut self, piece: &[u8]) {
+        self.bytes += piece.len() as u64;
+        if let Some(boundary) = &mut self.boundary {
+            boundary.push(piece);
+        }
+    }
+
+    /// The number of whole events; none if the answer is no event stream.
+    pub(crate) fn events(&self) -> Option<u64> {
+        self.boundary.as_ref().map(EventBoundary::events)
+    }
+
+    /// Whether the last event is incomplete.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.boundary.as_ref().is_some_and(EventBoundary::is_inside_event)
+    }
+}
+
+fn is_event_stream(content_type: &HeaderValue) -> bool {
+    let text = content_type.to_str().unwrap_or_default();
+    let essence = text.split(';').next().unwrap_or_default();
+    essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -15,6 +15,7 @@
 
 use crate::counted_runs::PossibleRun;
 use crate::metrics::RelayMetrics;
+use crate::received_answer::ReceivedAnswer;
 use crate::refusal::Refusal;
 use crate::repeats::{RepeatCause, WithheldReason};
 use crate::request::RequestHead;
@@ -175,7 +176,13 @@
     }
 
     /// An attempt did not produce an answer.
-    pub(crate) fn attempt_failed(&self, server: &BackendId, end: AttemptEnd, cause: &str) {
+    pub(crate) fn attempt_failed(
+        &self,
+        server: &BackendId,
+        end: AttemptEnd,
+        cause: &str,
+        received: Option<&ReceivedAnswer>,
+    ) {
         self.metrics.count_failed_attempt(end);
         log::warn!(
             target: "relay",
@@ -183,6 +190,10 @@
             server:% = server,
             end = end.name(),
             cause = cause,
+            framing = framing(received),
+            bytes:% = OrMissing(received.map(|received| received.bytes)),
+            events:% = OrMissing(received.and_then(ReceivedAnswer::events)),
+            inside_event:% = OrMissing(received.map(ReceivedAnswer::is_inside_event)),
             age_ms = self.age_ms();
             "An attempt failed."
         );
@@ -289,13 +300,16 @@
         );
     }
 
-    /// The stream was complete.
-    pub(crate) fn stream_ended(&self, server: &str) {
+    /// The stream was complete. `received` is the answer of the last server.
+    pub(crate) fn stream_ended(&self, server: &str, received: Option<&ReceivedAnswer>) {
         self.answer_ended();
         log::info!(
             target: "relay",
             request = self.request(),
             server = server,
+            framing = framing(received),
+            bytes:% = OrMissing(received.map(|received| received.bytes)),
+            events:% = OrMissing(received.and_then(ReceivedAnswer::events)),
             age_ms = self.age_ms();
             "Stream ended whole."
         );
@@ -337,6 +351,10 @@
     }
 }
 
+fn framing(received: Option<&ReceivedAnswer>) -> &'static str {
+    received.map_or(MISSING, |received| received.framing.name())
+}
+
 /// A value of a log line that may be missing.
 struct OrMissing<T>(Option<T>);
 
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -16,6 +16,7 @@
 use crate::liveness::LivenessWatch;
 use crate::memory::{BodyBuffer, CallerQuota, ReservationError, ReservedBody};
 use crate::pool::{KeepAlive, Pool};
+use crate::received_answer::ReceivedAnswer;
 use crate::relay::{Clock, Shared};
 use crate::repeat_budget::ServiceBudget;
 use crate::repeats::{Loss, LossCause};
@@ -64,6 +65,8 @@
     started: Timestamp,
     /// When the attempt was sent; none before that, and once its answer has begun.
     sent_at: Option<Timestamp>,
+    /// None before the head of the answer.
+    received: Option<ReceivedAnswer>,
     /// Detects that the server stops responding.
     pub(crate) watch: LivenessWatch,
     /// Dropped after the end is reported: only then can the next request use the slot.
@@ -101,6 +104,7 @@
             started: (shared.clock)(),
             log,
             sent_at: None,
+            received: None,
             slot,
         }
     }
@@ -108,7 +112,12 @@
     /// Records that the attempt did not produce an answer.
     pub(crate) fn fail(&mut self, end: AttemptEnd, cause: &str) {
         self.end = end;
-        self.log.attempt_failed(&self.server, end, cause);
+        self.log.attempt_failed(&self.server, end, cause, self.received.as_ref());
+    }
+
+    /// Begins to follow an answer.
+    pub(crate) fn follow_answer(&mut self, received: ReceivedAnswer) {
+        self.received = Some(received);
     }
 
     /// Reports the arrival times of tokens to [`Backends`].
@@ -187,6 +196,11 @@
         &self.guard.server
     }
 
+    /// Takes what is known of the part of the answer that has arrived.
+    pub(crate) fn take_received(&mut self) -> Option<ReceivedAnswer> {
+        self.guard.received.take()
+    }
+
     /// Reports the arrival times of tokens to [`Backends`].
     pub(crate) fn record_tokens(&self, times: TokenTimes) {
         self.guard.record_tokens(times);
@@ -221,6 +235,9 @@
         match data {
             Some(Ok(piece)) => {
                 self.guard.watch.record_contact();
+                if let Some(received) = &mut self.guard.received {
+                    received.push(&piece);
+                }
                 Some(Ok(piece))
             }
             Some(Err(error)) => {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -1,7 +1,7 @@
 //! Events parsed from streams that arrive in arbitrary pieces.
 
 use bytes::Bytes;
-use dahlia_relay::{Event, EventReader};
+use dahlia_relay::{Event, EventBoundary, EventReader};
 use proptest::prelude::*;
 
 fn read_events(pieces: &[&[u8]]) -> (Vec<Event>, Bytes) {
@@ -43,7 +43,69 @@
     assert!(event(b"").is_after(b"9"), "an event without an identifier is never dropped");
 }
 
+#[test]
+fn a_stream_is_inside_an_event_from_its_first_field_to_its_blank_line() {
+    struct Case {
+        text: &'static str,
+        is_inside: bool,
+        events: u64,
+    }
+    let cases = [
+        Case { text: "", is_inside: false, events: 0 },
+        Case { text: "\n", is_inside: false, events: 0 },
+        Case { text: "\r", is_inside: false, events: 0 },
+        Case { text: ": note", is_inside: false, events: 0 },
+        Case { text: ": note\n\n", is_inside: false, events: 0 },
+        Case { text: "i", is_inside: true, events: 0 },
+        Case { text: "data", is_inside: true, events: 0 },
+        Case { text: "data: a\n", is_inside: true, events: 0 },
+        Case { text: "data: a\n: note", is_inside: true, events: 0 },
+        Case { text: "data: a\n\r", is_inside: true, events: 0 },
+        Case { text: "data: a\r\n\r\n", is_inside: false, events: 1 },
+        Case { text: "data: a\n\n", is_inside: false, events: 1 },
+        Case { text: "data: a\n\n\n: note\n", is_inside: false, events: 1 },
+        Case { text: "data: a\n\nid: 2\n", is_inside: true, events: 1 },
+        Case { text: "data: a\n\nid: 2\n\n", is_inside: false, events: 2 },
+    ];
+    for Case { text, is_inside, events } in cases {
+        let mut boundary = EventBoundary::default();
+        boundary.push(text.as_bytes());
+        assert_eq!(
+            (boundary.is_inside_event(), boundary.events()),
+            (is_inside, events),
+            "{text:?}"
+        );
+    }
+}
+
 proptest! {
+    #[test]
+    fn the_boundary_is_the_same_in_pieces_of_any_size_and_agrees_with_the_reader(
+        lines in prop::collection::vec("(id: [0-9]|data: ?[a-z]{0,2}|: ?[a-z]{0,2}|)(\n|\r\n)", 0..16),
+        length in any::<prop::sample::Index>(),
+        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..8),
+    ) {
+        let mut text = lines.concat().into_bytes();
+        text.truncate(length.index(text.len() + 1));
+        let mut places: Vec<usize> = cuts.iter().map(|cut| cut.index(text.len() + 1)).collect();
+        places.extend([0, text.len()]);
+        places.sort_unstable();
+        let mut whole = EventBoundary::default();
+        whole.push(&text);
+        let mut in_pieces = EventBoundary::default();
+        places.windows(2).for_each(|pair| in_pieces.push(&text[pair[0]..pair[1]]));
+        prop_assert_eq!(in_pieces.is_inside_event(), whole.is_inside_event());
+        prop_assert_eq!(in_pieces.events(), whole.events());
+        let (events, rest) = read_events(&[&text]);
+        let has_field = |bytes: &[u8]| {
+            let mut lines = bytes.split(|&byte| byte == b'\n');
+            lines.any(|line| !line.is_empty() && line != b"\r" && line[0] != b':')
+        };
+        prop_assert_eq!(whole.is_inside_event(), has_field(&rest));
+        let with_fields = events.iter().filter(|event| has_field(&event.raw)).count();
+        prop_assert_eq!(whole.events(), with_fields as u64);
+    }
+
     #[test]
     fn pieces_of_any_size_yield_the_same_events(
         lines in prop::collection::vec("(id: [0-9]{1,3}|data: ?[a-z]{0,4}|: ?[a-z]{0,3}|)(\n|\r\n)", 0..24),
--- a/crates/relay/tests/request_log.rs
+++ b/crates/relay/tests/request_log.rs
@@ -5,7 +5,10 @@
 use std::sync::{Mutex, Once, OnceLock};
 
 use common::caller::{call, post};
-use common::scripted_server::{ReceivedRequest, ScriptedServer, Step, answer_ok, refuse_not_run};
+use common::scripted_server::{
+    ReceivedRequest, ScriptedServer, Step, answer_ok, chunk, event, last_chunk, refuse_not_run,
+    stream_head, stream_head_without_framing,
+};
 use common::{
     TestGateway, at_most_once_route, repeatable_route, resumable_stream_route,
     retained_turns_route, route_table, wait_until,
@@ -181,6 +184,55 @@
     assert!(failed.field("cause").is_some_and(|cause| !cause.is_empty()), "{failed:?}");
 }
 
+/// Guards against answers of which nothing tells how they ended: by their own framing or with their connection.
+#[tokio::test]
+async fn the_end_of_a_stream_is_logged_with_its_framing_and_what_arrived() {
+    struct Case {
+        request: &'static str,
+        script: fn(&ReceivedRequest) -> Vec<Step>,
+        sentence: &'static str,
+        fields: [&'static str; 3],
+    }
+    let cases = [
+        Case {
+            request: "ends-with-connection",
+            script: |request| {
+                let head = stream_head_without_framing(request);
+                vec![head, Step::Send(event(1, "a") + &event(2, "b")), Step::Close]
+            },
+            sentence: "Stream ended whole.",
+            fields: ["connection", "30", "2"],
+        },
+        Case {
+            request: "ends-with-last-chunk",
+            script: |request| vec![stream_head(request), chunk(&event(1, "a")), last_chunk()],
+            sentence: "Stream ended whole.",
+            fields: ["chunks", "15", "1"],
+        },
+        Case {
+            request: "breaks-in-chunks",
+            script: |request| {
+                let text = event(1, "a") + "id: 2";
+                vec![stream_head(request), chunk(&text), Step::Reset]
+            },
+            sentence: "An attempt failed.",
+            fields: ["chunks", "20", "1"],
+        },
+    ];
+    install_recorder();
+    for case in cases {
+        let server = ScriptedServer::new("s-1", case.script).await;
+        let route = Route { is_resumable: false, ..resumable_stream_route() };
+        let gateway = TestGateway::new(Some(route_table(vec![route])), &[&server]).await;
+        call(gateway.address, &post(case.request, "", "x")).await;
+        let find = || lines_of(case.request).into_iter().find(|it| it.sentence == case.sentence);
+        wait_until("the end is logged", || find().is_some()).await;
+        let line = find().expect("the line was found before");
+        let fields = ["framing", "bytes", "events"].map(|name| line.field(name).unwrap_or("none"));
+        assert_eq!(fields, case.fields, "{}", case.request);
+    }
+}
+
 /// For one request, the log tells each server it was sent to, what came of it, and whether it counts
 /// against the attempt limit; the metrics sum this up by service.
 #[tokio::test]
