Relay: a stream that ends inside an event is broken off, however it is framed

Cause: hyper reports the same end for an answer that is done and for one without length and chunks whose server died, since the system closes a dead process's sockets in good order. The relay took each such end for the end of the answer, forwarded the half event as a remainder and finished the turn. The same path took a last chunk or a reached length inside an event for whole.

ServerResponse follows where events begin and end on every stream route and reports such an end as a lost answer: the attempt counts as broken, the connection is not used again, repeats and their budget see it, a stream that may resume goes on after its last whole event, any other is broken off, a turn ends Incomplete. An answer that ends with its connection before its first event is lost, too: such a request loses nothing by another try, and one that must not run twice gets 502. An end between two events stays complete, since nothing on the wire tells it from a whole one; so do comments and blank lines behind the last event, answers without a body, and answers of another content type.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -273,7 +273,7 @@
         None
     }
 
-    /// Returns the bytes after the last event of a complete answer, which belong to it too.
+    /// Returns the bytes after the last event of a complete answer, such as a comment, which belong to it too.
     fn take_remainder(&mut self) -> Option<Bytes> {
         if let Some(mut response) = self.response.take() {
             self.served_by = response.server().to_string();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use dahlia_types::Duration;
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, Response, StatusCode, response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::select;
 use tokio::time::{self, Instant, timeout};
 
@@ -151,7 +151,8 @@
         if kind == AnswerKind::Answer && !parts.status.is_server_error() {
             guard.record_head();
         }
-        let is_stream = self.is_stream && parts.status.is_success();
+        // Answers to HEAD and with some statuses have no body, whatever their head says.
+        let is_stream = self.is_stream && parts.status.is_success() && !body.is_end_stream();
         guard.follow_answer(ReceivedAnswer::new(&parts.headers, is_stream));
         let mut response =
             ServerResponse::new(parts, body, did_not_run, connection, keep_alive, pool, guard);
--- a/crates/relay/src/received_answer.rs
+++ b/crates/relay/src/received_answer.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, HeaderValue};
 
 use crate::event_boundary::EventBoundary;
+use crate::repeats::LossCause;
 
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -72,12 +73,47 @@
         self.boundary.as_ref().map(EventBoundary::events)
     }
 
+    /// Why the answer is not complete although it has ended as its framing says; none if it is complete.
+    pub(crate) fn problem_at_end(&self) -> Option<EndProblem> {
+        let boundary = self.boundary.as_ref()?;
+        if boundary.is_inside_event() {
+            return Some(EndProblem::InsideEvent(self.framing));
+        }
+        let is_cut = self.framing == Framing::Connection && boundary.events() == 0;
+        is_cut.then_some(EndProblem::NoEvent)
+    }
+
     /// Whether the last event is incomplete.
     pub(crate) fn is_inside_event(&self) -> bool {
         self.boundary.as_ref().is_some_and(EventBoundary::is_inside_event)
     }
 }
 
+/// Why an answer that has ended is not complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndProblem {
+    /// Its last event is incomplete.
+    InsideEvent(Framing),
+    /// It ended with its connection, before its first event.
+    NoEvent,
+}
+
+impl EndProblem {
+    pub(crate) fn describe(self) -> &'static str {
+        match self {
+            Self::InsideEvent(_) => "the stream ended inside an event",
+            Self::NoEvent => "the stream ended with its connection before its first event",
+        }
+    }
+
+    pub(crate) fn loss_cause(self) -> LossCause {
+        match self {
+            Self::InsideEvent(Framing::Connection) | Self::NoEvent => LossCause::Disconnected,
+            Self::InsideEvent(Framing::Length | Framing::Chunks) => LossCause::InvalidAnswer,
+        }
+    }
+}
+
 fn is_event_stream(content_type: &HeaderValue) -> bool {
     let text = content_type.to_str().unwrap_or_default();
     let essence = text.split(';').next().unwrap_or_default();
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -219,7 +219,7 @@
     /// Returns the next piece of the body; none at its end.
     ///
     /// # Errors
-    /// The body broke off. The connection is then closed.
+    /// The body broke off, or it is a stream that ended inside an event. The connection is then closed.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         let connection = self.connection.as_mut()?;
         let data = select! {
@@ -246,6 +246,12 @@
                 Some(Err(BrokenAnswer { loss: loss_cause(&error).into() }))
             }
             None => {
+                let received = self.guard.received.as_ref();
+                if let Some(problem) = received.and_then(ReceivedAnswer::problem_at_end) {
+                    self.connection = None;
+                    self.guard.fail(AttemptEnd::Broken, problem.describe());
+                    return Some(Err(BrokenAnswer { loss: problem.loss_cause().into() }));
+                }
                 self.return_connection();
                 self.guard.end = match self.parts.status.is_server_error() {
                     true => AttemptEnd::Failed,
--- a/crates/relay/tests/stream_framing.rs
+++ b/crates/relay/tests/stream_framing.rs
@@ -6,7 +6,7 @@
 use std::ops::Range;
 use std::sync::{Arc, Mutex};
 
-use common::caller::{Reply, call, post};
+use common::caller::{Caller, Reply, call, post};
 use common::scripted_server::{
     ReceivedRequest, ScriptedServer, Step, chunk, event, last_chunk, stream_head,
     stream_head_without_framing,
@@ -243,3 +243,21 @@
     let reply = call(gateway.address, &post("t", "", "")).await;
     assert_eq!((reply.body.as_str(), reply.is_whole), ("data: no event", true));
 }
+
+/// Guards against answers without a body, which cannot have an event, that are taken for broken off.
+#[tokio::test]
+async fn an_answer_that_has_no_body_is_complete() {
+    let no_content: Script = |request| {
+        let attempt = request.attempt();
+        vec![Step::Send(format!("HTTP/1.1 204 No Content\r\nX-Attempt: {attempt}\r\n\r\n"))]
+    };
+    let head_only: Script = |request| vec![stream_head_without_framing(request), Step::Close];
+    let plain = Route { is_stream: true, ..at_most_once_route() };
+    for (method, script, status) in [("POST", no_content, 204), ("HEAD", head_only, 200)] {
+        let server = ScriptedServer::new("s-1", script).await;
+        let gateway = TestGateway::new(Some(route_table(vec![plain.clone()])), &[&server]).await;
+        let mut caller = Caller::new(gateway.address).await;
+        caller.send(&post("t", "", "").replacen("POST", method, 1)).await;
+        assert_eq!(caller.read_head().await.status, status, "{method}");
+    }
+}
