Relay: a broken-off stream resets the connection of an HTTP/1.0 caller

A stream to a caller of HTTP/1.0 has no chunks; when it was broken off, hyper shut the connection down in good order, and the caller had nothing that told it from a whole answer. a_broken_off_stream_resets_the_connection_of_a_caller_without_chunks fails without this change in all five endings (the first is named), and passes.

Until all of such an answer has been handed to the connection, its socket is set to be reset when it closes, so that this also holds when the process is killed; a shutdown by hyper is passed over before that.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -71,6 +71,9 @@
             Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Content::Stream(pieces) => {
                 let piece = pieces.as_mut().poll_next(context);
+                if let (Poll::Ready(None), Some((_, busy))) = (&piece, &self.guards) {
+                    busy.mark_whole();
+                }
                 piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
         }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -3,12 +3,16 @@
 //! A connection without a request has two timeouts: how long it may be idle, and how long a head
 //! may take after its first byte. hyper has only one timer for both, so this module implements
 //! them.
+//!
+//! A caller of HTTP/1.0 gets a stream without chunks, so the end of its connection is the end of the answer. That
+//! connection is reset unless the answer is whole, also when this process dies.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Duration, Instant, Sleep, sleep_until};
@@ -41,6 +45,16 @@
     answer_deadline: Option<Instant>,
     /// How long the caller may go without taking a byte of the current stream.
     max_stall: Option<Duration>,
+    unframed_answer: Option<UnframedAnswer>,
+}
+
+/// The state of an answer that ends with the caller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UnframedAnswer {
+    /// Some of it is missing.
+    Incomplete,
+    /// All of it has been handed to the connection.
+    Whole,
 }
 
 /// The state of a caller's connection, shared by its stream and its requests.
@@ -55,6 +69,7 @@
             requests_served: 0,
             answer_deadline: None,
             max_stall: None,
+            unframed_answer: None,
         })))
     }
 
@@ -79,6 +94,12 @@
         self.lock().max_stall = Some(max_stall);
     }
 
+    /// Notes that the current answer ends with the connection, which must not close in good order before all of
+    /// the answer has come.
+    pub(crate) fn begin_unframed_answer(&self) {
+        self.lock().unframed_answer = Some(UnframedAnswer::Incomplete);
+    }
+
     /// When a write that blocks now times out.
     fn write_deadline(&self) -> Option<Instant> {
         let state = self.lock();
@@ -132,6 +153,15 @@
 #[derive(Debug)]
 pub(crate) struct BusyGuard(CallerState);
 
+impl BusyGuard {
+    /// Notes that all of the current answer has been handed to the connection.
+    pub(crate) fn mark_whole(&self) {
+        if let Some(answer) = &mut self.0.lock().unframed_answer {
+            *answer = UnframedAnswer::Whole;
+        }
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         let mut state = self.0.lock();
@@ -143,7 +173,7 @@
 }
 
 /// A caller's stream that records when bytes arrive. It fails if a head takes too long or if an
-/// answer is not taken in time.
+/// answer is not taken in time. It is reset if an answer that ends with it is not whole.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     state: CallerState,
@@ -152,11 +182,20 @@
     header_timer: Option<Pin<Box<Sleep>>>,
     /// Set only while the caller takes no bytes.
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the system resets the connection when it closes.
+    resets_on_close: bool,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, state: CallerState, header_timeout: Duration) -> Self {
-        Self { stream, state, header_timeout, header_timer: None, write_timer: None }
+        Self {
+            stream,
+            state,
+            header_timeout,
+            header_timer: None,
+            write_timer: None,
+            resets_on_close: false,
+        }
     }
 
     fn poll_header_timeout(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -189,6 +228,25 @@
         timer.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Sets whether the system resets the connection when it closes. It is set before the first byte of an unframed answer,
+    /// so that it holds when the process dies.
+    fn set_reset_on_close(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets_on_close != resets {
+            let linger = resets.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.resets_on_close = resets;
+        }
+        Ok(())
+    }
+
+    fn has_incomplete_answer(&self) -> bool {
+        self.state.lock().unframed_answer == Some(UnframedAnswer::Incomplete)
+    }
+
+    fn protect_unframed_answer(&mut self) -> io::Result<()> {
+        if self.has_incomplete_answer() { self.set_reset_on_close(true) } else { Ok(()) }
+    }
+
     /// Writes bytes to the socket without waiting, just before it is closed.
     pub(crate) fn write_last(&self, bytes: &[u8]) {
         let _ = self.stream.try_write(bytes);
@@ -219,6 +277,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.protect_unframed_answer()?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.with_write_deadline(written, context)
     }
@@ -228,6 +287,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.protect_unframed_answer()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.with_write_deadline(written, context)
     }
@@ -241,6 +301,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.has_incomplete_answer() {
+            // A shutdown would end the answer in good order. The close that follows resets the connection.
+            return Poll::Ready(self.set_reset_on_close(true));
+        }
+        self.set_reset_on_close(false)?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -170,6 +170,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let busy = state.mark_busy();
+    let has_chunks = request.version() >= Version::HTTP_11;
     count(&shared.counters.requests);
     let gauge = GaugeGuard::new(&shared.counters, Gauge::InProgress);
     let mut log = RequestLog::new(Arc::clone(&shared.metrics), Instant::now());
@@ -182,6 +183,9 @@
     });
     if answer.body().is_stream() {
         state.limit_stalls(Duration::from_millis(shared.settings.caller_stall_ms));
+        if !has_chunks {
+            state.begin_unframed_answer();
+        }
     }
     if shared.closes_connections() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/relay/tests/common/caller.rs
+++ b/crates/relay/tests/common/caller.rs
@@ -96,6 +96,12 @@
         self.buffer.is_empty() && !self.fill().await
     }
 
+    /// Reads everything. Returns whether the relay closes the connection in good order, and does not reset it.
+    pub async fn read_to_orderly_end(&mut self) -> bool {
+        let read = timeout(HANG_TIMEOUT, self.stream.read_to_end(&mut self.buffer)).await;
+        read.expect("the relay sends bytes or closes in time").is_ok()
+    }
+
     async fn take_until(&mut self, end: &str) -> Option<String> {
         loop {
             let found = self.buffer.windows(end.len()).position(|bytes| bytes == end.as_bytes());
--- a/crates/relay/tests/stream_framing.rs
+++ b/crates/relay/tests/stream_framing.rs
@@ -261,3 +261,22 @@
         assert_eq!(caller.read_head().await.status, status, "{method}");
     }
 }
+
+/// Guards against an answer that an HTTP/1.0 caller takes for complete: it has no chunks, so the end of the
+/// connection is all that it can go by.
+#[tokio::test]
+async fn a_broken_off_stream_resets_the_connection_of_a_caller_without_chunks() {
+    let plain = Route { is_stream: true, ..at_most_once_route() };
+    for Ending { name, script } in ENDINGS {
+        let servers = Servers::new(usize::MAX, script).await;
+        let gateway = servers.gateway(plain.clone()).await;
+        let mut caller = Caller::new(gateway.address).await;
+        caller.send(&post("t", "", "").replacen("HTTP/1.1", "HTTP/1.0", 1)).await;
+        assert!(!caller.read_to_orderly_end().await, "{name}");
+    }
+    let servers = Servers::new(0, rest_of_stream).await;
+    let gateway = servers.gateway(plain).await;
+    let mut caller = Caller::new(gateway.address).await;
+    caller.send(&post("t", "", "").replacen("HTTP/1.1", "HTTP/1.0", 1)).await;
+    assert!(caller.read_to_orderly_end().await, "a complete answer");
+}
