Relay: a stream goes on only at the software version that began it

Cause: the entry's version was required and dropped; no record, choice or list of servers had it, so a broken stream went on at any server that was not tried.

BackendRecord has the version (uniform, unknown, named); an unknown one equals none. The version of the server whose first event is forwarded binds the stream; before that the choice is free. A bound request is chosen among all servers of its version, also in a large service, where a sample may miss the few that are left. If none takes it, the answer is broken off at once and the log says why; "Stream began" and "Stream resumed" name the version. Backends also keeps which versions a service had in the last 30 s; nothing uses it yet.

A literal in tests of backends and relay names the new fields.

Open: a server that starts again under its name with another version, where the list is outdated; a server that leaves gets no stream taken up again.

--- a/crates/backends/examples/choice_cost.rs
+++ b/crates/backends/examples/choice_cost.rs
@@ -61,6 +61,7 @@
             slots: 6,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         backends.put(record, Timestamp(0));
     }
@@ -72,8 +73,14 @@
     let service = service();
     for turn in 0..RUNNING_ATTEMPTS {
         let affinity = Some(Affinity::Program(turn << 40));
-        let request =
-            ChoiceRequest { service: &service, affinity, preferred: None, tried: &[], size: None };
+        let request = ChoiceRequest {
+            service: &service,
+            affinity,
+            preferred: None,
+            tried: &[],
+            size: None,
+            version: None,
+        };
         backends.choose(&request, Timestamp(1_000_000));
     }
 }
@@ -121,6 +128,7 @@
             preferred: None,
             tried: &[],
             size,
+            version: None,
         };
         if let Choice::Use { server, .. } = backends.choose(&request, now) {
             backends.record_response_time(&server.id, Duration::from_millis(40), now);
--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -2,7 +2,9 @@
 
 use dahlia_types::Duration;
 
-use crate::{BackendAddress, BackendId, Distance, ServiceName, TurnSize};
+use crate::{
+    BackendAddress, BackendId, BackendRecord, Distance, ServiceName, TurnSize, VersionDigest,
+};
 
 /// A request for a server.
 #[derive(Debug, Clone)]
@@ -17,6 +19,17 @@
     pub tried: &'a [BackendId],
     /// For model servers: the size of the request, if the request states it.
     pub size: Option<TurnSize>,
+    /// The software version at which the request must run; none if it may run at any.
+    pub version: Option<VersionDigest>,
+}
+
+impl ChoiceRequest<'_> {
+    /// Whether the request may go to a server: it was not sent there before, and the server has the version at which
+    /// it must run.
+    pub(crate) fn allows(&self, record: &BackendRecord) -> bool {
+        let has_version = self.version.is_none_or(|it| record.version.digest() == Some(it));
+        has_version && !self.tried.contains(&record.id)
+    }
 }
 
 /// Which requests should go to the same server.
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `selection` | the selection of a server for one request |
 //! | `server` | one server: this daemon's attempts there, and its failures |
 //! | `load_comparison` | the comparison of servers by how much of this daemon's load they carry |
+//! | `version` | the versions of servers' software, and which of them a service had recently |
 //! | `topology` | the distance of a zone: own zone, own region, another region |
 //! | `zone_preference` | whether servers of the own zone answer as soon as others of the region |
 //! | `region_overflow` | the share of requests that goes to other regions |
@@ -64,6 +65,7 @@
 mod table;
 mod time_per_token;
 mod topology;
+mod version;
 mod zone_preference;
 
 pub use choice::{
@@ -80,3 +82,4 @@
 pub use settings::BackendSettings;
 pub use table::{Backends, FailureListener};
 pub use topology::{Distance, Regions};
+pub use version::{SoftwareVersion, VersionDigest, VersionView};
--- a/crates/backends/src/record.rs
+++ b/crates/backends/src/record.rs
@@ -6,6 +6,8 @@
 use dahlia_types::{Duration, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::SoftwareVersion;
+
 /// A service: several servers, each of which can serve the same requests.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -88,6 +90,10 @@
     /// How much longer the server can handle only few requests, because it started recently. This
     /// is the server's last report.
     pub cold_for: Duration,
+    /// The version of its software. Documents between daemons carry it beside the record, since builds before it
+    /// read the record without.
+    #[serde(skip)]
+    pub version: SoftwareVersion,
 }
 
 /// The destination of an attempt.
@@ -98,4 +104,6 @@
     pub id: BackendId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The version of its software.
+    pub version: SoftwareVersion,
 }
--- a/crates/backends/src/selection.rs
+++ b/crates/backends/src/selection.rs
@@ -61,7 +61,8 @@
         };
         let servers = self.services.get(request.service)?;
         let threshold = slow_threshold(servers, &self.settings);
-        let is_large = servers.len() > MAX_COMPARED;
+        // A sample of a large service may lack the few servers of a version.
+        let is_large = servers.len() > MAX_COMPARED && request.version.is_none();
         if is_large
             && let Some((server, reason)) =
                 self.select_without_comparison(servers, request, threshold, now)
@@ -96,12 +97,13 @@
 
     pub(crate) fn refuse(&self, request: &ChoiceRequest<'_>, now: Timestamp) -> Choice {
         let servers = self.services.get(request.service).into_iter();
+        let max_examined = request.version.map_or(MAX_EXAMINED, |_| usize::MAX);
         let examined = servers.flat_map(|servers| {
             let rings = servers.zones().map(|(zone, _)| servers.ring_from(zone, mix(self.seed)));
-            rings.flat_map(|ring| ring.take(MAX_EXAMINED))
+            rings.flat_map(move |ring| ring.take(max_examined))
         });
-        let untried = examined
-            .filter(|server| self.takes_work(server) && !request.tried.contains(&server.record.id));
+        let untried =
+            examined.filter(|server| self.takes_work(server) && request.allows(&server.record));
         let wait =
             |server: &Server| server.remaining_pause(now).max(server.cold_state.closed_for(now));
         let shortest = untried.map(wait).min();
@@ -327,7 +329,7 @@
             && !server.is_paused(now)
             && !server.is_full(&self.settings)
             && !server.cold_state.is_closed(now)
-            && !request.tried.contains(&server.record.id)
+            && request.allows(&server.record)
     }
 
     /// Whether a server is neither suspect nor slow nor in a silent zone.
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -18,10 +18,11 @@
 use crate::service_servers::ServiceServers;
 use crate::silent_zones::SilentZones;
 use crate::topology::Topology;
+use crate::version::VersionHistory;
 use crate::zone_preference::ZonePreference;
 use crate::{
     AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice, ChoiceRequest,
-    Distance, EngineCapacity, EvacuatedZone, Regions, ServiceName,
+    Distance, EngineCapacity, EvacuatedZone, Regions, ServiceName, VersionView,
 };
 
 /// Called with the server of each of this daemon's failed attempts, unless the server was already
@@ -44,6 +45,8 @@
     pub(crate) cold_limiter: ColdLimiter,
     /// The capacity of the model servers of each service.
     pub(crate) engines: BTreeMap<ServiceName, EngineCapacity>,
+    /// The versions that each service had, also of services without servers.
+    versions: BTreeMap<ServiceName, VersionHistory>,
     pub(crate) rejected_loads: RejectedLoads,
     /// Differs between daemons, for choices that should differ between them.
     pub(crate) seed: u64,
@@ -72,6 +75,7 @@
             silent_zones: SilentZones::default(),
             cold_limiter: ColdLimiter::default(),
             engines: BTreeMap::new(),
+            versions: BTreeMap::new(),
             rejected_loads: RejectedLoads::default(),
             seed,
             on_failure: None,
@@ -92,11 +96,13 @@
         if self.has_later_incarnation(&id) {
             return;
         }
+        self.forget_version(&id, now);
+        self.versions.entry(record.service.clone()).or_default().add(&record.version);
         let previous = self.service_by_id.insert(id.clone(), record.service.clone());
         if previous.is_some_and(|service| service != record.service) {
             self.remove_from_services(&id);
         }
-        self.remove_earlier_incarnations(&id);
+        self.remove_earlier_incarnations(&id, now);
         let servers = self.services.entry(record.service.clone()).or_default();
         let cold_for = record.cold_for;
         if servers.put(record, now) {
@@ -121,7 +127,8 @@
     }
 
     /// Removes a server that discovery no longer lists: it gets no new work.
-    pub fn remove(&mut self, id: &BackendId, _now: Timestamp) {
+    pub fn remove(&mut self, id: &BackendId, now: Timestamp) {
+        self.forget_version(id, now);
         self.remove_from_services(id);
         self.service_by_id.remove(id);
     }
@@ -177,6 +184,19 @@
         self.services.values().map(ServiceServers::servers_examined).sum()
     }
 
+    /// Returns the software versions that a service has, or had until recently.
+    pub fn versions(&self, service: &ServiceName, now: Timestamp) -> VersionView {
+        self.versions.get(service).map_or(VersionView::Nothing, |versions| versions.view(now))
+    }
+
+    /// Returns the software versions of all services.
+    pub fn all_versions(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&ServiceName, VersionView)> {
+        self.versions.iter().map(move |(service, versions)| (service, versions.view(now)))
+    }
+
     /// Returns this daemon's attempts at a service that have not ended.
     pub fn in_flight(&self, service: &ServiceName) -> u32 {
         self.services.get(service).map_or(0, ServiceServers::in_flight)
@@ -193,7 +213,11 @@
         let Some((servers, address)) = servers.and_then(|servers| {
             let record = &servers.get(&id)?.record;
             self.silent_zones.record_sent(&record.zone, now);
-            let address = record.address;
+            let address = BackendAddress {
+                id: id.clone(),
+                address: record.address,
+                version: record.version.clone(),
+            };
             Some((servers, address))
         }) else {
             return Choice::NoBackend { retry_after: NO_BACKEND_RETRY };
@@ -203,7 +227,7 @@
             let (size, server) = server;
             server.reserve(size);
         }
-        Choice::Use { server: BackendAddress { id, address }, basis }
+        Choice::Use { server: address, basis }
     }
 
     /// Sets the listener for failures, which reports them to other daemons.
@@ -295,7 +319,7 @@
         server.takes_work() && !self.evacuated_zones.contains(&server.record)
     }
 
-    fn remove_earlier_incarnations(&mut self, id: &BackendId) {
+    fn remove_earlier_incarnations(&mut self, id: &BackendId, now: Timestamp) {
         let first = BackendId::new(id.name.clone(), 0);
         let earlier: Vec<BackendId> = self
             .service_by_id
@@ -303,11 +327,21 @@
             .map(|(earlier, _)| earlier.clone())
             .collect();
         for earlier in earlier {
+            self.forget_version(&earlier, now);
             self.remove_from_services(&earlier);
             self.service_by_id.remove(&earlier);
         }
     }
 
+    /// Counts the known record of a server, if there is one, no more among its service's versions.
+    fn forget_version(&mut self, id: &BackendId, now: Timestamp) {
+        let Some(server) = self.server(id) else { return };
+        let (service, version) = (server.record.service.clone(), server.record.version.clone());
+        if let Some(versions) = self.versions.get_mut(&service) {
+            versions.remove(&version, now);
+        }
+    }
+
     fn remove_from_services(&mut self, id: &BackendId) {
         self.cold_limiter.remove(id);
         for servers in self.services.values_mut() {
--- /dev/null
+++ b/crates/backends/src/version.rs
@@ -0,0 +1,108 @@
+//! The versions of servers' software, and which of them a service had recently.
+//!
+//! What servers of two versions write does not fit together, so a stream goes on only at the version that began
+//! it. While a service has had one version only, every stream began there.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use dahlia_types::{Duration, Timestamp};
+
+use crate::rendezvous::mix;
+
+/// How long a service counts as having several versions after the last server of another version left. Longer than
+/// callers come back to a stream.
+const RECENT_VERSIONS_TIME: Duration = Duration::from_secs(30);
+
+/// The version of a server's software, as discovery describes it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SoftwareVersion {
+    /// Servers of this deployment have no versions; all run the same software.
+    #[default]
+    Uniform,
+    /// The server has a version that is not known here. It equals none.
+    Unknown,
+    /// The version's name.
+    Named(Arc<str>),
+}
+
+/// A hash of a version, the same at all daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct VersionDigest(pub u64);
+
+impl VersionDigest {
+    const UNIFORM: Self = Self(0);
+}
+
+impl SoftwareVersion {
+    /// Returns the version's hash; none if the version is unknown.
+    pub fn digest(&self) -> Option<VersionDigest> {
+        match self {
+            Self::Uniform => Some(VersionDigest::UNIFORM),
+            Self::Unknown => None,
+            Self::Named(name) => {
+                // FNV-1a, with a second multiplication that mixes short names well.
+                let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+                    (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+                });
+                Some(VersionDigest(mix(hash).max(1)))
+            }
+        }
+    }
+
+    /// Its name in logs.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Uniform => "uniform",
+            Self::Unknown => "unknown",
+            Self::Named(name) => name,
+        }
+    }
+}
+
+/// The versions that the servers of a service have or recently had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionView {
+    /// No server is known.
+    Nothing,
+    /// One version only.
+    Only(VersionDigest),
+    /// Several versions, or versions that are not known.
+    Several,
+}
+
+/// Counts the servers of a service by version.
+#[derive(Debug, Default)]
+pub(crate) struct VersionHistory {
+    listed: BTreeMap<SoftwareVersion, usize>,
+    /// When the last server of each other version left.
+    left: BTreeMap<SoftwareVersion, Timestamp>,
+}
+
+impl VersionHistory {
+    pub(crate) fn add(&mut self, version: &SoftwareVersion) {
+        *self.listed.entry(version.clone()).or_default() += 1;
+        self.left.remove(version);
+    }
+
+    pub(crate) fn remove(&mut self, version: &SoftwareVersion, now: Timestamp) {
+        let Some(servers) = self.listed.get_mut(version) else { return };
+        *servers -= 1;
+        if *servers == 0 {
+            self.listed.remove(version);
+            self.left.retain(|_, left_at| now.since(*left_at) < RECENT_VERSIONS_TIME);
+            self.left.insert(version.clone(), now);
+        }
+    }
+
+    pub(crate) fn view(&self, now: Timestamp) -> VersionView {
+        let is_recent = |left_at: &Timestamp| now.since(*left_at) < RECENT_VERSIONS_TIME;
+        let recent = self.left.iter().filter(|(_, left_at)| is_recent(left_at));
+        let mut versions = self.listed.keys().chain(recent.map(|(version, _)| version));
+        match (versions.next(), versions.next()) {
+            (None, _) => VersionView::Nothing,
+            (Some(only), None) => only.digest().map_or(VersionView::Several, VersionView::Only),
+            (Some(_), Some(_)) => VersionView::Several,
+        }
+    }
+}
--- a/crates/backends/tests/choice.rs
+++ b/crates/backends/tests/choice.rs
@@ -25,6 +25,7 @@
         slots: SLOTS,
         state: BackendState::Ready,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -37,7 +38,7 @@
 }
 
 fn new_request<'a>(service: &'a ServiceName, tried: &'a [BackendId]) -> ChoiceRequest<'a> {
-    ChoiceRequest { service, affinity: None, preferred: None, tried, size: None }
+    ChoiceRequest { service, affinity: None, preferred: None, tried, size: None, version: None }
 }
 
 fn chosen_server(choice: Choice) -> Option<BackendId> {
--- a/crates/backends/tests/cold_fleet/mod.rs
+++ b/crates/backends/tests/cold_fleet/mod.rs
@@ -157,6 +157,7 @@
         slots: SLOTS as u32,
         state: BackendState::Ready,
         cold_for,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -314,6 +315,7 @@
                 preferred: preferred.as_ref(),
                 tried: &tried,
                 size: None,
+                version: None,
             };
             let Choice::Use { server, .. } = self.gateways[gateway].choose(&request, now) else {
                 break;
--- a/crates/backends/tests/cold_shares.rs
+++ b/crates/backends/tests/cold_shares.rs
@@ -30,6 +30,7 @@
         slots: 8,
         state: BackendState::Ready,
         cold_for,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -51,7 +52,14 @@
     let service = service();
     let affinity = Some(Affinity::SharedPrompt(SharedPrompt { hash: 7, tokens: 512 }));
     backends.choose(
-        &ChoiceRequest { service: &service, affinity, preferred, tried: &[], size: None },
+        &ChoiceRequest {
+            service: &service,
+            affinity,
+            preferred,
+            tried: &[],
+            size: None,
+            version: None,
+        },
         now,
     )
 }
--- a/crates/backends/tests/connections.rs
+++ b/crates/backends/tests/connections.rs
@@ -46,6 +46,7 @@
         slots: SLOTS,
         state,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -168,6 +169,7 @@
             preferred: preferred.as_ref(),
             tried: &[],
             size: None,
+            version: None,
         };
         let Choice::Use { server, .. } = self.gateways[gateway].choose(&request, now) else {
             panic!("no server takes the turn");
--- a/crates/backends/tests/evacuation.rs
+++ b/crates/backends/tests/evacuation.rs
@@ -185,6 +185,7 @@
         slots: 8,
         state: BackendState::Ready,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -214,6 +215,7 @@
         preferred: preferred.as_ref(),
         tried,
         size: None,
+        version: None,
     };
     backends.choose(&request, NOW)
 }
--- a/crates/backends/tests/fleet.rs
+++ b/crates/backends/tests/fleet.rs
@@ -31,6 +31,7 @@
         slots,
         state: BackendState::Ready,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     };
     let daemon = |seed: u64| {
         let mut backends = Backends::new(BackendSettings::default(), Zone::new("hall-a"), seed);
@@ -43,8 +44,14 @@
 fn choose_server(daemon: &mut Backends, prompt: SharedPrompt, now: Timestamp) -> BackendId {
     let service = service();
     let affinity = Some(Affinity::SharedPrompt(prompt));
-    let request =
-        ChoiceRequest { service: &service, affinity, preferred: None, tried: &[], size: None };
+    let request = ChoiceRequest {
+        service: &service,
+        affinity,
+        preferred: None,
+        tried: &[],
+        size: None,
+        version: None,
+    };
     let Choice::Use { server, .. } = daemon.choose(&request, now) else {
         panic!("there is room");
     };
--- a/crates/backends/tests/incarnations.rs
+++ b/crates/backends/tests/incarnations.rs
@@ -24,6 +24,7 @@
         slots: 2,
         state: BackendState::Ready,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -35,8 +36,14 @@
 
 fn choose_server(backends: &mut Backends, tried: &[BackendId]) -> Option<BackendId> {
     let service = service("assistant");
-    let request =
-        ChoiceRequest { service: &service, affinity: None, preferred: None, tried, size: None };
+    let request = ChoiceRequest {
+        service: &service,
+        affinity: None,
+        preferred: None,
+        tried,
+        size: None,
+        version: None,
+    };
     match backends.choose(&request, NOW) {
         Choice::Use { server, .. } => Some(server.id),
         _ => None,
--- a/crates/backends/tests/large.rs
+++ b/crates/backends/tests/large.rs
@@ -42,6 +42,7 @@
         slots: SLOTS,
         state,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -87,6 +88,7 @@
             preferred: None,
             tried: &[],
             size: None,
+            version: None,
         };
         backends.choose(&request, now);
     }
@@ -101,6 +103,7 @@
             preferred: None,
             tried: &[],
             size: None,
+            version: None,
         };
         if let Some(server) = chosen_server(backends.choose(&request, now)) {
             backends.record_response_time(&server, Duration::from_millis(40), now);
@@ -231,6 +234,7 @@
                     preferred: preferred.as_ref(),
                     tried: &[],
                     size: None,
+                    version: None,
                 };
                 let choice = gateways[gateway].choose(&request, now);
                 let Choice::Use { server, basis } = choice else {
--- a/crates/backends/tests/load_view.rs
+++ b/crates/backends/tests/load_view.rs
@@ -41,6 +41,7 @@
             slots: SLOTS,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         backends.put(record, NOW);
     }
@@ -78,8 +79,14 @@
 ) -> (usize, ChoiceBasis) {
     let service = service();
     let affinity = Some(Affinity::Program(1));
-    let request =
-        ChoiceRequest { service: &service, affinity, preferred, tried: &[], size: Some(SIZE) };
+    let request = ChoiceRequest {
+        service: &service,
+        affinity,
+        preferred,
+        tried: &[],
+        size: Some(SIZE),
+        version: None,
+    };
     let Choice::Use { server, basis } = backends.choose(&request, now) else {
         panic!("no server is free")
     };
@@ -120,8 +127,14 @@
     let service = service();
     for size in [SIZE, HUGE] {
         let size = Some(size);
-        let request =
-            ChoiceRequest { service: &service, affinity: None, preferred: None, tried: &[], size };
+        let request = ChoiceRequest {
+            service: &service,
+            affinity: None,
+            preferred: None,
+            tried: &[],
+            size,
+            version: None,
+        };
         assert!(matches!(backends.choose(&request, NOW), Choice::Use { .. }));
     }
     backends.end_turn(&server_id(0), HUGE, AttemptEnd::Answered, NOW);
@@ -256,6 +269,7 @@
         slots: SLOTS,
         state: BackendState::Ready,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     };
     backends.put(record, NOW);
     backends.apply_load_view(&load_view(vec![before]), NOW);
@@ -266,8 +280,14 @@
 fn expected_ends_decide_only_if_all_conditions_hold() {
     let choice_reason = |backends: &mut Backends, size| {
         let service = service();
-        let request =
-            ChoiceRequest { service: &service, affinity: None, preferred: None, tried: &[], size };
+        let request = ChoiceRequest {
+            service: &service,
+            affinity: None,
+            preferred: None,
+            tried: &[],
+            size,
+            version: None,
+        };
         let Choice::Use { basis, .. } = backends.choose(&request, NOW) else {
             panic!("no server is free")
         };
--- a/crates/backends/tests/regions.rs
+++ b/crates/backends/tests/regions.rs
@@ -61,6 +61,7 @@
         slots: SLOTS as u32,
         state,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     }
 }
 
@@ -244,6 +245,7 @@
                 preferred: None,
                 tried: &tried,
                 size: None,
+                version: None,
             };
             let Choice::Use { server, .. } = self.gateways[gateway].choose(&request, now) else {
                 panic!("no server takes a turn after {tried:?}");
@@ -493,6 +495,7 @@
             preferred: preferred.as_ref(),
             tried: &[],
             size: None,
+            version: None,
         };
         let Choice::Use { server: chosen, .. } = gateway.choose(&request, now) else {
             panic!("{name}: no server");
@@ -513,6 +516,7 @@
             preferred: None,
             tried: &[],
             size: None,
+            version: None,
         };
         let chosen = |number: usize| {
             let mut gateway = gateway(number, BackendSettings::default());
@@ -538,6 +542,7 @@
             preferred: None,
             tried: &tried,
             size: None,
+            version: None,
         };
         let Choice::Use { server, .. } = gateway.choose(&request, Timestamp(1_000_000)) else {
             panic!("there are servers");
--- a/crates/backends/tests/silent_zones.rs
+++ b/crates/backends/tests/silent_zones.rs
@@ -29,6 +29,7 @@
                 slots: SLOTS,
                 state: BackendState::Ready,
                 cold_for: Duration::ZERO,
+                version: dahlia_backends::SoftwareVersion::default(),
             };
             backends.put(record, NOW);
         }
@@ -57,6 +58,7 @@
         preferred,
         tried: &[],
         size: None,
+        version: None,
     };
     match backends.choose(&request, now) {
         Choice::Use { server, .. } => Some((server.id.name[..1].to_string(), server.id)),
@@ -100,6 +102,7 @@
             slots: SLOTS,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         backends.put(record, NOW);
     }
--- a/crates/backends/tests/turn_simulation/mod.rs
+++ b/crates/backends/tests/turn_simulation/mod.rs
@@ -212,6 +212,7 @@
             slots: SLOTS,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         backends.put(record, Timestamp(0));
     }
@@ -360,6 +361,7 @@
             preferred: preferred.as_ref(),
             tried: &[],
             size: Some(size),
+            version: None,
         };
         match self.gateways[gateway].choose(&request, now) {
             Choice::Use { server, .. } => Some(server_number(&server.id)),
--- a/crates/backends/tests/zones.rs
+++ b/crates/backends/tests/zones.rs
@@ -48,6 +48,7 @@
             slots: SLOTS as u32,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         backends.put(record, Timestamp(0));
     }
@@ -137,6 +138,7 @@
             preferred: None,
             tried: &[],
             size: None,
+            version: None,
         };
         let Choice::Use { server, .. } = self.gateways[gateway].choose(&request, now) else {
             panic!("no server takes a turn");
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -40,7 +40,7 @@
             whole_response(response.parts, body.reservation.attach_to(body.bytes), method)
         }
         Answer::Stream { mut response, first } => {
-            exchange.log.stream_began(response.server(), response.parts.status);
+            exchange.log.stream_began(response.server(), response.version(), response.parts.status);
             exchange.mark_answer_begun();
             let mut head = Response::new(());
             *head.status_mut() = response.parts.status;
@@ -265,6 +265,9 @@
             if let Some(turn) = &mut self.exchange.turn {
                 turn.record_event(&event, retained);
             }
+            if let Some(response) = self.response.as_ref().filter(|_| event.has_content()) {
+                self.exchange.record_event_version(response.version());
+            }
             if event.id.is_some() {
                 self.exchange.last_event = event.id;
             }
@@ -306,9 +309,14 @@
         }
         self.reservation = self.exchange.caller.empty_reservation();
         while self.exchange.handle_answer_lost(loss).await.is_ok() {
-            let Ok(mut response) = self.exchange.send_until_response().await else { return false };
+            let Ok(mut response) = self.exchange.send_until_response().await else {
+                if self.exchange.is_bound_to_version() {
+                    self.break_cause = Some("no server of its software version takes it up".into());
+                }
+                return false;
+            };
             if response.parts.status.is_success() {
-                self.exchange.log.stream_resumed(response.server());
+                self.exchange.log.stream_resumed(response.server(), response.version());
                 self.response = Some(response);
                 self.is_resumed = true;
                 if let Some(intervals) = &mut self.intervals {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -18,6 +18,11 @@
 }
 
 impl Event {
+    /// Whether this is an event of the stream, and no comment.
+    pub fn has_content(&self) -> bool {
+        self.id.is_some() || self.data.is_some()
+    }
+
     /// Whether the event comes after the event with identifier `last` in the same stream. Numeric
     /// identifiers ascend; other identifiers can only be compared for equality.
     pub fn is_after(&self, last: &[u8]) -> bool {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,7 +6,7 @@
 use dahlia_admission::Stage;
 use dahlia_backends::{
     Affinity, AttemptEnd, BackendAddress, BackendId, Choice, ChoiceBasis, ChoiceRequest,
-    SharedPrompt, TurnSize,
+    SharedPrompt, SoftwareVersion, TurnSize,
 };
 use dahlia_types::{Duration, Timestamp, Tokens};
 use tokio::time::Instant;
@@ -28,6 +28,7 @@
     AttemptGuard, BrokenAnswer, ChosenServer, ReadWholeError, ServerResponse,
 };
 use crate::turn::Turn;
+use crate::version_bound::VersionBound;
 use crate::wait_queues::SlotGuard;
 use crate::{Repeatability, Route, TurnLedger, priority_level};
 
@@ -62,6 +63,8 @@
     permit: Option<RepeatPermit>,
     /// The server of the last attempt.
     current: Option<BackendAddress>,
+    /// The software versions at which it may run.
+    bound_version: VersionBound,
     /// Number of servers that did not run it.
     refusals: u32,
     /// Whether a server may be running it now.
@@ -108,6 +111,7 @@
             repeat_cause: None,
             permit: None,
             current: None,
+            bound_version: VersionBound::Any,
             refusals: 0,
             is_sent: false,
         }
@@ -262,7 +266,12 @@
             preferred: self.preferred.as_ref(),
             tried: &self.tried,
             size: self.turn_size(),
+            version: self.bound_version.required(),
         };
+        if self.bound_version == VersionBound::Nowhere {
+            let retry_after = Duration::from_millis(self.shared.settings.retry_after_ms);
+            return Choice::NoBackend { retry_after };
+        }
         let now = (self.shared.clock)();
         let mut backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
         let choice = backends.choose(&request, now);
@@ -321,6 +330,19 @@
         self.shared.programs.record_retry_later(&self.head, &self.shared.headers, tenant);
     }
 
+    /// Notes that the caller gets an event of a server of this version. All further events must come from servers of
+    /// the version that made the first one.
+    pub(crate) fn record_event_version(&mut self, version: &SoftwareVersion) {
+        if self.bound_version == VersionBound::Any {
+            self.bound_version = VersionBound::of(version);
+        }
+    }
+
+    /// Whether only servers of one software version may go on with the stream.
+    pub(crate) fn is_bound_to_version(&self) -> bool {
+        self.bound_version != VersionBound::Any
+    }
+
     /// Notes that the answer has begun. If no other server may get the request, its body is freed.
     pub(crate) fn mark_answer_begun(&mut self) {
         let tenant = self.matched.tenant();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 //! | `memory` | memory reserved for callers and servers, and its limits |
 //! | `wait_queues` | the queues of requests that wait for a server |
 //! | `active_programs` | whether a request belongs to an active program |
+//! | `version_bound` | the software versions at which a request may run |
 //! | `prompt_parts` | the shared parts of a prompt |
 //! | `priority` | the priority of a request at servers |
 //! | `outgoing`, `server_response` | a request as one server receives it, and its answer while it arrives |
@@ -80,6 +81,7 @@
 mod tenant;
 mod token_intervals;
 mod turn;
+mod version_bound;
 mod wait_queues;
 
 pub use counters::CounterReadings;
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 
 use dahlia_admission::QueuedRequest;
-use dahlia_backends::{AttemptEnd, BackendId, ChoiceBasis, ServiceName, TurnEstimate};
+use dahlia_backends::{
+    AttemptEnd, BackendId, ChoiceBasis, ServiceName, SoftwareVersion, TurnEstimate,
+};
 use dahlia_types::Duration;
 use http::{HeaderValue, StatusCode};
 use tokio::time::Instant;
@@ -277,12 +279,18 @@
     }
 
     /// A server's stream begins.
-    pub(crate) fn stream_began(&self, server: &BackendId, status: StatusCode) {
+    pub(crate) fn stream_began(
+        &self,
+        server: &BackendId,
+        version: &SoftwareVersion,
+        status: StatusCode,
+    ) {
         self.answer_began();
         log::info!(
             target: "relay",
             request = self.request(),
             server:% = server,
+            version = version.name(),
             status = status.as_u16(),
             age_ms = self.age_ms();
             "Stream began."
@@ -290,11 +298,12 @@
     }
 
     /// A broken stream resumes at another server.
-    pub(crate) fn stream_resumed(&self, server: &BackendId) {
+    pub(crate) fn stream_resumed(&self, server: &BackendId, version: &SoftwareVersion) {
         log::warn!(
             target: "relay",
             request = self.request(),
             server:% = server,
+            version = version.name(),
             age_ms = self.age_ms();
             "Stream resumed."
         );
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use dahlia_backends::{
-    AttemptEnd, BackendAddress, BackendId, Backends, TokenTimes, TurnEstimate, TurnSize,
+    AttemptEnd, BackendAddress, BackendId, Backends, SoftwareVersion, TokenTimes, TurnEstimate,
+    TurnSize,
 };
 use dahlia_types::Timestamp;
 use http::response;
@@ -56,6 +57,7 @@
     backends: Arc<Mutex<Backends>>,
     clock: Clock,
     server: BackendId,
+    version: SoftwareVersion,
     end: AttemptEnd,
     log: RequestLog,
     /// The request's size that the choice used.
@@ -98,6 +100,7 @@
             backends: Arc::clone(&shared.backends),
             clock: Arc::clone(&shared.clock),
             server: server.id.clone(),
+            version: server.version.clone(),
             end: AttemptEnd::Cancelled,
             size: size.unwrap_or_default(),
             expected: *expected,
@@ -196,6 +199,11 @@
         &self.guard.server
     }
 
+    /// The version of the server's software.
+    pub(crate) fn version(&self) -> &SoftwareVersion {
+        &self.guard.version
+    }
+
     /// Takes what is known of the part of the answer that has arrived.
     pub(crate) fn take_received(&mut self) -> Option<ReceivedAnswer> {
         self.guard.received.take()
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -163,6 +163,7 @@
             slots: 8,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         self.backends.lock().expect("the lock is not poisoned").put(record, Timestamp(0));
     }
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -43,6 +43,7 @@
             slots: 8,
             state: BackendState::Ready,
             cold_for: Duration::ZERO,
+            version: dahlia_backends::SoftwareVersion::default(),
         };
         gateway.backends.lock().expect("the lock is not poisoned").put(record, Timestamp(0));
     }
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -241,6 +241,7 @@
             preferred,
             tried,
             size: None,
+            version: None,
         };
         match backends.choose(&request, Timestamp(0)) {
             Choice::Use { server, .. } => Some(server.id.name),
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -59,6 +59,7 @@
         slots: 8,
         state,
         cold_for: Duration::ZERO,
+        version: dahlia_backends::SoftwareVersion::default(),
     };
     gateway.backends.lock().expect("the lock is not poisoned").put(record, Timestamp(0));
 }
