Streams taken up by their callers go on only at the version that began them

Cause: only the gateway that served knew the version, and it was gone; no gateway read Resumes.

As docs/design/stream-versions.md says: while a service has, or had in the last 30 s, several versions, the gateway tells two others, chosen by a hash of the stream, where it began, before its first event leaves; the gateway to which the caller comes back asks those that may know, and binds the request to the version before it opens a turn or a server gets it. What nobody knows is refused at once (503, unknown-origin) unless all that answer have one single version in their lists. A gateway that learns of a second version tells of the streams that it has open. The decisions are node::stream_origins, without I/O; messages are a new kind in datagrams alone, which builds before it drop (samples in 6-datagrams.txt); the tries of a stream without a program go to one service.

--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -34,6 +34,7 @@
 //! | `silent_zones` | zones that are presumed cut off, and their probes |
 //! | `prompt_shares` | the share of the load that each shared prompt has |
 //! | `smoothed_count` | a count averaged over time |
+//! | `stable_hash` | a hash that all daemons compute alike |
 //! | `settings` | the settings of the choice |
 //! | `evacuation_orders` | orders to evacuate zones, merged from several observers |
 //! | `evacuated_zones` | zones whose servers receive no new requests |
@@ -62,6 +63,7 @@
 mod settings;
 mod silent_zones;
 mod smoothed_count;
+mod stable_hash;
 mod table;
 mod time_per_token;
 mod topology;
@@ -80,6 +82,7 @@
 pub use load_report::{LoadView, ServerDigest, ServerLoad, TokenTimes};
 pub use record::{BackendAddress, BackendId, BackendRecord, BackendState, ServiceName};
 pub use settings::BackendSettings;
+pub use stable_hash::stable_hash;
 pub use table::{Backends, FailureListener};
 pub use topology::{Distance, Regions};
 pub use version::{SoftwareVersion, VersionDigest, VersionView};
--- a/crates/backends/src/version.rs
+++ b/crates/backends/src/version.rs
@@ -8,7 +8,7 @@
 
 use dahlia_types::{Duration, Timestamp};
 
-use crate::rendezvous::mix;
+use crate::stable_hash;
 
 /// How long a service counts as having several versions after the last server of another version left. Longer than
 /// callers come back to a stream.
@@ -40,13 +40,7 @@
         match self {
             Self::Uniform => Some(VersionDigest::UNIFORM),
             Self::Unknown => None,
-            Self::Named(name) => {
-                // FNV-1a, with a second multiplication that mixes short names well.
-                let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-                    (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-                });
-                Some(VersionDigest(mix(hash).max(1)))
-            }
+            Self::Named(name) => Some(VersionDigest(stable_hash(name.bytes()).max(1))),
         }
     }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,6 +7,7 @@
 
 use dahlia_configuration::{ChangeOutcome, ConfigurationRecord};
 use dahlia_node::request::{RequestId, Response};
+use dahlia_node::stream_origins::Origin;
 use dahlia_node::wire::PeerMessage;
 use dahlia_node::{
     Action, BackendFailure, Event, FeedOrder, Node, PeerLoads, Reachability, SharedDocument,
@@ -105,6 +106,7 @@
     inbox: mpsc::Receiver<CoreMessage>,
     pending_requests: HashMap<RequestId, oneshot::Sender<Response>>,
     pending_changes: HashMap<RequestId, oneshot::Sender<ChangeOutcome>>,
+    pending_origins: HashMap<RequestId, oneshot::Sender<Option<Origin>>>,
     next_request: u64,
     parts: CoreParts,
     batch: Batch,
@@ -129,6 +131,7 @@
             inbox,
             pending_requests: HashMap::new(),
             pending_changes: HashMap::new(),
+            pending_origins: HashMap::new(),
             // Request identifiers must not repeat those of an earlier incarnation of this daemon.
             next_request: start << 20,
             parts,
@@ -225,6 +228,16 @@
                 self.pending_changes.insert(id, reply);
                 self.handle(Event::ProposeChange { id, proposal });
             }
+            CoreMessage::StreamsBegan(streams, sent) => {
+                self.handle(Event::StreamsBegan(streams));
+                // The stream's caller may have left.
+                let _ = sent.send(());
+            }
+            CoreMessage::FindOrigin(stream, service, reply) => {
+                let id = self.next_id();
+                self.pending_origins.insert(id, reply);
+                self.handle(Event::FindOrigin { id, stream, service });
+            }
             CoreMessage::Query(query) => self.answer_query(query),
         }
     }
@@ -300,6 +313,12 @@
                 // The receiver is dropped in a daemon that forwards no requests.
                 let _ = self.parts.shared.loads.send(loads);
             }
+            Action::OriginFound { id, origin } => {
+                if let Some(reply) = self.pending_origins.remove(&id) {
+                    // The caller that took the stream up may have left.
+                    let _ = reply.send(origin);
+                }
+            }
             Action::ReachChanged(reachability) => {
                 self.parts.metrics.record_reachability(&reachability);
                 self.parts.reachability.send_replace(reachability);
--- a/crates/daemon/src/core_handle.rs
+++ b/crates/daemon/src/core_handle.rs
@@ -7,6 +7,7 @@
 use dahlia_api::{ApiError, ErrorKind};
 use dahlia_configuration::{ChangeOutcome, ChangeProposal};
 use dahlia_node::request::{Request, Response};
+use dahlia_node::stream_origins::{Origin, OriginService, StreamKey, StreamRecord};
 use dahlia_node::{ConfigurationView, DaemonView, EngineView, Event, NodeStatus, Reachability};
 use dahlia_replication::membership::Member;
 use dahlia_types::{GroupId, ReplicaId};
@@ -25,6 +26,10 @@
     Request(Request, oneshot::Sender<Response>),
     /// An operator's change of the configuration, and the channel for its outcome.
     Change(ChangeProposal, oneshot::Sender<ChangeOutcome>),
+    /// Streams that began here, and the channel that tells when other daemons have been sent them.
+    StreamsBegan(Vec<StreamRecord>, oneshot::Sender<()>),
+    /// The question where a stream of a service began, and the channel for its answer.
+    FindOrigin(StreamKey, OriginService, oneshot::Sender<Option<Origin>>),
     /// A query of the node's state.
     Query(Query),
 }
@@ -100,6 +105,23 @@
         })
     }
 
+    /// Tells other daemons where streams began, and then tells `sent`. What is sent may be lost.
+    pub async fn tell_origins(&self, streams: Vec<StreamRecord>, sent: oneshot::Sender<()>) {
+        // The node's task ends only with the process.
+        let _ = self.inbox.send(CoreMessage::StreamsBegan(streams, sent)).await;
+    }
+
+    /// Asks where a stream began and sends the answer to `reply`.
+    pub async fn find_origin(
+        &self,
+        stream: StreamKey,
+        service: OriginService,
+        reply: oneshot::Sender<Option<Origin>>,
+    ) {
+        // The node's task ends only with the process.
+        let _ = self.inbox.send(CoreMessage::FindOrigin(stream, service, reply)).await;
+    }
+
     /// The address of a group's owner, as far as it is known.
     pub async fn owner(&self, group: GroupId) -> Option<SocketAddr> {
         self.query(|reply| Query::Owner(group, reply)).await.flatten()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,7 @@
 //! | `node_settings` | the node's settings, derived from the daemon's |
 //! | `turn_away` | retry delays for callers that a cut-off daemon refuses |
 //! | `slow_steps` | reports steps on the disk that take long while they run |
+//! | `stream_origins` | where streams began, to and from other daemons |
 //! | `traffic` | bytes and messages sent to other daemons, by kind |
 //! | `answers`, `serve_answers` | buffers of answers' text, and serving their readers |
 
@@ -72,5 +73,6 @@
 mod serve_answers;
 pub mod settings;
 pub mod slow_steps;
+pub mod stream_origins;
 pub mod traffic;
 pub mod turn_away;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -22,6 +22,7 @@
 use crate::key_value::{KeyValueEvent, KeyValueOperation};
 use crate::load_sharing::{ItemLoad, PeerLoads};
 use crate::request::{AttemptEnd, ReleaseEnd, Request, RequestId, Response};
+use crate::stream_origins::{Origin, OriginService, OriginView, StreamKey, StreamRecord};
 use crate::wire::PeerMessage;
 use crate::zone_liveness::Reachability;
 
@@ -143,6 +144,19 @@
     OwnLoads(Vec<ItemLoad>),
     /// Stop reporting this daemon's loads until the next [`Self::OwnLoads`].
     OwnLoadsEnded,
+    /// Streams of this daemon began; other daemons are told where.
+    StreamsBegan(Vec<StreamRecord>),
+    /// Find out where a stream began. Answered by [`Action::OriginFound`].
+    FindOrigin {
+        /// The question's identifier, repeated in the answer.
+        id: RequestId,
+        /// The stream.
+        stream: StreamKey,
+        /// Its service.
+        service: OriginService,
+    },
+    /// Where streams of these services can have begun of late.
+    OriginViews(Vec<(OriginService, OriginView)>),
     /// The driver requests a full image of a group, so that it can drop earlier changes.
     ImageWanted(GroupId),
     /// Move all replicas off this daemon while it continues to serve.
@@ -254,6 +268,13 @@
     BackendFailureReported(BackendFailure),
     /// Other daemons reported the loads that they cause.
     LoadsReported(PeerLoads),
+    /// Where a stream began.
+    OriginFound {
+        /// The question.
+        id: RequestId,
+        /// Where it began; none if nobody can tell.
+        origin: Option<Origin>,
+    },
     /// The set of daemons that this one reaches has changed.
     ReachChanged(Reachability),
     /// Perform an operation on this daemon's store.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 //! | `history` | moves old turns to store daemons' disks and reads them back |
 //! | `feed`, `source` | shares an external source that only a few daemons read: decisions, and their use in the node |
 //! | `load_sharing`, `loads` | exchanges load reports between daemons: decisions, and their use in the node |
+//! | `stream_origins`, `stream_origin_events` | tracks where streams began: decisions, and their use in the node |
 //! | `zone_choice` | chooses the daemons that do a task for their whole zone |
 //! | `line_limit` | limits log lines of one kind |
 //! | `superseded` | what a daemon still does after a later process has replaced it |
@@ -69,6 +70,8 @@
 mod routing;
 mod settings;
 mod source;
+mod stream_origin_events;
+pub mod stream_origins;
 mod superseded;
 mod upkeep;
 mod view;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,7 @@
 use crate::reach::ZoneLists;
 use crate::request::NotRunCause;
 use crate::routing::{ReplyTo, Router};
+use crate::stream_origins::StreamOrigins;
 use crate::wire::PeerMessage;
 use crate::zone_liveness::ZoneLiveness;
 use crate::{Action, Event, NodeSettings};
@@ -73,6 +74,7 @@
     pub(crate) feed: Option<Feed>,
     /// None if this daemon does not share loads.
     pub(crate) loads: Option<LoadSharing>,
+    pub(crate) stream_origins: StreamOrigins,
     /// None if cut-off zones are not distinguished from silent daemons.
     pub(crate) zone_liveness: Option<ZoneLiveness>,
     pub(crate) zone_lists: ZoneLists,
@@ -127,7 +129,10 @@
 
     /// Returns the delay until the next tick.
     pub fn tick_interval(&self) -> Duration {
-        let has_work = !self.router.is_empty() || !self.groups.is_empty() || self.draining;
+        let has_work = !self.router.is_empty()
+            || !self.groups.is_empty()
+            || self.draining
+            || self.stream_origins.has_questions();
         let follows = self.settings.follows_configuration;
         let is_probing = self.zone_liveness.as_ref().is_some_and(ZoneLiveness::is_probing);
         if has_work || follows || is_probing {
@@ -172,6 +177,7 @@
             membership,
             feed,
             loads,
+            stream_origins: StreamOrigins::new(settings.own, settings.address),
             zone_liveness,
             zone_lists: ZoneLists::default(),
             scheduler,
@@ -246,6 +252,11 @@
             Event::BackendFailed(failure) => self.report_backend_failure(&failure),
             Event::OwnLoads(own) => self.update_own_loads(&own, now),
             Event::OwnLoadsEnded => self.stop_load_sharing(),
+            Event::StreamsBegan(streams) => self.record_streams(streams, now),
+            Event::FindOrigin { id, stream, service } => {
+                self.find_origin(id, stream, service, now);
+            }
+            Event::OriginViews(views) => self.stream_origins.set_views(views),
             Event::ImageWanted(group) => self.record_image(group),
             Event::Retire => self.retire_daemon(now),
             Event::Drain => self.drain(now),
@@ -369,6 +380,7 @@
         self.propose_deferred(now);
         self.review_limit_keepers(now);
         self.route_due(now);
+        self.check_origin_questions(now);
     }
 
     fn handle_message(&mut self, from: ReplicaId, message: PeerMessage, now: Timestamp) {
@@ -391,6 +403,7 @@
             }
             PeerMessage::Feed(message) => self.receive_feed_message(from.daemon, message, now),
             PeerMessage::Loads(message) => self.receive_load_message(from, message, now),
+            PeerMessage::Origins(message) => self.receive_origin_message(from, message, now),
         }
     }
 
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -13,6 +13,7 @@
 use crate::history::ChunkMessage;
 use crate::load_sharing::LoadMessage;
 use crate::request::{Request, RequestId, Response};
+use crate::stream_origins::OriginMessage;
 
 /// Version of this protocol. A daemon refuses a peer with another version and names the version.
 pub const PROTOCOL_VERSION: u32 = 6;
@@ -130,6 +131,8 @@
     /// A message about loads. It is sent only in datagrams: builds that do not know it drop a datagram,
     /// but would close a connection.
     Loads(LoadMessage),
+    /// A message about where streams began. It is sent only in datagrams, like [`Self::Loads`].
+    Origins(OriginMessage),
 }
 
 /// The kind of a message, by which its bytes are counted.
@@ -153,11 +156,13 @@
     Feed,
     /// Loads.
     Loads,
+    /// Where streams began.
+    Origins,
 }
 
 impl MessageKind {
     /// All kinds, in order of declaration.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Groups,
         Self::Configuration,
         Self::Membership,
@@ -167,6 +172,7 @@
         Self::Responses,
         Self::Feed,
         Self::Loads,
+        Self::Origins,
     ];
 
     /// Returns the kind's name in logs and metrics.
@@ -181,6 +187,7 @@
             Self::Responses => "responses",
             Self::Feed => "feed",
             Self::Loads => "loads",
+            Self::Origins => "origins",
         }
     }
 }
@@ -210,6 +217,7 @@
             Self::Response { .. } => MessageKind::Responses,
             Self::Feed(_) => MessageKind::Feed,
             Self::Loads(_) => MessageKind::Loads,
+            Self::Origins(_) => MessageKind::Origins,
         }
     }
 
@@ -217,7 +225,7 @@
     pub fn transport(&self) -> Transport {
         match self {
             Self::Membership(_) => Transport::DatagramIfFits,
-            Self::Loads(_) => Transport::DatagramOnly,
+            Self::Loads(_) | Self::Origins(_) => Transport::DatagramOnly,
             _ => Transport::Connection,
         }
     }
--- a/crates/node/tests/wire_forms.rs
+++ b/crates/node/tests/wire_forms.rs
@@ -24,6 +24,9 @@
 use dahlia_node::feed::{FeedMessage, SourceReport};
 use dahlia_node::load_sharing::{ItemLoad, LoadMessage, LoadPart, ReporterState};
 use dahlia_node::request::{Request, RequestId, Response};
+use dahlia_node::stream_origins::{
+    Origin, OriginAnswer, OriginMessage, OriginService, OriginView, StreamKey, StreamRecord,
+};
 use dahlia_node::wire::{ConnectionPurpose, Hello, PROTOCOL_VERSION, PeerMessage, Transport};
 use dahlia_program::Command;
 use dahlia_replication::group::{
@@ -382,10 +385,31 @@
     loads().into_iter().for_each(|(name, message)| checker.check(name, message));
 }
 
+fn origins() -> [(&'static str, PeerMessage); 4] {
+    let (id, stream) = (RequestId(1 << 40), StreamKey(0xfeed_beef_0000_0001));
+    let origin = Origin(18_296_317_616_087_943_713);
+    let record = StreamRecord { stream, origin, lifetime: Duration::from_millis(4_200) };
+    let answer = |answer| OriginMessage::Answer { id, stream, answer };
+    let ask = OriginMessage::Ask { id, stream, service: OriginService(7), reply_to: address() };
+    [
+        ("origins-tell", OriginMessage::Tell { records: vec![record] }),
+        ("origins-ask", ask),
+        ("origins-began", answer(OriginAnswer::Began(origin))),
+        ("origins-unknown", answer(OriginAnswer::Unknown(OriginView::Only(origin)))),
+    ]
+    .map(|(name, message)| (name, PeerMessage::Origins(message)))
+}
+
+fn check_origins(checker: &mut SampleChecker) {
+    for (name, message) in origins() {
+        checker.check(name, message);
+    }
+}
+
 /// A kind that was added after the first build of this version would close a connection to that build.
 #[test]
 fn kinds_added_later_are_sent_only_in_datagrams() {
-    for (name, message) in loads() {
+    for (name, message) in loads().into_iter().chain(origins()) {
         assert_eq!(message.transport(), Transport::DatagramOnly, "{name}");
     }
     // All other kinds are among the samples of that build, or older.
@@ -412,6 +436,7 @@
     check_limits(&mut checker);
     check_feed(&mut checker);
     check_loads(&mut checker);
+    check_origins(&mut checker);
     let stored = stored_samples().len();
     let found = checker.encoded.lines().count();
     assert!(
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -188,6 +188,7 @@
     async fn next_piece(&mut self) -> NextPiece {
         loop {
             if let Some(piece) = self.next_forwardable() {
+                self.exchange.await_origin_sent().await;
                 return NextPiece::Piece(piece);
             }
             if self.has_oversized_event() {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
     SharedPrompt, SoftwareVersion, TurnSize,
 };
 use dahlia_types::{Duration, Timestamp, Tokens};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::attempt::{PreparedRequest, SendOutcome, connect};
@@ -40,6 +41,8 @@
     pub(crate) deadline: Instant,
     /// When its body was complete.
     pub(crate) arrived: Timestamp,
+    /// When its caller gives up, which may come back before.
+    pub(crate) caller_deadline: Timestamp,
     /// When it stops waiting in the queue for a server.
     pub(crate) leave_by: Timestamp,
     pub(crate) turn: Option<Turn<L>>,
@@ -64,7 +67,11 @@
     /// The server of the last attempt.
     current: Option<BackendAddress>,
     /// The software versions at which it may run.
-    bound_version: VersionBound,
+    pub(crate) bound_version: VersionBound,
+    /// Whether other daemons can learn where its stream began.
+    is_origin_recorded: bool,
+    /// Tells when other daemons have been sent where its stream began.
+    pub(crate) origin_sent: Option<oneshot::Receiver<()>>,
     /// Number of servers that did not run it.
     refusals: u32,
     /// Whether a server may be running it now.
@@ -92,8 +99,11 @@
         let arrived = (shared.clock)();
         let time_left = deadline.saturating_duration_since(Instant::now());
         let leave_by = Self::leave_by(arrived, time_left, shared.settings.waiting.wait_share);
+        let caller_timeout = head.caller_timeout.unwrap_or(time_left);
+        let caller_deadline = arrived + Duration::from_secs_f64(caller_timeout.as_secs_f64());
         Self {
             arrived,
+            caller_deadline,
             leave_by,
             caller: caller.clone(),
             log,
@@ -112,11 +122,17 @@
             permit: None,
             current: None,
             bound_version: VersionBound::Any,
+            is_origin_recorded: false,
+            origin_sent: None,
             refusals: 0,
             is_sent: false,
         }
     }
 
+    pub(crate) fn head(&self) -> &RequestHead {
+        &self.head
+    }
+
     pub(crate) fn route(&self) -> &Route {
         self.matched.route()
     }
@@ -336,6 +352,10 @@
         if self.bound_version == VersionBound::Any {
             self.bound_version = VersionBound::of(version);
         }
+        if !self.is_origin_recorded && self.route().is_resumable {
+            self.is_origin_recorded = true;
+            self.record_origin();
+        }
     }
 
     /// Whether only servers of one software version may go on with the stream.
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -35,6 +35,8 @@
     pub priority: HeaderName,
     /// The last event that the reader has received.
     pub last_event: HeaderName,
+    /// The attempt that brought the first event of a stream which the caller takes up.
+    pub resumes: HeaderName,
     /// Relay to server: the tenant of the request.
     pub tenant: HeaderName,
     /// The authentication scheme with which callers send their key in `Authorization`.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,7 +28,8 @@
 //! | `memory` | memory reserved for callers and servers, and its limits |
 //! | `wait_queues` | the queues of requests that wait for a server |
 //! | `active_programs` | whether a request belongs to an active program |
-//! | `version_bound` | the software versions at which a request may run |
+//! | `taken_up` | streams that callers take up |
+//! | `version_bound`, `stream_origins` | the software versions at which a request may run, and those at which streams began |
 //! | `prompt_parts` | the shared parts of a prompt |
 //! | `priority` | the priority of a request at servers |
 //! | `outgoing`, `server_response` | a request as one server receives it, and its answer while it arrives |
@@ -78,6 +79,8 @@
 mod server_response;
 mod server_slot;
 mod settings;
+mod stream_origins;
+mod taken_up;
 mod tenant;
 mod token_intervals;
 mod turn;
@@ -98,4 +101,5 @@
     WeightedService,
 };
 pub use settings::RelaySettings;
+pub use stream_origins::{OriginRequest, StreamId, StreamOrigin, StreamOrigins};
 pub use token_intervals::TokenIntervals;
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -46,6 +46,9 @@
     Stopping { retry_after: Duration },
     #[snafu(display("the ledger did not answer"))]
     LedgerUnavailable { retry_after: Duration },
+    /// Nobody knows at which software version the stream began that the caller takes up.
+    #[snafu(display("the software version that began the stream is not known"))]
+    UnknownOrigin { retry_after: Duration },
     #[snafu(display("the program's budget is spent"))]
     BudgetSpent,
     #[snafu(display("there is no such turn"))]
@@ -65,7 +68,8 @@
             | Self::Rejected { .. }
             | Self::MemoryFull { .. }
             | Self::Stopping { .. }
-            | Self::LedgerUnavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::LedgerUnavailable { .. }
+            | Self::UnknownOrigin { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
             Self::UnknownKey { .. } => StatusCode::UNAUTHORIZED,
             Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
@@ -95,6 +99,7 @@
             Self::MemoryFull { .. } => "memory-full",
             Self::Stopping { .. } => "stopping",
             Self::LedgerUnavailable { .. } => "ledger-unavailable",
+            Self::UnknownOrigin { .. } => "unknown-origin",
             Self::BudgetSpent => "budget-spent",
             Self::NoSuchTurn => "no-such-turn",
             Self::AnswerLost => "answer-lost",
@@ -110,7 +115,8 @@
             | Self::Rejected { retry_after, .. }
             | Self::MemoryFull { retry_after }
             | Self::Stopping { retry_after }
-            | Self::LedgerUnavailable { retry_after } => Some(*retry_after),
+            | Self::LedgerUnavailable { retry_after }
+            | Self::UnknownOrigin { retry_after } => Some(*retry_after),
             _ => None,
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,7 +19,8 @@
 use crate::router::RouteIndex;
 use crate::wait_queues::WaitQueues;
 use crate::{
-    CallerLimits, HeaderNames, RelaySettings, RouteTable, TenantLimits, TurnLedger, server,
+    CallerLimits, HeaderNames, RelaySettings, RouteTable, StreamOrigins, TenantLimits, TurnLedger,
+    server,
 };
 
 /// Returns the daemon's time, for [`Backends`] and the ledger.
@@ -39,6 +40,7 @@
     pub(crate) memory: Arc<MemoryQuota>,
     pub(crate) repeats: Arc<RepeatBudgets>,
     pub(crate) programs: ActivePrograms,
+    pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) queues: Arc<WaitQueues>,
     pub(crate) drain: watch::Sender<bool>,
     pub(crate) stops_accepting: watch::Sender<bool>,
@@ -105,6 +107,7 @@
             memory: MemoryQuota::new(&settings),
             repeats: RepeatBudgets::new(&settings),
             programs: ActivePrograms::default(),
+            origins: Arc::default(),
             drain: watch::Sender::new(false),
             stops_accepting: watch::Sender::new(false),
             refuses_requests: AtomicBool::new(false),
@@ -144,6 +147,11 @@
         self.lock_backends().set_silent_zones(silent);
     }
 
+    /// Where this relay's streams began, for the daemon that spreads it.
+    pub fn stream_origins(&self) -> Arc<StreamOrigins> {
+        Arc::clone(&self.shared.origins)
+    }
+
     /// The zones that are being evacuated, and the requests still running there.
     pub fn evacuations(&self) -> Vec<EvacuatedZone> {
         self.lock_backends().evacuations()
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -39,6 +39,13 @@
     authorization: Option<HeaderValue>,
 }
 
+/// A stream that its caller takes up.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TakenUpStream<'a> {
+    /// The attempt that brought its first event, if the caller says so.
+    pub(crate) first_attempt: Option<&'a [u8]>,
+}
+
 impl RequestHead {
     /// Checks and parses a head.
     pub(crate) fn parse(
@@ -113,6 +120,13 @@
         Some(text).filter(|text| !text.is_empty())
     }
 
+    /// The stream that the caller takes up; none if the request begins one.
+    pub(crate) fn taken_up_stream(&self, names: &HeaderNames) -> Option<TakenUpStream<'_>> {
+        let first_attempt = self.headers.get(&names.resumes).map(HeaderValue::as_bytes);
+        let last_event = self.headers.get(&names.last_event);
+        (first_attempt.is_some() || last_event.is_some()).then_some(TakenUpStream { first_attempt })
+    }
+
     /// An identifier that the caller chose, from a header.
     pub(crate) fn identifier(&self, name: &HeaderName) -> Result<Option<&str>, Refusal> {
         match self.text(name) {
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -9,7 +9,7 @@
 
 use dahlia_admission::QueuedRequest;
 use dahlia_backends::{
-    AttemptEnd, BackendId, ChoiceBasis, ServiceName, SoftwareVersion, TurnEstimate,
+    AttemptEnd, BackendId, ChoiceBasis, ServiceName, SoftwareVersion, TurnEstimate, VersionDigest,
 };
 use dahlia_types::Duration;
 use http::{HeaderValue, StatusCode};
@@ -297,6 +297,32 @@
         );
     }
 
+    /// The caller takes up a stream, and this version began it; none if nobody can tell.
+    pub(crate) fn stream_taken_up(
+        &self,
+        first_attempt: Option<&str>,
+        version: Option<VersionDigest>,
+    ) {
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            first_attempt = first_attempt.unwrap_or(MISSING),
+            version:% = OrMissing(version.map(|version| version.0)),
+            age_ms = self.age_ms();
+            "Stream taken up."
+        );
+    }
+
+    /// Other daemons have not been sent in time where the stream began.
+    pub(crate) fn origin_not_sent(&self) {
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            age_ms = self.age_ms();
+            "An event did not wait longer until other daemons know its stream."
+        );
+    }
+
     /// A broken stream resumes at another server.
     pub(crate) fn stream_resumed(&self, server: &BackendId, version: &SoftwareVersion) {
         log::warn!(
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -268,6 +268,7 @@
 }
 
 async fn open_and_answer<L: TurnLedger>(exchange: &mut Exchange<L>) -> Result<Answer, Refusal> {
+    exchange.bind_taken_up_stream().await?;
     exchange.open_turn().await?;
     exchange.obtain_answer().await
 }
@@ -280,7 +281,10 @@
     let retry_after = dahlia_types::Duration::from_millis(shared.settings.retry_after_ms);
     let index = shared.routing().ok_or(Refusal::NoConfiguration { retry_after })?;
     let program = head.text(&shared.headers.program).map(str::as_bytes);
-    let key = hash_key(program.unwrap_or(head.attempt.as_bytes()));
+    // The tries of one stream go to one service.
+    let taken_up = head.taken_up_stream(&shared.headers);
+    let attempt = taken_up.and_then(|it| it.first_attempt).unwrap_or(head.attempt.as_bytes());
+    let key = hash_key(program.unwrap_or(attempt));
     index.find(&head.host, head.target.path(), key).ok_or(Refusal::NoRoute)
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -46,6 +46,7 @@
         previous_turn: name("x-previous"),
         priority: name("x-priority"),
         last_event: name("x-last-event"),
+        resumes: name("x-resumes"),
         tenant: name("x-tenant"),
         key_scheme: "Key",
         object_cookie: "object",
--- a/crates/replay/src/world/actions.rs
+++ b/crates/replay/src/world/actions.rs
@@ -116,6 +116,7 @@
             | Action::Feed(_) => {}
             Action::BackendFailureReported(_)
             | Action::LoadsReported(_)
+            | Action::OriginFound { .. }
             | Action::ReachChanged(_) => {}
             Action::Stop { .. } | Action::Superseded { .. } => self.kill_daemon(id, Duration::ZERO),
         }
