Load tool: an engine's answer that breaks off is an error

It took the end of the body for the end of the answer. The connections of an engine that dies are closed in good order, so an answer without length and chunks was counted and measured as answered, with whatever had come of it, and went into the prompt of the next turn.

an_answer_that_ends_before_its_last_event_is_an_error failed at its first case (no event at all was an empty answer). It passes now: an answer is whole only with its last event, [DONE], as the caller of the daemons already has it. The body is still read to its end, so that the connection is kept and the latency is measured as before. No figure of rehearse load was taken again.

--- a/crates/rehearsal/src/direct.rs
+++ b/crates/rehearsal/src/direct.rs
@@ -11,6 +11,9 @@
 use crate::RehearsalError;
 use crate::caller::Answer;
 
+/// The data of the last event of an answer (OpenAI API reference, "Chat").
+const END_OF_ANSWER: &str = "[DONE]";
+
 /// A caller of one engine. It keeps the conversation and sends all of it with each turn.
 pub struct DirectCaller {
     client: Client,
@@ -53,18 +56,26 @@
         let mut first = None;
         let mut stream = response.bytes_stream();
         let mut buffered = String::new();
+        let mut is_whole = false;
         while let Some(bytes) = stream.next().await {
             let bytes = bytes.map_err(|error| self.caller_error(&error.to_string()))?;
             buffered.push_str(&String::from_utf8_lossy(&bytes));
             while let Some(end) = buffered.find("\n\n") {
                 let event: String = buffered.drain(..end + 2).collect();
-                let piece = parse_event_text(&event);
+                let data = event_data(&event);
+                is_whole |= data == END_OF_ANSWER;
+                let piece = parse_text(data);
                 if !piece.is_empty() {
                     first.get_or_insert_with(|| started.elapsed());
                 }
                 answer.text.push_str(&piece);
             }
         }
+        // The connections of a process that dies are closed in good order, so only the last event shows that the
+        // answer is whole.
+        if !is_whole {
+            return Err(self.caller_error("the answer ended before its last event"));
+        }
         answer.total_latency = started.elapsed();
         answer.first_text_latency = first.unwrap_or(answer.total_latency);
         self.messages.push(json!({"role": "assistant", "content": answer.text}));
@@ -77,8 +88,11 @@
     }
 }
 
-fn parse_event_text(event: &str) -> String {
-    let data = event.lines().find_map(|line| line.strip_prefix("data: ")).unwrap_or_default();
+fn event_data(event: &str) -> &str {
+    event.lines().find_map(|line| line.strip_prefix("data: ")).unwrap_or_default()
+}
+
+fn parse_text(data: &str) -> String {
     let chunk: Value = serde_json::from_str(data).unwrap_or_default();
     chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default().to_owned()
 }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod cluster;
 pub mod compare;
 pub mod demo;
-mod direct;
+pub mod direct;
 mod error;
 mod latency;
 pub mod load;
