--- a/crates/ctl/src/configuration.rs
+++ b/crates/ctl/src/configuration.rs
@@ -161,8 +161,9 @@
     loop {
         let next = generations.message().await;
         let next = next.map_err(|status| status_failure("following the configuration", &status))?;
+        // A watch has no end of its own, so one that the daemon ends has lost what comes after.
         let Some(generation) = next else {
-            return Ok(String::new());
+            return Err(Failure::WatchEnded { printed });
         };
         // Each generation is printed at once; the returned text is what remains to be printed.
         print!("{}", output::change(&generation, format)?);
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -51,6 +51,12 @@
         /// The last error message.
         message: String,
     },
+    /// The daemon ended a watch, as it does when it stops.
+    #[snafu(display("the daemon ended the watch; generations printed: {printed}"))]
+    WatchEnded {
+        /// Number of generations that were printed.
+        printed: u32,
+    },
     /// The daemon refused.
     #[snafu(display("{step}: {name}: {message}{}", format_retry_delay(*retry_after_ms)))]
     Refused {
@@ -93,7 +99,7 @@
     match failure {
         Failure::Usage { .. } | Failure::Read { .. } | Failure::Document { .. } => 2,
         Failure::OutcomeUnknown { .. } => 8,
-        Failure::Connect { .. } => 3,
+        Failure::Connect { .. } | Failure::WatchEnded { .. } => 3,
         Failure::EncodeJson { .. } => 1,
         Failure::Refused { name, .. } => match name.as_str() {
             "invalid_request" | "too_large" => 2,
--- a/crates/daemon/src/operators/configuration.rs
+++ b/crates/daemon/src/operators/configuration.rs
@@ -12,7 +12,7 @@
 };
 use dahlia_node::ConfigurationView;
 use dahlia_types::Generation;
-use futures::{Stream, StreamExt};
+use futures::{Stream, StreamExt, stream};
 use tokio_stream::wrappers::WatchStream;
 use tonic::{Request, Response, Status};
 
@@ -95,7 +95,9 @@
         let records = WatchStream::new(self.in_force.clone());
         let generations =
             records.filter_map(async |record| record.map(|record| Ok(generation(&record))));
-        Ok(Response::new(Box::pin(generations)))
+        // An end in good order would say that no generation follows.
+        let end = stream::once(async { Err(status(&unavailable("the daemon is stopping"))) });
+        Ok(Response::new(Box::pin(generations.chain(end))))
     }
 }
 
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use dahlia_api::headers;
+use dahlia_api::operators::configuration_client::ConfigurationClient;
 use dahlia_api::operators::{
     CreateProgramRequest, ListProgramsRequest, RaiseBudgetRequest, ShowProgramRequest,
+    WatchConfigurationRequest,
 };
 use dahlia_ctl::arguments::Arguments;
 use dahlia_ctl::{Failure, exit_code};
@@ -207,3 +209,19 @@
     let codes: Vec<u8> = names.iter().map(code).collect();
     assert_eq!(codes, [2, 6, 4, 4, 1, 5, 7, 2, 7, 3, 3, 1, 1, 5, 3, 1]);
 }
+
+/// Guards against a watch that a stopping daemon ends as if nothing could follow.
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_ends_with_an_error_when_its_daemon_stops() {
+    let mut system = System::one_daemon().await;
+    let daemon = system.daemons.remove(0);
+    let address = format!("http://{}", daemon.operators_address);
+    let mut operators = ConfigurationClient::connect(address).await.expect("connects");
+    let watch = operators.watch(with_token(WatchConfigurationRequest {})).await;
+    let mut generations = watch.expect("is opened").into_inner();
+    let first = generations.message().await.expect("is sent");
+    assert_eq!(first.map(|first| first.generation), Some(1));
+    daemon.stop();
+    let ended = generations.message().await.expect_err("other generations may follow");
+    insta::assert_snapshot!(error_text(&ended), @"Unavailable unavailable: the daemon is stopping");
+}
