Rehearsal: a child's line without its line feed is not taken

The tool learns the addresses of its children from the line with which they announce that they are ready. The end of the output also ended a line, so of a child that died inside its announcement a cut line was taken: the child counted as ready, and the tool would call the address of another process, 127.0.0.1:1 for 127.0.0.1:1234.

--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -9,7 +9,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use snafu::ResultExt;
-use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -93,12 +93,12 @@
         let Some(output) = output else {
             return Err(process.not_ready("its output is not readable"));
         };
-        let mut lines = BufReader::new(output).lines();
-        match timeout(READY_TIMEOUT, read_ready_line(&mut lines)).await {
+        let mut output = BufReader::new(output);
+        match timeout(READY_TIMEOUT, read_ready_line(&mut output)).await {
             Ok(Ok(Some(line))) => {
                 // Later output is always read, so that the process does not block on a full pipe.
                 tokio::spawn(async move {
-                    while let Ok(Some(line)) = lines.next_line().await {
+                    while let Ok(Some(line)) = read_line(&mut output).await {
                         let _ = sender.send(line);
                     }
                 });
@@ -175,11 +175,19 @@
 }
 
 /// Reads lines until one announces that the process is ready. None if the output ends before.
-async fn read_ready_line(lines: &mut Lines<BufReader<ChildStdout>>) -> io::Result<Option<String>> {
-    while let Some(line) = lines.next_line().await? {
+async fn read_ready_line(output: &mut BufReader<ChildStdout>) -> io::Result<Option<String>> {
+    while let Some(line) = read_line(output).await? {
         if READY_LINE_PREFIXES.iter().any(|prefix| line.starts_with(prefix)) {
             return Ok(Some(line));
         }
     }
     Ok(None)
 }
+
+/// Reads the next line; `None` at the end of the output. Text without a line feed before the end is not a line, since
+/// the process may have died inside it.
+async fn read_line(output: &mut BufReader<ChildStdout>) -> io::Result<Option<String>> {
+    let mut line = String::new();
+    output.read_line(&mut line).await?;
+    Ok(line.strip_suffix('\n').map(str::to_owned))
+}
