Adapters and metadata store: tests of answers cut at any byte

These tests cut such answers at every byte, of each form of answer of the adapters and of each call of the metadata store that reads a body: none is taken, and each leaves the outcome unknown; a refusal or a conflict that broke off promises nothing.

--- a/crates/adapters/tests/bad_peers.rs
+++ b/crates/adapters/tests/bad_peers.rs
@@ -5,14 +5,19 @@
 use std::net::SocketAddr;
 
 use dahlia_adapters::engine::{GenerateEvent, GenerateLine, GenerateRequest, StopReason};
+use dahlia_adapters::key_value::LeaseId;
+use dahlia_adapters::tool::{InvokeEvent, InvokeLine, InvokeRequest};
+use dahlia_adapters::weights::FetchEvent;
 use dahlia_adapters::{
     Certainty, ClientSettings, EngineClient, EngineEndpoint, EngineError, KeyValueClient,
-    KeyValueError, TransportError,
+    KeyValueError, MachineListClient, ToolClient, TransportError, WeightStoreClient,
 };
 use dahlia_types::{
-    Attempt, AttemptId, EngineId, Incarnation, ModelId, TenantId, Term, Tokens, Usage,
+    Attempt, AttemptId, Bytes, EngineId, Incarnation, ModelId, Repeatability, TenantId, Term,
+    Tokens, Usage,
 };
 use futures::StreamExt;
+use serde::Serialize;
 use support::{AfterAnswer, response, spawn_peer, streamed_response};
 use tokio::net::TcpSocket;
 
@@ -265,3 +270,124 @@
         assert!(matches!(error, KeyValueError::Unknown { .. }));
     }
 }
+
+/// Guards against an answer that ends with its connection, because its peer died, and is taken for whole.
+#[tokio::test]
+async fn an_answer_cut_at_any_byte_leaves_the_outcome_unknown() {
+    for call in ALL_CALLS {
+        let whole = call.answer();
+        for length in 0..whole.len() {
+            let cut = &whole[..length];
+            let address = spawn_peer(streamed_response(cut), AfterAnswer::Close).await;
+            assert_eq!(call.send(address).await, Err(Certainty::Unknown), "{call:?}: {cut:?}");
+        }
+        let address = spawn_peer(streamed_response(&whole), AfterAnswer::Close).await;
+        assert_eq!(call.send(address).await, Ok(()), "{call:?}");
+    }
+}
+
+/// Guards against a refusal that broke off and is taken for the promise that the attempt has not run.
+#[tokio::test]
+async fn a_refusal_cut_at_any_byte_leaves_the_outcome_unknown() {
+    let whole = r#"{"refusal":"Leaving"}"#;
+    for length in 0..=whole.len() {
+        let head = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n";
+        let address = spawn_peer(format!("{head}{}", &whole[..length]), AfterAnswer::Close).await;
+        let opened = engine_client(address, settings()).generate(&generate_request()).await;
+        let is_whole = length == whole.len();
+        let expected = if is_whole { Certainty::NotRun } else { Certainty::Unknown };
+        let certainty = opened.err().expect("no stream").certainty();
+        assert_eq!(certainty, expected, "{:?}", &whole[..length]);
+    }
+}
+
+/// Calls with every form of answer: bodies, and lines with a last event.
+#[derive(Debug, Clone, Copy)]
+enum Call {
+    Generate,
+    GetKey,
+    RevokeLease,
+    Machines,
+    ToolState,
+    Invoke,
+    FetchWeights,
+}
+
+const ALL_CALLS: [Call; 7] = [
+    Call::Generate,
+    Call::GetKey,
+    Call::RevokeLease,
+    Call::Machines,
+    Call::ToolState,
+    Call::Invoke,
+    Call::FetchWeights,
+];
+
+impl Call {
+    /// The body of a whole answer.
+    fn answer(self) -> String {
+        let done = InvokeEvent::Done { body: "12".to_owned() };
+        let fetched = FetchEvent::Done { transferred: Bytes(12) };
+        match self {
+            Self::Generate => token_line(0, "ab") + &finished_line(),
+            Self::GetKey => r#"{"revision":12,"found":null}"#.to_owned(),
+            Self::RevokeLease => "{}".to_owned(),
+            Self::Machines => r#"{"revision":12,"at":34,"machines":[]}"#.to_owned(),
+            Self::ToolState => r#""NeverStarted""#.to_owned(),
+            Self::Invoke => line(&InvokeLine { attempt: attempt_id(), event: done }),
+            Self::FetchWeights => line(&fetched),
+        }
+    }
+
+    /// Sends the call. Returns whether its answer is taken, or what is known of the call if it is not.
+    async fn send(self, peer: SocketAddr) -> Result<(), Certainty> {
+        let address = peer.to_string();
+        let key_value = KeyValueClient::new(&address, settings());
+        let tool = ToolClient::new(&address, settings());
+        match self {
+            Self::Generate => match count_events(peer, settings()).await {
+                (_, None) => Ok(()),
+                (_, Some(error)) => Err(error.certainty()),
+            },
+            Self::GetKey => {
+                let found = key_value.get("key").await;
+                found.map(drop).map_err(|error| error.certainty())
+            }
+            Self::RevokeLease => {
+                let revoked = key_value.revoke_lease(LeaseId(1)).await;
+                revoked.map_err(|error| error.certainty())
+            }
+            Self::Machines => {
+                let listed = MachineListClient::new(&address, settings()).list().await;
+                listed.map(drop).map_err(|error| error.certainty())
+            }
+            Self::ToolState => {
+                let state = tool.attempt(attempt_id()).await;
+                state.map(drop).map_err(|error| error.certainty())
+            }
+            Self::Invoke => {
+                let result = tool.invoke(&invoke_request()).await;
+                result.map(drop).map_err(|error| error.certainty())
+            }
+            Self::FetchWeights => {
+                let client = WeightStoreClient::new(&address, settings());
+                let fetched = client.fetch(&ModelId::new("m@1"), &EngineId::new("e1")).await;
+                fetched.map(drop).map_err(|error| error.certainty())
+            }
+        }
+    }
+}
+
+fn invoke_request() -> InvokeRequest {
+    InvokeRequest {
+        attempt: generate_request().attempt,
+        tenant: TenantId::new("bayou"),
+        service: "ledger".to_owned(),
+        body: String::new(),
+        repeatability: Repeatability::AtMostOnce,
+    }
+}
+
+fn line(value: &impl Serialize) -> String {
+    serde_json::to_string(value).expect("encodes") + "\n"
+}
