Rehearsal: a test of a killed gateway and a caller of HTTP/1.0 (red)

A stream to a caller of HTTP/1.0 has no chunks, so it ends with its connection, and the system closes that in good order when the daemon is killed. Callers that look for [DONE] or the error event can tell; a proxy that speaks HTTP/1.0 to the daemon can't, and hands on a whole answer.

Not fixed: the acceptor of salvo gives no access to the socket. Its service can be called from an accept loop of our own, and the relay's stream that resets such connections would have to be shared; refusing HTTP/1.0 or sending it whole answers with a length would take streaming from callers that have it.

--- a/crates/rehearsal/tests/processes.rs
+++ b/crates/rehearsal/tests/processes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fs;
+use std::io;
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
@@ -17,9 +18,11 @@
 use dahlia_store::{ChunkStore, FolderDisk, StoreSettings};
 use dahlia_types::{ChunkKey, ProgramId};
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::process::Command;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const REHEARSE: &str = env!("CARGO_BIN_EXE_rehearse");
 const TENANT: &str = "bayou-current";
@@ -102,6 +105,27 @@
         tokio::spawn(async move { caller.send_turn(&turn).await })
     }
 
+    /// Sends a turn with a streamed answer as a caller of HTTP/1.0, and returns the connection.
+    async fn open_stream_without_chunks(&self, program: &str, position: usize) -> TcpStream {
+        let body = serde_json::json!({
+            "model": "",
+            "stream": true,
+            "max_tokens": LONG_ANSWER_TOKENS,
+            "messages": [{"role": "user", "content": "Fault code 31 on the roof"}],
+        });
+        let body = body.to_string();
+        let credential = self.cluster.issue_credential(TENANT);
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.0\r\nauthorization: Bearer {credential}\r\n\
+             x-program-id: {program}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let gateway = self.cluster.daemons[position].gateway_address;
+        let mut stream = TcpStream::connect(gateway).await.expect("the gateway accepts");
+        stream.write_all(request.as_bytes()).await.expect("the gateway reads");
+        stream
+    }
+
     /// Requests a planned stop of a daemon and waits until it has begun.
     async fn begin_planned_stop(&mut self, position: usize) -> ChildProcess {
         let process = self.cluster.daemons[position].process.take().expect("it runs");
@@ -197,6 +221,27 @@
     assert_eq!(rehearsal.count_started(&program).await, 1);
 }
 
+/// Guards against a broken-off stream that a caller of HTTP/1.0, such as a proxy, has to take for whole: without
+/// chunks the end of its connection is the end of the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_of_the_gateway_resets_the_stream_of_a_caller_without_chunks() {
+    let mut rehearsal = Rehearsal::start().await;
+    let (program, gateway) = rehearsal.create_program().await;
+    let mut stream = rehearsal.open_stream_without_chunks(&program, gateway).await;
+    let mut received = Vec::new();
+    while !String::from_utf8_lossy(&received).contains("data: ") {
+        let read = timeout(EVENT_TIMEOUT, stream.read_buf(&mut received)).await;
+        assert_ne!(read.expect("an event comes").expect("the gateway runs"), 0);
+    }
+    let name = rehearsal.cluster.daemons[gateway].name.clone();
+    rehearsal.cluster.kill_daemon(&name).await.expect("is killed");
+    let rest = timeout(EVENT_TIMEOUT, stream.read_to_end(&mut received)).await;
+    let text = String::from_utf8_lossy(&received);
+    assert!(!text.contains("[DONE]"), "the answer was whole before the kill: {text}");
+    let end = rest.expect("the connection ends").map_err(|error| error.kind());
+    assert_eq!(end, Err(io::ErrorKind::ConnectionReset));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_cuts_no_request() {
     let mut rehearsal = Rehearsal::start().await;
