Node: outdated lists on one side of a cut do not decide where a stream began

Found in review: a gateway that nobody told of a stream took the one origin that it and a single other one had in their lists.

The lists decide only if most of those asked answer, this daemon included, and most of the gateways that membership knows, dead ones too, are live here. The test of a gateway alone had pinned the other answer for others taken for dead; it wants none there now, and has a deployment of one gateway beside it. Not taken from the review: a test in which all lists have one origin while younger streams began elsewhere, which lists with a history of 600 s cannot say.

--- a/crates/node/src/stream_origin_events.rs
+++ b/crates/node/src/stream_origin_events.rs
@@ -1,13 +1,14 @@
 //! Connects the tracking of streams' origins to the node: its members, messages and actions.
 
-use dahlia_replication::membership::MemberInfo;
+use dahlia_replication::membership::{Member, MemberInfo, MemberState};
 use dahlia_types::{ReplicaId, Timestamp};
 
 use crate::Action;
 use crate::node::Node;
 use crate::request::RequestId;
 use crate::stream_origins::{
-    OriginAction, OriginMessage, OriginService, StreamKey, StreamRecord, WitnessCandidate,
+    OriginAction, OriginMembers, OriginMessage, OriginService, StreamKey, StreamRecord,
+    WitnessCandidate,
 };
 use crate::wire::PeerMessage;
 
@@ -52,25 +53,30 @@
 
     fn review_origin_members(&mut self, now: Timestamp) {
         if self.stream_origins.is_review_due(now) {
-            let members = self.witness_candidates();
+            let members = self.origin_members();
             self.stream_origins.set_members(members, now);
         }
     }
 
-    /// Live daemons without groups, which are the ones that serve streams.
-    fn witness_candidates(&self) -> Vec<WitnessCandidate> {
-        let members = self.live_members();
-        let candidate = |info: &MemberInfo| WitnessCandidate {
-            daemon: info.daemon,
-            address: info.address,
-            zone: info.zone.clone(),
+    /// Daemons without groups, which are the ones that serve streams: those of the region, if they are enough.
+    fn origin_members(&self) -> OriginMembers {
+        let members = self.membership.members();
+        // Alone in its membership, a daemon has not joined yet.
+        if members.len() < 2 {
+            return OriginMembers::default();
+        }
+        let serves_streams = |member: &&Member| {
+            let info = &member.record.info;
+            !info.holds_groups && info.state == MemberState::Live
         };
-        let gateways: Vec<&MemberInfo> = members.iter().filter(|it| !it.holds_groups).collect();
-        let in_region = gateways.iter().filter(|info| info.region == self.settings.region);
-        let in_region: Vec<WitnessCandidate> = in_region.map(|info| candidate(info)).collect();
-        match in_region.len() >= MIN_REGION_MEMBERS {
-            true => in_region,
-            false => gateways.into_iter().map(candidate).collect(),
+        let gateways: Vec<&Member> = members.iter().filter(serves_streams).collect();
+        let in_region = |member: &&&Member| member.record.info.region == self.settings.region;
+        let near: Vec<&Member> = gateways.iter().filter(in_region).copied().collect();
+        let chosen = if near.len() >= MIN_REGION_MEMBERS { near } else { gateways };
+        let live = chosen.iter().filter(|member| member.takes_work());
+        OriginMembers {
+            live: live.map(|member| witness_candidate(&member.record.info)).collect(),
+            known: chosen.len(),
         }
     }
 
@@ -78,10 +84,15 @@
         for action in self.stream_origins.take_actions() {
             self.actions.push(match action {
                 OriginAction::Send { to, message } => {
-                    Action::Send { to, message: PeerMessage::Origins(message) }
+                    // It depends on nothing durable.
+                    Action::SendUnsynced { to, message: PeerMessage::Origins(message) }
                 }
                 OriginAction::Found { id, origin } => Action::OriginFound { id, origin },
             });
         }
     }
 }
+
+fn witness_candidate(info: &MemberInfo) -> WitnessCandidate {
+    WitnessCandidate { daemon: info.daemon, address: info.address, zone: info.zone.clone() }
+}
--- a/crates/node/src/stream_origins.rs
+++ b/crates/node/src/stream_origins.rs
@@ -4,8 +4,8 @@
 //! A caller whose stream broke off may take it up at any gateway, most often because its own one died. So the
 //! gateway that serves the stream tells a few others, which all daemons compute alike from the stream's key, and the
 //! gateway to which the caller comes back asks them. Nothing is agreed on and nothing is kept on a disk. What nobody
-//! knows is never guessed: a stream of unknown origin goes on only if none of those asked has known a service with
-//! servers of several origins of late.
+//! knows is never guessed: a stream of unknown origin goes on only if most of those asked answer, and all of them have
+//! known servers of one and the same origin alone.
 //!
 //! The node does not know what an origin is: its driver translates versions into numbers.
 
@@ -24,7 +24,7 @@
 use crate::line_limit::LogLineLimit;
 use crate::request::RequestId;
 use records::Records;
-use witnesses::{asked_witnesses, told_witnesses};
+use witnesses::{witnesses_to_ask, witnesses_to_tell};
 
 /// Interval between updates of the members.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -34,8 +34,9 @@
 const REPEAT_DELAY: Duration = Duration::from_millis(60);
 /// The most records in one datagram. Each has at most 28 bytes.
 const MAX_RECORDS_PER_MESSAGE: usize = 32;
-/// The longest time for which a record is kept, whatever its sender asks for.
-const MAX_LIFETIME: Duration = Duration::from_secs(120);
+/// The longest time for which a record is kept, whatever its sender asks for. Views say as long that there were other
+/// servers.
+const MAX_LIFETIME: Duration = Duration::from_secs(600);
 
 /// A stream, by a hash of its service, its tenant and the caller's first attempt.
 #[derive(
@@ -66,6 +67,23 @@
     Several,
 }
 
+/// The daemons that serve streams, as membership knows them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OriginMembers {
+    /// Those that may be told and asked, and this daemon.
+    pub live: Vec<WitnessCandidate>,
+    /// Their number with those that are taken for dead. These may also be cut off, and know other servers.
+    pub known: usize,
+}
+
+impl OriginMembers {
+    /// Whether this daemon is on the side of most of them, so that their lists are not all outdated. A daemon that knows
+    /// nobody yet, itself included, is on no side.
+    fn are_mostly_live(&self) -> bool {
+        self.live.len() * 2 > self.known
+    }
+}
+
 /// What origin tracking asks the node to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginAction {
@@ -92,8 +110,8 @@
     service: OriginService,
     /// Daemons that have not answered.
     unanswered: Vec<WitnessCandidate>,
-    /// Whether other daemons were asked at all.
-    has_peers: bool,
+    /// How many daemons were asked.
+    asked: usize,
     /// The views of the daemons that know nothing of the stream.
     views: Vec<OriginView>,
     repeat_at: Option<Timestamp>,
@@ -105,7 +123,7 @@
     own: ReplicaId,
     own_address: SocketAddr,
     records: Records,
-    members: Vec<WitnessCandidate>,
+    members: OriginMembers,
     next_review: Timestamp,
     views: BTreeMap<OriginService, OriginView>,
     questions: BTreeMap<RequestId, Question>,
@@ -120,7 +138,7 @@
             own,
             own_address,
             records: Records::default(),
-            members: Vec::new(),
+            members: OriginMembers::default(),
             next_review: Timestamp::ZERO,
             views: BTreeMap::new(),
             questions: BTreeMap::new(),
@@ -140,7 +158,7 @@
     }
 
     /// Sets the daemons that may be told and asked.
-    pub fn set_members(&mut self, members: Vec<WitnessCandidate>, now: Timestamp) {
+    pub fn set_members(&mut self, members: OriginMembers, now: Timestamp) {
         self.members = members;
         self.next_review = now + REVIEW_INTERVAL;
     }
@@ -155,7 +173,7 @@
         let mut by_witness: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
         for record in streams {
             self.keep(record, now);
-            for witness in told_witnesses(record.stream, &self.members, self.own.daemon) {
+            for witness in witnesses_to_tell(record.stream, &self.members.live, self.own.daemon) {
                 by_witness.entry(witness.address).or_default().push(record);
             }
         }
@@ -179,11 +197,11 @@
             self.actions.push(OriginAction::Found { id, origin: Some(origin) });
             return;
         }
-        let unanswered = asked_witnesses(stream, &self.members, self.own.daemon);
+        let unanswered = witnesses_to_ask(stream, &self.members.live, self.own.daemon);
         let question = Question {
             stream,
             service,
-            has_peers: !unanswered.is_empty(),
+            asked: unanswered.len(),
             unanswered,
             views: vec![self.view(service)],
             repeat_at: Some(now + REPEAT_DELAY),
@@ -214,32 +232,32 @@
         }
     }
 
-    /// Asks again, and gives up questions whose time is over.
+    /// Asks again, concludes questions that most daemons have answered, and gives up those whose time is over.
     pub fn tick(&mut self, now: Timestamp) {
         let is_due = |question: &Question| question.repeat_at.is_some_and(|at| at <= now);
-        let due: Vec<RequestId> = self
-            .questions
-            .iter_mut()
-            .filter(|(_, question)| is_due(question))
-            .map(|(id, question)| {
-                question.repeat_at = None;
-                *id
-            })
-            .collect();
-        for id in due {
-            if let Some(question) = self.questions.remove(&id) {
-                self.ask(id, &question);
-                self.questions.insert(id, question);
-            }
+        for id in self.questions_where(is_due) {
+            self.repeat(id);
         }
         let is_over = |question: &Question| question.give_up_at <= now;
-        let over: Vec<RequestId> = self
-            .questions
-            .iter()
-            .filter(|(_, question)| is_over(question))
-            .map(|(id, _)| *id)
-            .collect();
-        over.into_iter().for_each(|id| self.conclude(id));
+        // A daemon that was told of the stream has had the time to say so.
+        let is_decided = |question: &Question| {
+            question.repeat_at.is_none() && self.origin_by_views(question).is_some()
+        };
+        for id in self.questions_where(|question| is_over(question) || is_decided(question)) {
+            self.conclude(id);
+        }
+    }
+
+    fn questions_where(&self, filter: impl Fn(&Question) -> bool) -> Vec<RequestId> {
+        let found = self.questions.iter().filter(|(_, question)| filter(question));
+        found.map(|(id, _)| *id).collect()
+    }
+
+    fn repeat(&mut self, id: RequestId) {
+        let Some(mut question) = self.questions.remove(&id) else { return };
+        question.repeat_at = None;
+        self.ask(id, &question);
+        self.questions.insert(id, question);
     }
 
     /// Takes the actions that are due since the last call.
@@ -313,11 +331,17 @@
     /// Answers a question by the views of those that know nothing of the stream.
     fn conclude(&mut self, id: RequestId) {
         let Some(question) = self.questions.remove(&id) else { return };
-        // This daemon's own view may be outdated, so another one must agree if there is one.
-        let is_confirmed = question.views.len() > 1 || !question.has_peers;
-        let origin = common_origin(&question.views).filter(|_| is_confirmed);
+        let origin = self.origin_by_views(&question);
         self.actions.push(OriginAction::Found { id, origin });
     }
+
+    /// Returns the origin by the views so far. Some of them may be outdated, on one side of a cut, so most daemons must
+    /// have answered.
+    fn origin_by_views(&self, question: &Question) -> Option<Origin> {
+        let has_majority = question.views.len() * 2 > question.asked + 1;
+        let is_decided = has_majority && self.members.are_mostly_live();
+        common_origin(&question.views).filter(|_| is_decided)
+    }
 }
 
 /// Returns the only origin that any of the views allows.
--- a/crates/node/src/stream_origins/witnesses.rs
+++ b/crates/node/src/stream_origins/witnesses.rs
@@ -27,7 +27,7 @@
 }
 
 /// Returns the daemons that `own` tells of a stream that it serves.
-pub(super) fn told_witnesses(
+pub(super) fn witnesses_to_tell(
     stream: StreamKey,
     members: &[WitnessCandidate],
     own: DaemonId,
@@ -37,7 +37,7 @@
 
 /// Returns the daemons that `own` asks about a stream that another daemon served. That one did not tell itself, so
 /// where it may rank among the first, those that took its place are asked as well.
-pub(super) fn asked_witnesses(
+pub(super) fn witnesses_to_ask(
     stream: StreamKey,
     members: &[WitnessCandidate],
     own: DaemonId,
--- a/crates/node/tests/stream_origins.rs
+++ b/crates/node/tests/stream_origins.rs
@@ -6,8 +6,8 @@
 
 use dahlia_node::request::RequestId;
 use dahlia_node::stream_origins::{
-    Origin, OriginAction, OriginMessage, OriginService, OriginView, StreamKey, StreamOrigins,
-    StreamRecord, WitnessCandidate,
+    Origin, OriginAction, OriginAnswer, OriginMembers, OriginMessage, OriginService, OriginView,
+    StreamKey, StreamOrigins, StreamRecord, WitnessCandidate,
 };
 use dahlia_types::{DaemonId, Duration, Incarnation, ReplicaId, Timestamp, Zone};
 use rand::{Rng, SeedableRng};
@@ -106,14 +106,14 @@
         self.gateway(number).is_alive = false;
     }
 
-    fn members(&self) -> Vec<WitnessCandidate> {
+    fn members(&self) -> OriginMembers {
         let live = self.gateways.iter().filter(|(number, _)| !self.known_dead.contains(number));
         let candidate = |(number, gateway): (&u32, &Gateway)| WitnessCandidate {
             daemon: DaemonId(*number),
             address: gateway.address,
             zone: gateway.zone.clone(),
         };
-        live.map(candidate).collect()
+        OriginMembers { live: live.map(candidate).collect(), known: self.gateways.len() }
     }
 
     /// A stream begins at a gateway.
@@ -368,7 +368,10 @@
     (0..8).filter(|number| *number != 1).for_each(|number| network.kill(number));
     assert_eq!(network.origin_of(1, 5), None);
     network.known_dead = (0..8).filter(|number| *number != 1).collect();
-    assert_eq!(network.origin_of(1, 5), Some(OLD));
+    assert_eq!(network.origin_of(1, 5), None, "they may be cut off");
+    let mut network = Network::new(1, 1, 1);
+    network.set_views(OriginView::Only(OLD));
+    assert_eq!(network.origin_of(0, 5), Some(OLD), "a deployment of one gateway");
 }
 
 /// An earlier build tells and answers nothing.
@@ -441,11 +444,8 @@
     let mut network = with_streams(4, 2, 0.0);
     network.kill(0);
     let id = network.take_up(1, 4);
-    let stray = OriginMessage::Answer {
-        id,
-        stream: StreamKey(5),
-        answer: dahlia_node::stream_origins::OriginAnswer::Began(NEW),
-    };
+    let stray =
+        OriginMessage::Answer { id, stream: StreamKey(5), answer: OriginAnswer::Began(NEW) };
     let now = network.now;
     let sender = ReplicaId { daemon: DaemonId(2), incarnation: Incarnation(1) };
     network.gateway(1).origins.receive(sender, stray, now);
@@ -453,3 +453,96 @@
     network.pass(MAX_ANSWER_TIME);
     assert_eq!(network.found[&id].0, Some(OLD));
 }
+
+/// Guards against a guess behind a cut: two gateways there have the same outdated list, and none of those who were
+/// told answers.
+#[test]
+fn two_outdated_lists_behind_a_cut_do_not_decide() {
+    let mut network = with_streams(4, 2, 0.0);
+    network.set_views(OriginView::Several);
+    for number in [1, 5] {
+        network.gateway(number).side = 1;
+        network.set_view(number, OriginView::Only(OLD));
+    }
+    network.kill(0);
+    let wrong = (0..100).filter(|stream| origin_for(*stream) == NEW);
+    let wrong = wrong.filter(|stream| network.origin_of(1, *stream) == Some(OLD)).count();
+    assert_eq!(wrong, 0, "of 50 streams that began at the new origin");
+}
+
+/// Guards against a stream that goes on at another origin because its caller's deadline is longer than records live.
+#[test]
+fn a_stream_with_a_long_deadline_goes_on_at_no_other_origin() {
+    let mut network = Network::new(4, 2, 7);
+    let lifetime = Duration::from_secs(300);
+    let record = StreamRecord { stream: StreamKey(5), origin: OLD, lifetime };
+    let (members, now) = (network.members(), network.now);
+    network.gateway(0).origins.set_members(members, now);
+    network.gateway(0).origins.record(vec![record], now);
+    network.collect(0);
+    network.pass(Duration::from_secs(125));
+    network.set_views(OriginView::Only(NEW));
+    network.kill(0);
+    assert_ne!(network.origin_of(1, 5), Some(NEW), "it began at the old one, 125 s of 300 s ago");
+}
+
+/// Guards against streams that begin late: where most lists agree, a question waits for the one that died no longer
+/// than for a second answer.
+#[test]
+fn an_unknown_stream_waits_for_no_dead_gateway() {
+    let mut network = Network::new(4, 2, 7);
+    network.set_views(OriginView::Only(OLD));
+    network.kill(0);
+    for stream in 0..100 {
+        let (asked_at, id) = (network.now, network.take_up(1, stream));
+        network.pass(MAX_ANSWER_TIME);
+        let (origin, at) = network.found[&id];
+        assert_eq!(origin, Some(OLD));
+        assert!(at.since(asked_at) <= Duration::from_millis(80), "{:?}", at.since(asked_at));
+    }
+}
+
+/// Guards against a guess by a gateway that has just started and knows no member yet: its list has no history.
+#[test]
+fn a_gateway_that_knows_no_member_yet_does_not_decide_by_its_own_list() {
+    let mut network = with_streams(4, 2, 0.0);
+    network.restart(1);
+    network.set_view(1, OriginView::Only(NEW));
+    network.known_dead = (0..8).collect();
+    assert_ne!(network.origin_of(1, 0), Some(NEW), "it began at the old one");
+}
+
+/// The same once membership has taken those beyond the cut for dead, also for one gateway alone: they still exist.
+#[test]
+fn outdated_lists_do_not_decide_once_those_beyond_a_cut_are_taken_for_dead() {
+    for cut_off in [&[1, 5][..], &[1]] {
+        let mut network = with_streams(4, 2, 0.0);
+        for number in cut_off {
+            network.gateway(*number).side = 1;
+            network.set_view(*number, OriginView::Only(OLD));
+        }
+        network.known_dead = (0..8).filter(|it| !cut_off.contains(it)).collect();
+        let wrong = (0..100).filter(|stream| origin_for(*stream) == NEW);
+        let wrong = wrong.filter(|stream| network.origin_of(1, *stream) == Some(OLD)).count();
+        assert_eq!(wrong, 0, "of 50 streams that began at the new origin, {cut_off:?} cut off");
+    }
+}
+
+/// Guards against callers with long deadlines whose streams crowd out those of all others: the newest record goes first.
+#[test]
+fn streams_with_long_deadlines_do_not_crowd_out_a_new_one() {
+    let mut network = Network::new(4, 2, 7);
+    let (members, now) = (network.members(), network.now);
+    let record =
+        |stream, lifetime| StreamRecord { stream: StreamKey(stream), origin: OLD, lifetime };
+    let long = (0..70_000).map(|stream| record(stream, Duration::from_secs(3_600))).collect();
+    network.gateway(0).origins.set_members(members, now);
+    network.gateway(0).origins.record(long, now);
+    network.collect(0);
+    network.pass(Duration::from_millis(100));
+    let now = network.now;
+    let short = vec![record(99_999, Duration::from_secs(4))];
+    network.gateway(0).origins.record(short, now);
+    network.collect(0);
+    assert_eq!(network.origin_of(0, 99_999), Some(OLD));
+}
