Backends: versions of a service are remembered for ten minutes; one that becomes known is no second one

Found in review: a service counted as having several versions for 30 s after a record of unknown version got its name, and lists forgot a version after 30 s, while callers may come back to a stream for longer. Records of origins are kept as long now. a_version_that_becomes_known_is_no_second_one failed before.

--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -96,8 +96,7 @@
         if self.has_later_incarnation(&id) {
             return;
         }
-        self.forget_version(&id, now);
-        self.versions.entry(record.service.clone()).or_default().add(&record.version);
+        self.record_version(&record, now);
         let previous = self.service_by_id.insert(id.clone(), record.service.clone());
         if previous.is_some_and(|service| service != record.service) {
             self.remove_from_services(&id);
@@ -333,6 +332,20 @@
         }
     }
 
+    /// Counts a record among its service's versions, in place of the known one of the same server.
+    fn record_version(&mut self, record: &BackendRecord, now: Timestamp) {
+        let known = self.server(&record.id).filter(|it| it.record.service == record.service);
+        let before = known.map(|known| known.record.version.clone());
+        if before.is_none() {
+            self.forget_version(&record.id, now);
+        }
+        let versions = self.versions.entry(record.service.clone()).or_default();
+        match before {
+            Some(before) => versions.replace(&before, &record.version, now),
+            None => versions.add(&record.version),
+        }
+    }
+
     /// Counts the known record of a server, if there is one, no more among its service's versions.
     fn forget_version(&mut self, id: &BackendId, now: Timestamp) {
         let Some(server) = self.server(id) else { return };
--- a/crates/backends/src/version.rs
+++ b/crates/backends/src/version.rs
@@ -11,8 +11,8 @@
 use crate::stable_hash;
 
 /// How long a service counts as having several versions after the last server of another version left. Longer than
-/// callers come back to a stream.
-const RECENT_VERSIONS_TIME: Duration = Duration::from_secs(30);
+/// callers come back to a stream, and as long as origins of streams are kept.
+const RECENT_VERSIONS_TIME: Duration = Duration::from_secs(600);
 
 /// The version of a server's software, as discovery describes it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,15 +80,38 @@
     }
 
     pub(crate) fn remove(&mut self, version: &SoftwareVersion, now: Timestamp) {
-        let Some(servers) = self.listed.get_mut(version) else { return };
-        *servers -= 1;
-        if *servers == 0 {
-            self.listed.remove(version);
+        if self.take(version) {
             self.left.retain(|_, left_at| now.since(*left_at) < RECENT_VERSIONS_TIME);
             self.left.insert(version.clone(), now);
         }
     }
 
+    /// Replaces the version of a listed server. A version that becomes known was the server's before, too.
+    pub(crate) fn replace(
+        &mut self,
+        before: &SoftwareVersion,
+        version: &SoftwareVersion,
+        now: Timestamp,
+    ) {
+        match before {
+            SoftwareVersion::Unknown => drop(self.take(before)),
+            _ if before != version => self.remove(before, now),
+            _ => return,
+        }
+        self.add(version);
+    }
+
+    /// Counts one server less, and returns whether it was the last one.
+    fn take(&mut self, version: &SoftwareVersion) -> bool {
+        let Some(servers) = self.listed.get_mut(version) else { return false };
+        *servers -= 1;
+        let is_last = *servers == 0;
+        if is_last {
+            self.listed.remove(version);
+        }
+        is_last
+    }
+
     pub(crate) fn view(&self, now: Timestamp) -> VersionView {
         let is_recent = |left_at: &Timestamp| now.since(*left_at) < RECENT_VERSIONS_TIME;
         let recent = self.left.iter().filter(|(_, left_at)| is_recent(left_at));
--- a/crates/backends/tests/versions.rs
+++ b/crates/backends/tests/versions.rs
@@ -9,8 +9,10 @@
 use dahlia_types::{Duration, Timestamp, Zone};
 
 const NOW: Timestamp = Timestamp(1_000_000);
+/// Travels between daemons.
+const DIGEST_OF_V1_2: u64 = 18_296_317_616_087_943_713;
 /// How long a version that left still counts.
-const RECENT: Duration = Duration::from_secs(30);
+const RECENT: Duration = Duration::from_secs(600);
 
 fn service() -> ServiceName {
     ServiceName("service".into())
@@ -137,5 +139,11 @@
     assert_eq!(SoftwareVersion::Uniform.digest(), Some(VersionDigest(0)));
 }
 
-/// Travels between daemons.
-const DIGEST_OF_V1_2: u64 = 18_296_317_616_087_943_713;
+/// Guards against streams that are refused for minutes after the version of a server became known: one incarnation has
+/// one version, so its service never had two.
+#[test]
+fn a_version_that_becomes_known_is_no_second_one() {
+    let mut backends = backends(&[SoftwareVersion::Unknown]);
+    backends.put(record(0, named("v1")), Timestamp(1));
+    assert_eq!(backends.versions(&service(), Timestamp(2)), VersionView::Only(digest("v1")));
+}
