Relay: requests bound to a software version do not wait at the gateway

Found in review: where waiting is on, a taken-up stream whose version's servers are full took the head of its service's queue, and a new request got no answer in 3 s while a server of another version had 16 free slots.

--- a/crates/relay/src/server_slot.rs
+++ b/crates/relay/src/server_slot.rs
@@ -27,7 +27,8 @@
     pub(crate) async fn acquire_server(&mut self) -> Result<ChosenServer, Refusal> {
         // A request that may have run is not refused with a retry time, so its caller should learn
         // of the loss at once instead of after a wait.
-        if !self.may_wait() || self.may_have_run() {
+        // One that needs a certain version would also hold up those behind it that servers of others take.
+        if !self.may_wait() || self.may_have_run() || self.is_bound_to_version() {
             return match self.choose_server() {
                 Choice::Use { server, basis } => Ok(self.chosen_server(server, &basis)),
                 Choice::Full { retry_after } | Choice::NoBackend { retry_after } => {
