Relay: a stream's origin is recorded before its service's versions are read

Found by reading in review: when a second version appeared between the two, neither the stream nor the daemon that reviews the streams told anyone. The oldest streams go first where there are too many, and lifetimes have a bound, so that long deadlines crowd out no others.

--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -1,7 +1,7 @@
 //! Where streams began: the software version of the server that made a stream's first event, by the attempt that
 //! brought it. The daemon spreads it to other daemons and asks them, through the channel of [`StreamOrigins::connect`].
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
 use dahlia_backends::{ServiceName, VersionDigest, VersionView, stable_hash};
@@ -93,19 +93,16 @@
         streams.map(origin).filter(|it| it.lifetime > Duration::ZERO).collect()
     }
 
-    /// Records where a stream began. `versions` are those of its service: while there is one only, other daemons need
-    /// not be told. Otherwise returns what tells that they have been sent it.
-    pub(crate) fn record(
-        &self,
-        origin: StreamOrigin,
-        service: &ServiceName,
-        versions: VersionView,
-        now: Timestamp,
-    ) -> Option<oneshot::Receiver<()>> {
+    /// Records where a stream began.
+    pub(crate) fn record(&self, origin: StreamOrigin, service: &ServiceName, now: Timestamp) {
         let StreamOrigin { stream, version, lifetime } = origin;
         let begun = BegunStream { service: service.clone(), version, expires_at: now + lifetime };
         self.lock().put(stream, begun, now);
-        let daemon = self.daemon.get().filter(|_| versions == VersionView::Several)?;
+    }
+
+    /// Tells other daemons where a stream began. Returns what tells that they have been sent it.
+    pub(crate) fn share(&self, origin: StreamOrigin) -> Option<oneshot::Receiver<()>> {
+        let daemon = self.daemon.get()?;
         let (sent, is_sent) = oneshot::channel();
         daemon.send(OriginRequest::Share { origin, sent }).ok()?;
         Some(is_sent)
@@ -151,7 +148,8 @@
 #[derive(Debug, Default)]
 struct BegunStreams {
     by_id: BTreeMap<StreamId, BegunStream>,
-    by_expiry: BTreeSet<(Timestamp, StreamId)>,
+    /// Oldest first. A stream that goes on stands here again.
+    by_age: VecDeque<StreamId>,
 }
 
 impl BegunStreams {
@@ -160,19 +158,19 @@
         Some(begun.version)
     }
 
-    /// Adds a stream, and drops those that have expired or are too many.
+    /// Adds a stream, and drops the oldest ones that have expired or are too many: a caller with a long deadline must
+    /// not crowd out others.
     fn put(&mut self, stream: StreamId, begun: BegunStream, now: Timestamp) {
-        let expires_at = begun.expires_at;
-        if let Some(before) = self.by_id.insert(stream, begun) {
-            self.by_expiry.remove(&(before.expires_at, stream));
-        }
-        self.by_expiry.insert((expires_at, stream));
-        while let Some(&(first, stream)) = self.by_expiry.first() {
-            if now < first && self.by_expiry.len() <= MAX_STREAMS {
-                break;
+        self.by_id.insert(stream, begun);
+        self.by_age.push_back(stream);
+        while let Some(oldest) = self.by_age.front() {
+            let begun = self.by_id.get(oldest);
+            let is_current = begun.is_some_and(|begun| now < begun.expires_at);
+            if is_current && self.by_age.len() <= MAX_STREAMS {
+                return;
             }
-            self.by_expiry.pop_first();
-            self.by_id.remove(&stream);
+            self.by_id.remove(oldest);
+            self.by_age.pop_front();
         }
     }
 }
--- a/crates/relay/src/taken_up.rs
+++ b/crates/relay/src/taken_up.rs
@@ -14,6 +14,8 @@
 
 /// How long after its deadline a caller counts as one that may come back, since clocks and links differ.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+/// The longest time for which an origin is kept: as long as versions of a service are.
+const MAX_ORIGIN_LIFETIME: Duration = Duration::from_secs(600);
 /// The longest that an event waits until other daemons have been sent where its stream began. Usually this takes
 /// some tens of microseconds; a caller notices a pause.
 const MAX_SEND_TIME: time::Duration = time::Duration::from_millis(50);
@@ -46,11 +48,16 @@
     /// Records where the stream began, for as long as its caller may come back.
     pub(crate) fn record_origin(&mut self) {
         let Some(version) = self.bound_version.required() else { return };
-        let (versions, now) = self.service_versions();
+        let now = (self.shared.clock)();
         let lifetime = (self.caller_deadline + DEADLINE_MARGIN).since(now);
+        let lifetime = lifetime.min(MAX_ORIGIN_LIFETIME);
         let origin = StreamOrigin { stream: self.stream_id(), version, lifetime };
-        let service = self.matched.service_name();
-        self.origin_sent = self.shared.origins.record(origin, service, versions, now);
+        self.shared.origins.record(origin, self.matched.service_name(), now);
+        // Read after the record is there: when a second version appears, the daemon shares the streams that it finds.
+        let (versions, _) = self.service_versions();
+        if versions == VersionView::Several {
+            self.origin_sent = self.shared.origins.share(origin);
+        }
     }
 
     /// Waits until other daemons have been sent where the stream began, if that is under way.
