Relay: ends of lines, byte-order marks and encodings that broke off complete streams

Found in review, faults of: complete streams were broken off whose lines end with carriage returns alone, that begin with a byte-order mark, or that are encoded. And answers that were cut still looked complete: a stream of a retry time alone, and an empty answer without framing on routes of other kinds.

The boundary knows all three ends of lines, passes over the mark and counts events with data or an identifier; encoded answers are not followed; any answer that ends with its connection before its content is lost.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::liveness::{Reachability, UsableConnections};
 use crate::outgoing::OutgoingRequest;
 use crate::pool::{Connected, KeepAlive};
-use crate::received_answer::ReceivedAnswer;
+use crate::received_answer::{BodyKind, ReceivedAnswer};
 use crate::relay::Shared;
 use crate::repeats::{Loss, LossCause};
 use crate::server_response::{AttemptGuard, ServerResponse};
@@ -151,9 +151,12 @@
         if kind == AnswerKind::Answer && !parts.status.is_server_error() {
             guard.record_head();
         }
-        // Answers to HEAD and with some statuses have no body, whatever their head says.
-        let is_stream = self.is_stream && parts.status.is_success() && !body.is_end_stream();
-        guard.follow_answer(ReceivedAnswer::new(&parts.headers, is_stream));
+        let body_kind = match self.is_stream && parts.status.is_success() {
+            _ if body.is_end_stream() => BodyKind::None,
+            true => BodyKind::Stream,
+            false => BodyKind::Other,
+        };
+        guard.follow_answer(ReceivedAnswer::new(&parts.headers, body_kind));
         let mut response =
             ServerResponse::new(parts, body, did_not_run, connection, keep_alive, pool, guard);
         match kind {
--- a/crates/relay/src/received_answer.rs
+++ b/crates/relay/src/received_answer.rs
@@ -1,6 +1,6 @@
 //! What has arrived of a server's answer, and how the answer tells where it ends.
 
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue};
 
 use crate::event_boundary::EventBoundary;
@@ -41,22 +41,38 @@
     }
 }
 
+/// What the body of an answer can be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyKind {
+    /// It has none, whatever its head says, as answers to HEAD and with some statuses.
+    None,
+    /// A stream of events, unless the head names another content type.
+    Stream,
+    /// Any bytes.
+    Other,
+}
+
 /// The part of an answer that has arrived.
 #[derive(Debug)]
 pub(crate) struct ReceivedAnswer {
     pub(crate) framing: Framing,
     pub(crate) bytes: u64,
+    may_be_empty: bool,
     /// None if the answer is no event stream.
     boundary: Option<EventBoundary>,
 }
 
 impl ReceivedAnswer {
-    /// Begins an answer with this head, which is an event stream only if its route `is_stream`.
-    pub(crate) fn new(headers: &HeaderMap, is_stream: bool) -> Self {
-        let has_events = is_stream && headers.get(CONTENT_TYPE).is_none_or(is_event_stream);
+    /// Begins an answer with this head. `body` says what its body can be.
+    pub(crate) fn new(headers: &HeaderMap, body: BodyKind) -> Self {
+        // What is encoded has no readable events.
+        let is_event_stream = headers.get(CONTENT_TYPE).is_none_or(is_event_stream)
+            && !headers.contains_key(CONTENT_ENCODING);
+        let has_events = body == BodyKind::Stream && is_event_stream;
         Self {
             framing: Framing::of(headers),
             bytes: 0,
+            may_be_empty: body == BodyKind::None,
             boundary: has_events.then(EventBoundary::default),
         }
     }
@@ -75,12 +91,12 @@
 
     /// Why the answer is not complete although it has ended as its framing says; none if it is complete.
     pub(crate) fn problem_at_end(&self) -> Option<EndProblem> {
-        let boundary = self.boundary.as_ref()?;
-        if boundary.is_inside_event() {
+        if self.is_inside_event() {
             return Some(EndProblem::InsideEvent(self.framing));
         }
-        let is_cut = self.framing == Framing::Connection && boundary.events() == 0;
-        is_cut.then_some(EndProblem::NoEvent)
+        let has_begun = self.events().map_or(self.bytes > 0, |events| events > 0);
+        let is_cut = self.framing == Framing::Connection && !has_begun && !self.may_be_empty;
+        is_cut.then_some(EndProblem::ClosedBeforeContent)
     }
 
     /// Whether the last event is incomplete.
@@ -94,21 +110,23 @@
 pub(crate) enum EndProblem {
     /// Its last event is incomplete.
     InsideEvent(Framing),
-    /// It ended with its connection, before its first event.
-    NoEvent,
+    /// It ended with its connection, before its first event, or before its first byte if it is no event stream.
+    ClosedBeforeContent,
 }
 
 impl EndProblem {
     pub(crate) fn describe(self) -> &'static str {
         match self {
             Self::InsideEvent(_) => "the stream ended inside an event",
-            Self::NoEvent => "the stream ended with its connection before its first event",
+            Self::ClosedBeforeContent => "the answer ended with its connection before its content",
         }
     }
 
     pub(crate) fn loss_cause(self) -> LossCause {
         match self {
-            Self::InsideEvent(Framing::Connection) | Self::NoEvent => LossCause::Disconnected,
+            Self::InsideEvent(Framing::Connection) | Self::ClosedBeforeContent => {
+                LossCause::Disconnected
+            }
             Self::InsideEvent(Framing::Length | Framing::Chunks) => LossCause::InvalidAnswer,
         }
     }
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -62,19 +62,28 @@
         Case { text: "data: a\n: note", is_inside: true, events: 0 },
         Case { text: "data: a\n\r", is_inside: true, events: 0 },
         Case { text: "data: a\r\n\r\n", is_inside: false, events: 1 },
+        Case { text: "data: a\r\n\r", is_inside: true, events: 0 },
+        Case { text: "data: a\r\r", is_inside: false, events: 1 },
+        Case { text: "data: a\r\rid: 2\r", is_inside: true, events: 1 },
+        Case { text: "retry: 3000\n\n", is_inside: false, events: 0 },
+        Case { text: "database: 3\n\n", is_inside: false, events: 0 },
+        Case { text: "event: e\ndata\n\n", is_inside: false, events: 1 },
+        Case { text: "\u{feff}", is_inside: false, events: 0 },
+        Case { text: "\u{feff}: note\n", is_inside: false, events: 0 },
+        Case { text: "\u{feff}data: a\n\n", is_inside: false, events: 1 },
+        Case { text: "\u{fefe}: note\n", is_inside: true, events: 0 },
         Case { text: "data: a\n\n", is_inside: false, events: 1 },
         Case { text: "data: a\n\n\n: note\n", is_inside: false, events: 1 },
         Case { text: "data: a\n\nid: 2\n", is_inside: true, events: 1 },
         Case { text: "data: a\n\nid: 2\n\n", is_inside: false, events: 2 },
     ];
     for Case { text, is_inside, events } in cases {
-        let mut boundary = EventBoundary::default();
-        boundary.push(text.as_bytes());
-        assert_eq!(
-            (boundary.is_inside_event(), boundary.events()),
-            (is_inside, events),
-            "{text:?}"
-        );
+        for piece_bytes in [1, 2, text.len().max(1)] {
+            let mut boundary = EventBoundary::default();
+            text.as_bytes().chunks(piece_bytes).for_each(|piece| boundary.push(piece));
+            let seen = (boundary.is_inside_event(), boundary.events());
+            assert_eq!(seen, (is_inside, events), "{text:?} in pieces of {piece_bytes}");
+        }
     }
 }
 
