Relay: answers without a body do not reset callers of HTTP/1.0

Found in review, a fault of: hyper never asks for the body of an answer to HEAD or of a 204, so such an answer never counted as whole and its connection was reset. Only answers with a body are close-delimited now, and the state of one answer does not outlive it.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -62,17 +62,15 @@
     // The version belongs to each connection.
     parts.version = Version::HTTP_11;
     hop_by_hop::strip_headers(&mut parts.headers);
-    if !describes_omitted_body(&parts, method) {
+    if !describes_omitted_body(parts.status, method) {
         set_content_length(&mut parts.headers, &body);
     }
     Response::from_parts(parts, AnswerBody::whole(body))
 }
 
 /// Whether the length in the head describes a body that is not sent, as in answers to `HEAD`.
-fn describes_omitted_body(parts: &response::Parts, method: &Method) -> bool {
-    method == Method::HEAD
-        || parts.status == StatusCode::NOT_MODIFIED
-        || parts.status == StatusCode::NO_CONTENT
+pub(crate) fn describes_omitted_body(status: StatusCode, method: &Method) -> bool {
+    method == Method::HEAD || status == StatusCode::NOT_MODIFIED || status == StatusCode::NO_CONTENT
 }
 
 fn set_content_length(headers: &mut HeaderMap, body: &Bytes) {
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -45,12 +45,12 @@
     answer_deadline: Option<Instant>,
     /// How long the caller may go without taking a byte of the current stream.
     max_stall: Option<Duration>,
-    unframed_answer: Option<UnframedAnswer>,
+    close_delimited_answer: Option<CloseDelimitedAnswer>,
 }
 
 /// The state of an answer that ends with the caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UnframedAnswer {
+enum CloseDelimitedAnswer {
     /// Some of it is missing.
     Incomplete,
     /// All of it has been handed to the connection.
@@ -69,7 +69,7 @@
             requests_served: 0,
             answer_deadline: None,
             max_stall: None,
-            unframed_answer: None,
+            close_delimited_answer: None,
         })))
     }
 
@@ -79,7 +79,10 @@
 
     /// Marks the connection as busy until the guard is dropped.
     pub(crate) fn mark_busy(&self) -> BusyGuard {
-        self.lock().phase = Phase::Busy;
+        let mut state = self.lock();
+        state.phase = Phase::Busy;
+        state.close_delimited_answer = None;
+        drop(state);
         BusyGuard(self.clone())
     }
 
@@ -96,8 +99,8 @@
 
     /// Notes that the current answer ends with the connection, which must not close in good order before all of
     /// the answer has come.
-    pub(crate) fn begin_unframed_answer(&self) {
-        self.lock().unframed_answer = Some(UnframedAnswer::Incomplete);
+    pub(crate) fn begin_close_delimited_answer(&self) {
+        self.lock().close_delimited_answer = Some(CloseDelimitedAnswer::Incomplete);
     }
 
     /// When a write that blocks now times out.
@@ -156,8 +159,8 @@
 impl BusyGuard {
     /// Notes that all of the current answer has been handed to the connection.
     pub(crate) fn mark_whole(&self) {
-        if let Some(answer) = &mut self.0.lock().unframed_answer {
-            *answer = UnframedAnswer::Whole;
+        if let Some(answer) = &mut self.0.lock().close_delimited_answer {
+            *answer = CloseDelimitedAnswer::Whole;
         }
     }
 }
@@ -228,7 +231,7 @@
         timer.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Sets whether the system resets the connection when it closes. It is set before the first byte of an unframed answer,
+    /// Sets whether the system resets the connection when it closes. It is set before the first byte of a close-delimited answer,
     /// so that it holds when the process dies.
     fn set_reset_on_close(&mut self, resets: bool) -> io::Result<()> {
         if self.resets_on_close != resets {
@@ -240,10 +243,10 @@
     }
 
     fn has_incomplete_answer(&self) -> bool {
-        self.state.lock().unframed_answer == Some(UnframedAnswer::Incomplete)
+        self.state.lock().close_delimited_answer == Some(CloseDelimitedAnswer::Incomplete)
     }
 
-    fn protect_unframed_answer(&mut self) -> io::Result<()> {
+    fn protect_answer(&mut self) -> io::Result<()> {
         if self.has_incomplete_answer() { self.set_reset_on_close(true) } else { Ok(()) }
     }
 
@@ -277,7 +280,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.protect_unframed_answer()?;
+        self.protect_answer()?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.with_write_deadline(written, context)
     }
@@ -287,7 +290,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.protect_unframed_answer()?;
+        self.protect_answer()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.with_write_deadline(written, context)
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
 
-use crate::answer::forward;
+use crate::answer::{describes_omitted_body, forward};
 use crate::body::AnswerBody;
 use crate::caller::{CallerState, CallerStream, IdleCheck};
 use crate::counters::{Gauge, GaugeGuard, count};
@@ -171,6 +171,7 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let busy = state.mark_busy();
     let has_chunks = request.version() >= Version::HTTP_11;
+    let method = request.method().clone();
     count(&shared.counters.requests);
     let gauge = GaugeGuard::new(&shared.counters, Gauge::InProgress);
     let mut log = RequestLog::new(Arc::clone(&shared.metrics), Instant::now());
@@ -183,8 +184,8 @@
     });
     if answer.body().is_stream() {
         state.limit_stalls(Duration::from_millis(shared.settings.caller_stall_ms));
-        if !has_chunks {
-            state.begin_unframed_answer();
+        if !has_chunks && !describes_omitted_body(answer.status(), &method) {
+            state.begin_close_delimited_answer();
         }
     }
     if shared.closes_connections() {
