--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -93,6 +93,8 @@
     /// account for a turn.
     events: Option<EventReader>,
     is_resumed: bool,
+    /// What a resumed server has repeated so far.
+    replay: Replay,
     /// For model servers: the intervals between tokens.
     intervals: Option<TokenIntervals>,
     /// The server whose answer was complete.
@@ -104,6 +106,27 @@
     disconnect: DisconnectGuard,
 }
 
+/// Events that a resumed server sends although the caller has them.
+enum Replay {
+    /// The last one so far; none if the server has sent none.
+    Until(Option<Bytes>),
+    /// The server has sent an event that the caller lacked.
+    Over,
+}
+
+impl Replay {
+    fn record(&mut self, event: Option<Bytes>) {
+        if let Self::Until(last) = self {
+            *last = event;
+        }
+    }
+
+    /// Whether it has begun and not reached the caller's last event.
+    fn is_behind(&self, last_event: Option<&Bytes>) -> bool {
+        matches!(self, Self::Until(Some(last)) if Some(last) != last_event)
+    }
+}
+
 /// What the caller gets next.
 enum NextPiece {
     Piece(Bytes),
@@ -128,6 +151,7 @@
             first,
             events: needs_events.then(EventReader::default),
             is_resumed: false,
+            replay: Replay::Over,
             intervals,
             served_by: String::new(),
             received: None,
@@ -208,8 +232,13 @@
                         return NextPiece::Broken;
                     }
                 }
+                None if self.ended_in_replay() => {
+                    if !self.resume(LossCause::InvalidAnswer.into()).await {
+                        return NextPiece::Broken;
+                    }
+                }
                 None => {
-                    if let Some(remainder) = self.take_remainder() {
+                    if let Some(remainder) = self.finish_response() {
                         return NextPiece::Piece(remainder);
                     }
                     if self.response.is_none() {
@@ -256,8 +285,10 @@
             let retained = self.reservation.split(retained.map_or(0, |_| event.raw.len()));
             if self.is_resumed && last_id.is_some_and(|last| !event.is_after(last)) {
                 // Replayed events were not generated now, so their pace is not the server's.
+                self.replay.record(event.id);
                 continue;
             }
+            self.replay = Replay::Over;
             if let (Some(times), Some(response)) = (times, &self.response) {
                 response.record_tokens(times);
             }
@@ -265,7 +296,7 @@
                 turn.record_event(&event, retained);
             }
             if let Some(response) = self.response.as_ref().filter(|_| event.has_content()) {
-                self.exchange.record_event_version(response.version());
+                self.exchange.bind_to_version(response.version());
             }
             if event.id.is_some() {
                 self.exchange.last_event = event.id;
@@ -275,8 +306,18 @@
         None
     }
 
-    /// Returns the bytes after the last event of a complete answer, such as a comment, which belong to it too.
-    fn take_remainder(&mut self) -> Option<Bytes> {
+    /// Whether a resumed server has ended its answer before it had repeated the last event that the caller has.
+    fn ended_in_replay(&mut self) -> bool {
+        let is_behind = self.replay.is_behind(self.exchange.last_event.as_ref());
+        if let Some(response) = self.response.as_mut().filter(|_| is_behind) {
+            response.fail(AttemptEnd::Broken, "the answer ended before the caller's last event");
+        }
+        is_behind
+    }
+
+    /// Ends a complete answer of a server. Returns the bytes after its last event, such as a comment, which belong to
+    /// it too.
+    fn finish_response(&mut self) -> Option<Bytes> {
         if let Some(mut response) = self.response.take() {
             self.served_by = response.server().to_string();
             self.received = response.take_received();
@@ -303,6 +344,7 @@
     /// first head.
     async fn resume(&mut self, mut loss: Loss) -> bool {
         self.response = None;
+        self.replay = Replay::Until(None);
         if let Some(events) = &mut self.events {
             events.take_remainder();
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -284,7 +284,7 @@
             size: self.turn_size(),
             version: self.bound_version.required(),
         };
-        if self.bound_version == VersionBound::Nowhere {
+        if self.bound_version == VersionBound::Unknown {
             let retry_after = Duration::from_millis(self.shared.settings.retry_after_ms);
             return Choice::NoBackend { retry_after };
         }
@@ -348,7 +348,7 @@
 
     /// Notes that the caller gets an event of a server of this version. All further events must come from servers of
     /// the version that made the first one.
-    pub(crate) fn record_event_version(&mut self, version: &SoftwareVersion) {
+    pub(crate) fn bind_to_version(&mut self, version: &SoftwareVersion) {
         if self.bound_version == VersionBound::Any {
             self.bound_version = VersionBound::of(version);
         }
--- a/crates/relay/src/version_bound.rs
+++ b/crates/relay/src/version_bound.rs
@@ -11,20 +11,20 @@
     /// Its first event came from a server of this version.
     At(VersionDigest),
     /// Its first event came from a server whose version is not known, which equals none.
-    Nowhere,
+    Unknown,
 }
 
 impl VersionBound {
     /// The bound of a stream whose first event came from a server of this version.
     pub(crate) fn of(version: &SoftwareVersion) -> Self {
-        version.digest().map_or(Self::Nowhere, Self::At)
+        version.digest().map_or(Self::Unknown, Self::At)
     }
 
     /// The version that a server must have; none if any will do.
     pub(crate) fn required(self) -> Option<VersionDigest> {
         match self {
             Self::At(version) => Some(version),
-            Self::Any | Self::Nowhere => None,
+            Self::Any | Self::Unknown => None,
         }
     }
 }
