--- a/crates/limits/tests/keeper_failover.rs
+++ b/crates/limits/tests/keeper_failover.rs
@@ -8,6 +8,8 @@
 
 const RATES: [f64; 5] = [3.0, 13.0, 40.0, 150.0, 440.0];
 const SEEDS: u64 = 4;
+/// The first seed of the cases in which the keeper is away for longer or twice.
+const FIRST_REPEATED_SEED: u64 = 20;
 const REQUESTS: u32 = 10;
 /// The share of programs that a fault may make fail after their start.
 const MAX_STRANDED_SHARE: f64 = 0.01;
@@ -67,3 +69,84 @@
 fn long_keeper_outage_strands_under_one_percent_of_programs() {
     assert_eq!(stranded_by(&[2.5]), Vec::<String>::new());
 }
+
+/// Outages of the keeper that gateways' knowledge of programs must outlive.
+struct OutageCase {
+    name: &'static str,
+    /// When the first outage begins in the run of the first seed, and how much later in each further one.
+    first_at_s: f64,
+    shift_s: f64,
+    /// When each outage begins after the first, and how long it takes.
+    outages_s: &'static [(f64, f64)],
+}
+
+impl OutageCase {
+    /// Returns the outages in the run of the seed at `index`.
+    fn outages(&self, index: u64) -> Vec<(f64, f64)> {
+        let first_at_s = self.first_at_s + index as f64 * self.shift_s;
+        self.outages_s.iter().map(|(after_s, outage_s)| (first_at_s + after_s, *outage_s)).collect()
+    }
+
+    /// Returns the share of programs that fail at their second request or a later one.
+    fn stranded_share(&self, rate: f64) -> f64 {
+        let (mut stranded, mut programs) = (0, 0);
+        for index in 0..SEEDS {
+            let seed = FIRST_REPEATED_SEED + index;
+            let outcome = Simulation::run(overload_scenario(seed, rate, self.outages(index)));
+            stranded += outcome.stranded;
+            programs += outcome.programs;
+        }
+        stranded as f64 / programs as f64
+    }
+
+    /// Returns a line for each rate at which the outages make too many programs fail after their start.
+    fn stranded(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let without_fault = OutageCase { outages_s: &[], ..*self };
+        for rate in RATES {
+            let usual = without_fault.stranded_share(rate);
+            let share = self.stranded_share(rate);
+            eprintln!("{rate} a second, {}: {share:.4}, without a fault {usual:.4}", self.name);
+            if share - usual >= MAX_STRANDED_SHARE {
+                found.push(format!("{rate} a second, {}: {share:.4}", self.name));
+            }
+        }
+        found
+    }
+}
+
+/// Callers use up their tries before the next keeper starts.
+#[test]
+fn four_second_outage_in_overload_strands_under_one_percent_of_programs() {
+    let case = OutageCase {
+        name: "4 s in the overload",
+        first_at_s: 7.0,
+        shift_s: 0.6,
+        outages_s: &[(0.0, 4.0)],
+    };
+    assert_eq!(case.stranded(), Vec::<String>::new());
+}
+
+/// The tenant is back at its usual rate, and its last programs start in the outage.
+#[test]
+fn four_second_outage_at_usual_load_strands_under_one_percent_of_programs() {
+    let case = OutageCase {
+        name: "4 s at usual load",
+        first_at_s: 19.0,
+        shift_s: 0.6,
+        outages_s: &[(0.0, 4.0)],
+    };
+    assert_eq!(case.stranded(), Vec::<String>::new());
+}
+
+/// What the first successor learnt must reach the second.
+#[test]
+fn second_keeper_outage_strands_under_one_percent_of_programs() {
+    let case = OutageCase {
+        name: "1.5 s twice",
+        first_at_s: 7.6,
+        shift_s: 0.05,
+        outages_s: &[(0.0, 1.5), (2.6, 1.5)],
+    };
+    assert_eq!(case.stranded(), Vec::<String>::new());
+}
