Limits: a request of a started program waits for the next keeper

A trace of 359 programs that failed after their start (4 s without a keeper, or 1.5 s twice) shows that no keeper refused them last: 336 had all three tries refused by their gateways, 23 the last two, 354 while permits were scarce. A gateway lets as much pass as in the window before, so a program waits for its own first request to leave the window, up to 5 s, while its caller's tries are spent within 2.8 s: in two outages the tries fell into the first, its end and the second.

Where a gateway has no room for a request of a program that started there, the request now waits for a keeper as long as it may, or until there is room, also when the keeper is silent.

fleet/mod.rs, the model: it asks the new program_answer_timeout for a request's timeout, as the daemon does now, instead of answer_timeout, which knows no program. Nothing else changes there, and no test.

Trials, not kept: programs go on without a keeper while permits are scarce (windows exceeded); waiting programs remembered beyond the window, and handed on to the next keeper.

--- a/crates/daemon/src/limit_client.rs
+++ b/crates/daemon/src/limit_client.rs
@@ -140,7 +140,8 @@
         let program = request.map(|request| request.program);
         let asked_at = self.clock.now();
         let command = self.gateway().question(keeper, tenant, limit, request, max_wait, asked_at);
-        let patience = self.gateway().answer_timeout(keeper, max_wait, self.clock.now());
+        let patience =
+            self.gateway().program_answer_timeout(keeper, tenant, program, max_wait, asked_at);
         let patience = time::Duration::from_micros(patience.as_micros());
         let answer = timeout(patience, self.send_command(keeper, command)).await;
         let now = self.clock.now();
--- a/crates/limits/src/gateway.rs
+++ b/crates/limits/src/gateway.rs
@@ -259,6 +259,11 @@
         self.admitted.len() as f64 >= max_unreported
     }
 
+    /// Whether requests of a program have passed here and it may not have ended.
+    fn has_started(&self, program: Option<ProgramKey>, now: Timestamp) -> bool {
+        program.is_some_and(|program| self.quota.progress_of(program, now).is_some())
+    }
+
     fn has_unreported(&self) -> bool {
         !self.admitted.is_empty() || !self.delayed.is_empty() || !self.refunded.is_empty()
     }
@@ -366,6 +371,25 @@
         }
     }
 
+    /// Returns how long a request waits for the keeper's verdict. If its program has started here and the
+    /// gateway has no room for it, it waits until there is room, or as long as it may: callers try a few
+    /// times only, and would have spent all tries before the next keeper starts.
+    pub fn program_answer_timeout(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        program: Option<ProgramKey>,
+        max_wait: Duration,
+        now: Timestamp,
+    ) -> Duration {
+        let usual = self.answer_timeout(keeper, max_wait, now);
+        let window = self.settings.window();
+        let state = self.keepers.get_mut(&keeper).and_then(|keeper| keeper.tenants.get_mut(tenant));
+        let state = state.filter(|state| state.has_started(program, now));
+        let room = state.map(|state| state.quota.time_until_room(program, window, now));
+        usual.max(room.unwrap_or(Duration::ZERO).min(max_wait))
+    }
+
     /// Whether neither this gateway nor the keeper may know what passed within the window.
     fn knows_nothing(&self, keeper: GroupId, now: Timestamp) -> bool {
         let has_answered = self.keepers.get(&keeper).is_some_and(|state| state.term.is_some());
@@ -396,6 +420,24 @@
         limit: VersionedLimit,
         program: Option<ProgramKey>,
         now: Timestamp,
+    ) -> Admission {
+        let admission = self.decide(keeper, tenant, limit, program, now);
+        let state = self.tenant_state(keeper, tenant, limit, now);
+        match admission {
+            // The next keeper may start while the request waits.
+            Admission::Refuse { .. } if state.has_started(program, now) => Admission::Ask,
+            other => other,
+        }
+    }
+
+    /// Decides a request by itself, whether or not its program has started.
+    fn decide(
+        &mut self,
+        keeper: GroupId,
+        tenant: &TenantId,
+        limit: VersionedLimit,
+        program: Option<ProgramKey>,
+        now: Timestamp,
     ) -> Admission {
         if self.is_keeper_unresponsive(keeper, now) {
             return self.admit_without_keeper(keeper, tenant, limit, program, now);
--- a/crates/limits/tests/fleet/mod.rs
+++ b/crates/limits/tests/fleet/mod.rs
@@ -678,8 +678,11 @@
             Admission::Ask => {
                 self.outcome.asked += 1;
                 self.outcome.messages += 1;
-                let timeout = self.gateways[request.gateway].answer_timeout(
+                let program = self.program_key(request);
+                let timeout = self.gateways[request.gateway].program_answer_timeout(
                     KEEPER,
+                    &self.tenant,
+                    program,
                     MAX_HONOURED_RETRY,
                     self.now,
                 );
--- a/crates/limits/tests/gateway.rs
+++ b/crates/limits/tests/gateway.rs
@@ -291,3 +291,35 @@
     let past = PastRequests { age: Duration::from_secs(1), requests: 1 };
     assert_eq!(report.usage[0].past, [past]);
 }
+
+/// Callers try a request a few times. Without this, all tries of a program under way ended in refusals by
+/// its gateway while no keeper was there.
+#[test]
+fn request_of_a_started_program_waits_for_the_next_keeper() {
+    let limit = VersionedLimit {
+        generation: 1,
+        limit: RateLimit::new(10.0, 10.0).expect("a limit").expect("some"),
+    };
+    let (started, new) = (Some(ProgramKey(1)), Some(ProgramKey(2)));
+    let max_wait = Duration::from_millis(1_300);
+    let mut gateway = LimitGateway::new(window_settings(), DaemonId(1), Incarnation(1));
+    gateway.set_gateway_count(1_000, START);
+    assert_eq!(gateway.admit(KEEPER, &oak(), limit, started, START), Admission::Ask);
+    gateway.handle_answer(KEEPER, &oak(), started, pass_answer(true, 1), START);
+    gateway.due_report(KEEPER, START + Duration::from_millis(500)).expect("a keepalive");
+    let cases = [("overdue", 1_000), ("silent", 3_000)];
+    for (name, at_ms) in cases {
+        let now = START + Duration::from_millis(at_ms);
+        assert_eq!(gateway.admit(KEEPER, &oak(), limit, started, now), Admission::Ask, "{name}");
+        let mut timeout =
+            |program| gateway.program_answer_timeout(KEEPER, &oak(), program, max_wait, now);
+        assert_eq!(timeout(started), max_wait, "{name}");
+        assert!(timeout(new) < max_wait, "{name}");
+    }
+    // The program's first request leaves the window, and there is room for one more.
+    let shortly_before = START + Duration::from_millis(4_500);
+    let timeout = gateway.program_answer_timeout(KEEPER, &oak(), started, max_wait, shortly_before);
+    assert_eq!(timeout, Duration::from_millis(500));
+    let new = gateway.admit(KEEPER, &oak(), limit, new, shortly_before);
+    assert!(matches!(new, Admission::Refuse { .. }), "{new:?}");
+}
