--- a/crates/relay/tests/common/scripted_server.rs
+++ b/crates/relay/tests/common/scripted_server.rs
@@ -42,6 +42,8 @@
     Reset,
     /// Stops listening and resets the connection.
     StopAndReset,
+    /// Ends like a killed process: stops listening and resets all connections.
+    Crash,
     /// Sends nothing more and accepts no new connections, so that they hang.
     StopResponding,
     /// Accepts no new connections, so that they hang, and goes on with the next step.
@@ -63,6 +65,7 @@
     closed: Arc<Mutex<usize>>,
     connections: Arc<Mutex<usize>>,
     released: Arc<watch::Sender<bool>>,
+    crashed: Arc<watch::Sender<bool>>,
     accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
     /// Keeps new connections hanging after [`Step::StopAccepting`].
     full_listener: Arc<Mutex<Option<FullListener>>>,
@@ -82,6 +85,7 @@
             closed: Arc::default(),
             connections: Arc::default(),
             released: Arc::new(watch::Sender::new(false)),
+            crashed: Arc::new(watch::Sender::new(false)),
             accepting: Arc::default(),
             full_listener: Arc::default(),
         };
@@ -108,12 +112,28 @@
         self.released.send_replace(true);
     }
 
+    /// Whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
     async fn serve(self, connection: usize, mut stream: TcpStream) {
+        let mut crashed = self.crashed.subscribe();
+        let has_crashed = tokio::select! {
+            () = self.serve_requests(connection, &mut stream) => false,
+            _ = crashed.wait_for(|crashed| *crashed) => true,
+        };
+        if has_crashed {
+            let _ = SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+        }
+    }
+
+    async fn serve_requests(&self, connection: usize, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
-        while let Some(request) = read_request(&mut stream, &mut buffer, connection).await {
+        while let Some(request) = read_request(stream, &mut buffer, connection).await {
             self.requests.lock().expect("the lock is not poisoned").push(request.clone());
             for step in (self.script)(&request) {
-                if !self.act(&mut stream, step).await {
+                if !self.act(stream, step).await {
                     return;
                 }
             }
@@ -139,6 +159,11 @@
                 let _ = SockRef::from(&*stream).set_linger(Some(std::time::Duration::ZERO));
                 false
             }
+            Step::Crash => {
+                self.stop_listening().await;
+                self.crashed.send_replace(true);
+                std::future::pending().await
+            }
             Step::StopResponding => {
                 self.stop_listening().await;
                 let _full = FullListener::at(self.address);
