Relay: three servers at most end under one request, over all its attempts at a gateway

Cause: a server that has certainly ended does not count against max_attempts, nothing else bounded such servers, and nothing was known of a request beyond one attempt.

Now each server that ends under a request is recorded by a hash of what a server gets of it (tenant, method, host, target, body with the turn's history). From the third on no further server gets it: the attempt ends as lost, later ones get 503 with the time until a mark expires. Log lines name the hash, metrics count the servers by what shows their end.

One older check is replaced: after_one_reset_all_idle_connections_… counted one new connection after a reset. The connection that shows that the server lives on is kept for its next request now, so the test checks that the request came on none of the three idle ones and that just one was opened.

--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::net::SocketAddr;
 use std::ops::Bound;
 
 use dahlia_types::{Duration, Timestamp, Zone};
@@ -21,8 +22,8 @@
 use crate::version::VersionHistory;
 use crate::zone_preference::ZonePreference;
 use crate::{
-    AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, Choice, ChoiceRequest,
-    Distance, EngineCapacity, EvacuatedZone, Regions, ServiceName, VersionView,
+    AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, BackendState, Choice,
+    ChoiceRequest, Distance, EngineCapacity, EvacuatedZone, Regions, ServiceName, VersionView,
 };
 
 /// Called with the server of each of this daemon's failed attempts, unless the server was already
@@ -167,6 +168,18 @@
         self.server(id).is_none_or(Server::is_ending)
     }
 
+    /// Whether a server has announced that it leaves.
+    pub fn is_draining(&self, id: &BackendId) -> bool {
+        self.server(id).is_some_and(|server| server.record.state == BackendState::Draining)
+    }
+
+    /// Whether another incarnation or another server has taken the place of a server, which has ended then.
+    pub fn has_successor(&self, id: &BackendId, address: SocketAddr) -> bool {
+        let has_its_place = |record: &BackendRecord| record.address == address && record.id != *id;
+        let mut records = self.services.values().flat_map(ServiceServers::iter);
+        self.has_later_incarnation(id) || records.any(|it| has_its_place(&it.record))
+    }
+
     /// Whether a server failed so often recently that others are better.
     pub fn is_suspect(&self, id: &BackendId, now: Timestamp) -> bool {
         self.server(id).is_some_and(|server| server.is_suspect(&self.settings, now))
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -33,8 +33,9 @@
     count(&exchange.shared.counters.answered);
     match answer {
         Answer::Whole { response, body } => {
-            if response.did_not_run {
-                exchange.mark_not_run();
+            match response.did_not_run {
+                true => exchange.mark_not_run(),
+                false => exchange.record_whole_answer(),
             }
             exchange.log.answered(response.server(), response.parts.status, body.bytes.len());
             whole_response(response.parts, body.reservation.attach_to(body.bytes), method)
@@ -164,6 +165,7 @@
             match answer.next().await {
                 NextPiece::Piece(piece) => Some((Ok(piece), Some(answer))),
                 NextPiece::End => {
+                    answer.exchange.record_whole_answer();
                     answer.log_end();
                     None
                 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dahlia_admission::Stage;
 use dahlia_backends::{
-    Affinity, AttemptEnd, BackendAddress, BackendId, Choice, ChoiceBasis, ChoiceRequest,
+    Affinity, AttemptEnd, BackendAddress, BackendId, Backends, Choice, ChoiceBasis, ChoiceRequest,
     SharedPrompt, SoftwareVersion, TurnSize,
 };
 use dahlia_types::{Duration, Timestamp, Tokens};
@@ -28,6 +28,7 @@
 use crate::server_response::{
     AttemptGuard, BrokenAnswer, ChosenServer, ReadWholeError, ServerResponse,
 };
+use crate::suspicion::Suspicion;
 use crate::turn::Turn;
 use crate::version_bound::VersionBound;
 use crate::wait_queues::SlotGuard;
@@ -72,6 +73,8 @@
     is_origin_recorded: bool,
     /// Tells when other daemons have been sent where its stream began.
     pub(crate) origin_sent: Option<oneshot::Receiver<()>>,
+    /// None until it goes to servers.
+    pub(crate) suspicion: Option<Suspicion>,
     /// Number of servers that did not run it.
     refusals: u32,
     /// Whether a server may be running it now.
@@ -124,6 +127,7 @@
             bound_version: VersionBound::Any,
             is_origin_recorded: false,
             origin_sent: None,
+            suspicion: None,
             refusals: 0,
             is_sent: false,
         }
@@ -169,7 +173,12 @@
     }
 
     /// Sends the request to servers until one has answered it.
+    ///
+    /// # Errors
+    /// The reason why there is no answer.
     pub(crate) async fn obtain_answer(&mut self) -> Result<Answer, Refusal> {
+        self.begin_suspicion();
+        self.refuse_if_withheld().await?;
         let max_bytes = self.shared.settings.most_answer_bytes;
         loop {
             let mut response = self.send_until_response().await?;
@@ -205,6 +214,9 @@
             let may_run_again = self.may_run_again();
             let guard = AttemptGuard::new(&self.shared, &chosen, may_run_again, repeats, log, slot);
             let server = chosen.server;
+            if let Some(suspicion) = &self.suspicion {
+                suspicion.mark_sent(&server.id);
+            }
             count(&self.shared.counters.attempts);
             self.log.sent(&server.id, self.repeat_cause, self.deadline);
             let outcome = self.send_within_memory_limit(&server, guard).await;
@@ -289,8 +301,9 @@
             return Choice::NoBackend { retry_after };
         }
         let now = (self.shared.clock)();
+        let avoided = self.servers_to_avoid();
         let mut backends = self.shared.backends.lock().unwrap_or_else(PoisonError::into_inner);
-        let choice = backends.choose(&request, now);
+        let choice = choose_avoiding(&mut backends, &request, avoided, now);
         if let Choice::Use { server, basis } = &choice {
             self.log.chosen(&server.id, basis, self.tried.len(), self.body.bytes.len());
         }
@@ -333,6 +346,11 @@
         self.head.total_tokens(&self.shared.headers).unwrap_or(Tokens(1))
     }
 
+    /// The body that servers get.
+    pub(crate) fn body_content(&self) -> Bytes {
+        self.body.bytes.clone()
+    }
+
     pub(crate) fn body_bytes(&self) -> usize {
         self.body.bytes.len()
     }
@@ -368,6 +386,9 @@
         let tenant = self.matched.tenant();
         self.shared.programs.record_answer(&self.head, &self.shared.headers, tenant);
         if !self.may_run_again() {
+            if let Some(suspicion) = &self.suspicion {
+                suspicion.content.release_body();
+            }
             self.body =
                 ReservedBody { bytes: Bytes::new(), reservation: self.caller.empty_reservation() };
         }
@@ -448,8 +469,12 @@
         let last_run = self.current.take().map(|server| PossibleRun { server, cause });
         if let Some(run) = &last_run {
             self.counted_runs.add(run.clone());
+            self.record_end(run).await;
         }
         let decision = self.reserve_repeat(permit).await;
+        if decision.as_ref().is_err_and(|reason| *reason != WithheldReason::EndedServers) {
+            self.tell_ended_servers().await;
+        }
         if let Some(run) = &last_run {
             let counted = self.counted_runs.len();
             let withheld = decision.as_ref().err().copied();
@@ -471,7 +496,12 @@
         if !self.counted_runs.allow_another(max_attempts, &self.shared, &self.log).await {
             return Err(WithheldReason::AttemptLimit);
         }
-        permit.or_else(|| self.service_budget().reserve()).ok_or(WithheldReason::Budget)
+        let permit = permit.or_else(|| self.service_budget().reserve());
+        let permit = permit.ok_or(WithheldReason::Budget)?;
+        match self.may_reach_further_server().await {
+            true => Ok(permit),
+            false => Err(WithheldReason::EndedServers),
+        }
     }
 
     /// Whether the request may run on more than one server. A stream that cannot be resumed runs at
@@ -517,3 +547,20 @@
         Refusal::Busy { retry_after: Duration::from_millis(self.shared.settings.retry_after_ms) }
     }
 }
+
+/// Chooses a server, one of those to avoid only if no other takes the request.
+fn choose_avoiding(
+    backends: &mut Backends,
+    request: &ChoiceRequest<'_>,
+    mut avoided: Vec<BackendId>,
+    now: Timestamp,
+) -> Choice {
+    if !avoided.is_empty() {
+        avoided.extend_from_slice(request.tried);
+        let choice = backends.choose(&ChoiceRequest { tried: &avoided, ..*request }, now);
+        if matches!(choice, Choice::Use { .. }) {
+            return choice;
+        }
+    }
+    backends.choose(request, now)
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,8 @@
 //! | `connection`, `pool` | connections to servers, and the idle ones among them |
 //! | `liveness` | servers that stop responding |
 //! | `repeats`, `repeat_budget` | why a request is sent to a further server, and how often a service gets repeats |
+//! | `fingerprint` | identifies a request by what a server gets of it |
+//! | `crash_evidence`, `crash_records`, `crash_suspects`, `suspicion` | servers that ended under a request, and requests that reach no further server because of it |
 //! | `idle_limit` | how long a connection may be idle before a request that runs once uses it |
 //! | `events`, `event_boundary` | server-sent events parsed from a stream, and where they begin and end |
 //! | `received_answer` | what has arrived of a server's answer, and how the answer tells where it ends |
@@ -51,9 +53,13 @@
 mod connection;
 mod counted_runs;
 mod counters;
+mod crash_evidence;
+mod crash_records;
+mod crash_suspects;
 mod event_boundary;
 mod events;
 mod exchange;
+mod fingerprint;
 mod headers;
 mod hop_by_hop;
 mod idle_limit;
@@ -80,6 +86,7 @@
 mod server_slot;
 mod settings;
 mod stream_origins;
+mod suspicion;
 mod taken_up;
 mod tenant;
 mod token_intervals;
@@ -88,8 +95,11 @@
 mod wait_queues;
 
 pub use counters::CounterReadings;
+pub use crash_records::CrashMark;
+pub use crash_suspects::{Consultation, CrashSuspects, GatewayReach, KnownMarks, SuspectRequest};
 pub use event_boundary::EventBoundary;
 pub use events::{Event, EventReader};
+pub use fingerprint::{InvalidFingerprint, RequestFingerprint};
 pub use headers::HeaderNames;
 pub use ledger::{LedgerUnavailable, TurnLedger};
 pub use limits::{LimitReached, TenantLimits};
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -113,6 +113,12 @@
         servers.insert(server.clone(), ServerState::new(now));
     }
 
+    /// When something last came from a server, as far as it is known.
+    pub(crate) fn last_contact(&self, server: &BackendId) -> Option<Instant> {
+        let servers = self.lock();
+        servers.get(server).filter(|state| state.silent_at.is_none()).map(|it| it.last_contact)
+    }
+
     /// Returns which connections a request to the server may use. While the server does not
     /// respond, requests must not leave on open connections: they may run without an answer.
     pub(crate) fn usable_connections(self: &Arc<Self>, server: &BackendId) -> UsableConnections {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,7 @@
 use tokio::time::Duration;
 
 use crate::CounterReadings;
+use crate::crash_evidence::CrashEvidence;
 use crate::repeats::{RepeatCause, WithheldReason};
 
 /// Upper bounds of histogram buckets in seconds, from a lookup of a few milliseconds to a long
@@ -31,6 +32,7 @@
     repeats: IntCounterVec,
     withheld_repeats: IntCounterVec,
     excluded_runs: IntCounterVec,
+    ended_servers: IntCounterVec,
     refusals: IntCounterVec,
     head_seconds: HistogramVec,
     whole_seconds: HistogramVec,
@@ -112,6 +114,11 @@
                 "Servers that may have run a request and are certainly lost, by service.",
                 "service",
             ),
+            ended_servers: by_service(
+                "dahlialadder_relay_ended_servers_total",
+                "Servers that ended or may have ended while they had a request, by what shows it.",
+                "evidence",
+            ),
             refusals: counters(
                 "dahlialadder_relay_refusals_total",
                 "Requests that the relay ended itself, by cause.",
@@ -146,7 +153,7 @@
     /// # Errors
     /// One of the names is registered already.
     pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 18] = [
+        let collectors: [Box<dyn Collector>; 19] = [
             Box::new(self.events.clone()),
             Box::new(self.gauges.clone()),
             Box::new(self.choices.clone()),
@@ -157,6 +164,7 @@
             Box::new(self.repeats.clone()),
             Box::new(self.withheld_repeats.clone()),
             Box::new(self.excluded_runs.clone()),
+            Box::new(self.ended_servers.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.head_seconds.clone()),
             Box::new(self.whole_seconds.clone()),
@@ -248,6 +256,11 @@
         self.excluded_runs.with_label_values(&[service.0.as_str()]).inc();
     }
 
+    /// Counts a server that ended, or may have ended, while it had a request.
+    pub(crate) fn count_ended_server(&self, service: &ServiceName, evidence: CrashEvidence) {
+        self.ended_servers.with_label_values(&[service.0.as_str(), evidence.name()]).inc();
+    }
+
     pub(crate) fn count_refusal(&self, cause: &str) {
         self.refusals.with_label_values(&[cause]).inc();
     }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -49,6 +49,9 @@
     /// Nobody knows at which software version the stream began that the caller takes up.
     #[snafu(display("the software version that began the stream is not known"))]
     UnknownOrigin { retry_after: Duration },
+    /// As many servers ended under this request, in earlier attempts, as may end.
+    #[snafu(display("too many servers ended under this request"))]
+    EndsServers { retry_after: Duration },
     #[snafu(display("the program's budget is spent"))]
     BudgetSpent,
     #[snafu(display("there is no such turn"))]
@@ -69,7 +72,8 @@
             | Self::MemoryFull { .. }
             | Self::Stopping { .. }
             | Self::LedgerUnavailable { .. }
-            | Self::UnknownOrigin { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::UnknownOrigin { .. }
+            | Self::EndsServers { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
             Self::UnknownKey { .. } => StatusCode::UNAUTHORIZED,
             Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
@@ -100,6 +104,7 @@
             Self::Stopping { .. } => "stopping",
             Self::LedgerUnavailable { .. } => "ledger-unavailable",
             Self::UnknownOrigin { .. } => "unknown-origin",
+            Self::EndsServers { .. } => "ends-servers",
             Self::BudgetSpent => "budget-spent",
             Self::NoSuchTurn => "no-such-turn",
             Self::AnswerLost => "answer-lost",
@@ -116,7 +121,8 @@
             | Self::MemoryFull { retry_after }
             | Self::Stopping { retry_after }
             | Self::LedgerUnavailable { retry_after }
-            | Self::UnknownOrigin { retry_after } => Some(*retry_after),
+            | Self::UnknownOrigin { retry_after }
+            | Self::EndsServers { retry_after } => Some(*retry_after),
             _ => None,
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,6 +11,8 @@
 
 use crate::active_programs::ActivePrograms;
 use crate::counters::{CounterReadings, Counters};
+use crate::crash_evidence::UncertainEnds;
+use crate::crash_suspects::CrashSuspects;
 use crate::liveness::ServerLiveness;
 use crate::memory::MemoryQuota;
 use crate::metrics::RelayMetrics;
@@ -40,6 +42,8 @@
     pub(crate) memory: Arc<MemoryQuota>,
     pub(crate) repeats: Arc<RepeatBudgets>,
     pub(crate) programs: ActivePrograms,
+    pub(crate) suspects: Arc<CrashSuspects>,
+    pub(crate) uncertain_ends: UncertainEnds,
     pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) queues: Arc<WaitQueues>,
     pub(crate) drain: watch::Sender<bool>,
@@ -107,6 +111,8 @@
             memory: MemoryQuota::new(&settings),
             repeats: RepeatBudgets::new(&settings),
             programs: ActivePrograms::default(),
+            suspects: CrashSuspects::new(&settings),
+            uncertain_ends: UncertainEnds::default(),
             origins: Arc::default(),
             drain: watch::Sender::new(false),
             stops_accepting: watch::Sender::new(false),
@@ -152,6 +158,17 @@
         Arc::clone(&self.shared.origins)
     }
 
+    /// The requests under which servers ended, for the daemon that tells other gateways of them.
+    pub fn crash_suspects(&self) -> Arc<CrashSuspects> {
+        Arc::clone(&self.shared.suspects)
+    }
+
+    /// Settles which servers have ended, by what has been heard of them, and forgets what is too old.
+    pub fn review_crash_suspects(&self) {
+        self.shared.settle_uncertain_ends();
+        self.shared.suspects.prune((self.shared.clock)());
+    }
+
     /// The zones that are being evacuated, and the requests still running there.
     pub fn evacuations(&self) -> Vec<EvacuatedZone> {
         self.lock_backends().evacuations()
--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -83,6 +83,8 @@
     AttemptLimit,
     /// Its service has had too many repeats of late.
     Budget,
+    /// Too many servers ended under it, or might end.
+    EndedServers,
 }
 
 impl WithheldReason {
@@ -92,6 +94,7 @@
             Self::RunsOnce => "runs-once",
             Self::AttemptLimit => "attempt-limit",
             Self::Budget => "budget",
+            Self::EndedServers => "ended-servers",
         }
     }
 }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -16,6 +16,9 @@
 use tokio::time::Instant;
 
 use crate::counted_runs::PossibleRun;
+use crate::crash_evidence::CrashEvidence;
+use crate::crash_suspects::GatewayReach;
+use crate::fingerprint::RequestFingerprint;
 use crate::metrics::RelayMetrics;
 use crate::received_answer::ReceivedAnswer;
 use crate::refusal::Refusal;
@@ -263,6 +266,49 @@
         );
     }
 
+    /// The server of a lost answer has ended, or may have. `ended` servers count as ended under the request, in all of its
+    /// attempts that this gateway knows of.
+    pub(crate) fn server_ended(
+        &self,
+        run: &PossibleRun,
+        request: RequestFingerprint,
+        evidence: CrashEvidence,
+        ended: usize,
+    ) {
+        if let Some(service) = &self.service {
+            self.metrics.count_ended_server(service, evidence);
+        }
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            request_hash:% = request,
+            server:% = run.server.id,
+            cause = run.cause.name(),
+            evidence = evidence.name(),
+            ended = ended,
+            age_ms = self.age_ms();
+            "A server ended while it had the request."
+        );
+    }
+
+    /// No further server gets the request, under which `ended` servers ended.
+    pub(crate) fn withheld_from_servers(
+        &self,
+        request: RequestFingerprint,
+        ended: usize,
+        reach: GatewayReach,
+    ) {
+        log::warn!(
+            target: "relay",
+            request = self.request(),
+            request_hash:% = request,
+            ended = ended,
+            gateways:? = reach,
+            age_ms = self.age_ms();
+            "No further server gets the request: too many ended under it."
+        );
+    }
+
     /// A complete answer of a server is forwarded.
     pub(crate) fn answered(&self, server: &BackendId, status: StatusCode, bytes: usize) {
         self.answer_began();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -39,6 +39,10 @@
     pub initial_repeats: f64,
     /// The most repeats that first sends save up for a service.
     pub most_saved_repeats: f64,
+    /// Servers that may end under one request, over all its attempts at all gateways, before it is refused.
+    pub most_ended_servers: u32,
+    /// Seconds for which it is known that a server ended under a request.
+    pub ended_servers_retention_s: u64,
     /// Milliseconds after which a caller may retry, if nothing better is known.
     pub retry_after_ms: u64,
     /// Bytes of the longest answer that is not a stream, and of the longest event of a stream.
@@ -88,6 +92,8 @@
             repeats_per_first_send: 0.1,
             initial_repeats: 2.0,
             most_saved_repeats: 10.0,
+            most_ended_servers: 3,
+            ended_servers_retention_s: 600,
             retry_after_ms: 100,
             most_answer_bytes: 16 * 1024 * 1024,
             memory_mb: None,
@@ -129,6 +135,9 @@
         check_range("relay.most_saved_repeats", self.most_saved_repeats, 0.0, 1e6)?;
         let most_saved = self.most_saved_repeats;
         check_range("relay.initial_repeats", self.initial_repeats, 0.0, most_saved)?;
+        check_range("relay.most_ended_servers", self.most_ended_servers, 1, 1_000)?;
+        let retention = self.ended_servers_retention_s;
+        check_range("relay.ended_servers_retention_s", retention, 1, 86_400)?;
         check_range("relay.retry_after_ms", self.retry_after_ms, 1, 60_000)?;
         check_range("relay.most_answer_bytes", self.most_answer_bytes, 1_024, 1 << 32)?;
         if let Some(memory_mb) = self.memory_mb {
--- a/crates/relay/tests/restarts.rs
+++ b/crates/relay/tests/restarts.rs
@@ -161,7 +161,9 @@
     assert_eq!(call(gateway.address, &post("u-1", "", "x")).await.status, 502);
     // Repeatable requests use new connections too.
     gateway.relay.set_routes(std::sync::Arc::new(route_table(vec![repeatable_route()])));
-    let connections = server.connections();
     assert_eq!(call(gateway.address, &post("u-2", "", "x")).await.status, 200);
-    assert_eq!(server.connections(), connections + 1);
+    let last = server.requests().pop().expect("the server received it");
+    assert_eq!(last.line.split(' ').next(), Some("POST"));
+    assert!(last.connection >= 3, "not one of the three that were idle");
+    assert_eq!(server.connections(), 4, "the one that showed that the server lives on is used");
 }
