Relay: what a request has had, and whether another server gets it, in a module of its own

Sending stays there; the count of lost answers, the reservation of repeats and the decision move to lost_answers.rs, unchanged. All tests of dahlia-relay pass.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,15 +13,15 @@
 use tokio::time::Instant;
 
 use crate::attempt::{PreparedRequest, SendOutcome, connect};
-use crate::counted_runs::{CountedRuns, PossibleRun};
+use crate::counted_runs::CountedRuns;
 use crate::counters::count;
 use crate::memory::{CallerQuota, ReservedBody};
 use crate::outgoing::OutgoingRequest;
 use crate::prompt_parts::SharedPromptParts;
 use crate::refusal::Refusal;
 use crate::relay::Shared;
-use crate::repeat_budget::{RepeatPermit, ServiceBudget};
-use crate::repeats::{Loss, RepeatCause, WithheldReason};
+use crate::repeat_budget::RepeatPermit;
+use crate::repeats::RepeatCause;
 use crate::request::RequestHead;
 use crate::request_log::RequestLog;
 use crate::router::{RouteMatch, hash_key};
@@ -32,7 +32,7 @@
 use crate::turn::Turn;
 use crate::version_bound::VersionBound;
 use crate::wait_queues::SlotGuard;
-use crate::{Repeatability, Route, TurnLedger, priority_level};
+use crate::{Route, TurnLedger, priority_level};
 
 /// A request with the state of all its attempts.
 pub(crate) struct Exchange<L: TurnLedger> {
@@ -57,16 +57,16 @@
     preferred: Option<BackendId>,
     tried: Vec<BackendId>,
     /// Number of servers that may have run it and whose answer is lost.
-    lost_answers: u32,
+    pub(crate) lost_answers: u32,
     /// Servers among these that count against the route's attempt limit; those that have ended
     /// since do not.
-    counted_runs: CountedRuns,
+    pub(crate) counted_runs: CountedRuns,
     /// Why the next send is a repeat; none before the first send.
-    repeat_cause: Option<RepeatCause>,
+    pub(crate) repeat_cause: Option<RepeatCause>,
     /// The repeat that is reserved for the next send.
-    permit: Option<RepeatPermit>,
+    pub(crate) permit: Option<RepeatPermit>,
     /// The server of the last attempt.
-    current: Option<BackendAddress>,
+    pub(crate) current: Option<BackendAddress>,
     /// The software versions at which it may run.
     pub(crate) bound_version: VersionBound,
     /// Whether other daemons can learn where its stream began.
@@ -76,9 +76,9 @@
     /// None until it goes to servers.
     pub(crate) suspicion: Option<Suspicion>,
     /// Number of servers that did not run it.
-    refusals: u32,
+    pub(crate) refusals: u32,
     /// Whether a server may be running it now.
-    is_sent: bool,
+    pub(crate) is_sent: bool,
 }
 
 /// The part of a server's answer that must be there before the caller gets any of it.
@@ -442,101 +442,10 @@
         }
     }
 
-    /// The number of servers that may have run it and whose answer is lost.
-    pub(crate) fn lost_answers(&self) -> u32 {
-        self.lost_answers
-    }
-
     pub(crate) fn may_have_run(&self) -> bool {
         self.is_sent || self.lost_answers > 0
     }
 
-    fn handle_not_run(&mut self, retry_after: Option<Duration>) -> Result<(), Refusal> {
-        self.mark_not_run();
-        self.refusals += 1;
-        self.repeat_cause = Some(RepeatCause::NotRun);
-        if self.refusals < self.shared.settings.most_refusals {
-            return Ok(());
-        }
-        let default = Duration::from_millis(self.shared.settings.retry_after_ms);
-        Err(self.refusal_without_server(retry_after.unwrap_or(default)))
-    }
-
-    /// Notes that the last server may have run the request and that its answer is lost.
-    ///
-    /// # Errors
-    /// No other server may run it.
-    pub(crate) async fn handle_answer_lost(&mut self, loss: Loss) -> Result<(), Refusal> {
-        let Loss { cause, permit } = loss;
-        self.is_sent = false;
-        self.lost_answers += 1;
-        self.repeat_cause = Some(RepeatCause::Lost(cause));
-        let last_run = self.current.take().map(|server| PossibleRun { server, cause });
-        if let Some(run) = &last_run {
-            self.counted_runs.add(run.clone());
-            self.record_end(run).await;
-        }
-        let decision = self.reserve_repeat(permit).await;
-        if decision.as_ref().is_err_and(|reason| *reason != WithheldReason::EndedServers) {
-            self.tell_ended_servers().await;
-        }
-        if let Some(run) = &last_run {
-            let counted = self.counted_runs.len();
-            let withheld = decision.as_ref().err().copied();
-            self.log.answer_lost(run, counted, self.route().max_attempts, withheld);
-        }
-        self.permit = Some(decision.map_err(|_| Refusal::AnswerLost)?);
-        Ok(())
-    }
-
-    /// Reserves a repeat of the request, whose last answer is lost, unless `permit` is one.
-    async fn reserve_repeat(
-        &mut self,
-        permit: Option<RepeatPermit>,
-    ) -> Result<RepeatPermit, WithheldReason> {
-        if !self.may_run_again() {
-            return Err(WithheldReason::RunsOnce);
-        }
-        let max_attempts = self.route().max_attempts;
-        if !self.counted_runs.allow_another(max_attempts, &self.shared, &self.log).await {
-            return Err(WithheldReason::AttemptLimit);
-        }
-        let permit = permit.or_else(|| self.service_budget().reserve());
-        let permit = permit.ok_or(WithheldReason::Budget)?;
-        match self.may_reach_further_server().await {
-            true => Ok(permit),
-            false => Err(WithheldReason::EndedServers),
-        }
-    }
-
-    /// Whether the request may run on more than one server. A stream that cannot be resumed runs at
-    /// most once, whatever its route says.
-    fn may_run_again(&self) -> bool {
-        let route = self.route();
-        match route.is_stream {
-            true => route.is_resumable,
-            false => route.repeatability == Repeatability::Repeatable,
-        }
-    }
-
-    fn service_budget(&self) -> ServiceBudget {
-        self.shared.repeats.of_service(self.matched.service_name())
-    }
-
-    /// Notes a send: a first one allows a share of a repeat, a repeat uses its permit.
-    fn record_send(&mut self) {
-        if let Some(permit) = self.permit.take() {
-            permit.spend();
-        } else if self.is_first_attempt() && self.may_run_again() {
-            self.service_budget().record_first_send();
-        }
-    }
-
-    /// Whether another server may get the request if the next one loses its answer.
-    fn may_move_on(&self) -> bool {
-        self.may_run_again() && self.counted_runs.len() + 1 < self.route().max_attempts as usize
-    }
-
     pub(crate) fn refusal_without_server(&self, retry_after: Duration) -> Refusal {
         if self.may_have_run() {
             return Refusal::AnswerLost;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 //! | `priority` | the priority of a request at servers |
 //! | `outgoing`, `server_response` | a request as one server receives it, and its answer while it arrives |
 //! | `connection`, `pool` | connections to servers, and the idle ones among them |
+//! | `lost_answers` | what a request has had, and whether another server gets it |
 //! | `liveness` | servers that stop responding |
 //! | `repeats`, `repeat_budget` | why a request is sent to a further server, and how often a service gets repeats |
 //! | `fingerprint` | identifies a request by what a server gets of it |
@@ -66,6 +67,7 @@
 mod ledger;
 mod limits;
 mod liveness;
+mod lost_answers;
 mod memory;
 mod metrics;
 mod outgoing;
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -109,7 +109,7 @@
     /// afterwards.
     pub(crate) async fn may_reach_further_server(&mut self) -> bool {
         if let Some(suspicion) = &self.suspicion
-            && self.lost_answers() > 1
+            && self.lost_answers > 1
         {
             self.shared.probe_uncertain_ends(suspicion.content.fingerprint()).await;
         }
