Relay: a request whose last server may have ended is looked at again when it comes back

A loss at a server that still accepted a connection leaves no mark, and was looked at again only if the request had other marks. Now its first return does: the server is probed again, unless something has come from it since or the connection that was opened then is still open.

--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Whether one of them concerns a request with a body of this length.
+    pub(crate) fn have_body_length(&self, bytes: u64) -> bool {
+        self.lock().iter().any(|end| end.request.body_bytes == bytes)
+    }
+
     fn lock(&self) -> MutexGuard<'_, VecDeque<UncertainEnd>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -206,12 +211,14 @@
         *ends = open;
     }
 
-    /// Probes again the servers that may have ended under a request a moment ago.
+    /// Probes again the servers that may have ended under a request a moment ago, unless something shows that they live.
     pub(crate) async fn probe_uncertain_ends(&self, request: RequestFingerprint) {
         let is_due = |end: &&UncertainEnd| {
             end.request == request
                 && end.evidence == CrashEvidence::Uncertain
                 && end.at.elapsed() < REPROBE_TIME
+                && !self.was_heard_since(end)
+                && !self.pool.has_open(&end.server.id)
         };
         let due: Vec<UncertainEnd> =
             self.uncertain_ends.lock().iter().filter(is_due).cloned().collect();
@@ -228,8 +235,7 @@
         if has_successor(&end.server, self) {
             return Settlement::Ended;
         }
-        let was_heard = self.liveness.last_contact(&end.server.id).is_some_and(|it| it > end.at);
-        if was_heard && end.evidence == CrashEvidence::Silent {
+        if end.evidence == CrashEvidence::Silent && self.was_heard_since(end) {
             return Settlement::LivesOn;
         }
         match end.at.elapsed() < MAX_UNCERTAIN_TIME {
@@ -238,6 +244,10 @@
         }
     }
 
+    fn was_heard_since(&self, end: &UncertainEnd) -> bool {
+        self.liveness.last_contact(&end.server.id).is_some_and(|contact| contact > end.at)
+    }
+
     fn settle_as_ended(&self, end: &UncertainEnd) {
         if end.evidence == CrashEvidence::Uncertain {
             let now = (self.clock)();
--- a/crates/relay/src/lost_answers.rs
+++ b/crates/relay/src/lost_answers.rs
@@ -10,6 +10,10 @@
 use crate::{Repeatability, TurnLedger};
 
 impl<L: TurnLedger> Exchange<L> {
+    /// Notes that the last server did not run the request.
+    ///
+    /// # Errors
+    /// As many servers have refused it as may.
     pub(crate) fn handle_not_run(&mut self, retry_after: Option<Duration>) -> Result<(), Refusal> {
         self.mark_not_run();
         self.refusals += 1;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -106,6 +106,13 @@
         Some(Connected { connection, idle_for: Some(idle_for) })
     }
 
+    /// Whether an idle connection to a server is still open.
+    pub(crate) fn has_open(&self, server: &BackendId) -> bool {
+        let mut idle = self.lock();
+        let connections = idle.by_server.get_mut(server).into_iter().flatten();
+        connections.into_iter().any(|idle| idle.connection.is_reusable())
+    }
+
     /// Records that a request to a server got a reset instead of an answer. A server that silently
     /// dropped one idle connection has dropped the others too: it may have restarted without
     /// notice.
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -74,9 +74,8 @@
     /// # Errors
     /// Too many servers ended under it, or might end.
     pub(crate) async fn refuse_if_withheld(&mut self) -> Result<(), Refusal> {
+        self.settle_own_uncertain_ends().await;
         let Some(request) = self.suspect_fingerprint() else { return Ok(()) };
-        self.shared.settle_uncertain_ends();
-        self.shared.probe_uncertain_ends(request).await;
         match self.await_clearance(request).await {
             Clearance::Granted => Ok(()),
             Clearance::Withheld { retry_after } => Err(Refusal::EndsServers { retry_after }),
@@ -108,10 +107,8 @@
     /// Whether the request may go to a further server although servers ended under it. Other gateways know of these
     /// afterwards.
     pub(crate) async fn may_reach_further_server(&mut self) -> bool {
-        if let Some(suspicion) = &self.suspicion
-            && self.lost_answers > 1
-        {
-            self.shared.probe_uncertain_ends(suspicion.content.fingerprint()).await;
+        if self.lost_answers > 1 {
+            self.settle_own_uncertain_ends().await;
         }
         let Some(request) = self.suspect_fingerprint() else { return true };
         self.await_clearance(request).await == Clearance::Granted
@@ -136,6 +133,15 @@
         }
     }
 
+    /// Settles uncertain ends of servers that had this request before.
+    async fn settle_own_uncertain_ends(&self) {
+        let Some(suspicion) = &self.suspicion else { return };
+        if self.shared.uncertain_ends.have_body_length(suspicion.content.body_bytes()) {
+            self.shared.settle_uncertain_ends();
+            self.shared.probe_uncertain_ends(suspicion.content.fingerprint()).await;
+        }
+    }
+
     /// The request's fingerprint, if servers ended under it.
     fn suspect_fingerprint(&self) -> Option<RequestFingerprint> {
         let content = &self.suspicion.as_ref()?.content;
