--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -75,6 +75,7 @@
     /// Daemons that others consider dead.
     dead: Vec<u32>,
     in_transit: Vec<(Timestamp, u32, SocketAddr, FeedMessage)>,
+    link_delay: Duration,
     /// Maximum time that a change stayed unknown to a healthy daemon.
     max_change_delay: Duration,
     /// Total time that daemons read for themselves.
@@ -102,6 +103,7 @@
             daemons: (1..=daemons).map(|number| (number, daemon(number))).collect(),
             dead: Vec::new(),
             in_transit: Vec::new(),
+            link_delay: LINK_DELAY,
             max_change_delay: Duration::ZERO,
             own_reading_time: Duration::ZERO,
             report_receivers: BTreeMap::new(),
@@ -248,7 +250,7 @@
         if matches!(message, FeedMessage::Report(_)) {
             self.report_receivers.entry(from).or_default().insert(to);
         }
-        self.in_transit.push((self.now + LINK_DELAY, from, to, message));
+        self.in_transit.push((self.now + self.link_delay, from, to, message));
     }
 
     fn deliver(&mut self) {
@@ -371,6 +373,27 @@
     }
 }
 
+/// Guards against daemons that go by reports which are ever older, because the way between them takes longer and
+/// longer: a queue that fills, or a daemon that is short of processor time.
+#[test]
+fn changes_are_known_in_time_although_reports_take_longer_and_longer() {
+    let growth = Duration::from_millis(500);
+    let interval = Some(Duration::from_millis(700));
+    for most in [Duration::from_secs(3), Duration::from_secs(6)] {
+        let mut zone = Zone::new(43);
+        while zone.link_delay < most {
+            // Half a second more for each second that passes.
+            for _ in 0..50 {
+                zone.link_delay = Duration(zone.link_delay.0 + growth.0 / 50);
+                zone.pass(STEP, interval);
+            }
+        }
+        zone.pass(Duration::from_secs(12), interval);
+        let delay = zone.max_change_delay;
+        assert!(delay <= MAX_CHANGE_DELAY, "up to {most:?}: {delay:?}");
+    }
+}
+
 /// Readers end one after the other. Their followers must switch to the next reader without reading for
 /// themselves for long. A source that counts changes that it does not report makes this harder: the reports
 /// of a new reader begin after the revision that its followers know.
