Observability: how old the list of servers is at each choice, and which step took the time

Nothing told how old a gateway's list was when it chose a server, or where a change had been on its way, so the hypotheses of the incident could not be told apart after the fact. The way between gateways is measured by the subscriber's own clock: a subscription says when it was sent, a report returns it with the time from its arrival to the begin of the call. Both fields follow the message in its frame, with samples; builds without them ignore them.

--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -108,6 +108,8 @@
     pub distance: Distance,
     /// The estimate for the chosen server, if the choice was made by estimates.
     pub estimate: Option<TurnEstimate>,
+    /// How long ago the list of servers was complete; none if that was never known.
+    pub list_age: Option<Duration>,
 }
 
 /// The estimate for a request at a server.
--- a/crates/backends/src/selection.rs
+++ b/crates/backends/src/selection.rs
@@ -356,6 +356,7 @@
             in_flight: server.in_flight,
             distance,
             estimate,
+            list_age: None,
         }
     }
 }
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -23,6 +23,8 @@
     pub record: BackendRecord,
     /// This daemon's attempts that have not ended.
     pub in_flight: u32,
+    /// When an attempt last began.
+    pub last_sent_at: Option<Timestamp>,
     /// The tokens of memory that these attempts need when they end.
     reserved_tokens: u64,
     /// `in_flight`, averaged over time.
@@ -53,6 +55,7 @@
         Self {
             record,
             in_flight: 0,
+            last_sent_at: None,
             reserved_tokens: 0,
             average_in_flight: SmoothedCount::default(),
             reported_leaving: false,
@@ -192,6 +195,7 @@
         self.cold_state.record_sent(now);
         self.average_in_flight.record(self.in_flight, settings.load_span(), now);
         self.in_flight += 1;
+        self.last_sent_at = Some(now);
         if now >= self.slow_retry_at {
             self.slow_retry_at = now + Duration::from_millis(settings.slow_retry_ms);
         }
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -23,7 +23,8 @@
 use crate::zone_preference::ZonePreference;
 use crate::{
     AttemptEnd, BackendAddress, BackendId, BackendRecord, BackendSettings, BackendState, Choice,
-    ChoiceRequest, Distance, EngineCapacity, EvacuatedZone, Regions, ServiceName, VersionView,
+    ChoiceBasis, ChoiceRequest, Distance, EngineCapacity, EvacuatedZone, Regions, ServiceName,
+    VersionView,
 };
 
 /// Called with the server of each of this daemon's failed attempts, unless the server was already
@@ -49,6 +50,8 @@
     /// The versions that each service had, also of services without servers.
     versions: BTreeMap<ServiceName, VersionHistory>,
     pub(crate) rejected_loads: RejectedLoads,
+    /// The time as of which discovery's list of servers is complete here.
+    complete_as_of: Option<Timestamp>,
     /// Differs between daemons, for choices that should differ between them.
     pub(crate) seed: u64,
     on_failure: Option<FailureListener>,
@@ -78,6 +81,7 @@
             engines: BTreeMap::new(),
             versions: BTreeMap::new(),
             rejected_loads: RejectedLoads::default(),
+            complete_as_of: None,
             seed,
             on_failure: None,
         }
@@ -111,6 +115,21 @@
         self.record_cold_for(&id, cold_for, now);
     }
 
+    /// Records that all changes of the list of servers up to a time are applied.
+    pub fn record_complete_as_of(&mut self, as_of: Timestamp) {
+        self.complete_as_of = self.complete_as_of.max(Some(as_of));
+    }
+
+    /// Returns the time as of which the list of servers is complete; none if that was never known.
+    pub fn complete_as_of(&self) -> Option<Timestamp> {
+        self.complete_as_of
+    }
+
+    /// Returns when an attempt at a listed server last began.
+    pub fn last_sent_at(&self, id: &BackendId) -> Option<Timestamp> {
+        self.server(id)?.last_sent_at
+    }
+
     /// Suspends a server whose record from discovery cannot be used: it gets no new work until the
     /// next [`Self::put`]. It has not ended, so attempts that it may still be running count.
     pub fn withdraw(&mut self, id: &BackendId) {
@@ -221,6 +240,8 @@
         let Some((id, basis)) = self.select(request, now) else {
             return self.refuse(request, now);
         };
+        let list_age = self.complete_as_of.map(|as_of| now.since(as_of));
+        let basis = ChoiceBasis { list_age, ..basis };
         let servers = self.services.get_mut(request.service);
         let Some((servers, address)) = servers.and_then(|servers| {
             let record = &servers.get(&id)?.record;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -42,13 +42,28 @@
     /// Failures of back ends.
     pub failures: mpsc::UnboundedSender<BackendFailure>,
     /// Orders for following the external source that daemons share.
-    pub feed: mpsc::UnboundedSender<FeedOrder>,
+    pub feed: mpsc::UnboundedSender<IssuedOrder>,
     /// Loads that other daemons cause.
     pub loads: mpsc::UnboundedSender<PeerLoads>,
     /// What other gateways tell and ask of servers that ended under requests.
     pub crashes: mpsc::UnboundedSender<CrashReport>,
 }
 
+/// An order for following the external source, and when it was given.
+#[derive(Debug)]
+pub struct IssuedOrder {
+    /// The order.
+    pub order: FeedOrder,
+    /// When it was given. The age of a report counts until then.
+    pub issued_at: Instant,
+}
+
+impl From<FeedOrder> for IssuedOrder {
+    fn from(order: FeedOrder) -> Self {
+        Self { order, issued_at: Instant::now() }
+    }
+}
+
 impl SharedSenders {
     /// Channels without receivers, for a daemon that uses none of them.
     pub fn disconnected() -> Self {
@@ -314,7 +329,7 @@
             }
             Action::Feed(order) => {
                 // The receiver is dropped in a daemon that follows no source.
-                let _ = self.parts.shared.feed.send(order);
+                let _ = self.parts.shared.feed.send(order.into());
             }
             Action::BackendFailureReported(failure) => {
                 // The receiver is dropped in a daemon that forwards no requests.
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -27,6 +27,8 @@
 const MAX_KEPT_BYTES: usize = 512 * 1024;
 /// Number of renewal intervals after which a subscription expires, unless it is renewed.
 const MISSED_RENEWALS: u64 = 3;
+/// Number of own subscriptions whose times are remembered. A report that answers an older one came too late.
+const MAX_KEPT_SUBSCRIPTIONS: usize = 8;
 /// How long a reader without fresh reports is passed over.
 const PASS_OVER_TIME: Duration = Duration::from_secs(10);
 
@@ -82,6 +84,26 @@
     pub contents: Vec<u8>,
 }
 
+/// When a call to the source began, as far as its subscriber can tell by its own clock.
+///
+/// The subscription arrived after it was sent. So the call began at `sent_at` plus `call_began_after` or later,
+/// however long the subscription and the report were on their way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubscriptionEcho {
+    /// When the subscription was sent, by the subscriber's clock.
+    pub sent_at: Timestamp,
+    /// Microseconds from the arrival of the subscription to the begin of the call; negative if the call began
+    /// first.
+    pub call_began_after: i64,
+}
+
+impl SubscriptionEcho {
+    /// The earliest time at which the call can have begun, by the subscriber's clock.
+    fn call_began_at(self) -> Timestamp {
+        Timestamp(self.sent_at.0.saturating_add_signed(self.call_began_after))
+    }
+}
+
 /// A message about the source between daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedMessage {
@@ -91,9 +113,20 @@
         known: u64,
         /// Address to send reports to.
         reply_to: SocketAddr,
+        /// When the subscription is sent, by the sender's clock. None from a build that does not tell. The wire
+        /// format carries it beside the message.
+        #[serde(skip)]
+        sent_at: Option<Timestamp>,
     },
     /// A report.
-    Report(SourceReport),
+    Report {
+        /// What was read.
+        report: SourceReport,
+        /// When it was read, in relation to the receiver's last subscription. None if that had no time. The wire
+        /// format carries it beside the message.
+        #[serde(skip)]
+        echo: Option<SubscriptionEcho>,
+    },
 }
 
 /// Whether and how this daemon should read the source.
@@ -114,7 +147,13 @@
     /// Read the source in this way from now on.
     Read(SourceReading),
     /// Apply what another daemon read. It continues from the revision known here.
-    Apply(SourceReport),
+    Apply {
+        /// What was read.
+        report: SourceReport,
+        /// How long the report, and the subscription that it answers, were on their way; none if the reader does
+        /// not tell.
+        way: Option<Duration>,
+    },
     /// Read the changes up to now at once. The reports of the reader begin after the revision known here, and
     /// so will all its later ones.
     CatchUp,
@@ -137,6 +176,17 @@
 struct Subscriber {
     address: SocketAddr,
     expires_at: Timestamp,
+    received_at: Timestamp,
+    /// When the subscription was sent, by the subscriber's clock.
+    sent_at: Option<Timestamp>,
+}
+
+impl Subscriber {
+    /// The echo for a report of a call that began at `began_at`, by the clock of this daemon.
+    fn echo(&self, began_at: Timestamp) -> Option<SubscriptionEcho> {
+        let after = began_at.0 as i64 - self.received_at.0 as i64;
+        self.sent_at.map(|sent_at| SubscriptionEcho { sent_at, call_began_after: after })
+    }
 }
 
 /// The daemon that this one subscribes to.
@@ -171,6 +221,8 @@
     /// Time as of which reports of others are complete.
     reported_as_of: Option<Timestamp>,
     reader: Option<Reader>,
+    /// When the last subscriptions were sent, the newest last.
+    sent_subscriptions: VecDeque<Timestamp>,
     passed_over: BTreeMap<DaemonId, Timestamp>,
     subscribers: BTreeMap<DaemonId, Subscriber>,
     /// Recent reports, its own and those of others, the newest last.
@@ -194,6 +246,7 @@
             last_read_at: None,
             reported_as_of: None,
             reader: None,
+            sent_subscriptions: VecDeque::new(),
             passed_over: BTreeMap::new(),
             subscribers: BTreeMap::new(),
             kept: VecDeque::new(),
@@ -225,8 +278,15 @@
         if self.reader.as_ref().is_none_or(|reader| reader.daemon != daemon) {
             self.reader = Some(Reader { daemon, chosen_at: now });
         }
-        let message =
-            FeedMessage::Subscribe { known: self.known_revision, reply_to: self.own_address };
+        self.sent_subscriptions.push_back(now);
+        if self.sent_subscriptions.len() > MAX_KEPT_SUBSCRIPTIONS {
+            self.sent_subscriptions.pop_front();
+        }
+        let message = FeedMessage::Subscribe {
+            known: self.known_revision,
+            reply_to: self.own_address,
+            sent_at: Some(now),
+        };
         self.actions.push(FeedAction::Send { to: address, message });
     }
 
@@ -257,11 +317,13 @@
         subscriber: DaemonId,
         known: u64,
         address: SocketAddr,
+        sent_at: Option<Timestamp>,
         now: Timestamp,
     ) {
         let lifetime = Duration::from_millis(self.settings.renewal_ms * MISSED_RENEWALS);
         let expires_at = now + lifetime;
-        let previous = self.subscribers.insert(subscriber, Subscriber { address, expires_at });
+        let current = Subscriber { address, expires_at, received_at: now, sent_at };
+        let previous = self.subscribers.insert(subscriber, current);
         let is_new = previous.is_none_or(|previous| previous.expires_at <= now);
         let newest = self.kept.back().map_or(0, |kept| kept.report.at);
         if !is_new && known >= newest {
@@ -272,12 +334,17 @@
         let missing: Vec<SourceReport> =
             self.kept.iter().filter(is_missing).map(|kept| kept.aged_report(now)).collect();
         for report in missing {
-            self.send(address, report);
+            self.send(subscriber, report, now);
         }
     }
 
     /// Handles a report of another daemon.
-    pub fn receive_report(&mut self, report: SourceReport, now: Timestamp) {
+    pub fn receive_report(
+        &mut self,
+        report: SourceReport,
+        echo: Option<SubscriptionEcho>,
+        now: Timestamp,
+    ) {
         // An older report says nothing about later changes. While others rely on what this daemon reads, it
         // takes no reports.
         if report.at < self.known_revision || self.is_reading_for_others(now) {
@@ -293,7 +360,20 @@
         self.reported_as_of = self.reported_as_of.max(Some(as_of));
         // Kept for daemons that subscribe here when this daemon becomes their reader.
         self.keep(report.clone(), now);
-        self.actions.push(FeedAction::Order(FeedOrder::Apply(report)));
+        let way = self.way(&report, echo, now);
+        self.actions.push(FeedAction::Order(FeedOrder::Apply { report, way }));
+    }
+
+    /// Returns how long a report, and the subscription that it answers, were on their way.
+    fn way(
+        &self,
+        report: &SourceReport,
+        echo: Option<SubscriptionEcho>,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let echo = echo.filter(|echo| self.sent_subscriptions.contains(&echo.sent_at))?;
+        let whole = now.since(echo.call_began_at());
+        Some(Duration(whole.0.saturating_sub(report.age.0)))
     }
 
     /// Orders the driver to read at once. A source may count changes that it does not report. Then a read that
@@ -314,9 +394,9 @@
             report.contents.clear();
             report.after = report.at;
         }
-        let addresses: Vec<SocketAddr> = self.current_subscribers(now).collect();
-        for address in addresses {
-            self.send(address, report.clone());
+        let subscribers: Vec<DaemonId> = self.current_subscribers(now).collect();
+        for subscriber in subscribers {
+            self.send(subscriber, report.clone(), now);
         }
         self.keep(report, now);
     }
@@ -341,8 +421,11 @@
         }
     }
 
-    fn send(&mut self, to: SocketAddr, report: SourceReport) {
-        self.actions.push(FeedAction::Send { to, message: FeedMessage::Report(report) });
+    fn send(&mut self, subscriber: DaemonId, report: SourceReport, now: Timestamp) {
+        let Some(subscriber) = self.subscribers.get(&subscriber) else { return };
+        let echo = subscriber.echo(now - report.age);
+        let message = FeedMessage::Report { report, echo };
+        self.actions.push(FeedAction::Send { to: subscriber.address, message });
     }
 
     /// Whether others rely on what this daemon reads, and it does read. Changes that it then took from
@@ -353,10 +436,10 @@
         reads && self.current_subscribers(now).next().is_some()
     }
 
-    fn current_subscribers(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
+    fn current_subscribers(&self, now: Timestamp) -> impl Iterator<Item = DaemonId> {
         let current =
-            self.subscribers.values().filter(move |subscriber| now < subscriber.expires_at);
-        current.map(|subscriber| subscriber.address)
+            self.subscribers.iter().filter(move |(_, subscriber)| now < subscriber.expires_at);
+        current.map(|(daemon, _)| *daemon)
     }
 
     fn required_reading(&self, now: Timestamp) -> SourceReading {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -91,7 +91,9 @@
 pub use engine_sources::{EngineAddress, LeavingSource, ListedEngine, MachineListing};
 pub use engines::{EngineReport, EngineView};
 pub use event::{Action, BackendFailure, Event, ReleaseOrder, SharedDocument, StartAttempt};
-pub use feed::{FeedMessage, FeedOrder, FeedSettings, SourceReading, SourceReport};
+pub use feed::{
+    FeedMessage, FeedOrder, FeedSettings, SourceReading, SourceReport, SubscriptionEcho,
+};
 pub use history::HistorySettings;
 pub use key_value::{ChangeStep, KeyValueEvent, KeyValueOperation};
 pub use line_limit::LogLineLimit;
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -43,10 +43,10 @@
     ) {
         self.with_feed(|feed| {
             match message {
-                FeedMessage::Subscribe { known, reply_to } => {
-                    feed.receive_subscription(from, known, reply_to, now);
+                FeedMessage::Subscribe { known, reply_to, sent_at } => {
+                    feed.receive_subscription(from, known, reply_to, sent_at, now);
                 }
-                FeedMessage::Report(report) => feed.receive_report(report, now),
+                FeedMessage::Report { report, echo } => feed.receive_report(report, echo, now),
             }
             feed.tick(now);
         });
--- a/crates/node/src/wire_extension.rs
+++ b/crates/node/src/wire_extension.rs
@@ -5,8 +5,10 @@
 //! so daemons of both kinds serve together.
 
 use dahlia_limits::{LimitCommand, LimitReply, ProgramHandover, ProgramMeans, ProgramProgress};
+use dahlia_types::Timestamp;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::feed::{FeedMessage, SubscriptionEcho};
 use crate::request::{Request, Response};
 use crate::wire::PeerMessage;
 
@@ -20,6 +22,10 @@
     ProgramHandover(ProgramHandover),
     /// `means` of [`LimitReply::Counted`].
     ProgramMeans(ProgramMeans),
+    /// `sent_at` of [`FeedMessage::Subscribe`].
+    SubscriptionTime(Timestamp),
+    /// `echo` of [`FeedMessage::Report`].
+    SubscriptionEcho(SubscriptionEcho),
 }
 
 /// A message as it is sent in a frame over a connection.
@@ -90,6 +96,12 @@
             response: Response::Limits(LimitReply::Counted { means, .. }),
             ..
         } => means.take().map(MessageExtension::ProgramMeans),
+        PeerMessage::Feed(FeedMessage::Subscribe { sent_at, .. }) => {
+            sent_at.take().map(MessageExtension::SubscriptionTime)
+        }
+        PeerMessage::Feed(FeedMessage::Report { echo, .. }) => {
+            echo.take().map(MessageExtension::SubscriptionEcho)
+        }
         _ => None,
     }
 }
@@ -116,6 +128,14 @@
             },
             MessageExtension::ProgramMeans(value),
         ) => *means = Some(value),
+        (
+            PeerMessage::Feed(FeedMessage::Subscribe { sent_at, .. }),
+            MessageExtension::SubscriptionTime(value),
+        ) => *sent_at = Some(value),
+        (
+            PeerMessage::Feed(FeedMessage::Report { echo, .. }),
+            MessageExtension::SubscriptionEcho(value),
+        ) => *echo = Some(value),
         (_, extension) => log_unexpected(&extension),
     }
 }
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -230,7 +230,7 @@
                     // A long call is aborted to read for others.
                     daemon.call.take_if(|_| reading == SourceReading::ForOthers);
                 }
-                FeedAction::Order(FeedOrder::Apply(report)) => {
+                FeedAction::Order(FeedOrder::Apply { report, .. }) => {
                     assert!(report.after <= daemon.known, "daemon {number} would miss changes");
                     daemon.known = daemon.known.max(report.at);
                 }
@@ -247,7 +247,7 @@
     }
 
     fn send(&mut self, from: u32, to: SocketAddr, message: FeedMessage) {
-        if matches!(message, FeedMessage::Report(_)) {
+        if matches!(message, FeedMessage::Report { .. }) {
             self.report_receivers.entry(from).or_default().insert(to);
         }
         self.in_transit.push((self.now + self.link_delay, from, to, message));
@@ -274,10 +274,10 @@
             Fault::None | Fault::CutFromSource | Fault::HeldBack => {}
         }
         match message {
-            FeedMessage::Subscribe { known, reply_to } => {
-                daemon.feed.receive_subscription(DaemonId(from), known, reply_to, now);
+            FeedMessage::Subscribe { known, reply_to, sent_at } => {
+                daemon.feed.receive_subscription(DaemonId(from), known, reply_to, sent_at, now);
             }
-            FeedMessage::Report(report) => daemon.feed.receive_report(report, now),
+            FeedMessage::Report { report, echo } => daemon.feed.receive_report(report, echo, now),
         }
         daemon.feed.tick(now);
         self.run_actions(number);
@@ -432,15 +432,18 @@
     let report = |after, at| SourceReport { after, at, age: Duration::ZERO, contents: vec![1] };
     let mut reader = Feed::new(settings(), DaemonId(1), address(1));
     reader.record_read(report(90, 100), now);
-    reader.receive_subscription(DaemonId(2), 100, address(2), now);
+    reader.receive_subscription(DaemonId(2), 100, address(2), None, now);
     reader.take_actions();
-    reader.receive_report(report(100, 150), now);
-    let is_apply = |action: &FeedAction| matches!(action, FeedAction::Order(FeedOrder::Apply(_)));
+    reader.receive_report(report(100, 150), None, now);
+    let is_apply =
+        |action: &FeedAction| matches!(action, FeedAction::Order(FeedOrder::Apply { .. }));
     assert!(!reader.take_actions().iter().any(is_apply), "its own next read begins at 100");
     reader.record_read(report(100, 160), now);
     let sent = reader.take_actions();
-    let to_follower =
-        FeedAction::Send { to: address(2), message: FeedMessage::Report(report(100, 160)) };
+    let to_follower = FeedAction::Send {
+        to: address(2),
+        message: FeedMessage::Report { report: report(100, 160), echo: None },
+    };
     assert_eq!(sent, [to_follower]);
 }
 
--- a/crates/node/tests/wire_extensions.rs
+++ b/crates/node/tests/wire_extensions.rs
@@ -12,10 +12,11 @@
     ActiveProgramReport, KeeperTerm, LimitCommand, LimitReply, ProgramHandover, ProgramKey,
     ProgramMeans, ProgramProgress, RateLimit, UsageReport, VersionedLimit,
 };
+use dahlia_node::feed::{FeedMessage, SourceReport, SubscriptionEcho};
 use dahlia_node::request::{Request, RequestId, Response};
 use dahlia_node::wire::PeerMessage;
 use dahlia_node::wire_extension::MessageFrame;
-use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, TenantId};
+use dahlia_types::{DaemonId, Duration, GroupId, Incarnation, TenantId, Timestamp};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -78,6 +79,26 @@
     PeerMessage::Response { id: RequestId(79), response: Response::Limits(reply) }
 }
 
+fn subscription(sent_at: Option<Timestamp>) -> PeerMessage {
+    let reply_to = SocketAddr::from(([10, 1, 0, 38], 8144));
+    PeerMessage::Feed(FeedMessage::Subscribe { known: 1 << 33, reply_to, sent_at })
+}
+
+fn source_report(echo: Option<SubscriptionEcho>) -> PeerMessage {
+    let report = SourceReport {
+        after: 1 << 33,
+        at: (1 << 33) + 7,
+        age: Duration::from_millis(250),
+        contents: b"changes".to_vec(),
+    };
+    PeerMessage::Feed(FeedMessage::Report { report, echo })
+}
+
+fn echo() -> SubscriptionEcho {
+    let sent_at = Timestamp(1_800_000_000_123_456);
+    SubscriptionEcho { sent_at, call_began_after: -70_000 }
+}
+
 struct Case {
     name: &'static str,
     message: PeerMessage,
@@ -85,7 +106,7 @@
     first_form: PeerMessage,
 }
 
-fn cases() -> [Case; 3] {
+fn cases() -> [Case; 5] {
     [
         Case { name: "limits-ask-progress", message: ask(Some(progress())), first_form: ask(None) },
         Case {
@@ -98,6 +119,16 @@
             message: counted(Some(means())),
             first_form: counted(None),
         },
+        Case {
+            name: "feed-subscribe-time",
+            message: subscription(Some(echo().sent_at)),
+            first_form: subscription(None),
+        },
+        Case {
+            name: "feed-report-echo",
+            message: source_report(Some(echo())),
+            first_form: source_report(None),
+        },
     ]
 }
 
--- a/crates/node/tests/wire_forms.rs
+++ b/crates/node/tests/wire_forms.rs
@@ -354,9 +354,9 @@
         age: Duration::from_millis(250),
         contents: b"changes".to_vec(),
     };
-    let subscribe = FeedMessage::Subscribe { known: 1 << 33, reply_to: address() };
+    let subscribe = FeedMessage::Subscribe { known: 1 << 33, reply_to: address(), sent_at: None };
     checker.check("feed-subscribe", PeerMessage::Feed(subscribe));
-    checker.check("feed-report", PeerMessage::Feed(FeedMessage::Report(report)));
+    checker.check("feed-report", PeerMessage::Feed(FeedMessage::Report { report, echo: None }));
 }
 
 fn loads() -> [(&'static str, PeerMessage); 3] {
@@ -438,7 +438,7 @@
     // All other kinds are among the samples of that build, or older.
     let envelope = envelope(MemberMessage::Gossip, Vec::new());
     assert_eq!(envelope.transport(), Transport::DatagramIfFits);
-    let subscribe = FeedMessage::Subscribe { known: 1, reply_to: address() };
+    let subscribe = FeedMessage::Subscribe { known: 1, reply_to: address(), sent_at: None };
     assert_eq!(PeerMessage::Feed(subscribe).transport(), Transport::Connection);
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,6 +41,7 @@
     taken_seconds: HistogramVec,
     waiting: IntGaugeVec,
     wait_seconds: Histogram,
+    list_age_seconds: Histogram,
 }
 
 impl RelayMetrics {
@@ -68,6 +69,10 @@
             "dahlialadder_relay_wait_seconds",
             "How long requests waited at the gateway for a server.",
         );
+        let list_ages = HistogramOpts::new(
+            "dahlialadder_relay_list_age_seconds",
+            "How long ago the list of servers was complete when a server was chosen.",
+        );
         let waiting =
             Opts::new("dahlialadder_relay_waiting", "Requests that wait for a server now.");
         let gauges = Opts::new("dahlialadder_relay_now", "What is open at this moment.");
@@ -145,6 +150,10 @@
             waiting: IntGaugeVec::new(waiting, &["rank"]).expect("constant names are valid"),
             wait_seconds: Histogram::with_opts(waits.buckets(BUCKET_BOUNDS_SECONDS.to_vec()))
                 .expect("constant names are valid"),
+            list_age_seconds: Histogram::with_opts(
+                list_ages.buckets(BUCKET_BOUNDS_SECONDS.to_vec()),
+            )
+            .expect("constant names are valid"),
         }
     }
 
@@ -153,7 +162,7 @@
     /// # Errors
     /// One of the names is registered already.
     pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 19] = [
+        let collectors: [Box<dyn Collector>; 20] = [
             Box::new(self.events.clone()),
             Box::new(self.gauges.clone()),
             Box::new(self.choices.clone()),
@@ -173,6 +182,7 @@
             Box::new(self.taken_seconds.clone()),
             Box::new(self.waiting.clone()),
             Box::new(self.wait_seconds.clone()),
+            Box::new(self.list_age_seconds.clone()),
         ];
         collectors.into_iter().try_for_each(|collector| registry.register(collector))
     }
@@ -230,6 +240,12 @@
         self.wait_seconds.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn observe_list_age(&self, age: Option<dahlia_types::Duration>) {
+        if let Some(age) = age {
+            self.list_age_seconds.observe(age.as_secs_f64());
+        }
+    }
+
     pub(crate) fn count_choice(&self, reason: ChoiceReason, distance: Distance, bytes: usize) {
         self.choices.with_label_values(&[reason.name()]).inc();
         self.sends.with_label_values(&[distance.name()]).inc();
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -150,6 +150,7 @@
         bytes: usize,
     ) {
         self.metrics.count_choice(basis.reason, basis.distance, bytes);
+        self.metrics.observe_list_age(basis.list_age);
         let expected = basis.estimate;
         let view_age = expected.and_then(|expected| expected.view_age);
         log::info!(
@@ -167,6 +168,7 @@
             attempts:% = OrMissing(expected.map(|expected| expected.attempts)),
             keeps_prompt:% = OrMissing(expected.map(|expected| expected.holds_prompt)),
             view_age_ms:% = OrMissing(view_age.map(Duration::as_millis)),
+            list_age_ms:% = OrMissing(basis.list_age.map(Duration::as_millis)),
             sends_before = sends_before,
             age_ms = self.age_ms();
             "Server chosen."
