Feed: a report's age is counted by its receiver's own clock, from the subscription that it answers

A report of a reader that stood still counted as new as well, and the age left out the queues of the reader's own process. The class: an age told by another's clock and without the way can only be too low.

The reader's call began at the subscription's sending plus the time from its arrival to the call, or later: so the age is never underestimated, whatever either way took, and no clocks are compared. A report that answers no subscription of this life renews no trust. Reports of builds that do not tell count by the age that they name, as before. Subscriptions every 300 ms would have bounded the age as well, for three times the messages.

--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -11,7 +11,7 @@
 use dahlia_replication::tolerance::LossTolerance;
 use dahlia_types::{
     Attempt, AttemptId, CallId, Duration, EngineId, GroupId, Incarnation, LogIndex, Message,
-    ModelId, ProgramId, ReplicaId, TenantId, Term, Tokens,
+    ModelId, ProgramId, ReplicaId, TenantId, Term, Timestamp, Tokens,
 };
 
 use crate::bootstrap::LayoutStep;
@@ -137,7 +137,12 @@
     /// does not answer.
     RequestDocuments,
     /// This daemon read the external source that daemons share.
-    SourceRead(SourceReport),
+    SourceRead {
+        /// What was read. Its age counts from `began_at`.
+        report: SourceReport,
+        /// When the call began that read it.
+        began_at: Timestamp,
+    },
     /// Attempts of this daemon at a back end failed; the failures are reported to other daemons.
     BackendFailed(BackendFailure),
     /// The loads caused by this daemon, each item once. The driver sends it every
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -2,8 +2,9 @@
 //! large zone, reads the source and reports what it read to the others of its zone.
 //!
 //! Each report carries the time as of which it holds, so that no daemon relies on an outdated one. A report
-//! says that nothing else has changed up to a revision, and how long ago the call that found this began. A
-//! daemon without a fresh enough report reads the source by itself until it has one again. A reader that died,
+//! says that nothing else has changed up to a revision, and when the call that found this began. Its receiver
+//! counts that time by its own clock, from its own subscription, so the time that a report spent in queues and on
+//! links is part of its age. A daemon without a fresh enough report reads the source by itself until it has one again. A reader that died,
 //! hangs, was cut off or gets old answers therefore delays the others by no more than the freshness bound. A
 //! daemon sends on only what it has read itself, so that no report circulates. It keeps reports of others for
 //! daemons that subscribe when it becomes a reader.
@@ -356,24 +357,27 @@
             return;
         }
         self.known_revision = report.at;
-        let as_of = now - report.age;
-        self.reported_as_of = self.reported_as_of.max(Some(as_of));
+        let (report, way) = match self.age_by_own_clock(echo, now) {
+            Some(age) => {
+                let way = Duration(age.0.saturating_sub(report.age.0));
+                (SourceReport { age, ..report }, Some(way))
+            }
+            None => (report, None),
+        };
+        // One that answers no subscription of this daemon's life tells nothing of its age.
+        if echo.is_none() || way.is_some() {
+            let as_of = now - report.age;
+            self.reported_as_of = self.reported_as_of.max(Some(as_of));
+        }
         // Kept for daemons that subscribe here when this daemon becomes their reader.
         self.keep(report.clone(), now);
-        let way = self.way(&report, echo, now);
         self.actions.push(FeedAction::Order(FeedOrder::Apply { report, way }));
     }
 
-    /// Returns how long a report, and the subscription that it answers, were on their way.
-    fn way(
-        &self,
-        report: &SourceReport,
-        echo: Option<SubscriptionEcho>,
-        now: Timestamp,
-    ) -> Option<Duration> {
+    /// Returns how long ago the call of a report began at most, whatever queues and links held the report back.
+    fn age_by_own_clock(&self, echo: Option<SubscriptionEcho>, now: Timestamp) -> Option<Duration> {
         let echo = echo.filter(|echo| self.sent_subscriptions.contains(&echo.sent_at))?;
-        let whole = now.since(echo.call_began_at());
-        Some(Duration(whole.0.saturating_sub(report.age.0)))
+        Some(now.since(echo.call_began_at()))
     }
 
     /// Orders the driver to read at once. A source may count changes that it does not report. Then a read that
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,7 +20,7 @@
 use crate::crash_reports::CrashReports;
 use crate::engine_sources::EngineSources;
 use crate::engines::EngineTable;
-use crate::feed::Feed;
+use crate::feed::{Feed, SourceReport};
 use crate::group::Group;
 use crate::history::History;
 use crate::limits::LimitKeepers;
@@ -252,7 +252,10 @@
             Event::ShareDocument(document) => self.share_document(document),
             Event::KeepDocument(document) => self.keep_document(document),
             Event::RequestDocuments => self.membership.request_holder_documents(),
-            Event::SourceRead(report) => self.record_source_read(report, now),
+            Event::SourceRead { report, began_at } => {
+                let report = SourceReport { age: now.since(began_at), ..report };
+                self.record_source_read(report, now);
+            }
             Event::BackendFailed(failure) => self.report_backend_failure(&failure),
             Event::OwnLoads(own) => self.update_own_loads(&own, now),
             Event::OwnLoadsEnded => self.stop_load_sharing(),
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -6,6 +6,7 @@
 
 use dahlia_node::feed::{
     Feed, FeedAction, FeedMessage, FeedOrder, FeedSettings, SourceReading, SourceReport,
+    SubscriptionEcho,
 };
 use dahlia_types::{DaemonId, Duration, Timestamp};
 
@@ -447,6 +448,52 @@
     assert_eq!(sent, [to_follower]);
 }
 
+/// What a follower makes of a report that arrives one second after its subscription.
+struct TrustCase {
+    name: &'static str,
+    echo: fn(subscribed_at: Timestamp) -> Option<SubscriptionEcho>,
+    is_trusted: bool,
+}
+
+/// Guards against reports that count as new because of the age that their reader names, though they were held back on
+/// their way, came from a reader that stood still, or answer a subscription of an earlier life.
+#[test]
+fn a_report_is_trusted_by_the_time_of_the_subscription_that_it_answers() {
+    fn began(sent_at: Timestamp, call_began_after: i64) -> Option<SubscriptionEcho> {
+        Some(SubscriptionEcho { sent_at, call_began_after })
+    }
+    let cases = [
+        TrustCase { name: "new", echo: |at| began(at, 900_000), is_trusted: true },
+        TrustCase { name: "held back", echo: |at| began(at, -1_500_000), is_trusted: false },
+        TrustCase {
+            name: "of an earlier life",
+            echo: |at| began(at + Duration::from_secs(2), 0),
+            is_trusted: false,
+        },
+        TrustCase { name: "of a build that does not tell", echo: |_| None, is_trusted: true },
+    ];
+    let members: Vec<(DaemonId, SocketAddr)> =
+        (1..=12).map(|number| (DaemonId(number), address(number))).collect();
+    for TrustCase { name, echo, is_trusted } in cases {
+        let mut follower = Feed::new(settings(), DaemonId(1), address(1));
+        follower.review(&members, START);
+        follower.tick(START);
+        let subscribes = |action: &FeedAction| {
+            matches!(action, FeedAction::Send { message: FeedMessage::Subscribe { .. }, .. })
+        };
+        assert!(follower.take_actions().iter().any(subscribes), "{name}: not a reader itself");
+        let now = START + Duration::from_secs(1);
+        let report = SourceReport { after: 0, at: 9, age: Duration::ZERO, contents: vec![1] };
+        follower.receive_report(report, echo(START), now);
+        follower.tick(now);
+        let actions = follower.take_actions();
+        let applies = |action: &FeedAction| matches!(action, FeedAction::Order(FeedOrder::Apply { report, .. }) if report.at == 9);
+        assert!(actions.iter().any(applies), "{name}: changes count whatever their age");
+        let pauses = FeedAction::Order(FeedOrder::Read(SourceReading::Paused));
+        assert_eq!(actions.contains(&pauses), is_trusted, "{name}");
+    }
+}
+
 #[test]
 fn a_daemon_that_was_frozen_catches_up_in_time() {
     let mut zone = Zone::new(43);
