--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -30,12 +30,15 @@
 const MISSED_RENEWALS: u64 = 3;
 /// Number of own subscriptions whose times are remembered. A report that answers an older one came too late.
 const MAX_KEPT_SUBSCRIPTIONS: usize = 8;
-/// How long a reader without fresh reports is passed over.
+/// Time without an answer of the source after which a daemon turns to another one, as a multiple of the time between
+/// two answers.
+const UNANSWERED_FACTOR: f64 = 1.25;
+/// How long a reader without fresh reports is passed over, and this daemon when the source does not answer it.
 const PASS_OVER_TIME: Duration = Duration::from_secs(10);
 
 /// Settings of the feed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct FeedSettings {
     /// Milliseconds after which a report is too old to rely on.
     pub freshness_ms: u64,
@@ -44,11 +47,14 @@
     pub fewest_sharing: usize,
     /// Milliseconds between renewals of a subscription.
     pub renewal_ms: u64,
+    /// Milliseconds between two answers of the source to a daemon that reads for itself, at most, while the source
+    /// works.
+    pub own_read_ms: u64,
 }
 
 impl Default for FeedSettings {
     fn default() -> Self {
-        Self { freshness_ms: 1_000, fewest_sharing: 6, renewal_ms: 1_000 }
+        Self { freshness_ms: 1_000, fewest_sharing: 6, renewal_ms: 1_000, own_read_ms: 4_000 }
     }
 }
 
@@ -60,13 +66,19 @@
     pub fn check(&self) -> Result<(), InvalidSetting> {
         check_range("feed.freshness_ms", self.freshness_ms, 100, 60_000)?;
         check_range("feed.fewest_sharing", self.fewest_sharing, 2, 10_000)?;
-        check_range("feed.renewal_ms", self.renewal_ms, 100, 60_000)
+        check_range("feed.renewal_ms", self.renewal_ms, 100, 60_000)?;
+        check_range("feed.own_read_ms", self.own_read_ms, 100, 60_000)
     }
 
     fn freshness(&self) -> Duration {
         Duration::from_millis(self.freshness_ms)
     }
 
+    fn unanswered_limit(&self) -> Duration {
+        let own_read = Duration::from_millis(self.own_read_ms);
+        Duration::from_secs_f64(own_read.as_secs_f64() * UNANSWERED_FACTOR)
+    }
+
     fn renewal(&self) -> Duration {
         Duration::from_millis(self.renewal_ms)
     }
@@ -194,6 +206,17 @@
 struct Reader {
     daemon: DaemonId,
     chosen_at: Timestamp,
+    /// Whether it only stands in until the source answers this daemon, which goes on asking.
+    is_substitute: bool,
+}
+
+/// The daemons among which a reader is chosen.
+#[derive(Debug, Clone, Default)]
+pub struct FeedMembers {
+    /// Those of the zone that follow the source, including this one.
+    pub zone: Vec<(DaemonId, SocketAddr)>,
+    /// Those of the region.
+    pub region: Vec<(DaemonId, SocketAddr)>,
 }
 
 /// A report kept for subscribers, and when it was stored.
@@ -219,6 +242,8 @@
     known_revision: u64,
     /// When the source last answered this daemon.
     last_read_at: Option<Timestamp>,
+    /// Since when this daemon reads the source; none while it need not.
+    reading_since: Option<Timestamp>,
     /// Time as of which reports of others are complete.
     reported_as_of: Option<Timestamp>,
     reader: Option<Reader>,
@@ -245,6 +270,7 @@
             own_address,
             known_revision: 0,
             last_read_at: None,
+            reading_since: None,
             reported_as_of: None,
             reader: None,
             sent_subscriptions: VecDeque::new(),
@@ -263,22 +289,22 @@
         now >= self.next_review
     }
 
-    /// Chooses a reader among the daemons of the zone that share one, including this one, and renews the
-    /// subscription.
-    pub fn review(&mut self, sharing: &[(DaemonId, SocketAddr)], now: Timestamp) {
+    /// Chooses a reader, if one is needed, and renews the subscription.
+    pub fn review(&mut self, members: &FeedMembers, now: Timestamp) {
         self.next_review = now + self.settings.renewal();
         self.subscribers.retain(|_, subscriber| now < subscriber.expires_at);
         self.passed_over.retain(|_, until| now < *until);
         let is_reading_for_others = self.is_reading_for_others(now);
         let Some((daemon, address)) =
-            self.choose_reader(sharing).filter(|_| !is_reading_for_others)
+            self.choose_reader(members).filter(|_| !is_reading_for_others)
         else {
             self.reader = None;
             return;
         };
-        if self.reader.as_ref().is_none_or(|reader| reader.daemon != daemon) {
-            self.reader = Some(Reader { daemon, chosen_at: now });
-        }
+        let known = self.reader.as_ref().filter(|reader| reader.daemon == daemon);
+        let chosen_at = known.map_or(now, |reader| reader.chosen_at);
+        let is_substitute = !self.shares_reader(members);
+        self.reader = Some(Reader { daemon, chosen_at, is_substitute });
         self.sent_subscriptions.push_back(now);
         if self.sent_subscriptions.len() > MAX_KEPT_SUBSCRIPTIONS {
             self.sent_subscriptions.pop_front();
@@ -291,21 +317,33 @@
         self.actions.push(FeedAction::Send { to: address, message });
     }
 
-    /// Chooses the reader of this daemon among the readers of the zone. None if this daemon is a reader, or if
-    /// too few daemons share.
-    fn choose_reader(&self, sharing: &[(DaemonId, SocketAddr)]) -> Option<(DaemonId, SocketAddr)> {
-        if sharing.len() < self.settings.fewest_sharing {
-            return None;
-        }
+    /// Chooses the reader of this daemon among the readers of the zone, or of the region if too few daemons of the
+    /// zone share and the source does not answer this one. None if this daemon is a reader, or reads for itself.
+    fn choose_reader(&self, members: &FeedMembers) -> Option<(DaemonId, SocketAddr)> {
         let is_passed_over = |daemon| self.passed_over.contains_key(&daemon);
-        let readers = choose(sharing, ZoneRole::SourceReader, is_passed_over);
+        let candidates = match self.shares_reader(members) {
+            true => &members.zone,
+            false if is_passed_over(self.own) => &members.region,
+            false => return None,
+        };
+        let readers = choose(candidates, ZoneRole::SourceReader, is_passed_over);
         choose_for(self.own, &readers, ZoneRole::SourceReader)
     }
 
+    /// Whether so many daemons of the zone follow the source that they share a reader.
+    fn shares_reader(&self, members: &FeedMembers) -> bool {
+        members.zone.len() >= self.settings.fewest_sharing
+    }
+
     /// Updates whether this daemon should read the source.
     pub fn tick(&mut self, now: Timestamp) {
         self.pass_over_stale_reader(now);
+        self.pass_over_itself_if_unanswered(now);
         let reading = self.required_reading(now);
+        match reading {
+            SourceReading::Paused => self.reading_since = None,
+            _ => drop(self.reading_since.get_or_insert(now)),
+        }
         if reading != self.ordered_reading {
             self.ordered_reading = reading;
             self.actions.push(FeedAction::Order(FeedOrder::Read(reading)));
@@ -394,6 +432,7 @@
     pub fn record_read(&mut self, mut report: SourceReport, now: Timestamp) {
         self.known_revision = self.known_revision.max(report.at);
         self.last_read_at = Some(now);
+        self.passed_over.remove(&self.own);
         if report.contents.len() > MAX_REPORT_BYTES {
             report.contents.clear();
             report.after = report.at;
@@ -450,7 +489,8 @@
         if self.current_subscribers(now).next().is_some() {
             return SourceReading::ForOthers;
         }
-        match self.reader.is_some() && self.is_fresh(now) {
+        let relies_on_reader = self.reader.as_ref().is_some_and(|reader| !reader.is_substitute);
+        match relies_on_reader && self.is_fresh(now) {
             true => SourceReading::Paused,
             false => SourceReading::ForItself,
         }
@@ -472,4 +512,16 @@
         self.reader = None;
         self.next_review = now;
     }
+
+    /// Looks for another reader while the source does not answer this daemon. It may answer others.
+    fn pass_over_itself_if_unanswered(&mut self, now: Timestamp) {
+        let Some(reading_since) = self.reading_since else { return };
+        let answered_at = self.last_read_at.map_or(reading_since, |read| read.max(reading_since));
+        let is_unanswered = now.since(answered_at) > self.settings.unanswered_limit();
+        if is_unanswered && !self.passed_over.contains_key(&self.own) {
+            log::info!(target: "feed", "The source does not answer; looking for another reader.");
+            self.passed_over.insert(self.own, now + PASS_OVER_TIME);
+            self.next_review = now;
+        }
+    }
 }
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -1,13 +1,12 @@
 //! Connects the feed to the node: its members, messages and actions.
 
-use std::net::SocketAddr;
-
 use dahlia_replication::membership::MemberInfo;
 use dahlia_types::{DaemonId, Timestamp};
 
 use crate::Action;
-use crate::feed::{Feed, FeedAction, FeedMessage, SourceReport};
+use crate::feed::{Feed, FeedAction, FeedMembers, FeedMessage, SourceReport};
 use crate::node::Node;
+use crate::settings::NodeSettings;
 use crate::wire::PeerMessage;
 
 impl Node {
@@ -16,17 +15,20 @@
         if self.feed.as_ref().is_none_or(|feed| !feed.is_review_due(now)) {
             return self.with_feed(|feed| feed.tick(now));
         }
-        let zone = &self.settings.zone;
         // Only daemons without groups follow the source.
-        let shares = |info: &MemberInfo| !info.holds_groups && info.zone == *zone;
-        let members = self.live_members();
-        let sharing: Vec<(DaemonId, SocketAddr)> = members
-            .iter()
-            .filter(|info| shares(info))
-            .map(|info| (info.daemon, info.address))
-            .collect();
+        let live = self.live_members();
+        let following: Vec<&MemberInfo> = live.iter().filter(|info| !info.holds_groups).collect();
+        let NodeSettings { zone, region, .. } = &self.settings;
+        let candidates = |is_near: &dyn Fn(&MemberInfo) -> bool| {
+            let near = following.iter().filter(|info| is_near(info));
+            near.map(|info| (info.daemon, info.address)).collect()
+        };
+        let members = FeedMembers {
+            zone: candidates(&|info| info.zone == *zone),
+            region: candidates(&|info| info.region == *region),
+        };
         self.with_feed(|feed| {
-            feed.review(&sharing, now);
+            feed.review(&members, now);
             feed.tick(now);
         });
     }
