--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -3,11 +3,11 @@
 //!
 //! Each report carries the time as of which it holds, so that no daemon relies on an outdated one. A report
 //! says that nothing else has changed up to a revision, and when the call that found this began. Its receiver
-//! counts that time by its own clock, from its own subscription, so the time that a report spent in queues and on
-//! links is part of its age. A daemon without a fresh enough report reads the source by itself until it has one again. A reader that died,
-//! hangs, was cut off or gets old answers therefore delays the others by no more than the freshness bound. A
-//! daemon sends on only what it has read itself, so that no report circulates. It keeps reports of others for
-//! daemons that subscribe when it becomes a reader.
+//! counts that time by its own clock, from its own subscription, so the time that a report spent in queues and
+//! on links is part of its age. A daemon without a fresh enough report reads the source by itself until it has
+//! one again. A reader that died, hangs, was cut off or gets old answers therefore delays the others by no more
+//! than the freshness bound. A daemon sends on only what it has read itself, so that no report circulates. It
+//! keeps reports of others for daemons that subscribe when it becomes a reader.
 //!
 //! Reports are ordered by revision, never by arrival. A report that begins after the last revision known here
 //! leaves a gap; then the source is read.
