Feed: a report behind a gap still shows that the source answered

A gateway that the store turned away took that for an outage, and kept servers whose entries had gone, when the only other gateway had started after its own last answer: that one's reports begin after what it knows, and were dropped whole, with what they show of the store; its reader was passed over for them.

Such a report tells the driver that the source answered, and a substitute that sends it is not passed over. Its changes still come with the store's next answer or by documents. A report that answers no subscription of this life tells no age to the driver either; it was left out of freshness only.

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -12,11 +12,16 @@
 //! Reports are ordered by revision, never by arrival. A report that begins after the last revision known here
 //! leaves a gap; then the source is read.
 
+mod messages;
+mod settings;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use dahlia_types::{DaemonId, Duration, InvalidSetting, Timestamp, check_range};
-use serde::{Deserialize, Serialize};
+use dahlia_types::{DaemonId, Duration, Timestamp};
+
+pub use self::messages::{FeedMessage, FeedOrder, SourceReading, SourceReport, SubscriptionEcho};
+pub use self::settings::FeedSettings;
 
 use crate::zone_choice::{ZoneRole, choose, choose_for};
 
@@ -30,148 +35,9 @@
 const MISSED_RENEWALS: u64 = 3;
 /// Number of own subscriptions whose times are remembered. A report that answers an older one came too late.
 const MAX_KEPT_SUBSCRIPTIONS: usize = 8;
-/// Time without an answer of the source after which a daemon turns to another one, as a multiple of the time between
-/// two answers.
-const UNANSWERED_FACTOR: f64 = 1.25;
 /// How long a reader without fresh reports is passed over, and this daemon when the source does not answer it.
 const PASS_OVER_TIME: Duration = Duration::from_secs(10);
 
-/// Settings of the feed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct FeedSettings {
-    /// Milliseconds after which a report is too old to rely on.
-    pub freshness_ms: u64,
-    /// Number of daemons of a zone from which on they share a reader. A reader calls the source about five
-    /// times as often as a daemon that reads for itself.
-    pub fewest_sharing: usize,
-    /// Milliseconds between renewals of a subscription.
-    pub renewal_ms: u64,
-    /// Milliseconds between two answers of the source to a daemon that reads for itself, at most, while the source
-    /// works.
-    pub own_read_ms: u64,
-}
-
-impl Default for FeedSettings {
-    fn default() -> Self {
-        Self { freshness_ms: 1_000, fewest_sharing: 6, renewal_ms: 1_000, own_read_ms: 4_000 }
-    }
-}
-
-impl FeedSettings {
-    /// Checks every field.
-    ///
-    /// # Errors
-    /// The first field with a value that is not allowed.
-    pub fn check(&self) -> Result<(), InvalidSetting> {
-        check_range("feed.freshness_ms", self.freshness_ms, 100, 60_000)?;
-        check_range("feed.fewest_sharing", self.fewest_sharing, 2, 10_000)?;
-        check_range("feed.renewal_ms", self.renewal_ms, 100, 60_000)?;
-        check_range("feed.own_read_ms", self.own_read_ms, 100, 60_000)
-    }
-
-    fn freshness(&self) -> Duration {
-        Duration::from_millis(self.freshness_ms)
-    }
-
-    fn unanswered_limit(&self) -> Duration {
-        let own_read = Duration::from_millis(self.own_read_ms);
-        Duration::from_secs_f64(own_read.as_secs_f64() * UNANSWERED_FACTOR)
-    }
-
-    fn renewal(&self) -> Duration {
-        Duration::from_millis(self.renewal_ms)
-    }
-}
-
-/// Changes read from the source.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SourceReport {
-    /// The contents are all changes after this revision.
-    pub after: u64,
-    /// The contents are all changes up to this revision.
-    pub at: u64,
-    /// How long ago the call that read them began.
-    pub age: Duration,
-    /// The driver's encoding of the changes.
-    pub contents: Vec<u8>,
-}
-
-/// When a call to the source began, as far as its subscriber can tell by its own clock.
-///
-/// The subscription arrived after it was sent. So the call began at `sent_at` plus `call_began_after` or later,
-/// however long the subscription and the report were on their way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SubscriptionEcho {
-    /// When the subscription was sent, by the subscriber's clock.
-    pub sent_at: Timestamp,
-    /// Microseconds from the arrival of the subscription to the begin of the call; negative if the call began
-    /// first.
-    pub call_began_after: i64,
-}
-
-impl SubscriptionEcho {
-    /// The earliest time at which the call can have begun, by the subscriber's clock.
-    fn call_began_at(self) -> Timestamp {
-        Timestamp(self.sent_at.0.saturating_add_signed(self.call_began_after))
-    }
-}
-
-/// A message about the source between daemons.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum FeedMessage {
-    /// The sender subscribes to reports for the next few renewal intervals.
-    Subscribe {
-        /// The revision up to which the sender knows all changes.
-        known: u64,
-        /// Address to send reports to.
-        reply_to: SocketAddr,
-        /// When the subscription is sent, by the sender's clock. None from a build that does not tell. The wire
-        /// format carries it beside the message.
-        #[serde(skip)]
-        sent_at: Option<Timestamp>,
-    },
-    /// A report.
-    Report {
-        /// What was read.
-        report: SourceReport,
-        /// When it was read, in relation to the receiver's last subscription. None if that had no time. The wire
-        /// format carries it beside the message.
-        #[serde(skip)]
-        echo: Option<SubscriptionEcho>,
-    },
-}
-
-/// Whether and how this daemon should read the source.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SourceReading {
-    /// It need not: reports of another daemon are enough.
-    Paused,
-    /// It should read for itself.
-    ForItself,
-    /// It should read often enough that its reports to others stay fresh.
-    ForOthers,
-}
-
-/// An order about the source to the driver, the code outside the node that does its I/O, such as reads of the
-/// source.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FeedOrder {
-    /// Read the source in this way from now on.
-    Read(SourceReading),
-    /// Apply what another daemon read. It continues from the revision known here.
-    Apply {
-        /// What was read.
-        report: SourceReport,
-        /// How long the report, and the subscription that it answers, were on their way; none if the reader does
-        /// not tell.
-        way: Option<Duration>,
-    },
-    /// Read the changes up to now at once. The reports of the reader begin after the revision known here, and
-    /// so will all its later ones.
-    CatchUp,
-}
-
 /// An action that the node carries out for the feed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FeedAction {
@@ -389,27 +255,44 @@
         if report.at < self.known_revision || self.is_reading_for_others(now) {
             return;
         }
+        let age = self.report_age(&report, echo, now);
         if report.after > self.known_revision {
-            self.reported_as_of = None;
-            self.order_catch_up(now);
-            return;
+            return self.receive_report_with_gap(age, now);
         }
         self.known_revision = report.at;
-        let (report, way) = match self.age_by_own_clock(echo, now) {
-            Some(age) => {
-                let way = Duration(age.0.saturating_sub(report.age.0));
-                (SourceReport { age, ..report }, Some(way))
-            }
-            None => (report, None),
-        };
-        // One that answers no subscription of this daemon's life tells nothing of its age.
-        if echo.is_none() || way.is_some() {
-            let as_of = now - report.age;
-            self.reported_as_of = self.reported_as_of.max(Some(as_of));
-        }
+        let way = age.filter(|_| echo.is_some());
+        let way = way.map(|age| Duration(age.0.saturating_sub(report.age.0)));
+        let report = SourceReport { age: age.unwrap_or(report.age), ..report };
+        self.reported_as_of = self.reported_as_of.max(age.map(|age| now - age));
         // Kept for daemons that subscribe here when this daemon becomes their reader.
         self.keep(report.clone(), now);
-        self.actions.push(FeedAction::Order(FeedOrder::Apply { report, way }));
+        self.actions.push(FeedAction::Order(FeedOrder::Apply { report, age, way }));
+    }
+
+    /// Handles a report that begins after the revision known here. Its changes cannot be applied, but it shows that the
+    /// source answered.
+    fn receive_report_with_gap(&mut self, age: Option<Duration>, now: Timestamp) {
+        let is_substitute = self.reader.as_ref().is_some_and(|reader| reader.is_substitute);
+        // A substitute is no reason to pause, and with the next answer of the source it is not needed any more.
+        self.reported_as_of = age.map(|age| now - age).filter(|_| is_substitute);
+        if let Some(age) = age {
+            self.actions.push(FeedAction::Order(FeedOrder::SourceAnswered { age }));
+        }
+        self.order_catch_up(now);
+    }
+
+    /// Returns how long ago the call of a report began. By this daemon's clock, unless its reader is of a build that
+    /// returns no time; none if it answers no subscription of this daemon's life.
+    fn report_age(
+        &self,
+        report: &SourceReport,
+        echo: Option<SubscriptionEcho>,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        match echo {
+            Some(_) => self.age_by_own_clock(echo, now),
+            None => Some(report.age),
+        }
     }
 
     /// Returns how long ago the call of a report began at most, whatever queues and links held the report back.
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -244,6 +244,7 @@
                     assert!(report.after <= daemon.known, "daemon {number} would miss changes");
                     daemon.known = daemon.known.max(report.at);
                 }
+                FeedAction::Order(FeedOrder::SourceAnswered { .. }) => {}
                 FeedAction::Order(FeedOrder::CatchUp) => {
                     daemon.is_behind = true;
                     daemon.call = None;
