--- a/review/kit.rs
+++ b/review/kit.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::os::unix::process::CommandExt;
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -684,10 +684,26 @@
     }
 }
 
-/// A loopback address that is free now.
+/// The ports given to processes: below those that the system gives to outgoing connections.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+
+/// A loopback address that is free now and is given out once.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|it| cannot_run(&it.to_string()));
-    listener.local_addr().unwrap()
+    static NEXT: OnceLock<Mutex<u32>> = OnceLock::new();
+    let first = || {
+        let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        time.map_or(0, |time| time.subsec_micros()) ^ std::process::id().wrapping_mul(7_919)
+    };
+    let mut next = NEXT.get_or_init(|| Mutex::new(first())).lock().unwrap();
+    for _ in 0..PORTS {
+        *next = next.wrapping_add(1);
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + *next % PORTS) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+    cannot_run("no port is free")
 }
 
 /// A folder under the system's temporary folder, removed when this is dropped.
@@ -736,6 +752,9 @@
     }
 }
 
+/// How many lines of each log are recorded when the system does not start.
+const LOG_LINES: usize = 12;
+
 /// A small deployment: its machines, and the folder of their settings and disks.
 pub struct System {
     pub root: PathBuf,
@@ -824,6 +843,13 @@
         for gateway in &self.gateways {
             while !is_ready(gateway) {
                 if Instant::now() > until {
+                    for machine in self.stores.iter().chain(&self.gateways) {
+                        let log = fs::read_to_string(self.log_file(machine)).unwrap_or_default();
+                        let lines: Vec<&str> = log.lines().collect();
+                        for line in &lines[lines.len().saturating_sub(LOG_LINES)..] {
+                            record(&format!("log of {}: {line}", machine.name));
+                        }
+                    }
                     cannot_run(&format!("{} is not ready", gateway.name));
                 }
                 thread::sleep(Duration::from_millis(50));
