--- a/review/kit.rs
+++ b/review/kit.rs
@@ -516,6 +516,12 @@
         self.items.1.notify_all();
     }
 
+    /// Whether a key has this value.
+    pub fn holds(&self, key: &str, value: &str) -> bool {
+        let items = self.items.0.lock().unwrap();
+        items.items.get(key).is_some_and(|item| item.0 == base64(value.as_bytes()))
+    }
+
     pub fn has(&self, key: &str) -> bool {
         self.items.0.lock().unwrap().items.contains_key(key)
     }
