--- a/review/2/case.rs
+++ b/review/3/case.rs
@@ -281,10 +281,10 @@
     {
         return run_server(name, address);
     }
-    open_record(&Path::new(arguments.get(1).map_or("review/2", String::as_str)).join("record.txt"));
+    open_record(&Path::new(arguments.get(1).map_or("review/3", String::as_str)).join("record.txt"));
     limit_time(Duration::from_secs(100));
     record(&format!("the disruption is {}", if has_trouble() { "on" } else { "off" }));
-    let system = System::new("2", 4, 2);
+    let system = System::new("3", 4, 2);
     system.store.put("op/config", &configuration(3));
     let mut servers = Servers::start(&system.store);
     let machines = system.stores.iter().chain(&system.gateways);
