--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -40,13 +40,18 @@
         let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
         println!("runs {attempt} {}", String::from_utf8_lossy(&request.body).replace('\n', "/"));
         let is_stream = !request.target.starts_with("/warranty-look/");
-        let last_event = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {name}.{attempt}\r\n");
+        let last_event =
+            request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {name}.{attempt}\r\n"
+        );
         let answered = match (is_stream, attempt.starts_with(UNFRAMED)) {
             (true, false) => send_chunked_stream(&mut writer, &head, &attempt),
             (false, false) => {
                 let length = format!("{head}Content-Length: {PLAIN_BYTES}\r\n\r\n");
-                writer.write_all(length.as_bytes()).and_then(|()| writer.write_all(&plain_answer(&attempt)))
+                writer
+                    .write_all(length.as_bytes())
+                    .and_then(|()| writer.write_all(&plain_answer(&attempt)))
             }
             (true, true) => {
                 let _ = send_stream_without_length(&mut writer, &head, &attempt, last_event);
@@ -72,7 +77,8 @@
 }
 
 fn send_chunked_stream(writer: &mut TcpStream, head: &str, attempt: &str) -> std::io::Result<()> {
-    let mut answer = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let mut answer =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for number in 1..=PIECES {
         let piece = piece(attempt, number);
         answer.push_str(&format!("{:x}\r\n{piece}\r\n", piece.len()));
@@ -97,7 +103,11 @@
     Ok(())
 }
 
-fn send_plain_without_length(writer: &mut TcpStream, head: &str, attempt: &str) -> std::io::Result<()> {
+fn send_plain_without_length(
+    writer: &mut TcpStream,
+    head: &str,
+    attempt: &str,
+) -> std::io::Result<()> {
     writer.write_all(format!("{head}Connection: close\r\n\r\n").as_bytes())?;
     for part in plain_answer(attempt).chunks(PLAIN_BYTES / PIECES).enumerate() {
         writer.write_all(part.1)?;
@@ -145,7 +155,9 @@
         let (teller, told) = channel();
         let mut all = Self { store: store.clone(), servers: BTreeMap::new(), teller, told };
         let zones = ["hall-a", "hall-b", "hall-c", "hall-d"];
-        for (service, slots, count) in [("agent-llm", 12, MODEL_SERVERS), ("field-app", 6, PLAIN_SERVERS)] {
+        for (service, slots, count) in
+            [("agent-llm", 12, MODEL_SERVERS), ("field-app", 6, PLAIN_SERVERS)]
+        {
             for number in 0..count {
                 let zone = zones[number % zones.len()];
                 all.add(format!("i-{service}-{number}"), service, free_address(), zone, slots);
@@ -154,9 +166,17 @@
         all
     }
 
-    fn add(&mut self, name: String, service: &'static str, address: SocketAddr, zone: &'static str, slots: u32) {
+    fn add(
+        &mut self,
+        name: String,
+        service: &'static str,
+        address: SocketAddr,
+        zone: &'static str,
+        slots: u32,
+    ) {
         let process = Self::start_one(&name, address, self.teller.clone());
-        self.store.put(&format!("servers/{name}"), &server_entry(service, address, zone, slots, "ready"));
+        self.store
+            .put(&format!("servers/{name}"), &server_entry(service, address, zone, slots, "ready"));
         self.servers.insert(name, Server { process, service, address, zone, slots });
     }
 
@@ -183,7 +203,8 @@
     fn await_part(&self, attempt: &str, part: usize) -> String {
         let wanted = format!("sent {attempt} {part}");
         let until = Instant::now() + Duration::from_secs(5);
-        while let Ok(told) = self.told.recv_timeout(until.saturating_duration_since(Instant::now())) {
+        while let Ok(told) = self.told.recv_timeout(until.saturating_duration_since(Instant::now()))
+        {
             if told.line == wanted {
                 return told.server;
             }
@@ -202,7 +223,9 @@
     /// Starts a crashed server again, as a new incarnation. Its old entry is gone.
     fn restart(&mut self, name: &str) {
         thread::sleep(DOWN_TIME);
-        let Some(Server { service, address, zone, slots, .. }) = self.servers.remove(name) else { return };
+        let Some(Server { service, address, zone, slots, .. }) = self.servers.remove(name) else {
+            return;
+        };
         self.store.remove(&format!("servers/{name}"));
         self.add(format!("{name}-again"), service, address, zone, slots);
         record(&format!("server {name} has started again as {name}-again"));
@@ -230,7 +253,14 @@
         ("Deadline-Ms", "4000"),
     ];
     headers.extend(previous.map(|previous| ("Previous-Turn", previous)));
-    send(gateway, "POST", &format!("/{route}/1"), &headers, input.as_bytes(), Duration::from_secs(5))
+    send(
+        gateway,
+        "POST",
+        &format!("/{route}/1"),
+        &headers,
+        input.as_bytes(),
+        Duration::from_secs(5),
+    )
 }
 
 fn send_look(gateway: SocketAddr, attempt: &str) -> Answer {
@@ -259,7 +289,8 @@
         if turns < FRAMED {
             let attempt = format!("t{tries}");
             let answer = send_turn(gateway, "fault-diag", &attempt, &attempt, None, "first;");
-            let is_served = answer.status == 200 && answer.is_whole() && answer.events().len() == PIECES;
+            let is_served =
+                answer.status == 200 && answer.is_whole() && answer.events().len() == PIECES;
             turns += usize::from(is_served);
         }
         if looks < FRAMED {
@@ -271,7 +302,9 @@
             thread::sleep(Duration::from_millis(100));
         }
     }
-    record(&format!("{turns} turns and {looks} calls with framed answers are served whole, of {tries} tries of each"));
+    record(&format!(
+        "{turns} turns and {looks} calls with framed answers are served whole, of {tries} tries of each"
+    ));
 }
 
 fn main() {
@@ -296,7 +329,8 @@
     // A turn that is kept, and one that may be resumed, whose answers lack a length.
     let mut stream = |route: &'static str, attempt: &'static str| {
         record(&format!("turn {attempt} is sent on {route}"));
-        let client = thread::spawn(move || send_turn(gateway, route, "program", attempt, None, "input-1;"));
+        let client =
+            thread::spawn(move || send_turn(gateway, route, "program", attempt, None, "input-1;"));
         let server = servers.await_part(attempt, CRASH_AFTER);
         if has_trouble() {
             servers.crash(&server);
@@ -322,7 +356,8 @@
     }
     let call = call.join().expect("a client does not panic");
     record(&format!("call u-call: {}", describe(&call)));
-    let call_is_early = call.status == 200 && call.is_whole() && call.body != plain_answer("u-call");
+    let call_is_early =
+        call.status == 200 && call.is_whole() && call.body != plain_answer("u-call");
 
     // What the program goes on from.
     let next = send_turn(gateway, "fault-diag", "program", "next-turn", Some("u-turn"), "input-2;");
--- a/review/kit.rs
+++ b/review/kit.rs
@@ -6,8 +6,8 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::{Path, PathBuf};
 use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
@@ -31,7 +31,8 @@
 /// Begins the record of what was sent, answered and run.
 pub fn open_record(path: &Path) {
     seconds();
-    let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("{}: {error}", path.display())));
+    let file = File::create(path)
+        .unwrap_or_else(|error| cannot_run(&format!("{}: {error}", path.display())));
     let _ = RECORD.set(Mutex::new(file));
 }
 
@@ -94,7 +95,9 @@
 impl Json {
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Json::Table(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Json::Table(fields) => {
+                fields.iter().find(|(key, _)| key == name).map(|(_, value)| value)
+            }
             _ => None,
         }
     }
@@ -202,7 +205,8 @@
                         b'r' => bytes.push(b'\r'),
                         b't' => bytes.push(b'\t'),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let sign = char::from_u32(u32::from_str_radix(digits, 16).ok()?)?;
                             bytes.extend(sign.to_string().as_bytes());
@@ -222,9 +226,10 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let word = group.iter().enumerate().fold(0u32, |word, (index, byte)| {
-            word | u32::from(*byte) << (16 - 8 * index)
-        });
+        let word = group
+            .iter()
+            .enumerate()
+            .fold(0u32, |word, (index, byte)| word | u32::from(*byte) << (16 - 8 * index));
         for index in 0..4 {
             let sign = BASE64[(word >> (18 - 6 * index) & 63) as usize] as char;
             text.push(if index <= group.len() { sign } else { '=' });
@@ -402,7 +407,8 @@
     body: &[u8],
     limit: Duration,
 ) -> Answer {
-    let mut answer = Answer { status: 0, headers: Vec::new(), body: Vec::new(), ending: Ending::Whole };
+    let mut answer =
+        Answer { status: 0, headers: Vec::new(), body: Vec::new(), ending: Ending::Whole };
     if let Err(error) = exchange(address, method, target, headers, body, limit, &mut answer) {
         answer.ending = Ending::Cut(error.to_string());
     }
@@ -439,7 +445,11 @@
     if let Some(length) = find_header(&answer.headers, "content-length") {
         let length: u64 = length.parse().map_err(|_| io::ErrorKind::InvalidData)?;
         let read = reader.take(length).read_to_end(body)?;
-        return if read as u64 == length { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+        return if read as u64 == length {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::UnexpectedEof.into())
+        };
     }
     reader.read_to_end(body).map(drop)
 }
@@ -472,13 +482,15 @@
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            let gone = format!("{{\"key\":\"{key}\",\"revision\":{},\"gone\":true}}", self.revision);
+            let gone =
+                format!("{{\"key\":\"{key}\",\"revision\":{},\"gone\":true}}", self.revision);
             self.history.push((self.revision, key.to_owned(), gone));
         }
     }
 
     fn events_since(&self, prefix: &str, after: u64) -> Vec<String> {
-        let later = self.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+        let later =
+            self.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
         later.map(|(_, _, event)| event.clone()).collect()
     }
 }
@@ -492,7 +504,8 @@
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|it| cannot_run(&it.to_string()));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|it| cannot_run(&it.to_string()));
         let store = Self { address: listener.local_addr().unwrap(), items: Arc::default() };
         let serving = store.clone();
         thread::spawn(move || {
@@ -543,7 +556,12 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
-        let kind = request.path().trim_start_matches("/dahlialadder/kv-").split('/').next().unwrap_or_default();
+        let kind = request
+            .path()
+            .trim_start_matches("/dahlialadder/kv-")
+            .split('/')
+            .next()
+            .unwrap_or_default();
         match kind {
             "key" => {
                 let key = request.query("key").unwrap_or_default();
@@ -560,7 +578,8 @@
                 let prefix = request.query("path_prefix").unwrap_or_default();
                 let after = request.query("after").unwrap_or_default();
                 let items = self.items.0.lock().unwrap();
-                let found = items.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+                let found =
+                    items.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let found: Vec<String> = found.map(|(key, item)| Items::item(key, item)).collect();
                 let page = found[..found.len().min(500)].join(",");
                 let more = found.len() > 500;
@@ -584,7 +603,10 @@
             let events = items.events_since(&prefix, after);
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return (200, format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), items.revision));
+                return (
+                    200,
+                    format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), items.revision),
+                );
             }
             items = self.items.1.wait_timeout(items, left).unwrap().0;
         }
@@ -596,7 +618,9 @@
         };
         let rows = |name: &str| call.get(name).map(|rows| rows.list().to_vec()).unwrap_or_default();
         let mut items = self.items.0.lock().unwrap();
-        let text = |row: &Json, name: &str| row.get(name).and_then(Json::text).unwrap_or_default().to_owned();
+        let text = |row: &Json, name: &str| {
+            row.get(name).and_then(Json::text).unwrap_or_default().to_owned()
+        };
         let holds = |row: &Json| {
             let now = items.items.get(&text(row, "key")).map_or(0, |item| item.1);
             row.get("revision").and_then(Json::number) == Some(now as f64)
@@ -717,7 +741,8 @@
 
 impl Folder {
     pub fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("dahlia-review-{name}-{}", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("dahlia-review-{name}-{}", std::process::id()));
         let _ = fs::remove_dir_all(&path);
         fs::create_dir_all(&path).unwrap_or_else(|error| cannot_run(&error.to_string()));
         FOLDERS.lock().unwrap().push(path.clone());
@@ -834,7 +859,8 @@
     /// Starts a machine's process with the command of the deploy file.
     pub fn start(&self, machine: &Machine, is_first_start: bool) -> Process {
         let file = self.folder.0.join(format!("{}.toml", machine.name));
-        fs::write(&file, self.settings(machine, is_first_start)).unwrap_or_else(|it| cannot_run(&it.to_string()));
+        fs::write(&file, self.settings(machine, is_first_start))
+            .unwrap_or_else(|it| cannot_run(&it.to_string()));
         let log = File::options().create(true).append(true).open(self.log_file(machine)).unwrap();
         let mut command = Command::new(self.root.join("target/release/dahlialadder-native"));
         command.arg(if machine.is_gateway { "gateway" } else { "store" });
@@ -910,7 +936,13 @@
 }
 
 /// A server's entry in the store.
-pub fn server_entry(service: &str, address: SocketAddr, zone: &str, slots: u32, state: &str) -> String {
+pub fn server_entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    state: &str,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\
          \"state\":\"{state}\",\"cold_remaining_ms\":0,\"call_seq\":1}}"
