Relay: the log and a metric tell how each whole answer told where it ends

Three hypotheses, written before any change:

The end of a dead server's connection is taken for the end of an answer that has neither a length nor chunks. The log would show such an answer as whole, and no failed attempt. 2. The answer has a length or chunks, and their end is misread. The log would show that framing. 3. The break is noticed, and the caller's answer is closed in good order. The log would show a failed attempt.

For the plain call nothing separates 1 from 2: "Answered." does not tell the framing, and no metric does. It does now, and `dahlialadder_relay_whole_answers_total` counts complete answers by service and framing. The test covers each framing.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -32,12 +32,14 @@
 ) -> Response<AnswerBody> {
     count(&exchange.shared.counters.answered);
     match answer {
-        Answer::Whole { response, body } => {
+        Answer::Whole { mut response, body } => {
             match response.did_not_run {
                 true => exchange.mark_not_run(),
                 false => exchange.record_whole_answer(),
             }
-            exchange.log.answered(response.server(), response.parts.status, body.bytes.len());
+            let (received, bytes) = (response.take_received(), body.bytes.len());
+            let status = response.parts.status;
+            exchange.log.answered(response.server(), status, bytes, received.as_ref());
             whole_response(response.parts, body.reservation.attach_to(body.bytes), method)
         }
         Answer::Stream { mut response, first } => {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::CounterReadings;
 use crate::crash_evidence::CrashEvidence;
+use crate::received_answer::Framing;
 use crate::repeats::{RepeatCause, WithheldReason};
 
 /// Upper bounds of histogram buckets in seconds, from a lookup of a few milliseconds to a long
@@ -34,6 +35,7 @@
     excluded_runs: IntCounterVec,
     ended_servers: IntCounterVec,
     refusals: IntCounterVec,
+    whole_answers: IntCounterVec,
     head_seconds: HistogramVec,
     whole_seconds: HistogramVec,
     turn_seconds: Histogram,
@@ -129,6 +131,11 @@
                 "Requests that the relay ended itself, by cause.",
                 "cause",
             ),
+            whole_answers: by_service(
+                "dahlialadder_relay_whole_answers_total",
+                "Answers of servers that were complete, by how they told where they end.",
+                "framing",
+            ),
             head_seconds: histograms(
                 "dahlialadder_relay_head_seconds",
                 "From a request's arrival until its answer begins.",
@@ -162,7 +169,7 @@
     /// # Errors
     /// One of the names is registered already.
     pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 20] = [
+        let collectors: [Box<dyn Collector>; 21] = [
             Box::new(self.events.clone()),
             Box::new(self.gauges.clone()),
             Box::new(self.choices.clone()),
@@ -175,6 +182,7 @@
             Box::new(self.excluded_runs.clone()),
             Box::new(self.ended_servers.clone()),
             Box::new(self.refusals.clone()),
+            Box::new(self.whole_answers.clone()),
             Box::new(self.head_seconds.clone()),
             Box::new(self.whole_seconds.clone()),
             Box::new(self.turn_seconds.clone()),
@@ -281,6 +289,10 @@
         self.refusals.with_label_values(&[cause]).inc();
     }
 
+    pub(crate) fn count_whole_answer(&self, service: &ServiceName, framing: Framing) {
+        self.whole_answers.with_label_values(&[service.0.as_str(), framing.name()]).inc();
+    }
+
     pub(crate) fn observe_answer_begin(&self, service: &ServiceName, elapsed: Duration) {
         self.head_seconds.with_label_values(&[&service.0]).observe(elapsed.as_secs_f64());
     }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    fn count_whole_answer(&self, received: Option<&ReceivedAnswer>) {
+        if let (Some(service), Some(received)) = (&self.service, received) {
+            self.metrics.count_whole_answer(service, received.framing);
+        }
+    }
+
     fn age_ms(&self) -> u64 {
         self.arrived.elapsed().as_millis() as u64
     }
@@ -311,15 +317,23 @@
         );
     }
 
-    /// A complete answer of a server is forwarded.
-    pub(crate) fn answered(&self, server: &BackendId, status: StatusCode, bytes: usize) {
+    /// A complete answer of a server is forwarded. `received` is what arrived of it.
+    pub(crate) fn answered(
+        &self,
+        server: &BackendId,
+        status: StatusCode,
+        bytes: usize,
+        received: Option<&ReceivedAnswer>,
+    ) {
         self.answer_began();
         self.answer_ended();
+        self.count_whole_answer(received);
         log::info!(
             target: "relay",
             request = self.request(),
             server:% = server,
             status = status.as_u16(),
+            framing = framing(received),
             bytes = bytes,
             age_ms = self.age_ms();
             "Answered."
@@ -386,6 +400,7 @@
     /// The stream was complete. `received` is the answer of the last server.
     pub(crate) fn stream_ended(&self, server: &str, received: Option<&ReceivedAnswer>) {
         self.answer_ended();
+        self.count_whole_answer(received);
         log::info!(
             target: "relay",
             request = self.request(),
--- a/crates/relay/tests/request_log.rs
+++ b/crates/relay/tests/request_log.rs
@@ -233,6 +233,51 @@
     }
 }
 
+/// Guards against answers that are no streams and of which nothing tells how they ended.
+#[tokio::test]
+async fn a_whole_answer_is_logged_and_counted_with_its_framing() {
+    struct Case {
+        request: &'static str,
+        script: fn(&ReceivedRequest) -> Vec<Step>,
+        framing: &'static str,
+    }
+    let cases = [
+        Case { request: "whole-with-length", script: answer_ok, framing: "length" },
+        Case {
+            request: "whole-with-last-chunk",
+            script: |request| vec![stream_head(request), chunk("done"), last_chunk()],
+            framing: "chunks",
+        },
+        Case {
+            request: "whole-with-connection",
+            script: |request| {
+                let head = stream_head_without_framing(request);
+                vec![head, Step::Send("done".into()), Step::Close]
+            },
+            framing: "connection",
+        },
+    ];
+    install_recorder();
+    for Case { request, script, framing } in cases {
+        let server = ScriptedServer::new("s-1", script).await;
+        let table = route_table(vec![repeatable_route()]);
+        let gateway = TestGateway::new(Some(table), &[&server]).await;
+        let registry = prometheus::Registry::new();
+        gateway.relay.register_metrics(&registry).expect("metric names are valid");
+        assert_eq!(call(gateway.address, &post(request, "", "x")).await.body, "done", "{request}");
+        let lines = lines_of(request);
+        let answered = lines.iter().find(|line| line.sentence == "Answered.");
+        let answered = answered.expect("a line on the answer");
+        let fields = ["framing", "bytes"].map(|name| answered.field(name).unwrap_or("none"));
+        assert_eq!(fields, [framing, "4"], "{request}");
+        let text = prometheus::TextEncoder::new().encode_to_string(&registry.gather());
+        let metric = format!(
+            "dahlialadder_relay_whole_answers_total{{framing=\"{framing}\",service=\"service\"}} 1"
+        );
+        assert!(text.expect("valid UTF-8").contains(&metric), "{request}");
+    }
+}
+
 /// For one request, the log tells each server it was sent to, what came of it, and whether it counts
 /// against the attempt limit; the metrics sum this up by service.
 #[tokio::test]
