Relay: an answer that ends with its connection is complete only if its server lived past that

What callers saw: a server that sends an answer without a length or chunks is killed between two pieces, and its caller gets 200 with a proper end and half of the answer: a kept turn, from which the next one goes on; a stream that could have resumed elsewhere; a receipt, for which the relay made up a fitting length.

Cause: the system closes the connections of a process that dies in good order, as a server does that is done, and the relay took the end of the connection alone for the end of the answer. All conclusions hang on `ServerResponse::next`. The same holds of an answer in a transfer coding that does not end with chunked, whose framing was taken for chunks.

Ruled out: a new connection after the end as proof. An idle connection that is merely still open: its own end may be lost or late.

Change: while such an answer arrives it has a second connection to its server, an idle one or a new one that opened while the first was open. After the end a health check is sent on it, which only the same process can answer. Pieces go on as before, the end waits. Without a second connection the server is asked by its name on a new one. What is not proved is a lost answer, with what that means for each kind of request.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,8 @@
 
 use crate::connection::{OpenError, SendError, ServerConnection};
 use crate::counters::count;
+use crate::end_confirmation::{ConfirmationContext, EndConfirmation};
+use crate::health_check::HealthCheck;
 use crate::idle_limit::Reset;
 use crate::liveness::{Reachability, UsableConnections};
 use crate::outgoing::OutgoingRequest;
@@ -48,6 +50,7 @@
 pub(crate) struct PreparedRequest<'a, L> {
     pub(crate) shared: &'a Arc<Shared<L>>,
     pub(crate) service: Option<&'a Service>,
+    pub(crate) server: &'a BackendAddress,
     /// Whether a successful answer is a stream of events.
     pub(crate) is_stream: bool,
     pub(crate) outgoing: OutgoingRequest<'a>,
@@ -156,11 +159,16 @@
             true => BodyKind::Stream,
             false => BodyKind::Other,
         };
-        guard.follow_answer(ReceivedAnswer::new(&parts.headers, body_kind));
+        let received = ReceivedAnswer::new(&parts.headers, body_kind);
+        let ends_with_connection = received.ends_with_connection();
+        guard.follow_answer(received);
         let mut response =
             ServerResponse::new(parts, body, did_not_run, connection, keep_alive, pool, guard);
         match kind {
             AnswerKind::Answer | AnswerKind::NotRunAnswer => {
+                if ends_with_connection {
+                    response.confirm_end_by(self.end_confirmation(keep_alive));
+                }
                 SendOutcome::Responding(Box::new(response))
             }
             AnswerKind::NotRun(end) => {
@@ -177,6 +185,21 @@
         }
     }
 
+    /// Prepares to confirm the end of an answer that ends with its connection.
+    fn end_confirmation(&self, keep_alive: KeepAlive) -> EndConfirmation {
+        let Shared { settings, pool, backends, counters, headers, .. } = &**self.shared;
+        let context = ConfirmationContext {
+            settings: Arc::clone(settings),
+            pool: Arc::clone(pool),
+            backends: Arc::clone(backends),
+            counters: Arc::clone(counters),
+        };
+        let health_check = self.service.and_then(|service| {
+            HealthCheck::new(&service.health_path, headers, settings, keep_alive)
+        });
+        EndConfirmation::new(context, self.server.clone(), health_check, keep_alive)
+    }
+
     /// Whether the answer belongs to this attempt, by its attempt id. A server may send a surplus
     /// answer on the connection. Answers that switch protocols were never requested.
     fn belongs_to_attempt(&self, parts: &response::Parts) -> bool {
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -16,7 +16,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1;
+use hyper::client::conn::{TrySendError, http1};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
@@ -44,6 +44,13 @@
     Start { server: SocketAddr, source: hyper::Error },
 }
 
+impl OpenError {
+    /// Whether nothing listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// A request got no head of an answer.
 #[derive(Debug, Snafu)]
 pub(crate) enum SendError {
@@ -122,12 +129,18 @@
             poll_driver(&mut self.driver, context);
             answer.as_mut().poll(context)
         });
-        match answer.await {
-            Ok(answer) => Ok(answer),
-            Err(error) if error.message().is_some() => Err(SendError::NotSent),
-            Err(_) if self.progress.written() == written_before => Err(SendError::NotSent),
-            Err(error) => Err(SendError::NoAnswer { source: error.into_error() }),
-        }
+        let answer = answer.await;
+        answer.map_err(|error| self.progress.classify(error, written_before))
+    }
+
+    /// Sends a request and waits for the head of its answer for a time. None if that has passed and the connection has not
+    /// ended; it ends then.
+    pub(crate) async fn send_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Option<Response<Incoming>>, SendError> {
+        timeout(limit, self.send(request)).await.ok().transpose()
     }
 
     /// Returns the next data of an answer's body; none at its end.
@@ -145,6 +158,27 @@
         .await
     }
 
+    /// Reads and discards the rest of an answer's body. Returns whether it has ended within this many bytes.
+    pub(crate) async fn read_rest(&mut self, body: &mut Incoming, max_bytes: usize) -> bool {
+        let mut read = 0;
+        while let Some(data) = self.next_data(body).await {
+            match data {
+                Ok(piece) if read + piece.len() <= max_bytes => read += piece.len(),
+                Ok(_) | Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Returns when the connection has ended.
+    pub(crate) async fn closed(&mut self) {
+        poll_fn(|context| {
+            poll_driver(&mut self.driver, context);
+            if self.driver.is_none() { Poll::Ready(()) } else { Poll::Pending }
+        })
+        .await
+    }
+
     /// Whether the connection can take another request: the last request is fully sent and
     /// answered, no bytes are left over, and the server has not closed it. hyper takes no further
     /// request before that.
@@ -201,6 +235,18 @@
         self.0.load(Ordering::Relaxed)
     }
 
+    /// Why a request got no head, if the socket had accepted this many bytes before it.
+    fn classify(
+        &self,
+        error: TrySendError<Request<Full<Bytes>>>,
+        written_before: u64,
+    ) -> SendError {
+        if error.message().is_some() || self.written() == written_before {
+            return SendError::NotSent;
+        }
+        SendError::NoAnswer { source: error.into_error() }
+    }
+
     fn record(&self, result: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(accepted)) = result {
             self.0.fetch_add(*accepted as u64, Ordering::Relaxed);
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -4,7 +4,6 @@
 //! not make a request suspect: what is uncertain is settled by what is heard of the server later.
 
 use std::collections::VecDeque;
-use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use dahlia_backends::BackendAddress;
@@ -93,11 +92,7 @@
 ) -> Reachability {
     let reachability = match ServerConnection::open(server.address, &shared.settings).await {
         Err(OpenError::Timeout { .. }) => Reachability::Silent,
-        Err(OpenError::Connect { source, .. })
-            if source.kind() == io::ErrorKind::ConnectionRefused =>
-        {
-            Reachability::Refused
-        }
+        Err(error) if error.is_refused() => Reachability::Refused,
         Err(OpenError::Connect { .. } | OpenError::Start { .. }) => Reachability::Alive,
         Ok(connection) => {
             count(&shared.counters.connections_to_servers);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -281,6 +281,7 @@
         PreparedRequest {
             shared: &self.shared,
             service: self.matched.service(),
+            server,
             is_stream: self.route().is_stream,
             outgoing,
         }
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -13,6 +13,8 @@
     pub signature: HeaderName,
     /// Relay to server: the server instance that the request is meant for.
     pub expected_instance: HeaderName,
+    /// Server to relay: the instance that answers a health check.
+    pub instance: HeaderName,
     /// Server to relay: the request did not run.
     pub not_run: HeaderName,
     /// The program that a request belongs to.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::CounterReadings;
 use crate::crash_evidence::CrashEvidence;
+use crate::end_confirmation::EndEvidence;
 use crate::received_answer::Framing;
 use crate::repeats::{RepeatCause, WithheldReason};
 
@@ -36,6 +37,8 @@
     ended_servers: IntCounterVec,
     refusals: IntCounterVec,
     whole_answers: IntCounterVec,
+    checked_ends: IntCounterVec,
+    end_check_seconds: HistogramVec,
     head_seconds: HistogramVec,
     whole_seconds: HistogramVec,
     turn_seconds: Histogram,
@@ -136,6 +139,15 @@
                 "Answers of servers that were complete, by how they told where they end.",
                 "framing",
             ),
+            checked_ends: by_service(
+                "dahlialadder_relay_checked_ends_total",
+                "Answers that ended with their connection, by what showed whether their server lived past that.",
+                "evidence",
+            ),
+            end_check_seconds: histograms(
+                "dahlialadder_relay_end_check_seconds",
+                "From the end of such an answer until its server was checked.",
+            ),
             head_seconds: histograms(
                 "dahlialadder_relay_head_seconds",
                 "From a request's arrival until its answer begins.",
@@ -169,7 +181,7 @@
     /// # Errors
     /// One of the names is registered already.
     pub(crate) fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn Collector>; 21] = [
+        let collectors: [Box<dyn Collector>; 23] = [
             Box::new(self.events.clone()),
             Box::new(self.gauges.clone()),
             Box::new(self.choices.clone()),
@@ -183,6 +195,8 @@
             Box::new(self.ended_servers.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.whole_answers.clone()),
+            Box::new(self.checked_ends.clone()),
+            Box::new(self.end_check_seconds.clone()),
             Box::new(self.head_seconds.clone()),
             Box::new(self.whole_seconds.clone()),
             Box::new(self.turn_seconds.clone()),
@@ -293,6 +307,17 @@
         self.whole_answers.with_label_values(&[service.0.as_str(), framing.name()]).inc();
     }
 
+    /// Counts an answer that ended with its connection and whose server was checked for this long.
+    pub(crate) fn count_checked_end(
+        &self,
+        service: &ServiceName,
+        evidence: EndEvidence,
+        time: Duration,
+    ) {
+        self.checked_ends.with_label_values(&[service.0.as_str(), evidence.name()]).inc();
+        self.end_check_seconds.with_label_values(&[&service.0]).observe(time.as_secs_f64());
+    }
+
     pub(crate) fn observe_answer_begin(&self, service: &ServiceName, elapsed: Duration) {
         self.head_seconds.with_label_values(&[&service.0]).observe(elapsed.as_secs_f64());
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -35,19 +35,27 @@
         service: Option<&Service>,
         settings: &RelaySettings,
     ) -> Self {
-        let idle_timeout = match hop_by_hop::keep_alive_seconds(answer) {
-            Some(seconds) => {
-                let server_timeout = Duration::from_secs(seconds);
-                let margin = Duration::from_millis(settings.idle_margin_ms);
-                // Connections are reused even if the server keeps them for only a second.
-                server_timeout - margin.min(server_timeout / 2)
-            }
-            None => Duration::from_millis(settings.idle_connection_ms),
-        };
         let max_idle = service.map_or(DEFAULT_MAX_IDLE, |service| {
             (service.max_connections / settings.connection_sharers).max(1) as usize
         });
-        Self { idle_timeout, max_idle }
+        Self { idle_timeout: idle_timeout(answer, settings), max_idle }
+    }
+
+    /// The values for another connection of the same service, on which this answer came.
+    pub(crate) fn with_answer(self, answer: &HeaderMap, settings: &RelaySettings) -> Self {
+        Self { idle_timeout: idle_timeout(answer, settings), ..self }
+    }
+}
+
+fn idle_timeout(answer: &HeaderMap, settings: &RelaySettings) -> Duration {
+    match hop_by_hop::keep_alive_seconds(answer) {
+        Some(seconds) => {
+            let server_timeout = Duration::from_secs(seconds);
+            let margin = Duration::from_millis(settings.idle_margin_ms);
+            // Connections are reused even if the server keeps them for only a second.
+            server_timeout - margin.min(server_timeout / 2)
+        }
+        None => Duration::from_millis(settings.idle_connection_ms),
     }
 }
 
@@ -62,12 +70,21 @@
     idle_limit: IdleLimit,
 }
 
-struct IdleConnection {
-    connection: ServerConnection,
-    idle_since: Instant,
+/// An idle connection.
+pub(crate) struct IdleConnection {
+    pub(crate) connection: ServerConnection,
+    pub(crate) idle_since: Instant,
     expires_at: Instant,
 }
 
+impl IdleConnection {
+    /// A connection that is idle from now on.
+    pub(crate) fn new(connection: ServerConnection, keep_alive: KeepAlive) -> Self {
+        let now = Instant::now();
+        Self { connection, idle_since: now, expires_at: now + keep_alive.idle_timeout }
+    }
+}
+
 /// A connection for one request.
 pub(crate) struct Connected {
     pub(crate) connection: ServerConnection,
@@ -106,6 +123,15 @@
         Some(Connected { connection, idle_for: Some(idle_for) })
     }
 
+    /// Takes an idle connection that is still open, the one that was used last. It may be put back as it is.
+    pub(crate) fn take_open(&self, server: &BackendId) -> Option<IdleConnection> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        let connections = idle.by_server.get_mut(server)?;
+        connections.retain_mut(|it| it.expires_at > now && it.connection.is_reusable());
+        connections.pop()
+    }
+
     /// Whether an idle connection to a server is still open.
     pub(crate) fn has_open(&self, server: &BackendId) -> bool {
         let mut idle = self.lock();
@@ -133,21 +159,33 @@
     pub(crate) fn put(
         &self,
         server: &BackendId,
-        mut connection: ServerConnection,
+        connection: ServerConnection,
         keep_alive: KeepAlive,
     ) {
-        if !connection.is_reusable() {
+        self.put_idle(server, IdleConnection::new(connection, keep_alive), keep_alive.max_idle);
+    }
+
+    /// Keeps a connection that may have been idle for a while, if it can be reused. At most `max_idle` connections of its
+    /// server are kept.
+    pub(crate) fn put_idle(
+        &self,
+        server: &BackendId,
+        mut connection: IdleConnection,
+        max_idle: usize,
+    ) {
+        let now = Instant::now();
+        if connection.expires_at <= now || !connection.connection.is_reusable() {
             return;
         }
-        let now = Instant::now();
         let mut idle = self.lock();
         idle.sweep(now);
         let connections = idle.by_server.entry(server.clone()).or_default();
-        if connections.len() >= keep_alive.max_idle {
+        if connections.len() >= max_idle {
             connections.remove(0);
         }
-        let expires_at = now + keep_alive.idle_timeout;
-        connections.push(IdleConnection { connection, idle_since: now, expires_at });
+        // The one that was used last is taken first.
+        let position = connections.partition_point(|it| it.idle_since <= connection.idle_since);
+        connections.insert(position, connection);
     }
 }
 
--- a/crates/relay/src/received_answer.rs
+++ b/crates/relay/src/received_answer.rs
@@ -23,7 +23,7 @@
 impl Framing {
     fn of(headers: &HeaderMap) -> Self {
         if headers.contains_key(TRANSFER_ENCODING) {
-            Self::Chunks
+            if is_chunked(headers) { Self::Chunks } else { Self::Connection }
         } else if headers.contains_key(CONTENT_LENGTH) {
             Self::Length
         } else {
@@ -89,13 +89,19 @@
         self.boundary.as_ref().map(EventBoundary::events)
     }
 
-    /// Why the answer is not complete although it has ended as its framing says; none if it is complete.
+    /// Whether it has a body that ends with its connection.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::Connection && !self.may_be_empty
+    }
+
+    /// Why the answer is not complete although it has ended as its framing says; none if it is complete as far as what
+    /// has arrived shows.
     pub(crate) fn problem_at_end(&self) -> Option<EndProblem> {
         if self.is_inside_event() {
             return Some(EndProblem::InsideEvent(self.framing));
         }
         let has_begun = self.events().map_or(self.bytes > 0, |events| events > 0);
-        let is_cut = self.framing == Framing::Connection && !has_begun && !self.may_be_empty;
+        let is_cut = self.ends_with_connection() && !has_begun;
         is_cut.then_some(EndProblem::ClosedBeforeContent)
     }
 
@@ -112,6 +118,10 @@
     InsideEvent(Framing),
     /// It ended with its connection, before its first event, or before its first byte if it is no event stream.
     ClosedBeforeContent,
+    /// It ended with its connection, and its server with it.
+    ServerEnded,
+    /// It ended with its connection, and nothing shows that its server lived past that.
+    Unconfirmed,
 }
 
 impl EndProblem {
@@ -119,19 +129,32 @@
         match self {
             Self::InsideEvent(_) => "the stream ended inside an event",
             Self::ClosedBeforeContent => "the answer ended with its connection before its content",
+            Self::ServerEnded => "the answer ended with its connection, and its server with it",
+            Self::Unconfirmed => {
+                "the answer ended with its connection, and its server may have ended with it"
+            }
         }
     }
 
     pub(crate) fn loss_cause(self) -> LossCause {
         match self {
-            Self::InsideEvent(Framing::Connection) | Self::ClosedBeforeContent => {
-                LossCause::Disconnected
-            }
+            Self::InsideEvent(Framing::Connection)
+            | Self::ClosedBeforeContent
+            | Self::ServerEnded
+            | Self::Unconfirmed => LossCause::Disconnected,
             Self::InsideEvent(Framing::Length | Framing::Chunks) => LossCause::InvalidAnswer,
         }
     }
 }
 
+/// Whether the last transfer coding is `chunked`.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last_line = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last_line.and_then(|line| line.to_str().ok()).unwrap_or_default();
+    let last = codings.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
+}
+
 fn is_event_stream(content_type: &HeaderValue) -> bool {
     let text = content_type.to_str().unwrap_or_default();
     let essence = text.split(';').next().unwrap_or_default();
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -18,6 +18,7 @@
 use crate::counted_runs::PossibleRun;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_suspects::GatewayReach;
+use crate::end_confirmation::EndEvidence;
 use crate::fingerprint::RequestFingerprint;
 use crate::metrics::RelayMetrics;
 use crate::received_answer::ReceivedAnswer;
@@ -340,6 +341,27 @@
         );
     }
 
+    /// An answer has ended with its connection, and its server was checked for this long.
+    pub(crate) fn end_checked(
+        &self,
+        server: &BackendId,
+        evidence: EndEvidence,
+        time: tokio::time::Duration,
+    ) {
+        if let Some(service) = &self.service {
+            self.metrics.count_checked_end(service, evidence, time);
+        }
+        log::info!(
+            target: "relay",
+            request = self.request(),
+            server:% = server,
+            evidence = evidence.name(),
+            took_ms = time.as_millis() as u64,
+            age_ms = self.age_ms();
+            "Checked whether a server lived past its answer."
+        );
+    }
+
     /// A server's stream begins.
     pub(crate) fn stream_began(
         &self,
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -1,5 +1,7 @@
 //! A server's answer while it arrives.
 
+use std::future::pending;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
@@ -12,12 +14,14 @@
 use hyper::body::{Body, Incoming};
 use snafu::Snafu;
 use tokio::select;
+use tokio::time::Instant;
 
 use crate::connection::{ServerConnection, loss_cause};
+use crate::end_confirmation::{EndConfirmation, EndEvidence};
 use crate::liveness::LivenessWatch;
 use crate::memory::{BodyBuffer, CallerQuota, ReservationError, ReservedBody};
 use crate::pool::{KeepAlive, Pool};
-use crate::received_answer::ReceivedAnswer;
+use crate::received_answer::{EndProblem, ReceivedAnswer};
 use crate::relay::{Clock, Shared};
 use crate::repeat_budget::ServiceBudget;
 use crate::repeats::{Loss, LossCause};
@@ -176,11 +180,20 @@
     body: Incoming,
     /// None once the body has ended, complete or not.
     connection: Option<ServerConnection>,
+    /// Confirms the end of an answer that ends with its connection.
+    confirmation: Option<Box<EndConfirmation>>,
     keep_alive: KeepAlive,
     pool: Arc<Pool>,
     guard: AttemptGuard,
 }
 
+/// What came next on the connection of an answer.
+enum Received {
+    Data(Option<Result<Bytes, hyper::Error>>),
+    /// The answer cannot come any more, or is not waited for.
+    Lost(Loss),
+}
+
 impl ServerResponse {
     pub(crate) fn new(
         parts: response::Parts,
@@ -192,7 +205,13 @@
         guard: AttemptGuard,
     ) -> Self {
         let connection = Some(connection);
-        Self { parts, did_not_run, body, connection, keep_alive, pool, guard }
+        let confirmation = None;
+        Self { parts, did_not_run, body, connection, confirmation, keep_alive, pool, guard }
+    }
+
+    /// Has the end of the answer confirmed: it ends with its connection, and its caller is to get it.
+    pub(crate) fn confirm_end_by(&mut self, confirmation: EndConfirmation) {
+        self.confirmation = Some(Box::new(confirmation));
     }
 
     pub(crate) fn server(&self) -> &BackendId {
@@ -227,46 +246,78 @@
     /// Returns the next piece of the body; none at its end.
     ///
     /// # Errors
-    /// The body broke off, or it is a stream that ended inside an event. The connection is then closed.
+    /// The body broke off, or it ended and is not complete. The connection is then closed.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
-        let connection = self.connection.as_mut()?;
-        let data = select! {
-            biased;
-            data = connection.next_data(&mut self.body) => data,
-            loss = self.guard.watch.wait_until_lost() => {
+        match self.receive().await? {
+            Received::Lost(loss) => {
                 self.connection = None;
                 let cause = format!("{} in its answer", loss.cause.describe());
                 self.guard.fail(AttemptEnd::Unreachable, &cause);
-                return Some(Err(BrokenAnswer { loss }));
+                Some(Err(BrokenAnswer { loss }))
             }
-        };
-        match data {
-            Some(Ok(piece)) => {
+            Received::Data(Some(Ok(piece))) => {
                 self.guard.watch.record_contact();
                 if let Some(received) = &mut self.guard.received {
                     received.push(&piece);
                 }
                 Some(Ok(piece))
             }
-            Some(Err(error)) => {
+            Received::Data(Some(Err(error))) => {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, &error.to_string());
                 Some(Err(BrokenAnswer { loss: loss_cause(&error).into() }))
             }
-            None => {
-                let received = self.guard.received.as_ref();
-                if let Some(problem) = received.and_then(ReceivedAnswer::problem_at_end) {
-                    self.connection = None;
-                    self.guard.fail(AttemptEnd::Broken, problem.describe());
-                    return Some(Err(BrokenAnswer { loss: problem.loss_cause().into() }));
-                }
-                self.return_connection();
-                self.guard.end = match self.parts.status.is_server_error() {
-                    true => AttemptEnd::Failed,
-                    false => AttemptEnd::Answered,
-                };
+            Received::Data(None) => self.end().await.err().map(Err),
+        }
+    }
+
+    /// Waits for the next piece or the end of the body. None once the body has ended.
+    async fn receive(&mut self) -> Option<Received> {
+        let connection = self.connection.as_mut()?;
+        let mut lost = pin!(self.guard.watch.wait_until_lost());
+        loop {
+            select! {
+                biased;
+                data = connection.next_data(&mut self.body) => return Some(Received::Data(data)),
+                loss = &mut lost => return Some(Received::Lost(loss)),
+                () = second_connection_changed(&mut self.confirmation) => {}
+            }
+        }
+    }
+
+    /// Ends the answer after its last byte.
+    async fn end(&mut self) -> Result<(), BrokenAnswer> {
+        if let Some(problem) = self.problem_at_end().await {
+            self.connection = None;
+            self.guard.fail(AttemptEnd::Broken, problem.describe());
+            return Err(BrokenAnswer { loss: problem.loss_cause().into() });
+        }
+        self.return_connection();
+        self.guard.end = match self.parts.status.is_server_error() {
+            true => AttemptEnd::Failed,
+            false => AttemptEnd::Answered,
+        };
+        Ok(())
+    }
+
+    /// Why the answer is not complete although it has ended; none if it is complete.
+    async fn problem_at_end(&mut self) -> Option<EndProblem> {
+        let received = self.guard.received.as_ref()?;
+        if let Some(problem) = received.problem_at_end() {
+            return Some(problem);
+        }
+        let confirmation = self.confirmation.take()?;
+        let started = Instant::now();
+        let evidence = confirmation.confirm().await;
+        self.guard.log.end_checked(&self.guard.server, evidence, started.elapsed());
+        match evidence {
+            EndEvidence::Answered | EndEvidence::Identified => {
+                self.guard.watch.record_contact();
                 None
             }
+            EndEvidence::KeptOpen => None,
+            EndEvidence::Ended => Some(EndProblem::ServerEnded),
+            EndEvidence::None => Some(EndProblem::Unconfirmed),
         }
     }
 
@@ -319,3 +370,11 @@
         }
     }
 }
+
+/// Returns when the second connection to an answer's server has opened or ended, if the answer has one.
+async fn second_connection_changed(confirmation: &mut Option<Box<EndConfirmation>>) {
+    match confirmation {
+        Some(confirmation) => confirmation.changed().await,
+        None => pending().await,
+    }
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -35,6 +35,7 @@
         deadline: name("x-deadline"),
         signature: name("x-signature"),
         expected_instance: name("x-expected"),
+        instance: name("x-instance"),
         not_run: name("x-not-run"),
         program: name("x-program"),
         session: name("x-session"),
--- a/crates/relay/tests/common/scripted_server.rs
+++ b/crates/relay/tests/common/scripted_server.rs
@@ -44,12 +44,43 @@
     StopAndReset,
     /// Ends like a killed process: stops listening and resets all connections.
     Crash,
+    /// Ends like a killed process without unread bytes: stops listening and closes all connections in good order. Its
+    /// successor, if it has one, listens at its address before that.
+    Die,
+    /// Waits until the relay has opened this many connections.
+    WaitForConnections(usize),
     /// Sends nothing more and accepts no new connections, so that they hang.
     StopResponding,
     /// Accepts no new connections, so that they hang, and goes on with the next step.
     StopAccepting,
 }
 
+/// How a process ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Death {
+    /// Its connections are reset.
+    Reset,
+    /// Its connections are closed in good order.
+    Closed,
+}
+
+/// How a server answers health checks.
+#[derive(Debug, Clone)]
+pub enum HealthAnswer {
+    /// With this status and its name.
+    Status(&'static str),
+    /// Without its name, and whatever instance is expected.
+    Nameless,
+    /// With these bytes.
+    Raw(String),
+    /// Not before [`ScriptedServer::release`].
+    Late,
+    Never,
+}
+
+/// The path of health checks. They are not among the requests.
+const HEALTH_PATH: &str = "/health";
+
 /// The most connections that wait until the server accepts them.
 const LISTEN_QUEUE: i32 = 128;
 
@@ -63,9 +94,15 @@
     script: Arc<Script>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     closed: Arc<Mutex<usize>>,
-    connections: Arc<Mutex<usize>>,
     released: Arc<watch::Sender<bool>>,
-    crashed: Arc<watch::Sender<bool>>,
+    /// None until it ends.
+    death: Arc<watch::Sender<Option<Death>>>,
+    successor: Arc<Mutex<Option<ScriptedServer>>>,
+    health_answer: Arc<Mutex<HealthAnswer>>,
+    health_checks: Arc<Mutex<usize>>,
+    /// The most connections that it accepts; it resets any further ones.
+    max_connections: Arc<Mutex<usize>>,
+    opened: Arc<watch::Sender<usize>>,
     accepting: Arc<Mutex<Option<JoinHandle<()>>>>,
     /// Keeps new connections hanging after [`Step::StopAccepting`].
     full_listener: Arc<Mutex<Option<FullListener>>>,
@@ -77,20 +114,53 @@
         script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let server = Self {
+        let mut server = Self::unstarted(id, script);
+        server.address = listener.local_addr().expect("the local address");
+        server.accept_from(listener);
+        server
+    }
+
+    /// A server that does not listen yet, for [`ScriptedServer::set_successor`].
+    pub fn unstarted(
+        id: &str,
+        script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
             id: id.into(),
-            address: listener.local_addr().expect("the local address"),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
             script: Arc::new(script),
             requests: Arc::default(),
             closed: Arc::default(),
-            connections: Arc::default(),
             released: Arc::new(watch::Sender::new(false)),
-            crashed: Arc::new(watch::Sender::new(false)),
+            death: Arc::new(watch::Sender::new(None)),
+            successor: Arc::default(),
+            health_answer: Arc::new(Mutex::new(HealthAnswer::Status("200 OK"))),
+            health_checks: Arc::default(),
+            max_connections: Arc::new(Mutex::new(usize::MAX)),
+            opened: Arc::new(watch::Sender::new(0)),
             accepting: Arc::default(),
             full_listener: Arc::default(),
-        };
-        server.accept_from(listener);
-        server
+        }
+    }
+
+    /// Sets the server that listens at this one's address as soon as this one dies.
+    pub fn set_successor(&self, successor: &Self) {
+        let mut slot = self.successor.lock().expect("the lock is not poisoned");
+        *slot = Some(Self { address: self.address, ..successor.clone() });
+    }
+
+    pub fn set_health_answer(&self, answer: HealthAnswer) {
+        *self.health_answer.lock().expect("the lock is not poisoned") = answer;
+    }
+
+    /// Resets each connection beyond this number from now on.
+    pub fn limit_connections(&self, most: usize) {
+        *self.max_connections.lock().expect("the lock is not poisoned") = most;
+    }
+
+    /// The health checks received so far.
+    pub fn health_checks(&self) -> usize {
+        *self.health_checks.lock().expect("the lock is not poisoned")
     }
 
     /// The requests received so far.
@@ -100,7 +170,7 @@
 
     /// Connections that the relay opened so far.
     pub fn connections(&self) -> usize {
-        *self.connections.lock().expect("the lock is not poisoned")
+        *self.opened.borrow()
     }
 
     /// Connections that the relay closed so far, of those on which a request came: it also opens some only to see whether
@@ -115,16 +185,16 @@
 
     /// Whether it has crashed.
     pub fn has_crashed(&self) -> bool {
-        *self.crashed.borrow()
+        self.death.borrow().is_some()
     }
 
     async fn serve(self, connection: usize, mut stream: TcpStream) {
-        let mut crashed = self.crashed.subscribe();
-        let has_crashed = tokio::select! {
-            () = self.serve_requests(connection, &mut stream) => false,
-            _ = crashed.wait_for(|crashed| *crashed) => true,
+        let mut death = self.death.subscribe();
+        let death = tokio::select! {
+            () = self.serve_requests(connection, &mut stream) => None,
+            death = death.wait_for(Option::is_some) => death.ok().and_then(|death| *death),
         };
-        if has_crashed {
+        if death == Some(Death::Reset) {
             let _ = SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
         }
     }
@@ -133,6 +203,12 @@
         let mut buffer = Vec::new();
         let mut requests = 0;
         while let Some(request) = read_request(stream, &mut buffer, connection).await {
+            if request.line.starts_with(&format!("GET {HEALTH_PATH} ")) {
+                if !self.answer_health_check(&request, stream).await {
+                    return;
+                }
+                continue;
+            }
             requests += 1;
             self.requests.lock().expect("the lock is not poisoned").push(request.clone());
             for step in (self.script)(&request) {
@@ -144,6 +220,29 @@
         *self.closed.lock().expect("the lock is not poisoned") += usize::from(requests > 0);
     }
 
+    async fn answer_health_check(&self, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
+        *self.health_checks.lock().expect("the lock is not poisoned") += 1;
+        let answer = self.health_answer.lock().expect("the lock is not poisoned").clone();
+        let is_meant = request.header("x-expected").is_none_or(|expected| expected == self.id);
+        let named = |status: &str| {
+            format!("HTTP/1.1 {status}\r\nX-Instance: {}\r\nContent-Length: 0\r\n\r\n", self.id)
+        };
+        let text = match answer {
+            HealthAnswer::Nameless => "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            HealthAnswer::Raw(bytes) => bytes,
+            HealthAnswer::Never => std::future::pending().await,
+            HealthAnswer::Late => {
+                if !self.act(stream, Step::WaitForRelease).await {
+                    return false;
+                }
+                named("200 OK")
+            }
+            HealthAnswer::Status(status) if is_meant => named(status),
+            HealthAnswer::Status(_) => named("421 Misdirected Request"),
+        };
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     async fn act(&self, stream: &mut TcpStream, step: Step) -> bool {
         match step {
             Step::Send(text) => stream.write_all(text.as_bytes()).await.is_ok(),
@@ -164,9 +263,22 @@
             }
             Step::Crash => {
                 self.stop_listening().await;
-                self.crashed.send_replace(true);
+                self.death.send_replace(Some(Death::Reset));
+                std::future::pending().await
+            }
+            Step::Die => {
+                self.stop_listening().await;
+                if let Some(successor) = &*self.successor.lock().expect("the lock is not poisoned")
+                {
+                    successor.accept_from(listen_at(self.address));
+                }
+                self.death.send_replace(Some(Death::Closed));
                 std::future::pending().await
             }
+            Step::WaitForConnections(count) => {
+                let mut opened = self.opened.subscribe();
+                opened.wait_for(|opened| *opened >= count).await.is_ok()
+            }
             Step::StopResponding => {
                 self.stop_listening().await;
                 let _full = FullListener::at(self.address);
@@ -190,25 +302,20 @@
     /// Accepts new connections again after [`Step::StopAccepting`].
     pub async fn resume_accepting(&self) {
         *self.full_listener.lock().expect("the lock is not poisoned") = None;
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        listener.set_reuse_address(true).expect("the socket option is supported");
-        listener.set_nonblocking(true).expect("the socket option is supported");
-        listener.bind(&self.address.into()).expect("the address can be bound again");
-        listener.listen(LISTEN_QUEUE).expect("the socket can listen");
-        self.accept_from(TcpListener::from_std(listener.into()).expect("a listener"));
+        self.accept_from(listen_at(self.address));
     }
 
     fn accept_from(&self, listener: TcpListener) {
         let server = self.clone();
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let connection = {
-                    let mut connections =
-                        server.connections.lock().expect("the lock is not poisoned");
-                    *connections += 1;
-                    *connections - 1
-                };
-                tokio::spawn(server.clone().serve(connection, stream));
+                let connection = server.connections();
+                server.opened.send_replace(connection + 1);
+                if connection < *server.max_connections.lock().expect("the lock is not poisoned") {
+                    tokio::spawn(server.clone().serve(connection, stream));
+                } else {
+                    let _ = SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+                }
             }
         });
         *self.accepting.lock().expect("the lock is not poisoned") = Some(task);
@@ -222,6 +329,16 @@
     }
 }
 
+/// Listens at an address where an earlier listener may have closed a moment ago.
+fn listen_at(address: SocketAddr) -> TcpListener {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    listener.set_reuse_address(true).expect("the socket option is supported");
+    listener.set_nonblocking(true).expect("the socket option is supported");
+    listener.bind(&address.into()).expect("the address can be bound again");
+    listener.listen(LISTEN_QUEUE).expect("the socket can listen");
+    TcpListener::from_std(listener.into()).expect("a listener")
+}
+
 /// A listener whose queue is full, so that the system drops further connection requests.
 struct FullListener {
     _listener: Socket,
