Relay: a name that may be used again does not show which process answers

Without a second connection from before the end the relay asked the server by its name, and the successor has the same.

A name is no proof now where servers tell their births, so such an answer is lost. That would break off each sound answer of a server to which no idle connection is open. So once a service has sent an answer without a length, requests to these servers have a second connection before they are sent; it replaces the first one in the pool afterwards. Other servers are asked by their names as before.

Logs of failures to open a connection, and of a path that is not valid.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,7 +16,7 @@
 
 use crate::connection::{OpenError, SendError, ServerConnection};
 use crate::counters::count;
-use crate::end_confirmation::{ConfirmationContext, EndConfirmation};
+use crate::end_confirmation::{ConfirmationContext, EndConfirmation, may_reuse_name};
 use crate::health_check::HealthCheck;
 use crate::idle_limit::Reset;
 use crate::liveness::{Reachability, UsableConnections};
@@ -108,6 +108,7 @@
         mut guard: AttemptGuard,
     ) -> Result<SendOutcome, AttemptGuard> {
         let Connected { mut connection, idle_for } = connected;
+        let confirmation = self.early_confirmation().await;
         let sent_at = Instant::now();
         guard.record_send();
         let answer = select! {
@@ -120,7 +121,7 @@
             }
         };
         match answer {
-            Ok(answer) => Ok(self.classify_answer(connection, answer, guard).await),
+            Ok(answer) => Ok(self.classify_answer(connection, answer, confirmation, guard).await),
             Err(SendError::NotSent) => Err(guard),
             Err(error @ SendError::NoAnswer { .. }) => {
                 let reset = Reset { idle_for, delay: sent_at.elapsed() };
@@ -138,6 +139,7 @@
         &self,
         connection: ServerConnection,
         answer: Response<Incoming>,
+        confirmation: Option<Box<EndConfirmation>>,
         mut guard: AttemptGuard,
     ) -> SendOutcome {
         guard.watch.record_contact();
@@ -167,7 +169,9 @@
         match kind {
             AnswerKind::Answer | AnswerKind::NotRunAnswer => {
                 if ends_with_connection {
-                    response.confirm_end_by(self.end_confirmation(keep_alive));
+                    self.record_unframed_answer();
+                    let begin = || self.end_confirmation(keep_alive);
+                    response.confirm_end_by(confirmation.unwrap_or_else(begin));
                 }
                 SendOutcome::Responding(Box::new(response))
             }
@@ -186,7 +190,7 @@
     }
 
     /// Prepares to confirm the end of an answer that ends with its connection.
-    fn end_confirmation(&self, keep_alive: KeepAlive) -> EndConfirmation {
+    fn end_confirmation(&self, keep_alive: KeepAlive) -> Box<EndConfirmation> {
         let Shared { settings, pool, backends, counters, headers, .. } = &**self.shared;
         let context = ConfirmationContext {
             settings: Arc::clone(settings),
@@ -197,7 +201,26 @@
         let health_check = self.service.and_then(|service| {
             HealthCheck::new(&service.health_path, headers, settings, keep_alive)
         });
-        EndConfirmation::new(context, self.server.clone(), health_check, keep_alive)
+        Box::new(EndConfirmation::new(context, self.server.clone(), health_check, keep_alive))
+    }
+
+    /// Prepares to confirm the end of an answer before the request is sent, where the server's name does not show which process
+    /// answers and an answer may come that ends with its connection.
+    async fn early_confirmation(&self) -> Option<Box<EndConfirmation>> {
+        let service = self.service.filter(|_| may_reuse_name(&self.server.id))?;
+        if !self.shared.unframed_services.contain(&service.name) {
+            return None;
+        }
+        let keep_alive = KeepAlive::new(&HeaderMap::new(), self.service, &self.shared.settings);
+        let mut confirmation = self.end_confirmation(keep_alive);
+        confirmation.second_opened().await;
+        Some(confirmation)
+    }
+
+    fn record_unframed_answer(&self) {
+        if let Some(service) = self.service {
+            self.shared.unframed_services.record(&service.name);
+        }
     }
 
     /// Whether the answer belongs to this attempt, by its attempt id. A server may send a surplus
--- a/crates/relay/src/end_confirmation.rs
+++ b/crates/relay/src/end_confirmation.rs
@@ -7,7 +7,7 @@
 use std::mem;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use dahlia_backends::{BackendAddress, Backends};
+use dahlia_backends::{BackendAddress, BackendId, Backends};
 use futures::future::pending;
 use tokio::task::JoinHandle;
 use tokio::time::{Duration, sleep};
@@ -82,7 +82,7 @@
 }
 
 impl EndConfirmation {
-    /// Begins when the head of an answer has come, with an idle connection if there is one.
+    /// Begins when the head of an answer has come, or before, with an idle connection if there is one.
     pub(crate) fn new(
         context: ConfirmationContext,
         server: BackendAddress,
@@ -109,16 +109,19 @@
         })
     }
 
+    /// Waits until the second connection has opened, or cannot be. This is for requests that are not sent before.
+    pub(crate) async fn second_opened(&mut self) {
+        if let SecondConnection::Opening(_) = self.second {
+            self.changed().await;
+        }
+    }
+
     /// Returns when the second connection has opened or ended. This is to be polled only after the answer's connection was
     /// found open: a connection that opens after the answer's end may be another process's.
     pub(crate) async fn changed(&mut self) {
         let next = match &mut self.second {
-            SecondConnection::Opening(opening) => match opening.await {
-                Ok(Ok(connection)) => self.open(connection),
-                Ok(Err(error)) => {
-                    log::debug!(target: "relay", "a second connection: {error}");
-                    SecondConnection::None
-                }
+            SecondConnection::Opening(opening) => match opened(opening).await {
+                Ok(connection) => self.open(connection),
                 Err(_) => SecondConnection::None,
             },
             SecondConnection::Open(idle) => {
@@ -147,9 +150,6 @@
                 if let Some(evidence) = self.check_second(*idle).await {
                     return evidence;
                 }
-                if self.may_reuse_name() {
-                    return EndEvidence::None;
-                }
                 self.begin_opening()
             }
             SecondConnection::Opening(opening) => opening,
@@ -177,18 +177,19 @@
         }
     }
 
-    /// Checks the server by its name, on a connection that may have opened after the end.
-    async fn check_by_name(&self, opening: Opening) -> EndEvidence {
-        let connection = match opening.await {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(error)) if error.is_refused() => return EndEvidence::Ended,
-            Ok(Err(error)) => {
-                log::debug!(target: "relay", "a connection after the end of an answer: {error}");
-                return EndEvidence::None;
-            }
-            Err(_) => return EndEvidence::None,
+    /// Checks the server by its name, on a connection that may have opened after the end. A name that may be used again
+    /// shows nothing.
+    async fn check_by_name(&self, mut opening: Opening) -> EndEvidence {
+        let connection = match opened(&mut opening).await {
+            Ok(connection) => connection,
+            Err(NotOpened::Refused) => return EndEvidence::Ended,
+            Err(NotOpened::Other) => return EndEvidence::None,
+        };
+        let health_check = self.health_check.as_ref();
+        let Some(health_check) = health_check.filter(|_| !may_reuse_name(&self.server.id)) else {
+            self.keep(IdleConnection::new(connection, self.keep_alive));
+            return EndEvidence::None;
         };
-        let Some(health_check) = &self.health_check else { return EndEvidence::None };
         match self.send(health_check, connection).await {
             HealthReply::Expected if !self.has_later_incarnation() => EndEvidence::Identified,
             HealthReply::Expected | HealthReply::OtherInstance => EndEvidence::Ended,
@@ -213,11 +214,6 @@
         }
     }
 
-    /// Whether the server may start again under its name, as those do that tell their births.
-    fn may_reuse_name(&self) -> bool {
-        self.server.id.born != 0
-    }
-
     fn has_later_incarnation(&self) -> bool {
         self.lock_backends().has_later_incarnation(&self.server.id)
     }
@@ -236,3 +232,39 @@
         }
     }
 }
+
+/// Whether another process may have a server's name: those that tell their births start again under their names.
+pub(crate) fn may_reuse_name(server: &BackendId) -> bool {
+    server.born != 0
+}
+
+/// Returns when the second connection has opened or ended, if there is one. As [`EndConfirmation::changed`], this is to be
+/// polled only after the answer's connection was found open.
+pub(crate) async fn second_connection_changed(confirmation: &mut Option<Box<EndConfirmation>>) {
+    match confirmation {
+        Some(confirmation) => confirmation.changed().await,
+        None => pending().await,
+    }
+}
+
+/// Why a connection was not opened.
+enum NotOpened {
+    /// Nothing listens at the address.
+    Refused,
+    Other,
+}
+
+/// Waits until a connection is open.
+async fn opened(opening: &mut Opening) -> Result<ServerConnection, NotOpened> {
+    match opening.await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(error)) => {
+            log::debug!(target: "relay", "a second connection: {error}");
+            Err(if error.is_refused() { NotOpened::Refused } else { NotOpened::Other })
+        }
+        Err(error) => {
+            log::error!(target: "relay", "the task that opens a second connection: {error}");
+            Err(NotOpened::Other)
+        }
+    }
+}
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -56,8 +56,12 @@
         settings: &Arc<RelaySettings>,
         keep_alive: KeepAlive,
     ) -> Option<Self> {
+        let path = path.parse();
+        let path = path.inspect_err(|error| {
+            log::warn!(target: "relay", "a health check's path is not valid: {error}");
+        });
         Some(Self {
-            path: path.parse().ok()?,
+            path: path.ok()?,
             attempt: names.attempt.clone(),
             instance: names.instance.clone(),
             expected_instance: names.expected_instance.clone(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,7 +42,7 @@
 //! | `idle_limit` | how long a connection may be idle before a request that runs once uses it |
 //! | `events`, `event_boundary` | server-sent events parsed from a stream, and where they begin and end |
 //! | `received_answer` | what has arrived of a server's answer, and how the answer tells where it ends |
-//! | `end_confirmation`, `health_check` | whether the server of an answer that ended with its connection lived past that |
+//! | `end_confirmation`, `health_check`, `unframed_services` | whether the server of an answer that ended with its connection lived past that |
 //! | `token_intervals` | how fast a stream's tokens arrive |
 //! | `settings`, `counters`, `metrics` | settings, counters and Prometheus metrics |
 //! | `request_log` | log lines on a request's decisions |
@@ -96,6 +96,7 @@
 mod tenant;
 mod token_intervals;
 mod turn;
+mod unframed_services;
 mod version_bound;
 mod wait_queues;
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::pool::Pool;
 use crate::repeat_budget::RepeatBudgets;
 use crate::router::RouteIndex;
+use crate::unframed_services::UnframedServices;
 use crate::wait_queues::WaitQueues;
 use crate::{
     CallerLimits, HeaderNames, RelaySettings, RouteTable, StreamOrigins, TenantLimits, TurnLedger,
@@ -44,6 +45,7 @@
     pub(crate) programs: ActivePrograms,
     pub(crate) suspects: Arc<CrashSuspects>,
     pub(crate) uncertain_ends: UncertainEnds,
+    pub(crate) unframed_services: UnframedServices,
     pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) queues: Arc<WaitQueues>,
     pub(crate) drain: watch::Sender<bool>,
@@ -113,6 +115,7 @@
             programs: ActivePrograms::default(),
             suspects: CrashSuspects::new(&settings),
             uncertain_ends: UncertainEnds::default(),
+            unframed_services: UnframedServices::default(),
             origins: Arc::default(),
             drain: watch::Sender::new(false),
             stops_accepting: watch::Sender::new(false),
--- a/crates/relay/src/server_response.rs
+++ b/crates/relay/src/server_response.rs
@@ -1,6 +1,5 @@
 //! A server's answer while it arrives.
 
-use std::future::pending;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -17,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{ServerConnection, loss_cause};
-use crate::end_confirmation::{EndConfirmation, EndEvidence};
+use crate::end_confirmation::{EndConfirmation, EndEvidence, second_connection_changed};
 use crate::liveness::LivenessWatch;
 use crate::memory::{BodyBuffer, CallerQuota, ReservationError, ReservedBody};
 use crate::pool::{KeepAlive, Pool};
@@ -187,8 +186,8 @@
     guard: AttemptGuard,
 }
 
-/// What came next on the connection of an answer.
-enum Received {
+/// What comes next of an answer.
+enum Arrival {
     Data(Option<Result<Bytes, hyper::Error>>),
     /// The answer cannot come any more, or is not waited for.
     Lost(Loss),
@@ -210,8 +209,8 @@
     }
 
     /// Has the end of the answer confirmed: it ends with its connection, and its caller is to get it.
-    pub(crate) fn confirm_end_by(&mut self, confirmation: EndConfirmation) {
-        self.confirmation = Some(Box::new(confirmation));
+    pub(crate) fn confirm_end_by(&mut self, confirmation: Box<EndConfirmation>) {
+        self.confirmation = Some(confirmation);
     }
 
     pub(crate) fn server(&self) -> &BackendId {
@@ -249,44 +248,47 @@
     /// The body broke off, or it ended and is not complete. The connection is then closed.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         match self.receive().await? {
-            Received::Lost(loss) => {
+            Arrival::Lost(loss) => {
                 self.connection = None;
                 let cause = format!("{} in its answer", loss.cause.describe());
                 self.guard.fail(AttemptEnd::Unreachable, &cause);
                 Some(Err(BrokenAnswer { loss }))
             }
-            Received::Data(Some(Ok(piece))) => {
+            Arrival::Data(Some(Ok(piece))) => {
                 self.guard.watch.record_contact();
                 if let Some(received) = &mut self.guard.received {
                     received.push(&piece);
                 }
                 Some(Ok(piece))
             }
-            Received::Data(Some(Err(error))) => {
+            Arrival::Data(Some(Err(error))) => {
                 self.connection = None;
                 self.guard.fail(AttemptEnd::Broken, &error.to_string());
                 Some(Err(BrokenAnswer { loss: loss_cause(&error).into() }))
             }
-            Received::Data(None) => self.end().await.err().map(Err),
+            Arrival::Data(None) => self.finish().await.err().map(Err),
         }
     }
 
     /// Waits for the next piece or the end of the body. None once the body has ended.
-    async fn receive(&mut self) -> Option<Received> {
+    async fn receive(&mut self) -> Option<Arrival> {
         let connection = self.connection.as_mut()?;
         let mut lost = pin!(self.guard.watch.wait_until_lost());
         loop {
             select! {
                 biased;
-                data = connection.next_data(&mut self.body) => return Some(Received::Data(data)),
-                loss = &mut lost => return Some(Received::Lost(loss)),
+                data = connection.next_data(&mut self.body) => return Some(Arrival::Data(data)),
+                loss = &mut lost => return Some(Arrival::Lost(loss)),
                 () = second_connection_changed(&mut self.confirmation) => {}
             }
         }
     }
 
     /// Ends the answer after its last byte.
-    async fn end(&mut self) -> Result<(), BrokenAnswer> {
+    ///
+    /// # Errors
+    /// It is not complete. The connection is then closed.
+    async fn finish(&mut self) -> Result<(), BrokenAnswer> {
         if let Some(problem) = self.problem_at_end().await {
             self.connection = None;
             self.guard.fail(AttemptEnd::Broken, problem.describe());
@@ -370,11 +372,3 @@
         }
     }
 }
-
-/// Returns when the second connection to an answer's server has opened or ended, if the answer has one.
-async fn second_connection_changed(confirmation: &mut Option<Box<EndConfirmation>>) {
-    match confirmation {
-        Some(confirmation) => confirmation.changed().await,
-        None => pending().await,
-    }
-}
