--- a/crates/relay/tests/answer_ends.rs
+++ b/crates/relay/tests/answer_ends.rs
@@ -1,5 +1,5 @@
 //! What ends an answer in good order although it is whole or not, apart from its events: other encodings and line ends,
-//! answers without a body, replays, and answers of other routes.
+//! answers without a body, replays, and answers of other routes. Their servers live on.
 
 mod common;
 
--- a/crates/relay/tests/common/scripted_server.rs
+++ b/crates/relay/tests/common/scripted_server.rs
@@ -38,6 +38,7 @@
     WaitForRelease,
     /// Waits until the relay closes the connection.
     WaitForClose,
+    /// Closes the connection in good order, and the server lives on.
     Close,
     Reset,
     /// Stops listening and resets the connection.
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -87,6 +87,7 @@
     assert_eq!(request.header("transfer-encoding"), None);
 }
 
+/// Answers that end by the close of a server that lives on; `ends_with_the_server` has those of a server that dies.
 #[tokio::test]
 async fn chunked_answers_get_a_length_and_answers_that_end_by_close_are_complete() {
     let server = ScriptedServer::new("s-1", |request| {
--- a/crates/relay/tests/stream_framing.rs
+++ b/crates/relay/tests/stream_framing.rs
@@ -1,5 +1,5 @@
 //! Streams that end inside an event, in each way in which HTTP can frame an answer: the caller never gets them as
-//! complete answers.
+//! complete answers. Their servers live on; those of `ends_with_the_server` die.
 
 mod common;
 
@@ -207,9 +207,9 @@
     assert_eq!((reply.status, servers.requests().len()), (502, 1));
 }
 
-/// An end between two events is the only sign of a complete stream without framing.
+/// An end between two events is complete without framing if the server lives past it.
 #[tokio::test]
-async fn a_stream_without_framing_that_ends_after_an_event_is_complete() {
+async fn a_stream_without_framing_that_ends_after_an_event_is_complete_if_its_server_lives_on() {
     let ends = ["", "\n", "\r\n", ": bye", ": bye\n", ": bye\n\n"];
     let plain = Route { is_stream: true, ..at_most_once_route() };
     for end in ends {
