--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -1313,6 +1313,167 @@
 }
 
 
+// ---------------------------------------------------------------- case: streams of a region whose gateways are killed
+
+/// Streams that are open when the gateways are killed.
+const TAKEN_UP_STREAMS: usize = 24;
+/// The fewest taken-up streams to which the rule applies.
+const FEWEST_TAKEN_UP: usize = 12;
+
+/// How a stream went that its client took up.
+struct TakenUp {
+    /// Whether it brought an event behind the client's last one.
+    goes_on: bool,
+    last_status: Option<u16>,
+}
+
+fn stream_headers(attempt: &str, left: Duration) -> Vec<(&'static str, String)> {
+    vec![
+        ("Attempt-Id", attempt.to_owned()),
+        ("Model", "m".to_owned()),
+        ("Token-Count", "100,200".to_owned()),
+        ("Deadline-Ms", left.as_millis().to_string()),
+    ]
+}
+
+/// Reads a stream through a gateway until it breaks off, or until the client's connection is lost; then takes it up at
+/// another gateway, as often as its deadline allows.
+fn read_and_take_up(first: SocketAddr, next: SocketAddr, lost_at: Instant, return_at: Instant) -> Option<TakenUp> {
+    let until = Instant::now() + ms(4_000);
+    let first_attempt = new_id();
+    let left = until.saturating_duration_since(Instant::now()).min(lost_at.saturating_duration_since(Instant::now()));
+    let headers = stream_headers(&first_attempt, ms(4_000));
+    let begun = ask(first, "/walk/next", "walks.example", &headers, "input", left);
+    let (last, version) = begun.events.last().cloned()?;
+    record(&format!(
+        "client: stream {first_attempt} at {first}: {} events of {version}, whole {}",
+        begun.events.len(), begun.is_whole
+    ));
+    if begun.is_whole {
+        return None;
+    }
+    sleep(return_at.saturating_duration_since(Instant::now()));
+    let mut taken_up = TakenUp { goes_on: false, last_status: None };
+    for _ in 0..4 {
+        let left = until.saturating_duration_since(Instant::now());
+        if left < ms(100) {
+            break;
+        }
+        let attempt = new_id();
+        let mut headers = stream_headers(&attempt, left);
+        headers.push(("Resumes", first_attempt.clone()));
+        headers.push(("Last-Event-Id", last.to_string()));
+        let answer = ask(next, "/walk/next", "walks.example", &headers, "input", left);
+        record(&format!(
+            "client: stream {first_attempt} try {attempt} at {next} after event {last}: status {:?}, {} events of {}",
+            answer.status,
+            answer.events.len(),
+            answer.events.first().map_or("-", |(_, data)| data)
+        ));
+        taken_up.last_status = answer.status;
+        if !answer.events.is_empty() {
+            taken_up.goes_on = true;
+            break;
+        }
+        let wait = Duration::from_secs_f64(answer.retry_after.unwrap_or(0.2));
+        sleep(wait.max(ms(50)).min(left / 3));
+    }
+    Some(taken_up)
+}
+
+/// Servers of two versions serve side by side. All gateways of one region are killed at the same moment, and the
+/// platform passes their clients on to the next region. Without trouble, the clients lose their connections and come
+/// back to the same region.
+fn origins(has_trouble: bool) -> bool {
+    let zones = [("alm-1", "alm"), ("ast-1", "ast"), ("shym-1", "shym")];
+    let bounds = Bounds {
+        drain_ms: 4_000,
+        config_apply_ms: 4_000,
+        contact_ms: 4_000,
+        memory_edge_mb: 88,
+        memory_store_mb: 120,
+    };
+    let mut system = System::new(&zones, bounds);
+    for (zone, _) in zones {
+        system.add("store", &format!("storage-{zone}-1"), zone);
+    }
+    for (zone, count) in [("alm-1", 3), ("ast-1", 3), ("shym-1", 2)] {
+        for number in 1..=count {
+            system.add("gateway", &format!("edge-{zone}-{number}"), zone);
+        }
+    }
+    let gateways = system.gateways();
+    let (home, next) = (gateways[..3].to_vec(), gateways[3..6].to_vec());
+    let routes = r#"{"name":"walks","host":"walks.example","path_prefix":"/walk/","type":"stream","timeout_ms":4000,"target_ms":300,"priority":0,"service":"llm-pool","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":200}"#;
+    let services = r#"{"name":"llm-pool","health_path":"/health","max_conns":560,"protocol":"h1","tls":false,"engine":{"slots":12,"kv_capacity":73220,"event_tokens":8}}"#;
+    system.store.put("op/config", &configuration(routes, services));
+    let mut servers = Vec::new();
+    for number in 0..6 {
+        let settings = ServerSettings {
+            service: "llm-pool",
+            zone: zones[number % zones.len()].0.to_owned(),
+            events: STREAM_EVENTS,
+            event_pause: ms(150),
+            tells_birth: false,
+        };
+        let address = system.address(200 + number, 4);
+        let version = if number < 3 { "v1" } else { "v2" };
+        let server = ModelServer::start(&format!("i-{number}"), address, version, settings, &system.store);
+        servers.push(server.unwrap_or_else(|error| give_up(&format!("server: {error}"))));
+    }
+    system.start_all();
+    for gateway in system.gateways() {
+        system.await_ready(gateway, ms(40_000));
+    }
+    sleep(ms(3_000));
+
+    let begun = Instant::now();
+    let lost_at = begun + ms(900);
+    // The platform asks each gateway once a second; after two misses it passes on no clients.
+    let return_at = lost_at + if has_trouble { ms(2_000) } else { ms(100) };
+    let to = if has_trouble { &next } else { &home };
+    let mut clients = Vec::new();
+    for number in 0..TAKEN_UP_STREAMS {
+        let (first, next) = (system.front(home[number % 3]), system.front(to[(number + 1) % 3]));
+        clients.push(thread::spawn(move || read_and_take_up(first, next, lost_at, return_at)));
+    }
+    sleep(lost_at.saturating_duration_since(Instant::now()));
+    if has_trouble {
+        for gateway in &home {
+            system.kill(*gateway);
+        }
+    }
+    sleep(return_at.saturating_duration_since(Instant::now()));
+    // New streams meanwhile, at the same gateways.
+    let new_streams: Vec<_> = (0..FEWEST_TAKEN_UP)
+        .map(|number| {
+            let gateway = system.front(to[number % 3]);
+            thread::spawn(move || {
+                let headers = stream_headers(&new_id(), ms(4_000));
+                let answer = ask(gateway, "/walk/next", "walks.example", &headers, "input", ms(4_000));
+                record(&format!(
+                    "client: new stream at {gateway}: status {:?}, {} events", answer.status, answer.events.len()
+                ));
+                !answer.events.is_empty()
+            })
+        })
+        .collect();
+    let taken_up: Vec<TakenUp> = clients.into_iter().filter_map(|client| client.join().ok()?).collect();
+    let new: Vec<bool> = new_streams.into_iter().map(|client| client.join().unwrap_or(false)).collect();
+    let count = |flags: &[bool]| flags.iter().filter(|flag| **flag).count();
+    let goes_on: Vec<bool> = taken_up.iter().map(|stream| stream.goes_on).collect();
+    let refused = taken_up.iter().filter(|stream| stream.last_status == Some(503)).count();
+    say(&format!(
+        "{} streams taken up, {} go on ({refused} ended with 503); {} new streams, {} begin",
+        goes_on.len(), count(&goes_on), new.len(), count(&new)
+    ));
+    if goes_on.len() < FEWEST_TAKEN_UP {
+        give_up("too few streams were taken up");
+    }
+    let share = |flags: &[bool]| count(flags) as f64 / flags.len() as f64;
+    share(&goes_on) < share(&new) / 2.0
+}
+
 fn main() {
     START.get_or_init(Instant::now);
     let arguments: Vec<String> = std::env::args().collect();
@@ -1334,6 +1495,7 @@
     let is_broken = match case.as_str() {
         "budget" => budget(has_trouble),
         "versions" => versions(has_trouble),
+        "origins" => origins(has_trouble),
         _ => give_up("no such case"),
     };
     say(if is_broken { "RULE BROKEN" } else { "rule held" });
