--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -1474,6 +1474,204 @@
     share(&goes_on) < share(&new) / 2.0
 }
 
+// ---------------------------------------------------------------- case: a store of a region is to be emptied
+
+/// The retention of turns, and the time within which all is served again after a final fault.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// A store that is back counts as lost for as long (`sync_s`, 6 s), and some more.
+const BETWEEN_LOSSES: Duration = Duration::from_secs(8);
+
+/// Sends one attempt of a turn. Returns the attempt, its status and whether it was answered whole.
+fn try_turn(gateway: SocketAddr, program: &str, previous: Option<&str>, limit: Duration) -> (String, Option<u16>, bool) {
+    let attempt = new_id();
+    let mut headers = vec![
+        ("Attempt-Id", attempt.clone()),
+        ("Program-Id", program.to_owned()),
+        ("Session-Id", "s1".to_owned()),
+        ("Program-Deadline-Ms", "20000".to_owned()),
+        ("Deadline-Ms", limit.as_millis().to_string()),
+        ("Model", "m".to_owned()),
+        ("Token-Count", format!("100,{TURN_TOKENS}")),
+        ("Token-Budget", "1000000".to_owned()),
+    ];
+    if let Some(previous) = previous {
+        headers.push(("Previous-Turn", previous.to_owned()));
+    }
+    let answer = ask(gateway, "/talk/next", "talk.example", &headers, "input ", limit);
+    record(&format!(
+        "client: {program} {attempt} after {} at {gateway}: status {:?}, whole {}",
+        previous.unwrap_or("-"), answer.status, answer.is_whole
+    ));
+    (attempt, answer.status, answer.is_whole)
+}
+
+/// One of the two stores of a region is to be emptied. Then the stores of the other regions lose their disks, one after the
+/// other, each long after the one before is back, and at last the region's other store. `LOSSES_ONLY=1` leaves the
+/// order out.
+fn retire(has_trouble: bool) -> bool {
+    const REGION_PROGRAMS: usize = 24;
+    let has_order = std::env::var_os("LOSSES_ONLY").is_none();
+    let zones = [
+        ("alm-1", "alm"), ("alm-2", "alm"), ("ast-1", "ast"), ("ast-2", "ast"), ("shym-1", "shym"), ("shym-2", "shym"),
+    ];
+    let bounds = Bounds {
+        drain_ms: 4_000,
+        config_apply_ms: 4_000,
+        contact_ms: 4_000,
+        memory_edge_mb: 88,
+        memory_store_mb: 120,
+    };
+    let mut system = System::new(&zones, bounds);
+    for (zone, _) in zones {
+        system.add("store", &format!("storage-{zone}-1"), zone);
+    }
+    let emptied = 4;
+    let mut gateways = Vec::new();
+    for zone in ["alm-1", "ast-1", "shym-1"] {
+        gateways.push(system.add("gateway", &format!("edge-{zone}-1"), zone));
+    }
+    let routes = r#"{"name":"talk","host":"talk.example","path_prefix":"/talk/","type":"stream","timeout_ms":4000,"target_ms":300,"priority":1,"service":"llm-pool","max_attempts":2,"sticky":true,"resumable":false,"gap_target_ms":200,"retain":true,"retention_s":60}"#;
+    let services = format!(
+        r#"{{"name":"llm-pool","health_path":"/health","max_conns":560,"protocol":"h1","tls":false,"engine":{{"slots":12,"kv_capacity":73220,"event_tokens":{EVENT_TOKENS}}}}}"#
+    );
+    system.store.put("op/config", &configuration(routes, &services));
+    let mut servers = Vec::new();
+    for number in 0..3 {
+        let settings = ServerSettings {
+            service: "llm-pool",
+            zone: zones[number * 2].0.to_owned(),
+            events: TURN_EVENTS,
+            event_pause: ms(5),
+            tells_birth: false,
+        };
+        let address = system.address(200 + number, 4);
+        let server = ModelServer::start(&format!("i-{number}"), address, "1", settings, &system.store);
+        servers.push(server.unwrap_or_else(|error| give_up(&format!("server: {error}"))));
+    }
+    system.start_all();
+    for gateway in &gateways {
+        system.await_ready(*gateway, ms(40_000));
+    }
+    sleep(ms(3_000));
+
+    let front = system.front(gateways[2]);
+    let mut last_turns: Vec<Option<String>> = vec![None; REGION_PROGRAMS];
+    let go_on = |last_turns: &mut Vec<Option<String>>| {
+        let clients: Vec<_> = last_turns
+            .iter()
+            .cloned()
+            .enumerate()
+            .map(|(number, last)| {
+                thread::spawn(move || {
+                    for _ in 0..3 {
+                        let program = format!("program-{number}");
+                        let (attempt, _, is_whole) = try_turn(front, &program, last.as_deref(), ms(1_500));
+                        if is_whole {
+                            return Some(attempt);
+                        }
+                        sleep(ms(250));
+                    }
+                    None
+                })
+            })
+            .collect();
+        let turns: Vec<Option<String>> =
+            clients.into_iter().map(|client| client.join().unwrap_or(None)).collect();
+        let served = turns.iter().flatten().count();
+        for (last, turn) in last_turns.iter_mut().zip(turns) {
+            *last = turn.or(last.take());
+        }
+        say(&format!("{served} of {REGION_PROGRAMS} programs of the region go on"));
+        served
+    };
+    go_on(&mut last_turns);
+    let name = system.machines[emptied].name.clone();
+    let completed = base64(br#"{"state":"completed"}"#);
+    let status_key = format!("status/retire/{name}");
+    let is_completed = |system: &System| {
+        let items = system.store.items.0.lock().unwrap();
+        items.items.get(&status_key).is_some_and(|item| item.value == completed)
+    };
+    if has_order {
+        system.store.put(&format!("op/retire/{name}"), r#"{"period_s":8}"#);
+    }
+    sleep(ms(8_000));
+    let mut is_removed = false;
+    let mut remove_if_completed = |system: &mut System| {
+        if !is_removed && is_completed(system) {
+            say(&format!("{name} says that it is empty; the platform removes it"));
+            system.kill(emptied);
+            is_removed = true;
+        }
+    };
+    remove_if_completed(&mut system);
+    go_on(&mut last_turns);
+    let lose_disk = |system: &mut System, machine: usize| {
+        say(&format!("{} loses its disk", system.machines[machine].name));
+        system.kill(machine);
+        let data = system.folder.join(format!("{}-data", system.machines[machine].name));
+        let _ = fs::remove_dir_all(data);
+        sleep(ms(1_000));
+        system.start(machine, false);
+    };
+    // Each loss may be the final fault. Which stores have a voter of the region's groups cannot be seen from outside.
+    let mut back_at = Instant::now();
+    let losses: &[usize] = if has_trouble { &[0, 1, 2, 3, 5] } else { &[] };
+    for machine in losses {
+        lose_disk(&mut system, *machine);
+        back_at = Instant::now();
+        sleep(BETWEEN_LOSSES);
+        remove_if_completed(&mut system);
+        if go_on(&mut last_turns) < REGION_PROGRAMS {
+            break;
+        }
+    }
+    let until = back_at + RECOVERY + ms(4_000);
+    let clients: Vec<_> = last_turns
+        .iter()
+        .enumerate()
+        .filter_map(|(number, last)| Some((number, last.clone()?)))
+        .map(|(number, last)| {
+            thread::spawn(move || {
+                let (mut tries, mut reached) = (0, 0);
+                while Instant::now() < until {
+                    let is_last = until.saturating_duration_since(Instant::now()) < ms(4_000);
+                    let (_, status, _) = try_turn(front, &format!("program-{number}"), Some(&last), ms(2_000));
+                    tries += 1;
+                    reached += usize::from(is_last && status == Some(200));
+                    sleep(ms(400));
+                }
+                (tries, reached)
+            })
+        })
+        .collect();
+    // First turns of new programs meanwhile.
+    let newcomers = thread::spawn(move || {
+        let (mut asked, mut reached) = (0, 0);
+        while Instant::now() < until {
+            let is_last = until.saturating_duration_since(Instant::now()) < ms(4_000);
+            let (attempt, status, _) = try_turn(front, &format!("new-{}", new_id()), None, ms(2_000));
+            drop(attempt);
+            asked += usize::from(is_last);
+            reached += usize::from(is_last && status == Some(200));
+            sleep(ms(100));
+        }
+        (asked, reached)
+    });
+    let results: Vec<(usize, usize)> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let (asked, reached) = newcomers.join().unwrap_or((0, 0));
+    let lost = results.iter().filter(|(tries, reached)| *tries >= 5 && *reached == 0).count();
+    if let Some(store) = system.store.items.0.lock().unwrap().items.get(&status_key) {
+        record(&format!("{status_key}: completed {}", store.value == completed));
+    }
+    say(&format!(
+        "{lost} of {} programs reach no server in the last 4 s of {} s after the final fault, in five tries or more; {reached} of {asked} first turns do",
+        results.len(),
+        (RECOVERY + ms(4_000)).as_secs()
+    ));
+    lost > 0 && reached > 0
+}
+
 fn main() {
     START.get_or_init(Instant::now);
     let arguments: Vec<String> = std::env::args().collect();
@@ -1496,6 +1694,7 @@
         "budget" => budget(has_trouble),
         "versions" => versions(has_trouble),
         "origins" => origins(has_trouble),
+        "retire" => retire(has_trouble),
         _ => give_up("no such case"),
     };
     say(if is_broken { "RULE BROKEN" } else { "rule held" });
