--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -8,6 +8,7 @@
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
+use std::os::unix::process::CommandExt;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -898,13 +899,21 @@
         let log = self.folder.join(format!("{}.log", it.name));
         let started = fs::write(&file, settings).and_then(|()| {
             let log = File::options().create(true).append(true).open(&log)?;
-            Command::new("target/release/dahlialadder-native")
+            let mut command = Command::new("target/release/dahlialadder-native");
+            command
                 .arg(it.role)
                 .env("DAHLIALADDER_NODE_FILE", &file)
                 .stdin(Stdio::null())
                 .stdout(Stdio::from(log.try_clone()?))
-                .stderr(Stdio::from(log))
-                .spawn()
+                .stderr(Stdio::from(log));
+            // SAFETY: one system call. It has the process killed when this program ends, also by a signal.
+            unsafe {
+                command.pre_exec(|| {
+                    prctl(PR_SET_PDEATHSIG, 9, 0, 0, 0);
+                    Ok(())
+                });
+            }
+            command.spawn()
         });
         match started {
             Ok(child) => {
@@ -971,8 +980,12 @@
 /// The processes that this program has started and that have not ended.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// The option of `prctl` that sets the signal a process gets when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, unused: u64, unused_too: u64, unused_as_well: u64) -> i32;
 }
 
 fn kill_children() {
