--- a/crates/backends/src/selection.rs
+++ b/crates/backends/src/selection.rs
@@ -361,6 +361,7 @@
             distance,
             estimate,
             list_age: None,
+            listed_again: None,
         }
     }
 }
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -36,6 +36,8 @@
     pub is_withdrawn: bool,
     /// The server receives no requests until then, because it had disappeared.
     pub probation_until: Timestamp,
+    /// When discovery listed the server again after it had disappeared; none if it never had.
+    pub listed_again_at: Option<Timestamp>,
     /// The server receives no requests until then.
     paused_until: Timestamp,
     consecutive_unreachable: u32,
@@ -63,6 +65,7 @@
             reported_leaving: false,
             is_withdrawn: false,
             probation_until: Timestamp::ZERO,
+            listed_again_at: None,
             paused_until: Timestamp::ZERO,
             consecutive_unreachable: 0,
             failures: 0.0,
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -274,7 +274,9 @@
             return self.refuse(request, now);
         };
         let list_age = self.complete_as_of.map(|as_of| now.since(as_of));
-        let basis = ChoiceBasis { list_age, ..basis };
+        let listed_again = self.server(&id).and_then(|server| server.listed_again_at);
+        let listed_again = listed_again.map(|at| now.since(at));
+        let basis = ChoiceBasis { list_age, listed_again, ..basis };
         let servers = self.services.get_mut(request.service);
         let Some((servers, address)) = servers.and_then(|servers| {
             let record = &servers.get(&id)?.record;
@@ -301,6 +303,7 @@
         self.probations_end_at = self.probations_end_at.max(until);
         if let Some((server, _)) = self.server_mut(id) {
             server.probation_until = until;
+            server.listed_again_at = Some(now);
         }
     }
 
--- a/crates/node/src/stream_origins.rs
+++ b/crates/node/src/stream_origins.rs
@@ -332,6 +332,17 @@
     fn conclude(&mut self, id: RequestId) {
         let Some(question) = self.questions.remove(&id) else { return };
         let origin = self.origin_by_views(&question);
+        log::info!(
+            target: "streams",
+            stream = question.stream.0,
+            origin:? = origin.map(|origin| origin.0),
+            own_view:? = self.view(question.service),
+            views:? = question.views,
+            asked = question.asked,
+            live = self.members.live.len(),
+            known = self.members.known;
+            "Nobody was told where a stream began."
+        );
         self.actions.push(OriginAction::Found { id, origin });
     }
 
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -176,6 +176,7 @@
             keeps_prompt:% = OrMissing(expected.map(|expected| expected.holds_prompt)),
             view_age_ms:% = OrMissing(view_age.map(Duration::as_millis)),
             list_age_ms:% = OrMissing(basis.list_age.map(Duration::as_millis)),
+            listed_again_ms:% = OrMissing(basis.listed_again.map(Duration::as_millis)),
             sends_before = sends_before,
             age_ms = self.age_ms();
             "Server chosen."
