No request goes to a server that a late call lists again, also none bound to its version

Cause: a server that disappeared and is listed again gets no work for 6 s, since a late call of its own may have listed it. Since requests that are bound to a version were exempt, and a release ends with the last servers of the old version leaving, whose streams callers take up: each gateway sent its few there.

Before the change the case of departures.rs chose the server on probation, which its earlier form asserted: that test stated the fault, so it is replaced by one that demands the refusal, the time that it names, and the same end of the probation.

Why it works: what a late call writes lapses after 3.6 s, so a server that stays listed for 6 s lives. Until then a bound request goes to other servers of its version, or is refused at once with the rest of that time. Ruled out: `call_seq` counts orders taken, so it does not tell a late call; health answers may be false.

--- a/crates/backends/src/selection.rs
+++ b/crates/backends/src/selection.rs
@@ -324,23 +324,21 @@
         servers.iter().filter(move |server| self.is_usable(server, request, now))
     }
 
-    /// Whether a server takes the request. One on probation takes only requests that few servers can take, those for one
-    /// version of its software.
+    /// Whether a server takes the request.
     fn is_usable(&self, server: &Server, request: &ChoiceRequest<'_>, now: Timestamp) -> bool {
         self.takes_work(server)
             && !server.is_paused(now)
-            && (request.version.is_some() || !server.is_on_probation(now))
+            && !server.is_on_probation(now)
             && !server.is_full(&self.settings)
             && !server.cold_state.is_closed(now)
             && request.allows(&server.record)
     }
 
-    /// Whether a server is neither suspect nor slow, nor in a silent zone, nor on probation.
+    /// Whether a server is neither suspect nor slow, nor in a silent zone.
     fn is_healthy(&self, server: &Server, threshold: Option<Duration>, now: Timestamp) -> bool {
         !server.is_suspect(&self.settings, now)
             && !server.is_slow(threshold, &self.settings, now)
             && !self.is_in_silent_zone(server, now)
-            && !server.is_on_probation(now)
     }
 
     fn basis(
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -156,9 +156,10 @@
     assert!([1, 2, 3].iter().all(|server| chosen.contains(&id(*server))), "{chosen:?}");
 }
 
-/// Guards against a stream that breaks off although the only server of the version that began it is listed again.
+/// Guards against requests at a server that has left, whose late call lists it as ready again: those that were bound to its
+/// version went there. A caller learns at once how long it takes until the server is known to live.
 #[test]
-fn a_request_for_one_version_may_use_a_server_on_probation() {
+fn a_request_for_one_version_is_refused_while_its_only_server_is_on_probation() {
     let mut backends = backends_with(3);
     let old = SoftwareVersion::Named("v1".into());
     let of_old_version = BackendRecord { version: old.clone(), ..record(1, BackendState::Ready) };
@@ -174,9 +175,11 @@
         size: None,
         version: old.digest(),
     };
-    let chosen = backends.choose(&request, START);
-    assert!(matches!(chosen, Choice::Use { server, .. } if server.id == id(1)));
-    // It is the last resort: another server of the version comes first.
+    let just_before = START + Duration::from_millis(5_999);
+    let refused = backends.choose(&request, START);
+    assert!(matches!(refused, Choice::Full { retry_after } if retry_after == PROBATION));
+    assert!(matches!(backends.choose(&request, just_before), Choice::Full { .. }));
+    // Another server of the version takes it.
     backends.put(BackendRecord { version: old.clone(), ..record(2, BackendState::Ready) }, START);
     for _ in 0..20 {
         let chosen = backends.choose(&request, START);
@@ -184,6 +187,9 @@
         assert_eq!(server.id, id(2));
         backends.end_attempt(&server.id, AttemptEnd::Answered, START);
     }
+    backends.remove(&id(2), START);
+    let chosen = backends.choose(&request, START + PROBATION);
+    assert!(matches!(chosen, Choice::Use { server, .. } if server.id == id(1)));
     request.version = None;
     assert!(
         matches!(backends.choose(&request, START), Choice::Use { server, .. } if server.id != id(1))
