A request that waits is not sent to a server that went and came back meanwhile

Cause: the check before the first byte asked whether the server is leaving or gone, not whether it is on probation. A server that went and that a late call listed again while the request waited passed it.

Class: a condition of the choice that the last check does not repeat.

--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -216,6 +216,11 @@
         self.server(id).is_none_or(Server::is_ending)
     }
 
+    /// Whether a server had disappeared and has not been listed again for long enough to get work.
+    pub fn is_on_probation(&self, id: &BackendId, now: Timestamp) -> bool {
+        self.server(id).is_some_and(|server| server.is_on_probation(now))
+    }
+
     /// Whether a server has announced that it leaves.
     pub fn is_draining(&self, id: &BackendId) -> bool {
         self.server(id).is_some_and(|server| server.record.state == BackendState::Draining)
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -154,6 +154,9 @@
         if backends.is_leaving_or_gone(id) {
             return Some("the server left before the request was sent");
         }
+        if backends.is_on_probation(id, (self.shared.clock)()) {
+            return Some("the server disappeared before the request was sent and may have left");
+        }
         if backends.is_evacuated(id) {
             return Some("the server's zone was evacuated before the request was sent");
         }
