Streams are taken up right after all gateways restarted: stores keep what gateways knew

Seen by callers: two versions served, or those of the old one had just left, when all gateways were killed at once and came back.

Cause: what a gateway learnt died with it, and a process took what it saw since its start for all there was. All gateways had just started, so all said "only v2".

Change: where a stream began is told to daemons that hold groups as well, in each region; they also keep which versions gateways told of a service, on their disks too. A gateway that did not start with the system says "only" after ten minutes, and can only contradict before. Ruled out: refusing alone, which widens the second fault; keys in the metadata store; entries in the groups (docs/design/what-outlives-a-gateway.md).

--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -88,4 +88,4 @@
 pub use stable_hash::stable_hash;
 pub use table::{Backends, FailureListener};
 pub use topology::{Distance, Regions};
-pub use version::{SoftwareVersion, VersionDigest, VersionView};
+pub use version::{RECENT_VERSIONS_TIME, SoftwareVersion, VersionDigest, VersionView};
--- a/crates/backends/src/version.rs
+++ b/crates/backends/src/version.rs
@@ -12,7 +12,7 @@
 
 /// How long a service counts as having several versions after the last server of another version left. Longer than
 /// callers come back to a stream, and as long as origins of streams are kept.
-const RECENT_VERSIONS_TIME: Duration = Duration::from_secs(600);
+pub const RECENT_VERSIONS_TIME: Duration = Duration::from_secs(600);
 
 /// The version of a server's software, as discovery describes it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/daemon/src/document_copies.rs
+++ b/crates/daemon/src/document_copies.rs
@@ -3,7 +3,7 @@
 //! When all daemons stop while the external source of the documents is unavailable, no daemon could
 //! learn the routes and servers after the restart. A daemon with a disk therefore saves the newest
 //! version of each document and shares it again at its start. A newer version from any daemon always
-//! wins. The addresses of the other daemons are saved in the same way.
+//! wins. The addresses of the other daemons, and the software versions that gateways told of, are saved in the same way.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use dahlia_durable::{DocumentCopies, DocumentCopy, FolderDisk, LogError, OpenedCopies};
+use dahlia_node::stream_origins::VIEWS_DOCUMENT;
 use dahlia_node::{Event, SharedDocument};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -66,6 +67,11 @@
             peers.restore(&SharedDocument { number, version, bytes }).await;
             continue;
         }
+        if number == VIEWS_DOCUMENT {
+            let document = SharedDocument { number, version, bytes };
+            core.send_event(Event::RestoreOriginViews(document)).await;
+            continue;
+        }
         log::info!(
             target: part::STORE,
             number = number, version = version, bytes = bytes.len();
--- a/crates/daemon/src/node_settings.rs
+++ b/crates/daemon/src/node_settings.rs
@@ -35,6 +35,7 @@
         tolerance: settings.tolerance,
         bootstrap_daemons: settings.layout.bootstrap_daemons,
         holds_groups: settings.daemon.holds_groups,
+        is_first_start: settings.daemon.first_start.unwrap_or(true),
         start_count: 0,
         group: GroupSettings { is_durable, ..settings.groups.clone() },
         has_store: settings.daemon.data_folder.is_some(),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -163,6 +163,8 @@
     },
     /// Where streams of these services can have begun of late.
     OriginViews(Vec<(OriginService, OriginView)>),
+    /// The origins of services that this daemon saved before its start, in an [`Action::DocumentShared`].
+    RestoreOriginViews(SharedDocument),
     /// Tell all gateways of servers that ended under one request, and ask what they know. Answered by
     /// [`Action::GatewaysConsulted`].
     ConsultGateways {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -176,11 +176,15 @@
         let zone_liveness = zone_liveness.map(|zone_liveness| {
             ZoneLiveness::new(zone_liveness, settings.zone.clone(), settings.seed)
         });
+        let mut stream_origins = StreamOrigins::new(settings.own, settings.address);
+        if !settings.is_first_start {
+            stream_origins = stream_origins.with_unknown_past(now);
+        }
         let mut node = Self {
             membership,
             feed,
             loads,
-            stream_origins: StreamOrigins::new(settings.own, settings.address),
+            stream_origins,
             crash_reports: CrashReports::new(settings.own, settings.address),
             zone_liveness,
             zone_lists: ZoneLists::default(),
@@ -263,7 +267,8 @@
             Event::FindOrigin { id, stream, service } => {
                 self.find_origin(id, stream, service, now);
             }
-            Event::OriginViews(views) => self.stream_origins.set_views(views),
+            Event::OriginViews(views) => self.set_origin_views(views, now),
+            Event::RestoreOriginViews(document) => self.restore_origin_views(&document, now),
             Event::ConsultGateways { id, records } => self.consult_gateways(id, records, now),
             Event::InformGateways(records) => {
                 self.update_crash_reports(now, |reports| reports.inform(&records));
@@ -400,7 +405,7 @@
         self.propose_deferred(now);
         self.review_limit_keepers(now);
         self.route_due(now);
-        self.check_origin_questions(now);
+        self.check_stream_origins(now);
         self.check_consultations(now);
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -38,6 +38,8 @@
     pub bootstrap_daemons: Option<u32>,
     /// Whether replicas of groups may be placed on this daemon.
     pub holds_groups: bool,
+    /// Whether no process of this system ran before this one started. One that starts later does not know what happened.
+    pub is_first_start: bool,
     /// Number of process starts of this incarnation, from 1; 0 if no incarnation outlives its process.
     pub start_count: u32,
     /// Timing and limits of replica groups.
--- a/crates/node/src/stream_origin_events.rs
+++ b/crates/node/src/stream_origin_events.rs
@@ -1,16 +1,18 @@
 //! Connects the tracking of streams' origins to the node: its members, messages and actions.
 
+use std::collections::BTreeMap;
+
 use dahlia_replication::membership::{Member, MemberInfo, MemberState};
-use dahlia_types::{ReplicaId, Timestamp};
+use dahlia_types::{Region, ReplicaId, Timestamp};
 
-use crate::Action;
 use crate::node::Node;
 use crate::request::RequestId;
 use crate::stream_origins::{
-    OriginAction, OriginMembers, OriginMessage, OriginService, StreamKey, StreamRecord,
-    WitnessCandidate,
+    OriginAction, OriginMembers, OriginMessage, OriginService, OriginView, StreamKey, StreamRecord,
+    VIEWS_DOCUMENT, WitnessCandidate,
 };
 use crate::wire::PeerMessage;
+use crate::{Action, SharedDocument};
 
 /// With fewer daemons in the region, daemons of other regions are told as well.
 const MIN_REGION_MEMBERS: usize = 3;
@@ -23,6 +25,22 @@
         self.perform_origin_actions();
     }
 
+    /// Sets the views of services, which other daemons are told.
+    pub(crate) fn set_origin_views(
+        &mut self,
+        views: Vec<(OriginService, OriginView)>,
+        now: Timestamp,
+    ) {
+        self.review_origin_members(now);
+        self.stream_origins.set_views(views, now);
+        self.perform_origin_actions();
+    }
+
+    /// Takes in the views of services that this daemon saved before its start.
+    pub(crate) fn restore_origin_views(&mut self, document: &SharedDocument, now: Timestamp) {
+        self.stream_origins.restore_views(document.version, &document.bytes, now);
+    }
+
     /// Finds out where a stream of another daemon began.
     pub(crate) fn find_origin(
         &mut self,
@@ -46,7 +64,10 @@
         self.perform_origin_actions();
     }
 
-    pub(crate) fn check_origin_questions(&mut self, now: Timestamp) {
+    pub(crate) fn check_stream_origins(&mut self, now: Timestamp) {
+        if self.stream_origins.has_views() {
+            self.review_origin_members(now);
+        }
         self.stream_origins.tick(now);
         self.perform_origin_actions();
     }
@@ -77,7 +98,23 @@
         OriginMembers {
             live: live.map(|member| witness_candidate(&member.record.info)).collect(),
             known: chosen.len(),
+            keepers: self.origin_keepers(),
+        }
+    }
+
+    /// Daemons that hold groups, by region, the own one first. They outlive gateways.
+    fn origin_keepers(&self) -> Vec<Vec<WitnessCandidate>> {
+        let mut regions: BTreeMap<(bool, &Region), Vec<WitnessCandidate>> = BTreeMap::new();
+        let members = self.membership.members();
+        for member in members.iter().filter(|member| member.takes_work()) {
+            let info = &member.record.info;
+            if info.holds_groups && info.state == MemberState::Live {
+                let is_distant = info.region != self.settings.region;
+                let region = regions.entry((is_distant, &info.region)).or_default();
+                region.push(witness_candidate(info));
+            }
         }
+        regions.into_values().collect()
     }
 
     fn perform_origin_actions(&mut self) {
@@ -87,6 +124,10 @@
                     // It depends on nothing durable.
                     Action::SendUnsynced { to, message: PeerMessage::Origins(message) }
                 }
+                OriginAction::SaveViews { version, bytes } => {
+                    let number = VIEWS_DOCUMENT;
+                    Action::DocumentShared(SharedDocument { number, version, bytes })
+                }
                 OriginAction::Found { id, origin } => Action::OriginFound { id, origin },
             });
         }
--- a/crates/node/src/stream_origins.rs
+++ b/crates/node/src/stream_origins.rs
@@ -3,17 +3,22 @@
 //!
 //! A caller whose stream broke off may take it up at any gateway, most often because its own one died. So the
 //! gateway that serves the stream tells a few others, which all daemons compute alike from the stream's key, and the
-//! gateway to which the caller comes back asks them. Nothing is agreed on and nothing is kept on a disk. What nobody
-//! knows is never guessed: a stream of unknown origin goes on only if most of those asked answer, and all of them have
-//! known servers of one and the same origin alone.
+//! gateway to which the caller comes back asks them. Gateways may all be killed at once, so some of those told are keepers:
+//! daemons that hold groups, of each region. Nothing is agreed on. Which origins services had is kept on keepers' disks, where
+//! single streams began is not.
+//!
+//! What nobody knows is never guessed: a stream of unknown origin goes on only if most of those asked answer, all of
+//! them have known servers of one and the same origin alone, and some of them for as long as the stream may go on already. A
+//! process that has started again does not know what was before; keepers know what gateways told them.
 //!
 //! The node does not know what an origin is: its driver translates versions into numbers.
 
+mod history;
 mod message;
 mod records;
 mod witnesses;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use dahlia_types::{DaemonId, Duration, ReplicaId, Timestamp};
@@ -23,8 +28,9 @@
 
 use crate::line_limit::LogLineLimit;
 use crate::request::RequestId;
+use history::{ToldViews, ViewChange};
 use records::Records;
-use witnesses::{witnesses_to_ask, witnesses_to_tell};
+use witnesses::{keepers_to_ask, keepers_to_tell, witnesses_to_ask, witnesses_to_tell};
 
 /// Interval between updates of the members.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -34,6 +40,13 @@
 const REPEAT_DELAY: Duration = Duration::from_millis(60);
 /// The most records in one datagram. Each has at most 28 bytes.
 const MAX_RECORDS_PER_MESSAGE: usize = 32;
+/// The most views in one datagram. Each has at most 19 bytes.
+const MAX_VIEWS_PER_MESSAGE: usize = 48;
+/// The number of the document in which a daemon with a disk saves what gateways told it of services. It is never shared,
+/// since each keeper has its own.
+pub const VIEWS_DOCUMENT: u32 = u32::MAX - 1;
+/// How often keepers are told the views that have not changed, since they may have started again.
+const VIEWS_INTERVAL: Duration = Duration::from_secs(30);
 /// The longest time for which a record is kept, whatever its sender asks for. Views say as long that there were other
 /// servers.
 const MAX_LIFETIME: Duration = Duration::from_secs(600);
@@ -67,6 +80,17 @@
     Several,
 }
 
+impl OriginView {
+    /// The origins of both views together.
+    fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Nothing, view) | (view, Self::Nothing) => view,
+            (Self::Only(origin), Self::Only(other)) if origin == other => self,
+            _ => Self::Several,
+        }
+    }
+}
+
 /// The daemons that serve streams, as membership knows them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OriginMembers {
@@ -74,6 +98,8 @@
     pub live: Vec<WitnessCandidate>,
     /// Their number with those that are taken for dead. These may also be cut off, and know other servers.
     pub known: usize,
+    /// Daemons that are told and asked as well, because they outlive those that serve streams: by region, the own one first.
+    pub keepers: Vec<Vec<WitnessCandidate>>,
 }
 
 impl OriginMembers {
@@ -94,6 +120,13 @@
         /// The message.
         message: OriginMessage,
     },
+    /// Save what gateways told of services, for [`StreamOrigins::restore_views`].
+    SaveViews {
+        /// Later ones have higher versions.
+        version: u64,
+        /// The encoded views.
+        bytes: Vec<u8>,
+    },
     /// Answer a question of this daemon's gateway.
     Found {
         /// The question.
@@ -112,8 +145,12 @@
     unanswered: Vec<WitnessCandidate>,
     /// How many daemons were asked.
     asked: usize,
-    /// The views of the daemons that know nothing of the stream.
+    /// The views of the daemons that know nothing of the stream, this one included.
     views: Vec<OriginView>,
+    /// The keepers among those asked.
+    keepers: BTreeSet<DaemonId>,
+    /// The views of the keepers that know nothing of the stream.
+    keeper_views: Vec<OriginView>,
     repeat_at: Option<Timestamp>,
     give_up_at: Timestamp,
 }
@@ -125,7 +162,14 @@
     records: Records,
     members: OriginMembers,
     next_review: Timestamp,
+    /// What this daemon saw of services since its start.
     views: BTreeMap<OriginService, OriginView>,
+    /// What gateways told this daemon of services.
+    told_views: ToldViews,
+    /// From when on the views cover the time of all streams that may go on.
+    knows_past_from: Timestamp,
+    /// When keepers are next told the views.
+    next_tell_views: Timestamp,
     questions: BTreeMap<RequestId, Question>,
     log_lines: LogLineLimit,
     actions: Vec<OriginAction>,
@@ -141,31 +185,62 @@
             members: OriginMembers::default(),
             next_review: Timestamp::ZERO,
             views: BTreeMap::new(),
+            told_views: ToldViews::default(),
+            knows_past_from: Timestamp::ZERO,
+            next_tell_views: Timestamp::ZERO,
             questions: BTreeMap::new(),
             log_lines: LogLineLimit::default(),
             actions: Vec::new(),
         }
     }
 
+    /// The daemon has started again: it does not know what other processes did before.
+    pub fn with_unknown_past(mut self, started_at: Timestamp) -> Self {
+        self.knows_past_from = started_at + MAX_LIFETIME;
+        self
+    }
+
     /// Whether questions wait for answers.
     pub fn has_questions(&self) -> bool {
         !self.questions.is_empty()
     }
 
-    /// Whether the members are due to be set, which copies all of them.
+    /// Whether the members are due to be set, which copies all of them. A daemon that has just joined knows few.
     pub fn is_review_due(&self, now: Timestamp) -> bool {
-        now >= self.next_review
+        now >= self.next_review || self.members.live.len() < 2 || self.members.keepers.is_empty()
     }
 
     /// Sets the daemons that may be told and asked.
     pub fn set_members(&mut self, members: OriginMembers, now: Timestamp) {
+        if members.keepers != self.members.keepers {
+            self.next_tell_views = now;
+        }
         self.members = members;
         self.next_review = now + REVIEW_INTERVAL;
     }
 
-    /// Sets the views of services' servers.
-    pub fn set_views(&mut self, views: impl IntoIterator<Item = (OriginService, OriginView)>) {
+    /// Sets the views of services' servers, and tells them to keepers.
+    pub fn set_views(
+        &mut self,
+        views: impl IntoIterator<Item = (OriginService, OriginView)>,
+        now: Timestamp,
+    ) {
         self.views.extend(views);
+        self.tell_views(now);
+        // Datagrams get lost.
+        self.next_tell_views = now + REPEAT_DELAY;
+    }
+
+    /// Takes in what was saved before the daemon started again.
+    pub fn restore_views(&mut self, version: u64, bytes: &[u8], now: Timestamp) {
+        if !self.told_views.restore(version, bytes, now) {
+            log::warn!(target: "streams", "The saved origins of services are passed over: malformed.");
+        }
+    }
+
+    /// Whether this daemon has views to tell.
+    pub fn has_views(&self) -> bool {
+        !self.views.is_empty()
     }
 
     /// Records streams that this daemon serves, and tells the daemons that are to know of them.
@@ -173,7 +248,9 @@
         let mut by_witness: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
         for record in streams {
             self.keep(record, now);
-            for witness in witnesses_to_tell(record.stream, &self.members.live, self.own.daemon) {
+            let witnesses = witnesses_to_tell(record.stream, &self.members.live, self.own.daemon);
+            let keepers = keepers_to_tell(record.stream, &self.members.keepers, self.own.daemon);
+            for witness in witnesses.into_iter().chain(keepers) {
                 by_witness.entry(witness.address).or_default().push(record);
             }
         }
@@ -197,13 +274,20 @@
             self.actions.push(OriginAction::Found { id, origin: Some(origin) });
             return;
         }
-        let unanswered = witnesses_to_ask(stream, &self.members.live, self.own.daemon);
+        let mut unanswered = witnesses_to_ask(stream, &self.members.live, self.own.daemon);
+        let mut keepers = keepers_to_ask(stream, &self.members.keepers, self.own.daemon);
+        keepers.retain(|keeper| unanswered.iter().all(|it| it.daemon != keeper.daemon));
+        let asked = unanswered.len();
+        let keeper_daemons = keepers.iter().map(|keeper| keeper.daemon).collect();
+        unanswered.append(&mut keepers);
         let question = Question {
             stream,
             service,
-            asked: unanswered.len(),
+            asked,
             unanswered,
-            views: vec![self.view(service)],
+            views: vec![self.known_view(service, now)],
+            keepers: keeper_daemons,
+            keeper_views: Vec::new(),
             repeat_at: Some(now + REPEAT_DELAY),
             give_up_at: now + ANSWER_TIMEOUT,
         };
@@ -221,7 +305,7 @@
             OriginMessage::Ask { id, stream, service, reply_to } => {
                 let answer = match self.records.get(stream, now) {
                     Some(origin) => OriginAnswer::Began(origin),
-                    None => OriginAnswer::Unknown(self.view(service)),
+                    None => OriginAnswer::Unknown(self.known_view(service, now)),
                 };
                 let message = OriginMessage::Answer { id, stream, answer };
                 self.actions.push(OriginAction::Send { to: reply_to, message });
@@ -229,11 +313,18 @@
             OriginMessage::Answer { id, stream, answer } => {
                 self.receive_answer(from.daemon, id, stream, answer);
             }
+            OriginMessage::TellViews { views, knows_past } => {
+                self.keep_views(views, knows_past, now);
+            }
         }
     }
 
-    /// Asks again, concludes questions that most daemons have answered, and gives up those whose time is over.
+    /// Tells keepers the views if that is due, asks again, concludes questions that most daemons have answered, and gives up those whose time is over.
     pub fn tick(&mut self, now: Timestamp) {
+        if now >= self.next_tell_views {
+            self.tell_views(now);
+            self.next_tell_views = now + VIEWS_INTERVAL;
+        }
         let is_due = |question: &Question| question.repeat_at.is_some_and(|at| at <= now);
         for id in self.questions_where(is_due) {
             self.repeat(id);
@@ -283,10 +374,59 @@
         }
     }
 
+    fn keep_views(
+        &mut self,
+        views: Vec<(OriginService, OriginView)>,
+        knows_past: bool,
+        now: Timestamp,
+    ) {
+        let record = |(service, view)| self.told_views.record(service, view, knows_past, now);
+        let changes: Vec<ViewChange> = views.into_iter().map(record).collect();
+        if changes.contains(&ViewChange::Added) {
+            let (version, bytes) = self.told_views.encode(now);
+            self.actions.push(OriginAction::SaveViews { version, bytes });
+        }
+        let dropped = changes.iter().filter(|change| **change == ViewChange::Dropped).count();
+        if dropped > 0
+            && let Some(passed_over) = self.log_lines.allow(now)
+        {
+            log::warn!(
+                target: "streams", dropped = dropped, lines_passed_over = passed_over;
+                "Origins of services are not kept: there are too many services."
+            );
+        }
+    }
+
+    fn tell_views(&mut self, now: Timestamp) {
+        let knows_past = now >= self.knows_past_from;
+        let views: Vec<(OriginService, OriginView)> =
+            self.views.iter().map(|(service, view)| (*service, *view)).collect();
+        let keepers = self.members.keepers.iter().flatten();
+        for keeper in keepers.filter(|keeper| keeper.daemon != self.own.daemon) {
+            for views in views.chunks(MAX_VIEWS_PER_MESSAGE) {
+                let message = OriginMessage::TellViews { views: views.to_vec(), knows_past };
+                self.actions.push(OriginAction::Send { to: keeper.address, message });
+            }
+        }
+    }
+
+    /// What this daemon saw of a service since its start.
     fn view(&self, service: OriginService) -> OriginView {
         self.views.get(&service).copied().unwrap_or(OriginView::Nothing)
     }
 
+    /// What this daemon knows of a service, for the time of all streams that may go on.
+    fn known_view(&self, service: OriginService, now: Timestamp) -> OriginView {
+        let own = self.view(service);
+        let saw_all = own != OriginView::Nothing && now >= self.knows_past_from;
+        match own.and(self.told_views.view(service, now)) {
+            OriginView::Only(_) if !saw_all && !self.told_views.covers_past(service) => {
+                OriginView::Nothing
+            }
+            view => view,
+        }
+    }
+
     fn ask(&mut self, id: RequestId, question: &Question) {
         let Question { stream, service, .. } = *question;
         for witness in &question.unanswered {
@@ -315,7 +455,10 @@
                 self.actions.push(OriginAction::Found { id, origin: Some(origin) });
             }
             OriginAnswer::Unknown(view) => {
-                question.views.push(view);
+                let is_keeper = question.keepers.contains(&from);
+                let views =
+                    if is_keeper { &mut question.keeper_views } else { &mut question.views };
+                views.push(view);
                 self.conclude_answered(id);
             }
         }
@@ -338,6 +481,7 @@
             origin:? = origin.map(|origin| origin.0),
             own_view:? = self.view(question.service),
             views:? = question.views,
+            keeper_views:? = question.keeper_views,
             asked = question.asked,
             live = self.members.live.len(),
             known = self.members.known;
@@ -347,26 +491,23 @@
     }
 
     /// Returns the origin by the views so far. Some of them may be outdated, on one side of a cut, so most daemons must
-    /// have answered.
+    /// have answered. A gateway that knows the past decides, or most of the keepers that were asked.
     fn origin_by_views(&self, question: &Question) -> Option<Origin> {
         let has_majority = question.views.len() * 2 > question.asked + 1;
-        let is_decided = has_majority && self.members.are_mostly_live();
-        common_origin(&question.views).filter(|_| is_decided)
-    }
-}
-
-/// Returns the only origin that any of the views allows.
-fn common_origin(views: &[OriginView]) -> Option<Origin> {
-    let mut common = None;
-    for view in views {
-        match view {
-            OriginView::Nothing => {}
-            OriginView::Several => return None,
-            OriginView::Only(origin) if common.is_none_or(|common| common == *origin) => {
-                common = Some(*origin);
-            }
-            OriginView::Only(_) => return None,
+        if !has_majority || !self.members.are_mostly_live() {
+            return None;
+        }
+        let knowing = |views: &[OriginView]| {
+            views.iter().filter(|view| matches!(view, OriginView::Only(_))).count()
+        };
+        let is_known = knowing(&question.views) > 0
+            || knowing(&question.keeper_views) * 2 > question.keepers.len();
+        // What this daemon saw since its start can only contradict.
+        let own = self.view(question.service);
+        let views = question.views.iter().chain(&question.keeper_views).copied();
+        match views.fold(own, OriginView::and) {
+            OriginView::Only(origin) if is_known => Some(origin),
+            _ => None,
         }
     }
-    common
 }
--- a/crates/node/src/stream_origins/message.rs
+++ b/crates/node/src/stream_origins/message.rs
@@ -47,6 +47,13 @@
         /// What the sender knows.
         answer: OriginAnswer,
     },
+    /// The sender's views of services, for daemons that outlive it. Builds before this kind drop it.
+    TellViews {
+        /// The services that the sender has.
+        views: Vec<(OriginService, OriginView)>,
+        /// Whether the views cover the time of all streams that may go on.
+        knows_past: bool,
+    },
 }
 
 /// What a daemon knows about where a stream began.
@@ -54,6 +61,8 @@
 pub enum OriginAnswer {
     /// It began there.
     Began(Origin),
-    /// The daemon was told nothing of the stream. Its view of the stream's service.
+    /// The daemon was told nothing of the stream. Its view of the stream's service: one origin only if that covers
+    /// the time of all streams that may go on. Builds before [`OriginMessage::TellViews`] tell what they saw since their
+    /// start.
     Unknown(OriginView),
 }
--- a/crates/node/src/stream_origins/witnesses.rs
+++ b/crates/node/src/stream_origins/witnesses.rs
@@ -15,6 +15,13 @@
 /// were told.
 const MIN_ASKED_WITNESSES: usize = 5;
 
+/// How many keepers of the own region are told of a stream.
+const TOLD_KEEPERS: usize = 2;
+/// How many keepers of each other region are told of a stream, so that it can go on there.
+const TOLD_DISTANT_KEEPERS: usize = 1;
+/// How many keepers of each region are asked. Members may have changed since others were told.
+const ASKED_KEEPERS: usize = 3;
+
 /// A daemon that may be told where streams began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WitnessCandidate {
@@ -58,6 +65,29 @@
     asked.into_iter().cloned().collect()
 }
 
+/// Returns the keepers that `own` tells of a stream that it serves. `regions` begins with the own one.
+pub(super) fn keepers_to_tell(
+    stream: StreamKey,
+    regions: &[Vec<WitnessCandidate>],
+    own: DaemonId,
+) -> impl Iterator<Item = &WitnessCandidate> {
+    regions.iter().enumerate().flat_map(move |(place, keepers)| {
+        let count = if place == 0 { TOLD_KEEPERS } else { TOLD_DISTANT_KEEPERS };
+        first_ranked(stream, keepers, Some(own), count)
+    })
+}
+
+/// Returns the keepers that `own` asks about a stream that another daemon served.
+pub(super) fn keepers_to_ask(
+    stream: StreamKey,
+    regions: &[Vec<WitnessCandidate>],
+    own: DaemonId,
+) -> Vec<WitnessCandidate> {
+    let ranked =
+        regions.iter().flat_map(|keepers| first_ranked(stream, keepers, Some(own), ASKED_KEEPERS));
+    ranked.cloned().collect()
+}
+
 /// Returns the first members but one in an order that depends on the stream: by a hash, but one of each zone before a
 /// second one of any, so that the loss of a zone leaves one that knows.
 fn first_ranked(
--- a/crates/node/tests/plain_settings/mod.rs
+++ b/crates/node/tests/plain_settings/mod.rs
@@ -38,6 +38,7 @@
         tolerance: LossTolerance::of_machines(1),
         bootstrap_daemons: None,
         holds_groups: true,
+        is_first_start: true,
         start_count: 0,
         group: GroupSettings::default(),
         membership: MembershipSettings::default(),
--- a/crates/node/tests/stream_origins.rs
+++ b/crates/node/tests/stream_origins.rs
@@ -45,6 +45,10 @@
 struct Network {
     now: Timestamp,
     gateways: BTreeMap<u32, Gateway>,
+    /// Daemons that hold groups, by region. Their numbers are not among those of the gateways.
+    keepers: Vec<Vec<u32>>,
+    /// What each daemon has saved.
+    saved: BTreeMap<u32, (u64, Vec<u8>)>,
     /// Gateways that membership takes for dead.
     known_dead: BTreeSet<u32>,
     messages: VecDeque<Message>,
@@ -60,6 +64,8 @@
         let mut network = Self {
             now: Timestamp(1_000_000),
             gateways: BTreeMap::new(),
+            keepers: Vec::new(),
+            saved: BTreeMap::new(),
             known_dead: BTreeSet::new(),
             messages: VecDeque::new(),
             loss: 0.0,
@@ -89,8 +95,35 @@
         self.start(number, zone);
     }
 
+    /// Kills daemons and starts them again, with what they have saved if they have disks.
+    fn restart_all(&mut self, numbers: &[u32], have_disks: bool) {
+        let now = self.now;
+        for number in numbers {
+            let zone = self.gateways[number].zone.clone();
+            self.start(*number, zone);
+            let Gateway { address, origins, .. } = self.gateway(*number);
+            let own = ReplicaId { daemon: DaemonId(*number), incarnation: Incarnation(now.0) };
+            *origins = StreamOrigins::new(own, *address).with_unknown_past(now);
+            if let Some((version, bytes)) = self.saved.get(number).cloned().filter(|_| have_disks) {
+                self.gateway(*number).origins.restore_views(version, &bytes, now);
+            }
+        }
+    }
+
+    /// Gateways see a view of the service, and tell it.
+    fn see(&mut self, gateways: &[u32], view: OriginView) {
+        for number in gateways {
+            let (members, now) = (self.members(), self.now);
+            self.gateway(*number).origins.set_members(members, now);
+            self.set_view(*number, view);
+        }
+        self.pass(Duration::from_millis(200));
+    }
+
     fn set_view(&mut self, number: u32, view: OriginView) {
-        self.gateway(number).origins.set_views([(SERVICE, view)]);
+        let now = self.now;
+        self.gateway(number).origins.set_views([(SERVICE, view)], now);
+        self.collect(number);
     }
 
     fn set_views(&mut self, view: OriginView) {
@@ -107,13 +140,21 @@
     }
 
     fn members(&self) -> OriginMembers {
-        let live = self.gateways.iter().filter(|(number, _)| !self.known_dead.contains(number));
-        let candidate = |(number, gateway): (&u32, &Gateway)| WitnessCandidate {
+        let is_keeper = |number: &u32| self.keepers.iter().flatten().any(|keeper| keeper == number);
+        let serving: Vec<u32> =
+            self.gateways.keys().copied().filter(|number| !is_keeper(number)).collect();
+        let candidate = |number: &u32| WitnessCandidate {
             daemon: DaemonId(*number),
-            address: gateway.address,
-            zone: gateway.zone.clone(),
+            address: self.gateways[number].address,
+            zone: self.gateways[number].zone.clone(),
         };
-        OriginMembers { live: live.map(candidate).collect(), known: self.gateways.len() }
+        let live = serving.iter().filter(|number| !self.known_dead.contains(number));
+        let keepers = self.keepers.iter().map(|keepers| keepers.iter().map(candidate).collect());
+        OriginMembers {
+            live: live.map(candidate).collect(),
+            known: serving.len(),
+            keepers: keepers.collect(),
+        }
     }
 
     /// A stream begins at a gateway.
@@ -158,6 +199,9 @@
                     }
                 }
                 OriginAction::Send { .. } => {}
+                OriginAction::SaveViews { version, bytes } => {
+                    self.saved.insert(number, (version, bytes));
+                }
                 OriginAction::Found { id, origin } => {
                     assert!(self.found.insert(id, (origin, now)).is_none(), "answered twice");
                 }
@@ -546,3 +590,129 @@
     network.collect(0);
     assert_eq!(network.origin_of(0, 99_999), Some(OLD));
 }
+
+const KEEPERS: [u32; 4] = [100, 101, 102, 103];
+const SERVING: [u32; 8] = [0, 1, 2, 3, 4, 5, 6, 7];
+
+/// Eight gateways before keepers of one region.
+fn with_keepers(keepers: &[u32]) -> Network {
+    let mut network = Network::new(4, 2, 7);
+    for number in keepers {
+        network.start(*number, Zone::new(format!("zone-{}", number % 4)));
+        network.set_view(*number, OriginView::Nothing);
+    }
+    network.keepers = vec![keepers.to_vec()];
+    network
+}
+
+/// Guards against streams that nobody knows after all gateways were killed at once, though servers of their version serve.
+#[test]
+fn streams_are_found_after_all_gateways_restarted() {
+    let mut network = with_keepers(&KEEPERS);
+    network.see(&SERVING, OriginView::Several);
+    for stream in 0..100 {
+        network.begin(0, stream, origin_for(stream));
+    }
+    network.pass(Duration::from_millis(100));
+    network.restart_all(&SERVING, false);
+    network.see(&SERVING, OriginView::Several);
+    assert_eq!(share_found(&mut network, 0..100, 1), 1.0);
+    network.kill(KEEPERS[0]);
+    assert_eq!(share_found(&mut network, 0..100, 2), 1.0, "one keeper is lost as well");
+}
+
+/// Guards against streams that go on nowhere after all gateways of their region were killed: keepers of the next region know
+/// them.
+#[test]
+fn streams_are_found_in_the_next_region() {
+    let mut network = with_keepers(&KEEPERS);
+    network.keepers = vec![KEEPERS[..2].to_vec(), KEEPERS[2..].to_vec()];
+    for stream in 0..100 {
+        network.begin(0, stream, origin_for(stream));
+    }
+    network.pass(Duration::from_millis(100));
+    for number in SERVING.iter().filter(|number| **number != 1).chain(&KEEPERS[..2]) {
+        network.kill(*number);
+    }
+    assert_eq!(share_found(&mut network, 0..100, 1), 1.0);
+}
+
+struct RestartCase {
+    name: &'static str,
+    /// What gateways told of the service before they were killed, in this order.
+    before: &'static [OriginView],
+    /// The keepers that start again as well.
+    restarted: &'static [u32],
+    have_disks: bool,
+    /// What gateways see after their start.
+    after: OriginView,
+    expected: Option<Origin>,
+}
+
+/// Guards against a stream that goes on at the only version which gateways know, because all have just started; and against
+/// streams of one version that are refused then.
+#[test]
+fn after_a_restart_of_all_gateways_only_those_who_know_the_past_decide() {
+    const ONLY_OLD: &[OriginView] = &[OriginView::Only(OLD)];
+    const REPLACED: &[OriginView] = &[OriginView::Only(OLD), OriginView::Several];
+    let case = RestartCase {
+        name: "one version throughout",
+        before: ONLY_OLD,
+        restarted: &[],
+        have_disks: true,
+        after: OriginView::Only(OLD),
+        expected: Some(OLD),
+    };
+    let new = RestartCase { after: OriginView::Only(NEW), expected: None, ..case };
+    let refused = RestartCase { expected: None, ..case };
+    let cases = [
+        RestartCase { name: "replaced before", before: REPLACED, ..new },
+        RestartCase { name: "replaced in the seconds of the restart", ..new },
+        RestartCase { name: "another version came", after: OriginView::Several, ..refused },
+        RestartCase { name: "nobody was told", before: &[], ..refused },
+        RestartCase { name: "keepers restarted too", restarted: &KEEPERS, ..case },
+        RestartCase {
+            name: "replaced, all restarted",
+            restarted: &KEEPERS,
+            before: REPLACED,
+            ..new
+        },
+        RestartCase { name: "no disks", restarted: &KEEPERS, have_disks: false, ..refused },
+        RestartCase { name: "one disk lost", restarted: &KEEPERS[..1], have_disks: false, ..case },
+        case,
+    ];
+    for case in cases {
+        let mut network = with_keepers(&KEEPERS);
+        for view in case.before {
+            network.see(&SERVING, *view);
+        }
+        network.restart_all(&SERVING, false);
+        network.restart_all(case.restarted, case.have_disks);
+        network.see(&SERVING, case.after);
+        assert_eq!(network.origin_of(1, 5), case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against a minority of keepers that decides: one that was cut off does not know of a second version.
+#[test]
+fn one_keeper_does_not_decide_alone() {
+    let mut network = with_keepers(&KEEPERS[..3]);
+    network.see(&SERVING, OriginView::Only(OLD));
+    KEEPERS[1..3].iter().for_each(|keeper| network.kill(*keeper));
+    network.restart_all(&SERVING, false);
+    network.see(&SERVING, OriginView::Only(OLD));
+    assert_eq!(network.origin_of(1, 5), None);
+}
+
+/// Guards against versions that are remembered for ever: after the time for which streams may go on, one is enough again.
+#[test]
+fn a_version_that_was_replaced_long_ago_is_forgotten() {
+    let mut network = with_keepers(&KEEPERS);
+    network.see(&SERVING, OriginView::Only(OLD));
+    network.see(&SERVING, OriginView::Only(NEW));
+    network.restart_all(&SERVING, false);
+    network.see(&SERVING, OriginView::Only(NEW));
+    assert_eq!(network.origin_of(1, 5), None);
+    network.pass(Duration::from_secs(601));
+    assert_eq!(network.origin_of(1, 5), Some(NEW));
+}
--- a/crates/node/tests/wire_forms.rs
+++ b/crates/node/tests/wire_forms.rs
@@ -386,17 +386,20 @@
     loads().into_iter().for_each(|(name, message)| checker.check(name, message));
 }
 
-fn origins() -> [(&'static str, PeerMessage); 4] {
+fn origins() -> [(&'static str, PeerMessage); 5] {
     let (id, stream) = (RequestId(1 << 40), StreamKey(0xfeed_beef_0000_0001));
     let origin = Origin(18_296_317_616_087_943_713);
     let record = StreamRecord { stream, origin, lifetime: Duration::from_millis(4_200) };
     let answer = |answer| OriginMessage::Answer { id, stream, answer };
+    let views =
+        vec![(OriginService(7), OriginView::Only(origin)), (OriginService(8), OriginView::Several)];
     let ask = OriginMessage::Ask { id, stream, service: OriginService(7), reply_to: address() };
     [
         ("origins-tell", OriginMessage::Tell { records: vec![record] }),
         ("origins-ask", ask),
         ("origins-began", answer(OriginAnswer::Began(origin))),
         ("origins-unknown", answer(OriginAnswer::Unknown(OriginView::Only(origin)))),
+        ("origins-tell-views", OriginMessage::TellViews { views, knows_past: true }),
     ]
     .map(|(name, message)| (name, PeerMessage::Origins(message)))
 }
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -383,6 +383,7 @@
             seeds,
             data_folder: plan.data_folder.clone(),
             holds_groups: true,
+            first_start: None,
             drain_ms: DRAIN_MS,
         },
         credentials: CredentialSettings {
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -70,6 +70,8 @@
 pub struct StreamOrigins {
     begun: Mutex<BegunStreams>,
     daemon: OnceLock<mpsc::UnboundedSender<OriginRequest>>,
+    /// Until when each stream is shared, whatever versions are known; none if only several versions are a reason.
+    share_all_until: OnceLock<Timestamp>,
 }
 
 impl StreamOrigins {
@@ -81,6 +83,18 @@
         requests
     }
 
+    /// Shares each stream until then: this process does not know which versions served before its start. Later calls
+    /// change nothing.
+    pub fn share_all_until(&self, until: Timestamp) {
+        let _ = self.share_all_until.set(until);
+    }
+
+    /// Whether other daemons are to be told of the streams of a service with these versions.
+    pub(crate) fn must_share(&self, versions: VersionView, now: Timestamp) -> bool {
+        let knows_past = self.share_all_until.get().is_none_or(|until| now >= *until);
+        versions == VersionView::Several || !knows_past
+    }
+
     /// The streams of a service whose callers may still come back.
     pub fn begun(&self, service: &ServiceName, now: Timestamp) -> Vec<StreamOrigin> {
         let begun = self.lock();
--- a/crates/relay/src/taken_up.rs
+++ b/crates/relay/src/taken_up.rs
@@ -55,7 +55,7 @@
         self.shared.origins.record(origin, self.matched.service_name(), now);
         // Read after the record is there: when a second version appears, the daemon shares the streams that it finds.
         let (versions, _) = self.service_versions();
-        if versions == VersionView::Several {
+        if self.shared.origins.must_share(versions, now) {
             self.origin_sent = self.shared.origins.share(origin);
         }
     }
--- a/crates/replay/src/world/settings.rs
+++ b/crates/replay/src/world/settings.rs
@@ -84,6 +84,7 @@
         tolerance: LossTolerance::of_machines(deployment.replicas.saturating_sub(1) / 2),
         bootstrap_daemons: Some(deployment.daemons),
         holds_groups: true,
+        is_first_start: true,
         start_count: 0,
         group: group_settings(switches),
         membership: MembershipSettings::default(),
