A gateway that has just started uses a server that appears late only once it has stayed listed

Change: for ten seconds after its first complete list a gateway that did not start with the system puts servers that appear on the probation that returned servers have. Ruled out: telling keepers of each departure, and the birth in entries (docs/design/what-outlives-a-gateway.md). It costs six seconds for servers that start while a gateway does; most of a service at once get work at once, and after a start without the store nothing is held.

--- a/crates/backends/src/choice.rs
+++ b/crates/backends/src/choice.rs
@@ -110,7 +110,7 @@
     pub estimate: Option<TurnEstimate>,
     /// How long ago the list of servers was complete; none if that was never known.
     pub list_age: Option<Duration>,
-    /// How long ago discovery listed the chosen server again after it had disappeared; none if it never had.
+    /// How long ago discovery listed the chosen server again after it had disappeared, or may have; none if it never had.
     pub listed_again: Option<Duration>,
 }
 
--- a/crates/backends/src/departures.rs
+++ b/crates/backends/src/departures.rs
@@ -3,7 +3,8 @@
 //! A record may arrive long after it was written, and after later ones: a server's own call to discovery may take effect
 //! seconds later, and lists come from several sources. A server that announced that it leaves never serves again as the same
 //! incarnation. One that only disappeared may live: it may have been cut off from discovery. It has to stay listed for a
-//! while before it gets work, since the record of a server that has ended is not renewed.
+//! while before it gets work, since the record of a server that has ended is not renewed. A daemon that has just started does not
+//! know which servers have left, so the same holds for servers that appear soon after its first list.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -14,6 +15,9 @@
 /// How long a server that had disappeared has to be listed before it gets work. Records that are not renewed lapse after
 /// 3.6 s on all deployments seen, and a change takes up to 2 s to arrive.
 pub(crate) const PROBATION: Duration = Duration::from_millis(6_000);
+/// How long after its first complete list a daemon that has just started takes servers that appear for ones that may have left
+/// before: a server's own call to discovery may take effect seconds after its record went.
+pub(crate) const UNKNOWN_DEPARTURES_TIME: Duration = Duration::from_millis(10_000);
 /// The least servers of a zone that come back in numbers. A zone may have one or two.
 pub(crate) const MIN_RETURNED_IN_ZONE: usize = 3;
 /// The most departures that are remembered. Late news is seconds late, so the most recent ones are enough.
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -36,7 +36,7 @@
     pub is_withdrawn: bool,
     /// The server receives no requests until then, because it had disappeared.
     pub probation_until: Timestamp,
-    /// When discovery listed the server again after it had disappeared; none if it never had.
+    /// When discovery listed the server again after it had disappeared, or may have; none if it never had.
     pub listed_again_at: Option<Timestamp>,
     /// The server receives no requests until then.
     paused_until: Timestamp,
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -10,7 +10,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::cold_limiter::ColdLimiter;
-use crate::departures::{Departure, Departures, MIN_RETURNED_IN_ZONE, PROBATION, ProbationCount};
+use crate::departures::{
+    Departure, Departures, MIN_RETURNED_IN_ZONE, PROBATION, ProbationCount, UNKNOWN_DEPARTURES_TIME,
+};
 use crate::evacuated_zones::EvacuatedZones;
 use crate::load_exchange::RejectedLoads;
 use crate::prompt_shares::PromptShares;
@@ -46,6 +48,8 @@
     evacuated_zones: EvacuatedZones,
     silent_zones: SilentZones,
     departures: Departures,
+    /// Until when servers that appear may have left before this daemon started.
+    departures_unknown_until: Timestamp,
     /// The end of the latest probation.
     probations_end_at: Timestamp,
     pub(crate) cold_limiter: ColdLimiter,
@@ -82,6 +86,7 @@
             evacuated_zones: EvacuatedZones::default(),
             silent_zones: SilentZones::default(),
             departures: Departures::default(),
+            departures_unknown_until: Timestamp::ZERO,
             probations_end_at: Timestamp::ZERO,
             cold_limiter: ColdLimiter::default(),
             engines: BTreeMap::new(),
@@ -126,7 +131,8 @@
         let cold_for = record.cold_for;
         if servers.put(record, now) {
             self.assume_initial_load(&id, now);
-            if departure == Some(Departure::Unannounced) {
+            let may_have_left = departure.is_none() && now < self.departures_unknown_until;
+            if departure == Some(Departure::Unannounced) || may_have_left {
                 self.begin_probation(&id, now);
             }
         }
@@ -134,6 +140,12 @@
         self.record_cold_for(&id, cold_for, now);
     }
 
+    /// Records that the list of servers is complete for the first time, in a daemon that does not know which servers have left
+    /// before. Servers that appear soon after are on probation.
+    pub fn begin_without_departures(&mut self, now: Timestamp) {
+        self.departures_unknown_until = now + UNKNOWN_DEPARTURES_TIME;
+    }
+
     /// Records that all changes of the list of servers up to a time are applied.
     pub fn record_complete_as_of(&mut self, as_of: Timestamp) {
         self.complete_as_of = self.complete_as_of.max(Some(as_of));
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -205,3 +205,32 @@
     backends.put(BackendRecord { id: next.clone(), ..record(1, BackendState::Ready) }, START);
     assert_eq!(chosen_servers(&mut backends, START), [next, id(2), id(3)]);
 }
+
+/// Guards against requests at a server that had left before this daemon started, when its last call to discovery takes effect
+/// after the first list.
+#[test]
+fn a_server_that_appears_soon_after_a_restart_gets_work_once_it_has_stayed_listed() {
+    let mut backends = backends_with(3);
+    backends.begin_without_departures(START);
+    let later = START + Duration::from_secs(2);
+    backends.put(record(4, BackendState::Ready), later);
+    let just_before = later + Duration::from_millis(5_999);
+    assert_eq!(chosen_servers(&mut backends, just_before), [id(1), id(2), id(3)]);
+    let after = later + PROBATION;
+    assert_eq!(chosen_servers(&mut backends, after), [id(1), id(2), id(3), id(4)]);
+    // A server that appears when late calls of that time have taken effect is new.
+    let new = START + Duration::from_millis(10_000);
+    backends.put(record(5, BackendState::Ready), new);
+    assert_eq!(chosen_servers(&mut backends, new), [1, 2, 3, 4, 5].map(id));
+}
+
+/// Guards against a service without servers after a restart of gateways and servers together.
+#[test]
+fn servers_that_appear_in_numbers_after_a_restart_get_work_at_once() {
+    let mut backends = backends_with(1);
+    backends.begin_without_departures(START);
+    for server in [2, 3] {
+        backends.put(record(server, BackendState::Ready), START);
+    }
+    assert_eq!(chosen_servers(&mut backends, START), [1, 2, 3].map(id));
+}
