--- a/crates/backends/src/departures.rs
+++ b/crates/backends/src/departures.rs
@@ -66,6 +66,12 @@
         self.by_id.get(id).copied()
     }
 
+    /// Whether an earlier incarnation of the server has departed.
+    pub(crate) fn includes_earlier_incarnation(&self, id: &BackendId) -> bool {
+        let earlier = self.by_id.range(..id).next_back();
+        earlier.is_some_and(|(earlier, _)| earlier.name == id.name)
+    }
+
     /// Records a departure. One that was announced stays so.
     pub(crate) fn record(&mut self, id: &BackendId, departure: Departure) {
         if self.get(id) == Some(Departure::Announced) {
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -114,6 +114,10 @@
             return;
         }
         let departure = self.departures.get(&id);
+        // An incarnation after a known one has just begun.
+        let may_have_left = now < self.departures_unknown_until
+            && departure.is_none()
+            && !self.knows_earlier_incarnation(&id);
         if departure == Some(Departure::Announced) {
             record.state = BackendState::Draining;
         }
@@ -131,7 +135,6 @@
         let cold_for = record.cold_for;
         if servers.put(record, now) {
             self.assume_initial_load(&id, now);
-            let may_have_left = departure.is_none() && now < self.departures_unknown_until;
             if departure == Some(Departure::Unannounced) || may_have_left {
                 self.begin_probation(&id, now);
             }
@@ -176,6 +179,13 @@
         self.service_by_id.range(later).next().is_some_and(|(next, _)| next.name == id.name)
     }
 
+    /// Whether an earlier incarnation of the server is listed or was until recently.
+    fn knows_earlier_incarnation(&self, id: &BackendId) -> bool {
+        let earlier = self.service_by_id.range(..id).next_back();
+        earlier.is_some_and(|(earlier, _)| earlier.name == id.name)
+            || self.departures.includes_earlier_incarnation(id)
+    }
+
     /// Returns how an incarnation of a server has left; none if it has not, or so long ago that it is forgotten.
     pub fn departure(&self, id: &BackendId) -> Option<Departure> {
         self.departures.get(id)
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -224,6 +224,21 @@
     assert_eq!(chosen_servers(&mut backends, new), [1, 2, 3, 4, 5].map(id));
 }
 
+/// Guards against a server that starts again while this daemon does, and is taken for one that may have left.
+#[test]
+fn the_next_incarnation_gets_work_at_once_after_a_restart() {
+    let mut backends = backends_with(4);
+    backends.begin_without_departures(START);
+    backends.remove(&id(2), START);
+    let next = [1, 2].map(|server| BackendId::new(format!("i-{server}"), 8));
+    for (server, next) in [1, 2].into_iter().zip(&next) {
+        backends
+            .put(BackendRecord { id: next.clone(), ..record(server, BackendState::Ready) }, START);
+    }
+    let chosen = chosen_servers(&mut backends, START);
+    assert!(next.iter().all(|next| chosen.contains(next)), "{chosen:?}");
+}
+
 /// Guards against a service without servers after a restart of gateways and servers together.
 #[test]
 fn servers_that_appear_in_numbers_after_a_restart_get_work_at_once() {
