--- a/crates/node/src/stream_origins.rs
+++ b/crates/node/src/stream_origins.rs
@@ -319,7 +319,8 @@
         }
     }
 
-    /// Tells keepers the views if that is due, asks again, concludes questions that most daemons have answered, and gives up those whose time is over.
+    /// Does what is due: tells keepers the views, asks again, concludes questions that most daemons have answered, and gives
+    /// up those whose time is over.
     pub fn tick(&mut self, now: Timestamp) {
         if now >= self.next_tell_views {
             self.tell_views(now);
