--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -120,9 +120,9 @@
     /// owners.
     #[serde(default = "default_holds_groups")]
     pub holds_groups: bool,
-    /// Whether the whole system starts for the first time; a platform that does not tell leaves it out. Otherwise the daemon
-    /// learns from others which software versions served before.
-    #[serde(default)]
+    /// Whether the whole system starts for the first time; none if that is not known. The driver sets it: a daemon that starts
+    /// again learns from others which software versions served before.
+    #[serde(skip)]
     pub first_start: Option<bool>,
     /// Milliseconds that a planned stop may take before remaining requests are aborted.
     #[serde(default = "default_drain")]
