The versions of a service are told to three stores of a region, not to all

Cause of what is mended here: each gateway told all stores its views, at each change of their membership too, so a store that comes or goes cost 100,000 datagrams.

Change: a service's views go to three keepers of each region, by a hash of the service, and the question goes there too.

--- a/crates/node/src/stream_origins.rs
+++ b/crates/node/src/stream_origins.rs
@@ -9,7 +9,7 @@
 //!
 //! What nobody knows is never guessed: a stream of unknown origin goes on only if most of those asked answer, all of
 //! them have known servers of one and the same origin alone, and some of them for as long as the stream may go on already. A
-//! process that has started again does not know what was before; keepers know what gateways told them.
+//! process that has started again does not know what was before; a few keepers of each service know what gateways told them.
 //!
 //! The node does not know what an origin is: its driver translates versions into numbers.
 
@@ -30,7 +30,9 @@
 use crate::request::RequestId;
 use history::{ToldViews, ViewChange};
 use records::Records;
-use witnesses::{keepers_to_ask, keepers_to_tell, witnesses_to_ask, witnesses_to_tell};
+use witnesses::{
+    keepers_to_ask, keepers_to_tell, service_keepers, witnesses_to_ask, witnesses_to_tell,
+};
 
 /// Interval between updates of the members.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -143,13 +145,13 @@
     service: OriginService,
     /// Daemons that have not answered.
     unanswered: Vec<WitnessCandidate>,
-    /// How many daemons were asked.
-    asked: usize,
-    /// The views of the daemons that know nothing of the stream, this one included.
+    /// The daemons asked that serve streams.
+    serving: BTreeSet<DaemonId>,
+    /// Their views, if they know nothing of the stream, and that of this daemon.
     views: Vec<OriginView>,
-    /// The keepers among those asked.
+    /// The daemons asked that keep the views of the service.
     keepers: BTreeSet<DaemonId>,
-    /// The views of the keepers that know nothing of the stream.
+    /// Their views, if they know nothing of the stream.
     keeper_views: Vec<OriginView>,
     repeat_at: Option<Timestamp>,
     give_up_at: Timestamp,
@@ -170,6 +172,8 @@
     knows_past_from: Timestamp,
     /// When keepers are next told the views.
     next_tell_views: Timestamp,
+    /// The keepers that were told the views last.
+    told_keepers: BTreeSet<DaemonId>,
     questions: BTreeMap<RequestId, Question>,
     log_lines: LogLineLimit,
     actions: Vec<OriginAction>,
@@ -188,6 +192,7 @@
             told_views: ToldViews::default(),
             knows_past_from: Timestamp::ZERO,
             next_tell_views: Timestamp::ZERO,
+            told_keepers: BTreeSet::new(),
             questions: BTreeMap::new(),
             log_lines: LogLineLimit::default(),
             actions: Vec::new(),
@@ -212,10 +217,10 @@
 
     /// Sets the daemons that may be told and asked.
     pub fn set_members(&mut self, members: OriginMembers, now: Timestamp) {
-        if members.keepers != self.members.keepers {
+        self.members = members;
+        if !self.view_keepers().is_subset(&self.told_keepers) {
             self.next_tell_views = now;
         }
-        self.members = members;
         self.next_review = now + REVIEW_INTERVAL;
     }
 
@@ -275,18 +280,20 @@
             return;
         }
         let mut unanswered = witnesses_to_ask(stream, &self.members.live, self.own.daemon);
-        let mut keepers = keepers_to_ask(stream, &self.members.keepers, self.own.daemon);
-        keepers.retain(|keeper| unanswered.iter().all(|it| it.daemon != keeper.daemon));
-        let asked = unanswered.len();
-        let keeper_daemons = keepers.iter().map(|keeper| keeper.daemon).collect();
-        unanswered.append(&mut keepers);
+        let serving = unanswered.iter().map(|witness| witness.daemon).collect();
+        let view_keepers = service_keepers(service, &self.members.keepers, self.own.daemon);
+        let keepers = view_keepers.iter().map(|keeper| keeper.daemon).collect();
+        unanswered.extend(keepers_to_ask(stream, &self.members.keepers, self.own.daemon));
+        unanswered.extend(view_keepers.into_iter().cloned());
+        let mut daemons = BTreeSet::new();
+        unanswered.retain(|asked| daemons.insert(asked.daemon));
         let question = Question {
             stream,
             service,
-            asked,
+            serving,
             unanswered,
             views: vec![self.known_view(service, now)],
-            keepers: keeper_daemons,
+            keepers,
             keeper_views: Vec::new(),
             repeat_at: Some(now + REPEAT_DELAY),
             give_up_at: now + ANSWER_TIMEOUT,
@@ -400,15 +407,28 @@
 
     fn tell_views(&mut self, now: Timestamp) {
         let knows_past = now >= self.knows_past_from;
-        let views: Vec<(OriginService, OriginView)> =
-            self.views.iter().map(|(service, view)| (*service, *view)).collect();
-        let keepers = self.members.keepers.iter().flatten();
-        for keeper in keepers.filter(|keeper| keeper.daemon != self.own.daemon) {
+        let mut by_keeper: BTreeMap<SocketAddr, Vec<(OriginService, OriginView)>> = BTreeMap::new();
+        for (service, view) in &self.views {
+            for keeper in service_keepers(*service, &self.members.keepers, self.own.daemon) {
+                by_keeper.entry(keeper.address).or_default().push((*service, *view));
+            }
+        }
+        for (to, views) in by_keeper {
             for views in views.chunks(MAX_VIEWS_PER_MESSAGE) {
                 let message = OriginMessage::TellViews { views: views.to_vec(), knows_past };
-                self.actions.push(OriginAction::Send { to: keeper.address, message });
+                self.actions.push(OriginAction::Send { to, message });
             }
         }
+        self.told_keepers = self.view_keepers();
+    }
+
+    /// The keepers of the views of all services.
+    fn view_keepers(&self) -> BTreeSet<DaemonId> {
+        let keepers = self
+            .views
+            .keys()
+            .flat_map(|service| service_keepers(*service, &self.members.keepers, self.own.daemon));
+        keepers.map(|keeper| keeper.daemon).collect()
     }
 
     /// What this daemon saw of a service since its start.
@@ -456,10 +476,11 @@
                 self.actions.push(OriginAction::Found { id, origin: Some(origin) });
             }
             OriginAnswer::Unknown(view) => {
-                let is_keeper = question.keepers.contains(&from);
-                let views =
-                    if is_keeper { &mut question.keeper_views } else { &mut question.views };
-                views.push(view);
+                if question.keepers.contains(&from) {
+                    question.keeper_views.push(view);
+                } else if question.serving.contains(&from) {
+                    question.views.push(view);
+                }
                 self.conclude_answered(id);
             }
         }
@@ -483,7 +504,7 @@
             own_view:? = self.view(question.service),
             views:? = question.views,
             keeper_views:? = question.keeper_views,
-            asked = question.asked,
+            asked = question.serving.len(),
             live = self.members.live.len(),
             known = self.members.known;
             "Nobody was told where a stream began."
@@ -494,7 +515,7 @@
     /// Returns the origin by the views so far. Some of them may be outdated, on one side of a cut, so most daemons must
     /// have answered. A gateway that knows the past decides, or most of the keepers that were asked.
     fn origin_by_views(&self, question: &Question) -> Option<Origin> {
-        let has_majority = question.views.len() * 2 > question.asked + 1;
+        let has_majority = question.views.len() * 2 > question.serving.len() + 1;
         if !has_majority || !self.members.are_mostly_live() {
             return None;
         }
--- a/crates/node/tests/stream_origins.rs
+++ b/crates/node/tests/stream_origins.rs
@@ -716,3 +716,27 @@
     network.pass(Duration::from_secs(601));
     assert_eq!(network.origin_of(1, 5), Some(NEW));
 }
+
+/// Guards against a fleet whose gateways tell all of its stores whenever one of them comes or goes: 865 gateways and 120 stores
+/// would send 100,000 datagrams each time.
+#[test]
+fn views_are_told_to_few_keepers_however_many_there_are() {
+    let keepers: Vec<u32> = (100..220).collect();
+    let mut network = with_keepers(&keepers);
+    network.pass(Duration::from_secs(1));
+    network.sent = 0;
+    network.see(&SERVING, OriginView::Only(OLD));
+    // Three keepers each, and once more, since datagrams get lost.
+    assert!(network.sent <= SERVING.len() * 3 * 2, "{} datagrams", network.sent);
+    network.sent = 0;
+    for gone in 0..40 {
+        network.keepers = vec![keepers[gone..].to_vec()];
+        let (members, now) = (network.members(), network.now);
+        for number in SERVING {
+            network.gateway(number).origins.set_members(members.clone(), now);
+        }
+        network.pass(Duration::from_millis(500));
+    }
+    // A third of the keepers goes, so about one of the three does.
+    assert!(network.sent <= SERVING.len() * 3 * 5, "{} datagrams", network.sent);
+}
