A server that leaves ends no probation of others

Cause: probations end when most of a service's servers came back. That was looked at with each record, so when other servers left, the few on probation became most of the rest.

The new case of departures.rs failed before: servers 1 and 2 were chosen beside 5.

Ruled out: larger numbers, which a zone of few servers never has.

--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -137,9 +137,10 @@
             self.assume_initial_load(&id, now);
             if departure == Some(Departure::Unannounced) || may_have_left {
                 self.begin_probation(&id, now);
+                // Only servers that come back show that many do: others that leave make the rest no more numerous.
+                self.review_probations(&service, now);
             }
         }
-        self.review_probations(&service, now);
         self.record_cold_for(&id, cold_for, now);
     }
 
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -249,3 +249,20 @@
     }
     assert_eq!(chosen_servers(&mut backends, START), [1, 2, 3].map(id));
 }
+
+/// Guards against requests at a server that a late call lists again, because another server leaves and those on probation become
+/// most of the rest.
+#[test]
+fn a_server_that_leaves_ends_no_probation_of_others() {
+    let mut backends = backends_with(5);
+    for server in [1, 2] {
+        backends.remove(&id(server), START);
+    }
+    for server in [1, 2] {
+        backends.put(record(server, BackendState::Ready), START);
+    }
+    assert_eq!(chosen_servers(&mut backends, START), [3, 4, 5].map(id));
+    backends.put(record(3, BackendState::Draining), START);
+    backends.put(record(4, BackendState::Draining), START);
+    assert_eq!(chosen_servers(&mut backends, START), [id(5)]);
+}
