--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -54,6 +54,7 @@
 mod load_comparison;
 mod load_exchange;
 mod load_report;
+mod probation;
 mod prompt_shares;
 mod record;
 mod region_overflow;
--- /dev/null
+++ b/crates/backends/src/probation.rs
@@ -0,0 +1,69 @@
+//! Which servers are on probation: those that late news may have listed, although they have left.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dahlia_types::{Timestamp, Zone};
+
+use crate::departures::{MIN_RETURNED_IN_ZONE, PROBATION, ProbationCount, UNKNOWN_DEPARTURES_TIME};
+use crate::{BackendId, Backends, ServiceName};
+
+impl Backends {
+    /// Records that the list of servers is complete for the first time, in a daemon that does not know which servers have left
+    /// before. Servers that appear soon after are on probation.
+    pub fn begin_without_departures(&mut self, now: Timestamp) {
+        self.departures_unknown_until = now + UNKNOWN_DEPARTURES_TIME;
+    }
+
+    /// Whether a server had disappeared and has not been listed again for long enough to get work.
+    pub fn is_on_probation(&self, id: &BackendId, now: Timestamp) -> bool {
+        self.server(id).is_some_and(|server| server.is_on_probation(now))
+    }
+
+    /// Whether an earlier incarnation of the server is listed or was until recently.
+    pub(crate) fn knows_earlier_incarnation(&self, id: &BackendId) -> bool {
+        let earlier = self.service_by_id.range(..id).next_back();
+        earlier.is_some_and(|(earlier, _)| earlier.name == id.name)
+            || self.departures.includes_earlier_incarnation(id)
+    }
+
+    pub(crate) fn begin_probation(&mut self, id: &BackendId, now: Timestamp) {
+        let until = now + PROBATION;
+        self.probations_end_at = self.probations_end_at.max(until);
+        if let Some((server, _)) = self.server_mut(id) {
+            server.probation_until = until;
+            server.listed_again_at = Some(now);
+        }
+    }
+
+    /// Ends the probation of servers that came back in numbers, of a service or of a zone: late news is about a few, and
+    /// the others cannot carry the load of most. Returns whether it has ended for any.
+    pub(crate) fn review_probations(&mut self, service: &ServiceName, now: Timestamp) -> bool {
+        if now >= self.probations_end_at {
+            return false;
+        }
+        let Some(servers) = self.services.get(service) else { return false };
+        let mut total = ProbationCount::default();
+        let mut zones: BTreeMap<&Zone, ProbationCount> = BTreeMap::new();
+        for server in servers.iter().filter(|server| self.takes_work(server)) {
+            let is_on_probation = server.is_on_probation(now);
+            total.add(is_on_probation);
+            zones.entry(&server.record.zone).or_default().add(is_on_probation);
+        }
+        let most_came_back = total.are_most();
+        let came_back = |count: &ProbationCount| {
+            most_came_back || (count.are_most() && count.on_probation >= MIN_RETURNED_IN_ZONE)
+        };
+        let returned: BTreeSet<Zone> = zones
+            .iter()
+            .filter(|(_, count)| came_back(count))
+            .map(|(zone, _)| (*zone).clone())
+            .collect();
+        if returned.is_empty() {
+            return false;
+        }
+        let Some(servers) = self.services.get_mut(service) else { return false };
+        let in_returned = servers.iter_mut().filter(|it| returned.contains(&it.record.zone));
+        in_returned.for_each(|server| server.probation_until = now);
+        true
+    }
+}
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -10,9 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::cold_limiter::ColdLimiter;
-use crate::departures::{
-    Departure, Departures, MIN_RETURNED_IN_ZONE, PROBATION, ProbationCount, UNKNOWN_DEPARTURES_TIME,
-};
+use crate::departures::{Departure, Departures};
 use crate::evacuated_zones::EvacuatedZones;
 use crate::load_exchange::RejectedLoads;
 use crate::prompt_shares::PromptShares;
@@ -47,11 +45,11 @@
     pub(crate) prompt_shares: PromptShares,
     evacuated_zones: EvacuatedZones,
     silent_zones: SilentZones,
-    departures: Departures,
+    pub(crate) departures: Departures,
     /// Until when servers that appear may have left before this daemon started.
-    departures_unknown_until: Timestamp,
+    pub(crate) departures_unknown_until: Timestamp,
     /// The end of the latest probation.
-    probations_end_at: Timestamp,
+    pub(crate) probations_end_at: Timestamp,
     pub(crate) cold_limiter: ColdLimiter,
     /// The capacity of the model servers of each service.
     pub(crate) engines: BTreeMap<ServiceName, EngineCapacity>,
@@ -144,12 +142,6 @@
         self.record_cold_for(&id, cold_for, now);
     }
 
-    /// Records that the list of servers is complete for the first time, in a daemon that does not know which servers have left
-    /// before. Servers that appear soon after are on probation.
-    pub fn begin_without_departures(&mut self, now: Timestamp) {
-        self.departures_unknown_until = now + UNKNOWN_DEPARTURES_TIME;
-    }
-
     /// Records that all changes of the list of servers up to a time are applied.
     pub fn record_complete_as_of(&mut self, as_of: Timestamp) {
         self.complete_as_of = self.complete_as_of.max(Some(as_of));
@@ -180,13 +172,6 @@
         self.service_by_id.range(later).next().is_some_and(|(next, _)| next.name == id.name)
     }
 
-    /// Whether an earlier incarnation of the server is listed or was until recently.
-    fn knows_earlier_incarnation(&self, id: &BackendId) -> bool {
-        let earlier = self.service_by_id.range(..id).next_back();
-        earlier.is_some_and(|(earlier, _)| earlier.name == id.name)
-            || self.departures.includes_earlier_incarnation(id)
-    }
-
     /// Returns how an incarnation of a server has left; none if it has not, or so long ago that it is forgotten.
     pub fn departure(&self, id: &BackendId) -> Option<Departure> {
         self.departures.get(id)
@@ -239,11 +224,6 @@
         self.server(id).is_none_or(Server::is_ending)
     }
 
-    /// Whether a server had disappeared and has not been listed again for long enough to get work.
-    pub fn is_on_probation(&self, id: &BackendId, now: Timestamp) -> bool {
-        self.server(id).is_some_and(|server| server.is_on_probation(now))
-    }
-
     /// Whether a server has announced that it leaves.
     pub fn is_draining(&self, id: &BackendId) -> bool {
         self.server(id).is_some_and(|server| server.record.state == BackendState::Draining)
@@ -326,47 +306,6 @@
         Choice::Use { server: address, basis }
     }
 
-    fn begin_probation(&mut self, id: &BackendId, now: Timestamp) {
-        let until = now + PROBATION;
-        self.probations_end_at = self.probations_end_at.max(until);
-        if let Some((server, _)) = self.server_mut(id) {
-            server.probation_until = until;
-            server.listed_again_at = Some(now);
-        }
-    }
-
-    /// Ends the probation of servers that came back in numbers, of a service or of a zone: late news is about a few, and
-    /// the others cannot carry the load of most. Returns whether it has ended for any.
-    fn review_probations(&mut self, service: &ServiceName, now: Timestamp) -> bool {
-        if now >= self.probations_end_at {
-            return false;
-        }
-        let Some(servers) = self.services.get(service) else { return false };
-        let mut total = ProbationCount::default();
-        let mut zones: BTreeMap<&Zone, ProbationCount> = BTreeMap::new();
-        for server in servers.iter().filter(|server| self.takes_work(server)) {
-            let is_on_probation = server.is_on_probation(now);
-            total.add(is_on_probation);
-            zones.entry(&server.record.zone).or_default().add(is_on_probation);
-        }
-        let most_came_back = total.are_most();
-        let came_back = |count: &ProbationCount| {
-            most_came_back || (count.are_most() && count.on_probation >= MIN_RETURNED_IN_ZONE)
-        };
-        let returned: BTreeSet<Zone> = zones
-            .iter()
-            .filter(|(_, count)| came_back(count))
-            .map(|(zone, _)| (*zone).clone())
-            .collect();
-        if returned.is_empty() {
-            return false;
-        }
-        let Some(servers) = self.services.get_mut(service) else { return false };
-        let in_returned = servers.iter_mut().filter(|it| returned.contains(&it.record.zone));
-        in_returned.for_each(|server| server.probation_until = now);
-        true
-    }
-
     /// Sets the listener for failures, which reports them to other daemons.
     pub fn on_failure(&mut self, listener: FailureListener) {
         self.on_failure = Some(listener);
@@ -447,7 +386,7 @@
         Some((servers.get_mut(id)?, settings))
     }
 
-    fn server(&self, id: &BackendId) -> Option<&Server> {
+    pub(crate) fn server(&self, id: &BackendId) -> Option<&Server> {
         self.services.get(self.service_by_id.get(id)?)?.get(id)
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,7 @@
 use crate::reach::ZoneLists;
 use crate::request::NotRunCause;
 use crate::routing::{ReplyTo, Router};
+use crate::stream_origin_events::new_stream_origins;
 use crate::stream_origins::StreamOrigins;
 use crate::wire::PeerMessage;
 use crate::zone_liveness::ZoneLiveness;
@@ -176,15 +177,11 @@
         let zone_liveness = zone_liveness.map(|zone_liveness| {
             ZoneLiveness::new(zone_liveness, settings.zone.clone(), settings.seed)
         });
-        let mut stream_origins = StreamOrigins::new(settings.own, settings.address);
-        if !settings.is_first_start {
-            stream_origins = stream_origins.with_unknown_past(now);
-        }
         let mut node = Self {
             membership,
             feed,
             loads,
-            stream_origins,
+            stream_origins: new_stream_origins(&settings, now),
             crash_reports: CrashReports::new(settings.own, settings.address),
             zone_liveness,
             zone_lists: ZoneLists::default(),
--- a/crates/node/src/stream_origin_events.rs
+++ b/crates/node/src/stream_origin_events.rs
@@ -7,9 +7,10 @@
 
 use crate::node::Node;
 use crate::request::RequestId;
+use crate::settings::NodeSettings;
 use crate::stream_origins::{
-    OriginAction, OriginMembers, OriginMessage, OriginService, OriginView, StreamKey, StreamRecord,
-    VIEWS_DOCUMENT, WitnessCandidate,
+    OriginAction, OriginMembers, OriginMessage, OriginService, OriginView, StreamKey,
+    StreamOrigins, StreamRecord, VIEWS_DOCUMENT, WitnessCandidate,
 };
 use crate::wire::PeerMessage;
 use crate::{Action, SharedDocument};
@@ -134,6 +135,12 @@
     }
 }
 
+/// The state of a daemon at its start.
+pub(crate) fn new_stream_origins(settings: &NodeSettings, now: Timestamp) -> StreamOrigins {
+    let origins = StreamOrigins::new(settings.own, settings.address);
+    if settings.is_first_start { origins } else { origins.with_unknown_past(now) }
+}
+
 fn witness_candidate(info: &MemberInfo) -> WitnessCandidate {
     WitnessCandidate { daemon: info.daemon, address: info.address, zone: info.zone.clone() }
 }
--- a/crates/node/src/stream_origins.rs
+++ b/crates/node/src/stream_origins.rs
@@ -14,7 +14,9 @@
 //! The node does not know what an origin is: its driver translates versions into numbers.
 
 mod history;
+mod members;
 mod message;
+mod question;
 mod records;
 mod witnesses;
 
@@ -23,12 +25,14 @@
 
 use dahlia_types::{DaemonId, Duration, ReplicaId, Timestamp};
 
+pub use members::OriginMembers;
 pub use message::{OriginAnswer, OriginMessage, StreamRecord};
 pub use witnesses::WitnessCandidate;
 
 use crate::line_limit::LogLineLimit;
 use crate::request::RequestId;
 use history::{ToldViews, ViewChange};
+use question::Question;
 use records::Records;
 use witnesses::{
     keepers_to_ask, keepers_to_tell, service_keepers, witnesses_to_ask, witnesses_to_tell,
@@ -93,25 +97,6 @@
     }
 }
 
-/// The daemons that serve streams, as membership knows them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct OriginMembers {
-    /// Those that may be told and asked, and this daemon.
-    pub live: Vec<WitnessCandidate>,
-    /// Their number with those that are taken for dead. These may also be cut off, and know other servers.
-    pub known: usize,
-    /// Daemons that are told and asked as well, because they outlive those that serve streams: by region, the own one first.
-    pub keepers: Vec<Vec<WitnessCandidate>>,
-}
-
-impl OriginMembers {
-    /// Whether this daemon is on the side of most of them, so that their lists are not all outdated. A daemon that knows
-    /// nobody yet, itself included, is on no side.
-    fn are_mostly_live(&self) -> bool {
-        self.live.len() * 2 > self.known
-    }
-}
-
 /// What origin tracking asks the node to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginAction {
@@ -138,25 +123,6 @@
     },
 }
 
-/// A question of this daemon's gateway.
-#[derive(Debug)]
-struct Question {
-    stream: StreamKey,
-    service: OriginService,
-    /// Daemons that have not answered.
-    unanswered: Vec<WitnessCandidate>,
-    /// The daemons asked that serve streams.
-    serving: BTreeSet<DaemonId>,
-    /// Their views, if they know nothing of the stream, and that of this daemon.
-    views: Vec<OriginView>,
-    /// The daemons asked that keep the views of the service.
-    keepers: BTreeSet<DaemonId>,
-    /// Their views, if they know nothing of the stream.
-    keeper_views: Vec<OriginView>,
-    repeat_at: Option<Timestamp>,
-    give_up_at: Timestamp,
-}
-
 /// This daemon's part in tracking where streams began.
 pub struct StreamOrigins {
     own: ReplicaId,
