A list that is read anew takes back no leave

Callers saw requests at servers that had left, few at each server, from many gateways at once. After the store forgot its history each gateway lists all servers. A server that went in between, and that a late call of its own listed again, looked as if it had been there all the time: no departure, no probation, and a draining state that nobody saw was not final.

One that was written after the known changes may have said that the server leaves: it is on probation unless most of its service were written.

--- a/crates/backends/src/probation.rs
+++ b/crates/backends/src/probation.rs
@@ -35,6 +35,40 @@
         }
     }
 
+    /// Puts ready servers on probation whose records were written while discovery's changes were missed: one of these changes
+    /// may have announced that the server leaves, and an older record of its own may hide it until the next one. Where most
+    /// servers of a service wrote their records, they do so without a reason, and nothing follows. Returns how many are on
+    /// probation.
+    pub fn begin_probation_after_missed_changes(
+        &mut self,
+        ids: &[BackendId],
+        now: Timestamp,
+    ) -> usize {
+        let mut written: BTreeMap<ServiceName, Vec<&BackendId>> = BTreeMap::new();
+        for id in ids {
+            if let Some(service) = self.service_by_id.get(id) {
+                written.entry(service.clone()).or_default().push(id);
+            }
+        }
+        let until = now + PROBATION;
+        let mut on_probation = 0;
+        for (service, ids) in written {
+            let Some(servers) = self.services.get(&service) else { continue };
+            let working = servers.iter().filter(|server| self.takes_work(server)).count();
+            if ids.len() * 2 > working {
+                continue;
+            }
+            for id in ids {
+                if let Some((server, _)) = self.server_mut(id) {
+                    server.probation_until = server.probation_until.max(until);
+                    on_probation += 1;
+                }
+            }
+            self.probations_end_at = self.probations_end_at.max(until);
+        }
+        on_probation
+    }
+
     /// Ends the probation of servers that came back in numbers, of a service or of a zone: late news is about a few, and
     /// the others cannot carry the load of most. Returns whether it has ended for any.
     pub(crate) fn review_probations(&mut self, service: &ServiceName, now: Timestamp) -> bool {
@@ -44,12 +78,15 @@
         let Some(servers) = self.services.get(service) else { return false };
         let mut total = ProbationCount::default();
         let mut zones: BTreeMap<&Zone, ProbationCount> = BTreeMap::new();
+        let mut has_others = false;
         for server in servers.iter().filter(|server| self.takes_work(server)) {
             let is_on_probation = server.is_on_probation(now);
-            total.add(is_on_probation);
-            zones.entry(&server.record.zone).or_default().add(is_on_probation);
+            has_others |= !is_on_probation;
+            let came_back = is_on_probation && server.listed_again_at.is_some();
+            total.add(came_back);
+            zones.entry(&server.record.zone).or_default().add(came_back);
         }
-        let most_came_back = total.are_most();
+        let most_came_back = total.are_most() || !has_others;
         let came_back = |count: &ProbationCount| {
             most_came_back || (count.are_most() && count.on_probation >= MIN_RETURNED_IN_ZONE)
         };
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -196,6 +196,48 @@
     );
 }
 
+struct MissedChangesCase {
+    name: &'static str,
+    /// The servers whose records were written while changes were missed, of three.
+    written: &'static [u16],
+    /// The servers that leave after that.
+    leaving: &'static [u16],
+    /// The servers that get requests then.
+    expected: &'static [u16],
+}
+
+/// Guards against requests at a server that announced that it leaves in a change that was missed, while live servers are used
+/// where most wrote their records, or no other is left.
+#[test]
+fn a_server_that_wrote_its_record_unseen_gets_work_once_it_has_stayed_listed() {
+    let cases = [
+        MissedChangesCase { name: "one", written: &[1], leaving: &[], expected: &[2, 3] },
+        MissedChangesCase { name: "most", written: &[1, 2], leaving: &[], expected: &[1, 2, 3] },
+        MissedChangesCase { name: "the only", written: &[1], leaving: &[2, 3], expected: &[1] },
+    ];
+    for MissedChangesCase { name, written, leaving, expected } in cases {
+        let mut backends = backends_with(3);
+        let written: Vec<BackendId> = written.iter().copied().map(id).collect();
+        backends.begin_probation_after_missed_changes(&written, START);
+        leaving.iter().for_each(|server| backends.remove(&id(*server), START));
+        let expected: Vec<BackendId> = expected.iter().copied().map(id).collect();
+        assert_eq!(chosen_servers(&mut backends, START), expected, "{name}");
+        let present = (1..=3).filter(|server| !leaving.contains(server));
+        let present: Vec<BackendId> = present.map(id).collect();
+        assert_eq!(chosen_servers(&mut backends, START + PROBATION), present, "{name}, later");
+    }
+}
+
+/// Guards against a server that comes back by a late call and gets work since others wrote their records unseen.
+#[test]
+fn records_that_were_written_unseen_do_not_count_as_servers_that_came_back() {
+    let mut backends = backends_with(5);
+    backends.begin_probation_after_missed_changes(&[id(2), id(3)], START);
+    backends.remove(&id(1), START);
+    backends.put(record(1, BackendState::Ready), START);
+    assert_eq!(chosen_servers(&mut backends, START), [id(4), id(5)]);
+}
+
 /// Guards against a new incarnation that is taken for its predecessor.
 #[test]
 fn the_next_incarnation_gets_work_at_once() {
--- a/crates/daemon/src/failure_reports.rs
+++ b/crates/daemon/src/failure_reports.rs
@@ -37,11 +37,7 @@
     tokio::spawn(apply_reports(reports, backends.clone(), clock));
 }
 
-async fn send_reports(
-    mut failures: UnboundedReceiver<BackendId>,
-    core: CoreHandle,
-    clock: Clock,
-) {
+async fn send_reports(mut failures: UnboundedReceiver<BackendId>, core: CoreHandle, clock: Clock) {
     let mut lines = LogLineLimit::default();
     while let Some(first) = failures.recv().await {
         sleep(GATHER_INTERVAL).await;
