Only time in which the list is known ends the probation of a server that came back

Callers saw requests at a server that had left, from 6 s after a late call had listed it again, when the store was away meanwhile. Leases wait while the store is down, so the entry did not lapse, and the gateway's own clock ended the probation.

The probation ends once the list is known up to its end. Between two lists more than 2 s apart the store may have been away, and this time does not count. The time before the probation began is not added.

--- a/crates/backends/src/departures.rs
+++ b/crates/backends/src/departures.rs
@@ -15,6 +15,8 @@
 /// How long a server that had disappeared has to be listed before it gets work. Records that are not renewed lapse after
 /// 3.6 s on all deployments seen, and a change takes up to 2 s to arrive.
 pub(crate) const PROBATION: Duration = Duration::from_millis(6_000);
+/// The age that the list of servers reaches while discovery answers.
+pub(crate) const MAX_LIST_AGE: Duration = Duration::from_millis(2_000);
 /// How long after its first complete list a daemon that has just started takes servers that appear for ones that may have left
 /// before: a server's own call to discovery may take effect seconds after its record went.
 pub(crate) const UNKNOWN_DEPARTURES_TIME: Duration = Duration::from_millis(10_000);
--- a/crates/backends/src/probation.rs
+++ b/crates/backends/src/probation.rs
@@ -4,7 +4,10 @@
 
 use dahlia_types::{Timestamp, Zone};
 
-use crate::departures::{MIN_RETURNED_IN_ZONE, PROBATION, ProbationCount, UNKNOWN_DEPARTURES_TIME};
+use crate::departures::{
+    MAX_LIST_AGE, MIN_RETURNED_IN_ZONE, PROBATION, ProbationCount, UNKNOWN_DEPARTURES_TIME,
+};
+use crate::service_servers::ServiceServers;
 use crate::{BackendId, Backends, ServiceName};
 
 impl Backends {
@@ -16,7 +19,28 @@
 
     /// Whether a server had disappeared and has not been listed again for long enough to get work.
     pub fn is_on_probation(&self, id: &BackendId, now: Timestamp) -> bool {
-        self.server(id).is_some_and(|server| server.is_on_probation(now))
+        self.server(id).is_some_and(|server| server.is_on_probation(self.known_until(now)))
+    }
+
+    /// Returns the time up to which the list of servers is known; the present if no list was ever complete.
+    pub(crate) fn known_until(&self, now: Timestamp) -> Timestamp {
+        self.complete_as_of.map_or(now, |as_of| as_of.min(now))
+    }
+
+    /// Extends probations by their part of the time between two complete lists, if discovery may have been away in it: records
+    /// that are not renewed do not lapse then.
+    pub(crate) fn extend_probations(&mut self, before: Timestamp, as_of: Timestamp) {
+        if as_of.since(before) <= MAX_LIST_AGE || self.probations_end_at <= before {
+            return;
+        }
+        for server in self.services.values_mut().flat_map(ServiceServers::iter_mut) {
+            if server.is_on_probation(before) {
+                let began = server.probation_until - PROBATION;
+                let unknown = as_of.since(began.max(before));
+                server.probation_until = server.probation_until + unknown;
+                self.probations_end_at = self.probations_end_at.max(server.probation_until);
+            }
+        }
     }
 
     /// Whether an earlier incarnation of the server is listed or was until recently.
@@ -72,7 +96,8 @@
     /// Ends the probation of servers that came back in numbers, of a service or of a zone: late news is about a few, and
     /// the others cannot carry the load of most. Returns whether it has ended for any.
     pub(crate) fn review_probations(&mut self, service: &ServiceName, now: Timestamp) -> bool {
-        if now >= self.probations_end_at {
+        let known_until = self.known_until(now);
+        if known_until >= self.probations_end_at {
             return false;
         }
         let Some(servers) = self.services.get(service) else { return false };
@@ -80,7 +105,7 @@
         let mut zones: BTreeMap<&Zone, ProbationCount> = BTreeMap::new();
         let mut has_others = false;
         for server in servers.iter().filter(|server| self.takes_work(server)) {
-            let is_on_probation = server.is_on_probation(now);
+            let is_on_probation = server.is_on_probation(known_until);
             has_others |= !is_on_probation;
             let came_back = is_on_probation && server.listed_again_at.is_some();
             total.add(came_back);
@@ -100,7 +125,7 @@
         }
         let Some(servers) = self.services.get_mut(service) else { return false };
         let in_returned = servers.iter_mut().filter(|it| returned.contains(&it.record.zone));
-        in_returned.for_each(|server| server.probation_until = now);
+        in_returned.for_each(|server| server.probation_until = known_until);
         true
     }
 }
--- a/crates/backends/src/selection.rs
+++ b/crates/backends/src/selection.rs
@@ -104,8 +104,11 @@
         });
         let untried =
             examined.filter(|server| self.takes_work(server) && request.allows(&server.record));
-        let wait =
-            |server: &Server| server.remaining_pause(now).max(server.cold_state.closed_for(now));
+        let known_until = self.known_until(now);
+        let wait = |server: &Server| {
+            let pause = server.remaining_pause(now, known_until);
+            pause.max(server.cold_state.closed_for(now))
+        };
         let shortest = untried.map(wait).min();
         match shortest {
             Some(pause) => Choice::Full { retry_after: pause.max(FULL_RETRY) },
@@ -328,7 +331,7 @@
     fn is_usable(&self, server: &Server, request: &ChoiceRequest<'_>, now: Timestamp) -> bool {
         self.takes_work(server)
             && !server.is_paused(now)
-            && !server.is_on_probation(now)
+            && !server.is_on_probation(self.known_until(now))
             && !server.is_full(&self.settings)
             && !server.cold_state.is_closed(now)
             && request.allows(&server.record)
--- a/crates/backends/src/server.rs
+++ b/crates/backends/src/server.rs
@@ -93,9 +93,9 @@
         self.record.state != BackendState::Ready || self.reported_leaving
     }
 
-    /// Whether the server had disappeared, and has not been listed again for long enough.
-    pub(crate) fn is_on_probation(&self, now: Timestamp) -> bool {
-        now < self.probation_until
+    /// Whether the server had disappeared, and has not been listed again for long enough by a list that is known until then.
+    pub(crate) fn is_on_probation(&self, known_until: Timestamp) -> bool {
+        known_until < self.probation_until
     }
 
     /// Whether the server receives no requests for a moment.
@@ -103,9 +103,9 @@
         now < self.paused_until
     }
 
-    /// Returns the remaining time of the pause.
-    pub(crate) fn remaining_pause(&self, now: Timestamp) -> Duration {
-        self.paused_until.max(self.probation_until).since(now)
+    /// Returns the remaining time of the pause, or of the probation if that is longer.
+    pub(crate) fn remaining_pause(&self, now: Timestamp, known_until: Timestamp) -> Duration {
+        self.paused_until.since(now).max(self.probation_until.since(known_until))
     }
 
     /// Whether this daemon has the maximum number of attempts there.
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -57,7 +57,7 @@
     versions: BTreeMap<ServiceName, VersionHistory>,
     pub(crate) rejected_loads: RejectedLoads,
     /// The time as of which discovery's list of servers is complete here.
-    complete_as_of: Option<Timestamp>,
+    pub(crate) complete_as_of: Option<Timestamp>,
     /// Differs between daemons, for choices that should differ between them.
     pub(crate) seed: u64,
     on_failure: Option<FailureListener>,
@@ -144,6 +144,9 @@
 
     /// Records that all changes of the list of servers up to a time are applied.
     pub fn record_complete_as_of(&mut self, as_of: Timestamp) {
+        if let Some(before) = self.complete_as_of {
+            self.extend_probations(before, as_of);
+        }
         self.complete_as_of = self.complete_as_of.max(Some(as_of));
     }
 
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -196,6 +196,44 @@
     );
 }
 
+struct UnknownTimeCase {
+    name: &'static str,
+    /// The times as of which the list is complete, in milliseconds after the server came back.
+    complete_as_of: &'static [u64],
+    is_used: bool,
+}
+
+/// Guards against a server that left and gets work since discovery was away: the time in which nobody knew the list passed for
+/// time in which the server stayed listed.
+#[test]
+fn time_in_which_the_list_is_not_known_ends_no_probation() {
+    let cases = [
+        UnknownTimeCase { name: "silent", complete_as_of: &[1_000], is_used: false },
+        UnknownTimeCase { name: "back", complete_as_of: &[1_000, 8_000], is_used: false },
+        UnknownTimeCase {
+            name: "listed long enough before and after",
+            complete_as_of: &[1_000, 8_000, 9_500, 11_000, 12_500, 14_000],
+            is_used: true,
+        },
+        UnknownTimeCase {
+            name: "never away",
+            complete_as_of: &[1_000, 2_500, 4_000, 5_500, 6_000],
+            is_used: true,
+        },
+    ];
+    for UnknownTimeCase { name, complete_as_of, is_used } in cases {
+        let mut backends = backends_with(3);
+        backends.record_complete_as_of(START);
+        backends.remove(&id(1), START);
+        backends.put(record(1, BackendState::Ready), START);
+        for millis in complete_as_of {
+            backends.record_complete_as_of(START + Duration::from_millis(*millis));
+        }
+        let later = START + Duration::from_secs(20);
+        assert_eq!(chosen_servers(&mut backends, later).contains(&id(1)), is_used, "{name}");
+    }
+}
+
 struct MissedChangesCase {
     name: &'static str,
     /// The servers whose records were written while changes were missed, of three.
