A server comes back after another writer's entry with a later birth

A server got no requests any more once another writer's entry with a later birth had stood under its name: what it wrote was taken for late entries of an earlier incarnation until 1,024 other servers had gone.

Once the latest incarnation is gone, an entry with an earlier birth lists the server, and it gets work once it has stayed listed for 6 s: what an incarnation that has ended wrote lapses before that.

--- a/crates/backends/src/departures.rs
+++ b/crates/backends/src/departures.rs
@@ -7,6 +7,7 @@
 //! know which servers have left, so the same holds for servers that appear soon after its first list.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
 
 use dahlia_types::Duration;
 
@@ -74,6 +75,12 @@
         earlier.is_some_and(|(earlier, _)| earlier.name == id.name)
     }
 
+    /// Whether a later incarnation of the server has departed.
+    pub(crate) fn includes_later_incarnation(&self, id: &BackendId) -> bool {
+        let later = (Bound::Excluded(id), Bound::Unbounded);
+        self.by_id.range(later).next().is_some_and(|(later, _)| later.name == id.name)
+    }
+
     /// Records a departure. One that was announced stays so.
     pub(crate) fn record(&mut self, id: &BackendId, departure: Departure) {
         if self.get(id) == Some(Departure::Announced) {
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -105,7 +105,7 @@
     /// Applies a record from discovery. What this daemon learnt about that incarnation is kept;
     /// earlier incarnations are removed. A record of an earlier incarnation than the known one is
     /// ignored. An incarnation that announced that it leaves is leaving whatever the record says, and one that had
-    /// disappeared is on probation.
+    /// disappeared is on probation, as is one after which a later incarnation left.
     pub fn put(&mut self, mut record: BackendRecord, now: Timestamp) {
         let id = record.id.clone();
         if self.has_later_incarnation(&id) {
@@ -133,7 +133,8 @@
         let cold_for = record.cold_for;
         if servers.put(record, now) {
             self.assume_initial_load(&id, now);
-            if departure == Some(Departure::Unannounced) || may_have_left {
+            let follows_later = self.departures.includes_later_incarnation(&id);
+            if departure == Some(Departure::Unannounced) || may_have_left || follows_later {
                 self.begin_probation(&id, now);
                 // Only servers that come back show that many do: others that leave make the rest no more numerous.
                 self.review_probations(&service, now);
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -196,6 +196,19 @@
     );
 }
 
+/// Guards against requests at an incarnation that has ended, whose late call lists it after a later one left, and against a server
+/// that gets no work any more since another writer's entry passed for its later incarnation.
+#[test]
+fn an_incarnation_that_is_listed_after_a_later_one_left_gets_work_once_it_has_stayed_listed() {
+    let mut backends = backends_with(3);
+    let later = BackendId::new("i-1", 9);
+    backends.put(BackendRecord { id: later.clone(), ..record(1, BackendState::Ready) }, START);
+    backends.remove(&later, START);
+    backends.put(record(1, BackendState::Ready), START);
+    assert_eq!(chosen_servers(&mut backends, START), [id(2), id(3)]);
+    assert_eq!(chosen_servers(&mut backends, START + PROBATION), [id(1), id(2), id(3)]);
+}
+
 struct UnknownTimeCase {
     name: &'static str,
     /// The times as of which the list is complete, in milliseconds after the server came back.
