A server that returns after another writer's entry is no sign that many came back

Its probation counted like that of a server that had disappeared. It is on probation, but does not count. The case of departures.rs failed before.

--- a/crates/backends/src/probation.rs
+++ b/crates/backends/src/probation.rs
@@ -50,12 +50,37 @@
             || self.departures.includes_earlier_incarnation(id)
     }
 
-    pub(crate) fn begin_probation(&mut self, id: &BackendId, now: Timestamp) {
+    /// Puts a server on probation that had disappeared, or may have left before this daemon started.
+    pub(crate) fn begin_probation_of_returned(
+        &mut self,
+        id: &BackendId,
+        service: &ServiceName,
+        now: Timestamp,
+    ) {
+        self.begin_probation(id, now);
+        if let Some((server, _)) = self.server_mut(id) {
+            server.listed_again_at = Some(now);
+        }
+        // Only servers that come back show that many do: others that leave make the rest no more numerous.
+        self.review_probations(service, now);
+    }
+
+    /// Puts an incarnation on probation after which a later one has left: it may have ended before that one began.
+    pub(crate) fn begin_probation_after_later_incarnation(
+        &mut self,
+        id: &BackendId,
+        now: Timestamp,
+    ) {
+        if self.departures.includes_later_incarnation(id) {
+            self.begin_probation(id, now);
+        }
+    }
+
+    fn begin_probation(&mut self, id: &BackendId, now: Timestamp) {
         let until = now + PROBATION;
         self.probations_end_at = self.probations_end_at.max(until);
         if let Some((server, _)) = self.server_mut(id) {
             server.probation_until = until;
-            server.listed_again_at = Some(now);
         }
     }
 
@@ -74,7 +99,6 @@
                 written.entry(service.clone()).or_default().push(id);
             }
         }
-        let until = now + PROBATION;
         let mut on_probation = 0;
         for (service, ids) in written {
             let Some(servers) = self.services.get(&service) else { continue };
@@ -82,13 +106,8 @@
             if ids.len() * 2 > working {
                 continue;
             }
-            for id in ids {
-                if let Some((server, _)) = self.server_mut(id) {
-                    server.probation_until = server.probation_until.max(until);
-                    on_probation += 1;
-                }
-            }
-            self.probations_end_at = self.probations_end_at.max(until);
+            on_probation += ids.len();
+            ids.into_iter().for_each(|id| self.begin_probation(id, now));
         }
         on_probation
     }
--- a/crates/backends/src/table.rs
+++ b/crates/backends/src/table.rs
@@ -133,11 +133,9 @@
         let cold_for = record.cold_for;
         if servers.put(record, now) {
             self.assume_initial_load(&id, now);
-            let follows_later = self.departures.includes_later_incarnation(&id);
-            if departure == Some(Departure::Unannounced) || may_have_left || follows_later {
-                self.begin_probation(&id, now);
-                // Only servers that come back show that many do: others that leave make the rest no more numerous.
-                self.review_probations(&service, now);
+            match departure == Some(Departure::Unannounced) || may_have_left {
+                true => self.begin_probation_of_returned(&id, &service, now),
+                false => self.begin_probation_after_later_incarnation(&id, now),
             }
         }
         self.record_cold_for(&id, cold_for, now);
--- a/crates/backends/tests/departures.rs
+++ b/crates/backends/tests/departures.rs
@@ -279,6 +279,20 @@
     }
 }
 
+/// Guards against a server that comes back by a late call and gets work since another one is listed after another writer's entry
+/// of a later incarnation left: that one is no sign that many came back.
+#[test]
+fn an_incarnation_after_which_a_later_one_left_does_not_count_as_one_that_came_back() {
+    let mut backends = backends_with(3);
+    let later = BackendId::new("i-2", 9);
+    backends.put(BackendRecord { id: later.clone(), ..record(2, BackendState::Ready) }, START);
+    backends.remove(&later, START);
+    backends.put(record(2, BackendState::Ready), START);
+    backends.remove(&id(1), START);
+    backends.put(record(1, BackendState::Ready), START);
+    assert_eq!(chosen_servers(&mut backends, START), [id(3)]);
+}
+
 /// Guards against a server that comes back by a late call and gets work since others wrote their records unseen.
 #[test]
 fn records_that_were_written_unseen_do_not_count_as_servers_that_came_back() {
