--- a/crates/daemon/src/ledger_client.rs
+++ b/crates/daemon/src/ledger_client.rs
@@ -35,7 +35,7 @@
 
 /// The result of looking up a turn in the other groups.
 enum TurnLookup {
-    Found(ChargedChain),
+    Found { group: GroupId, chain: ChargedChain },
     Refused(TurnRefusal),
 }
 
@@ -88,20 +88,29 @@
         command: LedgerCommand,
         deadline: Instant,
     ) -> Result<LedgerReply, LedgerUnavailable> {
-        let turn = command.turn().cloned();
+        let (turn, program) = (command.turn().cloned(), command.program().cloned());
+        let command_name = command.name();
         let asked = Instant::now();
         let reply = self.ask_admitted(group, command, deadline).await;
         let request = turn.as_ref().map_or("-", |turn| turn.name());
+        let program = program.as_ref().map_or("-", |program| program.name());
         let took_ms = asked.elapsed().as_millis() as u64;
         match &reply {
+            Ok(LedgerReply::Refused(TurnRefusal::BudgetSpent { budget, used })) => log::info!(
+                target: "ledger",
+                request = request, program = program, group:% = group, command = command_name,
+                reply = "budget-spent", budget = budget.0, used = used.0, took_ms = took_ms;
+                "The ledger answered."
+            ),
             Ok(reply) => log::info!(
                 target: "ledger",
-                request = request, group:% = group, reply = reply.name(), took_ms = took_ms;
+                request = request, program = program, group:% = group, command = command_name,
+                reply = reply.name(), took_ms = took_ms;
                 "The ledger answered."
             ),
             Err(error) => log::warn!(
                 target: "ledger",
-                request = request, group:% = group, cause:% = error,
+                request = request, program = program, group:% = group, command = command_name, cause:% = error,
                 was_asked = !error.was_not_submitted, took_ms = took_ms;
                 "No answer of the ledger."
             ),
@@ -216,12 +225,17 @@
         own: GroupId,
         deadline: Instant,
     ) -> Result<LedgerReply, LedgerUnavailable> {
-        let chain = match self.find_in_other_groups(&open.program, &previous, own, deadline).await?
-        {
-            TurnLookup::Found(chain) => chain,
+        let found = self.find_in_other_groups(&open.program, &previous, own, deadline).await?;
+        let (from, ChargedChain { chain, charge }) = match found {
+            TurnLookup::Found { group, chain } => (group, chain),
             TurnLookup::Refused(refusal) => return Ok(LedgerReply::Refused(refusal)),
         };
-        let ChargedChain { chain, charge } = chain;
+        log::info!(
+            target: "ledger",
+            request = open.turn.name(), program = open.program.name(), previous = previous.name(),
+            from:% = from, group:% = own, used_there = charge.map_or(0, |charge| charge.used().0);
+            "A turn continues from another group."
+        );
         let (program, at) = (open.program.clone(), Timestamp::ZERO);
         let import = ImportTurn { program, turn: previous, chain, at };
         let command = match charge {
@@ -244,16 +258,20 @@
         own: GroupId,
         deadline: Instant,
     ) -> Result<TurnLookup, LedgerUnavailable> {
-        let read = || self.read_command(program, turn);
+        let read = &|| self.read_command(program, turn);
         let others = (0..self.groups).map(GroupId).filter(|group| *group != own);
-        let replies = join_all(others.map(|group| self.ask_group(group, read(), deadline))).await;
+        let ask = |group| async move { (group, self.ask_group(group, read(), deadline).await) };
+        let replies = join_all(others.map(ask)).await;
         let mut refusal = TurnRefusal::NoSuchTurn { previous: turn.clone() };
         let mut unavailable_reply = None;
-        for reply in replies {
+        for (group, reply) in replies {
             match reply {
-                Ok(LedgerReply::ChargedChain(found)) => return Ok(TurnLookup::Found(found)),
+                Ok(LedgerReply::ChargedChain(chain)) => {
+                    return Ok(TurnLookup::Found { group, chain });
+                }
                 Ok(LedgerReply::Chain(chain)) => {
-                    return Ok(TurnLookup::Found(ChargedChain { chain, charge: None }));
+                    let chain = ChargedChain { chain, charge: None };
+                    return Ok(TurnLookup::Found { group, chain });
                 }
                 Ok(LedgerReply::Refused(TurnRefusal::NoSuchTurn { .. })) => {}
                 Ok(LedgerReply::Refused(other)) => refusal = other,
