A program's budget is held by one group, whatever regions its turns enter

Callers saw: a program whose sub-agents or lines come to two or three regions gets its budget in each of them.

Cause: kept turns were charged in a group of the gateway's region, and each such group held its own turns to the whole budget. Another group's count came along only with a chain that was missing, as the larger of two.

Change: each program has one group that holds its budget, which a register names. The register is a kept turn in the group of group_of(program), on which all daemons agree; the first record stands. Turns in the holder's region are one command, as before; turns elsewhere are charged at the holder and have their text at home. Turns that are not kept are charged at the same holder.

--- a/crates/daemon/src/ledger_client.rs
+++ b/crates/daemon/src/ledger_client/mod.rs
@@ -1,5 +1,8 @@
 //! Sends a relay's commands to the ledgers in replica groups.
 
+mod charges;
+mod holders;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dahlia_api::ErrorKind;
@@ -21,6 +24,11 @@
 use crate::ledger_breaker::{Admission, LedgerBreaker, LedgerBreakerSettings, Stage};
 use crate::turn_away::TurnAwaySettings;
 
+use holders::KnownHolders;
+
+/// A ledger's reply to a command.
+type LedgerResult = Result<LedgerReply, LedgerUnavailable>;
+
 /// A client of the ledgers of all groups, through this daemon's node. Cheap to clone.
 #[derive(Clone)]
 pub struct LedgerClient {
@@ -29,6 +37,7 @@
     homes: GroupHomes,
     region: Region,
     breaker: Arc<Mutex<LedgerBreaker>>,
+    holders: Arc<Mutex<KnownHolders>>,
     clock: Clock,
     turn_away: TurnAwaySettings,
 }
@@ -62,6 +71,7 @@
             homes: GroupHomes::default(),
             region: Region::new(""),
             breaker,
+            holders: Arc::default(),
             clock: Clock::start(),
             turn_away: TurnAwaySettings::default(),
         }
@@ -72,7 +82,8 @@
         Self { turn_away, clock, ..self }
     }
 
-    /// Sets the client's region. Retained turns then go to a group whose home is there.
+    /// Sets the client's region. Retained turns then go to a group whose home is there, and are charged
+    /// in the one group that holds their program's budget.
     pub fn with_region(self, region: Region, homes: GroupHomes) -> Self {
         Self { region, homes, ..self }
     }
@@ -81,6 +92,10 @@
         self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn holders(&self) -> MutexGuard<'_, KnownHolders> {
+        self.holders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends a command for a waiting caller, and logs the reply.
     async fn ask_group(
         &self,
@@ -238,6 +253,8 @@
         );
         let (program, at) = (open.program.clone(), Timestamp::ZERO);
         let import = ImportTurn { program, turn: previous, chain, at };
+        // Only a build that held the budget once in each region charged a turn there.
+        let charge = charge.filter(|charge| open.budget.is_some() && charge.budget.is_some());
         let command = match charge {
             Some(charge) => {
                 LedgerCommand::ImportCharged(Box::new(ImportCharged { import, charge }))
@@ -295,27 +312,38 @@
         LedgerCommand::ReadCharged { turn, program: program.clone(), at }
     }
 
-    async fn ask_owner(
+    /// Opens a turn in the group that has its text, and imports the chain that it continues if that is in
+    /// another group.
+    async fn open_with_text(
         &self,
+        open: OpenTurn,
         group: GroupId,
+        deadline: Instant,
+    ) -> LedgerResult {
+        let reply = self.ask_group(group, LedgerCommand::Open(open.clone()), deadline).await?;
+        let LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous }) = reply else {
+            return Ok(reply);
+        };
+        let opened = self.open_with_import(open, previous, group, deadline).await;
+        // The first opening was submitted to the ledger, whatever the later steps returned.
+        opened.map_err(|error| LedgerUnavailable { was_not_submitted: false, ..error })
+    }
+
+    /// Submits a command on a turn whose text, if it is kept, is in `local`.
+    async fn submit_to(
+        &self,
+        local: GroupId,
         command: LedgerCommand,
         patience: Duration,
-    ) -> Result<LedgerReply, LedgerUnavailable> {
+    ) -> LedgerResult {
         let deadline = Instant::now() + time::Duration::from_micros(patience.as_micros());
-        if let LedgerCommand::Close(_) = command {
-            return self.send_command(group, command).await;
-        }
-        let reply = self.ask_group(group, command.clone(), deadline).await?;
-        match (command, reply) {
-            (
-                LedgerCommand::Open(open),
-                LedgerReply::Refused(TurnRefusal::NoSuchTurn { previous }),
-            ) => {
-                let opened = self.open_with_import(open, previous, group, deadline).await;
-                // The first opening was submitted to the ledger, whatever the later steps returned.
-                opened.map_err(|error| LedgerUnavailable { was_not_submitted: false, ..error })
+        match command {
+            LedgerCommand::Open(open) if self.homes.has_homes() && open.budget.is_some() => {
+                self.open_charged(open, local, deadline).await
             }
-            (_, reply) => Ok(reply),
+            LedgerCommand::Open(open) => self.open_with_text(open, local, deadline).await,
+            LedgerCommand::Close(close) => self.close_charged(close, local).await,
+            other => self.ask_group(local, other, deadline).await,
         }
     }
 
@@ -332,7 +360,7 @@
     ) -> Result<LedgerReply, LedgerUnavailable> {
         let Some(program) = command.program() else { return self.no_program() };
         let group = group_of(program, self.groups);
-        self.ask_owner(group, command, patience).await
+        self.submit_to(group, command, patience).await
     }
 
     async fn submit_for_retained_turn(
@@ -342,7 +370,7 @@
     ) -> Result<LedgerReply, LedgerUnavailable> {
         let Some(program) = command.program() else { return self.no_program() };
         let group = group_in_region(program, &self.homes, &self.region, self.groups);
-        self.ask_owner(group, command, patience).await
+        self.submit_to(group, command, patience).await
     }
 }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `limits` | limits of what a ledger holds |
 //! | `name` | names of programs and turns, scoped by tenant |
 //! | `group` | the replica group that holds a program |
+//! | `register` | which group holds the budget of a program with turns in several groups |
 //! | `text` | encoding of texts |
 
 mod clock;
@@ -29,6 +30,7 @@
 mod message;
 mod name;
 mod open;
+mod register;
 mod text;
 mod transfer;
 mod turn;
@@ -41,3 +43,7 @@
     OpenTurn, OpenedTurn, TurnEnd, TurnInput, TurnRefusal,
 };
 pub use name::{ProgramName, TurnId};
+pub use register::{
+    REGISTER_RETENTION, RENEW_REGISTER_BELOW, read_holder, record_holder, recorded_holder,
+    renew_register,
+};
--- a/crates/ledger/src/name.rs
+++ b/crates/ledger/src/name.rs
@@ -66,3 +66,27 @@
         self.0.as_bytes()
     }
 }
+
+impl TurnId {
+    /// The turn that holds the register of a program.
+    pub(crate) fn register_of(program: &ProgramName) -> Self {
+        Self::of_system("register", &program.0)
+    }
+
+    /// A turn that renews a register.
+    pub(crate) fn renewal(nonce: u64) -> Self {
+        Self::of_system("renewal", &format!("{nonce:016x}"))
+    }
+
+    /// The name under which this turn is charged in a ledger that does not have its text. The text may
+    /// come to that ledger later, under the turn's own name.
+    pub fn charge(&self) -> Self {
+        Self::of_system("charge", &self.0)
+    }
+
+    /// A turn that belongs to the system. The control character keeps it apart from callers' names, which
+    /// come from headers.
+    fn of_system(kind: &str, name: &str) -> Self {
+        Self(format!("\u{1}{kind}{SEPARATOR}{name}"))
+    }
+}
--- a/crates/types/src/homes.rs
+++ b/crates/types/src/homes.rs
@@ -22,9 +22,14 @@
         Self { regions: sorted.into_iter().collect() }
     }
 
+    /// Whether groups have homes: there are two regions or more.
+    pub fn has_homes(&self) -> bool {
+        self.regions.len() >= 2
+    }
+
     /// The home region of a group; none if there are fewer than two regions.
     pub fn home_of(&self, group: GroupId) -> Option<&Region> {
-        if self.regions.len() < 2 {
+        if !self.has_homes() {
             return None;
         }
         self.regions.get(group.0 as usize % self.regions.len())
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -50,6 +50,11 @@
         Self((seconds * 1e6) as u64)
     }
 
+    /// The difference to a shorter duration, or zero.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// This duration multiplied by `factor`, saturating.
     pub fn times(self, factor: u64) -> Self {
         Self(self.0.saturating_mul(factor))
