Repeats are a share of the first sends of the last ten seconds

Callers saw: when a service lost its answers, every gateway sent the ten repeats that it had saved up over its life, all at once: 77 gateways 770 repeats of one service within a second, whatever its load was.

Cause: the tenth was kept over a gateway's life, which says nothing of the seconds of trouble for which a budget is.

Change: first sends are forgotten after relay.repeat_window_ms, and so are the repeats that they allowed. A tenth of each gateway's last ten seconds adds up to a tenth of the fleet's; beside it each gateway has two, as before.

Evidence: ten gateways, 100 answered requests at each, then a pause and 12 lost answers at each: 110 repeats on, 30 allowed; passes now (first_sends_of_long_ago_allow_no_repeats). The opposite promise: first_sends_allow_further_repeats and a_reserved_repeat_that_finds_no_server_can_be_used_later pass unchanged.

--- a/crates/relay/src/repeat_budget.rs
+++ b/crates/relay/src/repeat_budget.rs
@@ -2,30 +2,78 @@
 //! multiply the load of servers that are in trouble (retry budgets, Finagle; Google SRE book,
 //! chapter 22).
 
+//!
+//! A share is of the first sends of the last moments, not of a gateway's life: what was saved up over
+//! a quiet hour would be spent within a second of trouble, by all gateways at once.
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use dahlia_backends::ServiceName;
+use tokio::time::{Duration, Instant};
 
 use crate::RelaySettings;
 
+/// Parts of a window; first sends are forgotten a part at a time.
+const WINDOW_PARTS: usize = 10;
+
 /// How many repeats one gateway allows for each service.
 #[derive(Debug, Clone, Copy)]
 struct RepeatLimits {
     /// Repeats for each first send.
     per_first_send: f64,
-    /// Repeats before any first send.
+    /// Repeats before any first send, which are not forgotten.
     initial: f64,
     /// The most repeats that first sends save up.
     most_saved: f64,
+    /// The length of a part of the window in which first sends count.
+    part: Duration,
+}
+
+/// The repeats that one service may still get.
+#[derive(Debug)]
+struct ServiceState {
+    left: f64,
+    /// First sends in each part of the window, in a ring.
+    first_sends: [u32; WINDOW_PARTS],
+    /// The part that counts now.
+    current: usize,
+    /// When that part began.
+    began: Instant,
+}
+
+impl ServiceState {
+    fn new(limits: &RepeatLimits, now: Instant) -> Self {
+        Self { left: limits.initial, first_sends: [0; WINDOW_PARTS], current: 0, began: now }
+    }
+
+    /// Forgets first sends that the window has left, and the repeats that they allowed.
+    fn advance(&mut self, limits: &RepeatLimits, now: Instant) {
+        let parts = now.duration_since(self.began).as_nanos() / limits.part.as_nanos();
+        for _ in 0..parts.min(WINDOW_PARTS as u128) {
+            self.current = (self.current + 1) % WINDOW_PARTS;
+            self.first_sends[self.current] = 0;
+        }
+        if parts > 0 {
+            self.began = now;
+        }
+        self.left = self.left.min(self.most(limits));
+    }
+
+    /// The most repeats that may be left.
+    fn most(&self, limits: &RepeatLimits) -> f64 {
+        let first_sends: u32 = self.first_sends.iter().sum();
+        let earned = f64::from(first_sends) * limits.per_first_send;
+        (limits.initial + earned).min(limits.most_saved)
+    }
 }
 
 /// The repeats that each service may still get from this gateway.
 #[derive(Debug)]
 pub(crate) struct RepeatBudgets {
     limits: RepeatLimits,
-    /// Repeats left by service. The operators' configuration bounds the number of services.
-    left: Mutex<HashMap<ServiceName, f64>>,
+    /// The operators' configuration bounds the number of services.
+    services: Mutex<HashMap<ServiceName, ServiceState>>,
 }
 
 impl RepeatBudgets {
@@ -34,8 +82,9 @@
             per_first_send: settings.repeats_per_first_send,
             initial: settings.initial_repeats,
             most_saved: settings.most_saved_repeats,
+            part: Duration::from_millis(settings.repeat_window_ms) / WINDOW_PARTS as u32,
         };
-        Arc::new(Self { limits, left: Mutex::default() })
+        Arc::new(Self { limits, services: Mutex::default() })
     }
 
     /// The budget of one service.
@@ -43,16 +92,25 @@
         ServiceBudget { budgets: Arc::clone(self), service: service.clone() }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, f64>> {
-        self.left.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, ServiceState>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies `change` to what is left for a service now.
+    fn update<T>(&self, service: &ServiceName, change: impl FnOnce(&mut ServiceState) -> T) -> T {
+        let now = Instant::now();
+        let mut services = self.lock();
+        let new = || ServiceState::new(&self.limits, now);
+        let state = services.entry(service.clone()).or_insert_with(new);
+        state.advance(&self.limits, now);
+        change(state)
     }
 
     /// Adds to the repeats that a service has left.
     fn add(&self, service: &ServiceName, repeats: f64) {
-        let RepeatLimits { initial, most_saved, .. } = self.limits;
-        let mut services = self.lock();
-        let left = services.entry(service.clone()).or_insert(initial);
-        *left = (*left + repeats).min(most_saved);
+        self.update(service, |state| {
+            state.left = (state.left + repeats).min(state.most(&self.limits));
+        });
     }
 }
 
@@ -66,24 +124,26 @@
 impl ServiceBudget {
     /// Records the first send of a request that may be repeated, which allows a share of a repeat.
     pub(crate) fn record_first_send(&self) {
-        self.budgets.add(&self.service, self.budgets.limits.per_first_send);
+        let limits = self.budgets.limits;
+        self.budgets.update(&self.service, |state| {
+            state.first_sends[state.current] += 1;
+            state.left = (state.left + limits.per_first_send).min(state.most(&limits));
+        });
     }
 
     /// Whether a repeat can be reserved.
     pub(crate) fn has_repeat(&self) -> bool {
-        let left = self.budgets.lock().get(&self.service).copied();
-        left.unwrap_or(self.budgets.limits.initial) >= 1.0
+        self.budgets.update(&self.service, |state| state.left >= 1.0)
     }
 
     /// Reserves one repeat; none if too few are left.
     pub(crate) fn reserve(&self) -> Option<RepeatPermit> {
-        let mut services = self.budgets.lock();
-        let left = services.entry(self.service.clone()).or_insert(self.budgets.limits.initial);
-        if *left < 1.0 {
-            return None;
-        }
-        *left -= 1.0;
-        Some(RepeatPermit { budget: self.clone(), is_spent: false })
+        let is_reserved = self.budgets.update(&self.service, |state| {
+            let has_repeat = state.left >= 1.0;
+            state.left -= f64::from(u8::from(has_repeat));
+            has_repeat
+        });
+        is_reserved.then(|| RepeatPermit { budget: self.clone(), is_spent: false })
     }
 }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -44,6 +44,8 @@
     pub initial_repeats: f64,
     /// The most repeats that first sends save up for a service.
     pub most_saved_repeats: f64,
+    /// Milliseconds after which a first send allows no repeat any more.
+    pub repeat_window_ms: u64,
     /// Servers that may end under one request, over all its attempts at all gateways, before it is refused.
     pub most_ended_servers: u32,
     /// Seconds for which it is known that a server ended under a request.
@@ -99,6 +101,7 @@
             repeats_per_first_send: 0.1,
             initial_repeats: 2.0,
             most_saved_repeats: 10.0,
+            repeat_window_ms: 10_000,
             most_ended_servers: 3,
             ended_servers_retention_s: 600,
             retry_after_ms: 100,
@@ -146,6 +149,7 @@
         check_range("relay.most_saved_repeats", self.most_saved_repeats, 0.0, 1e6)?;
         let most_saved = self.most_saved_repeats;
         check_range("relay.initial_repeats", self.initial_repeats, 0.0, most_saved)?;
+        check_range("relay.repeat_window_ms", self.repeat_window_ms, 100, 3_600_000)?;
         check_range("relay.most_ended_servers", self.most_ended_servers, 1, 1_000)?;
         let retention = self.ended_servers_retention_s;
         check_range("relay.ended_servers_retention_s", retention, 1, 86_400)?;
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -312,6 +312,44 @@
     }
 }
 
+/// Guards against repeats that were saved up over a gateway's life and are sent within a second, by all
+/// gateways at once, when a service loses its answers.
+#[tokio::test]
+async fn first_sends_of_long_ago_allow_no_repeats() {
+    const GATEWAYS: usize = 10;
+    const ANSWERED: usize = 100;
+    const LOST: usize = 12;
+    let window = StdDuration::from_millis(300);
+    let script: Script = |request| match request.body.as_str() {
+        "lost" => vec![Step::Reset],
+        _ => answer_ok(request),
+    };
+    let servers = servers_with(script).await;
+    let settings = RelaySettings { repeat_window_ms: window.as_millis() as u64, ..quick_probes() };
+    let mut gateways = Vec::new();
+    for _ in 0..GATEWAYS {
+        let servers: Vec<&ScriptedServer> = servers.iter().collect();
+        let table = Some(route_table(vec![repeatable_route()]));
+        gateways.push(TestGateway::with_settings(settings.clone(), table, &servers).await);
+    }
+    for gateway in &gateways {
+        for number in 0..ANSWERED {
+            call(gateway.address, &post(&format!("t-{number}"), "", "x")).await;
+        }
+    }
+    sleep(2 * window).await;
+    let before = runs(&servers);
+    for gateway in &gateways {
+        for number in 0..LOST {
+            call(gateway.address, &post(&format!("u-{number}"), "", "lost")).await;
+        }
+    }
+    let repeats = runs(&servers) - before - GATEWAYS * LOST;
+    let most = GATEWAYS * most_repeats(LOST);
+    assert!(repeats <= most, "{repeats} repeats of {} requests, {most} allowed", GATEWAYS * LOST);
+    assert!(repeats > 0, "a few repeats are allowed");
+}
+
 /// After a time of successes, lost answers are repeated as before: the limit is a share of the first
 /// sends, not a number for the life of a gateway.
 #[tokio::test]
