A connection that timed out is no proof that its server ended

Callers saw: a request that may run on one server was sent to three of them and ended with 502, and was then held for one that ends servers. The servers lived, were listed and accepted connections; they did not read for a while.

TCP_USER_TIMEOUT also ends a connection whose window stays closed while the server's system acknowledges each probe.

Change: such a server is left out of the attempt limit only if a new connection to it times out too or is refused. If a probe timed out since the last contact, that is known and nothing waits. The same for servers that end under a request.

--- a/crates/relay/src/counted_runs.rs
+++ b/crates/relay/src/counted_runs.rs
@@ -55,14 +55,21 @@
 }
 
 impl PossibleRun {
-    /// Whether the server has certainly ended or is cut off: its system acknowledged nothing until
-    /// the connection timed out, or it ended the connection and nothing listens at its address.
-    /// Nothing less is a proof. A server that leaves or is not listed serves on, and one that
+    /// Whether the server has ended or is cut off: the connection timed out and a new one does too, or
+    /// it ended the connection and nothing listens at its address. Nothing less is a proof. A
+    /// connection also times out while a living server does not read. A server that leaves or is not listed serves on, and one that
     /// accepts no connection may be paused or overloaded, but its system still acknowledges. What
     /// was sent to an earlier incarnation may run at the later one.
     async fn has_ended<L>(&self, shared: &Shared<L>) -> bool {
         match self.cause {
-            LossCause::ConnectionTimeout => true,
+            LossCause::ConnectionTimeout => {
+                let liveness = &shared.liveness;
+                match liveness.probe_after_timeout(&self.server, &shared.settings).await {
+                    Reachability::Silent => true,
+                    Reachability::Refused => !may_be_leaving(&self.server.id, shared),
+                    Reachability::Alive => false,
+                }
+            }
             // A server that leaves may stop listening and still work on what it has.
             LossCause::Disconnected if !may_be_leaving(&self.server.id, shared) => {
                 let address = self.server.address;
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -72,18 +72,33 @@
     match run.cause {
         LossCause::InvalidAnswer => CrashEvidence::None,
         LossCause::Restarted => CrashEvidence::Ended,
-        LossCause::ConnectionTimeout | LossCause::Unresponsive => CrashEvidence::Silent,
+        LossCause::Unresponsive => CrashEvidence::Silent,
+        LossCause::ConnectionTimeout => {
+            let liveness = &shared.liveness;
+            let reachability = liveness.probe_after_timeout(&run.server, &shared.settings).await;
+            evidence_of(reachability, &run.server, shared)
+        }
         LossCause::Disconnected => {
-            match probe_for_next_request(&run.server, service, shared).await {
-                Reachability::Refused => CrashEvidence::Ended,
-                Reachability::Silent => CrashEvidence::Silent,
-                Reachability::Alive if has_successor(&run.server, shared) => CrashEvidence::Ended,
-                Reachability::Alive => CrashEvidence::Uncertain,
-            }
+            let reachability = probe_for_next_request(&run.server, service, shared).await;
+            evidence_of(reachability, &run.server, shared)
         }
     }
 }
 
+/// What a new connection to the server of a lost answer shows.
+fn evidence_of<L>(
+    reachability: Reachability,
+    server: &BackendAddress,
+    shared: &Shared<L>,
+) -> CrashEvidence {
+    match reachability {
+        Reachability::Refused => CrashEvidence::Ended,
+        Reachability::Silent => CrashEvidence::Silent,
+        Reachability::Alive if has_successor(server, shared) => CrashEvidence::Ended,
+        Reachability::Alive => CrashEvidence::Uncertain,
+    }
+}
+
 /// Probes a server, and keeps the connection for its next request.
 async fn probe_for_next_request<L>(
     server: &BackendAddress,
--- a/crates/relay/src/liveness.rs
+++ b/crates/relay/src/liveness.rs
@@ -132,6 +132,24 @@
         UsableConnections::New(Probe { liveness: Arc::clone(self), server: server.clone() })
     }
 
+    /// Whether a server responds to a new connection after one to it has timed out. The timeout alone does
+    /// not tell: it also ends connections to a living server that does not read.
+    pub(crate) async fn probe_after_timeout(
+        self: &Arc<Self>,
+        server: &BackendAddress,
+        settings: &RelaySettings,
+    ) -> Reachability {
+        if self.state(&server.id, Instant::now()).silent_at.is_some() {
+            return Reachability::Silent;
+        }
+        let probe = self.begin_probe(&server.id);
+        let result = probe_reachability(server.address, settings).await;
+        if let Some(probe) = probe {
+            probe.finish(result);
+        }
+        result
+    }
+
     fn state(&self, server: &BackendId, since: Instant) -> ServerState {
         let mut servers = self.lock();
         *servers.entry(server.clone()).or_insert(ServerState::new(since))
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration as StdDuration;
@@ -17,6 +18,8 @@
 use dahlia_backends::{BackendId, BackendRecord, BackendState};
 use dahlia_relay::{RelaySettings, Route};
 use dahlia_types::{Duration, Timestamp, Zone};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -165,6 +168,49 @@
     }
 }
 
+/// Guards against repeats beyond the limit: a connection to a living server that does not read times out
+/// although its system acknowledges each probe, so the server counts.
+#[tokio::test]
+async fn a_living_server_that_does_not_read_counts_against_the_limit() {
+    /// More than a receive buffer that nobody reads from.
+    const BODY_BYTES: usize = 900_000;
+    for max_attempts in [1, 2] {
+        let sent_to = Arc::new(AtomicUsize::new(0));
+        let settings = RelaySettings { unacknowledged_timeout_ms: 400, ..quick_probes() };
+        let route = Route { max_attempts, ..repeatable_route() };
+        let table = Some(route_table(vec![route]));
+        let gateway = TestGateway::with_settings(settings, table, &[]).await;
+        for number in 1..=SERVERS {
+            let address = server_that_does_not_read(Arc::clone(&sent_to)).await;
+            gateway.add_server(&format!("s-{number}"), address);
+        }
+        let body = "x".repeat(BODY_BYTES);
+        let reply = call(gateway.address, &post("t-1", "X-Deadline: 9000\r\n", &body)).await;
+        assert_eq!(reply.status, 502, "it may have run");
+        let servers = sent_to.load(Ordering::SeqCst);
+        assert!(servers <= max_attempts as usize, "sent to {servers} of {max_attempts} servers");
+    }
+}
+
+/// A server that accepts connections and never reads more than the head of a request. Returns its address.
+async fn server_that_does_not_read(requests: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("the local address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let requests = Arc::clone(&requests);
+            tokio::spawn(async move {
+                // A probe connection closes without a byte.
+                if stream.read(&mut [0; 1024]).await.is_ok_and(|count| count > 0) {
+                    requests.fetch_add(1, Ordering::SeqCst);
+                    std::future::pending::<()>().await;
+                }
+            });
+        }
+    });
+    address
+}
+
 /// Guards against a server that stays given up: once a probe of it had timed out, every later request
 /// was abandoned as soon as it was sent, so nothing that came from the server could be noticed.
 #[tokio::test]
