Registers are read for first turns at first turns' places, and what can be read is used

A first turn that waits for its register during an election counted as a program under way, and so took places that are kept for those. A register that is read counts although the answer to its record was lost.

--- a/crates/daemon/src/ledger_client/charges.rs
+++ b/crates/daemon/src/ledger_client/charges.rs
@@ -15,6 +15,7 @@
 
 use super::holders::{ChargedElsewhere, Holder};
 use super::{LedgerClient, LedgerResult};
+use crate::ledger_breaker::Stage;
 
 /// How long the end of a turn waits until its charge is settled in another group, which may be cut
 /// off. Settling goes on after that.
@@ -47,7 +48,8 @@
         if continues && let Some(reply) = self.open_if_held(&open, local, deadline).await? {
             return Ok(reply);
         }
-        match self.find_holder(&open.program, local, deadline).await {
+        let stage = if continues { Stage::UnderWay } else { Stage::First };
+        match self.find_holder(&open.program, local, stage, deadline).await {
             Ok(holder) => self.open_at(holder, open, local, deadline).await,
             // Without the register, this region serves the programs whose budget it holds.
             Err(error) if continues => Err(error),
@@ -153,23 +155,26 @@
         &self,
         program: &ProgramName,
         local: GroupId,
+        stage: Stage,
         deadline: Instant,
     ) -> Result<GroupId, LedgerUnavailable> {
         let register = group_of(program, self.groups);
-        let record = self.ask_group(register, record_holder(program, local), deadline);
-        let read = || self.ask_group(register, read_holder(program), deadline);
-        let (recorded, mut reply) = join(record, read()).await;
-        match recorded? {
-            LedgerReply::Imported => {}
-            other => return self.unavailable(register, format!("{register} replied {other:?}")),
-        }
-        if let Ok(LedgerReply::Refused(TurnRefusal::NoSuchTurn { .. })) = reply {
-            // It was read before it was recorded.
-            reply = read().await;
+        let ask = |command| self.ask_group_for(stage, register, command, deadline);
+        let recorded = ask(record_holder(program, local));
+        let (recorded, mut reply) = join(recorded, ask(read_holder(program))).await;
+        let was_read_first = matches!(
+            (&recorded, &reply),
+            (Ok(LedgerReply::Imported), Ok(LedgerReply::Refused(TurnRefusal::NoSuchTurn { .. })))
+        );
+        if was_read_first {
+            reply = ask(read_holder(program)).await;
         }
         match reply? {
             LedgerReply::Chain(chain) => self.learn_holder(program, &chain, local),
-            other => self.unavailable(register, format!("{register} replied {other:?}")),
+            _ => {
+                let reply = recorded?;
+                self.unavailable(register, format!("{register} replied {reply:?}"))
+            }
         }
     }
 
@@ -228,7 +233,7 @@
         let deadline = Instant::now() + BACKGROUND_TIMEOUT;
         match self.ask_group(register, read_holder(program), deadline).await? {
             LedgerReply::Chain(chain) => self.learn_holder(program, &chain, local),
-            _ => self.find_holder(program, local, deadline).await,
+            _ => self.find_holder(program, local, Stage::UnderWay, deadline).await,
         }
     }
 
@@ -253,7 +258,8 @@
             LedgerReply::Opened(_) => {}
             LedgerReply::Refused(TurnRefusal::NoSuchTurn { .. }) => {
                 // It has expired, although this daemon knew it.
-                return self.find_holder(program, holder, deadline).await.map(drop);
+                let found = self.find_holder(program, holder, Stage::UnderWay, deadline).await;
+                return found.map(drop);
             }
             other => return self.unavailable(register, format!("{register} replied {other:?}")),
         }
--- a/crates/daemon/src/ledger_client/mod.rs
+++ b/crates/daemon/src/ledger_client/mod.rs
@@ -102,11 +102,23 @@
         group: GroupId,
         command: LedgerCommand,
         deadline: Instant,
-    ) -> Result<LedgerReply, LedgerUnavailable> {
+    ) -> LedgerResult {
+        let stage = stage_of(&command);
+        self.ask_group_for(stage, group, command, deadline).await
+    }
+
+    /// Does the same for a caller whose turn is of this stage.
+    async fn ask_group_for(
+        &self,
+        stage: Stage,
+        group: GroupId,
+        command: LedgerCommand,
+        deadline: Instant,
+    ) -> LedgerResult {
         let (turn, program) = (command.turn().cloned(), command.program().cloned());
         let command_name = command.name();
         let asked = Instant::now();
-        let reply = self.ask_admitted(group, command, deadline).await;
+        let reply = self.ask_admitted(stage, group, command, deadline).await;
         let request = turn.as_ref().map_or("-", |turn| turn.name());
         let program = program.as_ref().map_or("-", |program| program.name());
         let took_ms = asked.elapsed().as_millis() as u64;
@@ -137,6 +149,7 @@
     /// breaker allows.
     async fn ask_admitted(
         &self,
+        stage: Stage,
         group: GroupId,
         command: LedgerCommand,
         deadline: Instant,
@@ -146,7 +159,7 @@
             return Err(LedgerUnavailable { was_not_submitted: true, ..self.cut_off_error(cut) });
         }
         let now = self.clock.now();
-        let admission = self.breaker().admit(group, stage_of(&command), time_left(deadline), now);
+        let admission = self.breaker().admit(group, stage, time_left(deadline), now);
         let guard = |free| Some(BreakerGuard { client: self, group, free });
         let (wait, _guard) = match admission {
             Admission::Ask { wait } => (wait, None),
