A refused turn is closed, so that no late repeat of its command opens it

Callers saw: 402 although the budget had room for another turn (180 of 225 tokens charged, a turn 45).

Cause: a command may reach its group more than once, by way of another daemon or again while an owner is elected. A refusal leaves no record, so the repeat was decided anew, and after another turn had ended it reserved the most of a turn that its caller had been refused and that nobody would end, for 300 s.

Change: a refused opening that carries a charge is closed as not run; whichever comes first, nothing stays reserved.

Evidence: the soak of budgets over regions: turn 11 is refused as spent by entry 194 of its group and opened by entries 201 and 208 of the same command. One test opened a refused attempt again under the same name, which callers do not (each attempt has its own) and a 402 excludes; it uses two names now.

--- a/crates/daemon/src/ledger_client/charges.rs
+++ b/crates/daemon/src/ledger_client/charges.rs
@@ -72,8 +72,8 @@
         }
         // A ledger that knows the program's budget ignores this one; any other refuses the turn.
         let command = OpenTurn { budget: Some(Tokens(0)), ..open.clone() };
-        let reply = self.open_with_text(command, local, deadline).await?;
-        if let LedgerReply::Refused(TurnRefusal::BudgetSpent { budget: Tokens(0), .. }) = &reply {
+        let reply = self.open_and_charge(command, local, deadline).await?;
+        if is_not_held(&reply) {
             return Ok(None);
         }
         self.learn_in_background(&open.program, local);
@@ -89,8 +89,9 @@
         deadline: Instant,
     ) -> LedgerResult {
         if holder == local {
-            return self.open_with_text(open, local, deadline).await;
+            return self.open_and_charge(open, local, deadline).await;
         }
+        let not_run = not_run(&open);
         let has_text = open.input.is_some();
         self.holders().charge_elsewhere(&open.turn, ChargedElsewhere { holder, has_text });
         let turn = open.turn.charge();
@@ -98,12 +99,12 @@
         let charged = self.ask_group(holder, charge, deadline).await.map_err(submitted)?;
         if !matches!(charged, LedgerReply::Opened(_)) {
             self.holders().take_charged_elsewhere(&open.turn);
+            self.cancel(holder, charge_end(&not_run), &charged);
             return Ok(charged);
         }
         if !has_text {
             return Ok(charged);
         }
-        let not_run = not_run(&open);
         let text = OpenTurn { budget: None, ..open };
         let opened = self.open_with_text(text, local, deadline).await.map_err(submitted)?;
         if !matches!(opened, LedgerReply::Opened(_)) {
@@ -113,6 +114,34 @@
         Ok(opened)
     }
 
+    /// Opens a turn in the group that has its text and that it is charged in.
+    pub(super) async fn open_and_charge(
+        &self,
+        open: OpenTurn,
+        group: GroupId,
+        deadline: Instant,
+    ) -> LedgerResult {
+        let not_run = open.budget.map(|_| not_run(&open));
+        let reply = self.open_with_text(open, group, deadline).await?;
+        if let Some(not_run) = not_run {
+            self.cancel(group, not_run, &reply);
+        }
+        Ok(reply)
+    }
+
+    /// Closes a turn that was refused. Its command may reach the group once more, by way of another
+    /// daemon, when there is room in the budget; it must not open the turn then.
+    fn cancel(&self, group: GroupId, not_run: CloseTurn, reply: &LedgerReply) {
+        let is_final = match reply {
+            LedgerReply::Refused(TurnRefusal::AlreadyEnded) => true,
+            LedgerReply::Refused(_) => is_not_held(reply),
+            _ => true,
+        };
+        if !is_final {
+            tokio::spawn(self.clone().settle(group, not_run));
+        }
+    }
+
     /// Closes a turn in the group that has its text, and in the one that it is charged in.
     pub(super) async fn close_charged(&self, close: CloseTurn, local: GroupId) -> LedgerResult {
         let charged = self.holders().take_charged_elsewhere(&close.turn);
@@ -142,7 +171,7 @@
                     target: "ledger",
                     request = close.turn.name(), program = close.program.name(),
                     group:% = holder, cause:% = error;
-                    "The charge of a turn is not settled; it is charged its most."
+                    "The charge of a turn is not settled; it may be charged its most."
                 );
                 return;
             }
@@ -269,6 +298,11 @@
     }
 }
 
+/// Whether a group refused a turn because it does not hold the program's budget.
+fn is_not_held(reply: &LedgerReply) -> bool {
+    matches!(reply, LedgerReply::Refused(TurnRefusal::BudgetSpent { budget: Tokens(0), .. }))
+}
+
 /// An error of one of the groups of a turn: the turn may have been submitted to the other one.
 fn submitted(error: LedgerUnavailable) -> LedgerUnavailable {
     LedgerUnavailable { was_not_submitted: false, ..error }
--- a/crates/daemon/src/ledger_client/mod.rs
+++ b/crates/daemon/src/ledger_client/mod.rs
@@ -354,7 +354,7 @@
             LedgerCommand::Open(open) if self.homes.has_homes() && open.budget.is_some() => {
                 self.open_charged(open, local, deadline).await
             }
-            LedgerCommand::Open(open) => self.open_with_text(open, local, deadline).await,
+            LedgerCommand::Open(open) => self.open_and_charge(open, local, deadline).await,
             LedgerCommand::Close(close) => self.close_charged(close, local).await,
             other => self.ask_group(local, other, deadline).await,
         }
--- a/crates/daemon/tests/ledger_regions.rs
+++ b/crates/daemon/tests/ledger_regions.rs
@@ -27,6 +27,8 @@
 struct Groups {
     ledgers: BTreeMap<GroupId, Ledger>,
     asked: Vec<(GroupId, &'static str)>,
+    /// The commands of these requests that open a turn.
+    opens: Vec<(GroupId, LedgerCommand)>,
     /// The home region of the groups that have no owner.
     lost: Option<Region>,
 }
@@ -98,6 +100,14 @@
         asked.into_iter().filter(|(_, name)| *name == kind).map(|(group, _)| group).collect()
     }
 
+    /// Applies all commands that opened turns once more, as if they had come by way of another daemon too.
+    fn repeat_opens(&self) {
+        let mut groups = self.groups.lock().expect("not poisoned");
+        for (group, command) in groups.opens.clone() {
+            groups.answer(group, command);
+        }
+    }
+
     fn used(&self, group: GroupId) -> Option<u64> {
         let groups = self.groups.lock().expect("not poisoned");
         groups.ledgers.get(&group)?.charge(&program()).map(|charge| charge.used().0)
@@ -107,6 +117,9 @@
 impl Groups {
     fn answer(&mut self, group: GroupId, command: LedgerCommand) -> Response {
         self.asked.push((group, command.name()));
+        if matches!(command, LedgerCommand::Open(_)) {
+            self.opens.push((group, command.clone()));
+        }
         let is_lost = self.lost.is_some() && homes().home_of(group) == self.lost.as_ref();
         if is_lost {
             return Response::Failed(ApiError::new(ErrorKind::Unavailable, "no owner"));
@@ -258,7 +271,7 @@
     run_turn(&east, "one", None, 60).await;
     let used = Tokens(60);
     let spent = TurnRefusal::BudgetSpent { budget: Tokens(BUDGET), used };
-    let refused = submit(&north, open("two", Some("one"), 41)).await;
+    let refused = submit(&north, open("too-long", Some("one"), 41)).await;
     assert_eq!(refused, Ok(LedgerReply::Refused(spent)));
     for _ in 0..2 {
         let reply = submit(&north, open("two", Some("one"), 30)).await;
@@ -375,6 +388,30 @@
     wait_until(|| system.used(home_group("east")) == Some(50)).await;
 }
 
+/// Guards against programs that are told that their budget is spent while it is not: a command whose turn was refused
+/// reached the group once more when there was room, and reserved tokens for a turn that nobody would end.
+#[tokio::test]
+async fn a_refused_turn_is_not_opened_by_a_repeat_of_its_command() {
+    for region in ["east", "north", ""] {
+        let system = System::new();
+        let client = match region {
+            "" => system.client.clone(),
+            region => system.client_in(region),
+        };
+        let holder =
+            if region.is_empty() { group_of(&program(), GROUPS) } else { home_group("east") };
+        let first = if region.is_empty() { client.clone() } else { system.client_in("east") };
+        submit(&first, open("long", None, 90)).await.expect("opened");
+        let refused = submit(&client, open("refused", None, 20)).await;
+        assert!(matches!(refused, Ok(LedgerReply::Refused(TurnRefusal::BudgetSpent { .. }))));
+        wait_until(|| system.asked("close").contains(&holder)).await;
+        submit(&first, close("long", 10)).await.expect("closed");
+        system.repeat_opens();
+        assert_eq!(system.used(holder), Some(10), "in {region:?}");
+        run_turn(&first, "next", None, 90).await;
+    }
+}
+
 /// What a turn elsewhere did not use is free again.
 #[tokio::test]
 async fn a_turn_in_another_region_is_charged_what_it_generated() {
