--- a/crates/relay/src/counted_runs.rs
+++ b/crates/relay/src/counted_runs.rs
@@ -43,9 +43,9 @@
         let max = max_attempts as usize;
         let mut checked = 0;
         while self.runs.len() >= max && checked < self.runs.len() {
-            if self.runs[checked].has_ended(shared).await {
+            if let Some(reachability) = self.runs[checked].end_evidence(shared).await {
                 let ended = self.runs.swap_remove(checked);
-                log.run_excluded(&ended.server.id);
+                log.run_excluded(&ended, reachability);
             } else {
                 checked += 1;
             }
@@ -55,29 +55,32 @@
 }
 
 impl PossibleRun {
-    /// Whether the server has ended or is cut off: the connection timed out and a new one does too, or
-    /// it ended the connection and nothing listens at its address. Nothing less is a proof. A
-    /// connection also times out while a living server does not read. A server that leaves or is not listed serves on, and one that
-    /// accepts no connection may be paused or overloaded, but its system still acknowledges. What
-    /// was sent to an earlier incarnation may run at the later one.
-    async fn has_ended<L>(&self, shared: &Shared<L>) -> bool {
-        match self.cause {
+    /// What a new connection shows if the server has ended or is cut off; none if it counts. The
+    /// connection timed out and a new one does too, or it ended and nothing listens at its address.
+    /// Nothing less is a proof: a connection also times out while a living server does not read. A
+    /// server that leaves or is not listed serves on, and one that accepts no connection may be
+    /// paused or overloaded, but its system still acknowledges. What was sent to an earlier
+    /// incarnation may run at the later one.
+    async fn end_evidence<L>(&self, shared: &Shared<L>) -> Option<Reachability> {
+        let reachability = match self.cause {
             LossCause::ConnectionTimeout => {
-                let liveness = &shared.liveness;
-                match liveness.probe_after_timeout(&self.server, &shared.settings).await {
-                    Reachability::Silent => true,
-                    Reachability::Refused => !may_be_leaving(&self.server.id, shared),
-                    Reachability::Alive => false,
-                }
+                shared.liveness.probe_after_timeout(&self.server, &shared.settings).await
             }
             // A server that leaves may stop listening and still work on what it has.
             LossCause::Disconnected if !may_be_leaving(&self.server.id, shared) => {
-                let address = self.server.address;
-                let reachability = probe_reachability(address, &shared.settings).await;
-                reachability == Reachability::Refused
+                probe_reachability(self.server.address, &shared.settings).await
             }
-            _ => false,
-        }
+            _ => return None,
+        };
+        let has_ended = match (self.cause, reachability) {
+            (_, Reachability::Alive) => false,
+            (LossCause::ConnectionTimeout, Reachability::Refused) => {
+                !may_be_leaving(&self.server.id, shared)
+            }
+            (LossCause::ConnectionTimeout, Reachability::Silent) => true,
+            (_, reachability) => reachability == Reachability::Refused,
+        };
+        has_ended.then_some(reachability)
     }
 }
 
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -20,6 +20,7 @@
 use crate::crash_suspects::GatewayReach;
 use crate::end_confirmation::EndEvidence;
 use crate::fingerprint::RequestFingerprint;
+use crate::liveness::Reachability;
 use crate::metrics::RelayMetrics;
 use crate::received_answer::ReceivedAnswer;
 use crate::refusal::Refusal;
@@ -275,14 +276,16 @@
 
     /// A server that may have run the request has ended or is cut off, so that it does not count
     /// against the route's limit.
-    pub(crate) fn run_excluded(&self, server: &BackendId) {
+    pub(crate) fn run_excluded(&self, run: &PossibleRun, reachability: Reachability) {
         if let Some(service) = &self.service {
             self.metrics.count_excluded_run(service);
         }
         log::warn!(
             target: "relay",
             request = self.request(),
-            server:% = server,
+            server:% = run.server.id,
+            cause = run.cause.name(),
+            new_connection:? = reachability,
             age_ms = self.age_ms();
             "A server is lost and does not count against the attempt limit."
         );
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -19,7 +19,7 @@
 use dahlia_relay::{RelaySettings, Route};
 use dahlia_types::{Duration, Timestamp, Zone};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -192,6 +192,60 @@
     }
 }
 
+/// Guards against repeats beyond the limit: a server that is listed as ready, resets a connection and stops listening may
+/// live on and run what it has.
+#[tokio::test]
+async fn a_living_server_that_stops_listening_counts_against_the_limit() {
+    let script: Script = |_| vec![Step::StopAndReset];
+    let servers = servers_with(script).await;
+    let route = Route { max_attempts: 1, ..repeatable_route() };
+    let gateway = gateway_with(route, &servers).await;
+    let reply = call(gateway.address, &post("t-1", "", "x")).await;
+    assert_eq!(reply.status, 502, "it may have run");
+    assert_eq!(runs(&servers), 1, "sent to {} of 1 servers", runs(&servers));
+}
+
+/// Guards against repeats beyond the limit: a paused server keeps its window closed and its queue of connections full, while
+/// its system acknowledges each probe of what was sent.
+#[tokio::test]
+async fn a_living_server_that_neither_reads_nor_accepts_counts_against_the_limit() {
+    const BODY_BYTES: usize = 900_000;
+    let sent_to = Arc::new(AtomicUsize::new(0));
+    let settings = RelaySettings { unacknowledged_timeout_ms: 400, ..quick_probes() };
+    let table = Some(route_table(vec![Route { max_attempts: 1, ..repeatable_route() }]));
+    let gateway = TestGateway::with_settings(settings, table, &[]).await;
+    for number in 1..=SERVERS {
+        let address = paused_server(Arc::clone(&sent_to)).await;
+        gateway.add_server(&format!("s-{number}"), address);
+    }
+    let body = "x".repeat(BODY_BYTES);
+    let reply = call(gateway.address, &post("t-1", "X-Deadline: 9000\r\n", &body)).await;
+    assert_eq!(reply.status, 502, "it may have run");
+    assert_eq!(sent_to.load(Ordering::SeqCst), 1, "servers that it was sent to");
+}
+
+/// A server that accepts one connection, reads the head of a request, and then neither reads nor accepts any more. Returns its
+/// address.
+async fn paused_server(requests: Arc<AtomicUsize>) -> SocketAddr {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let listener = socket.listen(1).expect("the socket can listen");
+    let address = listener.local_addr().expect("the local address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _ = stream.read(&mut [0; 1024]).await;
+        requests.fetch_add(1, Ordering::SeqCst);
+        // These fill the queue, so that further connections hang.
+        let mut waiting = JoinSet::new();
+        for _ in 0..4 {
+            waiting.spawn(TcpStream::connect(address));
+        }
+        std::future::pending::<()>().await;
+        drop((listener, stream, waiting));
+    });
+    address
+}
+
 /// A server that accepts connections and never reads more than the head of a request. Returns its address.
 async fn server_that_does_not_read(requests: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
